--- /dev/null
+++ b/merlintrestle/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh, driven by targets."""
--- /dev/null
+++ b/merlintrestle/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each backend server instance."""
--- /dev/null
+++ b/merlintrestle/documents/__init__.py
@@ -0,0 +1,1 @@
+"""Target documents: reading, checking and compiling into snapshots."""
--- /dev/null
+++ b/merlintrestle/members/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the fleet and discovery of upstreams."""
--- /dev/null
+++ b/merlintrestle/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators."""
--- /dev/null
+++ b/merlintrestle/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: routing, limits, retries and safeguards."""
--- /dev/null
+++ b/merlintrestle/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform store: its client and the records kept in it."""
--- /dev/null
+++ b/merlintrestle/store/client.py
@@ -0,0 +1,179 @@
+"""Client of the platform store, the only module that knows its interface."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import grpc
+import grpc.aio
+
+from merlintrestle import errors
+from merlintrestle.schema import store_pb2
+from merlintrestle.schema import store_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+logger = logging.getLogger(__name__)
+
+MAX_VALUE_BYTES = 1_000_000
+_MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+_MAX_RECONNECT_MS = 1000
+
+
+class Entry(NamedTuple):
+    """One key of the store.
+
+    Attributes:
+      key: Its name.
+      value: Its bytes, at most `MAX_VALUE_BYTES`.
+      revision: Revision of its last write; 0 where the key is not there.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class WriteReply(NamedTuple):
+    """What became of a compare-and-swap.
+
+    Attributes:
+      written: True if this call wrote the value.
+      entry: The entry as it stands after the call.
+    """
+
+    written: bool
+    entry: Entry
+
+
+class StoreClient:
+    """Calls the platform store.
+
+    Every call has a timeout. A read that fails raises
+    `errors.StoreUnavailableError`. A write that fails raises
+    `errors.StoreUnknownOutcomeError`: read the key to learn what became of it.
+    """
+
+    def __init__(self, address: str, timeout_s: float = 2.0):
+        """Sets the target.
+
+        Args:
+          address: The store's "ip:port".
+          timeout_s: Longest wait for one answer, in seconds.
+        """
+        self._address = address
+        self._timeout_s = timeout_s
+        self._channel: Any = None
+        self._stub: Any = None
+
+    async def start(self) -> None:
+        """Opens the channel; the store need not be up."""
+        self._channel = grpc.aio.insecure_channel(
+            self._address,
+            options=[
+                ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
+                ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
+                ("grpc.initial_reconnect_backoff_ms", 100),
+                ("grpc.max_reconnect_backoff_ms", _MAX_RECONNECT_MS),
+            ],
+        )
+        self._stub = store_pb2_grpc.StoreStub(self._channel)
+
+    async def close(self) -> None:
+        """Closes the channel; calls in flight fail."""
+        if self._channel is not None:
+            await self._channel.close()
+
+    async def get(self, key: str) -> Entry | None:
+        """Reads one key; None where it is not there."""
+        reply = await self._read(self._stub.Get, store_pb2.GetRequest(key=key))
+        return _entry(reply.entry) if reply.entry.revision else None
+
+    async def put(
+        self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
+    ) -> WriteReply:
+        """Writes a key if it still has the expected revision (0: absent)."""
+        reply = await self._write(
+            self._stub.Put,
+            store_pb2.PutRequest(
+                key=key,
+                value=value,
+                expected_revision=expected_revision,
+                lease_id=lease_id,
+            ),
+        )
+        return WriteReply(reply.written, _entry(reply.entry))
+
+    async def delete(self, key: str, expected_revision: int) -> bool:
+        """Deletes a key if it still has the expected revision."""
+        reply = await self._write(
+            self._stub.Delete,
+            store_pb2.DeleteRequest(
+                key=key, expected_revision=expected_revision
+            ),
+        )
+        return reply.deleted
+
+    async def list(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> list[Entry]:
+        """Reads keys with a prefix in order, `limit` at most."""
+        reply = await self._read(
+            self._stub.List,
+            store_pb2.ListRequest(prefix=prefix, after=after, limit=limit),
+        )
+        return [_entry(entry) for entry in reply.entries]
+
+    async def watch(
+        self, key: str, after_revision: int
+    ) -> AsyncIterator[Entry]:
+        """Yields the key's entries newer than a revision until the store fails.
+
+        Raises:
+          errors.StoreUnavailableError: The store ended or broke the watch.
+        """
+        request = store_pb2.WatchRequest(key=key, after_revision=after_revision)
+        try:
+            async for entry in self._stub.Watch(request):
+                yield _entry(entry)
+        except grpc.aio.AioRpcError as error:
+            raise errors.StoreUnavailableError(_describe(error)) from error
+        raise errors.StoreUnavailableError("the store ended the watch")
+
+    async def grant_lease(self, seconds: int) -> int:
+        """Opens a lease; keys written under it go when it ends."""
+        reply = await self._write(
+            self._stub.GrantLease, store_pb2.GrantLeaseRequest(seconds=seconds)
+        )
+        return reply.lease_id
+
+    async def keep_lease(self, lease_id: int) -> int:
+        """Extends a lease and returns its seconds; 0: it has ended."""
+        reply = await self._write(
+            self._stub.KeepLease, store_pb2.KeepLeaseRequest(lease_id=lease_id)
+        )
+        return reply.seconds
+
+    async def _read(self, call: Any, request: Any) -> Any:
+        try:
+            return await call(request, timeout=self._timeout_s)
+        except grpc.aio.AioRpcError as error:
+            raise errors.StoreUnavailableError(_describe(error)) from error
+
+    async def _write(self, call: Any, request: Any) -> Any:
+        try:
+            return await call(request, timeout=self._timeout_s)
+        except grpc.aio.AioRpcError as error:
+            # gRPC gives UNAVAILABLE also for a connection that broke after the
+            # request was sent, so no status proves that a write had no effect.
+            raise errors.StoreUnknownOutcomeError(_describe(error)) from error
+
+
+def _entry(entry: store_pb2.Entry) -> Entry:
+    return Entry(entry.key, entry.value, entry.revision)
+
+
+def _describe(error: grpc.aio.AioRpcError) -> str:
+    return f"store: {error.code().name.lower()}: {error.details()}"
--- /dev/null
+++ b/merlintrestle/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Spreading configuration versions, never back and never in part."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for tests, demo and measurements alone."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of merlintrestle; the folders mirror the package."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs of the developers."""
