--- a/merlintrestle/documents/reader.py
+++ b/merlintrestle/documents/reader.py
@@ -39,7 +39,7 @@
 def _parse(content: bytes, file: str) -> dict[str, Any]:
     """Returns the TOML root table, or raises one finding about the file."""
     if len(content) > MAX_FILE_BYTES:
-        text = f"has {len(content)} bytes; {MAX_FILE_BYTES} are allowed."
+        text = f"is larger than {MAX_FILE_BYTES} bytes."
         raise errors.InvalidInputError([errors.Finding(file, text)])
     try:
         return tomllib.loads(content.decode("utf-8"))
--- a/merlintrestle/operators/changes.py
+++ b/merlintrestle/operators/changes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import secrets
 import time
 from typing import NamedTuple, TYPE_CHECKING
@@ -11,6 +10,7 @@
 from merlintrestle.documents import checks
 from merlintrestle.documents import compiler
 from merlintrestle.documents import differences
+from merlintrestle.operators import outcomes
 from merlintrestle.schema import document_pb2
 from merlintrestle.store import acceptance
 from merlintrestle.store import records
@@ -40,76 +40,6 @@
     base_version: int | None = None
 
 
-@dataclasses.dataclass(frozen=True)
-class Accepted:
-    """The change made a version.
-
-    Attributes:
-        version: That version.
-        change_id: Id of the change.
-        differences: What it changed.
-    """
-
-    version: int
-    change_id: str
-    differences: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class Unchanged:
-    """The document in force is already the wanted one.
-
-    Attributes:
-        version: The version in which it stands.
-    """
-
-    version: int
-
-
-@dataclasses.dataclass(frozen=True)
-class Refused:
-    """The change does not check out; nothing was changed.
-
-    Attributes:
-        findings: All findings.
-    """
-
-    findings: tuple[errors.Finding, ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class LostRace:
-    """Somebody else changed the same organisation; nothing was changed.
-
-    Attributes:
-        version: The version that stands now.
-        by: The other's change; None: it was not found.
-        differences: What changed under this operator.
-    """
-
-    version: int
-    by: document_pb2.Change | None
-    differences: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class Undecided:
-    """The store gave no answer to the write that would accept the change.
-
-    Attributes:
-        version: The version it would make.
-        change_id: Id of the change, to look for in the audit trail.
-        reason: What the store's client said.
-    """
-
-    version: int
-    change_id: str
-    reason: str
-
-
-Outcome = Accepted | Unchanged | Refused | LostRace | Undecided
-
-
 def make_change_id(version: int) -> str:
     """Returns a new id; ids sort by the version that they would make."""
     return f"{version:012d}-{secrets.token_hex(8)}"
@@ -143,7 +73,7 @@
         self._read_ms = read_ms
         self._pause_s = pause_s
 
-    async def propose(self, proposal: Proposal) -> Outcome:
+    async def propose(self, proposal: Proposal) -> outcomes.Outcome:
         """Tries to have a change accepted and says what became of it.
 
         A change that lost to one of another organisation is checked against
@@ -167,22 +97,22 @@
                 return lost
             head, revision = outcome.head, outcome.revision
         by = await records.read_change(self._store, head.change_id)
-        return LostRace(head.version, by, ())
+        return outcomes.LostRace(head.version, by, ())
 
     async def _attempt(
         self, head: document_pb2.Head, revision: int, proposal: Proposal
-    ) -> Outcome | acceptance.Lost:
+    ) -> outcomes.Outcome | acceptance.Lost:
         documents = await records.read_documents(self._store, head)
         before = documents.pop(proposal.organisation, None)
         if before == proposal.document:
-            return Unchanged(head.version)
+            return outcomes.Unchanged(head.version)
         if proposal.document is not None:
             documents[proposal.organisation] = proposal.document
         change = self._describe(head, before, proposal)
         findings = _check(head.version + 1, documents)
         if findings:
             await self._record_refusal(change, findings)
-            return Refused(tuple(findings))
+            return outcomes.Refused(tuple(findings))
         return await self._accept(head, revision, proposal, documents, change)
 
     async def _accept(
@@ -192,7 +122,7 @@
         proposal: Proposal,
         documents: Mapping[str, document_pb2.Document],
         change: document_pb2.Change,
-    ) -> Outcome | acceptance.Lost:
+    ) -> outcomes.Outcome | acceptance.Lost:
         if proposal.document is not None:
             await records.write_document(self._store, proposal.document)
         await records.write_change(self._store, change)
@@ -210,11 +140,13 @@
             self._store, proposed, revision, self._pause_s
         )
         if isinstance(outcome, acceptance.Accepted):
-            return Accepted(
+            return outcomes.Accepted(
                 outcome.version, change.change_id, tuple(change.summary)
             )
         if isinstance(outcome, acceptance.Undecided):
-            return Undecided(proposed.version, change.change_id, outcome.reason)
+            return outcomes.Undecided(
+                proposed.version, change.change_id, outcome.reason
+            )
         return outcome
 
     def _describe(
@@ -252,7 +184,7 @@
         base: document_pb2.Head,
         now: document_pb2.Head,
         proposal: Proposal,
-    ) -> LostRace | None:
+    ) -> outcomes.LostRace | None:
         """Returns the lost race if the organisation's document changed."""
         name = proposal.organisation
         # Its change may have been undone since; who did it must still see it.
@@ -264,21 +196,25 @@
         if after == proposal.document:
             return None
         lines = differences.list_differences(before, after)
-        return LostRace(now.version, by, tuple(lines))
+        return outcomes.LostRace(now.version, by, tuple(lines))
 
     async def _compare_base(
         self, now: document_pb2.Head, proposal: Proposal
-    ) -> LostRace | Refused | None:
+    ) -> outcomes.LostRace | outcomes.Refused | None:
         if proposal.base_version is None:
             return None
         least = max(0, now.version - MAX_BASE_VERSIONS)
         if not least <= proposal.base_version <= now.version:
             text = f"is not within {least} to {now.version}."
-            return Refused((errors.Finding("--base", text),))
+            return outcomes.Refused((errors.Finding("--base", text),))
         by = await self._find_change(
             now, proposal.base_version, proposal.organisation
         )
-        return LostRace(now.version, by, tuple(by.summary)) if by else None
+        return (
+            outcomes.LostRace(now.version, by, tuple(by.summary))
+            if by
+            else None
+        )
 
     async def _read_document(
         self, head: document_pb2.Head, organisation: str
--- a/merlintrestle/operators/exits.py
+++ b/merlintrestle/operators/exits.py
@@ -15,3 +15,5 @@
 UNKNOWN_OUTCOME = 5
 # Not in force everywhere, or a target is missed.
 NOT_HOLDING = 6
+# Ended by the operator (Ctrl-C), as shells count it.
+INTERRUPTED = 130
--- /dev/null
+++ b/merlintrestle/operators/results.py
@@ -0,0 +1,82 @@
+"""Results that commands report besides the outcomes of changes."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from merlintrestle.operators import status
+    from merlintrestle.operators import trail
+
+
+class StoreFailure(NamedTuple):
+    """The store did not do what was asked.
+
+    Attributes:
+        reason: What its client said.
+    """
+
+    reason: str
+
+
+class Validated(NamedTuple):
+    """The files have no findings.
+
+    Attributes:
+        files: Their names.
+        checked_against: What their references and budget were checked
+            against; empty: nothing.
+    """
+
+    files: tuple[str, ...]
+    checked_against: str
+
+
+class Listing(NamedTuple):
+    """Attempts of the audit trail or the history.
+
+    Attributes:
+        attempts: Newest first.
+    """
+
+    attempts: tuple[trail.Attempt, ...]
+
+
+class Difference(NamedTuple):
+    """What a file would change.
+
+    Attributes:
+        organisation: Whose document it is.
+        version: The version in force that it is compared with.
+        lines: One for each key that differs.
+    """
+
+    organisation: str
+    version: int
+    lines: tuple[str, ...]
+
+
+class Shown(NamedTuple):
+    """The accepted documents.
+
+    Attributes:
+        version: The accepted version.
+        documents: TOML text of each organisation's document.
+    """
+
+    version: int
+    documents: dict[str, str]
+
+
+class Watched(NamedTuple):
+    """One round of watching.
+
+    Attributes:
+        at: When it was (ISO 8601, UTC).
+        accepted: Changes accepted since the round before, newest first.
+        status: What store and fleet say.
+    """
+
+    at: str
+    accepted: tuple[trail.Attempt, ...]
+    status: status.Status
--- a/merlintrestle/operators/session.py
+++ b/merlintrestle/operators/session.py
@@ -13,15 +13,19 @@
 from merlintrestle import errors
 from merlintrestle.operators import changes
 from merlintrestle.operators import exits
+from merlintrestle.operators import fleet
+from merlintrestle.operators import outcomes
 from merlintrestle.operators import output
+from merlintrestle.operators import results
 from merlintrestle.schema import settings_pb2
 from merlintrestle.store import acceptance
 from merlintrestle.store import client
+from merlintrestle.store import records
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
-    from merlintrestle.store import records
+    from merlintrestle.schema import document_pb2
 
 
 class Sources(NamedTuple):
@@ -32,12 +36,14 @@
         make_id: Makes a change id for the version it would make.
         read_ms: Returns milliseconds since 1970.
         pause_s: Seconds between two tries of a write without answer.
+        ask: Asks a daemon for its status.
     """
 
     open_store: Callable[[str, float], Any] = client.StoreClient
     make_id: Callable[[int], str] = changes.make_change_id
     read_ms: Callable[[], int] = changes.read_clock_ms
     pause_s: float = acceptance.PAUSE_S
+    ask: fleet.Ask = fleet.ask_daemon
 
 
 class Session:
@@ -79,6 +85,14 @@
         finally:
             await store.close()
 
+    async def read_accepted(
+        self,
+    ) -> tuple[document_pb2.Head, dict[str, document_pb2.Document]]:
+        """Returns the head record and the documents that it names."""
+        async with self.open_store() as store:
+            head, _ = await records.read_head(store)
+            return head, await records.read_documents(store, head)
+
     def report(self, result: Any) -> None:
         """Prints a result in the form that the operator asked for."""
         click.echo(output.format_result(result, self.is_json))
@@ -88,6 +102,12 @@
         click.echo(text, err=True)
 
 
+def list_examples(*lines: str) -> str:
+    """Returns the end of a command's help: its examples, not rewrapped."""
+    title = "Example:" if len(lines) == 1 else "Examples:"
+    return "\n".join(["\b", title, *(f"  {line}" for line in lines)])
+
+
 def run_command(body: Callable[..., Awaitable[int]]) -> Callable[..., None]:
     """Makes a click callback of a coroutine function.
 
@@ -123,11 +143,13 @@
     session = Session(settings, sources)
     try:
         return asyncio.run(body(session, **values))
+    except KeyboardInterrupt:
+        return exits.INTERRUPTED
     except errors.InvalidInputError as error:
-        session.report(changes.Refused(tuple(error.findings)))
+        session.report(outcomes.Refused(tuple(error.findings)))
         return exits.FINDINGS
     except errors.StoreError as error:
         # Reads and the writes before acceptance end here; a change whose
-        # acceptance is in doubt is a result of its own (changes.Undecided).
-        session.report(output.StoreFailure(str(error)))
+        # acceptance is in doubt is a result of its own (outcomes.Undecided).
+        session.report(results.StoreFailure(str(error)))
         return exits.STORE_UNAVAILABLE
--- /dev/null
+++ b/merlintrestle/operators/status.py
@@ -0,0 +1,169 @@
+"""Whether what was accepted is in force everywhere and its targets hold."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import NamedTuple, TYPE_CHECKING
+
+from merlintrestle import errors
+from merlintrestle.operators import exits
+from merlintrestle.operators import fleet
+from merlintrestle.operators import targets
+from merlintrestle.store import records
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from merlintrestle.operators import session
+    from merlintrestle.schema import document_pb2
+
+_POLL_S = 0.2
+
+
+class Status(NamedTuple):
+    """What store and fleet say at one time.
+
+    Attributes:
+        version: The accepted version; None: the store does not answer.
+        store_problem: Why it does not.
+        daemon_problem: Why nothing is known about the fleet.
+        daemons: Every daemon that serves.
+        targets: Every class of work.
+    """
+
+    version: int | None
+    store_problem: str
+    daemon_problem: str
+    daemons: tuple[fleet.Daemon, ...]
+    targets: tuple[targets.Target, ...]
+
+
+class InForce(NamedTuple):
+    """How far a version got while an operator waited.
+
+    Attributes:
+        version: The version.
+        everywhere: True if every daemon that serves runs it or a newer one.
+        daemons: How many daemons serve.
+        waited_s: Seconds that this took.
+        missing: Daemons that do not run it.
+        problem: Why nothing is known about the fleet.
+    """
+
+    version: int
+    everywhere: bool
+    daemons: int
+    waited_s: float
+    missing: tuple[fleet.Daemon, ...]
+    problem: str
+
+
+async def read_status(run: session.Session) -> Status:
+    """Asks the store and, where one is set, a daemon and its members."""
+    problem = ""
+    head: document_pb2.Head | None = None
+    documents: dict[str, document_pb2.Document] = {}
+    try:
+        async with run.open_store() as store:
+            head, _ = await records.read_head(store)
+            documents = await records.read_documents(store, head)
+    except errors.StoreError as error:
+        problem = str(error)
+    answers: list[fleet.Answer] = []
+    daemon_problem = ""
+    if run.settings.daemon:
+        try:
+            answers = await _ask_fleet(run)
+        except fleet.DaemonUnavailableError as error:
+            daemon_problem = str(error)
+    version = head.version if head else 0
+    digest = head.snapshot_digest if head else b""
+    replies = [one.reply for one in answers if one.reply is not None]
+    return Status(
+        version=head.version if head else None,
+        store_problem=problem,
+        daemon_problem=daemon_problem,
+        daemons=tuple(
+            fleet.judge_daemon(one, version, digest) for one in answers
+        ),
+        targets=tuple(targets.judge_targets(documents, replies))
+        if answers
+        else (),
+    )
+
+
+def choose_exit(status: Status) -> int:
+    """Returns the exit code that a status stands for."""
+    if status.version is None:
+        return exits.STORE_UNAVAILABLE
+    if status.daemon_problem or fleet.list_not_in_force(status.daemons):
+        return exits.NOT_HOLDING
+    if any(one.state == targets.MISSED for one in status.targets):
+        return exits.NOT_HOLDING
+    return exits.OK
+
+
+async def wait_in_force(
+    run: session.Session,
+    version: int,
+    timeout_s: float,
+    progress: Callable[[str], None],
+) -> InForce:
+    """Waits until every daemon that serves runs a version.
+
+    A daemon that was seen to run it is not asked again: none goes back.
+
+    Args:
+        run: The session; its daemon is asked who the members are.
+        version: The version.
+        timeout_s: Longest wait in seconds.
+        progress: Called with a line when more daemons run it.
+    """
+    start = time.monotonic()
+    done: set[str] = set()
+    told = ""
+    while True:
+        result = await _check_once(run, version, done)
+        waited_s = time.monotonic() - start
+        line = _describe(result)
+        if line != told:
+            progress(line)
+            told = line
+        if result.everywhere or waited_s >= timeout_s:
+            return result._replace(waited_s=round(waited_s, 3))
+        await asyncio.sleep(_POLL_S)
+
+
+async def _check_once(
+    run: session.Session, version: int, done: set[str]
+) -> InForce:
+    timeout_s = run.settings.timeout_s
+    try:
+        members = await fleet.list_members(
+            run.settings.daemon, timeout_s, run.sources.ask
+        )
+    except fleet.DaemonUnavailableError as error:
+        return InForce(version, False, 0, 0.0, (), str(error))
+    answers = await fleet.ask_members(
+        [one for one in members if one.id not in done],
+        timeout_s,
+        run.sources.ask,
+    )
+    daemons = [fleet.judge_daemon(one, version, b"") for one in answers]
+    done.update(one.id for one in daemons if one.state == fleet.IN_FORCE)
+    missing = fleet.list_not_in_force(daemons)
+    return InForce(version, not missing, len(members), 0.0, missing, "")
+
+
+def _describe(result: InForce) -> str:
+    if result.problem:
+        return f"version {result.version}: {result.problem}"
+    running = result.daemons - len(result.missing)
+    return f"version {result.version}: {running} of {result.daemons} daemons"
+
+
+async def _ask_fleet(run: session.Session) -> list[fleet.Answer]:
+    ask, timeout_s = run.sources.ask, run.settings.timeout_s
+    members = await fleet.list_members(run.settings.daemon, timeout_s, ask)
+    return await fleet.ask_members(members, timeout_s, ask)
--- /dev/null
+++ b/merlintrestle/operators/texts.py
@@ -0,0 +1,231 @@
+"""Text forms of results, for people."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any, TYPE_CHECKING
+
+from merlintrestle.operators import fleet
+from merlintrestle.operators import outcomes
+from merlintrestle.operators import results
+from merlintrestle.operators import status
+from merlintrestle.operators import targets
+from merlintrestle.operators import trail
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+
+def format_table(
+    titles: Sequence[str], rows: Iterable[Sequence[object]]
+) -> list[str]:
+    """Returns the lines of a table with aligned columns."""
+    cells = [list(titles), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(titles))]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in cells
+    ]
+
+
+@functools.singledispatch
+def format_text(result: Any) -> list[str]:
+    """Returns the lines that people see of a result."""
+    raise TypeError(f"no text form of {type(result).__name__}")
+
+
+@format_text.register
+def _(result: results.StoreFailure) -> list[str]:
+    return [
+        f"The store does not answer: {result.reason}.",
+        "Nothing was changed; what was accepted before stays in force.",
+    ]
+
+
+@format_text.register
+def _(result: results.Validated) -> list[str]:
+    against = result.checked_against
+    end = f"checked against {against}." if against else "each for itself."
+    return [f"No findings in {', '.join(result.files)}, {end}"]
+
+
+@format_text.register
+def _(result: outcomes.Accepted) -> list[str]:
+    return [
+        f"Accepted as version {result.version} (change {result.change_id}).",
+        *_indent(result.differences),
+        *(format_text(result.in_force) if result.in_force else []),
+    ]
+
+
+@format_text.register
+def _(result: outcomes.Unchanged) -> list[str]:
+    return [f"Nothing to change: version {result.version} has it already."]
+
+
+@format_text.register
+def _(result: outcomes.Refused) -> list[str]:
+    count = len(result.findings)
+    noun = "finding" if count == 1 else "findings"
+    return [
+        f"Refused with {count} {noun}; nothing was changed.",
+        *_indent(str(one) for one in result.findings),
+    ]
+
+
+@format_text.register
+def _(result: outcomes.LostRace) -> list[str]:
+    who = "Another operator"
+    if result.by is not None:
+        attempt = trail.describe_change(result.by, trail.ACCEPTED)
+        who = (
+            f"{attempt.operator} ({attempt.action} of {attempt.organisation},"
+            f" version {attempt.version}, {attempt.at})"
+        )
+    return [
+        f"Lost a race; nothing was changed. {who} was first:",
+        *_indent(result.differences),
+        f"Version {result.version} stands. Look at it with `merlintrestle"
+        " diff FILE`, then apply again.",
+    ]
+
+
+@format_text.register
+def _(result: outcomes.Undecided) -> list[str]:
+    return [
+        f"Outcome unknown: {result.reason}.",
+        f"Change {result.change_id} may have made version {result.version},"
+        " or may yet.",
+        "When the store answers again, `merlintrestle audit` says what became"
+        " of it; to apply the same file again is safe.",
+    ]
+
+
+@format_text.register
+def _(result: results.Listing) -> list[str]:
+    if not result.attempts:
+        return ["No changes."]
+    lines = format_table(
+        ["VERSION", "OUTCOME", "AT", "OPERATOR", "ORGANISATION", "ACTION"],
+        [attempt[:6] for attempt in result.attempts],
+    )
+    shown = [lines[0]]
+    for line, attempt in zip(lines[1:], result.attempts, strict=True):
+        shown.append(line)
+        shown += _indent(attempt.refusals or attempt.summary)
+    return shown
+
+
+@format_text.register
+def _(result: results.Difference) -> list[str]:
+    if not result.lines:
+        return [f"{result.organisation}: as in version {result.version}."]
+    return [
+        f"{result.organisation}: against version {result.version}",
+        *_indent(result.lines),
+    ]
+
+
+@format_text.register
+def _(result: results.Shown) -> list[str]:
+    lines = [f"# version {result.version}"]
+    for text in result.documents.values():
+        lines += ["", *text.splitlines()]
+    return lines
+
+
+@format_text.register
+def _(result: status.InForce) -> list[str]:
+    number = f"Version {result.version}"
+    if result.problem:
+        return [
+            f"{number}: whether it is in force is unknown: {result.problem}."
+        ]
+    if result.everywhere:
+        return [f"{number} is in force on all {result.daemons} daemons."]
+    return [
+        f"{number} is not in force everywhere after {result.waited_s:g} s:",
+        *_format_daemons(result.missing),
+    ]
+
+
+@format_text.register
+def _(result: status.Status) -> list[str]:
+    lines = []
+    missing = fleet.list_not_in_force(result.daemons)
+    if result.version is None:
+        lines.append(f"The store does not answer: {result.store_problem}.")
+    elif result.daemons:
+        running = len(result.daemons) - len(missing)
+        lines.append(
+            f"Version {result.version} is in force on {running} of"
+            f" {len(result.daemons)} daemons."
+        )
+    else:
+        lines.append(f"Version {result.version} is accepted.")
+    if result.daemon_problem:
+        lines.append(f"Nothing is known of the fleet: {result.daemon_problem}.")
+    elif not result.daemons:
+        lines.append("Set --daemon to see whether it is in force.")
+    if missing or (result.version is None and result.daemons):
+        shown = missing if result.version is not None else result.daemons
+        lines += ["", *_format_daemons(shown)]
+    if result.targets:
+        lines += ["", *_format_targets(result.targets)]
+    return lines
+
+
+@format_text.register
+def _(result: results.Watched) -> list[str]:
+    accepted = [
+        f"{result.at} version {one.version}: {one.action} of"
+        f" {one.organisation} by {one.operator}"
+        for one in reversed(result.accepted)
+    ]
+    first, *rest = format_text(result.status)
+    return [*accepted, f"{result.at} {first}", *_indent(rest)]
+
+
+def _format_daemons(daemons: Iterable[fleet.Daemon]) -> list[str]:
+    return format_table(
+        ["DAEMON", "ZONE", "SERVICE", "STATE", "VERSION", "DETAIL"],
+        daemons,
+    )
+
+
+def _format_targets(found: Iterable[targets.Target]) -> list[str]:
+    return format_table(
+        [
+            "TARGET",
+            "STATE",
+            "IN TIME",
+            "WANTED",
+            "ANSWERED",
+            "WANTED",
+            "CALLS",
+            "NOT RUN",
+            "FAILED",
+            "UNKNOWN",
+        ],
+        [
+            (
+                f"{one.organisation}/{one.service}/{one.name}",
+                one.state,
+                f"{one.share:.4f}" if one.calls else "-",
+                f"{one.wanted_share:g}",
+                f"{one.answered:.4f}" if one.calls else "-",
+                f"{one.wanted_availability:g}",
+                one.calls,
+                one.refused,
+                one.failed,
+                one.unknown,
+            )
+            for one in found
+        ],
+    )
+
+
+def _indent(lines: Iterable[str]) -> list[str]:
+    return [f"  {line}" for line in lines]
--- a/merlintrestle/operators/trail.py
+++ b/merlintrestle/operators/trail.py
@@ -76,11 +76,10 @@
 
 def describe_change(change: document_pb2.Change, outcome: str) -> Attempt:
     """Returns an attempt as people see it."""
-    at = datetime.datetime.fromtimestamp(change.at_ms / 1000, datetime.UTC)
     return Attempt(
         version=change.base_version + 1,
         outcome=outcome,
-        at=at.isoformat(timespec="seconds").replace("+00:00", "Z"),
+        at=format_time(change.at_ms),
         operator=change.operator,
         organisation=change.organisation,
         action=change.action,
@@ -90,6 +89,12 @@
     )
 
 
+def format_time(at_ms: int) -> str:
+    """Returns milliseconds since 1970 as ISO 8601 in UTC."""
+    at = datetime.datetime.fromtimestamp(at_ms / 1000, datetime.UTC)
+    return at.isoformat(timespec="seconds").replace("+00:00", "Z")
+
+
 def _find_chain(
     head: document_pb2.Head, changes: list[document_pb2.Change]
 ) -> set[str]:
