--- /dev/null
+++ b/tests/documents/builders.py
@@ -0,0 +1,129 @@
+"""Builders and strategies of target documents."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hypothesis import strategies as st
+
+from merlintrestle.documents import fields
+from merlintrestle.schema import document_pb2
+
+SERVICES = ("balie", "kassa", "beeldarchief", "dwell-desk")
+ORGANISATIONS = ("zaanoever", "kochi", "haven")
+BUDGET_SLOTS = 100
+
+
+def build_class(
+    name: str = "lookup", **values: Any
+) -> document_pb2.ClassTarget:
+    """Returns a class of work that demands one slot."""
+    defaults: dict[str, Any] = {
+        "name": name,
+        "latency_ms": 250,
+        "share": 0.99,
+        "availability": 0.999,
+        "repeatable": True,
+        "importance": 3,
+        "rate": 100.0,
+        "work_ms": 10.0,
+        "size": document_pb2.SMALL,
+        "deadline_ms": 2000,
+        "match": [f"GET /{name}"],
+    }
+    return document_pb2.ClassTarget(**{**defaults, **values})
+
+
+def build_service(
+    name: str = "balie", *classes: document_pb2.ClassTarget, **values: Any
+) -> document_pb2.ServiceTarget:
+    """Returns a service with some classes of work."""
+    return document_pb2.ServiceTarget(name=name, classes=classes, **values)
+
+
+def build_document(
+    organisation: str = "zaanoever", *services: document_pb2.ServiceTarget
+) -> document_pb2.Document:
+    """Returns a document with some services."""
+    return document_pb2.Document(organisation=organisation, services=services)
+
+
+def build_mesh(slots: int = BUDGET_SLOTS) -> document_pb2.Document:
+    """Returns the document of the mesh."""
+    return document_pb2.Document(organisation=fields.MESH, budget_slots=slots)
+
+
+def draw_classes() -> st.SearchStrategy[document_pb2.ClassTarget]:
+    """Draws classes of work, each within its ranges."""
+    return st.builds(
+        build_class,
+        st.sampled_from(["lookup", "payout", "download"]),
+        repeatable=st.booleans(),
+        rate=st.sampled_from([0.0, 0.1, 100.0, 2500.0]),
+        work_ms=st.sampled_from([0.5, 10.0]),
+        size=st.sampled_from([document_pb2.SMALL, document_pb2.LARGE]),
+        importance=st.integers(1, 5),
+    ).map(_require_key)
+
+
+def draw_services() -> st.SearchStrategy[document_pb2.ServiceTarget]:
+    """Draws services, own or of others, that may refer to missing ones."""
+    return st.builds(
+        _build_drawn_service,
+        st.sampled_from(SERVICES),
+        st.sampled_from(["", "", "", *ORGANISATIONS]),
+        st.booleans(),
+        st.sets(st.sampled_from(SERVICES), max_size=2),
+        st.lists(
+            draw_classes(), max_size=2, unique_by=lambda target: target.name
+        ),
+    )
+
+
+def draw_documents(
+    organisation: str,
+) -> st.SearchStrategy[document_pb2.Document]:
+    """Draws documents of one organisation, in the reader's form."""
+    if organisation == fields.MESH:
+        return st.sampled_from([10, BUDGET_SLOTS]).map(build_mesh)
+    return st.lists(
+        draw_services(), max_size=3, unique_by=lambda service: service.name
+    ).map(lambda services: _build_drawn_document(organisation, services))
+
+
+def _require_key(target: document_pb2.ClassTarget) -> document_pb2.ClassTarget:
+    target.key_required = not target.repeatable
+    return target
+
+
+def _build_drawn_service(
+    name: str,
+    owner: str,
+    shared: bool,
+    calls: set[str],
+    classes: list[document_pb2.ClassTarget],
+) -> document_pb2.ServiceTarget:
+    return document_pb2.ServiceTarget(
+        name=name,
+        owner=owner,
+        shared=shared and not owner,
+        calls=[] if owner else sorted(calls - {name}),
+        classes=_sort(classes),
+    )
+
+
+def _sort(
+    classes: list[document_pb2.ClassTarget],
+) -> list[document_pb2.ClassTarget]:
+    return sorted(classes, key=lambda target: target.name)
+
+
+def _build_drawn_document(
+    organisation: str, services: list[document_pb2.ServiceTarget]
+) -> document_pb2.Document:
+    for service in services:
+        if service.owner == organisation:
+            service.owner = ""
+    return build_document(
+        organisation, *sorted(services, key=lambda service: service.name)
+    )
--- a/tests/store/fakes.py
+++ b/tests/store/fakes.py
@@ -23,7 +23,7 @@
             lost; one is taken off per write.
         late_writes: Writes of these keys get no answer and take effect only
             when `release_late` is called; one is taken off per write.
-        before_put: Awaited with the key before each put.
+        before_call: Awaited with method and key before each get and put.
         calls: How often each method was called.
     """
 
@@ -32,7 +32,7 @@
         self.down = False
         self.lost_answers: collections.Counter[str] = collections.Counter()
         self.late_writes: collections.Counter[str] = collections.Counter()
-        self.before_put: Callable[[str], Awaitable[None]] | None = None
+        self.before_call: Callable[[str, str], Awaitable[None]] | None = None
         self.calls: collections.Counter[str] = collections.Counter()
         self._revision = 0
         self._late: list[tuple[str, bytes, int]] = []
@@ -47,6 +47,8 @@
 
     async def get(self, key: str) -> client.Entry | None:
         """Reads one key."""
+        if self.before_call is not None:
+            await self.before_call("get", key)
         self._read("get")
         return self.entries.get(key)
 
@@ -54,8 +56,8 @@
         self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
     ) -> client.WriteReply:
         """Writes one key if it has the expected revision."""
-        if self.before_put is not None:
-            await self.before_put(key)
+        if self.before_call is not None:
+            await self.before_call("put", key)
         self._write("put")
         if self.late_writes[key]:
             self.late_writes[key] -= 1
