--- /dev/null
+++ b/tests/store/test_acceptance.py
@@ -0,0 +1,160 @@
+"""Tests of accepting a version while answers are lost or late."""
+
+from __future__ import annotations
+
+import unittest
+
+from merlintrestle import errors
+from merlintrestle.schema import document_pb2
+from merlintrestle.store import acceptance
+from merlintrestle.store import records
+from tests.store import fakes
+
+
+def _propose(before: document_pb2.Head, change_id: str) -> document_pb2.Head:
+    return acceptance.make_head(before, change_id, {}, b"digest")
+
+
+class SwapHeadTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.store = fakes.FakeStore()
+        self.empty = document_pb2.Head()
+
+    async def _swap(
+        self, head: document_pb2.Head, revision: int
+    ) -> acceptance.Outcome:
+        return await acceptance.swap_head(self.store, head, revision, 0)
+
+    async def _accept(self, *change_ids: str) -> document_pb2.Head:
+        """Accepts changes in turn and returns the head that stands."""
+        head, revision = await records.read_head(self.store)
+        for change_id in change_ids:
+            change = document_pb2.Change(
+                change_id=change_id, previous_change_id=head.change_id
+            )
+            await records.write_change(self.store, change)
+            head = _propose(head, change_id)
+            outcome = await self._swap(head, revision)
+            self.assertIsInstance(outcome, acceptance.Accepted)
+            head, revision = await records.read_head(self.store)
+        return head
+
+    async def test_answer_lost_after_the_write(self) -> None:
+        """The store accepts a change and its answer is lost.
+
+        Its operator would see a failure, send the change again and be told
+        that somebody else was faster: himself.
+        """
+        self.store.lost_answers[records.HEAD_KEY] = 1
+        outcome = await self._swap(_propose(self.empty, "a"), 0)
+        self.assertEqual(outcome, acceptance.Accepted(1))
+        self.assertEqual((await records.read_head(self.store))[0].version, 1)
+
+    async def test_answer_lost_and_another_change_follows(self) -> None:
+        """The answer is lost, then another operator's change is accepted.
+
+        The head no longer names the first change, but its chain does. Without
+        the chain the first operator would be told that he lost.
+        """
+        first = _propose(self.empty, "a")
+        self.store.lost_answers[records.HEAD_KEY] = 1
+        turns = 0
+
+        async def follow(method: str, key: str) -> None:
+            nonlocal turns
+            turns += method == "put" and key == records.HEAD_KEY
+            if turns == 2:
+                self.store.before_call = None
+                await self._accept("b")
+
+        self.store.before_call = follow
+        self.assertEqual(await self._swap(first, 0), acceptance.Accepted(1))
+        head, _ = await records.read_head(self.store)
+        self.assertEqual((head.version, head.change_id), (2, "b"))
+
+    async def test_write_takes_effect_late(self) -> None:
+        """A write gets no answer and takes effect after the next one.
+
+        Were a fresh head proposed in its place, both could be accepted and
+        the change would be on the chain twice. The same write with the same
+        expected revision takes effect once.
+        """
+        self.store.late_writes[records.HEAD_KEY] = 1
+        outcome = await self._swap(_propose(self.empty, "a"), 0)
+        self.assertEqual(outcome, acceptance.Accepted(1))
+        self.store.release_late()
+        head, _ = await records.read_head(self.store)
+        self.assertEqual((head.version, list(head.earlier_change_ids)), (1, []))
+
+    async def test_no_answer_at_all_is_undecided(self) -> None:
+        """The store takes the write and then answers nothing any more.
+
+        The change is in force though its operator has no answer; to say
+        "refused" or "accepted" would be a guess.
+        """
+        self.store.late_writes[records.HEAD_KEY] = 100
+        outcome = await self._swap(_propose(self.empty, "a"), 0)
+        self.assertIsInstance(outcome, acceptance.Undecided)
+        self.store.release_late()
+        head, _ = await records.read_head(self.store)
+        self.assertEqual(head.change_id, "a")
+
+    async def test_loser_gets_the_head_that_stands(self) -> None:
+        stands = await self._accept("a")
+        outcome = await self._swap(_propose(self.empty, "b"), 0)
+        self.assertIsInstance(outcome, acceptance.Lost)
+        assert isinstance(outcome, acceptance.Lost)
+        self.assertEqual(outcome.head, stands)
+
+    async def test_chain_goes_further_than_head_names(self) -> None:
+        """An operator is paused while many more versions are accepted.
+
+        The head names the last ids alone; the older ones are found by the
+        change records, so that his own is still found.
+        """
+        ids = [f"{i:03d}" for i in range(records.MAX_EARLIER_IDS + 9)]
+        head = await self._accept(*ids)
+        self.assertEqual(len(head.earlier_change_ids), records.MAX_EARLIER_IDS)
+        for version, change_id in enumerate(ids, start=1):
+            found = await records.find_accepted_id(self.store, head, version)
+            self.assertEqual(found, change_id)
+
+
+class RecordsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.store = fakes.FakeStore()
+
+    async def test_document_that_is_not_what_it_was(self) -> None:
+        """A document's bytes differ from its digest.
+
+        A daemon that ran them would serve by targets nobody accepted.
+        """
+        document = document_pb2.Document(organisation="zaanoever")
+        digest = await records.write_document(self.store, document)
+        found = await records.read_document(self.store, digest)
+        self.assertEqual(found, document)
+        key = records.DOCUMENT_PREFIX + digest.hex()
+        revision = self.store.entries[key].revision
+        await self.store.put(key, b"\x0a\x01x", revision)
+        with self.assertRaises(errors.CorruptRecordError):
+            await records.read_document(self.store, digest)
+
+    async def test_missing_document(self) -> None:
+        with self.assertRaises(errors.CorruptRecordError):
+            await records.read_document(self.store, b"x")
+
+    async def test_writing_a_document_again_is_harmless(self) -> None:
+        document = document_pb2.Document(organisation="zaanoever")
+        digest = await records.write_document(self.store, document)
+        key = records.DOCUMENT_PREFIX + digest.hex()
+        self.store.lost_answers[key] = 2
+        again = await records.write_document(self.store, document)
+        self.assertEqual(again, digest)
+
+    async def test_changes_are_listed_over_pages(self) -> None:
+        for i in range(450):
+            change = document_pb2.Change(change_id=f"{i:012d}-x")
+            await records.write_change(self.store, change)
+        listed = records.list_changes(self.store, f"{10:012d}")
+        found = [change.change_id async for change in listed]
+        self.assertEqual(found, [f"{i:012d}-x" for i in range(10, 450)])
