--- a/merlintrestle/operators/changes.py
+++ b/merlintrestle/operators/changes.py
@@ -105,7 +105,7 @@
         documents = await records.read_documents(self._store, head)
         before = documents.pop(proposal.organisation, None)
         if before == proposal.document:
-            return outcomes.Unchanged(head.version)
+            return outcomes.Unchanged(head.version, head.snapshot_digest.hex())
         if proposal.document is not None:
             documents[proposal.organisation] = proposal.document
         change = self._describe(head, before, proposal)
@@ -141,7 +141,10 @@
         )
         if isinstance(outcome, acceptance.Accepted):
             return outcomes.Accepted(
-                outcome.version, change.change_id, tuple(change.summary)
+                outcome.version,
+                compiled.digest.hex(),
+                change.change_id,
+                tuple(change.summary),
             )
         if isinstance(outcome, acceptance.Undecided):
             return outcomes.Undecided(
--- a/merlintrestle/operators/changing.py
+++ b/merlintrestle/operators/changing.py
@@ -188,7 +188,11 @@
     if not run.is_json:
         run.report(outcome)
     found = await status.wait_in_force(
-        run, outcome.version, timeout_s, run.progress
+        run,
+        outcome.version,
+        bytes.fromhex(outcome.digest),
+        timeout_s,
+        run.progress,
     )
     if run.is_json:
         run.report(dataclasses.replace(outcome, in_force=found))
--- a/merlintrestle/operators/outcomes.py
+++ b/merlintrestle/operators/outcomes.py
@@ -17,12 +17,14 @@
 
     Attributes:
         version: That version.
+        digest: Digest of its snapshot, in hex.
         change_id: Id of the change.
         differences: What it changed.
         in_force: How far it got, if the operator waited.
     """
 
     version: int
+    digest: str
     change_id: str
     differences: tuple[str, ...]
     in_force: status.InForce | None = None
@@ -34,10 +36,12 @@
 
     Attributes:
         version: The version in which it stands.
+        digest: Digest of its snapshot, in hex.
         in_force: How far it got, if the operator waited.
     """
 
     version: int
+    digest: str
     in_force: status.InForce | None = None
 
 
--- a/merlintrestle/operators/status.py
+++ b/merlintrestle/operators/status.py
@@ -107,6 +107,7 @@
 async def wait_in_force(
     run: session.Session,
     version: int,
+    digest: bytes,
     timeout_s: float,
     progress: Callable[[str], None],
 ) -> InForce:
@@ -117,6 +118,7 @@
     Args:
         run: The session; its daemon is asked who the members are.
         version: The version.
+        digest: Digest of its snapshot.
         timeout_s: Longest wait in seconds.
         progress: Called with a line when more daemons run it.
     """
@@ -124,7 +126,7 @@
     done: set[str] = set()
     told = ""
     while True:
-        result = await _check_once(run, version, done)
+        result = await _check_once(run, version, digest, done)
         waited_s = time.monotonic() - start
         line = _describe(result)
         if line != told:
@@ -136,7 +138,7 @@
 
 
 async def _check_once(
-    run: session.Session, version: int, done: set[str]
+    run: session.Session, version: int, digest: bytes, done: set[str]
 ) -> InForce:
     timeout_s = run.settings.timeout_s
     try:
@@ -150,7 +152,7 @@
         timeout_s,
         run.sources.ask,
     )
-    daemons = [fleet.judge_daemon(one, version, b"") for one in answers]
+    daemons = [fleet.judge_daemon(one, version, digest) for one in answers]
     done.update(one.id for one in daemons if one.state == fleet.IN_FORCE)
     missing = fleet.list_not_in_force(daemons)
     return InForce(version, not missing, len(members), 0.0, missing, "")
