--- /dev/null
+++ b/standins/ledger.py
@@ -0,0 +1,59 @@
+"""Record of every run of every request, so that harm can be counted."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from typing import Any
+
+
+class Ledger:
+    """Records runs in memory and, if asked, in a file that survives crashes.
+
+    Attributes:
+        records: What happened, oldest first.
+    """
+
+    def __init__(self, path: str = ""):
+        """Opens the ledger.
+
+        Args:
+            path: File to append JSON lines to; several processes may share
+                it. Empty: none.
+        """
+        self.records: list[dict[str, Any]] = []
+        self._path = path
+        self._file = -1
+
+    def start(self) -> None:
+        """Opens the file."""
+        if self._path:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            self._file = os.open(self._path, flags, 0o600)
+
+    def close(self) -> None:
+        """Closes the file."""
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+
+    def record(self, event: str, request_id: str, **fields: Any) -> None:
+        """Records an event of a request: "started", "done" or "cancelled"."""
+        line = {
+            "event": event,
+            "request_id": request_id,
+            "at_ms": time.time_ns() // 1_000_000,
+            **fields,
+        }
+        self.records.append(line)
+        if self._file >= 0:
+            # One write call each: the line stands even if the process is
+            # killed right after, and lines of several processes do not mix.
+            os.write(self._file, (json.dumps(line) + "\n").encode())
+
+
+def read_ledger(path: str) -> list[dict[str, Any]]:
+    """Reads the records that processes appended to a file."""
+    with open(path, encoding="utf-8") as file:
+        return [json.loads(line) for line in file]
--- /dev/null
+++ b/tests/standins/builders.py
@@ -0,0 +1,47 @@
+"""Builders of stand-ins for tests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from merlintrestle.store import client
+from standins import store
+
+if TYPE_CHECKING:
+    import unittest
+
+
+async def start_store(
+    case: unittest.IsolatedAsyncioTestCase,
+) -> store.StoreStandin:
+    """Starts a store on a free port that is closed after the test."""
+    standin = store.StoreStandin()
+    await standin.start()
+    case.addAsyncCleanup(standin.close)
+    return standin
+
+
+async def start_client(
+    case: unittest.IsolatedAsyncioTestCase,
+    standin: store.StoreStandin,
+    timeout_s: float = 5.0,
+) -> client.StoreClient:
+    """Starts a client of a store that is closed after the test."""
+    made = client.StoreClient(standin.address, timeout_s)
+    await made.start()
+    case.addAsyncCleanup(made.close)
+    return made
+
+
+class ManualClock:
+    """A clock that moves when it is told to.
+
+    Attributes:
+        now: Seconds.
+    """
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
