--- /dev/null
+++ b/standins/plain_random_proxy.py
@@ -0,0 +1,105 @@
+"""Baseline of the failures measurement: random upstreams, blind retries.
+
+It picks an upstream of the service at random and retries every failure three
+times, whatever the request. Run it with `python -m
+standins.plain_random_proxy`; tell it the upstreams on its admin port.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+import click
+
+from standins import process
+from standins import relay
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+RETRIES = 3
+_TIMEOUT = aiohttp.ClientTimeout(sock_connect=1.0, sock_read=5.0)
+
+
+class PlainRandomProxy:
+    """Passes `/<service>/<path>` on to any upstream of the service.
+
+    Attributes:
+        upstreams: Addresses by service.
+        port: Port for calls; known after `start`.
+        admin_port: Port for `POST /upstreams`; known after `start`.
+    """
+
+    def __init__(self) -> None:
+        self.upstreams: Mapping[str, list[str]] = {}
+        self.port = 0
+        self.admin_port = 0
+        self._session: aiohttp.ClientSession
+        self._runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Opens both ports."""
+        self._session = relay.make_session(_TIMEOUT)
+        calls = web.Application()
+        calls.router.add_route("*", "/{service}/{path:.*}", self._handle)
+        runner, self.port = await process.serve(calls)
+        admin = web.Application()
+        admin.router.add_post("/upstreams", self._take_upstreams)
+        admin.router.add_post("/announce", self._ignore_announcement)
+        other, self.admin_port = await process.serve(admin)
+        self._runners = [runner, other]
+
+    async def close(self) -> None:
+        """Closes both ports and the connections to the upstreams."""
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._session.close()
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        _, service, path = request.raw_path.split("/", 2)
+        addresses = self.upstreams.get(service)
+        if not addresses:
+            return web.Response(status=404)
+        body = await request.read()
+        for attempt in range(1 + RETRIES):
+            url = f"http://{random.choice(addresses)}/{path}"
+            last = attempt == RETRIES
+            try:
+                return await relay.relay(
+                    self._session, request, body, url, raise_failures=not last
+                )
+            except (aiohttp.ClientError, TimeoutError):
+                continue
+        return web.Response(status=502)
+
+    async def _take_upstreams(self, request: web.Request) -> web.Response:
+        self.upstreams = await request.json()
+        return web.json_response({})
+
+    async def _ignore_announcement(self, _request: web.Request) -> web.Response:
+        return web.json_response({})
+
+
+async def _run() -> None:
+    stop = process.wait_for_stop_signal()
+    proxy = PlainRandomProxy()
+    await proxy.start()
+    process.print_ready(
+        "plain random proxy", port=proxy.port, admin_port=proxy.admin_port
+    )
+    await stop.wait()
+    await proxy.close()
+
+
+@click.command()
+def main() -> None:
+    """Runs the baseline proxy until SIGTERM."""
+    process.configure_logging("plain random proxy")
+    process.run(_run)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/work.py
+++ b/standins/work.py
@@ -20,6 +20,7 @@
     from standins import ledger
 
 REQUEST_ID_HEADER = "Request-Id"
+ATTEMPT_HEADER = "Attempt-Id"
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Merlintrestle-Deadline-Ms"
 CRASH_HEADER = "Crash"
@@ -114,8 +115,12 @@
             )
         self._enter()
         request_id = request.headers.get(REQUEST_ID_HEADER, "")
-        key = request.headers.get(KEY_HEADER, "")
-        fields = {"key": key, "at": self.address, "path": request.path}
+        fields = {
+            "key": request.headers.get(KEY_HEADER, ""),
+            "attempt_id": request.headers.get(ATTEMPT_HEADER, ""),
+            "at": self.address,
+            "path": request.path,
+        }
         self._runs.record("started", request_id, **fields)
         if CRASH_HEADER in request.headers:
             os._exit(_CRASH_STATUS)
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,278 @@
+"""An example fleet as separate processes: store, daemons, backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import aiohttp
+
+from tools import processes
+from tools import workload
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine, Mapping
+
+HOST = "127.0.0.1"
+_BATCH = 8
+_SEEDS = 3
+_CALL_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
+
+
+class Place(NamedTuple):
+    """Where one instance runs and what it serves.
+
+    Attributes:
+        zone: Availability zone.
+        service: Service of the backend server.
+    """
+
+    zone: str
+    service: str
+
+
+class Layout(NamedTuple):
+    """The instances of an example fleet.
+
+    Attributes:
+        name: Folder of its target documents.
+        region: Region of all its zones.
+        zones: Availability zones.
+        upstreams: Number of backend servers by service.
+    """
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+    upstreams: Mapping[str, int]
+
+
+ZAANOEVER = Layout(
+    "zaanoever",
+    "zaanstreek",
+    ("weeghal-noord", "weeghal-zuid", "kantoor-dijk"),
+    {"balie": 6, "kassa": 4, "beeldarchief": 3},
+)
+KOCHI = Layout(
+    "kochi",
+    "kochi",
+    ("willingdon", "vallarpadam", "kakkanad"),
+    {"dwell-desk": 5, "settle-ledger": 3, "evidence-vault": 3},
+)
+LAYOUTS = {layout.name: layout for layout in (ZAANOEVER, KOCHI)}
+
+
+def list_places(layout: Layout, scale: float = 1.0) -> list[Place]:
+    """Spreads a layout's instances over its zones, one by one.
+
+    Args:
+        layout: The fleet.
+        scale: Factor on the upstreams of each service; one at least stays.
+    """
+    services = [
+        service
+        for service, count in layout.upstreams.items()
+        for _ in range(max(1, round(count * scale)))
+    ]
+    zones = layout.zones
+    return [
+        Place(zones[index % len(zones)], service)
+        for index, service in enumerate(services)
+    ]
+
+
+class Instance:
+    """One instance: a daemon and the backend server beside it.
+
+    Attributes:
+        place: Zone and service.
+        daemon: The daemon's process.
+        backend: The backend server's process; None before its start.
+    """
+
+    def __init__(self, place: Place, daemon: processes.Process):
+        self.place = place
+        self.daemon = daemon
+        self.backend: processes.Process | None = None
+
+    @property
+    def url(self) -> str:
+        """Where callers reach the daemon."""
+        return f"http://{HOST}:{self.daemon.ready['port']}"
+
+    @property
+    def admin(self) -> str:
+        """Admin address of the daemon."""
+        return f"{HOST}:{self.daemon.ready['admin_port']}"
+
+
+def build_daemon_arguments(
+    place: Place, region: str, store: str, seeds: list[str]
+) -> list[str]:
+    """Returns module and arguments that start a daemon on free ports."""
+    arguments = [
+        *("merlintrestle.daemon.command", "--address", HOST),
+        *("--zone", place.zone, "--region", region, "--port", "0"),
+        *("--peer-port", "0", "--control-port", "0", "--admin-port", "0"),
+        *("--store", store, "--log-level", "warning"),
+    ]
+    if seeds:
+        arguments += ["--seeds", ",".join(seeds)]
+    return arguments
+
+
+class Fleet:
+    """A store and instances; all processes belong to the given table.
+
+    Attributes:
+        layout: Which example fleet.
+        store: The store's process, after `start`.
+        instances: The instances, after `start`.
+        ledger_path: File in which all backend servers record their runs.
+    """
+
+    def __init__(
+        self,
+        table: processes.ProcessTable,
+        layout: Layout,
+        build_arguments: Callable[
+            [Place, str, str, list[str]], list[str]
+        ] = build_daemon_arguments,
+        name: str = "fleet",
+    ):
+        """Prepares a fleet.
+
+        Args:
+            table: Where its processes are registered.
+            layout: Which example fleet.
+            build_arguments: Makes the arguments of a daemon, so that a
+                baseline can stand in its place.
+            name: Names the file of runs.
+        """
+        self.layout = layout
+        self.store: processes.Process
+        self.instances: list[Instance] = []
+        self.ledger_path = str(table.directory / f"{name}.runs")
+        self._table = table
+        self._build_arguments = build_arguments
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def store_address(self) -> str:
+        """Address of the store, "ip:port"."""
+        return self.store.ready["address"]
+
+    async def start(self, places: list[Place], backends: bool = True) -> None:
+        """Starts the store, the daemons in batches and the backend servers."""
+        self._session = aiohttp.ClientSession(timeout=_CALL_TIMEOUT)
+        self.store = await self._table.start("store", "standins.store")
+        first, rest = places[:_SEEDS], places[_SEEDS:]
+        for place in first:
+            await self._add_daemon(place)
+        for index in range(0, len(rest), _BATCH):
+            batch = rest[index : index + _BATCH]
+            await _finish_all(*map(self._add_daemon, batch))
+        if backends:
+            await _finish_all(*map(self.start_backend, self.instances))
+
+    async def close(self) -> None:
+        """Closes the client; the table stops the processes."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def restart_daemon(self, instance: Instance) -> None:
+        """Starts a daemon that has ended again, at the same ports."""
+        before = instance.daemon
+        arguments = list(before.arguments)
+        for field in ("port", "peer_port", "control_port", "admin_port"):
+            flag = "--" + field.replace("_", "-")
+            if flag in arguments and field in before.ready:
+                arguments[arguments.index(flag) + 1] = str(before.ready[field])
+        if "--seeds" not in arguments:
+            others = [i for i in self.instances if i is not instance]
+            seeds = [i.daemon.ready["id"] for i in others[:_SEEDS]]
+            arguments += ["--seeds", ",".join(seeds)]
+        instance.daemon = await self._table.start(before.name, *arguments)
+
+    async def start_backend(self, instance: Instance) -> None:
+        """Starts the backend server, at the same port as before if any."""
+        service = instance.place.service
+        arguments = [
+            *("standins.backend", "--service", service),
+            *("--admin", instance.admin, "--ledger", self.ledger_path),
+        ]
+        for load in workload.read_classes(self.layout.name):
+            if load.service == service:
+                arguments += ["--work", f"{load.prefix}={load.work_ms}"]
+        if instance.backend is not None:
+            port = instance.backend.ready["address"].rpartition(":")[2]
+            arguments += ["--port", port]
+        instance.backend = await self._table.start(service, *arguments)
+
+    async def apply(self, *paths: str, operator: str = "demo") -> str:
+        """Applies target documents through the operators' program.
+
+        Raises:
+            processes.ProcessError: The program refused or failed.
+        """
+        status, out, err = await processes.run_command(
+            "merlintrestle.operators.command",
+            "apply",
+            *paths,
+            *("--store", self.store_address, "--operator", operator),
+        )
+        if status:
+            raise processes.ProcessError(
+                f"apply ended with status {status}:\n{out}{err}"
+            )
+        return out
+
+    async def get_json(self, address: str, path: str) -> Any:
+        """Reads a page as JSON; None where it cannot be had."""
+        assert self._session is not None
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, ValueError):
+            async with self._session.get(f"http://{address}{path}") as answer:
+                if answer.status == 200:
+                    return await answer.json(content_type=None)
+        return None
+
+    async def post_json(self, address: str, path: str, fields: Any) -> None:
+        """Posts JSON to a control port."""
+        assert self._session is not None
+        url = f"http://{address}{path}"
+        async with self._session.post(url, json=fields) as answer:
+            answer.raise_for_status()
+
+    async def set_store_faults(self, **fields: Any) -> None:
+        """Puts faults of the store in force in place of those before."""
+        await self.post_json(self.store.ready["control"], "/faults", fields)
+
+    async def read_counters(self) -> dict[str, Any]:
+        """Returns the store's counters."""
+        return await self.get_json(self.store.ready["control"], "/counters")
+
+    async def read_versions(self, instance: Instance) -> dict[int, int]:
+        """Returns when a daemon took each version into use, in ms."""
+        pairs = await self.get_json(instance.admin, "/versions") or []
+        return {pair["version"]: pair["at_ms"] for pair in pairs}
+
+    async def _add_daemon(self, place: Place) -> None:
+        seeds = [i.daemon.ready["id"] for i in self.instances[:_SEEDS]]
+        arguments = self._build_arguments(
+            place, self.layout.region, self.store_address, seeds
+        )
+        daemon = await self._table.start("daemon", *arguments)
+        self.instances.append(Instance(place, daemon))
+
+
+async def _finish_all(*starts: Coroutine[Any, Any, None]) -> None:
+    """Runs all to their end, then raises the first error if any.
+
+    A start that goes on after another has failed would add a process after
+    the table was closed, which nobody would stop.
+    """
+    results = await asyncio.gather(*starts, return_exceptions=True)
+    for result in results:
+        if isinstance(result, BaseException):
+            raise result
--- /dev/null
+++ b/tools/workload.py
@@ -0,0 +1,88 @@
+"""Classes of work of an example fleet, read from its target documents."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+from typing import Any, NamedTuple
+
+_FLEETS = pathlib.Path(__file__).parent.parent / "fleets"
+
+
+class ClassLoad(NamedTuple):
+    """How calls of one class of work are made.
+
+    Attributes:
+        organisation: Organisation that declares it.
+        service: Service that serves it.
+        name: Name of the class.
+        method: HTTP method.
+        prefix: Path prefix within the service.
+        repeatable: True if a call may run more than once (idempotent).
+        large: True for downloads.
+        importance: 1 (shed first) to 5.
+        rate: Expected calls per second over the whole mesh.
+        work_ms: Milliseconds of work per call.
+        latency_ms: Latency that `share` of the calls must keep.
+        share: Share of calls within `latency_ms`.
+        deadline_ms: Milliseconds until the final answer.
+    """
+
+    organisation: str
+    service: str
+    name: str
+    method: str
+    prefix: str
+    repeatable: bool
+    large: bool
+    importance: int
+    rate: float
+    work_ms: float
+    latency_ms: float
+    share: float
+    deadline_ms: float
+
+    @property
+    def label(self) -> str:
+        """Service and class, "kassa/payout"."""
+        return f"{self.service}/{self.name}"
+
+
+def list_documents(fleet: str) -> list[str]:
+    """Returns the paths of a fleet's target documents, the mesh first."""
+    paths = sorted((_FLEETS / fleet).glob("*.toml"))
+    paths.sort(key=lambda path: path.stem != "mesh")
+    return [str(path) for path in paths]
+
+
+def read_classes(fleet: str) -> list[ClassLoad]:
+    """Returns every class of work that a fleet's documents declare."""
+    found = []
+    for path in list_documents(fleet):
+        document = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        organisation = document["organisation"]
+        for service, target in document.get("services", {}).items():
+            for name, fields in target.get("classes", {}).items():
+                found.append(_read_class(organisation, service, name, fields))
+    return found
+
+
+def _read_class(
+    organisation: str, service: str, name: str, fields: dict[str, Any]
+) -> ClassLoad:
+    method, _, prefix = fields["match"][0].partition(" ")
+    return ClassLoad(
+        organisation=organisation,
+        service=service,
+        name=name,
+        method="GET" if method == "*" else method,
+        prefix=prefix,
+        repeatable=fields["repeatable"],
+        large=fields.get("size") == "large",
+        importance=fields["importance"],
+        rate=fields["rate"],
+        work_ms=fields["work_ms"],
+        latency_ms=fields["latency_ms"],
+        share=fields["share"],
+        deadline_ms=fields["deadline_ms"],
+    )
