--- a/standins/store.py
+++ b/standins/store.py
@@ -10,7 +10,8 @@
 import contextlib
 import functools
 import logging
-from typing import Any, TYPE_CHECKING
+import time
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 from aiohttp import web
 import click
@@ -30,6 +31,21 @@
 
 _MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 _EXPIRE_EVERY_S = 0.1
+_KEPT_WRITES = 10_000
+
+
+class Write(NamedTuple):
+    """One write that took effect.
+
+    Attributes:
+        key: Key that was written.
+        revision: Its revision since.
+        at_ms: Milliseconds since 1970.
+    """
+
+    key: str
+    revision: int
+    at_ms: int
 
 
 class StoreServicer(store_pb2_grpc.StoreServicer):
@@ -40,6 +56,7 @@
         faults: Faults in force; change them by `set_faults`.
         calls: Calls by kind, and by kind and first part of the key.
         most_waiting: Most watches that ever waited at once.
+        writes: Key, revision and ms since 1970 of each write, oldest first.
     """
 
     def __init__(self, data: keyvalue.KeyValue):
@@ -47,6 +64,9 @@
         self.faults = faults.StoreFaults()
         self.calls: collections.Counter[str] = collections.Counter()
         self.most_waiting = 0
+        self.writes: collections.deque[Write] = collections.deque(
+            maxlen=_KEPT_WRITES
+        )
         self._past: dict[str, keyvalue.Entry] = {}
         self._faults_changed = asyncio.Event()
 
@@ -81,8 +101,11 @@
             await context.abort(
                 grpc.StatusCode.FAILED_PRECONDITION, f"no such {error}"
             )
-        await self._end_write(context)
         entry = self.data.get(request.key)
+        if written:
+            at_ms = time.time_ns() // 1_000_000
+            self.writes.append(Write(entry.key, entry.revision, at_ms))
+        await self._end_write(context)
         return store_pb2.PutReply(written=written, entry=_encode(entry))
 
     async def Delete(self, request: Any, context: Any) -> Any:  # noqa: N802
@@ -207,6 +230,7 @@
         await self._listen()
         application = web.Application()
         application.router.add_get("/counters", self._show_counters)
+        application.router.add_get("/writes", self._show_writes)
         application.router.add_post("/faults", self._change_faults)
         self._runner, self.control_port = await process.serve(
             application, self.control_port
@@ -263,6 +287,11 @@
     async def _show_counters(self, _request: web.Request) -> web.Response:
         return web.json_response(self.read_counters())
 
+    async def _show_writes(self, request: web.Request) -> web.Response:
+        key = request.query.get("key")
+        writes = [w for w in self.servicer.writes if key in (None, w.key)]
+        return web.json_response([write._asdict() for write in writes])
+
     async def _change_faults(self, request: web.Request) -> web.Response:
         try:
             new = faults.parse_faults(await request.json())
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -8,6 +8,8 @@
 
 import aiohttp
 
+from merlintrestle.schema import document_pb2
+from merlintrestle.store import client
 from tools import processes
 from tools import workload
 
@@ -17,6 +19,7 @@
 HOST = "127.0.0.1"
 _BATCH = 8
 _SEEDS = 3
+_POLL_S = 0.1
 _CALL_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
 
 
@@ -203,7 +206,7 @@
             *("--admin", instance.admin, "--ledger", self.ledger_path),
         ]
         for load in workload.read_classes(self.layout.name):
-            if load.service == service:
+            if load.service == service and not load.large:
                 arguments += ["--work", f"{load.prefix}={load.work_ms}"]
         if instance.backend is not None:
             port = instance.backend.ready["address"].rpartition(":")[2]
@@ -248,6 +251,53 @@
         """Puts faults of the store in force in place of those before."""
         await self.post_json(self.store.ready["control"], "/faults", fields)
 
+    async def read_head(self) -> document_pb2.Head:
+        """Returns the accepted head as the store holds it."""
+        store = client.StoreClient(self.store_address)
+        await store.start()
+        try:
+            entry = await store.get("head")
+        finally:
+            await store.close()
+        head = document_pb2.Head()
+        if entry is not None:
+            head.ParseFromString(entry.value)
+        return head
+
+    async def read_accepted_ms(self) -> int:
+        """Returns when the store took the newest head, in ms since 1970."""
+        control = self.store.ready["control"]
+        writes = await self.get_json(control, "/writes?key=head")
+        return writes[-1]["at_ms"]
+
+    async def wait_in_force(
+        self, version: int, within_s: float, instances: list[Instance]
+    ) -> float | None:
+        """Waits until all instances run a version or a later one.
+
+        Returns:
+            Seconds from the store's write of the newest head until the last
+            daemon took it into use; None where that took too long.
+        """
+        accepted_ms = await self.read_accepted_ms()
+        taken = [
+            self._wait_running(instance, version) for instance in instances
+        ]
+        try:
+            async with asyncio.timeout(within_s):
+                last_ms = max(await asyncio.gather(*taken))
+        except TimeoutError:
+            return None
+        return (last_ms - accepted_ms) / 1000
+
+    async def _wait_running(self, instance: Instance, version: int) -> int:
+        while True:
+            versions = await self.read_versions(instance)
+            times = [ms for number, ms in versions.items() if number >= version]
+            if times:
+                return min(times)
+            await asyncio.sleep(_POLL_S)
+
     async def read_counters(self) -> dict[str, Any]:
         """Returns the store's counters."""
         return await self.get_json(self.store.ready["control"], "/counters")
--- a/tools/load.py
+++ b/tools/load.py
@@ -43,6 +43,7 @@
         seed: Seed of every random choice; also marks the request ids.
         download_bytes: Length of each download.
         download_rate: Bytes per second of each download.
+        large_rate: Downloads begun per second, in place of their rates.
         crash_share: Share of repeatable calls that crash their backend.
     """
 
@@ -53,6 +54,7 @@
     seed: int
     download_bytes: int = 500_000
     download_rate: int = 1_000_000
+    large_rate: float = 1.0
     crash_share: float = 0.0
 
 
@@ -99,7 +101,11 @@
 def list_requests(plan: Plan) -> Iterator[tuple[float, calls.Request]]:
     """Yields when each request begins, in seconds, in order of time."""
     choices = random.Random(plan.seed)
-    rates = [load.rate * plan.factor for load in plan.classes]
+    larges = sum(load.large for load in plan.classes)
+    rates = [
+        plan.large_rate / larges if load.large else load.rate * plan.factor
+        for load in plan.classes
+    ]
     total = sum(rates)
     at_s = 0.0
     number = 0
