--- /dev/null
+++ b/merlintrestle/members/accounting.py
@@ -0,0 +1,40 @@
+"""Counting the bytes of control messages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import prometheus_client
+
+if TYPE_CHECKING:
+    from google.protobuf import message
+
+# Per message: the frame of gRPC (5), the frame of HTTP/2 (9) and the headers
+# of IP and TCP (52) on a packet of its own.
+MESSAGE_OVERHEAD_BYTES = 66
+# Per call in each direction, besides: headers of HTTP/2, compressed.
+CALL_OVERHEAD_BYTES = 100
+
+_SENT = prometheus_client.Counter(
+    "merlintrestle_control_sent_bytes_total",
+    "Bytes of control messages sent, with a stated overhead per message.",
+    ["kind"],
+)
+_RECEIVED = prometheus_client.Counter(
+    "merlintrestle_control_received_bytes_total",
+    "Bytes of control messages received, with a stated overhead per message.",
+    ["kind"],
+)
+
+
+def count_sent(kind: str, sent: message.Message, overhead: int = 0) -> None:
+    """Counts a message that was sent."""
+    _SENT.labels(kind).inc(sent.ByteSize() + MESSAGE_OVERHEAD_BYTES + overhead)
+
+
+def count_received(
+    kind: str, received: message.Message, overhead: int = 0
+) -> None:
+    """Counts a message that was received."""
+    size = received.ByteSize() + MESSAGE_OVERHEAD_BYTES + overhead
+    _RECEIVED.labels(kind).inc(size)
--- /dev/null
+++ b/merlintrestle/members/exchange.py
@@ -0,0 +1,194 @@
+"""Anti-entropy of the member table, and first contact with the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import TYPE_CHECKING
+
+from merlintrestle import errors
+from merlintrestle.members import peers as peers_lib
+from merlintrestle.members import seeds as seeds_lib
+from merlintrestle.members import table as table_lib
+from merlintrestle.members import timing as timing_lib
+from merlintrestle.schema import control_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from merlintrestle.store import client
+
+logger = logging.getLogger(__name__)
+
+# One round in so many goes to a member held for dead, or to a seed: it heals
+# regions that were cut from each other for so long that each gave up the other.
+_GONE_SHARE = 4
+
+
+class Exchange:
+    """Compares the table with other daemons, bucket by bucket."""
+
+    def __init__(
+        self,
+        table: table_lib.MemberTable,
+        peers: peers_lib.Peers,
+        store: client.StoreClient | None,
+        seeds: Sequence[str],
+        timing: timing_lib.Timing,
+    ):
+        self._table = table
+        self._peers = peers
+        self._store = store
+        self._seeds = list(seeds)
+        self._timing = timing
+        self._contact = asyncio.Event()
+        self._differing: set[str] = set()
+
+    async def wait_for_contact(self, timeout_s: float) -> bool:
+        """Waits until another daemon has given its members."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._contact.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def note_difference(self, peer_id: str) -> None:
+        """Marks a peer whose digest differed for the next round."""
+        if peer_id:
+            self._differing.add(peer_id)
+
+    async def join(self) -> None:
+        """Finds a first daemon: by the seeds, else by the store's records.
+
+        A herd must not put all its reads to the store at once, so the first
+        one is spread over `start_jitter` and later ones back off.
+        """
+        backoff = timing_lib.Backoff(1.0, self._timing.store_retry_max)
+        if await self._contact_any(self._seeds):
+            return
+        await asyncio.sleep(random.uniform(0, self._timing.start_jitter))
+        while not self._contact.is_set():
+            if await self._contact_any(await self._read_seeds()):
+                return
+            await asyncio.sleep(backoff.get_wait())
+            if await self._contact_any(self._seeds):
+                return
+
+    async def run_round(self) -> str | None:
+        """Compares with one peer; returns its id if it did not answer."""
+        peer_id = self._choose_peer()
+        if peer_id is None:
+            return None
+        try:
+            await self.compare(peer_id)
+        except peers_lib.PeerError:
+            return peer_id
+        return None
+
+    async def compare(self, peer_id: str) -> None:
+        """Exchanges the buckets in which a peer's table differs.
+
+        Raises:
+            peers_lib.PeerError: The peer did not answer.
+        """
+        request = control_pb2.MembersRequest(
+            bucket_digests=self._table.bucket_digests,
+            members=[self._table.own],
+        )
+        reply = await self._call(peer_id, request)
+        self._merge(reply.members)
+        differing = self._find_differing(reply.bucket_digests)
+        if not differing:
+            return
+        request = control_pb2.MembersRequest(
+            buckets=differing, members=self._table.list_buckets(differing)
+        )
+        reply = await self._call(peer_id, request)
+        self._merge(reply.members)
+
+    def answer(
+        self, request: control_pb2.MembersRequest
+    ) -> control_pb2.MembersReply:
+        """Takes in the members of a request and gives what differs."""
+        self._contact.set()
+        told = {member.id: member for member in request.members}
+        self._merge(request.members)
+        buckets = list(request.buckets) or self._find_differing(
+            request.bucket_digests
+        )
+        reply = control_pb2.MembersReply(
+            bucket_digests=self._table.bucket_digests
+        )
+        for member in self._table.list_buckets(buckets):
+            if _is_news(member, told.get(member.id)):
+                reply.members.append(member)
+        return reply
+
+    async def _contact_any(self, addresses: Sequence[str]) -> bool:
+        """Asks daemons in random order until one answers."""
+        for address in random.sample(list(addresses), len(addresses)):
+            if address == self._table.own_id:
+                continue
+            try:
+                await self.compare(address)
+            except peers_lib.PeerError as error:
+                logger.info("members: no first contact: %s", error)
+                continue
+            self._contact.set()
+            return True
+        return False
+
+    async def _read_seeds(self) -> list[str]:
+        if self._store is None:
+            return []
+        try:
+            return await seeds_lib.read_seeds(self._store)
+        except errors.StoreError as error:
+            logger.info("members: the store gave no seeds: %s", error)
+            return []
+
+    def _choose_peer(self) -> str | None:
+        own_id = self._table.own_id
+        members = [m for m in self._table.members() if m.id != own_id]
+        gone = [m.id for m in members if table_lib.is_gone(m)]
+        usable = [m.id for m in members if not table_lib.is_gone(m)]
+        seeds = [seed for seed in self._seeds if seed != own_id]
+        if random.randrange(_GONE_SHARE) == 0 and gone + seeds:
+            return random.choice(gone + seeds)
+        differing = [i for i in usable if i in self._differing]
+        self._differing.clear()
+        candidates = differing or usable or seeds
+        return random.choice(candidates) if candidates else None
+
+    async def _call(
+        self, peer_id: str, request: control_pb2.MembersRequest
+    ) -> control_pb2.MembersReply:
+        return await self._peers.call(
+            peer_id, "Members", request, self._timing.fetch
+        )
+
+    def _merge(self, members: Sequence[control_pb2.Member]) -> None:
+        for member in members:
+            self._table.merge(member)
+
+    def _find_differing(self, digests: Sequence[int]) -> list[int]:
+        """Returns the buckets that differ; all of them if none were given."""
+        own = self._table.bucket_digests
+        if len(digests) != len(own):
+            return list(range(len(own)))
+        return [i for i, digest in enumerate(digests) if digest != own[i]]
+
+
+def _is_news(
+    member: control_pb2.Member, told: control_pb2.Member | None
+) -> bool:
+    """Tells whether the other side needs a record.
+
+    The gone are named only to one that holds them alive. Otherwise those who
+    forgot them would learn of them again and again.
+    """
+    if told is None:
+        return not table_lib.is_gone(member)
+    return table_lib.outranks(member, told)
--- /dev/null
+++ b/merlintrestle/members/membership.py
@@ -0,0 +1,211 @@
+"""Membership: finding the fleet, keeping links, and telling who failed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from typing import TYPE_CHECKING
+
+import grpc.aio
+import mode
+
+from merlintrestle.members import exchange
+from merlintrestle.members import links as links_lib
+from merlintrestle.members import peers as peers_lib
+from merlintrestle.members import rendezvous
+from merlintrestle.members import suspicion
+from merlintrestle.members import table as table_lib
+from merlintrestle.members import timing as timing_lib
+from merlintrestle.schema import control_pb2
+from merlintrestle.schema import control_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from merlintrestle.store import client
+
+logger = logging.getLogger(__name__)
+
+NEIGHBOURS = 4
+
+
+class Membership(mode.Service):
+    """Keeps this daemon in touch with the fleet.
+
+    Attributes:
+        table: All members known.
+        links: The links to neighbours, and those that others opened.
+        peers: Channels for single calls.
+        timing: Intervals.
+    """
+
+    def __init__(
+        self,
+        table: table_lib.MemberTable,
+        store: client.StoreClient | None,
+        seeds: Sequence[str] = (),
+        timing: timing_lib.Timing | None = None,
+    ):
+        """Sets up the parts.
+
+        Args:
+            table: The table; this daemon is in it.
+            store: Gives first contact where no seed does.
+            seeds: Control addresses of daemons to contact first.
+            timing: Intervals.
+        """
+        super().__init__()
+        self.table = table
+        self.timing = timing or timing_lib.Timing()
+        self.links = links_lib.Links(table, self.timing)
+        self.peers = peers_lib.Peers()
+        self._exchange = exchange.Exchange(
+            table, self.peers, store, seeds, self.timing
+        )
+        self._judge = suspicion.Judge(
+            table, self.peers, self.links, self.timing
+        )
+        self._neighbours: dict[str, asyncio.Task[None]] = {}
+        self._changed = asyncio.Event()
+        self._source: links_lib.Link | None = None
+        self.links.on_message.append(self._receive)
+        self.links.on_open.append(self._greet)
+        table.on_change.append(self._spread)
+
+    async def on_start(self) -> None:
+        """Begins with no neighbours; tasks find them."""
+        self._changed.set()
+
+    async def on_stop(self) -> None:
+        """Ends all links of this daemon."""
+        for task in self._neighbours.values():
+            task.cancel()
+        await asyncio.gather(*self._neighbours.values(), return_exceptions=True)
+        await self.peers.close()
+
+    async def wait_for_contact(self, timeout_s: float) -> bool:
+        """Waits for the first answer of another daemon; False: none came."""
+        return await self._exchange.wait_for_contact(timeout_s)
+
+    async def serve_link(self, stream: grpc.aio.ServicerContext) -> None:
+        """Serves a link that a peer opened, until it ends."""
+        link = links_lib.Link("", outgoing=False)
+        try:
+            await self.links.run_link(link, stream.read, stream.write)
+        except (grpc.aio.AioRpcError, TimeoutError) as error:
+            logger.info("members: link from %s lost: %s", link.peer_id, error)
+        if link.peer_id and not self.should_stop:
+            self._judge.check_soon(link.peer_id)
+
+    async def probe(self, member_id: str) -> bool:
+        """Reaches a member on behalf of another daemon."""
+        return await self._judge.reach(member_id)
+
+    def answer_members(
+        self, request: control_pb2.MembersRequest
+    ) -> control_pb2.MembersReply:
+        """Takes in and gives members by bucket."""
+        return self._exchange.answer(request)
+
+    @mode.Service.task
+    async def _choose_neighbours(self) -> None:
+        while not self.should_stop:
+            await self._changed.wait()
+            self._changed.clear()
+            self._update_neighbours()
+            await self.sleep(self.timing.flush)
+
+    @mode.Service.task
+    async def _watch_states(self) -> None:
+        before = time.monotonic()
+        while not self.should_stop:
+            await self.sleep(self.timing.heartbeat / 2)
+            now = time.monotonic()
+            self._judge.tick(now - before)
+            self.table.forget_gone()
+            before = now
+
+    @mode.Service.task
+    async def _join(self) -> None:
+        await self._exchange.join()
+
+    @mode.Service.task
+    async def _exchange_members(self) -> None:
+        while not self.should_stop:
+            await self.sleep(timing_lib.jitter(self.timing.exchange))
+            member_id = await self._exchange.run_round()
+            if member_id is not None:
+                self._judge.check_soon(member_id)
+            await self.peers.trim()
+
+    def _update_neighbours(self) -> None:
+        own_id = self.table.own_id
+        others = [i for i in self.table.usable_ids() if i != own_id]
+        wanted = rendezvous.choose(own_id, others, NEIGHBOURS)
+        for member_id in set(self._neighbours) - set(wanted):
+            self._neighbours.pop(member_id).cancel()
+        for member_id in wanted:
+            if member_id not in self._neighbours:
+                self._neighbours[member_id] = asyncio.create_task(
+                    self._keep_link(member_id)
+                )
+
+    async def _keep_link(self, member_id: str) -> None:
+        """Keeps one link open while the peer is a neighbour."""
+        backoff = timing_lib.Backoff(
+            self.timing.reconnect, self.timing.reconnect_max
+        )
+        while True:
+            began = time.monotonic()
+            try:
+                await self._run_outgoing(member_id)
+            except (grpc.aio.AioRpcError, TimeoutError) as error:
+                logger.debug("members: link to %s lost: %s", member_id, error)
+            if time.monotonic() - began > self.timing.silence:
+                backoff.reset()
+            self._judge.check_soon(member_id)
+            await asyncio.sleep(backoff.get_wait())
+
+    async def _run_outgoing(self, member_id: str) -> None:
+        link = links_lib.Link(member_id, outgoing=True)
+        channel = peers_lib.open_channel(member_id)
+        try:
+            stream = control_pb2_grpc.ControlStub(channel).Link()
+            await self.links.run_link(link, stream.read, stream.write)
+        finally:
+            await channel.close()
+
+    def _greet(self, link: links_lib.Link) -> None:
+        """Tells a peer about itself and this daemon when a link opens.
+
+        A peer that was held for dead learns it from here and refutes.
+        """
+        link.box.add_member(self.table.own)
+        held = self.table.get(link.peer_id)
+        if held is not None:
+            link.box.add_member(held)
+
+    def _receive(
+        self, link: links_lib.Link, message: control_pb2.LinkMessage
+    ) -> None:
+        self._source = link
+        try:
+            for member in message.members:
+                self.table.merge(member)
+        finally:
+            self._source = None
+        if message.members_digest != self.table.digest:
+            self._exchange.note_difference(link.peer_id)
+
+    def _spread(self, member: control_pb2.Member) -> None:
+        """Passes a record on to the neighbours, and chooses them anew."""
+        besides = None if member.id == self.table.own_id else self._source
+        self.links.send_member(member, besides)
+        self._changed.set()
+
+
+def choose_random(candidates: list[str], count: int) -> list[str]:
+    """Returns up to `count` candidates in random order."""
+    return random.sample(candidates, min(count, len(candidates)))
--- /dev/null
+++ b/merlintrestle/members/peers.py
@@ -0,0 +1,107 @@
+"""Channels to other daemons, and calls on them with a deadline."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import Any
+
+import grpc
+import grpc.aio
+
+from merlintrestle import errors
+from merlintrestle.members import accounting
+from merlintrestle.schema import control_pb2_grpc
+
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+# Channels kept open besides those of links.
+_MAX_IDLE_CHANNELS = 16
+_CONNECT_MS = 1000
+_RECONNECT_MS = 100
+
+_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.initial_reconnect_backoff_ms", _RECONNECT_MS),
+    ("grpc.min_reconnect_backoff_ms", _CONNECT_MS),
+    ("grpc.max_reconnect_backoff_ms", _CONNECT_MS),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.enable_retries", 0),
+    ("grpc.http2.bdp_probe", 0),
+    # Channels share connections unless told otherwise: a channel that is
+    # rebuilt because its connection went silent would get the same one again.
+    ("grpc.use_local_subchannel_pool", 1),
+]
+
+
+class PeerError(errors.MerlintrestleError):
+    """A peer did not answer a control call."""
+
+
+def open_channel(address: str) -> grpc.aio.Channel:
+    """Opens a channel with a connection of its own."""
+    return grpc.aio.insecure_channel(address, options=_OPTIONS)
+
+
+class Peers:
+    """Calls other daemons; keeps a bounded number of channels."""
+
+    def __init__(self) -> None:
+        self._channels: collections.OrderedDict[str, grpc.aio.Channel] = (
+            collections.OrderedDict()
+        )
+
+    async def call(
+        self, address: str, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Calls one method of the Control service of a peer.
+
+        Raises:
+            PeerError: No answer within the time. The channel is dropped, for
+                its connection may have gone silent while new ones work.
+        """
+        channel = self._get_channel(address)
+        stub = control_pb2_grpc.ControlStub(channel)
+        accounting.count_sent(method, request, accounting.CALL_OVERHEAD_BYTES)
+        call = getattr(stub, method)(request, timeout=timeout_s)
+        try:
+            reply = await call
+        except grpc.aio.AioRpcError as error:
+            await self._drop(address, channel)
+            raise PeerError(
+                f"{address}: {method}: {error.code().name.lower()}"
+            ) from error
+        except asyncio.CancelledError:
+            # Another call dropped the channel: gRPC then raises in this one
+            # as if its task were cancelled, which would end that task.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            raise PeerError(f"{address}: {method}: channel dropped") from None
+        accounting.count_received(method, reply, accounting.CALL_OVERHEAD_BYTES)
+        return reply
+
+    async def close(self) -> None:
+        """Closes all channels."""
+        while self._channels:
+            _, channel = self._channels.popitem()
+            await channel.close()
+
+    def _get_channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = open_channel(address)
+            self._channels[address] = channel
+        self._channels.move_to_end(address)
+        return channel
+
+    async def trim(self) -> None:
+        """Closes the channels that were used longest ago."""
+        while len(self._channels) > _MAX_IDLE_CHANNELS:
+            _, channel = self._channels.popitem(last=False)
+            await channel.close(grace=1.0)
+
+    async def _drop(self, address: str, channel: grpc.aio.Channel) -> None:
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+        await channel.close()
--- /dev/null
+++ b/merlintrestle/members/service.py
@@ -0,0 +1,150 @@
+"""The gRPC service through which daemons control each other."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+import grpc.aio
+
+from merlintrestle import errors
+from merlintrestle.members import accounting
+from merlintrestle.members import peers as peers_lib
+from merlintrestle.schema import control_pb2
+from merlintrestle.schema import control_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from merlintrestle.members import membership as membership_lib
+    from merlintrestle.versions import distribution as distribution_lib
+
+_OPTIONS = [
+    ("grpc.max_receive_message_length", peers_lib.MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", peers_lib.MAX_MESSAGE_BYTES),
+    ("grpc.http2.bdp_probe", 0),
+    # Two daemons with one port would each get half of the other's calls.
+    ("grpc.so_reuseport", 0),
+]
+
+
+class ControlServer:
+    """The control port.
+
+    Attributes:
+        server: The gRPC server; other servicers may be added before `start`.
+        port: The port that was bound.
+    """
+
+    def __init__(self, address: str, port: int):
+        """Binds the port; 0 takes a free one.
+
+        Must be called inside a running event loop.
+
+        Raises:
+            errors.MerlintrestleError: The port is taken.
+        """
+        self.server = grpc.aio.server(options=_OPTIONS)
+        try:
+            self.port = self.server.add_insecure_port(f"{address}:{port}")
+        except RuntimeError as error:
+            raise errors.MerlintrestleError(
+                f"control port {address}:{port} cannot be bound"
+            ) from error
+
+    async def start(self, servicer: ControlServicer) -> None:
+        """Starts to serve."""
+        control_pb2_grpc.add_ControlServicer_to_server(servicer, self.server)
+        await self.server.start()
+
+    async def close(self, grace_s: float = 0.2) -> None:
+        """Stops to serve; links end at once."""
+        await self.server.stop(grace_s)
+
+
+class ControlServicer(control_pb2_grpc.ControlServicer):
+    """Answers other daemons and operators."""
+
+    def __init__(
+        self,
+        membership: membership_lib.Membership,
+        distribution: distribution_lib.Distribution,
+        get_classes: Callable[
+            [], Sequence[control_pb2.ClassStatus]
+        ] = lambda: (),
+        get_in_flight: Callable[[], int] = lambda: 0,
+    ):
+        """Connects the parts.
+
+        Args:
+            membership: Members and links.
+            distribution: Versions.
+            get_classes: Returns what was measured of the classes of work.
+            get_in_flight: Returns the number of requests in flight.
+        """
+        self._membership = membership
+        self._distribution = distribution
+        self._get_classes = get_classes
+        self._get_in_flight = get_in_flight
+
+    async def Link(self, request_iterator: Any, context: Any) -> None:  # noqa: N802
+        """Serves a link that a peer opened."""
+        del request_iterator
+        await self._membership.serve_link(context)
+
+    async def Fetch(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Gives the newest version."""
+        del context
+        reply = self._distribution.archive.answer(request)
+        return _count("Fetch", request, reply)
+
+    async def Mark(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Records the version of a daemon."""
+        del context
+        reply = self._distribution.witness.record(request)
+        return _count("Mark", request, reply)
+
+    async def Floor(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Says what is known of versions that a daemon ran."""
+        del context
+        reply = self._distribution.answer_floor(request)
+        return _count("Floor", request, reply)
+
+    async def Members(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Exchanges members by bucket."""
+        del context
+        reply = self._membership.answer_members(request)
+        return _count("Members", request, reply)
+
+    async def Probe(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Reaches a daemon for another; its own id is the plain ping."""
+        del context
+        own_id = self._membership.table.own_id
+        reached = request.member_id == own_id or await self._membership.probe(
+            request.member_id
+        )
+        return _count("Probe", request, control_pb2.ProbeReply(reached=reached))
+
+    async def Status(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Says what this daemon runs and measures."""
+        del context
+        holder = self._distribution.holder
+        reply = control_pb2.StatusReply(
+            closed=bool(holder.closed_reason),
+            closed_reason=holder.closed_reason,
+            classes=self._get_classes(),
+            in_flight=self._get_in_flight(),
+            store_reachable=self._distribution.store_reachable,
+        )
+        reply.self.CopyFrom(self._membership.table.own)
+        if holder.running is not None:
+            reply.running.version = holder.running.version
+            reply.running.digest = holder.running.digest
+        if request.members:
+            reply.members.extend(self._membership.table.members())
+        return reply
+
+
+def _count(kind: str, request: Any, reply: Any) -> Any:
+    accounting.count_received(kind, request, accounting.CALL_OVERHEAD_BYTES)
+    accounting.count_sent(kind, reply, accounting.CALL_OVERHEAD_BYTES)
+    return reply
--- /dev/null
+++ b/merlintrestle/members/timing.py
@@ -0,0 +1,76 @@
+"""Intervals of membership and of spreading; tests shorten them."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+
+class Timing(NamedTuple):
+    """Intervals in seconds.
+
+    Attributes:
+        heartbeat: Mean time between two messages on a quiet link.
+        silence: A link that said nothing for so long is given up.
+        call: Deadline of one control call.
+        fetch: Deadline of a call that carries a whole snapshot or table.
+        flush: Member updates wait up to this long to travel together.
+        reconnect: First wait before a lost link is opened again.
+        reconnect_max: Longest such wait.
+        suspicion: A suspect that has not refuted after this long is dead.
+        exchange: Mean time between two rounds of anti-entropy.
+        pause: The own loop is paused if a tick is late by more.
+        start_jitter: Window over which a herd spreads its first store reads.
+        store_retry_max: Longest wait between two tries at the store.
+        seeds_write: Least time between two writes of a zone's seeds.
+        head_refresh: Mean time between two reads of the head by a watcher.
+        memory: A witness must have been open so long to answer for marks.
+        settle: A starting daemon waits so long for its peers before it
+            reads the store itself.
+    """
+
+    heartbeat: float = 1.0
+    silence: float = 4.0
+    call: float = 1.0
+    fetch: float = 5.0
+    flush: float = 0.1
+    reconnect: float = 0.1
+    reconnect_max: float = 2.0
+    suspicion: float = 5.0
+    exchange: float = 10.0
+    pause: float = 1.5
+    start_jitter: float = 4.0
+    store_retry_max: float = 15.0
+    seeds_write: float = 30.0
+    head_refresh: float = 15.0
+    memory: float = 60.0
+    settle: float = 1.0
+
+
+def jitter(seconds: float) -> float:
+    """Returns a time spread by a quarter around a mean."""
+    return seconds * random.uniform(0.75, 1.25)
+
+
+class Backoff:
+    """Waits that grow, with full jitter.
+
+    Attributes:
+        failures: Tries that failed since the last success.
+    """
+
+    def __init__(self, first: float, longest: float):
+        """Sets the bounds in seconds."""
+        self._first = first
+        self._longest = longest
+        self.failures = 0
+
+    def reset(self) -> None:
+        """Starts again at the first wait."""
+        self.failures = 0
+
+    def get_wait(self) -> float:
+        """Counts a failure and returns the seconds to wait after it."""
+        bound = min(self._longest, self._first * 2**self.failures)
+        self.failures = min(self.failures + 1, 32)
+        return random.uniform(bound / 2, bound)
--- /dev/null
+++ b/merlintrestle/versions/deltas.py
@@ -0,0 +1,100 @@
+"""Deltas between snapshots, and snapshots as messages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from merlintrestle import errors
+from merlintrestle.documents import snapshot as snapshot_lib
+from merlintrestle.schema import control_pb2
+from merlintrestle.schema import document_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+def make_offer(snapshot: snapshot_lib.Snapshot) -> control_pb2.Offer:
+    """Returns the offer of a snapshot."""
+    return control_pb2.Offer(version=snapshot.version, digest=snapshot.digest)
+
+
+def matches(snapshot: snapshot_lib.Snapshot, offer: control_pb2.Offer) -> bool:
+    """Tells whether an offer is of just this snapshot."""
+    same_version = snapshot.version == offer.version
+    return same_version and snapshot.digest == offer.digest
+
+
+def make_delta(
+    base: snapshot_lib.Snapshot, target: snapshot_lib.Snapshot
+) -> document_pb2.Delta:
+    """Returns what turns one snapshot into another."""
+    delta = document_pb2.Delta(
+        base_version=base.version,
+        base_digest=base.digest,
+        version=target.version,
+        digest=target.digest,
+        removed=sorted(base.resources.keys() - target.resources.keys()),
+    )
+    for name in sorted(target.resources):
+        value = target.resources[name]
+        if base.resources.get(name) != value:
+            delta.changed.add(name=name, value=value)
+    return delta
+
+
+def apply_delta(
+    base: snapshot_lib.Snapshot, delta: document_pb2.Delta
+) -> snapshot_lib.Snapshot:
+    """Applies a delta to a copy of its base.
+
+    Raises:
+        errors.SnapshotError: The base is another one, or what results does
+            not have the digest or cannot be run whole.
+    """
+    same_version = base.version == delta.base_version
+    if not same_version or base.digest != delta.base_digest:
+        raise errors.SnapshotError(
+            f"delta for version {delta.base_version}, held {base.version}"
+        )
+    resources = dict(base.resources)
+    for name in delta.removed:
+        resources.pop(name, None)
+    for resource in delta.changed:
+        resources[resource.name] = resource.value
+    return check(delta.version, resources, delta.digest)
+
+
+def pack_snapshot(snapshot: snapshot_lib.Snapshot) -> document_pb2.Snapshot:
+    """Returns a snapshot as a message."""
+    packed = document_pb2.Snapshot(version=snapshot.version)
+    for name in sorted(snapshot.resources):
+        packed.resources.add(name=name, value=snapshot.resources[name])
+    return packed
+
+
+def unpack_snapshot(
+    packed: document_pb2.Snapshot, digest: bytes
+) -> snapshot_lib.Snapshot:
+    """Returns the snapshot in a message.
+
+    Raises:
+        errors.SnapshotError: It does not have the digest, or cannot be run.
+    """
+    resources = {item.name: item.value for item in packed.resources}
+    return check(packed.version, resources, digest)
+
+
+def check(
+    version: int, resources: Mapping[str, bytes], digest: bytes
+) -> snapshot_lib.Snapshot:
+    """Builds a snapshot, which must have a digest.
+
+    The digest is compared before anything is built of the resources: a lost
+    or corrupted part would otherwise run as a version that nobody accepted.
+
+    Raises:
+        errors.SnapshotError: The digest differs or the snapshot is not whole.
+    """
+    if snapshot_lib.compute_digest(version, resources) != digest:
+        raise errors.SnapshotError(f"version {version} has another digest")
+    return snapshot_lib.load_snapshot(version, resources)
--- /dev/null
+++ b/merlintrestle/versions/source.py
@@ -0,0 +1,106 @@
+"""The source of versions: the configuration records in the store."""
+
+from __future__ import annotations
+
+from typing import Protocol, TYPE_CHECKING
+
+from merlintrestle import errors
+from merlintrestle.documents import compiler
+from merlintrestle.members import seeds as seeds_lib
+from merlintrestle.store import records
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from merlintrestle.documents import snapshot as snapshot_lib
+    from merlintrestle.schema import document_pb2
+    from merlintrestle.store import client
+
+
+class Source(Protocol):
+    """Where versions come from."""
+
+    async def read_head(self) -> document_pb2.Head:
+        """Reads the head; version 0 where there is none."""
+
+    def watch_head(self) -> AsyncIterator[document_pb2.Head]:
+        """Yields the head and each newer one until the store fails."""
+
+    async def compile_head(
+        self, head: document_pb2.Head
+    ) -> snapshot_lib.Snapshot:
+        """Compiles the snapshot that a head accepts."""
+
+    async def write_seeds(self, zone: str, member_ids: list[str]) -> bool:
+        """Names members of a zone, for first contact."""
+
+
+class StoreSource:
+    """The platform's store as the source.
+
+    Documents never change under their digest, so each is read once.
+    """
+
+    def __init__(self, store: client.StoreClient):
+        self._store = store
+        self._documents: dict[bytes, document_pb2.Document] = {}
+
+    async def read_head(self) -> document_pb2.Head:
+        """Reads the head; version 0 where there is none.
+
+        Raises:
+            errors.StoreUnavailableError: The store did not answer.
+        """
+        head, _ = await records.read_head(self._store)
+        return head
+
+    async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
+        """Yields the head and each newer one until the store fails.
+
+        Raises:
+            errors.StoreUnavailableError: The watch ended.
+        """
+        async for entry in self._store.watch(records.HEAD_KEY, 0):
+            if entry.revision:
+                yield records.parse_head(entry)
+
+    async def compile_head(
+        self, head: document_pb2.Head
+    ) -> snapshot_lib.Snapshot:
+        """Compiles the snapshot that a head accepts.
+
+        Raises:
+            errors.StoreUnavailableError: A document could not be read.
+            errors.SnapshotError: It is not the snapshot that was accepted.
+        """
+        documents = {
+            organisation: await self._read_document(digest)
+            for organisation, digest in sorted(head.documents.items())
+        }
+        kept = set(head.documents.values())
+        self._documents = {
+            digest: document
+            for digest, document in self._documents.items()
+            if digest in kept
+        }
+        snapshot = compiler.compile_snapshot(head.version, documents)
+        if head.snapshot_digest and snapshot.digest != head.snapshot_digest:
+            raise errors.SnapshotError(
+                f"version {head.version} compiles to another digest"
+            )
+        return snapshot
+
+    async def write_seeds(self, zone: str, member_ids: list[str]) -> bool:
+        """Names members of a zone; False if another writer was faster.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+        """
+        return await seeds_lib.write_seeds(self._store, zone, member_ids)
+
+    async def _read_document(self, digest: bytes) -> document_pb2.Document:
+        document = self._documents.get(digest)
+        if document is None:
+            document = await records.read_document(self._store, digest)
+            self._documents[digest] = document
+        return document
