--- a/merlintrestle/versions/distribution.py
+++ b/merlintrestle/versions/distribution.py
@@ -23,6 +23,7 @@
     from merlintrestle.documents import snapshot as snapshot_lib
     from merlintrestle.members import links as links_lib
     from merlintrestle.members import membership as membership_lib
+    from merlintrestle.schema import document_pb2
     from merlintrestle.versions import source as source_lib
 
 logger = logging.getLogger(__name__)
@@ -152,7 +153,9 @@
             return
         self._wake_run.clear()
 
-    def _choose_delta(self, held: control_pb2.Offer | None):  # type: ignore[no-untyped-def]
+    def _choose_delta(
+        self, held: control_pb2.Offer | None
+    ) -> document_pb2.Delta | None:
         if self._spread == LEAN:
             return None
         return self.archive.get_delta(held)
--- /dev/null
+++ b/tests/versions/builders.py
@@ -0,0 +1,199 @@
+"""Builders of snapshots, a fake source, and daemons in one process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from merlintrestle import errors
+from merlintrestle.documents import compiler
+from merlintrestle.members import membership as membership_lib
+from merlintrestle.members import service as service_lib
+from merlintrestle.members import table as table_lib
+from merlintrestle.schema import control_pb2
+from merlintrestle.schema import document_pb2
+from merlintrestle.versions import distribution as distribution_lib
+from merlintrestle.versions import holder as holder_lib
+from tests.members import builders as member_builders
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable, Sequence
+
+    from merlintrestle.documents import snapshot as snapshot_lib
+    from merlintrestle.members import timing as timing_lib
+
+GUARD_S = 20.0
+
+
+def build_document(
+    services: Sequence[str] = ("balie",), latency_ms: int = 100
+) -> document_pb2.Document:
+    """Builds the document of one organisation."""
+    document = document_pb2.Document(organisation="zaanoever")
+    for name in services:
+        service = document.services.add(name=name)
+        service.classes.add(
+            name="lookup",
+            latency_ms=latency_ms,
+            share=0.99,
+            availability=0.99,
+            repeatable=True,
+            importance=3,
+            rate=10.0,
+            work_ms=5.0,
+            size=document_pb2.SMALL,
+            deadline_ms=1000,
+            match=["GET /"],
+        )
+    return document
+
+
+def build_snapshot(
+    version: int,
+    services: Sequence[str] = ("balie",),
+    latency_ms: int | None = None,
+) -> snapshot_lib.Snapshot:
+    """Builds a snapshot that differs from that of another version."""
+    document = build_document(services, latency_ms or 100 + version)
+    return compiler.compile_snapshot(version, {"zaanoever": document})
+
+
+class FakeConfiguration:
+    """The configuration in the store, for any number of daemons.
+
+    Attributes:
+        down: Every call fails while set.
+        stale: Reads answer this version instead of the newest, if set.
+        reads: Reads of the head.
+        watches: Watches that are open.
+        seeds: Seeds by zone.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.stale: int | None = None
+        self.reads = 0
+        self.compiles = 0
+        self.watches = 0
+        self.seeds: dict[str, list[str]] = {}
+        self._version = 0
+        self._documents: dict[int, document_pb2.Document] = {}
+        self._changed = asyncio.Condition()
+
+    async def accept(self, version: int, services: Sequence[str]) -> None:
+        """Accepts a version."""
+        self._documents[version] = build_document(services, 100 + version)
+        self._version = version
+        await self._notify()
+
+    async def fail(self) -> None:
+        """Begins an outage: reads fail and watches break."""
+        self.down = True
+        await self._notify()
+
+    async def read_head(self) -> document_pb2.Head:
+        """Reads the head."""
+        self.reads += 1
+        self._check()
+        version = self._version if self.stale is None else self.stale
+        return document_pb2.Head(version=version)
+
+    async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
+        """Yields the head when it is newer."""
+        self._check()
+        self.watches += 1
+        sent = 0
+        try:
+            while True:
+                async with self._changed:
+                    while not self.down and self._version <= sent:
+                        await self._changed.wait()
+                    self._check()
+                    sent = self._version
+                yield document_pb2.Head(version=sent)
+        finally:
+            self.watches -= 1
+
+    async def compile_head(
+        self, head: document_pb2.Head
+    ) -> snapshot_lib.Snapshot:
+        """Compiles the version of a head."""
+        self._check()
+        self.compiles += 1
+        documents = {}
+        if head.version:
+            documents["zaanoever"] = self._documents[head.version]
+        return compiler.compile_snapshot(head.version, documents)
+
+    async def write_seeds(self, zone: str, member_ids: list[str]) -> bool:
+        """Names members of a zone."""
+        self._check()
+        self.seeds[zone] = member_ids
+        return True
+
+    def _check(self) -> None:
+        if self.down:
+            raise errors.StoreUnavailableError("the fake store is down")
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+
+class Daemon:
+    """The control part of a daemon, on a loopback port."""
+
+    def __init__(
+        self,
+        configuration: FakeConfiguration,
+        seeds: Sequence[str] = (),
+        zone: str = "zone-a",
+        port: int = 0,
+        spread: str = distribution_lib.FAST,
+        timing: timing_lib.Timing = member_builders.FAST,
+        incarnation: int = 0,
+    ):
+        self.server = service_lib.ControlServer("127.0.0.1", port)
+        self.id = f"127.0.0.1:{self.server.port}"
+        self.table = table_lib.MemberTable(
+            control_pb2.Member(
+                id=self.id,
+                address="127.0.0.1",
+                control_port=self.server.port,
+                peer_port=1,
+                zone=zone,
+                region="region",
+                incarnation=incarnation,
+            )
+        )
+        self.membership = membership_lib.Membership(
+            self.table, None, seeds, timing
+        )
+        self.holder = holder_lib.Holder()
+        self.distribution = distribution_lib.Distribution(
+            self.holder, self.membership, configuration, spread
+        )
+        self.servicer = service_lib.ControlServicer(
+            self.membership, self.distribution
+        )
+
+    async def start(self) -> None:
+        """Starts server, membership and distribution."""
+        await self.server.start(self.servicer)
+        await self.membership.start()
+        await self.distribution.start()
+
+    async def close(self) -> None:
+        """Ends all, as a process that dies would."""
+        await self.distribution.stop()
+        await self.membership.stop()
+        await self.server.close(0)
+
+
+async def wait_until(
+    check: Callable[[], bool], guard_s: float = GUARD_S
+) -> None:
+    """Waits for a state that other tasks bring about."""
+    async with asyncio.timeout(guard_s):
+        while not check():
+            await asyncio.sleep(0.01)
