Serve requests over one and over two daemons

A thin whole of the data path: routing by class of work, the own backend server or the daemon beside another one, bodies in pieces both ways, outcomes stated in headers, refusal while closed, announce and drain.

Small bodies are held whole so that a cut answer can still become an honest outcome; a larger one that is cut resets the caller's connection.

--- /dev/null
+++ b/merlintrestle/requests/beside.py
@@ -0,0 +1,67 @@
+"""The way of a call beside its backend server: admitted, then forwarded."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from merlintrestle.requests import headers
+from merlintrestle.requests import outcomes
+
+if TYPE_CHECKING:
+    import multidict
+
+    from merlintrestle.requests import admission as admissions
+    from merlintrestle.requests import backend as backends
+    from merlintrestle.requests import call as calls
+    from merlintrestle.requests import forwarding
+
+
+class Beside:
+    """Runs calls on the own backend server."""
+
+    def __init__(
+        self,
+        backend: backends.OwnBackend,
+        admission: admissions.Admission,
+        forwarder: forwarding.Forwarder,
+    ):
+        self._backend = backend
+        self._admission = admission
+        self._forwarder = forwarder
+
+    async def run(self, call: calls.Call) -> outcomes.Outcome:
+        """Admits a call and forwards it, or refuses it as not run."""
+        refusal = await self._admission.enter(call)
+        if refusal is not None:
+            return refusal
+        try:
+            outcome = await self._forward(call)
+        except BaseException:
+            self._admission.leave()
+            raise
+        if isinstance(outcome, outcomes.Answered):
+            outcome.hold(self._admission.leave)
+        else:
+            self._admission.leave()
+        return outcome
+
+    async def _forward(self, call: calls.Call) -> outcomes.Outcome:
+        if asyncio.get_running_loop().time() >= call.deadline:
+            return outcomes.NotRun("the deadline has passed", 504, None)
+        return await self._forwarder.send(
+            self._backend.address,
+            call.target,
+            call,
+            _build_headers(call),
+        )
+
+
+def _build_headers(call: calls.Call) -> multidict.CIMultiDict[str]:
+    left_s = call.deadline - asyncio.get_running_loop().time()
+    sent = call.headers.copy()
+    sent[headers.ORGANISATION] = call.organisation
+    sent[headers.DEADLINE] = str(max(1, int(left_s * 1000)))
+    sent[headers.DEPTH] = str(call.depth + 1)
+    sent[headers.ATTEMPT] = str(call.attempt)
+    return sent
--- /dev/null
+++ b/merlintrestle/requests/call.py
@@ -0,0 +1,44 @@
+"""One call on its way through a daemon."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import multidict
+
+    from merlintrestle.documents import snapshot
+    from merlintrestle.requests import streams
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A caller's request, its class of work known.
+
+    Attributes:
+        service: Service it is for.
+        plan: Its class of work.
+        method: HTTP method.
+        target: Path and query for the backend server, beginning with "/".
+        organisation: Organisation of the caller.
+        headers: End-to-end headers.
+        body: Its body.
+        deadline: Time of the event loop at which the caller must have its
+            final answer, in seconds.
+        depth: Calls above this one.
+        attempt: More than 0 if this call or one above it is a retry.
+        key: Idempotency-Key; empty: none.
+    """
+
+    service: str
+    plan: snapshot.ClassPlan
+    method: str
+    target: str
+    organisation: str
+    headers: multidict.CIMultiDict[str]
+    body: streams.Body
+    deadline: float
+    depth: int
+    attempt: int
+    key: str
--- /dev/null
+++ b/merlintrestle/requests/dispatch.py
@@ -0,0 +1,108 @@
+"""The way of a call from its caller to an upstream, tried again if safe."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from merlintrestle.requests import headers
+from merlintrestle.requests import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import multidict
+
+    from merlintrestle.members import table as tables
+    from merlintrestle.requests import beside as besides
+    from merlintrestle.requests import call as calls
+    from merlintrestle.requests import forwarding
+    from merlintrestle.requests import parts
+    from merlintrestle.requests import picking
+
+_MAX_TRIES = 3
+
+
+class Dispatch:
+    """Sends calls to upstreams of their service."""
+
+    def __init__(
+        self,
+        member_id: Callable[[], str],
+        table: parts.MemberTable,
+        picker: picking.Picker,
+        beside: besides.Beside,
+        forwarder: forwarding.Forwarder,
+    ):
+        """Sets the parts; `member_id` gives the id of this daemon."""
+        self._member_id = member_id
+        self._table = table
+        self._picker = picker
+        self._beside = beside
+        self._forwarder = forwarder
+
+    async def run(self, call: calls.Call) -> outcomes.Outcome:
+        """Returns the answer of an upstream, or the failure to state."""
+        tried: set[str] = set()
+        outcome: outcomes.Outcome = outcomes.NotRun(
+            f"no backend server of {call.service} is known"
+        )
+        while len(tried) < _MAX_TRIES:
+            upstreams = self._table.get_upstreams(call.service)
+            upstream = self._picker.pick(upstreams, tried)
+            if upstream is None:
+                return outcome
+            tried.add(upstream.member_id)
+            outcome = await self._try(upstream, call)
+            if not (isinstance(outcome, outcomes.NotRun) and outcome.elsewhere):
+                return outcome
+            if not call.body.repeatable:
+                return outcome
+        return outcome
+
+    async def _try(
+        self, upstream: tables.Upstream, call: calls.Call
+    ) -> outcomes.Outcome:
+        member_id = upstream.member_id
+        picker = self._picker
+        picker.enter(member_id)
+        try:
+            if member_id == self._member_id():
+                outcome = await self._beside.run(call)
+            else:
+                outcome = await self._send(upstream, call)
+        except BaseException:
+            picker.leave(member_id)
+            raise
+        if isinstance(outcome, outcomes.Answered):
+            outcome.hold(lambda: picker.leave(member_id))
+        else:
+            picker.leave(member_id)
+        return outcome
+
+    async def _send(
+        self, upstream: tables.Upstream, call: calls.Call
+    ) -> outcomes.Outcome:
+        outcome = await self._forwarder.send(
+            f"{upstream.address}:{upstream.peer_port}",
+            f"/{call.service}{call.target}",
+            call,
+            _build_headers(call),
+        )
+        if (
+            isinstance(outcome, outcomes.Answered)
+            and headers.OUTCOME in outcome.response.headers
+        ):
+            return outcomes.read_failure(outcome)
+        return outcome
+
+
+def _build_headers(call: calls.Call) -> multidict.CIMultiDict[str]:
+    left_s = call.deadline - asyncio.get_running_loop().time()
+    sent = call.headers.copy()
+    sent[headers.ORGANISATION] = call.organisation
+    sent[headers.CLASS] = call.plan.name
+    sent[headers.DEADLINE] = str(max(1, int(left_s * 1000)))
+    sent[headers.DEPTH] = str(call.depth)
+    sent[headers.ATTEMPT] = str(call.attempt)
+    return sent
--- /dev/null
+++ b/merlintrestle/requests/headers.py
@@ -0,0 +1,71 @@
+"""Headers of the data path: which are read, passed on and removed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import multidict
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+ORGANISATION = "Merlintrestle-Organisation"
+OUTCOME = "Merlintrestle-Outcome"
+# Milliseconds that are left to the caller's deadline.
+DEADLINE = "Merlintrestle-Deadline-Ms"
+# Calls above this one: 0 for a call that comes from outside the mesh.
+DEPTH = "Merlintrestle-Depth"
+# 0 for a first attempt; more where any call above this one is a retry.
+ATTEMPT = "Merlintrestle-Attempt"
+# Class of work; believed on the peer port only.
+CLASS = "Merlintrestle-Class"
+KEY = "Idempotency-Key"
+
+_PREFIX = "merlintrestle-"
+# Headers that describe one connection (RFC 9110, section 7.6.1).
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+def copy_end_to_end(
+    headers: Mapping[str, str],
+) -> multidict.CIMultiDict[str]:
+    """Copies headers without hop-by-hop ones and without this system's own.
+
+    A caller's own `Merlintrestle-` headers end here: passed on, they would let
+    it choose a class of work or an outcome that is not true.
+    """
+    removed = _HOP_BY_HOP
+    connection = headers.get("Connection")
+    if connection is not None:
+        named = connection.lower().split(",")
+        removed = removed.union(name.strip() for name in named)
+    copied: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    for name, value in headers.items():
+        lower = name.lower()
+        if lower not in removed and not lower.startswith(_PREFIX):
+            copied.add(name, value)
+    return copied
+
+
+def read_number(headers: Mapping[str, str], name: str) -> int | None:
+    """Returns a header's whole number; None where it is absent or not one."""
+    text = headers.get(name, "")
+    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
+        return None
+    return int(text)
+
+
+_MAX_DIGITS = 12
--- /dev/null
+++ b/merlintrestle/requests/outcomes.py
@@ -0,0 +1,150 @@
+"""Outcomes of a call, and the answers that state them."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import json
+import math
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from merlintrestle.requests import headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import aiohttp
+
+
+@dataclasses.dataclass(slots=True)
+class Answered:
+    """A backend server answered, well or badly.
+
+    Attributes:
+        response: The answer, its headers read.
+        body: Its whole body; None: to be passed on in pieces.
+        release: Frees what the call holds; called once its body has ended.
+    """
+
+    response: aiohttp.ClientResponse
+    body: bytes | None
+    release: Callable[[], None]
+
+    def hold(self, leave: Callable[[], None]) -> None:
+        """Has something else freed as well once the body has ended."""
+        release = self.release
+
+        def release_both() -> None:
+            release()
+            leave()
+
+        self.release = release_both
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The call truly did not run and never will.
+
+    Attributes:
+        reason: Why, in one sentence for the caller.
+        status: HTTP status of the answer.
+        retry_after_s: Seconds until it is worth coming back; None: not at all.
+        elsewhere: True if another upstream may take the call at once.
+        overloaded: True if it was refused for lack of capacity.
+    """
+
+    reason: str
+    status: int = 503
+    retry_after_s: float | None = 1.0
+    elsewhere: bool = False
+    overloaded: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ran:
+    """The call ran, and its answer is not to be had.
+
+    Attributes:
+        reason: Why, in one sentence for the caller.
+        status: HTTP status of the answer.
+    """
+
+    reason: str
+    status: int = 502
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The call may or may not have run.
+
+    Attributes:
+        reason: Why, in one sentence for the caller.
+        status: HTTP status of the answer.
+        retry_after_s: Seconds until asking again with the same key may settle
+            it; None: not at all.
+    """
+
+    reason: str
+    status: int = 502
+    retry_after_s: float | None = None
+
+
+Outcome = Answered | NotRun | Ran | Unknown
+Failure = NotRun | Ran | Unknown
+
+
+@functools.singledispatch
+def render(outcome: object) -> web.Response:
+    """Returns the answer that states a failure."""
+    raise TypeError(f"not a failure: {outcome!r}")
+
+
+@render.register
+def _render_not_run(outcome: NotRun) -> web.Response:
+    return _build("not-run", outcome, outcome.retry_after_s)
+
+
+@render.register
+def _render_ran(outcome: Ran) -> web.Response:
+    return _build("ran", outcome, None)
+
+
+@render.register
+def _render_unknown(outcome: Unknown) -> web.Response:
+    return _build("unknown", outcome, outcome.retry_after_s)
+
+
+def read_failure(answered: Answered) -> Failure:
+    """Returns the failure that another daemon stated in its answer."""
+    response = answered.response
+    answered.release()
+    try:
+        fields = json.loads(answered.body or b"")
+        reason = str(fields["reason"])
+        retry_after_s = fields.get("retry_after_s")
+        elsewhere = bool(fields.get("elsewhere"))
+        overloaded = bool(fields.get("overloaded"))
+    except (ValueError, KeyError, TypeError, AttributeError):
+        reason = "a daemon refused without a reason"
+        retry_after_s, elsewhere, overloaded = None, False, False
+    name = response.headers[headers.OUTCOME]
+    if name == "not-run":
+        return NotRun(
+            reason, response.status, retry_after_s, elsewhere, overloaded
+        )
+    if name == "ran":
+        return Ran(reason, response.status)
+    return Unknown(reason, response.status, retry_after_s)
+
+
+def _build(
+    name: str, outcome: Failure, retry_after_s: float | None
+) -> web.Response:
+    fields = {"outcome": name, **dataclasses.asdict(outcome)}
+    response = web.json_response(fields, status=outcome.status)
+    response.headers[headers.OUTCOME] = name
+    if retry_after_s is not None:
+        response.headers["Retry-After"] = str(max(1, math.ceil(retry_after_s)))
+    return response
--- /dev/null
+++ b/merlintrestle/requests/server.py
@@ -0,0 +1,123 @@
+"""HTTP servers of the data path, without router or middleware."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any, TYPE_CHECKING
+
+from aiohttp import web
+
+from merlintrestle.requests import outcomes
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Awaitable, Callable
+
+logger = logging.getLogger(__name__)
+
+# A new connection that has not sent its first request by then is closed.
+FIRST_REQUEST_S = 10.0
+# Longer than the pools of other daemons keep a connection that is idle.
+_KEEPALIVE_S = 75.0
+_MAX_LINE_BYTES = 8190
+_MAX_FIELD_BYTES = 8190
+_MAX_HEADERS = 100
+
+
+class Server(web.Server):
+    """Listens on one port and answers by one handler.
+
+    Attributes:
+        port: The bound port.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ):
+        options: dict[str, Any] = {
+            "access_log": None,
+            "keepalive_timeout": _KEEPALIVE_S,
+            "max_line_size": _MAX_LINE_BYTES,
+            "max_field_size": _MAX_FIELD_BYTES,
+            "max_headers": _MAX_HEADERS,
+            "auto_decompress": False,
+            # A refused upload is read on for this long, so that the refusal
+            # arrives before the connection is reset.
+            "lingering_time": 2.0,
+        }
+        super().__init__(
+            handler,
+            handler_cancellation=True,
+            **options,
+        )
+        self.port = 0
+        self._options = options
+        self._listener: asyncio.Server | None = None
+
+    def __call__(self) -> web.RequestHandler:
+        """Makes the protocol of one connection."""
+        return _Connection(self, loop=self._loop, **self._options)
+
+    async def start(self, address: str, port: int) -> None:
+        """Binds the port; 0 takes a free one."""
+        self._listener = await self._loop.create_server(
+            self, address, port, reuse_address=True, backlog=1024
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stops listening and cuts every connection."""
+        if self._listener is not None:
+            self._listener.close()
+        self.pre_shutdown()
+        await self.shutdown(0)
+
+
+class _Connection(web.RequestHandler):
+    """One connection; answers that the library makes state an outcome too."""
+
+    __slots__ = ("_first_request",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        # A sender that never ends its first headers holds a connection and
+        # its buffer for good. The library limits idle time only afterwards.
+        self._first_request = self._loop.call_later(
+            FIRST_REQUEST_S, self._close_if_silent
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._first_request.cancel()
+        super().connection_lost(exc)
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a request that could not be read or handled."""
+        if isinstance(exc, ConnectionError) and self._is_cut():
+            raise exc
+        if status < 500:
+            response = outcomes.render(
+                outcomes.NotRun("the request is malformed", status, None)
+            )
+        else:
+            logger.error("requests: a request failed.", exc_info=exc)
+            if request.writer.output_size > 0:
+                raise ConnectionError("the answer has begun")
+            response = outcomes.render(
+                outcomes.Unknown("an internal error", status)
+            )
+        response.force_close()
+        return response
+
+    def _is_cut(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def _close_if_silent(self) -> None:
+        if self._request_count == 0:
+            self.force_close()
--- /dev/null
+++ b/merlintrestle/requests/streams.py
@@ -0,0 +1,173 @@
+"""Bodies: read, passed on in pieces, and cut without looking complete."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from merlintrestle import errors
+from merlintrestle.requests import headers
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import aiohttp
+
+    from merlintrestle.requests import outcomes
+
+# Bodies up to this size are held whole, so that they can be sent again.
+MAX_HELD_BYTES = 64 * 1024
+# A sender or receiver that moves nothing for so long is given up.
+STALL_S = 20.0
+# l_onoff and l_linger: close at once with a reset.
+_RESET = struct.pack("ii", 1, 0)
+_BODILESS = frozenset((204, 304))
+
+
+class BodyError(errors.MerlintrestleError):
+    """The caller's body stopped half-way or came too slowly."""
+
+
+class Body:
+    """The body of a caller's request.
+
+    Attributes:
+        held: The whole body; None if it is passed on in pieces.
+        length: Its length in bytes; None: not known before it ends.
+        taken: True once a piece of it was taken and it cannot be sent again.
+        error: Why it could not be read; None: nothing wrong.
+    """
+
+    def __init__(
+        self,
+        held: bytes | None,
+        length: int | None,
+        content: aiohttp.StreamReader | None = None,
+    ):
+        self.held = held
+        self.length = length
+        self.taken = False
+        self.error: BodyError | None = None
+        self._content = content
+
+    @property
+    def repeatable(self) -> bool:
+        """True while the body can be sent from its beginning."""
+        return self.held is not None or not self.taken
+
+    def make_payload(self) -> bytes | AsyncIterator[bytes] | None:
+        """Returns what the HTTP client sends; None: no body."""
+        if self.held is not None:
+            return self.held or None
+        return self._iterate()
+
+    async def _iterate(self) -> AsyncIterator[bytes]:
+        assert self._content is not None
+        self.taken = True
+        while True:
+            try:
+                piece = await asyncio.wait_for(self._content.readany(), STALL_S)
+            except (web.RequestPayloadError, OSError, TimeoutError) as error:
+                self.error = BodyError("the request body stopped half-way")
+                raise self.error from error
+            if not piece:
+                return
+            yield piece
+
+
+async def read_body(request: web.BaseRequest, deadline: float) -> Body:
+    """Reads a small body whole; leaves another to be passed on.
+
+    Raises:
+        BodyError: The body stopped half-way or did not come in time.
+    """
+    if not request.can_read_body:
+        return Body(b"", 0)
+    length = request.content_length
+    if length is None or length > MAX_HELD_BYTES:
+        return Body(None, length, request.content)
+    content = request.content
+    if content.is_eof():
+        return Body(content.read_nowait(), length)
+    try:
+        async with asyncio.timeout_at(deadline), asyncio.timeout(STALL_S):
+            held = await content.read()
+    except (web.RequestPayloadError, OSError, TimeoutError) as error:
+        raise BodyError("the request body stopped half-way") from error
+    return Body(held, length)
+
+
+async def read_answer(response: aiohttp.ClientResponse) -> bytes | None:
+    """Reads a small answer whole; leaves another to be passed on.
+
+    A small answer that is cut can then still be tried again or be refused with
+    an honest outcome: the caller has seen nothing of it yet.
+
+    Raises:
+        aiohttp.ClientError: It was cut.
+    """
+    content = response.content
+    if content.is_eof():
+        return content.read_nowait()
+    length = response.content_length
+    if length is not None and length <= MAX_HELD_BYTES:
+        return await content.read()
+    return None
+
+
+async def relay(
+    request: web.BaseRequest, answered: outcomes.Answered
+) -> web.StreamResponse:
+    """Passes an answer on, and cuts the caller off if it is cut.
+
+    A body that ends early must not look whole: the caller would file half a
+    document. The connection is reset instead of closed, which shows with every
+    HTTP version, also where only the close marks the end.
+    """
+    response = answered.response
+    copied = headers.copy_end_to_end(response.headers)
+    bodiless = request.method == "HEAD" or response.status in _BODILESS
+    if answered.body is not None and not bodiless:
+        return web.Response(
+            body=answered.body,
+            status=response.status,
+            reason=response.reason,
+            headers=copied,
+        )
+    answer = web.StreamResponse(
+        status=response.status, reason=response.reason, headers=copied
+    )
+    try:
+        await answer.prepare(request)
+        if not bodiless:
+            await _relay_pieces(response.content, answer)
+        await answer.write_eof()
+    except BaseException:
+        cut(request)
+        raise
+    return answer
+
+
+async def _relay_pieces(
+    content: aiohttp.StreamReader, answer: web.StreamResponse
+) -> None:
+    while True:
+        piece = await content.readany()
+        if not piece:
+            return
+        await answer.write(piece)
+
+
+def cut(request: web.BaseRequest) -> None:
+    """Resets the caller's connection, so that its answer shows as broken."""
+    transport = request.transport
+    if transport is None:
+        return
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    transport.abort()
--- /dev/null
+++ b/tests/requests/builders.py
@@ -0,0 +1,194 @@
+"""Builders of test data for the data path."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any, TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+
+from merlintrestle.documents import snapshot
+from merlintrestle.members import table
+from merlintrestle.requests import proxy as proxies
+from merlintrestle.requests import server
+from merlintrestle.schema import settings_pb2
+from tests.requests import fakes
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+GUARD_S = 10.0
+
+
+def build_plan(name: str = "lookup", **fields: Any) -> snapshot.ClassPlan:
+    """Builds a class of work of kassa; repeatable and small."""
+    plan = snapshot.ClassPlan(
+        organisation="zaanoever",
+        service="kassa",
+        name=name,
+        latency_s=0.2,
+        share=0.99,
+        availability=0.999,
+        repeatable=True,
+        importance=3,
+        rate=100.0,
+        work_s=0.01,
+        large=False,
+        deadline_s=5.0,
+        key_required=False,
+    )
+    return plan._replace(**fields)
+
+
+def build_plans() -> dict[str, snapshot.ClassPlan]:
+    """Builds the classes of work of kassa by the prefix they match."""
+    return {
+        "/payouts": build_plan(
+            "payout", repeatable=False, key_required=True, importance=5
+        ),
+        "/archive": build_plan("archive", large=True, importance=1),
+        "/": build_plan(),
+    }
+
+
+def build_snapshot(
+    plans: dict[str, snapshot.ClassPlan] | None = None, version: int = 1
+) -> snapshot.Snapshot:
+    """Builds a version with the service kassa."""
+    plans = plans or build_plans()
+    routes: dict[str, list[snapshot.Route]] = {}
+    for prefix in sorted(plans, key=len, reverse=True):
+        plan = plans[prefix]
+        routes.setdefault(plan.organisation, []).append(
+            snapshot.Route("*", prefix, plan)
+        )
+    service = snapshot.ServicePlan(
+        name="kassa",
+        owner="zaanoever",
+        calls=(),
+        classes=tuple(plans.values()),
+        routes={name: tuple(found) for name, found in routes.items()},
+    )
+    return snapshot.Snapshot(version, {}, {"kassa": service})
+
+
+class Node(contextlib.AsyncExitStack):
+    """A daemon's proxy with its backend server.
+
+    Attributes:
+        proxy: The proxy.
+        holder: Its fake holder.
+        served: Requests that the backend server saw: method and path.
+    """
+
+    def __init__(
+        self,
+        table_: fakes.Table,
+        number: int,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+        | None = None,
+        running: snapshot.Snapshot | None = None,
+        slots: int = 12,
+        store: Any = None,
+    ):
+        super().__init__()
+        self.holder = fakes.Holder(running or build_snapshot())
+        self.served: list[tuple[str, str]] = []
+        self._table = table_
+        self._handler = handler or _answer_ok
+        self._slots = slots
+        self.settings = settings_pb2.DaemonSettings(
+            address="127.0.0.1", zone="noord", control_port=9000 + number
+        )
+        self.proxy = proxies.Proxy(
+            self.settings,
+            self.holder,
+            table_,
+            store,
+        )
+
+    async def start(self) -> Node:
+        """Starts the backend server and the proxy, and announces both."""
+        self.backend = server.Server(self._serve)
+        await self.backend.start("127.0.0.1", 0)
+        self.push_async_callback(self.backend.close)
+        await self.proxy.start()
+        self.push_async_callback(self.proxy.stop)
+        self.proxy.backend.announce(
+            "kassa", f"127.0.0.1:{self.backend.port}", self._slots
+        )
+        self.join()
+        return self
+
+    @property
+    def member_id(self) -> str:
+        """Id of the daemon."""
+        return f"127.0.0.1:{self.settings.control_port}"
+
+    @property
+    def url(self) -> str:
+        """Where callers send requests for kassa."""
+        return f"http://127.0.0.1:{self.proxy.caller_port}/kassa"
+
+    def join(self) -> None:
+        """Puts the node into the table of members."""
+        upstream = table.Upstream(
+            member_id=self.member_id,
+            address="127.0.0.1",
+            peer_port=self.proxy.peer_port,
+            zone="noord",
+            region="local",
+            slots=self._slots,
+            ready_since_ms=1,
+            suspect=False,
+        )
+        known = self._table.upstreams.get("kassa", ())
+        self._table.upstreams["kassa"] = (*known, upstream)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.served.append((request.method, request.raw_path))
+        return await self._handler(request)
+
+
+async def _answer_ok(request: web.BaseRequest) -> web.StreamResponse:
+    body = await request.read()
+    return web.Response(body=b"ok:" + body, headers={"X-Backend": "yes"})
+
+
+@contextlib.asynccontextmanager
+async def run_nodes(count: int, **options: Any) -> AsyncIterator[list[Node]]:
+    """Runs several daemons that know each other's backend servers."""
+    known = fakes.Table()
+    async with contextlib.AsyncExitStack() as stack:
+        nodes = []
+        for number in range(count):
+            node = await stack.enter_async_context(
+                Node(known, number, **options)
+            )
+            nodes.append(await node.start())
+        yield nodes
+
+
+@contextlib.asynccontextmanager
+async def open_client() -> AsyncIterator[aiohttp.ClientSession]:
+    """Opens an HTTP client, guarded by a generous timeout."""
+    async with (
+        asyncio.timeout(GUARD_S),
+        aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=GUARD_S)
+        ) as session,
+    ):
+        yield session
+
+
+async def fetch(
+    client: aiohttp.ClientSession, url: str, method: str = "GET", **options: Any
+) -> tuple[int, bytes] | None:
+    """Returns status and body of an answer; None if it came broken."""
+    try:
+        async with client.request(method, url, **options) as answer:
+            return answer.status, await answer.read()
+    except aiohttp.ClientError:
+        return None
--- /dev/null
+++ b/tests/requests/test_path.py
@@ -0,0 +1,137 @@
+"""The ordinary way of a request, through one and through two daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import os
+import unittest
+
+from aiohttp import web
+import yarl
+
+from merlintrestle.requests import headers
+from tests.requests import builders
+from tests.requests import fakes
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """Requests reach a backend server and their answers come back."""
+
+    async def test_own_backend(self) -> None:
+        async with builders.run_nodes(1) as (node,):
+            async with builders.open_client() as client:
+                answer = await client.post(node.url + "/x?y=1", data=b"in")
+                self.assertEqual(await answer.read(), b"ok:in")
+            self.assertEqual(answer.headers["X-Backend"], "yes")
+            self.assertEqual(node.served, [("POST", "/x?y=1")])
+
+    async def test_far_backend(self) -> None:
+        async with builders.run_nodes(2) as (near, far):
+            near.proxy.backend.announce("kassa", "127.0.0.1:1", 0)
+            table = near._table
+            table.upstreams["kassa"] = table.upstreams["kassa"][1:]
+            async with builders.open_client() as client:
+                answer = await client.post(near.url + "/x", data=b"in")
+                self.assertEqual(await answer.read(), b"ok:in")
+            self.assertEqual(far.served, [("POST", "/x")])
+
+    async def test_large_bodies_both_ways(self) -> None:
+        content = os.urandom(3_000_000)
+
+        async def echo(request: web.BaseRequest) -> web.StreamResponse:
+            answer = web.StreamResponse()
+            await answer.prepare(request)
+            async for piece in request.content.iter_any():
+                await answer.write(piece)
+            await answer.write_eof()
+            return answer
+
+        async with (
+            builders.run_nodes(1, handler=echo) as (node,),
+            builders.open_client() as client,
+        ):
+            answer = await client.post(
+                node.url + "/x", data=io.BytesIO(content)
+            )
+            self.assertEqual(await answer.read(), content)
+
+    async def test_cut_answer_is_not_shown_whole(self) -> None:
+        """The caller sees an error, never half an answer that looks whole.
+
+        The backend server sends a part of a chunked body and is then killed.
+        Were the chunked body ended cleanly, half of it would look complete.
+        """
+
+        async def cut(request: web.BaseRequest) -> web.StreamResponse:
+            answer = web.StreamResponse()
+            await answer.prepare(request)
+            await answer.write(b"half")
+            assert request.transport is not None
+            request.transport.abort()
+            return answer
+
+        async with (
+            builders.run_nodes(1, handler=cut) as (node,),
+            builders.open_client() as client,
+        ):
+            answer = await builders.fetch(client, node.url + "/x")
+            self.assertIsNone(answer)
+
+    async def test_closed_daemon_refuses_as_not_run(self) -> None:
+        async with (
+            builders.run_nodes(1) as (node,),
+            builders.open_client() as client,
+        ):
+            node.holder.running = None
+            answer = await client.get(node.url + "/x")
+            fields = await answer.json()
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+            self.assertEqual(answer.headers["Retry-After"], "1")
+            self.assertIn("no floor is known", fields["reason"])
+            self.assertEqual(node.served, [])
+
+    async def test_unknown_service_and_class(self) -> None:
+        async with (
+            builders.run_nodes(1) as (node,),
+            builders.open_client() as client,
+        ):
+            root = node.url.removesuffix("/kassa")
+            for path in ("/", "/kassa", "/none/x", "/kassa/%2e%2e/payouts"):
+                answer = await client.get(yarl.URL(root + path, encoded=True))
+                self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+                self.assertIn(answer.status, (400, 404))
+            self.assertEqual(node.served, [])
+
+    async def test_nobody_announced(self) -> None:
+        node = builders.Node(fakes.Table(), 0)
+        async with node, builders.open_client() as client:
+            await node.start()
+            node._table.upstreams.clear()
+            answer = await client.get(node.url + "/x")
+            self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+
+    async def test_drain_waits_for_the_answer_in_flight(self) -> None:
+        begun = asyncio.Event()
+        go_on = asyncio.Event()
+
+        async def wait(request: web.BaseRequest) -> web.StreamResponse:
+            begun.set()
+            await go_on.wait()
+            return web.Response(body=b"whole")
+
+        async with (
+            builders.run_nodes(1, handler=wait) as (node,),
+            builders.open_client() as client,
+        ):
+            call = asyncio.ensure_future(client.get(node.url + "/x"))
+            await begun.wait()
+            drain = asyncio.ensure_future(node.proxy.drain(60))
+            await asyncio.sleep(0)
+            refused = await client.get(node.url + "/x")
+            self.assertEqual(refused.headers[headers.OUTCOME], "not-run")
+            self.assertFalse(drain.done())
+            go_on.set()
+            self.assertEqual(await (await call).read(), b"whole")
+            self.assertTrue(await drain)
