--- a/merlintrestle/requests/beside.py
+++ b/merlintrestle/requests/beside.py
@@ -63,5 +63,9 @@
     sent[headers.ORGANISATION] = call.organisation
     sent[headers.DEADLINE] = str(max(1, int(left_s * 1000)))
     sent[headers.DEPTH] = str(call.depth + 1)
-    sent[headers.ATTEMPT] = str(call.attempt)
+    # The outermost repeatable call of a nest is the one that is tried again;
+    # calls below it are told not to. Else N nested levels run the lowest one
+    # N + 1 times, each level having its own second try.
+    above = 1 if call.plan.repeatable else call.attempt
+    sent[headers.ATTEMPT] = str(above)
     return sent
--- a/merlintrestle/requests/call.py
+++ b/merlintrestle/requests/call.py
@@ -27,7 +27,8 @@
         deadline: Time of the event loop at which the caller must have its
             final answer, in seconds.
         depth: Calls above this one.
-        attempt: More than 0 if this call or one above it is a retry.
+        attempt: More than 0 if this call is a retry, or if a call above it
+            may be tried again.
         key: Idempotency-Key; empty: none.
     """
 
--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -7,6 +7,7 @@
 
 from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
+from merlintrestle.requests import retries
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,25 +41,32 @@
         self._picker = picker
         self._beside = beside
         self._forwarder = forwarder
+        self._budgets: dict[str, retries.Budget] = {}
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Returns the answer of an upstream, or the failure to state."""
+        budget = self._get_budget(call.service)
+        budget.earn()
         tried: set[str] = set()
-        outcome: outcomes.Outcome = outcomes.NotRun(
-            f"no backend server of {call.service} is known"
-        )
-        while len(tried) < _MAX_TRIES:
+        outcome: outcomes.Outcome | None = None
+        while True:
             upstreams = self._table.get_upstreams(call.service)
             upstream = self._picker.pick(upstreams, tried)
             if upstream is None:
-                return outcome
+                return outcome or _refuse(call)
             tried.add(upstream.member_id)
-            outcome = await self._try(upstream, call)
-            if not (isinstance(outcome, outcomes.NotRun) and outcome.elsewhere):
+            latest = await self._try(upstream, call)
+            outcome = retries.combine(outcome, latest)
+            last = len(tried) == min(_MAX_TRIES, len(upstreams))
+            if last or not _may_retry(latest, call, budget):
                 return outcome
-            if not call.body.repeatable:
-                return outcome
-        return outcome
+            outcome = _discard(outcome)
+
+    def _get_budget(self, service: str) -> retries.Budget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = retries.Budget()
+        return budget
 
     async def _try(
         self, upstream: tables.Upstream, call: calls.Call
@@ -97,6 +105,31 @@
         return outcome
 
 
+def _may_retry(
+    outcome: outcomes.Outcome, call: calls.Call, budget: retries.Budget
+) -> bool:
+    left_s = call.deadline - asyncio.get_running_loop().time()
+    if left_s <= call.plan.work_s or not call.body.repeatable:
+        return False
+    retry = retries.classify(outcome, call)
+    if retry is retries.Retry.BUDGETED:
+        if not budget.spend():
+            return False
+        call.attempt += 1
+    return retry is not retries.Retry.NO
+
+
+def _discard(outcome: outcomes.Outcome) -> outcomes.Outcome:
+    if not isinstance(outcome, outcomes.Answered):
+        return outcome
+    outcome.release()
+    return outcomes.Ran("the backend server is shedding load", 503, 1.0)
+
+
+def _refuse(call: calls.Call) -> outcomes.NotRun:
+    return outcomes.NotRun(f"no backend server of {call.service} is known")
+
+
 def _build_headers(call: calls.Call) -> multidict.CIMultiDict[str]:
     left_s = call.deadline - asyncio.get_running_loop().time()
     sent = call.headers.copy()
--- a/merlintrestle/requests/headers.py
+++ b/merlintrestle/requests/headers.py
@@ -15,7 +15,7 @@
 DEADLINE = "Merlintrestle-Deadline-Ms"
 # Calls above this one: 0 for a call that comes from outside the mesh.
 DEPTH = "Merlintrestle-Depth"
-# 0 for a first attempt; more where any call above this one is a retry.
+# 0 where nobody above this call runs it again; else it is not tried again.
 ATTEMPT = "Merlintrestle-Attempt"
 # Class of work; believed on the peer port only.
 CLASS = "Merlintrestle-Class"
--- a/merlintrestle/requests/outcomes.py
+++ b/merlintrestle/requests/outcomes.py
@@ -69,10 +69,12 @@
     Attributes:
         reason: Why, in one sentence for the caller.
         status: HTTP status of the answer.
+        retry_after_s: Seconds until it is worth coming back; None: not at all.
     """
 
     reason: str
     status: int = 502
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,7 +110,7 @@
 
 @render.register
 def _render_ran(outcome: Ran) -> web.Response:
-    return _build("ran", outcome, None)
+    return _build("ran", outcome, outcome.retry_after_s)
 
 
 @render.register
@@ -135,7 +137,7 @@
             reason, response.status, retry_after_s, elsewhere, overloaded
         )
     if name == "ran":
-        return Ran(reason, response.status)
+        return Ran(reason, response.status, retry_after_s)
     return Unknown(reason, response.status, retry_after_s)
 
 
--- /dev/null
+++ b/merlintrestle/requests/retries.py
@@ -0,0 +1,114 @@
+"""Retries: which failed calls are tried again, and how many in all."""
+
+from __future__ import annotations
+
+import enum
+import functools
+
+from merlintrestle.requests import call as calls
+from merlintrestle.requests import outcomes
+
+# Retries earned by one call: at most one call in ten is sent twice.
+_EARNED = 0.1
+# Retries that a service which was quiet may make at once.
+_MAX_TOKENS = 10.0
+_SHEDDING = 503
+
+
+class Retry(enum.Enum):
+    """Whether a failed call may be tried at another upstream."""
+
+    NO = enum.auto()
+    # It did not run and burdened nobody: no amplification of work.
+    FREE = enum.auto()
+    # It may have run, or met an overload: taken from the budget.
+    BUDGETED = enum.auto()
+
+
+class Budget:
+    """A token bucket of the retries of one service.
+
+    Without it, a service that answers slowly gets each call several times
+    just when it can least bear it, and stays down under its own retries.
+
+    Attributes:
+        tokens: Retries that may be made now.
+    """
+
+    __slots__ = ("tokens",)
+
+    def __init__(self) -> None:
+        self.tokens = _MAX_TOKENS
+
+    def earn(self) -> None:
+        """Counts a first try."""
+        self.tokens = min(_MAX_TOKENS, self.tokens + _EARNED)
+
+    def spend(self) -> bool:
+        """Takes one retry; False if the budget is used up."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+@functools.singledispatch
+def classify(outcome: object, call: calls.Call) -> Retry:
+    """Returns whether a call with this outcome may be tried again."""
+    raise TypeError(f"not an outcome: {outcome!r}")
+
+
+@classify.register
+def _classify_not_run(outcome: outcomes.NotRun, call: calls.Call) -> Retry:
+    if not outcome.elsewhere:
+        return Retry.NO
+    return _limit(call) if outcome.overloaded else Retry.FREE
+
+
+@classify.register
+def _classify_ran(outcome: outcomes.Ran, call: calls.Call) -> Retry:
+    return _limit(call) if call.plan.repeatable else Retry.NO
+
+
+@classify.register
+def _classify_unknown(outcome: outcomes.Unknown, call: calls.Call) -> Retry:
+    # Work with a key is safe to send again: the daemon that gets it finds the
+    # claim of the first try and asks its holder instead of running it.
+    if call.plan.repeatable or call.key:
+        return _limit(call)
+    return Retry.NO
+
+
+@classify.register
+def _classify_answered(outcome: outcomes.Answered, call: calls.Call) -> Retry:
+    if outcome.response.status == _SHEDDING and call.plan.repeatable:
+        return _limit(call)
+    return Retry.NO
+
+
+def _limit(call: calls.Call) -> Retry:
+    """Forbids retries of retries, and retries under a call that has its own.
+
+    With calls nested N deep and each level trying twice, the lowest service
+    would see 2**N calls for one; with this rule it sees at most two.
+    """
+    return Retry.NO if call.attempt else Retry.BUDGETED
+
+
+def combine(
+    earlier: outcomes.Outcome | None, latest: outcomes.Outcome
+) -> outcomes.Outcome:
+    """Returns what is true of a call after several tries.
+
+    A last try that did not run proves nothing about the first: a call that may
+    have run before must not be called "not run" by its last refusal.
+    """
+    if isinstance(latest, outcomes.NotRun) and isinstance(
+        earlier, (outcomes.Ran, outcomes.Unknown)
+    ):
+        return earlier
+    if isinstance(latest, outcomes.Unknown) and isinstance(
+        earlier, outcomes.Ran
+    ):
+        return earlier
+    return latest
--- /dev/null
+++ b/tests/requests/test_retries.py
@@ -0,0 +1,137 @@
+"""Failed calls are tried again only where it is safe, and not too often."""
+
+from __future__ import annotations
+
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from merlintrestle.requests import headers
+from merlintrestle.requests import outcomes
+from merlintrestle.requests import retries
+from tests.requests import builders
+
+_CARRIED = (headers.DEADLINE, headers.DEPTH, headers.ATTEMPT)
+
+
+async def break_connection(request: web.BaseRequest) -> web.StreamResponse:
+    """Takes a request and closes its connection without an answer."""
+    assert request.transport is not None
+    request.transport.abort()
+    return web.Response()
+
+
+class RetriesTest(unittest.IsolatedAsyncioTestCase):
+    """The backend servers count how often they saw a call."""
+
+    async def test_not_repeatable_work_is_not_sent_again(self) -> None:
+        """The caller hears "unknown", and one backend server saw the call.
+
+        The backend server takes a payout without a key and breaks the
+        connection. Whether it ran is not known, so it must not be sent again.
+        """
+        plan = builders.build_plan(repeatable=False)
+        async with (
+            builders.run_nodes(
+                3,
+                handler=break_connection,
+                running=builders.build_snapshot({"/": plan}),
+            ) as nodes,
+            builders.open_client() as client,
+        ):
+            answer = await client.post(nodes[0].url + "/x", data=b"pay")
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+        self.assertEqual(sum(len(node.served) for node in nodes), 1)
+
+    async def test_refused_work_goes_elsewhere(self) -> None:
+        async with (
+            builders.run_nodes(3) as nodes,
+            builders.open_client() as client,
+        ):
+            for node in nodes[:2]:
+                node.holder.running = None
+            nodes[0].holder.running = builders.build_snapshot()
+            nodes[0].proxy.backend.slots = 0
+            for _ in range(8):
+                answer = await client.get(nodes[0].url + "/x")
+                self.assertEqual(answer.status, 200)
+        self.assertEqual(len(nodes[2].served), 8)
+
+    async def test_budget_bounds_retries(self) -> None:
+        """Callers see failures; the service sees few calls more than theirs.
+
+        Every backend server breaks every connection. Without a budget each
+        call would be run three times, just when the service is in trouble.
+        """
+        async with (
+            builders.run_nodes(3, handler=break_connection) as nodes,
+            builders.open_client() as client,
+        ):
+            for _ in range(100):
+                await builders.fetch(client, nodes[0].url + "/x")
+        served = sum(len(node.served) for node in nodes)
+        self.assertLessEqual(served, 100 + 10 + 10)
+        self.assertGreater(served, 100)
+
+    async def test_nested_calls_do_not_multiply(self) -> None:
+        """One caller's call reaches the lowest service twice at most.
+
+        Four calls are nested and the lowest backend server breaks. Every
+        level would try again, so the lowest would see 2**4 calls or more.
+        """
+        urls: list[str] = []
+        lowest: list[str] = []
+
+        async def nest(request: web.BaseRequest) -> web.StreamResponse:
+            level = int(request.path[1:])
+            if level == 0:
+                lowest.append(request.path)
+                return await break_connection(request)
+            carried = {name: request.headers[name] for name in _CARRIED}
+            async with aiohttp.ClientSession() as session:
+                answer = await session.get(
+                    f"{urls[0]}/{level - 1}", headers=carried
+                )
+                if answer.status != 200:
+                    return await break_connection(request)
+            return web.Response()
+
+        async with (
+            builders.run_nodes(3, handler=nest) as nodes,
+            builders.open_client() as client,
+        ):
+            urls.append(nodes[0].url)
+            answer = await client.get(nodes[0].url + "/3")
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+        self.assertLessEqual(len(lowest), 2)
+
+    async def test_loop_between_services_ends(self) -> None:
+        async def loop(request: web.BaseRequest) -> web.StreamResponse:
+            carried = {name: request.headers[name] for name in _CARRIED}
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(urls[0] + "/x", headers=carried) as answer,
+            ):
+                return web.Response(status=answer.status)
+
+        urls: list[str] = []
+        async with (
+            builders.run_nodes(1, handler=loop) as nodes,
+            builders.open_client() as client,
+        ):
+            urls.append(nodes[0].url)
+            answer = await client.get(nodes[0].url + "/x")
+        self.assertEqual(answer.status, 508)
+        self.assertEqual(len(nodes[0].served), 8)
+
+    def test_last_refusal_does_not_hide_an_earlier_run(self) -> None:
+        """The caller hears "unknown", not the "not run" of the last try.
+
+        The first try broke after it was sent, the second was refused. Stated
+        alone, the refusal would have the caller pay a second time.
+        """
+        refused = outcomes.NotRun("leaving")
+        for earlier in (outcomes.Unknown("broke"), outcomes.Ran("cut")):
+            self.assertIs(retries.combine(earlier, refused), earlier)
+        self.assertIs(retries.combine(refused, refused), refused)
