Run the whole path: a daemon composed of its parts, and the demo over it

Cause: the parts stood alone; nothing served a request from end to end.

The daemon binds its ports first, so that its own record tells where it is reached (MemberTable.set_peer_port), then joins. A planned stop announces the leave, waits for requests in flight, then closes.

Mended while joining: the operators' program did nothing when started as a module (no main guard; the demo then found no head written); the demo gave apply two files, which takes one.

--- /dev/null
+++ b/merlintrestle/daemon/admin.py
@@ -0,0 +1,173 @@
+"""The loopback port of a daemon: announcements, health and metrics."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import NamedTuple, TYPE_CHECKING
+
+from aiohttp import web
+import mode
+import prometheus_client
+
+from merlintrestle import errors
+from merlintrestle.schema import control_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from merlintrestle.versions import holder as holders
+
+logger = logging.getLogger(__name__)
+
+LOOPBACK = "127.0.0.1"
+_MAX_BODY_BYTES = 4096
+_MAX_SLOTS = 100_000
+_STATES = {
+    "ready": control_pb2.READY,
+    "draining": control_pb2.DRAINING,
+    "down": control_pb2.DOWN,
+}
+
+
+class Announcement(NamedTuple):
+    """What a backend server says of itself.
+
+    Attributes:
+        service: Service that it serves.
+        address: Its own "ip:port".
+        slots: Calls it runs at once.
+        state: Whether it takes new work.
+    """
+
+    service: str
+    address: str
+    slots: int
+    state: control_pb2.BackendState
+
+
+class AdminServer(mode.Service):
+    """Serves the loopback port.
+
+    `POST /announce` takes an `Announcement` as JSON, `GET /health` tells
+    whether this daemon serves, `GET /versions` what it took into use, and
+    `GET /metrics` its metrics.
+
+    Attributes:
+        port: The bound port, once started.
+    """
+
+    def __init__(
+        self,
+        port: int,
+        holder: holders.Holder,
+        announce: Callable[[Announcement], None],
+    ):
+        """Sets what is served.
+
+        Args:
+            port: Port to bind on loopback; 0 takes a free one.
+            holder: The versions of this daemon.
+            announce: Called with each valid announcement.
+        """
+        super().__init__()
+        self.port = port
+        self._holder = holder
+        self._announce = announce
+        self._runner: web.AppRunner | None = None
+
+    async def on_start(self) -> None:
+        """Binds the port."""
+        application = web.Application(client_max_size=_MAX_BODY_BYTES)
+        application.add_routes(
+            [
+                web.post("/announce", self._handle_announce),
+                web.get("/health", self._handle_health),
+                web.get("/versions", self._handle_versions),
+                web.get("/metrics", _handle_metrics),
+            ]
+        )
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, LOOPBACK, self.port)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def on_stop(self) -> None:
+        """Closes the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle_announce(self, request: web.Request) -> web.Response:
+        try:
+            announcement = read_announcement(await request.read())
+        except errors.InvalidInputError as error:
+            findings = [finding._asdict() for finding in error.findings]
+            return web.json_response({"findings": findings}, status=400)
+        self._announce(announcement)
+        return web.json_response({})
+
+    async def _handle_health(self, request: web.Request) -> web.Response:
+        del request
+        reason = self._holder.closed_reason
+        running = self._holder.running
+        health = {
+            "closed_reason": reason,
+            "version": running.version if running else 0,
+        }
+        return web.json_response(health, status=503 if reason else 200)
+
+    async def _handle_versions(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response(
+            [
+                {"version": version, "at_ms": at_ms}
+                for version, at_ms in self._holder.history
+            ]
+        )
+
+
+def read_announcement(body: bytes) -> Announcement:
+    """Checks the JSON of an announcement.
+
+    Raises:
+        errors.InvalidInputError: With every finding about it.
+    """
+    try:
+        fields = json.loads(body)
+    except ValueError as error:
+        raise errors.InvalidInputError(
+            [errors.Finding("announcement", f"is not JSON: {error}.")]
+        ) from error
+    if not isinstance(fields, dict):
+        raise errors.InvalidInputError(
+            [errors.Finding("announcement", "is not a JSON object.")]
+        )
+    findings = []
+    for name in ("service", "address"):
+        if not isinstance(fields.get(name), str) or not fields[name]:
+            findings.append(errors.Finding(name, "must be a text."))
+    slots = fields.get("slots")
+    if type(slots) is not int or not 0 < slots <= _MAX_SLOTS:
+        text = f"must be a whole number from 1 to {_MAX_SLOTS}."
+        findings.append(errors.Finding("slots", text))
+    state = fields.get("state")
+    if not isinstance(state, str) or state not in _STATES:
+        text = f"must be one of {', '.join(_STATES)}."
+        findings.append(errors.Finding("state", text))
+    if findings:
+        raise errors.InvalidInputError(findings)
+    return Announcement(
+        fields["service"],
+        fields["address"],
+        int(fields["slots"]),
+        _STATES[fields["state"]],
+    )
+
+
+async def _handle_metrics(request: web.Request) -> web.Response:
+    del request
+    return web.Response(
+        body=prometheus_client.generate_latest(),
+        headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+    )
--- /dev/null
+++ b/merlintrestle/daemon/service.py
@@ -0,0 +1,118 @@
+"""The daemon: its parts, in the order in which they start and stop."""
+
+from __future__ import annotations
+
+import json
+import logging
+
+import mode
+
+from merlintrestle.daemon import admin
+from merlintrestle.members import membership as memberships
+from merlintrestle.members import service as control
+from merlintrestle.members import table as tables
+from merlintrestle.requests import proxy as proxies
+from merlintrestle.schema import control_pb2
+from merlintrestle.schema import settings_pb2
+from merlintrestle.store import client
+from merlintrestle.versions import distribution as distributions
+from merlintrestle.versions import holder as holders
+from merlintrestle.versions import source as sources
+
+logger = logging.getLogger(__name__)
+
+
+class Daemon(mode.Service):
+    """One daemon, beside one backend server.
+
+    It starts with its ports, so that its own record tells where it is
+    reached, then joins the fleet. A planned stop announces the leave, waits
+    for requests in flight, and then closes the parts.
+    """
+
+    def __init__(self, settings: settings_pb2.DaemonSettings):
+        """Keeps the settings; everything opens in `start`."""
+        super().__init__()
+        self._settings = settings_pb2.DaemonSettings()
+        self._settings.CopyFrom(settings)
+        self._holder = holders.Holder()
+        self._store = client.StoreClient(settings.store)
+
+    async def on_start(self) -> None:
+        """Starts the parts and prints the bound ports as one JSON line."""
+        await self._store.start()
+        settings = self._settings
+        self._control = control.ControlServer(
+            settings.address, settings.control_port
+        )
+        settings.control_port = self._control.port
+        self._table = tables.MemberTable(self._build_member())
+        self._proxy = proxies.Proxy(
+            settings, self._holder, self._table, self._store
+        )
+        await self.add_runtime_dependency(self._proxy)
+        self._table.set_peer_port(self._proxy.peer_port)
+        await self._start_control()
+        self._admin = admin.AdminServer(
+            settings.admin_port, self._holder, self._announce
+        )
+        await self.add_runtime_dependency(self._admin)
+        print(json.dumps(self._describe_ports()), flush=True)
+
+    async def on_stop(self) -> None:
+        """Leaves the fleet and waits for requests in flight."""
+        self._table.leave()
+        if await self._proxy.drain(self._settings.drain_limit_s):
+            logger.info("daemon: nothing is in flight any more.")
+
+    async def on_shutdown(self) -> None:
+        """Closes what is not a service."""
+        await self._control.close()
+        await self._store.close()
+
+    async def _start_control(self) -> None:
+        membership = memberships.Membership(
+            self._table, self._store, self._settings.seeds
+        )
+        distribution = distributions.Distribution(
+            self._holder,
+            membership,
+            sources.StoreSource(self._store),
+            self._settings.spread,
+        )
+        servicer = control.ControlServicer(
+            membership,
+            distribution,
+            self._proxy.get_class_statuses,
+            lambda: self._proxy.in_flight,
+        )
+        await self._control.start(servicer)
+        self._proxy.backend.on_change = self._spread_backend
+        await self.add_runtime_dependency(membership)
+        await self.add_runtime_dependency(distribution)
+
+    def _build_member(self) -> control_pb2.Member:
+        settings = self._settings
+        return control_pb2.Member(
+            id=f"{settings.address}:{settings.control_port}",
+            address=settings.address,
+            control_port=settings.control_port,
+            zone=settings.zone,
+            region=settings.region,
+        )
+
+    def _describe_ports(self) -> dict[str, str | int]:
+        return {
+            "ready": "daemon",
+            "id": self._table.own_id,
+            "port": self._proxy.caller_port,
+            "peer_port": self._proxy.peer_port,
+            "control_port": self._control.port,
+            "admin_port": self._admin.port,
+        }
+
+    def _announce(self, announcement: admin.Announcement) -> None:
+        self._proxy.backend.announce(*announcement)
+
+    def _spread_backend(self) -> None:
+        self._table.set_backend(self._proxy.backend.build_record())
--- a/merlintrestle/members/table.py
+++ b/merlintrestle/members/table.py
@@ -132,6 +132,12 @@
             own.backend.CopyFrom(backend)
         self._raise_own(own)
 
+    def set_peer_port(self, port: int) -> None:
+        """Announces the port for calls from peers, once it is bound."""
+        own = self._copy_own()
+        own.peer_port = port
+        self._raise_own(own)
+
     def leave(self) -> None:
         """Announces that this daemon leaves and takes no new work."""
         own = self._copy_own()
--- a/merlintrestle/operators/command.py
+++ b/merlintrestle/operators/command.py
@@ -54,3 +54,7 @@
     viewing.watch,
 ):
     main.add_command(_command)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -214,15 +214,17 @@
         instance.backend = await self._table.start(service, *arguments)
 
     async def apply(self, *paths: str, operator: str = "demo") -> str:
-        """Applies target documents through the operators' program.
+        """Applies target documents, one after another, as an operator does.
 
         Raises:
             processes.ProcessError: The program refused or failed.
         """
+        return "".join([await self._apply(path, operator) for path in paths])
+
+    async def _apply(self, path: str, operator: str) -> str:
         status, out, err = await processes.run_command(
             "merlintrestle.operators.command",
-            "apply",
-            *paths,
+            *("apply", path),
             *("--store", self.store_address, "--operator", operator),
         )
         if status:
