--- a/standins/faults.py
+++ b/standins/faults.py
@@ -32,12 +32,17 @@
         latency_s: Time in seconds added to every call.
         lose_answers: Writes still to come that take effect unanswered.
         stale: Reads are answered as things stood when this was set.
+        fail_after_key: The next write of this key begins an outage, in which
+            every call is refused at once; empty: none.
+        fail_after_s: Seconds between that write and the outage.
     """
 
     outage: Outage = Outage.NONE
     latency_s: float = 0.0
     lose_answers: int = 0
     stale: bool = False
+    fail_after_key: str = ""
+    fail_after_s: float = 0.0
 
 
 def parse_faults(fields: dict[str, Any]) -> StoreFaults:
--- a/standins/plain_random_proxy.py
+++ b/standins/plain_random_proxy.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from typing import TYPE_CHECKING
 
@@ -40,16 +41,16 @@
         self._session: aiohttp.ClientSession
         self._runners: list[web.AppRunner] = []
 
-    async def start(self) -> None:
+    async def start(self, port: int = 0, admin_port: int = 0) -> None:
         """Opens both ports."""
         self._session = relay.make_session(_TIMEOUT)
         calls = web.Application()
         calls.router.add_route("*", "/{service}/{path:.*}", self._handle)
-        runner, self.port = await process.serve(calls)
+        runner, self.port = await process.serve(calls, port)
         admin = web.Application()
         admin.router.add_post("/upstreams", self._take_upstreams)
         admin.router.add_post("/announce", self._ignore_announcement)
-        other, self.admin_port = await process.serve(admin)
+        other, self.admin_port = await process.serve(admin, admin_port)
         self._runners = [runner, other]
 
     async def close(self) -> None:
@@ -83,10 +84,10 @@
         return web.json_response({})
 
 
-async def _run() -> None:
+async def _run(port: int, admin_port: int) -> None:
     stop = process.wait_for_stop_signal()
     proxy = PlainRandomProxy()
-    await proxy.start()
+    await proxy.start(port, admin_port)
     process.print_ready(
         "plain random proxy", port=proxy.port, admin_port=proxy.admin_port
     )
@@ -95,10 +96,12 @@
 
 
 @click.command()
-def main() -> None:
+@click.option("--port", default=0, help="Port for calls; 0: a free one.")
+@click.option("--admin-port", default=0, help="Port for the upstreams.")
+def main(port: int, admin_port: int) -> None:
     """Runs the baseline proxy until SIGTERM."""
     process.configure_logging("plain random proxy")
-    process.run(_run)
+    process.run(functools.partial(_run, port, admin_port))
 
 
 if __name__ == "__main__":
--- a/standins/store.py
+++ b/standins/store.py
@@ -105,6 +105,7 @@
         if written:
             at_ms = time.time_ns() // 1_000_000
             self.writes.append(Write(entry.key, entry.revision, at_ms))
+            self._fail_after(entry.key)
         await self._end_write(context)
         return store_pb2.PutReply(written=written, entry=_encode(entry))
 
@@ -174,6 +175,12 @@
             self.faults.lose_answers -= 1
             await context.abort(grpc.StatusCode.UNAVAILABLE, "answer lost")
 
+    def _fail_after(self, key: str) -> None:
+        if key == self.faults.fail_after_key:
+            outage = faults.StoreFaults(faults.Outage.UNAVAILABLE)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.fail_after_s, self.set_faults, outage)
+
     async def _next_entry(
         self, stream: AsyncIterator[keyvalue.Entry]
     ) -> keyvalue.Entry | None:
--- /dev/null
+++ b/tools/convergence.py
@@ -0,0 +1,292 @@
+"""Measures how versions reach every daemon and what that costs (issue 4)."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import pathlib
+import statistics
+import time
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+from tools import demonstration
+from tools import fleet
+from tools import processes
+from tools import samples
+from tools import workload
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+logger = logging.getLogger(__name__)
+
+_FIRST_WITHIN_S = 90.0
+_CHANGE_WITHIN_S = 30.0
+_SETTLE_S = 5.0
+_IDLE_S = 10.0
+_AFTER_CHANGE_S = 2.0
+_STORE_FAILS_AFTER_S = 0.05
+
+
+class Options(NamedTuple):
+    """What is measured.
+
+    Attributes:
+        layout: Fleet whose zones and documents are used.
+        daemons: Number of daemons.
+        changes: Number of changes.
+        restart_share: Share of the daemons killed and started again right
+            after each acceptance.
+        store_down: The store fails right after each acceptance.
+    """
+
+    layout: fleet.Layout
+    daemons: int
+    changes: int
+    restart_share: float
+    store_down: bool
+
+
+class Idle(NamedTuple):
+    """What a fleet costs while nothing changes.
+
+    Attributes:
+        bytes_per_s: Control bytes per second of the whole fleet.
+        calls_per_s: Calls of the store per second.
+        watches: Watches that wait at the store.
+        cpu_shares: Share of a core by daemon.
+        rss_mb: Resident memory by daemon in MB.
+    """
+
+    bytes_per_s: float
+    calls_per_s: float
+    watches: int
+    cpu_shares: list[float]
+    rss_mb: list[float]
+
+
+class Change(NamedTuple):
+    """What one change took.
+
+    Attributes:
+        delays_s: Seconds from the store's write of head until each daemon
+            ran the version.
+        missing: Daemons that did not run it in time.
+        control_bytes: Control bytes of the whole fleet meanwhile, idle ones
+            taken off.
+        store_calls: Calls of the store meanwhile, idle ones taken off, the
+            operator's own included.
+    """
+
+    delays_s: list[float]
+    missing: int
+    control_bytes: float
+    store_calls: float
+
+
+async def measure(options: Options, with_baseline: bool) -> dict[str, Any]:
+    """Measures the product and then the baseline."""
+    figures = await _measure_kind(options, fleet.build_daemon_arguments)
+    if with_baseline:
+        figures["baseline"] = await _measure_kind(
+            options, fleet.build_watcher_arguments
+        )
+    return figures
+
+
+async def _measure_kind(
+    options: Options, build_arguments: Callable[..., list[str]]
+) -> dict[str, Any]:
+    table = processes.ProcessTable()
+    shown = fleet.Fleet(table, options.layout, build_arguments)
+    zones = options.layout.zones
+    services = list(options.layout.upstreams)
+    places = [
+        fleet.Place(zones[i % len(zones)], services[i % len(services)])
+        for i in range(options.daemons)
+    ]
+    try:
+        await shown.start(places, backends=False)
+        return await _measure_fleet(options, table, shown)
+    finally:
+        await shown.close()
+        await table.close()
+
+
+async def _measure_fleet(
+    options: Options, table: processes.ProcessTable, shown: fleet.Fleet
+) -> dict[str, Any]:
+    began = time.monotonic()
+    await shown.apply(*workload.list_documents(options.layout.name))
+    version = (await shown.read_head()).version
+    if await _find_missing(shown, version, _FIRST_WITHIN_S):
+        raise processes.ProcessError(
+            f"the first version is not in force\n{_read_errors(shown)}"
+        )
+    logger.info("first version after %.1f s", time.monotonic() - began)
+    await asyncio.sleep(_SETTLE_S)
+    idle = await _measure_idle(shown)
+    changes = []
+    for number in range(options.changes):
+        changes.append(
+            await _measure_change(options, table, shown, number, idle)
+        )
+        logger.info("change %d: %s", number, _describe(changes[-1]))
+    return summarize(options.daemons, idle, changes)
+
+
+def summarize(
+    daemons: int, idle: Idle, changes: list[Change]
+) -> dict[str, Any]:
+    """Returns the figures of one kind of fleet."""
+    delays = [delay for change in changes for delay in change.delays_s]
+    per_change = [change.control_bytes / daemons for change in changes]
+    calls = [change.store_calls for change in changes]
+    return {
+        "daemons": daemons,
+        "changes": len(changes),
+        "convergence_p50_s": samples.compute_percentile(delays, 0.5),
+        "convergence_p99_s": samples.compute_percentile(delays, 0.99),
+        "convergence_max_s": max(delays, default=None),
+        "convergence_last_p50_s": statistics.median(
+            max(change.delays_s, default=0.0) for change in changes
+        ),
+        "not_converged": sum(change.missing for change in changes),
+        "control_bytes_per_daemon_s_idle": round(idle.bytes_per_s / daemons, 1),
+        "control_bytes_per_daemon_change": round(
+            statistics.median(per_change), 1
+        ),
+        "store_calls_per_change": round(statistics.median(calls), 1),
+        "store_calls_per_s_idle": round(idle.calls_per_s, 2),
+        "store_watches": idle.watches,
+        "cpu_share_median": round(statistics.median(idle.cpu_shares), 5),
+        "cpu_share_max": round(max(idle.cpu_shares), 5),
+        "rss_mb_max": round(max(idle.rss_mb), 1),
+    }
+
+
+async def _measure_idle(shown: fleet.Fleet) -> Idle:
+    pids = [instance.daemon.pid for instance in shown.instances]
+    counters = await shown.read_counters()
+    cpu_s = [samples.read_cpu_s(pid) for pid in pids]
+    carried = await _read_control_bytes(shown)
+    began = time.monotonic()
+    await asyncio.sleep(_IDLE_S)
+    took_s = time.monotonic() - began
+    sent = samples.subtract(carried, await _read_control_bytes(shown))
+    later = await shown.read_counters()
+    used_s = [
+        samples.read_cpu_s(pid) - before
+        for pid, before in zip(pids, cpu_s, strict=True)
+    ]
+    return Idle(
+        bytes_per_s=sent / took_s,
+        calls_per_s=(_count_calls(later) - _count_calls(counters)) / took_s,
+        watches=later["waiting_watches"],
+        cpu_shares=[used / took_s for used in used_s],
+        rss_mb=[samples.read_rss_mb(pid) for pid in pids],
+    )
+
+
+async def _measure_change(
+    options: Options,
+    table: processes.ProcessTable,
+    shown: fleet.Fleet,
+    number: int,
+    idle: Idle,
+) -> Change:
+    document = workload.list_documents(options.layout.name)[-1]
+    path = demonstration.change_document(
+        pathlib.Path(document), table.directory, add_ms=10 * (1 + number)
+    )
+    version = (await shown.read_head()).version + 1
+    if options.store_down:
+        await shown.set_store_faults(
+            fail_after_key="head", fail_after_s=_STORE_FAILS_AFTER_S
+        )
+    counters = await shown.read_counters()
+    carried = await _read_control_bytes(shown)
+    began = time.monotonic()
+    await shown.apply(str(path))
+    await _restart_share(options, shown, number)
+    missing = await _find_missing(shown, version, _CHANGE_WITHIN_S)
+    await asyncio.sleep(_AFTER_CHANGE_S)
+    took_s = time.monotonic() - began
+    sent = samples.subtract(carried, await _read_control_bytes(shown))
+    called = _count_calls(await shown.read_counters()) - _count_calls(counters)
+    if options.store_down:
+        await shown.set_store_faults()
+    delays_s = await _read_delays(shown, version)
+    return Change(
+        delays_s,
+        missing,
+        sent - idle.bytes_per_s * took_s,
+        called - idle.calls_per_s * took_s,
+    )
+
+
+async def _restart_share(
+    options: Options, shown: fleet.Fleet, number: int
+) -> None:
+    count = round(options.restart_share * options.daemons)
+    first = number * count
+    chosen = [
+        shown.instances[(first + offset) % options.daemons]
+        for offset in range(count)
+    ]
+    await asyncio.gather(*(instance.daemon.kill() for instance in chosen))
+    await asyncio.gather(*map(shown.restart_daemon, chosen))
+
+
+async def _find_missing(
+    shown: fleet.Fleet, version: int, within_s: float
+) -> int:
+    """Waits until all run a version; returns how many do not in time."""
+    taken = await shown.wait_in_force(version, within_s, shown.instances)
+    if taken is not None:
+        return 0
+    return shown.count() - len(await _read_delays(shown, version))
+
+
+async def _read_delays(shown: fleet.Fleet, version: int) -> list[float]:
+    accepted_ms = await shown.read_accepted_ms()
+    delays = []
+    for instance in shown.instances:
+        versions = await shown.read_versions(instance)
+        times = [ms for number, ms in versions.items() if number >= version]
+        if times:
+            delays.append((min(times) - accepted_ms) / 1000)
+    return delays
+
+
+async def _read_control_bytes(
+    shown: fleet.Fleet,
+) -> dict[tuple[int, int], int]:
+    ports = [i.daemon.ready.get("control_port") for i in shown.instances]
+    store_port = int(shown.store_address.rpartition(":")[2])
+    return await samples.read_control_bytes(
+        {port for port in ports if port}, store_port
+    )
+
+
+def _count_calls(counters: dict[str, Any]) -> int:
+    """Returns all calls; kinds with a key repeat those without."""
+    calls: dict[str, int] = counters["calls"]
+    return sum(count for kind, count in calls.items() if " " not in kind)
+
+
+def _read_errors(shown: fleet.Fleet) -> str:
+    return "\n".join(i.daemon.read_errors() for i in shown.instances[:3])
+
+
+def _describe(change: Change) -> str:
+    last = max(change.delays_s, default=None)
+    return f"last after {last} s, {change.missing} missing"
+
+
+async def run(options: Options, with_baseline: bool) -> int:
+    """Measures and prints one JSON line; 1 if a daemon did not converge."""
+    figures = await measure(options, with_baseline)
+    print(json.dumps(figures), flush=True)
+    return 1 if figures["not_converged"] else 0
--- /dev/null
+++ b/tools/failures.py
@@ -0,0 +1,243 @@
+"""Measures harm and goodput while everything fails (issue 5)."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+from standins import ledger
+from tools import calls
+from tools import fleet
+from tools import harm
+from tools import load
+from tools import processes
+from tools import scenario
+from tools import workload
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_IN_FORCE_WITHIN_S = 20.0
+_WARM_S = 3.0
+_DOWNLOAD_BYTES = 1_500_000
+_DOWNLOAD_RATE = 500_000
+# Failures hit few payouts at their expected rate in so short a run.
+_KEYED_FACTOR = 10.0
+_LEAVE_WITHIN_MS = 3000
+_NO_ROUTE = 404
+
+
+class Options(NamedTuple):
+    """What load is made.
+
+    Attributes:
+        layout: Example fleet.
+        factor: Factor on the rates of its classes.
+        loaders: Load processes.
+        seed: Seed of the load.
+        crash_share: Share of repeatable calls that crash their backend.
+    """
+
+    layout: fleet.Layout
+    factor: float
+    loaders: int
+    seed: int
+    crash_share: float
+
+
+async def measure(options: Options, with_baseline: bool) -> dict[str, Any]:
+    """Runs the product and then the baseline through the same failures."""
+    figures = await _run_kind(options, fleet.build_daemon_arguments, True)
+    if with_baseline:
+        figures["baseline"] = await _run_kind(
+            options, fleet.build_proxy_arguments, False
+        )
+    return figures
+
+
+async def _run_kind(
+    options: Options,
+    build_arguments: Callable[..., list[str]],
+    is_product: bool,
+) -> dict[str, Any]:
+    table = processes.ProcessTable()
+    shown = fleet.Fleet(table, options.layout, build_arguments)
+    try:
+        await shown.start(fleet.list_places(options.layout))
+
+        async def refresh() -> None:
+            if not is_product:
+                await _tell_upstreams(shown)
+
+        await refresh()
+        if is_product:
+            await _apply_documents(shown)
+        await asyncio.sleep(_WARM_S)
+        caused = scenario.Scenario(shown, table.directory, refresh, is_product)
+        results, _ = await asyncio.gather(
+            _run_loaders(table, shown, options), caused.run()
+        )
+        runs = ledger.read_ledger(shown.ledger_path)
+        return summarize(results, runs, caused)
+    finally:
+        await shown.close()
+        await table.close()
+
+
+async def _apply_documents(shown: fleet.Fleet) -> None:
+    await shown.apply(*workload.list_documents(shown.layout.name))
+    version = (await shown.read_head()).version
+    taken = await shown.wait_in_force(
+        version, _IN_FORCE_WITHIN_S, shown.instances
+    )
+    if taken is None:
+        raise processes.ProcessError("the first version is not in force")
+
+
+async def _tell_upstreams(shown: fleet.Fleet) -> None:
+    upstreams: dict[str, list[str]] = {}
+    for instance in shown.instances:
+        assert instance.backend is not None
+        address = instance.backend.ready["address"]
+        upstreams.setdefault(instance.place.service, []).append(address)
+    for instance in shown.instances:
+        if instance.daemon.running:
+            await shown.post_json(instance.admin, "/upstreams", upstreams)
+
+
+async def _run_loaders(
+    table: processes.ProcessTable, shown: fleet.Fleet, options: Options
+) -> list[load.Result]:
+    started = []
+    for number in range(options.loaders):
+        plan = load.Plan(
+            entries=[instance.url for instance in shown.instances],
+            classes=workload.read_classes(options.layout.name),
+            factor=options.factor / options.loaders,
+            duration_s=scenario.DURATION_S,
+            seed=options.seed + number,
+            download_bytes=_DOWNLOAD_BYTES,
+            download_rate=_DOWNLOAD_RATE,
+            large_rate=2.0 / options.loaders,
+            keyed_factor=_KEYED_FACTOR,
+            crash_share=options.crash_share,
+        )
+        plan_path = table.directory / f"plan-{number}.json"
+        load.write_plan(plan, plan_path)
+        results_path = table.directory / f"results-{number}.jsonl"
+        loader = await table.start(
+            "load", "tools.load", str(plan_path), str(results_path)
+        )
+        started.append((loader, results_path))
+    results = []
+    for loader, path in started:
+        if await loader.wait():
+            raise processes.ProcessError(loader.read_errors())
+        results += load.read_results(path)
+    return results
+
+
+def summarize(
+    results: list[load.Result],
+    runs: list[dict[str, Any]],
+    caused: scenario.Scenario,
+) -> dict[str, Any]:
+    """Returns the figures of one kind of proxy."""
+    # A request that crashes its backend server has no answer to be right.
+    ordinary = [result for result in results if not result.crash]
+    right = [r for r in ordinary if r.verdict is calls.Verdict.RIGHT]
+    answered = [r for r in ordinary if r.verdict is not calls.Verdict.TIMEOUT]
+    versions = caused.list_versions()
+    return {
+        "requests": len(ordinary),
+        "answered": len(answered),
+        "goodput_ratio": round(len(right) / max(1, len(ordinary)), 4),
+        **harm.count_harm(results, runs)._asdict(),
+        "downloads_cut_by_planned_stop": _count_cut(results, runs, caused),
+        "new_work_after_leave": sum(
+            harm.count_new_work(
+                runs, stop.address, stop.at_ms + _LEAVE_WITHIN_MS, stop.until_ms
+            )
+            for stop in caused.stops
+            if not stop.daemon
+        ),
+        "version_regressions": sum(map(harm.count_regressions, versions)),
+        "dangling_routes": _count_dangling(results),
+        "amplification_max": harm.compute_amplification(runs),
+        "met_target": _compute_shares(ordinary),
+        "verdicts": _count_verdicts(ordinary),
+        "crash_requests": len(results) - len(ordinary),
+        "backends_crashed": caused.crashes,
+        "changes_accepted": caused.accepted,
+    }
+
+
+def _count_cut(
+    results: list[load.Result],
+    runs: list[dict[str, Any]],
+    caused: scenario.Scenario,
+) -> int:
+    """Counts downloads in flight at a planned stop that were not whole."""
+    began: dict[str, list[tuple[str, int]]] = {}
+    for run in runs:
+        if run["event"] == "started":
+            pair = run["at"], run["at_ms"]
+            began.setdefault(run["attempt_id"], []).append(pair)
+    cut = 0
+    for result in results:
+        if not result.large or result.verdict is calls.Verdict.RIGHT:
+            continue
+        attempt = result.attempts[-1]
+        ended_ms = attempt.started_ms + attempt.latency_ms
+        places = began.get(attempt.attempt_id, [])
+        cut += any(
+            ended_ms > stop.at_ms
+            and any(
+                at_ms < stop.at_ms
+                and (at == stop.address or attempt.entry == stop.entry)
+                for at, at_ms in places
+            )
+            for stop in caused.stops
+        )
+    return cut
+
+
+def _count_dangling(results: list[load.Result]) -> int:
+    """Counts answers that deny a route which every version has."""
+    return sum(
+        attempt.status == _NO_ROUTE
+        for result in results
+        for attempt in result.attempts
+    )
+
+
+def _compute_shares(results: list[load.Result]) -> dict[str, float]:
+    labels = sorted({result.label for result in results})
+    shares = {}
+    for label in labels:
+        own = [result.met for result in results if result.label == label]
+        shares[label] = round(sum(own) / len(own), 4)
+    return shares
+
+
+def _count_verdicts(results: list[load.Result]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for result in results:
+        name = result.verdict.value
+        counts[name] = counts.get(name, 0) + 1
+    return counts
+
+
+async def run(options: Options, with_baseline: bool) -> int:
+    """Measures and prints one JSON line; 1 if any harm was done."""
+    figures = await measure(options, with_baseline)
+    print(json.dumps(figures), flush=True)
+    harms = [
+        *harm.Harm._fields,
+        "downloads_cut_by_planned_stop",
+        "new_work_after_leave",
+        "version_regressions",
+        "dangling_routes",
+    ]
+    return 1 if any(figures[name] for name in harms) else 0
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -99,6 +99,11 @@
         self.daemon = daemon
         self.backend: processes.Process | None = None
 
+    @property
+    def id(self) -> str:
+        """Id of the daemon; empty for a baseline's proxy."""
+        return self.daemon.ready.get("id", "")
+
     @property
     def url(self) -> str:
         """Where callers reach the daemon."""
@@ -110,6 +115,21 @@
         return f"{HOST}:{self.daemon.ready['admin_port']}"
 
 
+def build_proxy_arguments(
+    _place: Place, _region: str, _store: str, _seeds: list[str]
+) -> list[str]:
+    """Returns module and arguments of the baseline's random proxy."""
+    ports = ["--port", "0", "--admin-port", "0"]
+    return ["standins.plain_random_proxy", *ports]
+
+
+def build_watcher_arguments(
+    _place: Place, _region: str, store: str, _seeds: list[str]
+) -> list[str]:
+    """Returns module and arguments of the baseline's watcher."""
+    return ["standins.plain_watcher", "--store", store, "--admin-port", "0"]
+
+
 def build_daemon_arguments(
     place: Place, region: str, store: str, seeds: list[str]
 ) -> list[str]:
@@ -192,9 +212,9 @@
             flag = "--" + field.replace("_", "-")
             if flag in arguments and field in before.ready:
                 arguments[arguments.index(flag) + 1] = str(before.ready[field])
-        if "--seeds" not in arguments:
+        if before.ready.get("id") and "--seeds" not in arguments:
             others = [i for i in self.instances if i is not instance]
-            seeds = [i.daemon.ready["id"] for i in others[:_SEEDS]]
+            seeds = [i.id for i in others[:_SEEDS]]
             arguments += ["--seeds", ",".join(seeds)]
         instance.daemon = await self._table.start(before.name, *arguments)
 
@@ -308,7 +328,7 @@
         return {pair["version"]: pair["at_ms"] for pair in pairs}
 
     async def _add_daemon(self, place: Place) -> None:
-        seeds = [i.daemon.ready["id"] for i in self.instances[:_SEEDS]]
+        seeds = [i.id for i in self.instances[:_SEEDS]]
         arguments = self._build_arguments(
             place, self.layout.region, self.store_address, seeds
         )
--- a/tools/harm.py
+++ b/tools/harm.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from typing import Any, NamedTuple, TYPE_CHECKING
 
 from tools import calls
@@ -42,7 +43,7 @@
     refused = {
         attempt.attempt_id
         for attempt in attempts
-        if attempt.verdict in (calls.Verdict.NOT_RUN, calls.Verdict.NOT_SENT)
+        if attempt.verdict is calls.Verdict.NOT_RUN
     }
     return Harm(
         wrong_answers=verdicts[calls.Verdict.WRONG],
@@ -61,13 +62,16 @@
 
 
 def count_new_work(
-    runs: Iterable[Mapping[str, Any]], address: str, after_ms: int
+    runs: Iterable[Mapping[str, Any]],
+    address: str,
+    after_ms: int,
+    until_ms: float = math.inf,
 ) -> int:
-    """Returns the runs that a backend server began after a time in ms."""
+    """Returns the runs that a backend server began between two times in ms."""
     return sum(
         run["event"] == "started"
         and run["at"] == address
-        and run["at_ms"] > after_ms
+        and after_ms < run["at_ms"] < until_ms
         for run in runs
     )
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -27,8 +27,7 @@
 _WAIT_MARGIN_S = 2.0
 _DOWNLOAD_WAIT_S = 120.0
 _BODY_BYTES = 300
-# A sending that found no open port was not received by anyone; a caller
-# simply asks another daemon.
+# A sending that found no open port; a caller simply asks another daemon.
 _MOST_NOT_SENT = 5
 
 
@@ -44,6 +43,7 @@
         download_bytes: Length of each download.
         download_rate: Bytes per second of each download.
         large_rate: Downloads begun per second, in place of their rates.
+        keyed_factor: Further factor on work that may not be repeated.
         crash_share: Share of repeatable calls that crash their backend.
     """
 
@@ -55,6 +55,7 @@
     download_bytes: int = 500_000
     download_rate: int = 1_000_000
     large_rate: float = 1.0
+    keyed_factor: float = 1.0
     crash_share: float = 0.0
 
 
@@ -65,6 +66,8 @@
         label: Service and class.
         request_id: Its identity.
         latency_ms: From the first sending to the last answer.
+        large: True for a download.
+        crash: True if it crashes the backend server that runs it.
         met: Right, and within the class's latency target (large: right).
         attempts: Its sendings, first to last.
     """
@@ -72,6 +75,8 @@
     label: str
     request_id: str
     latency_ms: float
+    large: bool
+    crash: bool
     met: bool
     attempts: list[calls.Attempt]
 
@@ -101,11 +106,7 @@
 def list_requests(plan: Plan) -> Iterator[tuple[float, calls.Request]]:
     """Yields when each request begins, in seconds, in order of time."""
     choices = random.Random(plan.seed)
-    larges = sum(load.large for load in plan.classes)
-    rates = [
-        plan.large_rate / larges if load.large else load.rate * plan.factor
-        for load in plan.classes
-    ]
+    rates = [_compute_rate(plan, load) for load in plan.classes]
     total = sum(rates)
     at_s = 0.0
     number = 0
@@ -156,7 +157,15 @@
     latency_ms = (loop.time() - began) * 1000
     right = attempts[-1].verdict is calls.Verdict.RIGHT
     met = right and (load.large or latency_ms <= load.latency_ms)
-    return Result(load.label, request.request_id, latency_ms, met, attempts)
+    return Result(
+        load.label,
+        request.request_id,
+        latency_ms,
+        load.large,
+        request.crash,
+        met,
+        attempts,
+    )
 
 
 def write_plan(plan: Plan, path: pathlib.Path) -> None:
@@ -198,6 +207,15 @@
     return calls.Attempt(verdict=verdict, **fields)
 
 
+def _compute_rate(plan: Plan, target: workload.ClassLoad) -> float:
+    """Returns calls begun per second of one class."""
+    if target.large:
+        return plan.large_rate / sum(other.large for other in plan.classes)
+    if target.repeatable:
+        return target.rate * plan.factor
+    return target.rate * plan.factor * plan.keyed_factor
+
+
 def _build_request(
     plan: Plan, load: workload.ClassLoad, request_id: str, crash: bool
 ) -> calls.Request:
--- /dev/null
+++ b/tools/measuring.py
@@ -0,0 +1,112 @@
+"""Command line of the measurements; each prints JSON on its last line."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import click
+
+from tools import convergence
+from tools import failures
+from tools import fleet
+from tools import processes
+
+
+@click.group()
+def main() -> None:
+    """Measures merlintrestle with separate processes on loopback."""
+    logging.basicConfig(level=logging.INFO, format="measure: %(message)s")
+
+
+@main.command("failures")
+@click.option(
+    "--fleet",
+    "name",
+    default="zaanoever",
+    show_default=True,
+    type=click.Choice(sorted(fleet.LAYOUTS)),
+    help="Example fleet.",
+)
+@click.option(
+    "--factor",
+    default=0.06,
+    show_default=True,
+    type=click.FloatRange(0.001, 0.5),
+    help="Factor on the expected rates of the classes.",
+)
+@click.option("--loaders", default=2, show_default=True, help="Processes.")
+@click.option("--seed", default=1, show_default=True, help="Of the load.")
+@click.option(
+    "--crash-share",
+    default=0.0005,
+    show_default=True,
+    help="Share of repeatable calls that crash their backend server.",
+)
+@click.option(
+    "--baseline/--no-baseline",
+    default=True,
+    show_default=True,
+    help="Also run the plain random proxy through the same failures.",
+)
+def measure_failures(
+    name: str,
+    factor: float,
+    loaders: int,
+    seed: int,
+    crash_share: float,
+    baseline: bool,
+) -> None:
+    """Counts harm and goodput while processes and the store fail."""
+    options = failures.Options(
+        fleet.LAYOUTS[name], factor, loaders, seed, crash_share
+    )
+    sys.exit(processes.run(failures.run(options, baseline)))
+
+
+@main.command("convergence")
+@click.option(
+    "--fleet",
+    "name",
+    default="zaanoever",
+    show_default=True,
+    type=click.Choice(sorted(fleet.LAYOUTS)),
+    help="Fleet whose zones and documents are used.",
+)
+@click.option("--daemons", default=12, show_default=True, help="Daemons.")
+@click.option("--changes", default=5, show_default=True, help="Changes.")
+@click.option(
+    "--restart-share",
+    default=0.0,
+    show_default=True,
+    type=click.FloatRange(0.0, 1.0),
+    help="Share of the daemons killed and restarted after each acceptance.",
+)
+@click.option(
+    "--store-down",
+    is_flag=True,
+    help="The store fails right after each acceptance.",
+)
+@click.option(
+    "--baseline/--no-baseline",
+    default=True,
+    show_default=True,
+    help="Also measure one plain watcher of the store per daemon.",
+)
+def measure_convergence(
+    name: str,
+    daemons: int,
+    changes: int,
+    restart_share: float,
+    store_down: bool,
+    baseline: bool,
+) -> None:
+    """Measures how long versions take to be in force, and their cost."""
+    options = convergence.Options(
+        fleet.LAYOUTS[name], daemons, changes, restart_share, store_down
+    )
+    sys.exit(processes.run(convergence.run(options, baseline)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/scenario.py
@@ -0,0 +1,242 @@
+"""Failures that `tools/measure failures` causes, in one fixed order."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import math
+import pathlib
+import signal
+import time
+from typing import NamedTuple, TYPE_CHECKING
+
+import aiohttp
+
+from tools import demonstration
+from tools import processes
+from tools import workload
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from tools import fleet
+
+logger = logging.getLogger(__name__)
+
+DURATION_S = 30.0
+_WATCH_EVERY_S = 0.2
+
+
+class PlannedStop(NamedTuple):
+    """A planned stop that must cut nothing.
+
+    Attributes:
+        at_ms: When it began, in ms since 1970.
+        entry: URL of the daemon beside the one that leaves.
+        address: Address of the backend server.
+        daemon: True if the daemon stops; false if the backend server drains.
+        until_ms: When what left was started again, in ms since 1970.
+    """
+
+    at_ms: int
+    entry: str
+    address: str
+    daemon: bool
+    until_ms: float = math.inf
+
+
+class Scenario:
+    """Causes the failures and restarts what should run again.
+
+    Attributes:
+        stops: Planned stops that were made.
+        crashes: Backend servers that ended by themselves.
+        accepted: Changes of targets that operators made.
+    """
+
+    def __init__(
+        self,
+        shown: fleet.Fleet,
+        folder: pathlib.Path,
+        refresh: Callable[[], Awaitable[None]],
+        with_versions: bool,
+    ):
+        """Prepares the failures of a fleet.
+
+        Args:
+            shown: The fleet.
+            folder: Folder for changed target documents.
+            refresh: Called after each restart.
+            with_versions: False for the baseline, which has no versions.
+        """
+        self.stops: list[PlannedStop] = []
+        self.crashes = 0
+        self.accepted = 0
+        self._pages: list[dict[int, list[int]]] = [{} for _ in shown.instances]
+        self._fleet = shown
+        self._folder = folder
+        self._refresh = refresh
+        self._with_versions = with_versions
+        self._leaving: set[processes.Process] = set()
+
+    async def run(self) -> None:
+        """Causes every failure at its time; returns when all are over."""
+        balie, kassa, archive = self._list_services()
+        steps: list[tuple[float, Awaitable[None]]] = [
+            (2.0, self._kill_daemon(balie[0], 2.0)),
+            (3.0, self._change_targets(10)),
+            (4.0, self._freeze(balie[1].daemon, 3.0)),
+            (5.0, self._kill_backend(balie[2])),
+            (7.0, self._fail_store(4.0, outage="unavailable")),
+            (8.0, self._kill_daemon(kassa[0], 2.0)),
+            (9.0, self._freeze(kassa[1].backend, 2.0)),
+            (11.0, self._silence(balie[3 % len(balie)])),
+            (12.0, self._drain_backend(archive[0], 8.0)),
+            (14.0, self._stop_daemon(archive[1])),
+            (17.0, self._lose_answers_of_change()),
+            (19.0, self._fail_store(3.0, latency_s=0.5)),
+            (20.0, self._kill_backend(kassa[2 % len(kassa)])),
+            (23.0, self._fail_store(4.0, stale=True)),
+            (23.5, self._kill_daemon(balie[1], 0.5)),
+        ]
+        watching = [
+            asyncio.create_task(self._watch_backends()),
+            asyncio.create_task(self._watch_versions()),
+        ]
+        try:
+            await asyncio.gather(*(_wait_then(*step) for step in steps))
+        finally:
+            for task in watching:
+                task.cancel()
+            await asyncio.gather(*watching, return_exceptions=True)
+        await self._read_versions()
+
+    def list_versions(self) -> list[list[int]]:
+        """Returns the versions each instance ran in order, over restarts."""
+        return [sum(known.values(), start=[]) for known in self._pages]
+
+    def _list_services(self) -> list[list[fleet.Instance]]:
+        return [
+            [i for i in self._fleet.instances if i.place.service == service]
+            for service in self._fleet.layout.upstreams
+        ]
+
+    async def _kill_daemon(
+        self, instance: fleet.Instance, away_s: float
+    ) -> None:
+        await self._read_versions()
+        await instance.daemon.kill()
+        await asyncio.sleep(away_s)
+        await self._fleet.restart_daemon(instance)
+        await self._refresh()
+
+    async def _kill_backend(self, instance: fleet.Instance) -> None:
+        assert instance.backend is not None
+        self._leaving.add(instance.backend)
+        await instance.backend.kill()
+        await asyncio.sleep(1.0)
+        await self._fleet.start_backend(instance)
+
+    async def _freeze(
+        self, process: processes.Process | None, away_s: float
+    ) -> None:
+        assert process is not None
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(away_s)
+        process.send_signal(signal.SIGCONT)
+
+    async def _fail_store(self, away_s: float, **fields: object) -> None:
+        await self._fleet.set_store_faults(**fields)
+        await asyncio.sleep(away_s)
+        await self._fleet.set_store_faults()
+
+    async def _silence(self, instance: fleet.Instance) -> None:
+        assert instance.backend is not None
+        control = instance.backend.ready["control"]
+        await self._fleet.post_json(control, "/faults", {"silent": True})
+
+    async def _drain_backend(
+        self, instance: fleet.Instance, away_s: float
+    ) -> None:
+        """Lets a backend server leave; it takes what still comes."""
+        backend = instance.backend
+        assert backend is not None
+        self._leaving.add(backend)
+        stop = self._note_stop(instance, daemon=False)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            await self._fleet.post_json(backend.ready["control"], "/drain", {})
+        await asyncio.sleep(away_s)
+        await backend.stop()
+        until_ms = time.time_ns() // 1_000_000
+        place = self.stops.index(stop)
+        self.stops[place] = stop._replace(until_ms=until_ms)
+        await self._fleet.start_backend(instance)
+
+    async def _stop_daemon(self, instance: fleet.Instance) -> None:
+        await self._read_versions()
+        self._note_stop(instance, daemon=True)
+        await instance.daemon.stop(within_s=20.0)
+        await self._fleet.restart_daemon(instance)
+        await self._refresh()
+
+    async def _lose_answers_of_change(self) -> None:
+        if not self._with_versions:
+            return
+        await self._fleet.set_store_faults(lose_answers=3)
+        await self._change_targets(20)
+        await self._fleet.set_store_faults()
+
+    async def _change_targets(self, add_ms: int) -> None:
+        if not self._with_versions:
+            return
+        document = workload.list_documents(self._fleet.layout.name)[-1]
+        path = demonstration.change_document(
+            pathlib.Path(document), self._folder, add_ms
+        )
+        with contextlib.suppress(processes.ProcessError):
+            await self._fleet.apply(str(path))
+            self.accepted += 1
+
+    def _note_stop(self, instance: fleet.Instance, daemon: bool) -> PlannedStop:
+        assert instance.backend is not None
+        at_ms = time.time_ns() // 1_000_000
+        address = instance.backend.ready["address"]
+        stop = PlannedStop(at_ms, instance.url, address, daemon)
+        self.stops.append(stop)
+        return stop
+
+    async def _watch_backends(self) -> None:
+        """Starts backend servers again that ended by themselves."""
+        while True:
+            for instance in self._fleet.instances:
+                backend = instance.backend
+                if backend is None or backend.running:
+                    continue
+                if backend not in self._leaving:
+                    self._leaving.add(backend)
+                    self.crashes += 1
+                    await self._fleet.start_backend(instance)
+            await asyncio.sleep(_WATCH_EVERY_S)
+
+    async def _watch_versions(self) -> None:
+        while True:
+            await self._read_versions()
+            await asyncio.sleep(_WATCH_EVERY_S)
+
+    async def _read_versions(self) -> None:
+        """Notes the versions that daemons took into use since last time."""
+        if not self._with_versions:
+            return
+        instances = self._fleet.instances
+        found = await asyncio.gather(*map(self._fleet.read_versions, instances))
+        triples = zip(instances, self._pages, found, strict=True)
+        for instance, known, versions in triples:
+            # A page belongs to one process; a restarted daemon begins anew.
+            if versions:
+                known[instance.daemon.pid] = list(versions)
+
+
+async def _wait_then(after_s: float, step: Awaitable[None]) -> None:
+    await asyncio.sleep(after_s)
+    await step
