Run the operators' program as its console script does

The module has no __main__ part, so `python -m` did nothing and ended with status 0; apply takes one file.

--- a/tools/convergence.py
+++ b/tools/convergence.py
@@ -246,7 +246,7 @@
     taken = await shown.wait_in_force(version, within_s, shown.instances)
     if taken is not None:
         return 0
-    return shown.count() - len(await _read_delays(shown, version))
+    return len(shown.instances) - len(await _read_delays(shown, version))
 
 
 async def _read_delays(shown: fleet.Fleet, version: int) -> list[float]:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -233,23 +233,22 @@
             arguments += ["--port", port]
         instance.backend = await self._table.start(service, *arguments)
 
-    async def apply(self, *paths: str, operator: str = "demo") -> str:
-        """Applies target documents through the operators' program.
+    async def apply(self, *paths: str, operator: str = "demo") -> None:
+        """Applies target documents in order by the operators' program.
 
         Raises:
-            processes.ProcessError: The program refused or failed.
+            processes.ProcessError: The program refused one or failed.
         """
-        status, out, err = await processes.run_command(
-            "merlintrestle.operators.command",
-            "apply",
-            *paths,
-            *("--store", self.store_address, "--operator", operator),
-        )
-        if status:
-            raise processes.ProcessError(
-                f"apply ended with status {status}:\n{out}{err}"
+        for path in paths:
+            status, out, err = await processes.run_operator(
+                "apply",
+                path,
+                *("--store", self.store_address, "--operator", operator),
             )
-        return out
+            if status:
+                raise processes.ProcessError(
+                    f"apply ended with status {status}:\n{out}{err}"
+                )
 
     async def get_json(self, address: str, path: str) -> Any:
         """Reads a page as JSON; None where it cannot be had."""
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -19,6 +19,8 @@
 _READY_WITHIN_S = 30.0
 _STOP_WITHIN_S = 5.0
 _TAIL_LINES = 15
+# What the console script `merlintrestle` does, from this checkout.
+_OPERATOR_CODE = "from merlintrestle.operators import command; command.main()"
 
 
 class ProcessError(Exception):
@@ -165,11 +167,12 @@
         self._folder.cleanup()
 
 
-async def run_command(*arguments: str) -> tuple[int, str, str]:
-    """Runs `python -m arguments...`; returns status, stdout and stderr."""
+async def run_operator(*arguments: str) -> tuple[int, str, str]:
+    """Runs the operators' program; returns status, stdout and stderr."""
     child = await asyncio.create_subprocess_exec(
         sys.executable,
-        "-m",
+        "-c",
+        _OPERATOR_CODE,
         *arguments,
         cwd=ROOT,
         env={**os.environ, "PYTHONPATH": str(ROOT)},
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -22,12 +22,12 @@
     Attributes:
         local: Port of this end.
         remote: Port of the other end.
-        count: Bytes sent and received since it was opened.
+        carried: Bytes sent and received since it was opened.
     """
 
     local: int
     remote: int
-    count: int
+    carried: int
 
 
 def read_cpu_s(pid: int) -> float:
@@ -66,8 +66,8 @@
 
 def _parse_socket(line: str) -> SocketTotal:
     local, remote = line.split()[2:4]
-    count = sum(map(int, _BYTES.findall(line)))
-    return SocketTotal(_parse_port(local), _parse_port(remote), count)
+    carried = sum(map(int, _BYTES.findall(line)))
+    return SocketTotal(_parse_port(local), _parse_port(remote), carried)
 
 
 def _parse_port(address: str) -> int:
@@ -84,7 +84,7 @@
     store only the daemon's end counts.
     """
     return {
-        (total.local, total.remote): total.count
+        (total.local, total.remote): total.carried
         for total in await read_sockets()
         if total.local != store_port
         and (
