--- a/tools/processes.py
+++ b/tools/processes.py
@@ -19,8 +19,6 @@
 _READY_WITHIN_S = 30.0
 _STOP_WITHIN_S = 5.0
 _TAIL_LINES = 15
-# What the console script `merlintrestle` does, from this checkout.
-_OPERATOR_CODE = "from merlintrestle.operators import command; command.main()"
 
 
 class ProcessError(Exception):
@@ -171,8 +169,8 @@
     """Runs the operators' program; returns status, stdout and stderr."""
     child = await asyncio.create_subprocess_exec(
         sys.executable,
-        "-c",
-        _OPERATOR_CODE,
+        "-m",
+        "merlintrestle.operators.command",
         *arguments,
         cwd=ROOT,
         env={**os.environ, "PYTHONPATH": str(ROOT)},
