--- a/merlintrestle/members/accounting.py
+++ b/merlintrestle/members/accounting.py
@@ -9,9 +9,9 @@
 if TYPE_CHECKING:
     from google.protobuf import message
 
-# Per message: the frame of gRPC (5), the frame of HTTP/2 (9) and the headers
-# of IP and TCP (52) on a packet of its own.
-MESSAGE_OVERHEAD_BYTES = 66
+# Per message at the socket: the frames of gRPC (5) and HTTP/2 (9). What IP and
+# TCP add is not seen there and not counted.
+MESSAGE_OVERHEAD_BYTES = 14
 # Per call in each direction, besides: headers of HTTP/2, compressed.
 CALL_OVERHEAD_BYTES = 100
 
--- a/merlintrestle/members/exchange.py
+++ b/merlintrestle/members/exchange.py
@@ -103,7 +103,7 @@
         if not differing:
             return
         request = control_pb2.MembersRequest(
-            buckets=differing, members=self._table.list_buckets(differing)
+            buckets=differing, members=self._select(differing, reply.members)
         )
         reply = await self._call(peer_id, request)
         self._merge(reply.members)
@@ -113,18 +113,14 @@
     ) -> control_pb2.MembersReply:
         """Takes in the members of a request and gives what differs."""
         self._contact.set()
-        told = {member.id: member for member in request.members}
         self._merge(request.members)
         buckets = list(request.buckets) or self._find_differing(
             request.bucket_digests
         )
-        reply = control_pb2.MembersReply(
-            bucket_digests=self._table.bucket_digests
+        return control_pb2.MembersReply(
+            bucket_digests=self._table.bucket_digests,
+            members=self._select(buckets, request.members),
         )
-        for member in self._table.list_buckets(buckets):
-            if _is_news(member, told.get(member.id)):
-                reply.members.append(member)
-        return reply
 
     async def _contact_any(self, addresses: Sequence[str]) -> bool:
         """Asks daemons in random order until one answers."""
@@ -132,7 +128,7 @@
             if address == self._table.own_id:
                 continue
             try:
-                await self.compare(address)
+                await self._contact_by(address)
             except peers_lib.PeerError as error:
                 logger.info("members: no first contact: %s", error)
                 continue
@@ -140,6 +136,30 @@
             return True
         return False
 
+    async def _contact_by(self, address: str) -> None:
+        """Learns some members of a first daemon, and all from one of them.
+
+        A herd that asked the few seeds for whole tables would drown them.
+
+        Raises:
+            peers_lib.PeerError: Neither answered.
+        """
+        request = control_pb2.MembersRequest(
+            buckets=[random.randrange(table_lib.BUCKETS)],
+            members=[self._table.own],
+        )
+        reply = await self._call(address, request)
+        others = [
+            member.id
+            for member in reply.members
+            if member.id not in (self._table.own_id, address)
+        ]
+        self._merge(reply.members)
+        try:
+            await self.compare(random.choice(others or [address]))
+        except peers_lib.PeerError:
+            await self.compare(address)
+
     async def _read_seeds(self) -> list[str]:
         if self._store is None:
             return []
@@ -173,6 +193,17 @@
         for member in members:
             self._table.merge(member)
 
+    def _select(
+        self, buckets: Sequence[int], told: Sequence[control_pb2.Member]
+    ) -> list[control_pb2.Member]:
+        """Returns the records of some buckets that the other side needs."""
+        known = {member.id: member for member in told}
+        return [
+            member
+            for member in self._table.list_buckets(buckets)
+            if _is_news(member, known.get(member.id))
+        ]
+
     def _find_differing(self, digests: Sequence[int]) -> list[int]:
         """Returns the buckets that differ; all of them if none were given."""
         own = self._table.bucket_digests
--- a/merlintrestle/members/links.py
+++ b/merlintrestle/members/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import time
 from typing import Any, TYPE_CHECKING
@@ -23,6 +24,8 @@
 logger = logging.getLogger(__name__)
 
 _KIND = "Link"
+# Strikes remembered so that none goes round for ever.
+_MAX_STRIKES = 10_000
 
 
 class Link:
@@ -52,6 +55,7 @@
         on_open: Called with a link whose peer has become known.
         on_strike: Called with each strike that a peer sends.
         get_offer: Returns the newest version held, for heartbeats.
+        heard_at: Monotonic time of the last message of any peer, in seconds.
     """
 
     def __init__(self, table: table_lib.MemberTable, timing: timing_lib.Timing):
@@ -61,23 +65,16 @@
         self.on_open: list[Callable[[Link], None]] = []
         self.on_strike: list[Callable[[control_pb2.Strike], None]] = []
         self.get_offer: Callable[[], control_pb2.Offer | None] = lambda: None
+        self.heard_at = 0.0
         self._table = table
         self._timing = timing
         self._links: list[Link] = []
+        self._strikes: dict[tuple[bytes, str], int] = {}
 
     def get_links(self) -> list[Link]:
         """Returns the links whose peer has been heard."""
         return [link for link in self._links if link.peer_id]
 
-    def get_last_heard(self) -> float:
-        """Returns the monotonic time at which any peer was last heard."""
-        return max((link.heard_at for link in self._links), default=0.0)
-
-    def forgive_silence(self, seconds: float) -> None:
-        """Counts time in which this daemon was paused as no silence."""
-        for link in self._links:
-            link.heard_at += seconds
-
     def send_member(
         self, member: control_pb2.Member, besides: Link | None = None
     ) -> None:
@@ -86,13 +83,9 @@
             if link is not besides:
                 link.box.add_member(member)
 
-    def send_strike(
-        self, strike: control_pb2.Strike, besides: Link | None = None
-    ) -> None:
-        """Tells every neighbour of a strike, but the one it came from."""
-        for link in self._links:
-            if link is not besides:
-                link.box.add_strike(strike)
+    def send_strike(self, strike: control_pb2.Strike) -> None:
+        """Tells the fleet of a strike; each daemon passes it on once."""
+        self._spread_strike(strike, None)
 
     def send_offer(
         self,
@@ -111,7 +104,12 @@
         for link in self._links:
             held = link.peer_offer
             if held is None or held.version < offer.version:
-                link.box.set_offer(offer, make_delta(held))
+                delta = make_delta(held)
+                link.box.set_delta(delta)
+                if delta is not None:
+                    # If the delta is lost the peer hears of the version by
+                    # heartbeat, and says what it holds in its own.
+                    link.peer_offer = offer
 
     async def run_link(
         self,
@@ -147,79 +145,109 @@
 
     async def _receive(self, link: Link, read: Callable[[], Any]) -> None:
         while True:
-            message = await self._read(link, read)
+            message = await read()
             if message is grpc.aio.EOF:
                 return
-            link.heard_at = time.monotonic()
+            self.heard_at = link.heard_at = time.monotonic()
             accounting.count_received(_KIND, message)
-            if not link.peer_id or message.sequence == 1:
+            if message.sender:
                 link.peer_id = message.sender
                 for notify in self.on_open:
                     notify(link)
             self._handle(link, message)
 
-    async def _read(self, link: Link, read: Callable[[], Any]) -> Any:
-        """Waits for a message; gives a silent link up.
-
-        A connection that something between the two ends has lost track of
-        stays open for ever and delivers nothing. Heartbeats make silence
-        proof of that; the pause of this very process is forgiven.
-        """
-        reading = asyncio.ensure_future(read())
-        try:
-            while True:
-                left = link.heard_at + self._timing.silence - time.monotonic()
-                if left <= 0:
-                    raise TimeoutError(f"{link.peer_id} is silent")
-                done, _ = await asyncio.wait((reading,), timeout=left)
-                if done:
-                    return reading.result()
-        finally:
-            reading.cancel()
+    def _note_offer(self, link: Link, offer: control_pb2.Offer) -> None:
+        if offer.digest:
+            link.peer_offer = offer
+        elif link.peer_offer and link.peer_offer.version != offer.version:
+            link.peer_offer = None
 
     def _handle(self, link: Link, message: control_pb2.LinkMessage) -> None:
-        if message.HasField("offer"):
-            link.peer_offer = message.offer
+        self._note_offer(link, message.offer)
         for member in message.members:
             link.box.drop_known(member)
         for notify in self.on_message:
             notify(link, message)
         for strike in message.strikes:
-            for receive in self.on_strike:
-                receive(strike)
+            if self._spread_strike(strike, link):
+                for receive in self.on_strike:
+                    receive(strike)
+
+    def _spread_strike(
+        self, strike: control_pb2.Strike, besides: Link | None
+    ) -> bool:
+        """Passes a strike on once; False if it was seen before."""
+        key = (strike.request_digest, strike.crash_id)
+        if key in self._strikes or len(self._strikes) >= _MAX_STRIKES:
+            self._forget_strikes()
+        now_ms = time.time_ns() // 10**6
+        if key in self._strikes or strike.until_ms <= now_ms:
+            return False
+        self._strikes[key] = strike.until_ms
+        for link in self._links:
+            if link is not besides:
+                link.box.add_strike(strike)
+        return True
+
+    def _forget_strikes(self) -> None:
+        now_ms = time.time_ns() // 10**6
+        kept = [item for item in self._strikes.items() if item[1] > now_ms]
+        self._strikes = dict(kept[-_MAX_STRIKES:])
 
     async def _send(self, link: Link, write: Callable[[Any], Any]) -> None:
-        sequence = 0
+        sender = self._table.own_id
+        told = 0
         while True:
-            sequence += 1
             message = link.box.take_message()
-            message.sequence = sequence
-            if sequence == 1:
-                message.sender = self._table.own_id
-            self._fill_heartbeat(message)
+            message.sender = sender
+            message.members_digest = self._table.digest
+            sender = ""
+            told = self._fill_offer(message, told)
             accounting.count_sent(_KIND, message)
             async with asyncio.timeout(self._timing.silence):
                 await write(message)
             await self._wait_for_work(link)
+            self._check_silence(link)
 
-    def _fill_heartbeat(self, message: control_pb2.LinkMessage) -> None:
-        message.members_digest = self._table.digest
-        if not message.HasField("offer"):
-            offer = self.get_offer()
-            if offer is not None:
-                message.offer.CopyFrom(offer)
+    def _fill_offer(self, message: control_pb2.LinkMessage, told: int) -> int:
+        """Puts the newest offer into a message; returns its version.
+
+        The offer in every heartbeat makes up for pushes that were lost.
+        """
+        offer = self.get_offer()
+        if offer is None:
+            return told
+        message.offer.CopyFrom(offer)
+        if offer.version == told:
+            message.offer.ClearField("digest")
+        return offer.version
 
     async def _wait_for_work(self, link: Link) -> None:
         """Waits until the next heartbeat is due or something is to be told."""
-        try:
-            async with asyncio.timeout(
-                timing_lib.jitter(self._timing.heartbeat)
-            ):
+        wait = timing_lib.jitter(self._timing.heartbeat)
+        began = time.monotonic()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait):
                 await link.box.filled.wait()
-        except TimeoutError:
-            return
-        try:
             async with asyncio.timeout(self._timing.flush):
                 await link.box.urgent.wait()
-        except TimeoutError:
-            return
+        self._forgive_pause(link, time.monotonic() - began - wait)
+
+    def _forgive_pause(self, link: Link, late: float) -> None:
+        """Counts no silence for time in which this very process stood still.
+
+        Otherwise a daemon that was paused would give up all its links at once
+        when it runs again, before it has read what they brought.
+        """
+        if late > self._timing.pause:
+            link.heard_at += late
+
+    def _check_silence(self, link: Link) -> None:
+        """Gives up a silent link.
+
+        A connection that something between the two ends has lost track of
+        stays open for ever and delivers nothing. Heartbeats make silence
+        proof of that.
+        """
+        if time.monotonic() - link.heard_at > self._timing.silence:
+            raise TimeoutError(f"{link.peer_id} is silent")
--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -4,17 +4,16 @@
 
 import asyncio
 import logging
-import random
 import time
 from typing import TYPE_CHECKING
 
 import grpc.aio
 import mode
 
+from merlintrestle.members import choice
 from merlintrestle.members import exchange
 from merlintrestle.members import links as links_lib
 from merlintrestle.members import peers as peers_lib
-from merlintrestle.members import rendezvous
 from merlintrestle.members import suspicion
 from merlintrestle.members import table as table_lib
 from merlintrestle.members import timing as timing_lib
@@ -67,6 +66,7 @@
         self._judge = suspicion.Judge(
             table, self.peers, self.links, self.timing
         )
+        self._choice = choice.Choice(table, f"link/{table.own_id}", NEIGHBOURS)
         self._neighbours: dict[str, asyncio.Task[None]] = {}
         self._changed = asyncio.Event()
         self._source: links_lib.Link | None = None
@@ -96,8 +96,10 @@
             await self.links.run_link(link, stream.read, stream.write)
         except (grpc.aio.AioRpcError, TimeoutError) as error:
             logger.info("members: link from %s lost: %s", link.peer_id, error)
-        if link.peer_id and not self.should_stop:
-            self._judge.check_soon(link.peer_id)
+        finally:
+            # gRPC cancels this coroutine when the connection breaks.
+            if link.peer_id and not self.should_stop:
+                self._judge.check_soon(link.peer_id)
 
     async def probe(self, member_id: str) -> bool:
         """Reaches a member on behalf of another daemon."""
@@ -119,13 +121,11 @@
 
     @mode.Service.task
     async def _watch_states(self) -> None:
-        before = time.monotonic()
+        tick = self.timing.heartbeat / 2
         while not self.should_stop:
-            await self.sleep(self.timing.heartbeat / 2)
-            now = time.monotonic()
-            self._judge.tick(now - before)
-            self.table.forget_gone()
-            before = now
+            before = time.monotonic()
+            await self.sleep(tick)
+            self._judge.tick(time.monotonic() - before, tick)
 
     @mode.Service.task
     async def _join(self) -> None:
@@ -138,12 +138,11 @@
             member_id = await self._exchange.run_round()
             if member_id is not None:
                 self._judge.check_soon(member_id)
+            self.table.forget_gone()
             await self.peers.trim()
 
     def _update_neighbours(self) -> None:
-        own_id = self.table.own_id
-        others = [i for i in self.table.usable_ids() if i != own_id]
-        wanted = rendezvous.choose(own_id, others, NEIGHBOURS)
+        wanted = self._choice.get()
         for member_id in set(self._neighbours) - set(wanted):
             self._neighbours.pop(member_id).cancel()
         for member_id in wanted:
@@ -204,8 +203,3 @@
         besides = None if member.id == self.table.own_id else self._source
         self.links.send_member(member, besides)
         self._changed.set()
-
-
-def choose_random(candidates: list[str], count: int) -> list[str]:
-    """Returns up to `count` candidates in random order."""
-    return random.sample(candidates, min(count, len(candidates)))
--- a/merlintrestle/members/outbox.py
+++ b/merlintrestle/members/outbox.py
@@ -19,8 +19,8 @@
 class Outbox:
     """Coalesces what one peer is to be told.
 
-    A peer that reads slowly costs no more than one record of each member, the
-    newest offer and the newest delta, however much happens meanwhile.
+    A peer that reads slowly costs no more than one record of each member and
+    the newest delta, however much happens meanwhile.
 
     Attributes:
         urgent: Set while something waits that should travel at once.
@@ -32,7 +32,6 @@
         self.filled = asyncio.Event()
         self._members: dict[str, control_pb2.Member] = {}
         self._strikes: dict[tuple[bytes, str], control_pb2.Strike] = {}
-        self._offer: control_pb2.Offer | None = None
         self._delta: document_pb2.Delta | None = None
 
     def add_member(self, member: control_pb2.Member) -> None:
@@ -55,27 +54,23 @@
             self._strikes[key] = strike
         self._wake()
 
-    def set_offer(
-        self,
-        offer: control_pb2.Offer,
-        delta: document_pb2.Delta | None = None,
-    ) -> None:
-        """Replaces the offer and delta that wait, sent at once."""
-        self._offer = offer
+    def set_delta(self, delta: document_pb2.Delta | None) -> None:
+        """Replaces the delta that waits; the offer itself is in any message.
+
+        Args:
+            delta: The newest delta; None sends a message with the offer.
+        """
         self._delta = delta
         self._wake()
 
     def take_message(self) -> control_pb2.LinkMessage:
         """Returns a message with what waits, and empties the box."""
         message = control_pb2.LinkMessage()
-        if self._offer is not None:
-            message.offer.CopyFrom(self._offer)
         if self._delta is not None:
             message.delta.CopyFrom(self._delta)
         for member_id in list(self._members)[:MAX_MEMBERS]:
             message.members.append(self._members.pop(member_id))
         message.strikes.extend(self._strikes.values())
-        self._offer = None
         self._delta = None
         self._strikes.clear()
         self.urgent.clear()
--- a/merlintrestle/members/peers.py
+++ b/merlintrestle/members/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import time
 from typing import Any
 
 import grpc
@@ -44,9 +45,14 @@
 
 
 class Peers:
-    """Calls other daemons; keeps a bounded number of channels."""
+    """Calls other daemons; keeps a bounded number of channels.
+
+    Attributes:
+        heard_at: Monotonic time of the last answer, in seconds.
+    """
 
     def __init__(self) -> None:
+        self.heard_at = 0.0
         self._channels: collections.OrderedDict[str, grpc.aio.Channel] = (
             collections.OrderedDict()
         )
@@ -78,6 +84,7 @@
             if task is not None and task.cancelling():
                 raise
             raise PeerError(f"{address}: {method}: channel dropped") from None
+        self.heard_at = time.monotonic()
         accounting.count_received(method, reply, accounting.CALL_OVERHEAD_BYTES)
         return reply
 
@@ -87,6 +94,23 @@
             _, channel = self._channels.popitem()
             await channel.close()
 
+    async def is_refused(self, address: str, timeout_s: float) -> bool:
+        """Tells whether the peer's host refuses the connection.
+
+        That is proof that the process is gone and that the way to its host
+        works, which silence is not.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError):
+            return False
+        writer.close()
+        return False
+
     def _get_channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channels.get(address)
         if channel is None:
--- a/merlintrestle/members/service.py
+++ b/merlintrestle/members/service.py
@@ -106,7 +106,7 @@
     async def Floor(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Says what is known of versions that a daemon ran."""
         del context
-        reply = self._distribution.answer_floor(request)
+        reply = await self._distribution.answer_floor(request)
         return _count("Floor", request, reply)
 
     async def Members(self, request: Any, context: Any) -> Any:  # noqa: N802
--- a/merlintrestle/members/suspicion.py
+++ b/merlintrestle/members/suspicion.py
@@ -39,29 +39,31 @@
         self._checks: dict[str, asyncio.Task[None]] = {}
         self._healthy_from = 0.0
 
-    def tick(self, elapsed: float) -> None:
-        """Times suspects out; called twice per heartbeat.
+    async def close(self) -> None:
+        """Ends the checks under way."""
+        checks = list(self._checks.values())
+        for check in checks:
+            check.cancel()
+        await asyncio.gather(*checks, return_exceptions=True)
+
+    def tick(self, elapsed: float, expected: float) -> None:
+        """Looks at the suspects; called twice per heartbeat.
 
         Args:
             elapsed: Seconds since the call before.
+            expected: Seconds that it should have been.
         """
-        late = elapsed - self._timing.heartbeat / 2
-        if late > self._timing.pause:
-            self._forgive(late)
-        if not self._is_healthy():
-            return
-        for member in self._table.members():
-            if member.state != control_pb2.SUSPECT:
-                continue
-            age = self._table.get_state_age(member.id)
+        if elapsed - expected > self._timing.pause:
+            self._forgive(elapsed - expected)
+        for member_id in self._table.suspects():
+            age = self._table.get_state_age(member_id)
             if age > self._timing.suspicion:
-                logger.info("members: %s is dead", member.id)
-                self._table.set_state(member.id, control_pb2.DEAD)
+                self.check_soon(member_id)
 
     def check_soon(self, member_id: str) -> None:
         """Starts a check of a member, unless one is under way."""
         member = self._table.get(member_id)
-        if member is None or member.state == control_pb2.DEAD:
+        if member is None or table_lib.is_dead(member):
             return
         if member_id == self._table.own_id or member_id in self._checks:
             return
@@ -75,26 +77,34 @@
         return await self._probe(member_id, request, self._timing.call)
 
     async def _check(self, member_id: str) -> None:
-        if await self.reach(member_id) or await self._reach_by_others(
-            member_id
-        ):
+        if await self.reach(member_id):
+            return
+        if await self._reach_by_others(member_id):
             return
+        if await self._may_judge(member_id):
+            self._judge(member_id)
+
+    def _judge(self, member_id: str) -> None:
+        """Takes an unreachable member one state further."""
         member = self._table.get(member_id)
-        if member is None or not self._is_healthy():
+        if member is None:
             return
-        if member.state == control_pb2.LEAVING:
-            self._table.set_state(member_id, control_pb2.DEAD)
-        elif member.state == control_pb2.ALIVE:
+        if member.state == control_pb2.ALIVE:
             logger.info("members: %s is suspect", member_id)
             self._table.set_state(member_id, control_pb2.SUSPECT)
+            return
+        age = self._table.get_state_age(member_id)
+        suspect = member.state == control_pb2.SUSPECT
+        if suspect and age <= self._timing.suspicion:
+            return
+        logger.info("members: %s is dead", member_id)
+        self._table.set_state(member_id, control_pb2.DEAD)
 
     async def _reach_by_others(self, member_id: str) -> bool:
         """Asks other members, whose ways to it may work."""
         not_asked = (self._table.own_id, member_id)
         others = [
-            member.id
-            for member in self._table.members()
-            if member.state == control_pb2.ALIVE and member.id not in not_asked
+            name for name in self._table.usable_ids() if name not in not_asked
         ]
         helpers = random.sample(others, min(HELPERS, len(others)))
         request = control_pb2.ProbeRequest(member_id=member_id)
@@ -119,19 +129,22 @@
             return False
         return reply.reached
 
-    def _is_healthy(self) -> bool:
-        """Tells whether this daemon may judge others.
+    async def _may_judge(self, member_id: str) -> bool:
+        """Tells whether this daemon may judge another.
 
-        A daemon that was paused, or that nobody reaches, sees everyone fall
-        silent at once; it would declare the whole fleet dead.
+        A daemon that was paused, or that hears nobody, sees everyone fall
+        silent at once; it would declare the whole fleet dead. A refused
+        connection is proof all the same.
         """
         now = time.monotonic()
         if now < self._healthy_from:
             return False
-        return now - self._links.get_last_heard() < 2 * self._timing.silence
+        heard_at = max(self._links.heard_at, self._peers.heard_at)
+        if now - heard_at < 2 * self._timing.silence:
+            return True
+        return await self._peers.is_refused(member_id, self._timing.call)
 
     def _forgive(self, late: float) -> None:
         logger.warning("members: this daemon was paused for %.1f s", late)
         self._healthy_from = time.monotonic() + self._timing.silence
-        self._links.forgive_silence(late)
         self._table.delay_states(late)
--- a/merlintrestle/members/table.py
+++ b/merlintrestle/members/table.py
@@ -76,6 +76,7 @@
         self.on_change: list[Callable[[control_pb2.Member], None]] = []
         self._clock = clock
         self._members: dict[str, control_pb2.Member] = {}
+        self._suspects: set[str] = set()
         self._changed_at: dict[str, float] = {}
         self._served: dict[str, dict[str, Upstream]] = {}
         self._upstreams: dict[str, tuple[Upstream, ...]] = {}
@@ -98,6 +99,10 @@
         """Returns the records of all members, gone ones included."""
         return list(self._members.values())
 
+    def suspects(self) -> list[str]:
+        """Returns the ids of the members that are suspected."""
+        return list(self._suspects)
+
     def usable_ids(self) -> list[str]:
         """Returns ids of the members that are not gone, own one included."""
         return [
@@ -204,6 +209,9 @@
             self._count_digest(held)
             self._forget_upstream(held)
         self._members[member.id] = member
+        self._suspects.discard(member.id)
+        if member.state == control_pb2.SUSPECT:
+            self._suspects.add(member.id)
         self._changed_at[member.id] = self._clock()
         self._count_digest(member)
         self._add_upstream(member)
@@ -266,6 +274,11 @@
     return member.state in _GONE
 
 
+def is_dead(member: control_pb2.Member) -> bool:
+    """Tells whether a member is held for dead."""
+    return member.state == control_pb2.DEAD
+
+
 def _serialize(member: control_pb2.Member) -> bytes:
     return member.SerializeToString(deterministic=True)
 
--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -25,6 +25,9 @@
         seeds_write: Least time between two writes of a zone's seeds.
         head_refresh: Mean time between two reads of the head by a watcher.
         memory: A witness must have been open so long to answer for marks.
+        hedge: A fetch that takes longer is tried with another peer as well.
+        patience: A version that is known and does not come from peers is read
+            from the store after so long.
         settle: A starting daemon waits so long for its peers before it
             reads the store itself.
     """
@@ -44,6 +47,8 @@
     seeds_write: float = 30.0
     head_refresh: float = 15.0
     memory: float = 60.0
+    hedge: float = 0.3
+    patience: float = 4.0
     settle: float = 1.0
 
 
--- a/merlintrestle/versions/archive.py
+++ b/merlintrestle/versions/archive.py
@@ -44,6 +44,13 @@
         self._deltas.clear()
         return True
 
+    def get(self, version: int) -> snapshot_lib.Snapshot | None:
+        """Returns a version that is still kept."""
+        for snapshot in self._kept:
+            if snapshot.version == version:
+                return snapshot
+        return None
+
     def get_offer(self) -> control_pb2.Offer | None:
         """Returns the offer of the newest version."""
         return deltas.make_offer(self.newest) if self.newest else None
--- a/merlintrestle/versions/deltas.py
+++ b/merlintrestle/versions/deltas.py
@@ -43,7 +43,7 @@
 
 
 def apply_delta(
-    base: snapshot_lib.Snapshot, delta: document_pb2.Delta
+    base: snapshot_lib.Snapshot | None, delta: document_pb2.Delta
 ) -> snapshot_lib.Snapshot:
     """Applies a delta to a copy of its base.
 
@@ -51,11 +51,12 @@
         errors.SnapshotError: The base is another one, or what results does
             not have the digest or cannot be run whole.
     """
-    same_version = base.version == delta.base_version
-    if not same_version or base.digest != delta.base_digest:
+    if base is None or base.version != delta.base_version:
         raise errors.SnapshotError(
-            f"delta for version {delta.base_version}, held {base.version}"
+            f"the base of the delta, version {delta.base_version}, is not held"
         )
+    if base.digest != delta.base_digest:
+        raise errors.SnapshotError("the base of the delta has another digest")
     resources = dict(base.resources)
     for name in delta.removed:
         resources.pop(name, None)
--- a/merlintrestle/versions/distribution.py
+++ b/merlintrestle/versions/distribution.py
@@ -4,16 +4,16 @@
 
 import asyncio
 import logging
+import time
 from typing import TYPE_CHECKING
 
 import mode
 
 from merlintrestle import errors
-from merlintrestle.members import peers as peers_lib
 from merlintrestle.members import timing as timing_lib
-from merlintrestle.schema import control_pb2
 from merlintrestle.versions import archive as archive_lib
 from merlintrestle.versions import deltas
+from merlintrestle.versions import fetcher as fetcher_lib
 from merlintrestle.versions import floor as floor_lib
 from merlintrestle.versions import holder as holder_lib
 from merlintrestle.versions import marks as marks_lib
@@ -23,6 +23,7 @@
     from merlintrestle.documents import snapshot as snapshot_lib
     from merlintrestle.members import links as links_lib
     from merlintrestle.members import membership as membership_lib
+    from merlintrestle.schema import control_pb2
     from merlintrestle.schema import document_pb2
     from merlintrestle.versions import source as source_lib
 
@@ -30,6 +31,9 @@
 
 FAST = "fast"
 LEAN = "lean"
+# A larger delta is offered and fetched: a push goes to each neighbour, most of
+# whom already have it, and holds up the heartbeats behind it.
+_MAX_PUSH_BYTES = 64 * 1024
 
 
 class Distribution(mode.Service):
@@ -59,7 +63,7 @@
         super().__init__()
         self.holder = holder
         self.archive = archive_lib.Archive()
-        self.witness = marks_lib.Witness()
+        self.witness = marks_lib.Witness(membership.table)
         self._membership = membership
         self._timing = membership.timing
         self._spread = spread
@@ -68,9 +72,11 @@
         )
         self._watcher = watcher_lib.Watcher(membership, source, self.hold)
         self._floor = floor_lib.Floor(membership, self._marker, self._watcher)
-        self._wanted: dict[str, control_pb2.Offer] = {}
-        self._wake_fetch = asyncio.Event()
+        self._fetcher = fetcher_lib.Fetcher(
+            self.archive, membership.peers, self._timing, self.hold
+        )
         self._wake_run = asyncio.Event()
+        self._read_at = 0.0
         membership.links.on_message.append(self._receive)
         membership.links.get_offer = self.archive.get_offer
 
@@ -89,12 +95,22 @@
         )
         self._wake_run.set()
 
-    def answer_floor(
+    async def answer_floor(
         self, request: control_pb2.FloorRequest
     ) -> control_pb2.FloorReply:
         """Says what this daemon knows of versions another one ran."""
-        known = max(self.archive.version, self._floor.version or 0)
-        return self.witness.answer(request, known)
+        known = max(
+            self.archive.version,
+            self._floor.version or 0,
+            self.witness.get_highest(),
+        )
+        reply = self.witness.answer(request, known)
+        await self._watcher.add_head(reply, request.uptime_ms)
+        return reply
+
+    async def on_stop(self) -> None:
+        """Ends the calls under way."""
+        await self._marker.close()
 
     @mode.Service.task
     async def _watch(self) -> None:
@@ -105,29 +121,33 @@
         """Takes the newest version into use once it may be run."""
         self.holder.closed_reason = holder_lib.NO_FLOOR
         await self._floor.learn()
+        self._read_at = time.monotonic() + timing_lib.jitter(
+            self._timing.patience
+        )
         while not self.should_stop:
             await self._run_newest()
             await self._wait_for_work()
 
     @mode.Service.task
     async def _fetch_versions(self) -> None:
-        while not self.should_stop:
-            await self._wake_fetch.wait()
-            self._wake_fetch.clear()
-            await self._fetch_wanted()
+        await self._fetcher.run()
 
     async def _run_newest(self) -> None:
         """Marks the newest version, then runs it.
 
         The mark comes first: a daemon that restarts right after it ran a
-        version must find someone who knows that it did.
+        version must find someone who knows that it did. Running versions are
+        marked again with witnesses that are new or were restarted.
         """
         newest = self.archive.newest
         floor = self._floor.version or 0
         if newest is None or newest.version < floor:
             self._explain_closed(floor)
+            if floor:
+                await self._read_missing()
             return
         if not await self._marker.mark(newest.version):
+            logger.info("versions: too few witnesses for %d", newest.version)
             return
         if self.holder.take(newest):
             logger.info("versions: run version %d", newest.version)
@@ -142,6 +162,18 @@
         else:
             self.holder.closed_reason = f"version {floor} has not arrived yet"
 
+    async def _read_missing(self) -> None:
+        """Reads the missing version from the store where no peer has it."""
+        if time.monotonic() < self._read_at:
+            return
+        self._read_at = time.monotonic() + timing_lib.jitter(
+            self._timing.head_refresh
+        )
+        try:
+            await self._watcher.refresh()
+        except errors.MerlintrestleError as error:
+            logger.info("versions: nothing from the store: %s", error)
+
     async def _wait_for_work(self) -> None:
         """Waits for a new version, or for the time to look at the marks."""
         try:
@@ -158,63 +190,27 @@
     ) -> document_pb2.Delta | None:
         if self._spread == LEAN:
             return None
-        return self.archive.get_delta(held)
+        delta = self.archive.get_delta(held)
+        if delta is None or delta.ByteSize() > _MAX_PUSH_BYTES:
+            return None
+        return delta
 
     def _receive(
         self, link: links_lib.Link, message: control_pb2.LinkMessage
     ) -> None:
-        if message.offer.version <= self.archive.version:
+        version = message.offer.version
+        if version <= self.archive.version:
             return
-        newest = self.archive.newest
-        if message.HasField("delta") and newest is not None:
-            try:
-                self.hold(deltas.apply_delta(newest, message.delta))
-                return
-            except errors.SnapshotError as error:
-                logger.info("versions: delta of %s: %s", link.peer_id, error)
-        self._wanted[link.peer_id] = message.offer
-        self._wake_fetch.set()
-
-    async def _fetch_wanted(self) -> None:
-        """Fetches from the peers that offered, the newest offer first."""
-        while self._wanted:
-            peer_id = max(
-                self._wanted, key=lambda name: self._wanted[name].version
-            )
-            offer = self._wanted.pop(peer_id)
-            if offer.version <= self.archive.version:
-                continue
-            for whole in (False, True):
-                if await self._fetch(peer_id, whole):
-                    break
-
-    async def _fetch(self, peer_id: str, whole: bool) -> bool:
-        """Fetches from one peer; False if asking for the whole may help."""
-        request = control_pb2.FetchRequest(whole=whole)
-        offer = self.archive.get_offer()
-        if offer is not None:
-            request.held.CopyFrom(offer)
-        try:
-            reply = await self._membership.peers.call(
-                peer_id, "Fetch", request, self._timing.fetch
-            )
-        except peers_lib.PeerError as error:
-            logger.info("versions: not fetched: %s", error)
-            return True
+        if message.HasField("delta") and self._apply(message.delta):
+            return
+        self._fetcher.note_offer(link.peer_id, version)
+
+    def _apply(self, delta: document_pb2.Delta) -> bool:
+        """Holds what a pushed delta leads to; False: it must be fetched."""
+        base = self.archive.get(delta.base_version)
         try:
-            self._take_reply(reply)
+            self.hold(deltas.apply_delta(base, delta))
         except errors.SnapshotError as error:
-            logger.warning("versions: fetch from %s: %s", peer_id, error)
+            logger.info("versions: pushed delta refused: %s", error)
             return False
         return True
-
-    def _take_reply(self, reply: control_pb2.FetchReply) -> None:
-        if reply.HasField("snapshot"):
-            self.hold(
-                deltas.unpack_snapshot(reply.snapshot, reply.offer.digest)
-            )
-        elif reply.HasField("delta"):
-            newest = self.archive.newest
-            if newest is None:
-                raise errors.SnapshotError("delta without a base")
-            self.hold(deltas.apply_delta(newest, reply.delta))
--- /dev/null
+++ b/merlintrestle/versions/fetcher.py
@@ -0,0 +1,138 @@
+"""Fetching versions from the peers that offer them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from merlintrestle import errors
+from merlintrestle.members import peers as peers_lib
+from merlintrestle.schema import control_pb2
+from merlintrestle.versions import deltas
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from merlintrestle.documents import snapshot as snapshot_lib
+    from merlintrestle.members import timing as timing_lib
+    from merlintrestle.versions import archive as archive_lib
+
+logger = logging.getLogger(__name__)
+
+# Peers that are asked at once for one version.
+_MAX_FETCHES = 3
+
+
+class Fetcher:
+    """Fetches what peers offer, the highest version first."""
+
+    def __init__(
+        self,
+        archive: archive_lib.Archive,
+        peers: peers_lib.Peers,
+        timing: timing_lib.Timing,
+        hold: Callable[[snapshot_lib.Snapshot], None],
+    ):
+        """Connects the parts.
+
+        Args:
+            archive: What this daemon holds.
+            peers: Calls peers.
+            timing: Intervals.
+            hold: Takes each version that was fetched.
+        """
+        self._archive = archive
+        self._peers = peers
+        self._timing = timing
+        self._hold = hold
+        self._offers: dict[str, int] = {}
+        self._wanted = 0
+        self._wake = asyncio.Event()
+
+    def note_offer(self, peer_id: str, version: int) -> None:
+        """Notes that a peer holds a version which this daemon lacks."""
+        self._offers[peer_id] = version
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Fetches for ever."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            await self._fetch_offers()
+
+    async def _fetch_offers(self) -> None:
+        """Asks one peer after the other until no newer version is offered.
+
+        A peer that takes long is not waited for alone: the next one is asked
+        as well after the hedge time.
+        """
+        fetches: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                peer_id = self._take_best()
+                if peer_id is not None and len(fetches) < _MAX_FETCHES:
+                    fetches.add(asyncio.create_task(self._fetch(peer_id)))
+                if not fetches:
+                    return
+                _, fetches = await asyncio.wait(
+                    fetches,
+                    timeout=self._timing.hedge,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not self._offers and not self._is_wanted():
+                    return
+        finally:
+            for fetch in fetches:
+                fetch.cancel()
+            await asyncio.gather(*fetches, return_exceptions=True)
+
+    def _take_best(self) -> str | None:
+        """Returns the peer with the highest offer that is still news."""
+        self._offers = {
+            peer_id: version
+            for peer_id, version in self._offers.items()
+            if version > self._archive.version
+        }
+        if not self._offers:
+            return None
+        peer_id = max(self._offers, key=lambda name: self._offers[name])
+        self._wanted = self._offers.pop(peer_id)
+        return peer_id
+
+    def _is_wanted(self) -> bool:
+        return self._wanted > self._archive.version
+
+    async def _fetch(self, peer_id: str) -> None:
+        """Fetches from one peer: a delta where it can be, else the whole."""
+        if not await self._try_fetch(peer_id, whole=False):
+            await self._try_fetch(peer_id, whole=True)
+
+    async def _try_fetch(self, peer_id: str, whole: bool) -> bool:
+        """Fetches from one peer; False if asking for the whole may help."""
+        request = control_pb2.FetchRequest(whole=whole)
+        offer = self._archive.get_offer()
+        if offer is not None:
+            request.held.CopyFrom(offer)
+        try:
+            reply = await self._peers.call(
+                peer_id, "Fetch", request, self._timing.fetch
+            )
+        except peers_lib.PeerError as error:
+            logger.info("versions: not fetched: %s", error)
+            return True
+        try:
+            self._take(reply)
+        except errors.SnapshotError as error:
+            logger.warning("versions: fetch from %s: %s", peer_id, error)
+            return False
+        return True
+
+    def _take(self, reply: control_pb2.FetchReply) -> None:
+        if reply.HasField("snapshot"):
+            digest = reply.offer.digest
+            self._hold(deltas.unpack_snapshot(reply.snapshot, digest))
+        elif reply.HasField("delta"):
+            base = self._archive.get(reply.delta.base_version)
+            self._hold(deltas.apply_delta(base, reply.delta))
--- a/merlintrestle/versions/floor.py
+++ b/merlintrestle/versions/floor.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+import time
 from typing import TYPE_CHECKING
 
 from merlintrestle import errors
@@ -14,11 +15,22 @@
 from merlintrestle.versions import marks as marks_lib
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from merlintrestle.members import membership as membership_lib
     from merlintrestle.versions import watcher as watcher_lib
 
 logger = logging.getLogger(__name__)
 
+# Members asked besides the watchers of the zone.
+_ASKED = 5
+# Rounds in which other daemons are waited for before a head is believed that
+# no witness has confirmed.
+_PATIENCE = 3
+# Reads of the head per second that the whole fleet may put to the store when
+# its watchers do not answer.
+READ_BUDGET = 500
+
 
 class Floor:
     """Learns the floor from the store and from the witnesses.
@@ -38,6 +50,8 @@
         self._timing = membership.timing
         self._marker = marker
         self._watcher = watcher
+        self._started_at = time.monotonic()
+        self._replies: dict[str, control_pb2.FloorReply] = {}
 
     async def learn(self) -> None:
         """Asks until the floor is known.
@@ -47,51 +61,131 @@
         """
         await self._membership.wait_for_contact(self._timing.settle)
         backoff = timing_lib.Backoff(0.2, self._timing.store_retry_max)
+        attempt = 0
         while self.version is None:
-            replies = await self._ask_witnesses()
-            highest = max(
-                (max(reply.marked, reply.known) for reply in replies),
-                default=0,
-            )
-            if self._is_vouched(replies):
-                self.version = highest
+            attempt += 1
+            await self._ask_all()
+            if self._is_vouched():
+                self.version = self._get_highest()
                 return
-            head = await self._read_head()
-            if head is not None:
-                self.version = max(head, highest)
+            head = self._find_head()
+            if head is None and self._may_read(attempt):
+                head = await self._read_head()
+            patient = attempt < _PATIENCE and not self._is_heard()
+            if head is not None and not patient:
+                self.version = max(head, self._get_highest())
                 return
             await asyncio.sleep(backoff.get_wait())
 
-    def _is_vouched(self, replies: list[control_pb2.FloorReply]) -> bool:
-        memory_ms = 1000 * self._timing.memory
-        vouching = [
-            reply
-            for reply in replies
-            if reply.open and reply.memory_ms >= memory_ms
-        ]
-        return len(vouching) >= marks_lib.QUORUM
-
-    async def _ask_witnesses(self) -> list[control_pb2.FloorReply]:
-        answers = await asyncio.gather(
-            *(self._ask(name) for name in self._marker.get_witnesses())
-        )
-        return [reply for reply in answers if reply is not None]
+    async def _ask_all(self) -> None:
+        """Asks those in line to be witnesses, then whom these name."""
+        self._replies.clear()
+        candidates = self._marker.get_candidates()[:_ASKED]
+        await self._ask_each([*candidates, *self._watcher.get_watchers()])
+        named = {
+            name for reply in self._replies.values() for name in reply.witnesses
+        }
+        await self._ask_each(named)
+
+    async def _ask_each(self, names: Iterable[str]) -> None:
+        own_id = self._membership.table.own_id
+        lacking = {
+            name
+            for name in names
+            if name not in self._replies and name != own_id
+        }
+        await asyncio.gather(*(self._ask(name) for name in lacking))
 
-    async def _ask(self, witness: str) -> control_pb2.FloorReply | None:
+    async def _ask(self, name: str) -> None:
         request = control_pb2.FloorRequest(
-            member_id=self._membership.table.own_id
+            member_id=self._membership.table.own_id,
+            uptime_ms=self._get_uptime_ms(),
         )
         try:
-            return await self._membership.peers.call(
-                witness, "Floor", request, self._timing.call
+            reply = await self._membership.peers.call(
+                name, "Floor", request, self._timing.call
             )
         except peers_lib.PeerError:
-            return None
+            return
+        if reply.head_age_ms > request.uptime_ms:
+            # Read before this process began: an earlier process here may
+            # have run what was accepted since.
+            reply.head_read = False
+        self._replies[name] = reply
+
+    def _get_highest(self) -> int:
+        return max(
+            (
+                max(reply.marked, reply.known)
+                for reply in self._replies.values()
+            ),
+            default=0,
+        )
+
+    def _is_vouched(self) -> bool:
+        """Tells whether the answers prove a floor without the store.
+
+        Each of them names the witnesses, and two of these must have been
+        open, and so have kept marks, long before this process began. Two that
+        were open share one with the two that recorded the last mark. A
+        witness that began later says nothing: its marks may have died with
+        the process before it.
+        """
+        vouching = {
+            name: reply
+            for name, reply in self._replies.items()
+            if self._has_memory(reply)
+        }
+        return bool(vouching) and all(
+            _count(reply.witnesses, vouching)
+            >= min(marks_lib.QUORUM, len(reply.witnesses))
+            for reply in vouching.values()
+        )
+
+    def _has_memory(self, reply: control_pb2.FloorReply) -> bool:
+        needed_ms = self._get_uptime_ms() + 1000 * self._timing.memory
+        return reply.open and reply.memory_ms >= needed_ms
+
+    def _is_heard(self) -> bool:
+        """Tells whether enough witnesses answered, with memory or without."""
+        witnesses = self._marker.get_candidates()[: marks_lib.WITNESSES]
+        needed = min(marks_lib.QUORUM, len(witnesses))
+        return _count(witnesses, self._replies) >= needed
+
+    def _find_head(self) -> int | None:
+        """Returns the head as a watcher read it after this process began."""
+        return max(
+            (
+                reply.head_version
+                for reply in self._replies.values()
+                if reply.head_read
+            ),
+            default=None,
+        )
+
+    def _may_read(self, attempt: int) -> bool:
+        """Leaves the store to the watchers for the first round."""
+        return attempt > 1 or self._watcher.is_chosen()
 
     async def _read_head(self) -> int | None:
-        await asyncio.sleep(random.uniform(0, self._timing.settle))
+        if not self._watcher.is_chosen():
+            await asyncio.sleep(random.uniform(0, self._get_read_window()))
         try:
             return await self._watcher.refresh()
         except errors.MerlintrestleError as error:
             logger.info("versions: no head: %s", error)
             return None
+
+    def _get_read_window(self) -> float:
+        """Returns the seconds over which the fleet spreads its reads."""
+        fleet = len(self._membership.table.usable_ids())
+        return max(self._timing.settle, fleet / READ_BUDGET)
+
+    def _get_uptime_ms(self) -> int:
+        return int(1000 * (time.monotonic() - self._started_at))
+
+
+def _count(
+    names: Iterable[str], replies: dict[str, control_pb2.FloorReply]
+) -> int:
+    return sum(name in replies for name in names)
--- a/merlintrestle/versions/marks.py
+++ b/merlintrestle/versions/marks.py
@@ -1,34 +1,53 @@
-"""Marks: what a daemon records of others, and has recorded of itself."""
+"""Marks: the versions that daemons ran, kept by other daemons.
+
+A daemon keeps nothing over a restart. Before it first runs a version it has
+some others, its witnesses, record that; see docs/design/0003-never-back.md.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 import time
 from typing import TYPE_CHECKING
 
+from merlintrestle.members import choice as choice_lib
 from merlintrestle.members import peers as peers_lib
 from merlintrestle.members import rendezvous
+from merlintrestle.members import table as table_lib
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from merlintrestle.members import table as table_lib
     from merlintrestle.members import timing as timing_lib
 
 logger = logging.getLogger(__name__)
 
 WITNESSES = 3
+# Acknowledgements before a version runs, and answers before a floor is known:
+# any two of three have one in common.
 QUORUM = 2
+# Members in line for a witness that is gone.
+_CANDIDATES = 8
+# Marks kept by one witness, which expects those of some 3 daemons.
+_MAX_MARKS = 20_000
 
 
 class Witness:
     """Keeps the versions that other daemons marked with this one."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        table: table_lib.MemberTable,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self._table = table
         self._clock = clock
-        self._marks: dict[str, int] = {}
+        self._marks: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._open_since: float | None = None
 
     def open(self) -> None:
@@ -37,23 +56,44 @@
             self._open_since = self._clock()
 
     def record(self, request: control_pb2.MarkRequest) -> control_pb2.MarkReply:
-        """Records the version of a daemon."""
-        held = self._marks.get(request.member_id, 0)
+        """Records the version of a daemon; a lower one changes nothing."""
+        held = self._marks.pop(request.member_id, 0)
         self._marks[request.member_id] = max(held, request.version)
+        if len(self._marks) > _MAX_MARKS:
+            self._marks.popitem(last=False)
         return control_pb2.MarkReply(recorded=True)
 
+    def get_highest(self) -> int:
+        """Returns the highest version that any daemon marked here."""
+        return max(self._marks.values(), default=0)
+
     def answer(
         self, request: control_pb2.FloorRequest, known: int
     ) -> control_pb2.FloorReply:
         """Says what this daemon knows of versions another one ran."""
         reply = control_pb2.FloorReply(
-            marked=self._marks.get(request.member_id, 0), known=known
+            marked=self._marks.get(request.member_id, 0),
+            known=known,
+            witnesses=self._list_witnesses(request.member_id),
         )
         if self._open_since is not None:
             reply.open = True
             reply.memory_ms = int(1000 * (self._clock() - self._open_since))
         return reply
 
+    def _list_witnesses(self, member_id: str) -> list[str]:
+        """Returns the witnesses of a daemon, the dead among them too.
+
+        Marks that died with a witness must be missed. Without the dead, the
+        next in line would vouch for a daemon that never marked with them.
+        """
+        candidates = [
+            member.id
+            for member in self._table.members()
+            if member.state != control_pb2.LEAVING and member.id != member_id
+        ]
+        return rendezvous.choose(_get_key(member_id), candidates, WITNESSES)
+
 
 class Marker:
     """Marks the versions of this daemon with its witnesses."""
@@ -67,27 +107,79 @@
         self._table = table
         self._peers = peers
         self._timing = timing
+        self._choice = choice_lib.Choice(
+            table, _get_key(table.own_id), _CANDIDATES
+        )
         self._marked: dict[tuple[str, int], int] = {}
+        self._sending: dict[str, asyncio.Task[bool]] = {}
+
+    async def close(self) -> None:
+        """Ends the calls under way."""
+        sending = list(self._sending.values())
+        for task in sending:
+            task.cancel()
+        await asyncio.gather(*sending, return_exceptions=True)
 
-    def get_witnesses(self) -> list[str]:
-        """Returns the ids of this daemon's witnesses."""
-        own_id = self._table.own_id
-        others = [i for i in self._table.usable_ids() if i != own_id]
-        return rendezvous.choose(f"witness/{own_id}", others, WITNESSES)
+    def get_candidates(self) -> list[str]:
+        """Returns the members in line to be witnesses, the first ones first."""
+        return self._choice.get()
 
     async def mark(self, version: int) -> bool:
         """Marks a version with the witnesses that lack it.
 
+        A witness whose host refuses the connection is gone, and so are the
+        marks it kept; the next in line takes its place at once. One that is
+        merely silent keeps its place until it is held for dead.
+
         Returns:
-            True if enough of them have recorded it.
+            True if enough of them have recorded it. A daemon that is alone
+            relies on the store.
         """
-        witnesses = self.get_witnesses()
-        lacking = [
-            name for name in witnesses if not self._has_mark(name, version)
-        ]
-        await asyncio.gather(*(self._send(name, version) for name in lacking))
-        recorded = [name for name in witnesses if self._has_mark(name, version)]
-        return len(recorded) >= min(QUORUM, len(witnesses))
+        refused: set[str] = set()
+        while True:
+            witnesses = self._get_witnesses(refused)
+            if await self._mark_with(witnesses, version):
+                return True
+            newly = await self._find_refused(witnesses, version)
+            if not newly:
+                return False
+            refused |= newly
+
+    def _get_witnesses(self, refused: set[str]) -> list[str]:
+        usable = [name for name in self._choice.get() if name not in refused]
+        return usable[:WITNESSES]
+
+    async def _mark_with(self, witnesses: list[str], version: int) -> bool:
+        """Marks until enough have recorded; the rest goes on meanwhile."""
+        needed = min(QUORUM, len(witnesses))
+        pending = {
+            self._start_sending(name, version)
+            for name in witnesses
+            if not self._has_mark(name, version)
+        }
+        while self._count_marks(witnesses, version) < needed:
+            if not pending:
+                return False
+            _, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+        return True
+
+    async def _find_refused(
+        self, witnesses: list[str], version: int
+    ) -> set[str]:
+        lacking = [i for i in witnesses if not self._has_mark(i, version)]
+        answers = await asyncio.gather(
+            *(self._peers.is_refused(i, self._timing.call) for i in lacking)
+        )
+        return {
+            name
+            for name, refused in zip(lacking, answers, strict=True)
+            if refused
+        }
+
+    def _count_marks(self, witnesses: list[str], version: int) -> int:
+        return sum(self._has_mark(name, version) for name in witnesses)
 
     def _has_mark(self, witness: str, version: int) -> bool:
         return self._marked.get(self._get_process(witness), 0) >= version
@@ -97,7 +189,16 @@
         member = self._table.get(witness)
         return witness, member.incarnation if member is not None else 0
 
-    async def _send(self, witness: str, version: int) -> None:
+    def _start_sending(self, witness: str, version: int) -> asyncio.Task[bool]:
+        running = self._sending.get(witness)
+        if running is not None:
+            return running
+        task = asyncio.create_task(self._send(witness, version))
+        self._sending[witness] = task
+        task.add_done_callback(lambda _: self._sending.pop(witness, None))
+        return task
+
+    async def _send(self, witness: str, version: int) -> bool:
         process = self._get_process(witness)
         request = control_pb2.MarkRequest(
             member_id=self._table.own_id, version=version
@@ -108,11 +209,17 @@
             )
         except peers_lib.PeerError as error:
             logger.info("versions: not marked: %s", error)
-            return
+            return False
         if reply.recorded:
-            self._marked = {
-                key: value
-                for key, value in self._marked.items()
-                if key[0] != witness
-            }
+            self._forget_marks(witness)
             self._marked[process] = version
+        return reply.recorded
+
+    def _forget_marks(self, witness: str) -> None:
+        for process in list(self._marked):
+            if process[0] == witness:
+                del self._marked[process]
+
+
+def _get_key(member_id: str) -> str:
+    return f"witness/{member_id}"
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle import errors
-from merlintrestle.members import rendezvous
+from merlintrestle.members import choice as choice_lib
 from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.members import timing as timing_lib
 
@@ -17,6 +17,7 @@
 
     from merlintrestle.documents import snapshot as snapshot_lib
     from merlintrestle.members import membership as membership_lib
+    from merlintrestle.schema import control_pb2
     from merlintrestle.schema import document_pb2
     from merlintrestle.versions import source as source_lib
 
@@ -41,20 +42,34 @@
         source: source_lib.Source,
         hold: Callable[[snapshot_lib.Snapshot], None],
     ):
+        """Connects the parts.
+
+        Args:
+            membership: Members.
+            source: The store's configuration.
+            hold: Takes each version that was compiled.
+        """
         self.store_reachable = False
         self._membership = membership
         self._timing = membership.timing
         self._source = source
         self._hold = hold
-        self._version = 0
+        self._handled = 0
+        self._head = 0
+        self._head_at: float | None = None
+        self._reading = asyncio.Lock()
         self._seeds: list[str] = []
         self._seeds_at = 0.0
+        self._watchers = self._choose("watch", WATCHERS_PER_ZONE)
+        self._seeding = self._choose("seeds", seeds_lib.SEEDS_PER_ZONE)
+
+    def get_watchers(self) -> list[str]:
+        """Returns the ids of the watchers of this daemon's zone."""
+        return self._watchers.get()
 
     def is_chosen(self) -> bool:
         """Tells whether this daemon is a watcher of its zone."""
-        table = self._membership.table
-        chosen = self._choose("watch", WATCHERS_PER_ZONE)
-        return table.own_id in chosen
+        return self._membership.table.own_id in self.get_watchers()
 
     async def run(self) -> None:
         """Watches while chosen, for ever."""
@@ -64,30 +79,69 @@
             if not self.is_chosen():
                 await asyncio.sleep(timing_lib.jitter(self._timing.heartbeat))
                 continue
+            began = time.monotonic()
             try:
                 await self._watch()
-                backoff.reset()
             except errors.MerlintrestleError as error:
                 self.store_reachable = False
                 logger.info("versions: watch lost: %s", error)
+                if time.monotonic() - began > self._timing.head_refresh:
+                    backoff.reset()
                 await asyncio.sleep(backoff.get_wait())
 
     async def refresh(self) -> int:
         """Reads the head and compiles it if it is news; returns its version.
 
         Raises:
-            errors.MerlintrestleError: The store did not answer, or what it
-                holds does not compile.
+            errors.MerlintrestleError: The store did not answer.
         """
+        began = time.monotonic()
         try:
             head = await self._source.read_head()
         except errors.StoreError:
             self.store_reachable = False
             raise
         self.store_reachable = True
+        self._head = head.version
+        self._head_at = began
         await self._compile(head)
         return head.version
 
+    async def add_head(
+        self, reply: control_pb2.FloorReply, uptime_ms: int
+    ) -> None:
+        """Adds the head to an answer, if this daemon is a watcher.
+
+        One read serves all daemons that began before it, so a herd that
+        restarts costs the store no more reads than its watchers allow.
+        """
+        if not self.is_chosen():
+            return
+        try:
+            async with asyncio.timeout(self._timing.call / 2):
+                await self._read_since(uptime_ms / 1000)
+        except (TimeoutError, errors.MerlintrestleError):
+            return
+        if self._head_at is not None:
+            reply.head_read = True
+            reply.head_version = self._head
+            age_s = time.monotonic() - self._head_at
+            reply.head_age_ms = int(1000 * age_s) + 1
+
+    async def _read_since(self, age_s: float) -> None:
+        """Reads the head unless the last read is younger than an age."""
+        asked_at = time.monotonic()
+        async with self._reading:
+            if self._head_at is None or asked_at - self._head_at > age_s:
+                await self._wait_for_budget()
+                await self.refresh()
+
+    async def _wait_for_budget(self) -> None:
+        """Keeps reads on behalf of others apart by a flush interval."""
+        if self._head_at is not None:
+            age_s = time.monotonic() - self._head_at
+            await asyncio.sleep(max(0.0, self._timing.flush - age_s))
+
     async def _watch(self) -> None:
         """Watches until no longer chosen; the head is re-read meanwhile.
 
@@ -111,6 +165,7 @@
                     return watching.result()
         finally:
             watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
 
     async def _follow(self) -> None:
         async for head in self._source.watch_head():
@@ -118,15 +173,23 @@
             await self._compile(head)
 
     async def _compile(self, head: document_pb2.Head) -> None:
-        if head.version <= self._version:
+        """Compiles a head that is news; one that fails is refused whole."""
+        if head.version <= self._handled:
+            return
+        try:
+            snapshot = await self._source.compile_head(head)
+        except errors.SnapshotError as error:
+            logger.error(
+                "versions: version %d is refused: %s", head.version, error
+            )
+            self._handled = max(self._handled, head.version)
             return
-        snapshot = await self._source.compile_head(head)
-        self._version = max(self._version, head.version)
+        self._handled = max(self._handled, head.version)
         self._hold(snapshot)
 
     async def _write_seeds(self) -> None:
         """Names members of the zone in the store, for first contact."""
-        seeds = self._choose("seeds", seeds_lib.SEEDS_PER_ZONE)
+        seeds = self._seeding.get()
         too_soon = time.monotonic() - self._seeds_at < self._timing.seeds_write
         if seeds == self._seeds or (self._seeds and too_soon):
             return
@@ -135,12 +198,8 @@
             self._seeds = seeds
             self._seeds_at = time.monotonic()
 
-    def _choose(self, purpose: str, count: int) -> list[str]:
+    def _choose(self, purpose: str, count: int) -> choice_lib.Choice:
         table = self._membership.table
         zone = table.own.zone
-        candidates = [
-            member.id
-            for member_id in table.usable_ids()
-            if (member := table.get(member_id)) and member.zone == zone
-        ]
-        return rendezvous.choose(f"{purpose}/{zone}", candidates, count)
+        key = f"{purpose}/{zone}"
+        return choice_lib.Choice(table, key, count, zone, with_own=True)
--- a/tests/members/builders.py
+++ b/tests/members/builders.py
@@ -23,6 +23,8 @@
     seeds_write=0.1,
     head_refresh=0.2,
     memory=0.2,
+    hedge=0.1,
+    patience=0.3,
     settle=0.2,
 )
 
