--- a/merlintrestle/versions/floor.py
+++ b/merlintrestle/versions/floor.py
@@ -15,7 +15,7 @@
 from merlintrestle.versions import marks as marks_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from merlintrestle.members import membership as membership_lib
     from merlintrestle.versions import watcher as watcher_lib
@@ -44,38 +44,48 @@
         membership: membership_lib.Membership,
         marker: marks_lib.Marker,
         watcher: watcher_lib.Watcher,
+        clock: Callable[[], float] = time.monotonic,
     ):
         self.version: int | None = None
         self._membership = membership
         self._timing = membership.timing
         self._marker = marker
         self._watcher = watcher
-        self._started_at = time.monotonic()
+        self._clock = clock
+        self._started_at = clock()
         self._replies: dict[str, control_pb2.FloorReply] = {}
 
     async def learn(self) -> None:
-        """Asks until the floor is known.
+        """Asks until the floor is known."""
+        await self._membership.wait_for_contact(self._timing.settle)
+        backoff = timing_lib.Backoff(0.2, self._timing.store_retry_max)
+        attempt = 1
+        while not await self.try_learn(attempt):
+            await asyncio.sleep(backoff.get_wait())
+            attempt += 1
+
+    async def try_learn(self, attempt: int) -> bool:
+        """Asks once; True if the floor is known.
 
         The witnesses are asked also where the store answers: a store that
         answers reads from before an outage must not take this daemon back.
+
+        Args:
+            attempt: How often this has been called, this call included.
         """
-        await self._membership.wait_for_contact(self._timing.settle)
-        backoff = timing_lib.Backoff(0.2, self._timing.store_retry_max)
-        attempt = 0
-        while self.version is None:
-            attempt += 1
-            await self._ask_all()
-            if self._is_vouched():
-                self.version = self._get_highest()
-                return
-            head = self._find_head()
-            if head is None and self._may_read(attempt):
-                head = await self._read_head()
-            patient = attempt < _PATIENCE and not self._is_heard()
-            if head is not None and not patient:
-                self.version = max(head, self._get_highest())
-                return
-            await asyncio.sleep(backoff.get_wait())
+        await self._ask_all()
+        if self._is_vouched():
+            self.version = self._get_highest()
+            return True
+        head = self._find_head()
+        if head is None and self._may_read(attempt):
+            head = await self._read_head()
+        if head is None:
+            return False
+        if attempt < _PATIENCE and not self._is_heard():
+            return False
+        self.version = max(head, self._get_highest())
+        return True
 
     async def _ask_all(self) -> None:
         """Asks those in line to be witnesses, then whom these name."""
@@ -182,7 +192,7 @@
         return max(self._timing.settle, fleet / READ_BUDGET)
 
     def _get_uptime_ms(self) -> int:
-        return int(1000 * (time.monotonic() - self._started_at))
+        return int(1000 * (self._clock() - self._started_at))
 
 
 def _count(
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -41,6 +41,7 @@
         membership: membership_lib.Membership,
         source: source_lib.Source,
         hold: Callable[[snapshot_lib.Snapshot], None],
+        clock: Callable[[], float] = time.monotonic,
     ):
         """Connects the parts.
 
@@ -48,12 +49,14 @@
             membership: Members.
             source: The store's configuration.
             hold: Takes each version that was compiled.
+            clock: Monotonic time in seconds.
         """
         self.store_reachable = False
         self._membership = membership
         self._timing = membership.timing
         self._source = source
         self._hold = hold
+        self._clock = clock
         self._handled = 0
         self._head = 0
         self._head_at: float | None = None
@@ -79,13 +82,13 @@
             if not self.is_chosen():
                 await asyncio.sleep(timing_lib.jitter(self._timing.heartbeat))
                 continue
-            began = time.monotonic()
+            began = self._clock()
             try:
                 await self._watch()
             except errors.MerlintrestleError as error:
                 self.store_reachable = False
                 logger.info("versions: watch lost: %s", error)
-                if time.monotonic() - began > self._timing.head_refresh:
+                if self._clock() - began > self._timing.head_refresh:
                     backoff.reset()
                 await asyncio.sleep(backoff.get_wait())
 
@@ -95,7 +98,7 @@
         Raises:
             errors.MerlintrestleError: The store did not answer.
         """
-        began = time.monotonic()
+        began = self._clock()
         try:
             head = await self._source.read_head()
         except errors.StoreError:
@@ -125,12 +128,12 @@
         if self._head_at is not None:
             reply.head_read = True
             reply.head_version = self._head
-            age_s = time.monotonic() - self._head_at
+            age_s = self._clock() - self._head_at
             reply.head_age_ms = int(1000 * age_s) + 1
 
     async def _read_since(self, age_s: float) -> None:
         """Reads the head unless the last read is younger than an age."""
-        asked_at = time.monotonic()
+        asked_at = self._clock()
         async with self._reading:
             if self._head_at is None or asked_at - self._head_at > age_s:
                 await self._wait_for_budget()
@@ -139,7 +142,7 @@
     async def _wait_for_budget(self) -> None:
         """Keeps reads on behalf of others apart by a flush interval."""
         if self._head_at is not None:
-            age_s = time.monotonic() - self._head_at
+            age_s = self._clock() - self._head_at
             await asyncio.sleep(max(0.0, self._timing.flush - age_s))
 
     async def _watch(self) -> None:
@@ -149,13 +152,13 @@
         end. The read has a deadline and finds that out.
         """
         watching = asyncio.create_task(self._follow())
-        refresh_at = time.monotonic()
+        refresh_at = self._clock()
         try:
             while self.is_chosen():
-                if time.monotonic() >= refresh_at:
+                if self._clock() >= refresh_at:
                     await self.refresh()
                     await self._write_seeds()
-                    refresh_at = time.monotonic() + timing_lib.jitter(
+                    refresh_at = self._clock() + timing_lib.jitter(
                         self._timing.head_refresh
                     )
                 done, _ = await asyncio.wait(
@@ -190,13 +193,13 @@
     async def _write_seeds(self) -> None:
         """Names members of the zone in the store, for first contact."""
         seeds = self._seeding.get()
-        too_soon = time.monotonic() - self._seeds_at < self._timing.seeds_write
+        too_soon = self._clock() - self._seeds_at < self._timing.seeds_write
         if seeds == self._seeds or (self._seeds and too_soon):
             return
         zone = self._membership.table.own.zone
         if await self._source.write_seeds(zone, seeds):
             self._seeds = seeds
-            self._seeds_at = time.monotonic()
+            self._seeds_at = self._clock()
 
     def _choose(self, purpose: str, count: int) -> choice_lib.Choice:
         table = self._membership.table
--- a/tests/members/builders.py
+++ b/tests/members/builders.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import inspect
+import time
+from typing import Any, TYPE_CHECKING
+
+from merlintrestle.members import peers
 from merlintrestle.members import table as table_lib
 from merlintrestle.members import timing
 from merlintrestle.schema import control_pb2
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Short enough for tests; proofs wait on events, never on these.
 FAST = timing.Timing(
     heartbeat=0.1,
@@ -66,3 +74,57 @@
 def build_table(number: int = 1) -> table_lib.MemberTable:
     """Builds the table of a daemon that knows itself alone."""
     return table_lib.MemberTable(build_member(number))
+
+
+class Network:
+    """Calls between daemons without sockets.
+
+    Attributes:
+        answers: By id and method, what answers a request.
+        silent: Ids that do not answer.
+        refused: Ids whose host refuses the connection.
+        cut: Pairs (from, to) between which nothing passes.
+        calls: (from, to, method) of every call, in order.
+    """
+
+    def __init__(self) -> None:
+        self.answers: dict[str, dict[str, Callable[[Any], Any]]] = {}
+        self.silent: set[str] = set()
+        self.refused: set[str] = set()
+        self.cut: set[tuple[str, str]] = set()
+        self.calls: list[tuple[str, str, str]] = []
+
+    def is_reachable(self, source: str, target: str) -> bool:
+        """Tells whether a call would be answered."""
+        down = self.silent | self.refused
+        return (
+            target in self.answers
+            and target not in down
+            and (source, target) not in self.cut
+        )
+
+
+class FakePeers(peers.Peers):
+    """The calls of one daemon over a `Network`."""
+
+    def __init__(self, network: Network, own_id: str):
+        super().__init__()
+        self._network = network
+        self._own_id = own_id
+
+    async def call(
+        self, address: str, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        """Calls the answer of the target at once."""
+        self._network.calls.append((self._own_id, address, method))
+        if not self._network.is_reachable(self._own_id, address):
+            raise peers.PeerError(f"{address}: {method}: unavailable")
+        reply = self._network.answers[address][method](request)
+        if inspect.isawaitable(reply):
+            reply = await reply
+        self.heard_at = time.monotonic()
+        return reply
+
+    async def is_refused(self, address: str, timeout_s: float) -> bool:
+        """Tells whether the target is in `Network.refused`."""
+        return address in self._network.refused
--- /dev/null
+++ b/tests/members/test_exchange.py
@@ -0,0 +1,114 @@
+"""Tests of anti-entropy and first contact."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+import unittest
+
+from merlintrestle.members import exchange
+from merlintrestle.members import table as table_lib
+from merlintrestle.schema import control_pb2
+from tests.members import builders
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+class Side:
+    """A table and its exchange, on a fake network."""
+
+    def __init__(
+        self, network: builders.Network, number: int, seeds: Sequence[str] = ()
+    ):
+        self.table = builders.build_table(number)
+        self.exchange = exchange.Exchange(
+            self.table,
+            builders.FakePeers(network, self.table.own_id),
+            None,
+            seeds,
+            builders.FAST,
+        )
+        network.answers[self.table.own_id] = {"Members": self.exchange.answer}
+
+    def list_ids(self) -> set[str]:
+        """Returns the ids of members that are not gone."""
+        return set(self.table.usable_ids())
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Tables of several daemons become the same."""
+
+    async def asyncSetUp(self) -> None:
+        self.network = builders.Network()
+
+    async def test_differing_tables_become_the_same(self) -> None:
+        one, other = Side(self.network, 1), Side(self.network, 2)
+        for number in range(10, 40):
+            side = one if number % 2 else other
+            side.table.merge(builders.build_member(number))
+        await one.exchange.compare(other.table.own_id)
+        self.assertEqual(one.table.digest, other.table.digest)
+        self.assertEqual(len(one.list_ids()), 32)
+
+    async def test_first_contact_by_a_seed(self) -> None:
+        seed = Side(self.network, 1)
+        for number in range(10, 20):
+            side = Side(self.network, number)
+            seed.table.merge(side.table.own)
+            side.table.merge(seed.table.own)
+            for other in range(10, number):
+                side.table.merge(builders.build_member(other))
+        joiner = Side(self.network, 2, [seed.table.own_id])
+        await joiner.exchange.join()
+        self.assertTrue(await joiner.exchange.wait_for_contact(0))
+        await joiner.exchange.compare(seed.table.own_id)
+        self.assertEqual(joiner.list_ids(), seed.list_ids())
+
+    async def test_cut_regions_heal(self) -> None:
+        """Two regions are cut for so long that each holds the other for dead.
+
+        No links and no usable members lead across. Now and then a round goes
+        to a member held for dead, which refutes; without that round both
+        regions would stay apart for good.
+        """
+        one, other = Side(self.network, 1), Side(self.network, 2)
+        for side, lost in ((one, other), (other, one)):
+            side.table.merge(lost.table.own)
+            side.table.set_state(lost.table.own_id, control_pb2.DEAD)
+        for _ in range(100):
+            await one.exchange.run_round()
+        self.assertEqual(one.list_ids(), other.list_ids())
+        self.assertEqual(len(one.list_ids()), 2)
+
+    async def test_the_forgotten_are_not_taught_again(self) -> None:
+        """One daemon remembers a dead member that another has forgotten.
+
+        Were it told again, the two would remind each other in turns and the
+        table would grow with every instance that was ever replaced.
+        """
+        one, other = Side(self.network, 1), Side(self.network, 2)
+        dead = builders.build_member(9, 1, control_pb2.DEAD)
+        one.table.merge(dead)
+        one.table.merge(builders.build_member(3))
+        await one.exchange.compare(other.table.own_id)
+        await other.exchange.compare(one.table.own_id)
+        self.assertIsNone(other.table.get(dead.id))
+
+    async def test_late_news_of_life_are_corrected(self) -> None:
+        one, other = Side(self.network, 1), Side(self.network, 2)
+        one.table.merge(builders.build_member(9, 1, control_pb2.DEAD))
+        other.table.merge(builders.build_member(9))
+        await other.exchange.compare(one.table.own_id)
+        held = other.table.get(builders.build_member(9).id)
+        assert held is not None
+        self.assertTrue(table_lib.is_dead(held))
+
+    async def test_a_member_that_does_not_answer_is_named(self) -> None:
+        one = Side(self.network, 1)
+        lost = builders.build_member(9)
+        one.table.merge(lost)
+        self.assertEqual(await one.exchange.run_round(), lost.id)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/members/test_peers.py
@@ -0,0 +1,115 @@
+"""Tests of calls on channels, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from merlintrestle.members import peers as peers_lib
+from merlintrestle.schema import control_pb2
+from tests.versions import builders
+
+
+class SilentFirst:
+    """Forwards connections to a port, but the first goes silent for good."""
+
+    def __init__(self, port: int):
+        self.connections = 0
+        self._port = port
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> str:
+        """Listens and returns the address."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        assert self._server is not None
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        silent = self.connections == 1
+        far_reader, far_writer = await asyncio.open_connection(
+            "127.0.0.1", self._port
+        )
+        for source, sink, drop in (
+            (reader, far_writer, silent),
+            (far_reader, writer, False),
+        ):
+            task = asyncio.create_task(_copy(source, sink, drop))
+            self._tasks.add(task)
+
+
+async def _copy(
+    source: asyncio.StreamReader, sink: asyncio.StreamWriter, drop: bool
+) -> None:
+    while data := await source.read(65536):
+        if not drop:
+            sink.write(data)
+    sink.close()
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon that answers, and ways to it that do not."""
+
+    async def asyncSetUp(self) -> None:
+        self.daemon = builders.Daemon(builders.FakeConfiguration())
+        await self.daemon.server.start(self.daemon.servicer)
+        self.peers = peers_lib.Peers()
+        self.request = control_pb2.ProbeRequest(member_id=self.daemon.id)
+
+    async def asyncTearDown(self) -> None:
+        await self.peers.close()
+        await self.daemon.server.close(0)
+
+    async def test_silent_connection_costs_one_deadline(self) -> None:
+        """A connection went silent; new ones to the same daemon work.
+
+        The first call runs into its deadline. The channel must be rebuilt
+        with a connection of its own, or every later call ends the same way.
+        """
+        proxy = SilentFirst(self.daemon.server.port)
+        address = await proxy.start()
+        self.addAsyncCleanup(proxy.close)
+        with self.assertRaises(peers_lib.PeerError):
+            await self.peers.call(address, "Probe", self.request, 0.3)
+        reply = await self.peers.call(address, "Probe", self.request, 5.0)
+        self.assertTrue(reply.reached)
+        self.assertEqual(proxy.connections, 2)
+
+    async def test_call_in_flight_survives_a_dropped_channel(self) -> None:
+        """Two calls share a channel; one runs into its deadline first.
+
+        Dropping the channel cancels the other call. gRPC raises that as if
+        the caller's own task were cancelled, which would end the task of a
+        link or a watcher without a word.
+        """
+        proxy = SilentFirst(self.daemon.server.port)
+        address = await proxy.start()
+        self.addAsyncCleanup(proxy.close)
+        calls = [
+            self.peers.call(address, "Probe", self.request, timeout)
+            for timeout in (0.2, 10.0)
+        ]
+        async with asyncio.timeout(builders.GUARD_S):
+            found = await asyncio.gather(*calls, return_exceptions=True)
+        for error in found:
+            self.assertIsInstance(error, peers_lib.PeerError)
+
+    async def test_refusal_is_told_from_an_answer(self) -> None:
+        self.assertFalse(await self.peers.is_refused(self.daemon.id, 5.0))
+        await self.daemon.server.close(0)
+        self.assertTrue(await self.peers.is_refused(self.daemon.id, 5.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
