--- /dev/null
+++ b/tests/versions/test_deltas.py
@@ -0,0 +1,143 @@
+"""Tests of deltas and of what a daemon holds."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from merlintrestle import errors
+from merlintrestle.schema import control_pb2
+from merlintrestle.schema import document_pb2
+from merlintrestle.versions import archive as archive_lib
+from merlintrestle.versions import deltas
+from merlintrestle.versions import holder as holder_lib
+from tests.versions import builders
+
+SERVICES = ("balie", "kassa", "beeldarchief")
+service_sets = strategies.lists(
+    strategies.sampled_from(SERVICES), unique=True, min_size=1, max_size=3
+)
+
+
+class DeltaTest(unittest.TestCase):
+    """A delta gives the accepted snapshot, or nothing."""
+
+    @hypothesis.given(service_sets, service_sets)
+    def test_delta_gives_the_target(
+        self, before: list[str], after: list[str]
+    ) -> None:
+        base = builders.build_snapshot(1, before)
+        target = builders.build_snapshot(2, after)
+        result = deltas.apply_delta(base, deltas.make_delta(base, target))
+        self.assertEqual(result.digest, target.digest)
+        self.assertEqual(result.resources, target.resources)
+        self.assertEqual(set(result.services), set(after))
+
+    @hypothesis.given(
+        service_sets,
+        service_sets,
+        strategies.integers(0, 10_000),
+        strategies.integers(1, 255),
+    )
+    def test_corrupted_delta_gives_no_other_snapshot(
+        self, before: list[str], after: list[str], place: int, flip: int
+    ) -> None:
+        base = builders.build_snapshot(1, before)
+        target = builders.build_snapshot(2, after)
+        data = bytearray(deltas.make_delta(base, target).SerializeToString())
+        data[place % len(data)] ^= flip
+        try:
+            broken = document_pb2.Delta.FromString(bytes(data))
+        except ValueError:
+            return
+        except Exception as error:
+            self.assertEqual(type(error).__name__, "DecodeError")
+            return
+        try:
+            result = deltas.apply_delta(base, broken)
+        except errors.SnapshotError:
+            return
+        self.assertEqual(result.digest, target.digest)
+
+    def test_lost_part_is_refused(self) -> None:
+        """A delta loses the class that a route points at.
+
+        Run in part, the proxy would route to a class it does not have. The
+        digest refuses it before anything is built of it.
+        """
+        base = builders.build_snapshot(1, ["balie"])
+        target = builders.build_snapshot(2, ["balie", "kassa"])
+        delta = deltas.make_delta(base, target)
+        del delta.changed[0]
+        with self.assertRaises(errors.SnapshotError):
+            deltas.apply_delta(base, delta)
+
+    def test_whole_that_does_not_match_its_offer_is_refused(self) -> None:
+        packed = deltas.pack_snapshot(builders.build_snapshot(2, ["kassa"]))
+        digest = builders.build_snapshot(2, ["balie"]).digest
+        with self.assertRaises(errors.SnapshotError):
+            deltas.unpack_snapshot(packed, digest)
+
+
+class ArchiveTest(unittest.TestCase):
+    """What is held is given as a delta where it can be."""
+
+    def setUp(self) -> None:
+        self.archive = archive_lib.Archive()
+        for version in range(1, 4):
+            self.archive.add(builders.build_snapshot(version, SERVICES))
+
+    def test_answers_with_a_delta_for_a_held_base(self) -> None:
+        held = deltas.make_offer(builders.build_snapshot(1, SERVICES))
+        reply = self.archive.answer(control_pb2.FetchRequest(held=held))
+        self.assertTrue(reply.HasField("delta"))
+        self.assertLess(
+            reply.delta.ByteSize(),
+            self.archive.answer(
+                control_pb2.FetchRequest(held=held, whole=True)
+            ).ByteSize(),
+        )
+
+    def test_answers_with_the_whole_for_another_base(self) -> None:
+        held = control_pb2.Offer(version=1, digest=b"another")
+        reply = self.archive.answer(control_pb2.FetchRequest(held=held))
+        self.assertTrue(reply.HasField("snapshot"))
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(strategies.integers(1, 6), strategies.booleans()),
+            max_size=20,
+        )
+    )
+    def test_no_order_of_arrival_goes_back(
+        self, arrivals: list[tuple[int, bool]]
+    ) -> None:
+        """Versions arrive in any order, twice, whole or as deltas."""
+        accepted = {
+            version: builders.build_snapshot(version) for version in range(1, 7)
+        }
+        archive, holder = archive_lib.Archive(), holder_lib.Holder()
+        for version, whole in arrivals:
+            base = accepted[max(1, version - 1)]
+            delta = deltas.make_delta(base, accepted[version])
+            try:
+                arrived = (
+                    accepted[version]
+                    if whole
+                    else deltas.apply_delta(archive.newest, delta)
+                )
+            except errors.SnapshotError:
+                continue
+            archive.add(arrived)
+            holder.take(arrived)
+            assert holder.running is not None
+            expected = accepted[holder.version].digest
+            self.assertEqual(holder.running.digest, expected)
+        versions = [taken.version for taken in holder.history]
+        self.assertEqual(versions, sorted(set(versions)))
+
+
+if __name__ == "__main__":
+    unittest.main()
