Run payouts at most once under claims in the store

Cause: a payout whose answer is lost is sent again, also to another daemon.

Ruled out: an owner per key range (a new owner cannot tell a key that is sent again from a new one); batching now (rate does not need it).

--- a/merlintrestle/requests/admission.py
+++ b/merlintrestle/requests/admission.py
@@ -41,6 +41,6 @@
         self.in_flight += 1
         return None
 
-    def leave(self) -> None:
+    def leave(self, call: calls.Call) -> None:
         """Gives a slot back."""
         self.in_flight -= 1
--- a/merlintrestle/requests/beside.py
+++ b/merlintrestle/requests/beside.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests import headers
+from merlintrestle.requests import once
 from merlintrestle.requests import outcomes
 
 if TYPE_CHECKING:
@@ -14,40 +16,52 @@
     from merlintrestle.requests import admission as admissions
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests import call as calls
+    from merlintrestle.requests import claims as claims_
     from merlintrestle.requests import forwarding
 
 
 class Beside:
-    """Runs calls on the own backend server."""
+    """Runs calls on the own backend server.
+
+    Attributes:
+        once: The way of calls that may not be repeated.
+    """
 
     def __init__(
         self,
         backend: backends.OwnBackend,
         admission: admissions.Admission,
         forwarder: forwarding.Forwarder,
+        claims: claims_.Claims,
     ):
+        """Sets the parts."""
         self._backend = backend
         self._admission = admission
         self._forwarder = forwarder
+        self.once = once.Once(claims, admission, self._forward)
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Admits a call and forwards it, or refuses it as not run."""
+        if call.key and not call.plan.repeatable:
+            return await self.once.run(call)
         refusal = await self._admission.enter(call)
         if refusal is not None:
             return refusal
         try:
             outcome = await self._forward(call)
         except BaseException:
-            self._admission.leave()
+            self._admission.leave(call)
             raise
         if isinstance(outcome, outcomes.Answered):
-            outcome.hold(self._admission.leave)
+            outcome.hold(lambda: self._admission.leave(call))
         else:
-            self._admission.leave()
+            self._admission.leave(call)
         return outcome
 
     async def _forward(self, call: calls.Call) -> outcomes.Outcome:
-        if asyncio.get_running_loop().time() >= call.deadline:
+        # Not the time of the event loop: that is as old as the loop's turn, so
+        # a daemon that thaws in the middle of one would not see the pause.
+        if time.monotonic() >= call.deadline:
             return outcomes.NotRun("the deadline has passed", 504, None)
         return await self._forwarder.send(
             self._backend.address,
--- a/merlintrestle/requests/call.py
+++ b/merlintrestle/requests/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -43,3 +44,17 @@
     depth: int
     attempt: int
     key: str
+
+    def compute_digest(self) -> bytes:
+        """Returns a digest of what the request is.
+
+        A body that is passed on in pieces counts by its length alone.
+        """
+        digest = hashlib.sha256()
+        for text in (self.organisation, self.service, self.method, self.target):
+            digest.update(text.encode("utf-8", "surrogateescape") + b"\0")
+        if self.body.held is None:
+            digest.update(f"length {self.body.length}".encode())
+        else:
+            digest.update(self.body.held)
+        return digest.digest()
--- /dev/null
+++ b/merlintrestle/requests/once.py
@@ -0,0 +1,156 @@
+"""At most once: the way of a call that may not be repeated."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import Any, TYPE_CHECKING
+
+from merlintrestle.requests import claims as claims_
+from merlintrestle.requests import ledger as ledgers
+from merlintrestle.requests import outcomes
+from merlintrestle.schema import request_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from merlintrestle.requests import admission as admissions
+    from merlintrestle.requests import call as calls
+
+_MAX_ROUNDS = 4
+# How much longer than its caller the daemon waits for a claimed call, so that
+# its answer is there when the caller asks again.
+GRACE_S = 30.0
+
+
+class Once:
+    """Runs calls under claims.
+
+    Attributes:
+        tasks: Claimed calls that are running, and claims that are being given
+            back; they outlive their callers.
+    """
+
+    def __init__(
+        self,
+        claims: claims_.Claims,
+        admission: admissions.Admission,
+        forward: Callable[[calls.Call], Awaitable[outcomes.Outcome]],
+    ):
+        """Sets the parts; `forward` sends a call to the backend server."""
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self._claims = claims
+        self._admission = admission
+        self._forward = forward
+
+    async def run(self, call: calls.Call) -> outcomes.Outcome:
+        """Runs a call, or tells what became of an earlier sending of it."""
+        claims = self._claims
+        claim_key = claims.build_key(call)
+        known = claims.ledger.find_answered(claim_key)
+        if known is not None and known.request_digest == call.compute_digest():
+            return known.answer or _build_ran()
+        revision = 0
+        for _ in range(_MAX_ROUNDS):
+            refusal = await self._admission.enter(call)
+            if refusal is not None:
+                return refusal
+            try:
+                claim = await claims.acquire(call, claim_key, revision)
+            except BaseException:
+                self._admission.leave(call)
+                raise
+            if isinstance(claim, claims_.Held):
+                return await self._run_claimed(call, claim)
+            self._admission.leave(call)
+            if isinstance(claim, outcomes.NotRun):
+                return claim
+            settled: object = claim
+            if isinstance(claim, claims_.Taken):
+                settled = await claims.settle(claim, claim_key, call)
+            if not isinstance(settled, claims_.Released):
+                return settled  # type: ignore[return-value]
+            revision = settled.revision
+        return outcomes.Unknown(
+            "other sendings of this request are in the way", 503, 1.0
+        )
+
+    async def _run_claimed(
+        self, call: calls.Call, held: claims_.Held
+    ) -> outcomes.Outcome:
+        """Runs a call in a task of its own, which its caller cannot cancel.
+
+        A caller that leaves and sends the request again must find its answer;
+        cancelled half-way, the payout would be "unknown" for ever.
+        """
+        task = asyncio.create_task(self._forward_claimed(call, held))
+        self._track(task)
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            task.add_done_callback(_release)
+            return outcomes.Unknown("it is still running", 504, 1.0)
+        except asyncio.CancelledError:
+            task.add_done_callback(_release)
+            raise
+
+    async def _forward_claimed(
+        self, call: calls.Call, held: claims_.Held
+    ) -> outcomes.Outcome:
+        ledger = self._claims.ledger
+        leave = self._leave_once(call)
+        try:
+            outcome: outcomes.Outcome | None
+            outcome = await self._claims.check(held, call)
+            if outcome is None:
+                patient = dataclasses.replace(
+                    call, deadline=call.deadline + GRACE_S
+                )
+                outcome = await self._forward(patient)
+            if isinstance(outcome, outcomes.Answered):
+                outcome.hold(leave)
+                answer = ledgers.keep_answer(outcome)
+                ledger.end(held.record, request_pb2.ANSWERED, answer)
+                return outcome
+            leave()
+            if isinstance(outcome, outcomes.NotRun):
+                ledger.end(held.record, request_pb2.RELEASED)
+                # The caller does not wait for the store once more.
+                self._track(asyncio.create_task(self._claims.release(held)))
+            elif isinstance(outcome, outcomes.Ran):
+                ledger.end(held.record, request_pb2.ANSWERED)
+            return outcome
+        except BaseException:
+            leave()
+            raise
+        finally:
+            # Whatever else happened, the call may have run.
+            ledger.end(held.record, request_pb2.LOST)
+
+    def _track(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _leave_once(self, call: calls.Call) -> Callable[[], None]:
+        left = False
+
+        def leave() -> None:
+            nonlocal left
+            if not left:
+                left = True
+                self._admission.leave(call)
+
+        return leave
+
+
+def _release(task: asyncio.Task[outcomes.Outcome]) -> None:
+    if task.cancelled() or task.exception() is not None:
+        return
+    outcome = task.result()
+    if isinstance(outcome, outcomes.Answered):
+        outcome.release()
+
+
+def _build_ran() -> outcomes.Ran:
+    return outcomes.Ran("it ran before; its answer was not kept", 409)
--- a/merlintrestle/requests/outcomes.py
+++ b/merlintrestle/requests/outcomes.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
+import multidict
 
 from merlintrestle.requests import headers
 
@@ -93,14 +94,38 @@
     retry_after_s: float | None = None
 
 
-Outcome = Answered | NotRun | Ran | Unknown
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replayed:
+    """The kept answer of a call that ran before.
+
+    Attributes:
+        status: HTTP status of the answer.
+        headers: Its end-to-end headers.
+        body: Its whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+Outcome = Answered | Replayed | NotRun | Ran | Unknown
 Failure = NotRun | Ran | Unknown
 
 
 @functools.singledispatch
 def render(outcome: object) -> web.Response:
-    """Returns the answer that states a failure."""
-    raise TypeError(f"not a failure: {outcome!r}")
+    """Returns the answer to a caller that needs no body passed on."""
+    raise TypeError(f"cannot be rendered: {outcome!r}")
+
+
+@render.register
+def _render_replayed(outcome: Replayed) -> web.Response:
+    return web.Response(
+        body=outcome.body,
+        status=outcome.status,
+        headers=multidict.CIMultiDict(outcome.headers),
+    )
 
 
 @render.register
--- a/merlintrestle/requests/parts.py
+++ b/merlintrestle/requests/parts.py
@@ -40,5 +40,8 @@
     ) -> client.WriteReply:
         """Writes a key if it still has the expected revision."""
 
+    async def delete(self, key: str, expected_revision: int) -> bool:
+        """Deletes a key if it still has the expected revision."""
+
     async def grant_lease(self, seconds: int) -> int:
         """Opens a lease."""
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -14,11 +15,14 @@
 from merlintrestle.requests import backend
 from merlintrestle.requests import beside
 from merlintrestle.requests import call as calls
+from merlintrestle.requests import claims as claims_
 from merlintrestle.requests import dispatch
 from merlintrestle.requests import forwarding
 from merlintrestle.requests import headers
+from merlintrestle.requests import leases
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import picking
+from merlintrestle.requests import recall
 from merlintrestle.requests import routing
 from merlintrestle.requests import server
 from merlintrestle.requests import statistics
@@ -34,6 +38,7 @@
 
 # Calls may be nested this deep; a deeper one is a loop between services.
 MAX_DEPTH = 7
+_MAX_KEY_CHARACTERS = 255
 
 
 class Proxy(mode.Service):
@@ -46,6 +51,9 @@
         peer_port: Bound port for other daemons, once started.
         in_flight: Calls that are not yet answered whole.
         draining: True once `drain` was called.
+        control_port: Port on which this daemon answers recalls; set it before
+            `start` where the setting is 0.
+        recalls: gRPC servicer to be added to the control server.
     """
 
     def __init__(
@@ -67,13 +75,25 @@
         self._forwarder = forwarding.Forwarder()
         self._idle = asyncio.Event()
         self._idle.set()
+        self.control_port = settings.control_port
+        self._recall_client = recall.RecallClient()
+        claims = claims_.Claims(
+            self._get_owner,
+            store,
+            leases.ClaimLease(store),
+            self._recall_client,
+            settings.claims,
+            time.monotonic,
+        )
+        self.recalls = recall.Recalls(claims)
         self._beside = beside.Beside(
             self.backend,
             admission.Admission(self.backend),
             self._forwarder,
+            claims,
         )
         self._dispatch = dispatch.Dispatch(
-            self._get_member_id,
+            lambda: self._get_owner().member_id,
             table,
             picking.Picker(settings.zone),
             self._beside,
@@ -98,6 +118,7 @@
         await self._caller_server.close()
         await self._peer_server.close()
         await self._forwarder.close()
+        await self._recall_client.close()
 
     async def drain(self, limit_s: float) -> bool:
         """Refuses new work and waits for all work in flight.
@@ -112,6 +133,9 @@
         try:
             async with asyncio.timeout(limit_s):
                 await self._idle.wait()
+                # Claimed calls go on after their callers have left.
+                while self._beside.once.tasks:
+                    await asyncio.wait(self._beside.once.tasks)
         except TimeoutError:
             logger.warning(
                 "requests: %d calls are still in flight.", self.in_flight
@@ -123,9 +147,11 @@
         """Returns what became of the calls of each class lately."""
         return self.statistics.get_statuses()
 
-    def _get_member_id(self) -> str:
-        settings = self._settings
-        return f"{settings.address}:{settings.control_port}"
+    def _get_owner(self) -> claims_.Owner:
+        address = self._settings.address
+        return claims_.Owner(
+            f"{address}:{self.control_port}", address, self.control_port
+        )
 
     async def _handle_caller(
         self, request: web.BaseRequest
@@ -184,6 +210,9 @@
     ) -> web.StreamResponse:
         self._enter()
         try:
+            refusal = _check_key(request, match.plan)
+            if refusal is not None:
+                return outcomes.render(refusal)
             call = await self._read_call(request, match, depth, began)
             outcome = await way.run(call)
             if isinstance(outcome, outcomes.Answered):
@@ -244,6 +273,19 @@
             self._idle.set()
 
 
+def _check_key(
+    request: web.BaseRequest, plan: snapshot.ClassPlan
+) -> outcomes.NotRun | None:
+    if plan.repeatable:
+        return None
+    key = request.headers.get(headers.KEY, "")
+    if not key and plan.key_required:
+        return outcomes.NotRun("Idempotency-Key is missing", 400, None)
+    if len(key) > _MAX_KEY_CHARACTERS:
+        return outcomes.NotRun("Idempotency-Key is too long", 400, None)
+    return None
+
+
 async def _relay(
     request: web.BaseRequest, answered: outcomes.Answered
 ) -> web.StreamResponse:
--- a/merlintrestle/requests/retries.py
+++ b/merlintrestle/requests/retries.py
@@ -86,6 +86,11 @@
     return Retry.NO
 
 
+@classify.register
+def _classify_replayed(outcome: outcomes.Replayed, call: calls.Call) -> Retry:
+    return Retry.NO
+
+
 def _limit(call: calls.Call) -> Retry:
     """Forbids retries of retries, and retries under a call that has its own.
 
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -8,11 +8,16 @@
 
 import aiohttp
 from aiohttp import web
+import grpc.aio
+import multidict
 
 from merlintrestle.documents import snapshot
 from merlintrestle.members import table
+from merlintrestle.requests import call as calls
 from merlintrestle.requests import proxy as proxies
 from merlintrestle.requests import server
+from merlintrestle.requests import streams
+from merlintrestle.schema import request_pb2_grpc
 from merlintrestle.schema import settings_pb2
 from tests.requests import fakes
 
@@ -80,13 +85,12 @@
     Attributes:
         proxy: The proxy.
         holder: Its fake holder.
+        table: Its fake table of members.
         served: Requests that the backend server saw: method and path.
     """
 
     def __init__(
         self,
-        table_: fakes.Table,
-        number: int,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
         | None = None,
         running: snapshot.Snapshot | None = None,
@@ -96,17 +100,18 @@
         super().__init__()
         self.holder = fakes.Holder(running or build_snapshot())
         self.served: list[tuple[str, str]] = []
-        self._table = table_
+        self.table = fakes.Table()
         self._handler = handler or _answer_ok
         self._slots = slots
         self.settings = settings_pb2.DaemonSettings(
-            address="127.0.0.1", zone="noord", control_port=9000 + number
+            address="127.0.0.1", zone="noord", claims="claims/"
         )
+        self.store = store or fakes.Store()
         self.proxy = proxies.Proxy(
             self.settings,
             self.holder,
-            table_,
-            store,
+            self.table,
+            self.store,
         )
 
     async def start(self) -> Node:
@@ -114,27 +119,38 @@
         self.backend = server.Server(self._serve)
         await self.backend.start("127.0.0.1", 0)
         self.push_async_callback(self.backend.close)
+        self.control = grpc.aio.server()
+        request_pb2_grpc.add_RequestsServicer_to_server(
+            self.proxy.recalls, self.control
+        )
+        self.proxy.control_port = self.control.add_insecure_port("127.0.0.1:0")
+        await self.control.start()
+        self.push_async_callback(self.control.stop, 0)
         await self.proxy.start()
         self.push_async_callback(self.proxy.stop)
         self.proxy.backend.announce(
             "kassa", f"127.0.0.1:{self.backend.port}", self._slots
         )
-        self.join()
         return self
 
     @property
     def member_id(self) -> str:
         """Id of the daemon."""
-        return f"127.0.0.1:{self.settings.control_port}"
+        return f"127.0.0.1:{self.proxy.control_port}"
 
     @property
     def url(self) -> str:
         """Where callers send requests for kassa."""
         return f"http://127.0.0.1:{self.proxy.caller_port}/kassa"
 
-    def join(self) -> None:
-        """Puts the node into the table of members."""
-        upstream = table.Upstream(
+    def know(self, other: Node) -> None:
+        """Puts a node into this one's table of members."""
+        known = self.table.upstreams.get("kassa", ())
+        self.table.upstreams["kassa"] = (*known, other.build_upstream())
+
+    def build_upstream(self) -> table.Upstream:
+        """Builds what the others know of this node."""
+        return table.Upstream(
             member_id=self.member_id,
             address="127.0.0.1",
             peer_port=self.proxy.peer_port,
@@ -144,8 +160,6 @@
             ready_since_ms=1,
             suspect=False,
         )
-        known = self._table.upstreams.get("kassa", ())
-        self._table.upstreams["kassa"] = (*known, upstream)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.served.append((request.method, request.raw_path))
@@ -158,16 +172,26 @@
 
 
 @contextlib.asynccontextmanager
-async def run_nodes(count: int, **options: Any) -> AsyncIterator[list[Node]]:
-    """Runs several daemons that know each other's backend servers."""
-    known = fakes.Table()
+async def run_nodes(
+    count: int, apart: bool = False, **options: Any
+) -> AsyncIterator[list[Node]]:
+    """Runs several daemons that share a store.
+
+    Args:
+        count: How many.
+        apart: Each knows its own backend server alone, not the others'.
+        **options: Passed to each node.
+    """
+    options.setdefault("store", fakes.Store())
     async with contextlib.AsyncExitStack() as stack:
         nodes = []
-        for number in range(count):
-            node = await stack.enter_async_context(
-                Node(known, number, **options)
-            )
+        for _ in range(count):
+            node = await stack.enter_async_context(Node(**options))
             nodes.append(await node.start())
+        for node in nodes:
+            for other in nodes:
+                if other is node or not apart:
+                    node.know(other)
         yield nodes
 
 
@@ -192,3 +216,26 @@
             return answer.status, await answer.read()
     except aiohttp.ClientError:
         return None
+
+
+def build_call(
+    key: str = "k",
+    deadline: float = float("inf"),
+    body: bytes = b"pay",
+    plan: snapshot.ClassPlan | None = None,
+) -> calls.Call:
+    """Builds a payout as the daemon beside the backend server sees it."""
+    plan = plan or build_plans()["/payouts"]
+    return calls.Call(
+        service=plan.service,
+        plan=plan,
+        method="POST",
+        target="/payouts/1",
+        organisation=plan.organisation,
+        headers=multidict.CIMultiDict(),
+        body=streams.Body(body, len(body)),
+        deadline=deadline,
+        depth=0,
+        attempt=0,
+        key=key,
+    )
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
+from merlintrestle import errors
+from merlintrestle.store import client
+
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
     from merlintrestle.members import table
@@ -26,3 +30,111 @@
     def get_upstreams(self, service: str) -> tuple[table.Upstream, ...]:
         """Returns the upstreams of a service."""
         return self.upstreams.get(service, ())
+
+
+class Fault(enum.Enum):
+    """What goes wrong with one call of the store."""
+
+    NONE = enum.auto()
+    # It never arrives.
+    BEFORE = enum.auto()
+    # It takes effect; the answer is lost.
+    AFTER = enum.auto()
+    # The caller gives up; it takes effect later.
+    LATE = enum.auto()
+
+
+class Store:
+    """A store whose calls can fail in every way.
+
+    Attributes:
+        now: Its clock in seconds; leases end by it.
+        faults: What happens to the next calls; afterwards `fault`.
+        fault: What happens to calls by default.
+        writes: Count of writes that arrived.
+    """
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.faults: list[Fault] = []
+        self.fault = Fault.NONE
+        self.writes = 0
+        self._entries: dict[str, client.Entry] = {}
+        self._leases: dict[int, float] = {}
+        self._entry_leases: dict[str, int] = {}
+        self._revision = 0
+        self._late: list[tuple[str, bytes, int, int]] = []
+
+    async def get(self, key: str) -> client.Entry | None:
+        """Reads one key."""
+        if self._take_fault() is not Fault.NONE:
+            raise errors.StoreUnavailableError("no answer")
+        return self._read(key)
+
+    async def put(
+        self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
+    ) -> client.WriteReply:
+        """Writes a key if it still has the expected revision."""
+        fault = self._take_fault()
+        write = (key, value, expected_revision, lease_id)
+        if fault is Fault.LATE:
+            self._late.append(write)
+        if fault in (Fault.BEFORE, Fault.LATE):
+            raise errors.StoreUnknownOutcomeError("no answer")
+        reply = self._put(*write)
+        if fault is Fault.AFTER:
+            raise errors.StoreUnknownOutcomeError("no answer")
+        return reply
+
+    async def delete(self, key: str, expected_revision: int) -> bool:
+        """Deletes a key if it still has the expected revision."""
+        fault = self._take_fault()
+        if fault in (Fault.BEFORE, Fault.LATE):
+            raise errors.StoreUnknownOutcomeError("no answer")
+        self.writes += 1
+        entry = self._read(key)
+        if entry is None or entry.revision != expected_revision:
+            return False
+        del self._entries[key]
+        if fault is Fault.AFTER:
+            raise errors.StoreUnknownOutcomeError("no answer")
+        return True
+
+    async def grant_lease(self, seconds: int) -> int:
+        """Opens a lease."""
+        if self._take_fault() is not Fault.NONE:
+            raise errors.StoreUnknownOutcomeError("no answer")
+        self.writes += 1
+        lease_id = len(self._leases) + 1
+        self._leases[lease_id] = self.now + seconds
+        return lease_id
+
+    def deliver_late(self) -> None:
+        """Lets the writes that were under way take effect."""
+        for write in self._late:
+            self._put(*write)
+        self._late.clear()
+
+    def _take_fault(self) -> Fault:
+        return self.faults.pop(0) if self.faults else self.fault
+
+    def _read(self, key: str) -> client.Entry | None:
+        if key not in self._entries:
+            return None
+        if self._leases[self._entry_leases[key]] <= self.now:
+            del self._entries[key]
+            return None
+        return self._entries[key]
+
+    def _put(
+        self, key: str, value: bytes, expected_revision: int, lease_id: int
+    ) -> client.WriteReply:
+        self.writes += 1
+        entry = self._read(key) or client.Entry(key, b"", 0)
+        if entry.revision != expected_revision:
+            return client.WriteReply(False, entry)
+        self._revision += 1
+        entry = client.Entry(key, value, self._revision)
+        self._entries[key] = entry
+        self._entry_leases[key] = lease_id
+        return client.WriteReply(True, entry)
--- /dev/null
+++ b/tests/requests/test_interleaving.py
@@ -0,0 +1,182 @@
+"""At most once holds whatever happens in whatever order."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from merlintrestle.requests import claims
+from merlintrestle.requests import outcomes
+from tests.requests import builders
+from tests.requests import fakes
+from tests.requests import interleaving
+
+_DAEMON = strategies.integers(0, 2)
+# What happens, how often, and the values of its detail.
+_CHOICES: list[tuple[str, int, list[int]]] = [
+    ("send", 4, [1, 1, 1, 0]),
+    ("release", 8, [0, 0, 1, 2]),
+    ("crash", 1, [0]),
+    ("freeze", 2, [0]),
+    ("fault", 2, [1, 2, 3]),
+    ("late", 1, [0]),
+    ("fate", 2, [0, 1, 2]),
+    ("wait", 1, [3, 30, 26 * 3600]),
+]
+_ACTION = strategies.sampled_from(
+    [
+        (kind, detail)
+        for kind, weight, details in _CHOICES
+        for _ in range(weight)
+        for detail in details * (12 // len(details))
+    ]
+).flatmap(
+    lambda choice: strategies.tuples(
+        strategies.just(choice[0]), _DAEMON, strategies.just(choice[1])
+    )
+)
+_FATES = ("answered", "refused", "broken")
+_FAULTS = list(fakes.Fault)
+# A claim is sure to be kept this long, in seconds.
+_KEPT_S = 23 * 3600
+
+
+async def play(
+    actions: list[tuple[str, int, int]],
+) -> interleaving.World:
+    """Plays actions over three daemons, then lets all come to an end."""
+    world = interleaving.World()
+    for kind, number, detail in actions:
+        if kind == "send":
+            world.send(number, "a" if detail else "b")
+        elif kind == "release":
+            world.release(number, detail)
+        elif kind == "crash":
+            world.crash(number)
+        elif kind == "freeze":
+            world.daemons[number].frozen ^= True
+        elif kind == "fault":
+            world.store.faults.append(_FAULTS[detail])
+        elif kind == "late":
+            world.store.deliver_late()
+        elif kind == "fate":
+            world.fates.append(_FATES[detail])
+        else:
+            world.store.now += detail
+        await world.settle()
+    await world.finish()
+    await world.close()
+    return world
+
+
+class InterleavingTest(unittest.TestCase):
+    """Lost answers, resends, crashes, pauses, late writes, lapsed leases."""
+
+    @hypothesis.settings(max_examples=400, deadline=None)
+    @hypothesis.given(strategies.lists(_ACTION, max_size=60))
+    def test_at_most_once_and_honest(
+        self, actions: list[tuple[str, int, int]]
+    ) -> None:
+        world = asyncio.run(play(actions))
+        for key in ("a", "b"):
+            times = sorted(run.at for run in world.runs if run.key == key)
+            for earlier, later in zip(times, times[1:], strict=False):
+                self.assertGreater(later - earlier, _KEPT_S)
+        ran = {run.sending for run in world.runs}
+        for sending, (_, outcome) in world.results.items():
+            if isinstance(outcome, outcomes.NotRun):
+                self.assertNotIn(sending, ran)
+
+    def test_every_sending_ends(self) -> None:
+        actions = [("send", number, 1) for number in (0, 1, 2, 0)]
+        world = asyncio.run(play(actions))
+        self.assertEqual(len(world.runs), 1)
+        self.assertEqual(len(world.results), 4)
+
+    def test_released_claim_is_taken_over(self) -> None:
+        """The second sending runs: the first proved that it did not.
+
+        The first daemon gave up as the store was slow, and its write took
+        effect afterwards. Asked, it says that it will never run the request.
+        """
+        world = asyncio.run(
+            play(
+                [
+                    ("send", 0, 1),
+                    ("release", 0, 0),
+                    ("fault", 0, 3),
+                    ("fault", 0, 1),
+                    ("release", 0, 0),
+                    ("release", 0, 0),
+                    ("late", 0, 0),
+                    ("send", 1, 1),
+                ]
+            )
+        )
+        self.assertIsInstance(world.results[0][1], outcomes.NotRun)
+        self.assertEqual([run.sending for run in world.runs], [1])
+
+    def test_holder_is_silent_or_has_forgotten(self) -> None:
+        """The second caller hears "unknown"; nothing runs twice.
+
+        The first daemon freezes, or is replaced, while its backend server runs
+        the payout. Whether it ran is then known to nobody.
+        """
+        begun = [("send", 0, 1), *[("release", 0, 0)] * 3]
+        asked = [("send", 1, 1), *[("release", 1, 0)] * 4]
+        for fault in ("freeze", "crash"):
+            world = asyncio.run(play([*begun, (fault, 0, 0), *asked]))
+            self.assertIsInstance(world.results[1][1], outcomes.Unknown)
+            self.assertEqual([run.sending for run in world.runs], [0])
+
+
+class ThawTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon that was frozen after its claim checks before it forwards.
+
+    Its caller was told "unknown" long ago, or its claim has expired and the
+    same payout has run elsewhere. Each check is enough for its own case.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.world = interleaving.World()
+        self.claims = self.world.daemons[0].claims
+        self.call = builders.build_call(deadline=float("inf"))
+        acquiring = asyncio.create_task(
+            self.claims.acquire(self.call, "claims/1", 0)
+        )
+        await self.world.finish()
+        held = await acquiring
+        assert isinstance(held, claims.Held)
+        self.held = held
+
+    async def check(self) -> outcomes.NotRun | None:
+        checking = asyncio.create_task(self.claims.check(self.held, self.call))
+        await self.world.finish()
+        return await checking
+
+    async def test_nothing_happened(self) -> None:
+        self.world.store.now += 60
+        self.assertIsNone(await self.check())
+
+    async def test_deadline_has_passed(self) -> None:
+        self.call.deadline = 1.0
+        self.world.store.now += 2
+        refusal = await self.check()
+        assert refusal is not None
+        self.assertIn("deadline", refusal.reason)
+
+    async def test_claim_is_gone(self) -> None:
+        await self.world.store.delete("claims/1", self.held.revision)
+        self.world.store.now += 60
+        refusal = await self.check()
+        assert refusal is not None
+        self.assertIn("not there", refusal.reason)
+
+    async def test_claim_may_expire_any_moment(self) -> None:
+        self.world.store.now += 23.5 * 3600
+        refusal = await self.check()
+        assert refusal is not None
+        self.assertIn("expired", refusal.reason)
--- /dev/null
+++ b/tests/requests/test_once.py
@@ -0,0 +1,174 @@
+"""Work that may not be repeated runs at most once: failures, one by one."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from merlintrestle.requests import headers
+from tests.requests import builders
+from tests.requests import fakes
+
+_KEY = {headers.KEY: "ticket-7"}
+
+
+class OnceTest(unittest.IsolatedAsyncioTestCase):
+    """Payouts over two daemons with one store."""
+
+    def setUp(self) -> None:
+        self.begun = asyncio.Event()
+        self.go_on = asyncio.Event()
+        self.runs = 0
+
+    async def pay(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Books a payout; its answer waits until the test lets it go."""
+        await request.read()
+        self.runs += 1
+        self.begun.set()
+        await self.go_on.wait()
+        return web.Response(body=b"paid", headers={"X-Ticket": "7"})
+
+    async def test_sent_again_through_another_daemon(self) -> None:
+        """The caller gets the answer of the first run; nothing runs twice.
+
+        The caller leaves while the payout runs at the first daemon, and sends
+        it again to the second one. That one finds the claim of the first and
+        asks it for the answer.
+        """
+        async with (
+            builders.run_nodes(2, True, handler=self.pay) as (first, second),
+            builders.open_client() as client,
+        ):
+            lost = asyncio.ensure_future(
+                client.post(first.url + "/payouts", headers=_KEY)
+            )
+            await self.begun.wait()
+            lost.cancel()
+            again = asyncio.ensure_future(
+                client.post(second.url + "/payouts", headers=_KEY)
+            )
+            self.go_on.set()
+            answer = await again
+            self.assertEqual(await answer.read(), b"paid")
+            self.assertEqual(answer.headers["X-Ticket"], "7")
+        self.assertEqual(self.runs, 1)
+
+    async def test_holder_is_gone(self) -> None:
+        """The caller hears "unknown"; nothing runs twice.
+
+        The daemon that forwarded the payout dies before it has an answer.
+        Nobody can tell whether the payout ran, so it must not run again.
+        """
+        async with (
+            builders.run_nodes(2, True, handler=self.pay) as (first, second),
+            builders.open_client() as client,
+        ):
+            lost = asyncio.ensure_future(
+                client.post(first.url + "/payouts", headers=_KEY)
+            )
+            await self.begun.wait()
+            await first.control.stop(0)
+            answer = await client.post(second.url + "/payouts", headers=_KEY)
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+            lost.cancel()
+            self.go_on.set()
+        self.assertEqual(self.runs, 1)
+
+    async def test_store_is_down(self) -> None:
+        """The caller hears "not run" at once, with when to come back."""
+        store = fakes.Store()
+        async with (
+            builders.run_nodes(1, handler=self.pay, store=store) as (node,),
+            builders.open_client() as client,
+        ):
+            store.fault = fakes.Fault.BEFORE
+            answer = await client.post(node.url + "/payouts", headers=_KEY)
+            self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+            self.assertIn("Retry-After", answer.headers)
+            self.assertEqual(self.runs, 0)
+            store.fault = fakes.Fault.NONE
+            self.go_on.set()
+            answer = await client.post(node.url + "/payouts", headers=_KEY)
+            self.assertEqual(await answer.read(), b"paid")
+
+    async def test_answer_of_the_store_is_lost(self) -> None:
+        """The caller gets its answer; the claim is read back as its own."""
+        store = fakes.Store()
+        store.faults = [fakes.Fault.NONE, fakes.Fault.AFTER]
+        self.go_on.set()
+        async with (
+            builders.run_nodes(1, handler=self.pay, store=store) as (node,),
+            builders.open_client() as client,
+        ):
+            answer = await client.post(node.url + "/payouts", headers=_KEY)
+            self.assertEqual(await answer.read(), b"paid")
+        self.assertEqual(self.runs, 1)
+
+    async def test_answer_that_comes_too_late_is_kept(self) -> None:
+        """The caller hears "unknown", asks again and gets the answer.
+
+        The payout takes longer than the caller's deadline. The daemon waits
+        on for its answer, so that the second sending need not be "unknown".
+        """
+        async with (
+            builders.run_nodes(1, handler=self.pay) as (node,),
+            builders.open_client() as client,
+        ):
+            answer = await client.post(
+                node.url + "/payouts", headers={**_KEY, headers.DEADLINE: "50"}
+            )
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+            self.assertIn("Retry-After", answer.headers)
+            self.go_on.set()
+            answer = await client.post(node.url + "/payouts", headers=_KEY)
+            self.assertEqual(await answer.read(), b"paid")
+        self.assertEqual(self.runs, 1)
+
+    async def test_backend_server_cannot_be_reached(self) -> None:
+        """The caller hears "not run", and the key is free for a next try."""
+        self.go_on.set()
+        async with (
+            builders.run_nodes(1, handler=self.pay) as (node,),
+            builders.open_client() as client,
+        ):
+            port = node.backend.port
+            node.proxy.backend.address = "127.0.0.1:1"
+            answer = await client.post(node.url + "/payouts", headers=_KEY)
+            self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+            node.proxy.backend.address = f"127.0.0.1:{port}"
+            answer = await client.post(node.url + "/payouts", headers=_KEY)
+            self.assertEqual(await answer.read(), b"paid")
+        self.assertEqual(self.runs, 1)
+
+    async def test_key_of_another_request(self) -> None:
+        self.go_on.set()
+        async with (
+            builders.run_nodes(2, True, handler=self.pay) as (first, second),
+            builders.open_client() as client,
+        ):
+            for node, data, status in (
+                (first, b"1", 200),
+                (second, b"2", 422),
+                (first, b"2", 422),
+                (second, b"1", 200),
+            ):
+                answer = await client.post(
+                    node.url + "/payouts", headers=_KEY, data=data
+                )
+                self.assertEqual(answer.status, status)
+        self.assertEqual(self.runs, 1)
+
+    async def test_key_is_missing_or_too_long(self) -> None:
+        async with (
+            builders.run_nodes(1, handler=self.pay) as (node,),
+            builders.open_client() as client,
+        ):
+            for key in ("", "k" * 256):
+                answer = await client.post(
+                    node.url + "/payouts", headers={headers.KEY: key}
+                )
+                self.assertEqual(answer.status, 400)
+                self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+        self.assertEqual(self.runs, 0)
--- a/tests/requests/test_path.py
+++ b/tests/requests/test_path.py
@@ -12,7 +12,6 @@
 
 from merlintrestle.requests import headers
 from tests.requests import builders
-from tests.requests import fakes
 
 
 class PathTest(unittest.IsolatedAsyncioTestCase):
@@ -29,8 +28,8 @@
     async def test_far_backend(self) -> None:
         async with builders.run_nodes(2) as (near, far):
             near.proxy.backend.announce("kassa", "127.0.0.1:1", 0)
-            table = near._table
-            table.upstreams["kassa"] = table.upstreams["kassa"][1:]
+            known = near.table.upstreams
+            known["kassa"] = known["kassa"][1:]
             async with builders.open_client() as client:
                 answer = await client.post(near.url + "/x", data=b"in")
                 self.assertEqual(await answer.read(), b"ok:in")
@@ -105,10 +104,10 @@
             self.assertEqual(node.served, [])
 
     async def test_nobody_announced(self) -> None:
-        node = builders.Node(fakes.Table(), 0)
+        node = builders.Node()
         async with node, builders.open_client() as client:
             await node.start()
-            node._table.upstreams.clear()
+            node.table.upstreams.clear()
             answer = await client.get(node.url + "/x")
             self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
 
