--- /dev/null
+++ b/merlintrestle/members/suspicion.py
@@ -0,0 +1,150 @@
+"""Suspicion: deciding that a member has failed, and never by mistake."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from typing import TYPE_CHECKING
+
+from merlintrestle.members import peers as peers_lib
+from merlintrestle.members import table as table_lib
+from merlintrestle.schema import control_pb2
+
+if TYPE_CHECKING:
+    from merlintrestle.members import links as links_lib
+    from merlintrestle.members import timing as timing_lib
+
+logger = logging.getLogger(__name__)
+
+# Daemons that are asked to reach a member which this one cannot reach.
+HELPERS = 3
+
+
+class Judge:
+    """Checks members whose link was lost, and times suspects out."""
+
+    def __init__(
+        self,
+        table: table_lib.MemberTable,
+        peers: peers_lib.Peers,
+        links: links_lib.Links,
+        timing: timing_lib.Timing,
+    ):
+        self._table = table
+        self._peers = peers
+        self._links = links
+        self._timing = timing
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        self._healthy_from = 0.0
+
+    async def close(self) -> None:
+        """Ends the checks under way."""
+        checks = list(self._checks.values())
+        for check in checks:
+            check.cancel()
+        await asyncio.gather(*checks, return_exceptions=True)
+
+    def tick(self, elapsed: float, expected: float) -> None:
+        """Looks at the suspects; called twice per heartbeat.
+
+        Args:
+            elapsed: Seconds since the call before.
+            expected: Seconds that it should have been.
+        """
+        if elapsed - expected > self._timing.pause:
+            self._forgive(elapsed - expected)
+        for member_id in self._table.suspects():
+            age = self._table.get_state_age(member_id)
+            if age > self._timing.suspicion:
+                self.check_soon(member_id)
+
+    def check_soon(self, member_id: str) -> None:
+        """Starts a check of a member, unless one is under way."""
+        member = self._table.get(member_id)
+        if member is None or table_lib.is_dead(member):
+            return
+        if member_id == self._table.own_id or member_id in self._checks:
+            return
+        task = asyncio.create_task(self._check(member_id))
+        self._checks[member_id] = task
+        task.add_done_callback(lambda _: self._checks.pop(member_id, None))
+
+    async def reach(self, member_id: str) -> bool:
+        """Calls a member directly; False if it does not answer."""
+        request = control_pb2.ProbeRequest(member_id=member_id)
+        return await self._probe(member_id, request, self._timing.call)
+
+    async def _check(self, member_id: str) -> None:
+        if await self.reach(member_id):
+            return
+        if await self._reach_by_others(member_id):
+            return
+        if await self._may_judge(member_id):
+            self._judge(member_id)
+
+    def _judge(self, member_id: str) -> None:
+        """Takes an unreachable member one state further."""
+        member = self._table.get(member_id)
+        if member is None:
+            return
+        if member.state == control_pb2.ALIVE:
+            logger.info("members: %s is suspect", member_id)
+            self._table.set_state(member_id, control_pb2.SUSPECT)
+            return
+        age = self._table.get_state_age(member_id)
+        suspect = member.state == control_pb2.SUSPECT
+        if suspect and age <= self._timing.suspicion:
+            return
+        logger.info("members: %s is dead", member_id)
+        self._table.set_state(member_id, control_pb2.DEAD)
+
+    async def _reach_by_others(self, member_id: str) -> bool:
+        """Asks other members, whose ways to it may work."""
+        not_asked = (self._table.own_id, member_id)
+        others = [
+            name for name in self._table.usable_ids() if name not in not_asked
+        ]
+        helpers = random.sample(others, min(HELPERS, len(others)))
+        request = control_pb2.ProbeRequest(member_id=member_id)
+        # The helper's own call takes up to one deadline of it.
+        answers = await asyncio.gather(
+            *(
+                self._probe(helper, request, self._timing.call * 2)
+                for helper in helpers
+            )
+        )
+        return any(answers)
+
+    async def _probe(
+        self,
+        address: str,
+        request: control_pb2.ProbeRequest,
+        timeout_s: float,
+    ) -> bool:
+        try:
+            reply = await self._peers.call(address, "Probe", request, timeout_s)
+        except peers_lib.PeerError:
+            return False
+        return reply.reached
+
+    async def _may_judge(self, member_id: str) -> bool:
+        """Tells whether this daemon may judge another.
+
+        A daemon that was paused, or that hears nobody, sees everyone fall
+        silent at once; it would declare the whole fleet dead. A refused
+        connection is proof all the same.
+        """
+        now = time.monotonic()
+        if now < self._healthy_from:
+            return False
+        heard_at = max(self._links.heard_at, self._peers.heard_at)
+        if now - heard_at < 2 * self._timing.silence:
+            return True
+        return await self._peers.is_refused(member_id, self._timing.call)
+
+    def _forgive(self, late: float) -> None:
+        logger.warning("members: this daemon was paused for %.1f s", late)
+        self._healthy_from = time.monotonic() + self._timing.silence
+        self._table.delay_states(late)
