--- a/merlintrestle/operators/fleet.py
+++ b/merlintrestle/operators/fleet.py
@@ -22,6 +22,8 @@
 CLOSED = "closed"
 DIFFERS = "differs"
 UNREACHABLE = "unreachable"
+# The accepted version is not known, so there is nothing to compare with.
+RUNS = "runs"
 
 # Open channels at once; bounds memory and sockets in a fleet of thousands.
 _MAX_ASKED_AT_ONCE = 64
@@ -40,7 +42,8 @@
         id: Its member id, "ip:control_port".
         zone: Its availability zone.
         service: Service of its backend server; empty: none.
-        state: "in force", "behind", "closed", "differs" or "unreachable".
+        state: "in force", "behind", "closed", "differs", "unreachable", or
+            "runs" where the accepted version is not known.
         version: The version that it runs; 0 where that is not known.
         detail: Why it is closed or unreachable.
     """
@@ -132,12 +135,12 @@
     return await asyncio.gather(*(ask_one(member) for member in members))
 
 
-def judge_daemon(answer: Answer, version: int, digest: bytes) -> Daemon:
+def judge_daemon(answer: Answer, version: int | None, digest: bytes) -> Daemon:
     """Says whether a daemon runs a version or a newer one.
 
     Args:
         answer: What it answered.
-        version: The accepted version.
+        version: The accepted version; None: not known.
         digest: Digest of that version's snapshot; empty: not compared.
     """
     member, reply = answer.member, answer.reply
@@ -148,6 +151,8 @@
         state = IN_FORCE
         if reply.closed:
             state, detail = CLOSED, reply.closed_reason
+        elif version is None:
+            state = RUNS
         elif held < version:
             state = BEHIND
         elif held == version and digest not in (b"", reply.running.digest):
--- a/merlintrestle/operators/status.py
+++ b/merlintrestle/operators/status.py
@@ -77,11 +77,11 @@
             answers = await _ask_fleet(run)
         except fleet.DaemonUnavailableError as error:
             daemon_problem = str(error)
-    version = head.version if head else 0
+    version = head.version if head else None
     digest = head.snapshot_digest if head else b""
     replies = [one.reply for one in answers if one.reply is not None]
     return Status(
-        version=head.version if head else None,
+        version=version,
         store_problem=problem,
         daemon_problem=daemon_problem,
         daemons=tuple(
--- a/tests/operators/builders.py
+++ b/tests/operators/builders.py
@@ -39,6 +39,12 @@
     return lambda: next(times)
 
 
+def build_proposal(path: pathlib.Path, operator: str) -> changes.Proposal:
+    """Returns the proposal to apply a file."""
+    document = reader.read_document(path.read_bytes(), path.name)
+    return changes.Proposal(operator, document.organisation, document)
+
+
 class Desk:
     """Runs commands of one operator against a fake store.
 
@@ -65,16 +71,12 @@
         head = records.parse_head(self.store.entries[records.HEAD_KEY])
         replies.run_version(head.version, head.snapshot_digest)
 
-    async def apply_now(self, file: str, operator: str = "bram") -> None:
-        """Applies a file of Zaanoever, as another operator, in this loop."""
-        path = FLEETS / "zaanoever" / file
-        document = reader.read_document(path.read_bytes(), file)
+    async def propose_now(self, proposal: changes.Proposal) -> None:
+        """Proposes a change while the command of another operator runs."""
         proposer = changes.Proposer(
             self.store, self.sources.make_id, self.sources.read_ms, 0
         )
-        await proposer.propose(
-            changes.Proposal(operator, document.organisation, document)
-        )
+        await proposer.propose(proposal)
 
     def run(self, *arguments: str, operator: str = "anna") -> testing.Result:
         """Runs one command and returns click's result."""
--- a/tests/operators/test_status.py
+++ b/tests/operators/test_status.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import pathlib
 import unittest
 
 from merlintrestle.operators import exits
@@ -112,7 +113,8 @@
         self.assertFalse(found["in_force"]["everywhere"])
 
     def test_watch_names_changes_between_rounds(self) -> None:
-        self.fleet.on_ask = lambda: self.desk.apply_now("zaanoever.toml")
+        proposal = builders.build_proposal(pathlib.Path(_ZAANOEVER), "bram")
+        self.fleet.on_ask = lambda: self.desk.propose_now(proposal)
         result = self.desk.run(
             "watch", "--count", "2", "--interval", "0", *_DAEMON
         )
