--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -13,6 +13,7 @@
 from merlintrestle.members import table as tables
 from merlintrestle.requests import proxy as proxies
 from merlintrestle.schema import control_pb2
+from merlintrestle.schema import request_pb2_grpc
 from merlintrestle.schema import settings_pb2
 from merlintrestle.store import client
 from merlintrestle.versions import distribution as distributions
@@ -86,6 +87,9 @@
             self._proxy.get_class_statuses,
             lambda: self._proxy.in_flight,
         )
+        request_pb2_grpc.add_RequestsServicer_to_server(
+            self._proxy.recalls, self._control.server
+        )
         await self._control.start(servicer)
         self._proxy.backend.on_change = self._spread_backend
         await self.add_runtime_dependency(membership)
