Write the target-document reference from the schema

Bounds, defaults and meanings of the keys now stand in document.proto, by the same option that settings have; the reader takes its bounds from there, and a test compares the page's tables with the schema and reads its examples. An option of its own was ruled out: its generated type stub has the fault that pyproject.toml excuses for settings_pb2 alone.

--- a/merlintrestle/documents/fields.py
+++ b/merlintrestle/documents/fields.py
@@ -4,14 +4,18 @@
 
 import math
 import re
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple, TYPE_CHECKING, TypeVar
 
 from merlintrestle import errors
 from merlintrestle.schema import document_pb2
+from merlintrestle.schema import settings_pb2
 
 MESH = "mesh"
 DEFAULT_IMPORTANCE = 3
 
+if TYPE_CHECKING:
+    from google.protobuf import message
+
 _NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 _METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "*")
 _PATH = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@/-]{0,199}")
@@ -38,16 +42,16 @@
         return f"{self.low:.15g} to {self.high:.15g} {self.unit}".rstrip()
 
 
-BUDGET_SLOTS = Range(1, 10_000_000, "slots")
-LATENCY_MS = Range(1, 600_000, "ms")
-DEADLINE_MS = Range(1, 3_600_000, "ms")
-WORK_MS = Range(0.001, 3_600_000, "ms")
-RATE = Range(0, 10_000_000, "calls/s")
-SHARE = Range(0.001, 1)
-IMPORTANCE = Range(1, 5)
 SIZES = {"small": document_pb2.SMALL, "large": document_pb2.LARGE}
 
 
+def read_range(kind: type[message.Message], key: str) -> Range:
+    """Returns the bounds that the schema gives a figure."""
+    options: Any = kind.DESCRIPTOR.fields_by_name[key].GetOptions()
+    rule = options.Extensions[settings_pb2.setting]
+    return Range(rule.min, rule.max, rule.unit)
+
+
 class Table:
     """One TOML table; reading a key reports what is wrong with it.
 
--- a/merlintrestle/documents/reader.py
+++ b/merlintrestle/documents/reader.py
@@ -17,6 +17,15 @@
 # The store takes values up to a megabyte; a document is kept as one value.
 MAX_FILE_BYTES = 1_000_000
 
+_BUDGET_SLOTS = fields.read_range(document_pb2.Document, "budget_slots")
+_LATENCY_MS = fields.read_range(document_pb2.ClassTarget, "latency_ms")
+_DEADLINE_MS = fields.read_range(document_pb2.ClassTarget, "deadline_ms")
+_WORK_MS = fields.read_range(document_pb2.ClassTarget, "work_ms")
+_RATE = fields.read_range(document_pb2.ClassTarget, "rate")
+_SHARE = fields.read_range(document_pb2.ClassTarget, "share")
+_AVAILABILITY = fields.read_range(document_pb2.ClassTarget, "availability")
+_IMPORTANCE = fields.read_range(document_pb2.ClassTarget, "importance")
+
 
 def read_document(content: bytes, file: str) -> document_pb2.Document:
     """Returns the document that a TOML file holds, in canonical order.
@@ -61,7 +70,7 @@
     document = document_pb2.Document(
         organisation=table.take_name("organisation"),
         budget_slots=table.take_integer(
-            "budget_slots", fields.BUDGET_SLOTS, default=0
+            "budget_slots", _BUDGET_SLOTS, default=0
         ),
     )
     document.services.extend(_read_each(table, "services", _read_service))
@@ -100,17 +109,17 @@
 def _read_class(name: str, table: Table) -> document_pb2.ClassTarget:
     target = document_pb2.ClassTarget(
         name=name,
-        latency_ms=table.take_integer("latency_ms", fields.LATENCY_MS),
-        share=table.take_number("share", fields.SHARE),
-        availability=table.take_number("availability", fields.SHARE),
+        latency_ms=table.take_integer("latency_ms", _LATENCY_MS),
+        share=table.take_number("share", _SHARE),
+        availability=table.take_number("availability", _AVAILABILITY),
         repeatable=table.take_flag("repeatable"),
         importance=table.take_integer(
-            "importance", fields.IMPORTANCE, default=fields.DEFAULT_IMPORTANCE
+            "importance", _IMPORTANCE, default=fields.DEFAULT_IMPORTANCE
         ),
-        rate=table.take_number("rate", fields.RATE),
-        work_ms=table.take_number("work_ms", fields.WORK_MS),
+        rate=table.take_number("rate", _RATE),
+        work_ms=table.take_number("work_ms", _WORK_MS),
         size=table.take_choice("size", fields.SIZES, default="small"),
-        deadline_ms=table.take_integer("deadline_ms", fields.DEADLINE_MS),
+        deadline_ms=table.take_integer("deadline_ms", _DEADLINE_MS),
         match=sorted(set(table.take_matches("match"))),
     )
     target.key_required = table.take_flag(
--- a/merlintrestle/operators/texts.py
+++ b/merlintrestle/operators/texts.py
@@ -228,4 +228,4 @@
 
 
 def _indent(lines: Iterable[str]) -> list[str]:
-    return [f"  {line}" for line in lines]
+    return [f"  {line}".rstrip() for line in lines]
--- /dev/null
+++ b/tests/documents/reference.py
@@ -0,0 +1,73 @@
+"""The tables of the target-document reference, made from the schema."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+from merlintrestle.documents import fields
+from merlintrestle.schema import document_pb2
+from merlintrestle.schema import settings_pb2
+
+if TYPE_CHECKING:
+    from google.protobuf import message
+
+_KINDS: dict[str, type[message.Message]] = {
+    "document": document_pb2.Document,
+    "service": document_pb2.ServiceTarget,
+    "class": document_pb2.ClassTarget,
+}
+_EXAMPLES = {
+    "organisation": '"zaanoever"',
+    "budget_slots": "156",
+    "owner": '"zaanoever"',
+    "shared": "true",
+    "calls": '["kassa"]',
+    "match": '["GET /tickets"]',
+    "latency_ms": "250",
+    "share": "0.99",
+    "availability": "0.999",
+    "repeatable": "true",
+    "importance": "4",
+    "rate": "120.0",
+    "work_ms": "10",
+    "size": '"large"',
+    "deadline_ms": "2000",
+    "key_required": "false",
+}
+
+
+def write_tables(page: str) -> str:
+    """Returns a page with the table after each marker written anew."""
+    for name, kind in _KINDS.items():
+        begin, end = f"<!-- keys: {name} -->\n", "<!-- end -->"
+        before, _, rest = page.partition(begin)
+        _, _, after = rest.partition(end)
+        page = before + begin + _write_table(kind) + end + after
+    return page
+
+
+def _write_table(kind: type[message.Message]) -> str:
+    lines = [
+        "| key | meaning | unit | allowed | if absent | example |",
+        "|---|---|---|---|---|---|",
+    ]
+    for field in kind.DESCRIPTOR.fields:
+        options: Any = field.GetOptions()
+        rule = options.Extensions[settings_pb2.setting]
+        if rule.help:
+            lines.append(_write_row(field.name, kind, rule))
+    return "\n".join(lines) + "\n"
+
+
+def _write_row(
+    key: str, kind: type[message.Message], rule: settings_pb2.Setting
+) -> str:
+    allowed = ", ".join(f'`"{word}"`' for word in rule.choices)
+    if rule.max:
+        bounds = fields.read_range(kind, key)._replace(unit="")
+        allowed = str(bounds)
+    absent = "(required)" if rule.required else rule.default
+    return (
+        f"| `{key}` | {rule.help} | {rule.unit} | {allowed} | {absent}"
+        f" | `{_EXAMPLES[key]}` |"
+    )
