--- a/tests/operators/test_changes.py
+++ b/tests/operators/test_changes.py
@@ -199,6 +199,30 @@
             self.assertEqual(newest.outcome, expected)
             self.store.release_late()
 
+    async def test_too_large_snapshot_is_refused(self) -> None:
+        """Documents of less than a megabyte are too large together.
+
+        A snapshot that daemons cannot send each other would be accepted and
+        never be in force; the operator who goes over the bound is told.
+        """
+        outcome: outcomes.Outcome | None = None
+        for number, name in enumerate("abcdefgh"):
+            matches = [f"GET /{'x' * 190}/{i}" for i in range(900)]
+            services = [
+                documents.build_service(
+                    f"s{number}-{i}", documents.build_class(match=matches)
+                )
+                for i in range(5)
+            ]
+            document = documents.build_document(name, *services)
+            for service in document.services:
+                service.classes[0].rate = 0
+            outcome = await self._propose(name, document)
+            if not isinstance(outcome, outcomes.Accepted):
+                break
+        assert isinstance(outcome, outcomes.Refused), outcome
+        self.assertEqual(outcome.findings[0].place, "snapshot")
+
     @hypothesis.given(
         st.lists(
             st.sampled_from(documents.ORGANISATIONS).flatmap(
