--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -14,9 +14,11 @@
 
     Attributes:
         reason: What its client said.
+        is_corrupt: It answered, but a record in it cannot be used.
     """
 
     reason: str
+    is_corrupt: bool
 
 
 class Validated(NamedTuple):
--- a/merlintrestle/operators/session.py
+++ b/merlintrestle/operators/session.py
@@ -151,5 +151,6 @@
     except errors.StoreError as error:
         # Reads and the writes before acceptance end here; a change whose
         # acceptance is in doubt is a result of its own (outcomes.Undecided).
-        session.report(results.StoreFailure(str(error)))
+        is_corrupt = isinstance(error, errors.CorruptRecordError)
+        session.report(results.StoreFailure(str(error), is_corrupt))
         return exits.STORE_UNAVAILABLE
--- a/merlintrestle/operators/texts.py
+++ b/merlintrestle/operators/texts.py
@@ -38,8 +38,11 @@
 
 @format_text.register
 def _(result: results.StoreFailure) -> list[str]:
+    problem = "The store does not answer"
+    if result.is_corrupt:
+        problem = "A record in the store cannot be used"
     return [
-        f"The store does not answer: {result.reason}.",
+        f"{problem}: {result.reason}.",
         "Nothing was changed; what was accepted before stays in force.",
     ]
 
--- a/tests/operators/test_command.py
+++ b/tests/operators/test_command.py
@@ -11,6 +11,7 @@
 
 from merlintrestle.operators import command
 from merlintrestle.operators import exits
+from merlintrestle.store import records
 from tests.operators import builders
 
 _MESH = str(builders.FLEETS / "zaanoever" / "mesh.toml")
@@ -95,6 +96,16 @@
         )
         self.assertIn("history", result.output)
 
+    def test_record_that_is_gone_is_not_called_an_outage(self) -> None:
+        self.desk.run("apply", _MESH)
+        for key in list(self.desk.store.entries):
+            if key.startswith(records.DOCUMENT_PREFIX):
+                del self.desk.store.entries[key]
+        result = self.desk.run("show")
+        self.assertEqual(result.exit_code, exits.STORE_UNAVAILABLE)
+        self.assertIn("is not in the store", result.output)
+        self.assertNotIn("does not answer", result.output)
+
     def test_setting_before_or_after_the_command(self) -> None:
         before = self.desk.run("--output", "json", "history")
         after = self.desk.run("history", "--output", "json")
