Bound the audit, count the calls of a change through the real client

It now reads 10,000 attempts at most and says if newer ones are left out.

Through the client and the store stand-in one change costs 3 writes and, with one other document, 2 reads (tests/store/test_client.py).

--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -39,9 +39,11 @@
 
     Attributes:
         attempts: Newest first.
+        is_whole: False if some at the newest versions are left out.
     """
 
     attempts: tuple[trail.Attempt, ...]
+    is_whole: bool
 
 
 class Difference(NamedTuple):
--- a/merlintrestle/operators/texts.py
+++ b/merlintrestle/operators/texts.py
@@ -118,6 +118,8 @@
     for line, attempt in zip(lines[1:], result.attempts, strict=True):
         shown.append(line)
         shown += _indent(attempt.refusals or attempt.summary)
+    if not result.is_whole:
+        shown.append("Newer attempts are left out: take a smaller --limit.")
     return shown
 
 
--- a/merlintrestle/operators/trail.py
+++ b/merlintrestle/operators/trail.py
@@ -15,6 +15,8 @@
 LOST_RACE = "lost race"
 UNKNOWN = "outcome unknown"
 
+MAX_ATTEMPTS = 10_000
+
 
 class Attempt(NamedTuple):
     """One attempt to change the configuration.
@@ -42,6 +44,18 @@
     refusals: tuple[str, ...]
 
 
+class Audit(NamedTuple):
+    """The audit trail of the last versions.
+
+    Attributes:
+        attempts: Newest version first.
+        is_whole: False if some attempts at the newest versions are left out.
+    """
+
+    attempts: tuple[Attempt, ...]
+    is_whole: bool
+
+
 async def read_history(store: records.Store, limit: int) -> list[Attempt]:
     """Returns the accepted changes, newest first, `limit` at most."""
     head, _ = await records.read_head(store)
@@ -51,27 +65,35 @@
     ]
 
 
-async def read_audit(store: records.Store, limit: int) -> list[Attempt]:
-    """Returns every attempt at the last versions, newest version first.
+async def read_audit(
+    store: records.Store, limit: int, most: int = MAX_ATTEMPTS
+) -> Audit:
+    """Returns the attempts at the last versions, newest version first.
 
     Args:
         store: The store.
-        limit: How many versions to go back; it bounds the reads.
+        limit: How many versions to go back.
+        most: How many attempts to read; refused ones make no version, so
+            `limit` alone does not bound the reads.
     """
     head, _ = await records.read_head(store)
     # Ids begin with the version in 12 digits, so that this is a bounded read.
     oldest = max(0, head.version - limit + 1)
     # The attempts are read after head: one that was accepted in between is
     # then "outcome unknown", never wrongly "lost race".
-    changes = [
-        change async for change in records.list_changes(store, f"{oldest:012d}")
-    ]
-    accepted = _find_chain(head, changes)
+    changes: list[document_pb2.Change] = []
+    is_whole = True
+    async for change in records.list_changes(store, f"{oldest:012d}"):
+        if len(changes) == most:
+            is_whole = False
+            break
+        changes.append(change)
+    accepted = await _find_chain(store, head, changes, limit)
     attempts = [
         describe_change(change, _judge(change, head, accepted))
         for change in changes
     ]
-    return sorted(attempts, key=_rank)
+    return Audit(tuple(sorted(attempts, key=_rank)), is_whole)
 
 
 def describe_change(change: document_pb2.Change, outcome: str) -> Attempt:
@@ -95,15 +117,27 @@
     return at.isoformat(timespec="seconds").replace("+00:00", "Z")
 
 
-def _find_chain(
-    head: document_pb2.Head, changes: list[document_pb2.Change]
+async def _find_chain(
+    store: records.Store,
+    head: document_pb2.Head,
+    changes: list[document_pb2.Change],
+    limit: int,
 ) -> set[str]:
-    by_id = {change.change_id: change for change in changes}
-    chain = set()
+    """Returns the accepted ids of the last versions.
+
+    The chain begins at the newest change, which a listing that was cut off
+    does not have; it is then read by itself, or accepted changes would be
+    called lost.
+    """
+    known = {change.change_id: change for change in changes}
+    chain: set[str] = set()
     change_id = head.change_id
-    while change_id in by_id:
+    while change_id and len(chain) < limit:
         chain.add(change_id)
-        change_id = by_id[change_id].previous_change_id
+        change = known.get(change_id)
+        if change is None:
+            change = await records.read_change(store, change_id)
+        change_id = change.previous_change_id if change else ""
     return chain
 
 
--- a/merlintrestle/operators/viewing.py
+++ b/merlintrestle/operators/viewing.py
@@ -65,7 +65,7 @@
     """Lists the accepted changes, newest first."""
     async with run.open_store() as store:
         found = await trail.read_history(store, limit)
-    run.report(results.Listing(tuple(found)))
+    run.report(results.Listing(tuple(found), is_whole=True))
     return exits.OK
 
 
@@ -76,7 +76,7 @@
     """Lists every attempt to change something and what became of it."""
     async with run.open_store() as store:
         found = await trail.read_audit(store, limit)
-    run.report(results.Listing(tuple(found)))
+    run.report(results.Listing(*found))
     return exits.OK
 
 
--- a/tests/operators/test_changes.py
+++ b/tests/operators/test_changes.py
@@ -89,7 +89,7 @@
             outcome.differences,
             ("~ services.balie.classes.lookup.rate: 1 -> 2",),
         )
-        audit = await trail.read_audit(self.store, 10)
+        audit, _ = await trail.read_audit(self.store, 10)
         self.assertEqual(
             [(one.operator, one.outcome) for one in audit[:2]],
             [("anna", trail.LOST_RACE), ("bram", trail.ACCEPTED)],
@@ -194,11 +194,27 @@
         outcome = await self._propose("zaanoever", _build("zaanoever", "balie"))
         assert isinstance(outcome, outcomes.Undecided), outcome
         for expected in (trail.UNKNOWN, trail.ACCEPTED):
-            newest, *_ = await trail.read_audit(self.store, 10)
+            audit = await trail.read_audit(self.store, 10)
+            newest = audit.attempts[0]
             self.assertEqual(newest.change_id, outcome.change_id)
             self.assertEqual(newest.outcome, expected)
             self.store.release_late()
 
+    async def test_audit_that_is_cut_off_is_still_right(self) -> None:
+        """Somebody applies a bad file in a loop; the trail gets too long.
+
+        The listing then lacks the newest changes, from which the chain
+        begins. Accepted changes must not be called lost.
+        """
+        for rate in range(1, 6):
+            await self._accept("zaanoever", _build("zaanoever", "balie", rate))
+        audit = await trail.read_audit(self.store, 10, most=3)
+        self.assertFalse(audit.is_whole)
+        self.assertEqual(
+            [(one.version, one.outcome) for one in audit.attempts],
+            [(version, trail.ACCEPTED) for version in (3, 2, 1)],
+        )
+
     async def test_too_large_snapshot_is_refused(self) -> None:
         """Documents of less than a megabyte are too large together.
 
--- a/tests/operators/test_races.py
+++ b/tests/operators/test_races.py
@@ -167,9 +167,11 @@
         self._check_chain(head, chain)
         self._check_told(race.outcomes, [one.change_id for one in chain])
         await self._check_head(race.store, head, chain)
-        attempts = await trail.read_audit(race.store, 1000)
+        audit = await trail.read_audit(race.store, 1000)
         audited = {
-            one.change_id for one in attempts if one.outcome == trail.ACCEPTED
+            one.change_id
+            for one in audit.attempts
+            if one.outcome == trail.ACCEPTED
         }
         self.assertEqual(audited, {one.change_id for one in chain})
 
--- /dev/null
+++ b/tests/store/test_client.py
@@ -0,0 +1,55 @@
+"""Tests of records and acceptance through the client and the stand-in."""
+
+from __future__ import annotations
+
+import unittest
+
+from merlintrestle.operators import changes
+from merlintrestle.operators import outcomes
+from merlintrestle.schema import document_pb2
+from merlintrestle.store import acceptance
+from merlintrestle.store import records
+from standins import faults
+from tests.documents import builders as documents
+from tests.standins import builders as standins
+
+
+class ThroughClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.standin = await standins.start_store(self)
+        self.store = await standins.start_client(self, self.standin)
+
+    async def test_answer_lost_after_the_write_of_head(self) -> None:
+        """The store takes the write of head and its answer is lost.
+
+        The client cannot tell; the same write again settles it.
+        """
+        await self.standin.set_faults(faults.StoreFaults(lose_answers=1))
+        head = acceptance.make_head(document_pb2.Head(), "a", {}, b"")
+        outcome = await acceptance.swap_head(self.store, head, 0, 0)
+        self.assertEqual(outcome, acceptance.Accepted(1))
+        found, revision = await records.read_head(self.store)
+        self.assertEqual(found, head)
+        self.assertEqual(revision, 1)
+
+    async def test_calls_of_one_change(self) -> None:
+        """The platform counts each call; a change costs a fixed number."""
+        proposer = changes.Proposer(self.store, pause_s=0)
+        mesh = changes.Proposal("anna", "mesh", documents.build_mesh())
+        outcome = await proposer.propose(mesh)
+        self.assertIsInstance(outcome, outcomes.Accepted)
+        before = self._count()
+        service = documents.build_service("balie", documents.build_class())
+        document = documents.build_document("zaanoever", service)
+        outcome = await proposer.propose(
+            changes.Proposal("anna", "zaanoever", document)
+        )
+        self.assertIsInstance(outcome, outcomes.Accepted)
+        after = self._count()
+        # Read: head and each accepted document. Written: document, change,
+        # head.
+        self.assertEqual(after["put"] - before["put"], 3)
+        self.assertEqual(after["get"] - before["get"], 2)
+
+    def _count(self) -> dict[str, int]:
+        return dict(self.standin.servicer.calls)
