Add the measurement of latency; let failures crash and check more

Failures: requests that crash their backend server are sent again as their callers do and are four times as frequent; the accepted version must be in force on every daemon at the end.

--- a/tools/failures.py
+++ b/tools/failures.py
@@ -168,6 +168,7 @@
         "met_target": _compute_shares(ordinary),
         "verdicts": _count_verdicts(ordinary),
         "crash_requests": len(results) - len(ordinary),
+        "not_in_force_at_end": caused.not_in_force,
         "backends_crashed": caused.crashes,
         "changes_accepted": caused.accepted,
     }
@@ -239,5 +240,6 @@
         "new_work_after_leave",
         "version_regressions",
         "dangling_routes",
+        "not_in_force_at_end",
     ]
     return 1 if any(figures[name] for name in harms) else 0
--- a/tools/load.py
+++ b/tools/load.py
@@ -130,10 +130,12 @@
     """Sends a request as its caller does until it has an answer.
 
     Work that may not be repeated is sent again, with the same key and by way
-    of another daemon, unless it was answered; other work is sent once.
+    of another daemon, unless it was answered; so is a request that crashes
+    its backend servers. Other work is sent once.
     """
     load = request.load
-    most = 1 if load.repeatable else _MOST_SENDINGS
+    patient = request.crash or not load.repeatable
+    most = _MOST_SENDINGS if patient else 1
     attempts: list[calls.Attempt] = []
     waited_s = load.deadline_ms / 1000 + _WAIT_MARGIN_S
     if load.large:
--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -10,6 +10,7 @@
 from tools import convergence
 from tools import failures
 from tools import fleet
+from tools import latency
 from tools import processes
 
 
@@ -39,7 +40,7 @@
 @click.option("--seed", default=1, show_default=True, help="Of the load.")
 @click.option(
     "--crash-share",
-    default=0.0005,
+    default=0.002,
     show_default=True,
     help="Share of repeatable calls that crash their backend server.",
 )
@@ -108,5 +109,21 @@
     sys.exit(processes.run(convergence.run(options, baseline)))
 
 
+@main.command("latency")
+@click.option(
+    "--rate",
+    "rates",
+    multiple=True,
+    default=(50, 200, 500),
+    show_default=True,
+    help="Calls per second; may be given several times.",
+)
+@click.option("--rounds", default=5, show_default=True, help="Turns.")
+def measure_latency(rates: tuple[int, ...], rounds: int) -> None:
+    """Measures what the daemon adds to a call, beside a plain proxy."""
+    options = latency.Options(list(rates), rounds)
+    sys.exit(processes.run(latency.run(options)))
+
+
 if __name__ == "__main__":
     main()
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -26,6 +26,7 @@
 
 DURATION_S = 30.0
 _WATCH_EVERY_S = 0.2
+_HEAL_S = 5.0
 
 
 class PlannedStop(NamedTuple):
@@ -52,7 +53,9 @@
     Attributes:
         stops: Planned stops that were made.
         crashes: Backend servers that ended by themselves.
-        accepted: Changes of targets that operators made.
+        accepted: Changes of targets that operators were told are accepted.
+        not_in_force: Daemons that do not run the accepted version at the
+            end, with everything well again.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         self.stops: list[PlannedStop] = []
         self.crashes = 0
         self.accepted = 0
+        self.not_in_force = 0
         self._pages: list[dict[int, list[int]]] = [{} for _ in shown.instances]
         self._fleet = shown
         self._folder = folder
@@ -110,12 +114,25 @@
             for task in watching:
                 task.cancel()
             await asyncio.gather(*watching, return_exceptions=True)
+        await self._check_in_force()
         await self._read_versions()
 
     def list_versions(self) -> list[list[int]]:
         """Returns the versions each instance ran in order, over restarts."""
         return [sum(known.values(), start=[]) for known in self._pages]
 
+    async def _check_in_force(self) -> None:
+        if not self._with_versions:
+            return
+        version = (await self._fleet.read_head()).version
+        instances = self._fleet.instances
+        if await self._fleet.wait_in_force(version, _HEAL_S, instances) is None:
+            pages = await asyncio.gather(
+                *map(self._fleet.read_versions, instances)
+            )
+            behind = [max(page, default=0) < version for page in pages]
+            self.not_in_force = sum(behind)
+
     def _list_services(self) -> list[list[fleet.Instance]]:
         return [
             [i for i in self._fleet.instances if i.place.service == service]
@@ -194,8 +211,11 @@
         path = demonstration.change_document(
             pathlib.Path(document), self._folder, add_ms
         )
-        with contextlib.suppress(processes.ProcessError):
+        try:
             await self._fleet.apply(str(path))
+        except processes.ProcessError as error:
+            logger.info("a change was not accepted: %s", error)
+        else:
             self.accepted += 1
 
     def _note_stop(self, instance: fleet.Instance, daemon: bool) -> PlannedStop:
