--- a/tests/standins/builders.py
+++ b/tests/standins/builders.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle.store import client
+from standins import backend
 from standins import store
+from standins import work
 
 if TYPE_CHECKING:
     import unittest
@@ -33,6 +35,17 @@
     return made
 
 
+async def start_backend(
+    case: unittest.IsolatedAsyncioTestCase, slots: int = 12
+) -> backend.BackendStandin:
+    """Starts a backend server without a daemon, closed after the test."""
+    settings = work.Settings("balie", slots)
+    standin = backend.BackendStandin(settings, admin="", ledger_path="")
+    await standin.start()
+    case.addAsyncCleanup(standin.close)
+    return standin
+
+
 class ManualClock:
     """A clock that moves when it is told to.
 
--- /dev/null
+++ b/tests/tools/builders.py
@@ -0,0 +1,60 @@
+"""Builders of test data for the developers' programs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tools import calls
+from tools import load
+from tools import workload
+
+
+def build_class(name: str = "payout", **fields: Any) -> workload.ClassLoad:
+    """Builds a class of work; fields replace the defaults."""
+    values: dict[str, Any] = {
+        "organisation": "zaanoever",
+        "service": "kassa",
+        "name": name,
+        "method": "POST",
+        "prefix": "/payouts",
+        "repeatable": False,
+        "large": False,
+        "importance": 5,
+        "rate": 40.0,
+        "work_ms": 1.0,
+        "latency_ms": 800.0,
+        "share": 0.99,
+        "deadline_ms": 5000.0,
+    }
+    return workload.ClassLoad(**{**values, **fields})
+
+
+def build_result(request_id: str, *verdicts: calls.Verdict) -> load.Result:
+    """Builds the result of a request whose sendings had these verdicts."""
+    attempts = [
+        calls.Attempt(f"{request_id}.{number}", "", 0, 1.0, 0, verdict, None)
+        for number, verdict in enumerate(verdicts)
+    ]
+    return load.Result(
+        label="kassa/payout",
+        request_id=request_id,
+        latency_ms=1.0,
+        large=False,
+        crash=False,
+        met=True,
+        attempts=attempts,
+    )
+
+
+def build_run(
+    attempt_id: str, key: str = "", at: str = "there", at_ms: int = 0
+) -> dict[str, Any]:
+    """Builds a backend server's record of a run that began."""
+    return {
+        "event": "started",
+        "request_id": attempt_id.partition(".")[0],
+        "attempt_id": attempt_id,
+        "key": key,
+        "at": at,
+        "at_ms": at_ms,
+    }
--- /dev/null
+++ b/tests/tools/test_harm.py
@@ -0,0 +1,55 @@
+"""Tests of the counts of harm."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.tools import builders
+from tools import calls
+from tools import harm
+
+
+class HarmTest(unittest.TestCase):
+    def test_nothing_is_counted_of_a_good_run(self) -> None:
+        result = builders.build_result("r1", calls.Verdict.RIGHT)
+        runs = [builders.build_run("r1.0", key="r1")]
+        counts = harm.count_harm([result], runs)
+        self.assertEqual(counts, harm.Harm(0, 0, 0, 0))
+
+    def test_each_harm_is_counted(self) -> None:
+        """Every kind of harm shows in its own count.
+
+        One payout runs under two sendings, one sending refused as not run was
+        run all the same, one answer is another's and one body is not whole.
+        """
+        verdicts = calls.Verdict
+        results = [
+            builders.build_result("r1", verdicts.UNKNOWN, verdicts.RIGHT),
+            builders.build_result("r2", verdicts.NOT_RUN),
+            builders.build_result("r3", verdicts.WRONG),
+            builders.build_result("r4", verdicts.CUT_SHOWN_WHOLE),
+        ]
+        runs = [
+            builders.build_run("r1.0", key="r1"),
+            builders.build_run("r1.1", key="r1"),
+            builders.build_run("r2.0"),
+        ]
+        counts = harm.count_harm(results, runs)
+        self.assertEqual(counts, harm.Harm(1, 1, 1, 1))
+
+    def test_amplification_is_the_most_runs_of_one_sending(self) -> None:
+        runs = [builders.build_run(f"r{n}.0") for n in (1, 2, 2, 2)]
+        self.assertEqual(harm.compute_amplification(runs), 3)
+
+    def test_new_work_is_counted_between_its_times(self) -> None:
+        runs = [builders.build_run("r", at_ms=at) for at in (5, 10, 11, 20)]
+        self.assertEqual(harm.count_new_work(runs, "there", 10, 20), 1)
+        self.assertEqual(harm.count_new_work(runs, "elsewhere", 0), 0)
+
+    def test_each_step_back_is_a_regression(self) -> None:
+        self.assertEqual(harm.count_regressions([1, 2, 2, 5]), 0)
+        self.assertEqual(harm.count_regressions([1, 3, 2, 3, 1]), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
