--- a/tools/convergence.py
+++ b/tools/convergence.py
@@ -12,6 +12,7 @@
 
 from tools import demonstration
 from tools import fleet
+from tools import layouts
 from tools import processes
 from tools import samples
 from tools import workload
@@ -41,7 +42,7 @@
         store_down: The store fails right after each acceptance.
     """
 
-    layout: fleet.Layout
+    layout: layouts.Layout
     daemons: int
     changes: int
     restart_share: float
@@ -87,10 +88,10 @@
 
 async def measure(options: Options, with_baseline: bool) -> dict[str, Any]:
     """Measures the product and then the baseline."""
-    figures = await _measure_kind(options, fleet.build_daemon_arguments)
+    figures = await _measure_kind(options, layouts.build_daemon_arguments)
     if with_baseline:
         figures["baseline"] = await _measure_kind(
-            options, fleet.build_watcher_arguments
+            options, layouts.build_watcher_arguments
         )
     return figures
 
@@ -103,7 +104,7 @@
     zones = options.layout.zones
     services = list(options.layout.upstreams)
     places = [
-        fleet.Place(zones[i % len(zones)], services[i % len(services)])
+        layouts.Place(zones[i % len(zones)], services[i % len(services)])
         for i in range(options.daemons)
     ]
     try:
--- a/tools/demonstration.py
+++ b/tools/demonstration.py
@@ -17,6 +17,7 @@
 from tools import calls
 from tools import fleet
 from tools import harm
+from tools import layouts
 from tools import load
 from tools import processes
 from tools import workload
@@ -67,13 +68,13 @@
 
 
 async def run_demonstration(
-    table: processes.ProcessTable, layout: fleet.Layout, scale: float
+    table: processes.ProcessTable, layout: layouts.Layout, scale: float
 ) -> Seen:
     """Runs the whole demonstration on a fleet of its own."""
     shown = fleet.Fleet(table, layout)
     try:
         _say(f"starting {layout.name}: store, daemons and backend servers")
-        await shown.start(fleet.list_places(layout, scale))
+        await shown.start(layouts.list_places(layout, scale))
         documents = workload.list_documents(layout.name)
         await shown.apply(*documents)
         version = (await shown.read_head()).version
@@ -255,7 +256,7 @@
     print(text, flush=True)
 
 
-async def _run(layout: fleet.Layout, scale: float) -> int:
+async def _run(layout: layouts.Layout, scale: float) -> int:
     began = time.monotonic()
     table = processes.ProcessTable()
     try:
@@ -281,7 +282,7 @@
     "name",
     default="zaanoever",
     show_default=True,
-    type=click.Choice(sorted(fleet.LAYOUTS)),
+    type=click.Choice(sorted(layouts.LAYOUTS)),
     help="Example fleet.",
 )
 @click.option(
@@ -293,7 +294,7 @@
 )
 def main(name: str, scale: float) -> None:
     """Shows an example fleet at work and checks what must hold."""
-    sys.exit(processes.run(_run(fleet.LAYOUTS[name], scale)))
+    sys.exit(processes.run(_run(layouts.LAYOUTS[name], scale)))
 
 
 if __name__ == "__main__":
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -10,6 +10,7 @@
 from tools import calls
 from tools import fleet
 from tools import harm
+from tools import layouts
 from tools import load
 from tools import processes
 from tools import scenario
@@ -39,7 +40,7 @@
         crash_share: Share of repeatable calls that crash their backend.
     """
 
-    layout: fleet.Layout
+    layout: layouts.Layout
     factor: float
     loaders: int
     seed: int
@@ -48,10 +49,10 @@
 
 async def measure(options: Options, with_baseline: bool) -> dict[str, Any]:
     """Runs the product and then the baseline through the same failures."""
-    figures = await _run_kind(options, fleet.build_daemon_arguments, True)
+    figures = await _run_kind(options, layouts.build_daemon_arguments, True)
     if with_baseline:
         figures["baseline"] = await _run_kind(
-            options, fleet.build_proxy_arguments, False
+            options, layouts.build_proxy_arguments, False
         )
     return figures
 
@@ -64,7 +65,7 @@
     table = processes.ProcessTable()
     shown = fleet.Fleet(table, options.layout, build_arguments)
     try:
-        await shown.start(fleet.list_places(options.layout))
+        await shown.start(layouts.list_places(options.layout))
 
         async def refresh() -> None:
             if not is_product:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,87 +4,25 @@
 
 import asyncio
 import contextlib
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 import aiohttp
 
 from merlintrestle.schema import document_pb2
 from merlintrestle.store import client
+from tools import layouts
 from tools import processes
 from tools import workload
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Mapping
+    from collections.abc import Callable, Coroutine
 
-HOST = "127.0.0.1"
 _BATCH = 8
 _SEEDS = 3
 _POLL_S = 0.1
 _CALL_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
 
 
-class Place(NamedTuple):
-    """Where one instance runs and what it serves.
-
-    Attributes:
-        zone: Availability zone.
-        service: Service of the backend server.
-    """
-
-    zone: str
-    service: str
-
-
-class Layout(NamedTuple):
-    """The instances of an example fleet.
-
-    Attributes:
-        name: Folder of its target documents.
-        region: Region of all its zones.
-        zones: Availability zones.
-        upstreams: Number of backend servers by service.
-    """
-
-    name: str
-    region: str
-    zones: tuple[str, ...]
-    upstreams: Mapping[str, int]
-
-
-ZAANOEVER = Layout(
-    "zaanoever",
-    "zaanstreek",
-    ("weeghal-noord", "weeghal-zuid", "kantoor-dijk"),
-    {"balie": 6, "kassa": 4, "beeldarchief": 3},
-)
-KOCHI = Layout(
-    "kochi",
-    "kochi",
-    ("willingdon", "vallarpadam", "kakkanad"),
-    {"dwell-desk": 5, "settle-ledger": 3, "evidence-vault": 3},
-)
-LAYOUTS = {layout.name: layout for layout in (ZAANOEVER, KOCHI)}
-
-
-def list_places(layout: Layout, scale: float = 1.0) -> list[Place]:
-    """Spreads a layout's instances over its zones, one by one.
-
-    Args:
-        layout: The fleet.
-        scale: Factor on the upstreams of each service; one at least stays.
-    """
-    services = [
-        service
-        for service, count in layout.upstreams.items()
-        for _ in range(max(1, round(count * scale)))
-    ]
-    zones = layout.zones
-    return [
-        Place(zones[index % len(zones)], service)
-        for index, service in enumerate(services)
-    ]
-
-
 class Instance:
     """One instance: a daemon and the backend server beside it.
 
@@ -94,7 +32,7 @@
         backend: The backend server's process; None before its start.
     """
 
-    def __init__(self, place: Place, daemon: processes.Process):
+    def __init__(self, place: layouts.Place, daemon: processes.Process):
         self.place = place
         self.daemon = daemon
         self.backend: processes.Process | None = None
@@ -107,42 +45,12 @@
     @property
     def url(self) -> str:
         """Where callers reach the daemon."""
-        return f"http://{HOST}:{self.daemon.ready['port']}"
+        return f"http://{layouts.HOST}:{self.daemon.ready['port']}"
 
     @property
     def admin(self) -> str:
         """Admin address of the daemon."""
-        return f"{HOST}:{self.daemon.ready['admin_port']}"
-
-
-def build_proxy_arguments(
-    _place: Place, _region: str, _store: str, _seeds: list[str]
-) -> list[str]:
-    """Returns module and arguments of the baseline's random proxy."""
-    ports = ["--port", "0", "--admin-port", "0"]
-    return ["standins.plain_random_proxy", *ports]
-
-
-def build_watcher_arguments(
-    _place: Place, _region: str, store: str, _seeds: list[str]
-) -> list[str]:
-    """Returns module and arguments of the baseline's watcher."""
-    return ["standins.plain_watcher", "--store", store, "--admin-port", "0"]
-
-
-def build_daemon_arguments(
-    place: Place, region: str, store: str, seeds: list[str]
-) -> list[str]:
-    """Returns module and arguments that start a daemon on free ports."""
-    arguments = [
-        *("merlintrestle.daemon.command", "--address", HOST),
-        *("--zone", place.zone, "--region", region, "--port", "0"),
-        *("--peer-port", "0", "--control-port", "0", "--admin-port", "0"),
-        *("--store", store, "--log-level", "warning"),
-    ]
-    if seeds:
-        arguments += ["--seeds", ",".join(seeds)]
-    return arguments
+        return f"{layouts.HOST}:{self.daemon.ready['admin_port']}"
 
 
 class Fleet:
@@ -158,10 +66,10 @@
     def __init__(
         self,
         table: processes.ProcessTable,
-        layout: Layout,
+        layout: layouts.Layout,
         build_arguments: Callable[
-            [Place, str, str, list[str]], list[str]
-        ] = build_daemon_arguments,
+            [layouts.Place, str, str, list[str]], list[str]
+        ] = layouts.build_daemon_arguments,
         name: str = "fleet",
     ):
         """Prepares a fleet.
@@ -186,7 +94,9 @@
         """Address of the store, "ip:port"."""
         return self.store.ready["address"]
 
-    async def start(self, places: list[Place], backends: bool = True) -> None:
+    async def start(
+        self, places: list[layouts.Place], backends: bool = True
+    ) -> None:
         """Starts the store, the daemons in batches and the backend servers."""
         self._session = aiohttp.ClientSession(timeout=_CALL_TIMEOUT)
         self.store = await self._table.start("store", "standins.store")
@@ -326,7 +236,7 @@
         pairs = await self.get_json(instance.admin, "/versions") or []
         return {pair["version"]: pair["at_ms"] for pair in pairs}
 
-    async def _add_daemon(self, place: Place) -> None:
+    async def _add_daemon(self, place: layouts.Place) -> None:
         seeds = [i.id for i in self.instances[:_SEEDS]]
         arguments = self._build_arguments(
             place, self.layout.region, self.store_address, seeds
--- a/tools/latency.py
+++ b/tools/latency.py
@@ -9,6 +9,7 @@
 
 from tools import fleet
 from tools import latency_load
+from tools import layouts
 from tools import processes
 from tools import samples
 from tools import workload
@@ -37,7 +38,7 @@
 async def measure(options: Options) -> dict[str, Any]:
     """Measures direct calls, the daemon's paths and the baseline in turn."""
     table = processes.ProcessTable()
-    shown = fleet.Fleet(table, fleet.ZAANOEVER)
+    shown = fleet.Fleet(table, layouts.ZAANOEVER)
     try:
         blocks = await _call_all(options, table, shown)
         return summarize(blocks, options.rates)
@@ -50,7 +51,7 @@
     options: Options, table: processes.ProcessTable, shown: fleet.Fleet
 ) -> list[latency_load.Block]:
     zone = shown.layout.zones[0]
-    places = [fleet.Place(zone, "balie"), fleet.Place(zone, "kassa")]
+    places = [layouts.Place(zone, "balie"), layouts.Place(zone, "kassa")]
     await shown.start(places)
     await shown.apply(*workload.list_documents(shown.layout.name))
     version = (await shown.read_head()).version
@@ -70,7 +71,7 @@
     path = f"{_find_path(shown.layout.name)}/1?work_ms=0"
     through = f"/balie{path}"
     near, far = beside.daemon.pid, other.daemon.pid
-    proxy_url = f"http://{fleet.HOST}:{baseline.ready['port']}"
+    proxy_url = f"http://{layouts.HOST}:{baseline.ready['port']}"
     targets = [
         latency_load.Target("direct", f"http://{address}{path}", []),
         latency_load.Target("daemon", beside.url + through, [near]),
--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -9,8 +9,8 @@
 
 from tools import convergence
 from tools import failures
-from tools import fleet
 from tools import latency
+from tools import layouts
 from tools import processes
 
 
@@ -26,7 +26,7 @@
     "name",
     default="zaanoever",
     show_default=True,
-    type=click.Choice(sorted(fleet.LAYOUTS)),
+    type=click.Choice(sorted(layouts.LAYOUTS)),
     help="Example fleet.",
 )
 @click.option(
@@ -60,7 +60,7 @@
 ) -> None:
     """Counts harm and goodput while processes and the store fail."""
     options = failures.Options(
-        fleet.LAYOUTS[name], factor, loaders, seed, crash_share
+        layouts.LAYOUTS[name], factor, loaders, seed, crash_share
     )
     sys.exit(processes.run(failures.run(options, baseline)))
 
@@ -71,7 +71,7 @@
     "name",
     default="zaanoever",
     show_default=True,
-    type=click.Choice(sorted(fleet.LAYOUTS)),
+    type=click.Choice(sorted(layouts.LAYOUTS)),
     help="Fleet whose zones and documents are used.",
 )
 @click.option("--daemons", default=12, show_default=True, help="Daemons.")
@@ -104,7 +104,7 @@
 ) -> None:
     """Measures how long versions take to be in force, and their cost."""
     options = convergence.Options(
-        fleet.LAYOUTS[name], daemons, changes, restart_share, store_down
+        layouts.LAYOUTS[name], daemons, changes, restart_share, store_down
     )
     sys.exit(processes.run(convergence.run(options, baseline)))
 
