--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -9,7 +9,8 @@
 
 from tools import convergence
 from tools import failures
-from tools import fleet
+from tools import latency
+from tools import layouts
 from tools import processes
 
 
@@ -25,7 +26,7 @@
     "name",
     default="zaanoever",
     show_default=True,
-    type=click.Choice(sorted(fleet.LAYOUTS)),
+    type=click.Choice(sorted(layouts.LAYOUTS)),
     help="Example fleet.",
 )
 @click.option(
@@ -39,7 +40,7 @@
 @click.option("--seed", default=1, show_default=True, help="Of the load.")
 @click.option(
     "--crash-share",
-    default=0.0005,
+    default=0.002,
     show_default=True,
     help="Share of repeatable calls that crash their backend server.",
 )
@@ -59,7 +60,7 @@
 ) -> None:
     """Counts harm and goodput while processes and the store fail."""
     options = failures.Options(
-        fleet.LAYOUTS[name], factor, loaders, seed, crash_share
+        layouts.LAYOUTS[name], factor, loaders, seed, crash_share
     )
     sys.exit(processes.run(failures.run(options, baseline)))
 
@@ -70,7 +71,7 @@
     "name",
     default="zaanoever",
     show_default=True,
-    type=click.Choice(sorted(fleet.LAYOUTS)),
+    type=click.Choice(sorted(layouts.LAYOUTS)),
     help="Fleet whose zones and documents are used.",
 )
 @click.option("--daemons", default=12, show_default=True, help="Daemons.")
@@ -103,10 +104,26 @@
 ) -> None:
     """Measures how long versions take to be in force, and their cost."""
     options = convergence.Options(
-        fleet.LAYOUTS[name], daemons, changes, restart_share, store_down
+        layouts.LAYOUTS[name], daemons, changes, restart_share, store_down
     )
     sys.exit(processes.run(convergence.run(options, baseline)))
 
 
+@main.command("latency")
+@click.option(
+    "--rate",
+    "rates",
+    multiple=True,
+    default=(50, 200, 500),
+    show_default=True,
+    help="Calls per second; may be given several times.",
+)
+@click.option("--rounds", default=5, show_default=True, help="Turns.")
+def measure_latency(rates: tuple[int, ...], rounds: int) -> None:
+    """Measures what the daemon adds to a call, beside a plain proxy."""
+    options = latency.Options(list(rates), rounds)
+    sys.exit(processes.run(latency.run(options)))
+
+
 if __name__ == "__main__":
     main()
