--- a/tests/members/test_exchange.py
+++ b/tests/members/test_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 import unittest
 
@@ -35,6 +36,16 @@
         return set(self.table.usable_ids())
 
 
+def find_neighbour(member_id: str) -> control_pb2.Member:
+    """Returns a member of the same bucket as another."""
+    bucket = table_lib.get_bucket(member_id)
+    for number in itertools.count(10):
+        member = builders.build_member(number)
+        if table_lib.get_bucket(member.id) == bucket:
+            return member
+    raise AssertionError
+
+
 class ExchangeTest(unittest.IsolatedAsyncioTestCase):
     """Tables of several daemons become the same."""
 
@@ -89,7 +100,7 @@
         one, other = Side(self.network, 1), Side(self.network, 2)
         dead = builders.build_member(9, 1, control_pb2.DEAD)
         one.table.merge(dead)
-        one.table.merge(builders.build_member(3))
+        one.table.merge(find_neighbour(dead.id))
         await one.exchange.compare(other.table.own_id)
         await other.exchange.compare(one.table.own_id)
         self.assertIsNone(other.table.get(dead.id))
--- a/tests/members/test_peers.py
+++ b/tests/members/test_peers.py
@@ -5,8 +5,11 @@
 import asyncio
 import unittest
 
+import grpc.aio
+
 from merlintrestle.members import peers as peers_lib
 from merlintrestle.schema import control_pb2
+from merlintrestle.schema import control_pb2_grpc
 from tests.versions import builders
 
 
@@ -86,6 +89,23 @@
         self.assertTrue(reply.reached)
         self.assertEqual(proxy.connections, 2)
 
+    async def test_channel_has_a_connection_of_its_own(self) -> None:
+        """A link's connection went silent, and a call is made to its peer.
+
+        gRPC gives channels with one target the same connection unless told
+        otherwise; the call would go silent too, and the peer look dead.
+        """
+        proxy = SilentFirst(self.daemon.server.port)
+        address = await proxy.start()
+        self.addAsyncCleanup(proxy.close)
+        channel = peers_lib.open_channel(address)
+        self.addAsyncCleanup(channel.close)
+        probe = control_pb2_grpc.ControlStub(channel).Probe
+        with self.assertRaises(grpc.aio.AioRpcError):
+            await probe(self.request, timeout=0.3)
+        reply = await self.peers.call(address, "Probe", self.request, 5.0)
+        self.assertTrue(reply.reached)
+
     async def test_call_in_flight_survives_a_dropped_channel(self) -> None:
         """Two calls share a channel; one runs into its deadline first.
 
--- a/tests/versions/builders.py
+++ b/tests/versions/builders.py
@@ -12,6 +12,7 @@
 from merlintrestle.members import table as table_lib
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
+from merlintrestle.store import records
 from merlintrestle.versions import distribution as distribution_lib
 from merlintrestle.versions import holder as holder_lib
 from tests.members import builders as member_builders
@@ -21,6 +22,7 @@
 
     from merlintrestle.documents import snapshot as snapshot_lib
     from merlintrestle.members import timing as timing_lib
+    from tests.store import fakes
 
 GUARD_S = 20.0
 
@@ -58,13 +60,32 @@
     return compiler.compile_snapshot(version, {"zaanoever": document})
 
 
+async def put_document(
+    store: fakes.FakeStore, document: document_pb2.Document
+) -> bytes:
+    """Writes a document into a fake store and returns its digest."""
+    return await records.write_document(store, document)
+
+
+async def put_head(store: fakes.FakeStore, head: document_pb2.Head) -> None:
+    """Writes the head into a fake store."""
+    entry = await store.get(records.HEAD_KEY)
+    value = head.SerializeToString()
+    await store.put(records.HEAD_KEY, value, entry.revision if entry else 0)
+
+
 class FakeConfiguration:
     """The configuration in the store, for any number of daemons.
 
     Attributes:
         down: Every call fails while set.
         stale: Reads answer this version instead of the newest, if set.
+        hang: Reads get no answer while set.
+        mute: Watches deliver nothing more while set.
+        broken: Versions that do not compile.
+        tried: Versions that were compiled or tried.
         reads: Reads of the head.
+        seed_writes: Writes of seeds.
         watches: Watches that are open.
         seeds: Seeds by zone.
     """
@@ -72,8 +93,12 @@
     def __init__(self) -> None:
         self.down = False
         self.stale: int | None = None
+        self.hang = False
+        self.mute = False
+        self.broken: set[int] = set()
+        self.tried: list[int] = []
         self.reads = 0
-        self.compiles = 0
+        self.seed_writes = 0
         self.watches = 0
         self.seeds: dict[str, list[str]] = {}
         self._version = 0
@@ -94,6 +119,8 @@
     async def read_head(self) -> document_pb2.Head:
         """Reads the head."""
         self.reads += 1
+        if self.hang:
+            await asyncio.Event().wait()
         self._check()
         version = self._version if self.stale is None else self.stale
         return document_pb2.Head(version=version)
@@ -106,7 +133,9 @@
         try:
             while True:
                 async with self._changed:
-                    while not self.down and self._version <= sent:
+                    while self.mute or (
+                        not self.down and self._version <= sent
+                    ):
                         await self._changed.wait()
                     self._check()
                     sent = self._version
@@ -119,7 +148,9 @@
     ) -> snapshot_lib.Snapshot:
         """Compiles the version of a head."""
         self._check()
-        self.compiles += 1
+        self.tried.append(head.version)
+        if head.version in self.broken:
+            raise errors.SnapshotError("it does not compile")
         documents = {}
         if head.version:
             documents["zaanoever"] = self._documents[head.version]
@@ -128,6 +159,7 @@
     async def write_seeds(self, zone: str, member_ids: list[str]) -> bool:
         """Names members of a zone."""
         self._check()
+        self.seed_writes += 1
         self.seeds[zone] = member_ids
         return True
 
--- a/tests/versions/test_never_back.py
+++ b/tests/versions/test_never_back.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 
 from merlintrestle.members import rendezvous
+from merlintrestle.schema import control_pb2
 from merlintrestle.versions import marks
 from tests.versions import models
 
@@ -110,6 +111,46 @@
         self.assertEqual(await fleet.step(1), 0)
         self.assertEqual(fleet.models[1].floor.version, 7)
 
+    async def test_stale_store_and_witnesses_without_memory(self) -> None:
+        """As before, but the witnesses themselves opened a moment ago.
+
+        They cannot vouch, so the store's answer counts; the mark that they
+        hold must count as well.
+        """
+        fleet = models.Fleet(5)
+        await fleet.configuration.accept(5, ["balie"])
+        for model in fleet.models.values():
+            await models.read_store(model)
+        for number in fleet.models:
+            self.assertEqual(await fleet.step(number), 5)
+        await fleet.configuration.accept(7, ["balie"])
+        await models.read_store(fleet.models[1])
+        self.assertEqual(await fleet.step(1), 7)
+        fleet.configuration.stale = 5
+        fleet.start(1)
+        await models.read_store(fleet.models[1])
+        self.assertEqual(await fleet.step(1), 0)
+        self.assertEqual(fleet.models[1].floor.version, 7)
+
+    async def test_head_read_before_the_start_is_no_floor(self) -> None:
+        """A watcher answers with a head that it read a while ago.
+
+        Versions accepted since then may have run here before the restart.
+        """
+        fleet = models.Fleet(3)
+        fleet.configuration.down = True
+        model = fleet.models[1]
+        fleet.now += 1.0
+        for number in (2, 3):
+            fleet.network.answers[fleet.models[number].id]["Floor"] = (
+                lambda request: control_pb2.FloorReply(
+                    head_read=True, head_version=3, head_age_ms=1500
+                )
+            )
+        self.assertFalse(await model.floor.try_learn(3))
+        fleet.now += 1.0
+        self.assertTrue(await model.floor.try_learn(3))
+
     async def test_all_die_with_the_store_down(self) -> None:
         """All daemons restart at once while the store is down.
 
@@ -148,6 +189,7 @@
             fleet.start(number)
         snapshot = fleet.models[12].archive.newest
         assert snapshot is not None
+        expected: dict[int, int] = {}
         for number in restarted:
             model = fleet.models[number]
             model.hold(snapshot)
@@ -155,7 +197,12 @@
             key = f"witness/{model.id}"
             witnesses = rendezvous.choose(key, others, marks.WITNESSES)
             vouched = len(survivors.intersection(witnesses)) >= marks.QUORUM
-            self.assertEqual(await fleet.step(number), 3 if vouched else 0)
+            expected[number] = 3 if vouched else 0
+        self.assertEqual(set(expected.values()), {0, 3})
+        for _ in range(3):
+            for number, version in expected.items():
+                self.assertEqual(await fleet.step(number), version)
+            fleet.now += models.TIMING.memory + 1
         fleet.configuration.down = False
         await fleet.settle()
         for number in restarted:
--- /dev/null
+++ b/tests/versions/test_watcher.py
@@ -0,0 +1,156 @@
+"""Tests of watchers: what they cost the store, and what they refuse."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from merlintrestle import errors
+from merlintrestle.schema import control_pb2
+from merlintrestle.schema import document_pb2
+from merlintrestle.versions import source
+from tests.store import fakes
+from tests.versions import builders
+from tests.versions import models
+
+
+class WatcherTest(unittest.IsolatedAsyncioTestCase):
+    """One watcher over a fake store."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = models.Fleet(2)
+        self.configuration = self.fleet.configuration
+        self.model = self.fleet.models[1]
+        self.watcher = self.model.watcher
+
+    async def run_watcher(self) -> None:
+        task = asyncio.create_task(self.watcher.run())
+
+        async def stop() -> None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        self.addAsyncCleanup(stop)
+
+    async def test_herd_costs_the_watchers_one_read(self) -> None:
+        """All daemons of a zone restart and ask their watcher for the head.
+
+        One read after they began is proof for all of them. A read for each
+        would be thousands at once, at the moment the store is weakest.
+        """
+        await self.configuration.accept(1, ["balie"])
+        self.fleet.now += 10
+        replies = [control_pb2.FloorReply() for _ in range(200)]
+        await asyncio.gather(
+            *(self.watcher.add_head(reply, 5000) for reply in replies)
+        )
+        self.assertTrue(all(reply.head_read for reply in replies))
+        self.assertEqual({reply.head_version for reply in replies}, {1})
+        self.assertEqual(self.configuration.reads, 1)
+
+    async def test_slow_store_holds_up_no_floor(self) -> None:
+        """A watcher is asked for the head while the store does not answer.
+
+        It answers without the head before the asking daemon's deadline, for
+        its marks are wanted just then.
+        """
+        self.configuration.hang = True
+        reply = control_pb2.FloorReply()
+        async with asyncio.timeout(builders.GUARD_S):
+            await self.watcher.add_head(reply, 0)
+        self.assertFalse(reply.head_read)
+
+    async def test_version_that_does_not_compile_is_refused_whole(self) -> None:
+        """A head is accepted whose documents this daemon cannot compile.
+
+        The fleet stays at the version before, and the watch goes on: the
+        next good version must still arrive.
+        """
+        await self.configuration.accept(1, ["balie"])
+        await self.run_watcher()
+        await builders.wait_until(lambda: self.model.archive.version == 1)
+        self.configuration.broken.add(2)
+        with self.assertLogs("merlintrestle.versions.watcher", "ERROR"):
+            await self.configuration.accept(2, ["balie"])
+            await builders.wait_until(lambda: 2 in self.configuration.tried)
+        self.assertEqual(self.model.archive.version, 1)
+        await self.configuration.accept(3, ["balie"])
+        await builders.wait_until(lambda: self.model.archive.version == 3)
+        self.assertEqual(self.configuration.watches, 1)
+
+    async def test_silent_watch_is_found_out(self) -> None:
+        """The connection of the watch goes silent and a version is accepted.
+
+        No event and no error ever comes. The read of the head finds the
+        version all the same.
+        """
+        await self.configuration.accept(1, ["balie"])
+        await self.run_watcher()
+        await builders.wait_until(lambda: self.model.archive.version == 1)
+        self.configuration.mute = True
+        await self.configuration.accept(2, ["balie"])
+        self.fleet.now += 100
+        await builders.wait_until(lambda: self.model.archive.version == 2)
+
+    async def test_watch_comes_back_after_an_outage(self) -> None:
+        await self.configuration.accept(1, ["balie"])
+        await self.run_watcher()
+        await builders.wait_until(lambda: self.configuration.watches == 1)
+        await self.configuration.fail()
+        await builders.wait_until(lambda: not self.watcher.store_reachable)
+        self.configuration.down = False
+        await self.configuration.accept(2, ["balie"])
+        await builders.wait_until(lambda: self.model.archive.version == 2)
+
+    async def test_seeds_are_written_once_while_nothing_changes(self) -> None:
+        await self.run_watcher()
+        await builders.wait_until(lambda: bool(self.configuration.seeds))
+        for _ in range(3):
+            self.fleet.now += 100
+            reads = self.configuration.reads
+            await builders.wait_until(
+                lambda reads=reads: self.configuration.reads > reads  # type: ignore[misc]
+            )
+        self.assertEqual(self.configuration.seed_writes, 1)
+
+
+class StoreSourceTest(unittest.IsolatedAsyncioTestCase):
+    """Versions from the records in the store."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = fakes.FakeStore()
+        self.source = source.StoreSource(self.store)  # type: ignore[arg-type]
+
+    async def put_head(self, version: int, digest: bytes = b"") -> None:
+        document = builders.build_document(["balie"], 100 + version)
+        document_digest = await builders.put_document(self.store, document)
+        head = document_pb2.Head(
+            version=version,
+            documents={"zaanoever": document_digest},
+            snapshot_digest=digest,
+        )
+        await builders.put_head(self.store, head)
+
+    async def test_documents_are_read_once(self) -> None:
+        await self.put_head(1)
+        head = await self.source.read_head()
+        first = await self.source.compile_head(head)
+        calls = self.store.calls["get"]
+        again = await self.source.compile_head(head)
+        self.assertEqual(self.store.calls["get"], calls)
+        self.assertEqual(first.digest, again.digest)
+
+    async def test_another_snapshot_than_accepted_is_refused(self) -> None:
+        """The daemon compiles documents to something else than was accepted.
+
+        An operator's program of another release accepted it. Run anyway, the
+        fleet would run what nobody checked.
+        """
+        await self.put_head(1, digest=b"another")
+        head = await self.source.read_head()
+        with self.assertRaises(errors.SnapshotError):
+            await self.source.compile_head(head)
+
+
+if __name__ == "__main__":
+    unittest.main()
