--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -99,6 +99,11 @@
         self.daemon = daemon
         self.backend: processes.Process | None = None
 
+    @property
+    def id(self) -> str:
+        """Id of the daemon; empty for a baseline's proxy."""
+        return self.daemon.ready.get("id", "")
+
     @property
     def url(self) -> str:
         """Where callers reach the daemon."""
@@ -110,6 +115,21 @@
         return f"{HOST}:{self.daemon.ready['admin_port']}"
 
 
+def build_proxy_arguments(
+    _place: Place, _region: str, _store: str, _seeds: list[str]
+) -> list[str]:
+    """Returns module and arguments of the baseline's random proxy."""
+    ports = ["--port", "0", "--admin-port", "0"]
+    return ["standins.plain_random_proxy", *ports]
+
+
+def build_watcher_arguments(
+    _place: Place, _region: str, store: str, _seeds: list[str]
+) -> list[str]:
+    """Returns module and arguments of the baseline's watcher."""
+    return ["standins.plain_watcher", "--store", store, "--admin-port", "0"]
+
+
 def build_daemon_arguments(
     place: Place, region: str, store: str, seeds: list[str]
 ) -> list[str]:
@@ -192,9 +212,9 @@
             flag = "--" + field.replace("_", "-")
             if flag in arguments and field in before.ready:
                 arguments[arguments.index(flag) + 1] = str(before.ready[field])
-        if "--seeds" not in arguments:
+        if before.ready.get("id") and "--seeds" not in arguments:
             others = [i for i in self.instances if i is not instance]
-            seeds = [i.daemon.ready["id"] for i in others[:_SEEDS]]
+            seeds = [i.id for i in others[:_SEEDS]]
             arguments += ["--seeds", ",".join(seeds)]
         instance.daemon = await self._table.start(before.name, *arguments)
 
@@ -213,25 +233,22 @@
             arguments += ["--port", port]
         instance.backend = await self._table.start(service, *arguments)
 
-    async def apply(self, *paths: str, operator: str = "demo") -> str:
-        """Applies target documents, one after another, as an operator does.
+    async def apply(self, *paths: str, operator: str = "demo") -> None:
+        """Applies target documents in order by the operators' program.
 
         Raises:
-            processes.ProcessError: The program refused or failed.
+            processes.ProcessError: The program refused one or failed.
         """
-        return "".join([await self._apply(path, operator) for path in paths])
-
-    async def _apply(self, path: str, operator: str) -> str:
-        status, out, err = await processes.run_command(
-            "merlintrestle.operators.command",
-            *("apply", path),
-            *("--store", self.store_address, "--operator", operator),
-        )
-        if status:
-            raise processes.ProcessError(
-                f"apply ended with status {status}:\n{out}{err}"
+        for path in paths:
+            status, out, err = await processes.run_operator(
+                "apply",
+                path,
+                *("--store", self.store_address, "--operator", operator),
             )
-        return out
+            if status:
+                raise processes.ProcessError(
+                    f"apply ended with status {status}:\n{out}{err}"
+                )
 
     async def get_json(self, address: str, path: str) -> Any:
         """Reads a page as JSON; None where it cannot be had."""
@@ -310,7 +327,7 @@
         return {pair["version"]: pair["at_ms"] for pair in pairs}
 
     async def _add_daemon(self, place: Place) -> None:
-        seeds = [i.daemon.ready["id"] for i in self.instances[:_SEEDS]]
+        seeds = [i.id for i in self.instances[:_SEEDS]]
         arguments = self._build_arguments(
             place, self.layout.region, self.store_address, seeds
         )
