Admit by class and organisation beside the backend server

Cause: slots were given first come, first served; downloads or one organisation could hold them all.

Shares follow from the targets alone. Ruled out: fixed parts (idle slots). The writes of payouts are now counted by a test: 10 payouts, 11 writes.

For the lead: the control server must also serve Proxy.recalls (request_pb2_grpc.add_RequestsServicer_to_server); until then a payout sent again through another daemon is answered unknown.

--- a/merlintrestle/requests/admission.py
+++ b/merlintrestle/requests/admission.py
@@ -1,30 +1,105 @@
-"""Admission: which calls the own backend server is given."""
+"""Admission: which calls the own backend server is given, and when."""
 
 from __future__ import annotations
 
+import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests import outcomes
+from merlintrestle.requests import shares
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
+    from merlintrestle.documents import snapshot
+    from merlintrestle.members import table as tables
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests import call as calls
+    from merlintrestle.requests import parts
+
+# Waiting calls per slot, of all classes together.
+_WAITING_PER_SLOT = 4
+# Weight of the newest call in the mean time that a slot is held.
+_NEWEST = 0.1
+_LEAST_RETRY_S = 0.05
 
 
 class Admission:
     """Gives out the slots of the own backend server.
 
+    A class of work gets the slots promised to it whenever it needs them and
+    borrows what others leave unused. Borrowed slots are not taken back: they
+    come free after one call. That is soon enough but for long transfers, which
+    therefore borrow only what is promised to nobody.
+
     Attributes:
         in_flight: Calls that hold a slot.
     """
 
-    def __init__(self, backend: backends.OwnBackend):
-        self._backend = backend
+    def __init__(
+        self,
+        backend: backends.OwnBackend,
+        holder: parts.Holder,
+        table: parts.MemberTable,
+    ):
+        """Sets where slots, targets and other backend servers are known."""
         self.in_flight = 0
+        self._backend = backend
+        self._holder = holder
+        self._table = table
+        self._queues: dict[tuple[str, str], shares.ClassQueue] = {}
+        self._large_in_flight = 0
+        self._large_slots = 1
+        self._waiting = 0
+        self._slots = 0
+        self._plan: snapshot.ServicePlan | None = None
+        self._upstreams: tuple[tables.Upstream, ...] = ()
 
     async def enter(self, call: calls.Call) -> outcomes.NotRun | None:
-        """Takes a slot; returns why not otherwise."""
+        """Takes a slot, waiting as long as the latency target allows.
+
+        Returns:
+            Why there is none; None: the call holds a slot until `leave`.
+        """
+        refusal = self._check_backend(call)
+        if refusal is not None:
+            return refusal
+        self._update_shares()
+        queue = self._get_queue(call)
+        # Calls of other classes may wait: those that had room were woken.
+        if not queue.waiting and self._has_room(queue):
+            self._take(queue)
+        else:
+            refusal = await self._wait(queue, call)
+        call.admitted_at = time.monotonic()
+        return refusal
+
+    def leave(self, call: calls.Call) -> None:
+        """Gives a slot back."""
+        queue = self._get_queue(call)
+        held_s = time.monotonic() - call.admitted_at
+        queue.hold_s += _NEWEST * (held_s - queue.hold_s)
+        self._give_back(queue)
+
+    def wake(self) -> None:
+        """Gives free slots to calls that wait."""
+        while self._waiting:
+            ready = [
+                queue
+                for queue in self._queues.values()
+                if queue.waiting and self._has_room(queue)
+            ]
+            if not ready:
+                return
+            queue = max(ready, key=shares.ClassQueue.rank)
+            future = queue.waiting.popleft()
+            self._waiting -= 1
+            # One that was cancelled has not left the queue yet.
+            if not future.done():
+                self._take(queue)
+                future.set_result(True)
+
+    def _check_backend(self, call: calls.Call) -> outcomes.NotRun | None:
         backend = self._backend
         if backend.service != call.service:
             return outcomes.NotRun(
@@ -34,13 +109,135 @@
             return outcomes.NotRun(
                 "the backend server is leaving or down", elsewhere=True
             )
-        if self.in_flight >= backend.slots:
-            return outcomes.NotRun(
-                "no free slot", elsewhere=True, overloaded=True
-            )
-        self.in_flight += 1
         return None
 
-    def leave(self, call: calls.Call) -> None:
-        """Gives a slot back."""
+    async def _wait(
+        self, queue: shares.ClassQueue, call: calls.Call
+    ) -> outcomes.NotRun | None:
+        loop = asyncio.get_running_loop()
+        if not self._slots:
+            return _refuse("the backend server has no slots", 1.0)
+        left_s = call.deadline - loop.time() - call.plan.work_s
+        limit_s = min(queue.share.wait_s, left_s)
+        expected_s = self._estimate_wait(queue)
+        if expected_s > limit_s or not self._make_room(queue):
+            return _refuse("no free slot in time", expected_s)
+        future: asyncio.Future[bool] = loop.create_future()
+        queue.waiting.append(future)
+        self._waiting += 1
+        timer = loop.call_later(limit_s, _give_up, future)
+        try:
+            if await future:
+                return self._check_again(queue, call)
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and future.result():
+                self._give_back(queue)
+            raise
+        finally:
+            timer.cancel()
+            if future in queue.waiting:
+                queue.waiting.remove(future)
+                self._waiting -= 1
+        return _refuse("no free slot in time", self._estimate_wait(queue))
+
+    def _check_again(
+        self, queue: shares.ClassQueue, call: calls.Call
+    ) -> outcomes.NotRun | None:
+        refusal = self._check_backend(call)
+        if refusal is not None:
+            self._give_back(queue)
+        return refusal
+
+    def _estimate_wait(self, queue: shares.ClassQueue) -> float:
+        ahead = len(queue.waiting) + 1
+        slots = max(1.0, queue.share.guarantee)
+        return ahead * queue.hold_s / slots
+
+    def _make_room(self, queue: shares.ClassQueue) -> bool:
+        """Sheds a waiting call of the least important class if it must."""
+        if self._waiting < self._slots * _WAITING_PER_SLOT:
+            return True
+        waiting = [other for other in self._queues.values() if other.waiting]
+        least = min(waiting, key=lambda other: other.share.importance)
+        if least.share.importance >= queue.share.importance:
+            return False
+        future = least.waiting.pop()
+        self._waiting -= 1
+        _give_up(future)
+        return True
+
+    def _has_room(self, queue: shares.ClassQueue) -> bool:
+        share = queue.share
+        free = self._slots - self.in_flight
+        if free <= 0:
+            return False
+        if share.large and self._large_in_flight >= self._large_slots:
+            return False
+        return queue.under_guarantee or free > share.reserve
+
+    def _take(self, queue: shares.ClassQueue) -> None:
+        queue.in_flight += 1
+        self.in_flight += 1
+        if queue.share.large:
+            self._large_in_flight += 1
+
+    def _give_back(self, queue: shares.ClassQueue) -> None:
+        queue.in_flight -= 1
         self.in_flight -= 1
+        if queue.share.large:
+            self._large_in_flight -= 1
+        if self._waiting:
+            self.wake()
+
+    def _get_queue(self, call: calls.Call) -> shares.ClassQueue:
+        key = (call.organisation, call.plan.name)
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = self._queues[key] = shares.ClassQueue(call.plan.work_s)
+        return queue
+
+    def _update_shares(self) -> None:
+        """Derives the shares again where targets or upstreams changed."""
+        running = self._holder.running
+        service = self._backend.service
+        plan = running.services.get(service) if running else None
+        upstreams = self._table.get_upstreams(service)
+        slots = self._backend.slots
+        if (
+            plan is self._plan
+            and upstreams is self._upstreams
+            and slots == self._slots
+        ):
+            return
+        self._plan = plan
+        self._upstreams = upstreams
+        self._slots = slots
+        service_slots = sum(upstream.slots for upstream in upstreams)
+        classes = plan.classes if plan else ()
+        computed = shares.compute_shares(classes, slots, service_slots)
+        self._large_slots = computed.large_slots
+        for one in classes:
+            key = (one.organisation, one.name)
+            if key not in self._queues:
+                self._queues[key] = shares.ClassQueue(one.work_s)
+        for key, queue in self._queues.items():
+            queue.share = computed.classes.get(key, shares.NO_SHARE)
+        self._large_in_flight = sum(
+            queue.in_flight
+            for queue in self._queues.values()
+            if queue.share.large
+        )
+
+
+def _give_up(future: asyncio.Future[bool]) -> None:
+    if not future.done():
+        future.set_result(False)
+
+
+def _refuse(reason: str, retry_after_s: float) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        reason,
+        retry_after_s=max(_LEAST_RETRY_S, retry_after_s),
+        elsewhere=True,
+        overloaded=True,
+    )
--- a/merlintrestle/requests/call.py
+++ b/merlintrestle/requests/call.py
@@ -31,6 +31,7 @@
         attempt: More than 0 if this call is a retry, or if a call above it
             may be tried again.
         key: Idempotency-Key; empty: none.
+        admitted_at: When it took its slot of the backend server, in seconds.
     """
 
     service: str
@@ -44,6 +45,7 @@
     depth: int
     attempt: int
     key: str
+    admitted_at: float = 0.0
 
     def compute_digest(self) -> bytes:
         """Returns a digest of what the request is.
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -88,7 +88,7 @@
         self.recalls = recall.Recalls(claims)
         self._beside = beside.Beside(
             self.backend,
-            admission.Admission(self.backend),
+            admission.Admission(self.backend, holder, table),
             self._forwarder,
             claims,
         )
--- /dev/null
+++ b/merlintrestle/requests/shares.py
@@ -0,0 +1,118 @@
+"""Shares: what each class of work may use of a backend server's slots."""
+
+from __future__ import annotations
+
+import collections
+import math
+from typing import NamedTuple, TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Iterable
+
+    from merlintrestle.documents import snapshot
+
+# Slots above the mean need, for calls that come unevenly.
+_HEADROOM = 1.5
+_BURST_SLOTS = 1.0
+
+
+class Share(NamedTuple):
+    """What one class of work may use, derived from the targets.
+
+    Attributes:
+        guarantee: Slots that it gets whenever it needs them.
+        reserve: Slots that must stay free when it borrows more.
+        wait_s: Longest wait for a slot, in seconds.
+        large: True for long transfers, which never give a borrowed slot back
+            in time.
+        importance: 1 (shed first) to 5 (shed last).
+    """
+
+    guarantee: float
+    reserve: int
+    wait_s: float
+    large: bool
+    importance: int
+
+
+NO_SHARE = Share(0.0, 0, 0.0, False, 1)
+
+
+class Shares(NamedTuple):
+    """The shares of all classes of work of a service.
+
+    Attributes:
+        classes: Shares by organisation and name of the class.
+        large_slots: Slots that all long transfers together may hold.
+    """
+
+    classes: dict[tuple[str, str], Share]
+    large_slots: int
+
+
+class ClassQueue:
+    """Calls of one class of work at the own backend server.
+
+    Attributes:
+        share: What the class may use.
+        in_flight: Its calls that hold a slot.
+        hold_s: How long a call held a slot lately, in seconds.
+        waiting: Its calls that wait for a slot.
+    """
+
+    __slots__ = ("hold_s", "in_flight", "share", "waiting")
+
+    def __init__(self, hold_s: float):
+        self.share = NO_SHARE
+        self.in_flight = 0
+        self.hold_s = hold_s
+        self.waiting: collections.deque[asyncio.Future[bool]] = (
+            collections.deque()
+        )
+
+    @property
+    def under_guarantee(self) -> bool:
+        """True if the next call is within what the class is promised."""
+        return self.in_flight < max(1.0, self.share.guarantee)
+
+    def rank(self) -> tuple[bool, int, float]:
+        """Returns a key that is greater for the class to be served first."""
+        used = self.in_flight / max(1.0, self.share.guarantee)
+        return self.under_guarantee, self.share.importance, -used
+
+
+def compute_shares(
+    classes: Iterable[snapshot.ClassPlan], slots: int, service_slots: int
+) -> Shares:
+    """Derives the shares of a backend server from the targets.
+
+    A class is promised its part of the slots, but no more than it needs at its
+    expected rate with some headroom; what is left may be lent to transfers.
+
+    Args:
+        classes: All classes of work of the service.
+        slots: Slots of this backend server.
+        service_slots: Slots of all backend servers of the service.
+    """
+    plans = tuple(classes)
+    demand = sum(plan.rate * plan.work_s for plan in plans) or 1.0
+    part = slots / max(slots, service_slots)
+    shares = {}
+    for plan in plans:
+        own = plan.rate * plan.work_s
+        need = own * part * _HEADROOM + _BURST_SLOTS
+        greater = any(other.importance > plan.importance for other in plans)
+        shares[plan.organisation, plan.name] = Share(
+            guarantee=min(slots * own / demand, need),
+            reserve=1 if greater and slots > 2 else 0,
+            wait_s=max(0.0, plan.latency_s - plan.work_s),
+            large=plan.large,
+            importance=plan.importance,
+        )
+    small = sum(
+        max(1.0, share.guarantee)
+        for share in shares.values()
+        if not share.large
+    )
+    return Shares(shares, max(1, math.floor(slots - small)))
--- a/tests/requests/test_once.py
+++ b/tests/requests/test_once.py
@@ -142,6 +142,20 @@
             self.assertEqual(await answer.read(), b"paid")
         self.assertEqual(self.runs, 1)
 
+    async def test_one_write_for_each_payout(self) -> None:
+        store = fakes.Store()
+        self.go_on.set()
+        async with (
+            builders.run_nodes(1, handler=self.pay, store=store) as (node,),
+            builders.open_client() as client,
+        ):
+            for number in range(10):
+                await client.post(
+                    node.url + "/payouts", headers={headers.KEY: f"{number}"}
+                )
+        # One more for the lease of the hour.
+        self.assertEqual(store.writes, 10 + 1)
+
     async def test_key_of_another_request(self) -> None:
         self.go_on.set()
         async with (
