Pick upstreams by own observations

Cause: reported health and load lag and mislead; a frozen upstream ate the deadlines of the calls sent to it.

Power of two choices on own calls in flight times slowness, own backend server and own zone first, ejection with one trial, rising share of cold upstreams.

--- a/merlintrestle/requests/admission.py
+++ b/merlintrestle/requests/admission.py
@@ -55,6 +55,14 @@
         self._plan: snapshot.ServicePlan | None = None
         self._upstreams: tuple[tables.Upstream, ...] = ()
 
+    def has_room(self) -> bool:
+        """Returns whether some slot is free, so that work may stay here."""
+        backend = self._backend
+        return (
+            self.in_flight < backend.slots
+            and backend.state == control_pb2.READY
+        )
+
     async def enter(self, call: calls.Call) -> outcomes.NotRun | None:
         """Takes a slot, waiting as long as the latency target allows.
 
--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests import headers
+from merlintrestle.requests import observations
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import retries
 
@@ -34,6 +35,7 @@
         picker: picking.Picker,
         beside: besides.Beside,
         forwarder: forwarding.Forwarder,
+        get_time: Callable[[], float],
     ):
         """Sets the parts; `member_id` gives the id of this daemon."""
         self._member_id = member_id
@@ -41,6 +43,7 @@
         self._picker = picker
         self._beside = beside
         self._forwarder = forwarder
+        self._get_time = get_time
         self._budgets: dict[str, retries.Budget] = {}
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
@@ -51,7 +54,12 @@
         outcome: outcomes.Outcome | None = None
         while True:
             upstreams = self._table.get_upstreams(call.service)
-            upstream = self._picker.pick(upstreams, tried)
+            upstream = self._picker.pick(
+                call.service,
+                upstreams,
+                tried,
+                call.plan.repeatable,
+            )
             if upstream is None:
                 return outcome or _refuse(call)
             tried.add(upstream.member_id)
@@ -71,21 +79,25 @@
     async def _try(
         self, upstream: tables.Upstream, call: calls.Call
     ) -> outcomes.Outcome:
-        member_id = upstream.member_id
-        picker = self._picker
-        picker.enter(member_id)
+        observation = self._picker.observe(upstream.member_id)
+        work_s = call.plan.work_s
+        began = self._get_time()
+        observation.begin(began, work_s)
         try:
-            if member_id == self._member_id():
+            if upstream.member_id == self._member_id():
                 outcome = await self._beside.run(call)
             else:
                 outcome = await self._send(upstream, call)
         except BaseException:
-            picker.leave(member_id)
+            observation.note_cancellation(work_s)
+            observation.end()
             raise
+        now = self._get_time()
+        observations.note(outcome, observation, now, began, work_s)
         if isinstance(outcome, outcomes.Answered):
-            outcome.hold(lambda: picker.leave(member_id))
+            outcome.hold(observation.end)
         else:
-            picker.leave(member_id)
+            observation.end()
         return outcome
 
     async def _send(
--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -21,6 +21,9 @@
 # as a call is written to it would leave that call with an unknown outcome.
 _KEEPALIVE_S = 15.0
 _AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+_UNREACHABLE = outcomes.NotRun(
+    "could not connect", elsewhere=True, unreachable=True
+)
 
 
 class Forwarder:
@@ -74,9 +77,9 @@
             return outcomes.Answered(response, body, response.close)
         except aiohttp.ClientConnectorError:
             # Raised only while connecting: nothing was written.
-            return outcomes.NotRun("could not connect", 503, 1.0, True)
+            return _UNREACHABLE
         except aiohttp.ConnectionTimeoutError:
-            return outcomes.NotRun("could not connect", 503, 1.0, True)
+            return _UNREACHABLE
         except TimeoutError:
             return _describe(response, "no answer before the deadline", 504)
         except (aiohttp.ClientError, OSError) as error:
--- /dev/null
+++ b/merlintrestle/requests/observations.py
@@ -0,0 +1,206 @@
+"""Observations: what this daemon saw itself of each upstream.
+
+They go before what upstreams report of themselves, which lags and misleads.
+"""
+
+from __future__ import annotations
+
+import functools
+
+from merlintrestle.requests import outcomes
+
+# Failures in a row after which an upstream is ejected.
+_MAX_FAILURES = 3
+_FIRST_EJECTION_S = 1.0
+_MAX_EJECTION_S = 30.0
+# How long an upstream that refused work gets none if others can take it.
+_REFUSED_S = 0.5
+# Quick calls that wait for a first byte this long, while nothing else comes
+# either, show an upstream as stalled. Slow ones prove nothing by waiting.
+STALL_S = 0.5
+_QUICK_S = 0.05
+# Weight of the newest latency in the mean.
+_NEWEST = 0.2
+_LEAST_WORK_S = 0.001
+
+
+class Observation:
+    """One upstream as seen from here; times are in seconds of the event loop.
+
+    Attributes:
+        in_flight: Calls sent to it whose answers have not ended.
+        awaiting: Quick ones of them without a first byte.
+        failures: Failures in a row.
+        ejected_until: No work before; 0: not ejected.
+        ejections: Ejections since it last answered.
+        probing: True while one call tries whether it is well again.
+        refused_until: Others are preferred before.
+        slowness: Mean of latency over expected work time; 0: not known.
+        answered_at: When it last answered.
+        quiet_since: Since when nothing came though a call was waiting.
+    """
+
+    __slots__ = (
+        "answered_at",
+        "awaiting",
+        "ejected_until",
+        "ejections",
+        "failures",
+        "in_flight",
+        "probing",
+        "quiet_since",
+        "refused_until",
+        "slowness",
+    )
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.awaiting = 0
+        self.failures = 0
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self.probing = False
+        self.refused_until = 0.0
+        self.slowness = 0.0
+        self.answered_at = 0.0
+        self.quiet_since = 0.0
+
+    def begin(self, now: float, work_s: float) -> None:
+        """Counts a call that is being sent and takes `work_s` as expected."""
+        self.in_flight += 1
+        if work_s <= _QUICK_S:
+            if not self.awaiting:
+                self.quiet_since = now
+            self.awaiting += 1
+        if self.ejected_until:
+            self.probing = True
+
+    def note_answer(self, now: float, latency_s: float, work_s: float) -> None:
+        """Notes that a call was answered; the upstream is well."""
+        self._note_byte(now, work_s)
+        self.failures = 0
+        self.ejected_until = 0.0
+        self.ejections = 0
+        slowness = latency_s / max(work_s, _LEAST_WORK_S)
+        if self.slowness:
+            self.slowness += _NEWEST * (slowness - self.slowness)
+        else:
+            self.slowness = slowness
+
+    def note_refusal(self, now: float, work_s: float) -> None:
+        """Notes that it refused a call: it lives, but takes no work now."""
+        self._note_byte(now, work_s)
+        self.refused_until = now + _REFUSED_S
+
+    def note_failure(
+        self, now: float, work_s: float, failures: int = 1
+    ) -> None:
+        """Notes a failure; some prove more than one."""
+        self.note_cancellation(work_s)
+        self.failures += failures
+        if self.failures < _MAX_FAILURES and not self.ejected_until:
+            return
+        length_s = _FIRST_EJECTION_S * 2**self.ejections
+        self.ejected_until = now + min(length_s, _MAX_EJECTION_S)
+        self.ejections = min(self.ejections + 1, 10)
+
+    def note_cancellation(self, work_s: float) -> None:
+        """Notes that the caller left before an answer: proves nothing."""
+        self.probing = False
+        if work_s <= _QUICK_S:
+            self.awaiting -= 1
+
+    def end(self) -> None:
+        """Counts a call as ended, its answer included."""
+        self.in_flight -= 1
+
+    def is_stalled(self, now: float) -> bool:
+        """Returns whether quick calls wait and nothing at all comes back.
+
+        Calls to a frozen upstream would otherwise each wait for their
+        deadline before it counts as failed.
+        """
+        return self.awaiting > 0 and now - self.quiet_since > STALL_S
+
+    def may_take(self, now: float) -> bool:
+        """Returns whether it may be sent work before the others are tried."""
+        if self.ejected_until:
+            return False
+        return now >= self.refused_until and not self.is_stalled(now)
+
+    def may_probe(self, now: float) -> bool:
+        """Returns whether it is time to try an ejected upstream by one call."""
+        ended = 0.0 < self.ejected_until <= now
+        return ended and not self.probing
+
+    def _note_byte(self, now: float, work_s: float) -> None:
+        self.note_cancellation(work_s)
+        self.answered_at = now
+        self.quiet_since = now
+
+
+@functools.singledispatch
+def note(
+    outcome: object,
+    observation: Observation,
+    now: float,
+    began: float,
+    work_s: float,
+) -> None:
+    """Notes what an outcome says about the upstream that gave it."""
+    raise TypeError(f"not an outcome: {outcome!r}")
+
+
+@note.register
+def _note_answered(
+    outcome: outcomes.Answered,
+    observation: Observation,
+    now: float,
+    began: float,
+    work_s: float,
+) -> None:
+    if outcome.response.status == outcomes.SHEDDING:
+        observation.note_refusal(now, work_s)
+    else:
+        observation.note_answer(now, now - began, work_s)
+
+
+@note.register
+def _note_replayed(
+    outcome: outcomes.Replayed,
+    observation: Observation,
+    now: float,
+    began: float,
+    work_s: float,
+) -> None:
+    observation.note_refusal(now, work_s)
+    observation.refused_until = 0.0
+
+
+@note.register
+def _note_not_run(
+    outcome: outcomes.NotRun,
+    observation: Observation,
+    now: float,
+    began: float,
+    work_s: float,
+) -> None:
+    if outcome.unreachable:
+        observation.note_failure(now, work_s, _MAX_FAILURES)
+        return
+    observation.note_refusal(now, work_s)
+    if not outcome.elsewhere:
+        # The call is at fault, not the upstream.
+        observation.refused_until = 0.0
+
+
+@note.register(outcomes.Ran)
+@note.register(outcomes.Unknown)
+def _note_failure(
+    outcome: outcomes.Ran | outcomes.Unknown,
+    observation: Observation,
+    now: float,
+    began: float,
+    work_s: float,
+) -> None:
+    observation.note_failure(now, work_s)
--- a/merlintrestle/requests/outcomes.py
+++ b/merlintrestle/requests/outcomes.py
@@ -19,6 +19,10 @@
     import aiohttp
 
 
+# Status by which a backend server sheds load.
+SHEDDING = 503
+
+
 @dataclasses.dataclass(slots=True)
 class Answered:
     """A backend server answered, well or badly.
@@ -54,6 +58,7 @@
         retry_after_s: Seconds until it is worth coming back; None: not at all.
         elsewhere: True if another upstream may take the call at once.
         overloaded: True if it was refused for lack of capacity.
+        unreachable: True if no connection could be made.
     """
 
     reason: str
@@ -61,6 +66,7 @@
     retry_after_s: float | None = 1.0
     elsewhere: bool = False
     overloaded: bool = False
+    unreachable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/merlintrestle/requests/picking.py
+++ b/merlintrestle/requests/picking.py
@@ -3,46 +3,232 @@
 from __future__ import annotations
 
 import random
+import time
 from typing import TYPE_CHECKING
 
+from merlintrestle.requests import observations
+
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection, Sequence
+
+    from merlintrestle.members import table as tables
+
+# An upstream that became ready gets a share that rises for so long.
+COLD_S = 10.0
+_LEAST_SHARE = 0.1
+# Pairs drawn at random before all upstreams are looked through.
+_DRAWS = 3
+
+
+class Pool:
+    """The upstreams of a service, prepared once for each set of them.
+
+    Attributes:
+        upstreams: The set, as the table of members gave it.
+        near: Those in the own availability zone.
+        own: The one beside this daemon; None: another service is.
+    """
 
-    from merlintrestle.members import table
+    __slots__ = ("near", "own", "upstreams")
+
+    def __init__(
+        self, upstreams: tuple[tables.Upstream, ...], zone: str, own_id: str
+    ):
+        self.upstreams = upstreams
+        self.near = tuple(one for one in upstreams if one.zone == zone)
+        self.own: tables.Upstream | None = None
+        for upstream in upstreams:
+            if upstream.member_id == own_id:
+                self.own = upstream
 
 
 class Picker:
-    """Picks the less loaded of two upstreams chosen at random."""
+    """Picks upstreams by what this daemon saw of them itself.
+
+    The own backend server comes first while it has room, as that saves a hop;
+    then the better of two drawn in the own zone, then of two drawn in all.
+    """
 
-    def __init__(self, zone: str, chance: random.Random | None = None):
-        """Sets the own availability zone and the source of chance."""
+    def __init__(
+        self,
+        zone: str,
+        own_id: Callable[[], str],
+        own_has_room: Callable[[], bool],
+        get_time: Callable[[], float],
+        chance: random.Random | None = None,
+    ):
+        """Sets the own place, the clock in seconds and the source of chance."""
         self._zone = zone
+        self._own_id = own_id
+        self._own_has_room = own_has_room
+        self._get_time = get_time
         self._chance = chance or random.Random()
-        self._in_flight: dict[str, int] = {}
+        self._observations: dict[str, observations.Observation] = {}
+        self._pools: dict[str, Pool] = {}
+
+    def observe(self, member_id: str) -> observations.Observation:
+        """Returns what was seen of an upstream."""
+        observation = self._observations.get(member_id)
+        if observation is None:
+            observation = observations.Observation()
+            self._observations[member_id] = observation
+        return observation
 
     def pick(
-        self, upstreams: tuple[table.Upstream, ...], tried: Collection[str]
-    ) -> table.Upstream | None:
-        """Returns an upstream that was not tried yet; None: there is none."""
-        left = [one for one in upstreams if one.member_id not in tried]
-        if not left:
+        self,
+        service: str,
+        upstreams: tuple[tables.Upstream, ...],
+        tried: Collection[str],
+        probe: bool,
+    ) -> tables.Upstream | None:
+        """Returns an upstream that was not tried yet; None: there is none.
+
+        Args:
+            service: Service of the call.
+            upstreams: Its upstreams.
+            tried: Ids of those that the call was sent to already.
+            probe: The call may be the one that tries an ejected upstream.
+        """
+        pool = self._pools.get(service)
+        if pool is None or pool.upstreams is not upstreams:
+            pool = self._prepare(service, upstreams)
+        now = self._get_time()
+        own = pool.own
+        if (
+            own is not None
+            and own.member_id not in tried
+            and self._own_has_room()
+            and self._may_take(own, now)
+        ):
+            return own
+        if probe:
+            due = self._find_probe(pool, tried, now)
+            if due is not None:
+                return due
+        for among in (pool.near, pool.upstreams):
+            picked = self._draw(among, tried, now)
+            if picked is not None:
+                return picked
+        return self._search(pool.upstreams, tried, now)
+
+    def _prepare(
+        self, service: str, upstreams: tuple[tables.Upstream, ...]
+    ) -> Pool:
+        before = self._pools.get(service)
+        pool = Pool(upstreams, self._zone, self._own_id())
+        self._pools[service] = pool
+        if before is not None:
+            left = {one.member_id for one in upstreams}
+            for gone in before.upstreams:
+                self._forget(gone.member_id, left)
+        return pool
+
+    def _forget(self, member_id: str, left: set[str]) -> None:
+        observation = self._observations.get(member_id)
+        if member_id in left or observation is None or observation.in_flight:
+            return
+        del self._observations[member_id]
+
+    def _find_probe(
+        self, pool: Pool, tried: Collection[str], now: float
+    ) -> tables.Upstream | None:
+        index = int(self._chance.random() * len(pool.upstreams))
+        for upstream in pool.upstreams[index : index + 1]:
+            observation = self._observations.get(upstream.member_id)
+            if (
+                observation is not None
+                and observation.may_probe(now)
+                and upstream.member_id not in tried
+            ):
+                return upstream
+        return None
+
+    def _draw(
+        self,
+        among: Sequence[tables.Upstream],
+        tried: Collection[str],
+        now: float,
+    ) -> tables.Upstream | None:
+        """Returns the better of two drawn that may take work and have room."""
+        count = len(among)
+        if not count:
             return None
-        if len(left) == 1:
-            return left[0]
-        first, second = self._chance.sample(left, 2)
-        return min(first, second, key=self._weigh)
-
-    def enter(self, member_id: str) -> None:
-        """Counts a call that is being sent to an upstream."""
-        self._in_flight[member_id] = self._in_flight.get(member_id, 0) + 1
-
-    def leave(self, member_id: str) -> None:
-        """Counts a call as ended."""
-        left = self._in_flight[member_id] - 1
-        if left:
-            self._in_flight[member_id] = left
-        else:
-            del self._in_flight[member_id]
-
-    def _weigh(self, upstream: table.Upstream) -> float:
-        return (self._in_flight.get(upstream.member_id, 0) + 1) / upstream.slots
+        best: tables.Upstream | None = None
+        chance = self._chance.random
+        for _ in range(_DRAWS):
+            first = int(chance() * count)
+            second = int(chance() * (count - 1)) if count > 1 else first
+            second += second >= first and count > 1
+            for index in (first, second):
+                upstream = among[index]
+                if upstream.member_id in tried or not self._may_take(
+                    upstream, now
+                ):
+                    continue
+                if best is None or self._is_better(upstream, best, now):
+                    best = upstream
+            if best is not None:
+                full = self.observe(best.member_id).in_flight >= best.slots
+                return None if full else best
+        return None
+
+    def _search(
+        self,
+        upstreams: Sequence[tables.Upstream],
+        tried: Collection[str],
+        now: float,
+    ) -> tables.Upstream | None:
+        """Returns the best of all, also of those that are better avoided.
+
+        When everything looks ill, what looks ill may be the view from here:
+        work is spread over all rather than refused.
+        """
+        best: tables.Upstream | None = None
+        best_rank = (False, False, 0.0)
+        for upstream in upstreams:
+            if upstream.member_id in tried:
+                continue
+            observation = self.observe(upstream.member_id)
+            rank = (
+                self._may_take(upstream, now),
+                not observation.ejected_until,
+                -self._weigh(upstream, now) * (1 + self._chance.random() / 8),
+            )
+            if best is None or rank > best_rank:
+                best, best_rank = upstream, rank
+        return best
+
+    def _may_take(self, upstream: tables.Upstream, now: float) -> bool:
+        observation = self._observations.get(upstream.member_id)
+        if observation is None:
+            return not upstream.suspect
+        if not observation.may_take(now):
+            return False
+        # An answer seen just now goes before a reported suspicion.
+        fresh = now - observation.answered_at < observations.STALL_S
+        return fresh or not upstream.suspect
+
+    def _is_better(
+        self, one: tables.Upstream, other: tables.Upstream, now: float
+    ) -> bool:
+        weight = self._weigh(one, now)
+        other_weight = self._weigh(other, now)
+        slowness = self.observe(one.member_id).slowness
+        other_slowness = self.observe(other.member_id).slowness
+        if slowness and other_slowness:
+            weight *= slowness
+            other_weight *= other_slowness
+        return weight < other_weight
+
+    def _weigh(self, upstream: tables.Upstream, now: float) -> float:
+        """Returns the load that one more call would make."""
+        in_flight = self.observe(upstream.member_id).in_flight
+        return (in_flight + 1) / (upstream.slots * _get_share(upstream))
+
+
+def _get_share(upstream: tables.Upstream) -> float:
+    """Returns the part of its slots that a cold upstream is given."""
+    age_s = time.time() - upstream.ready_since_ms / 1000
+    if age_s >= COLD_S:
+        return 1.0
+    return max(_LEAST_SHARE, age_s / COLD_S)
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -86,18 +86,22 @@
             time.monotonic,
         )
         self.recalls = recall.Recalls(claims)
+        slots = admission.Admission(self.backend, holder, table)
         self._beside = beside.Beside(
-            self.backend,
-            admission.Admission(self.backend, holder, table),
-            self._forwarder,
-            claims,
+            self.backend, slots, self._forwarder, claims
         )
         self._dispatch = dispatch.Dispatch(
-            lambda: self._get_owner().member_id,
+            self._get_member_id,
             table,
-            picking.Picker(settings.zone),
+            picking.Picker(
+                settings.zone,
+                self._get_member_id,
+                slots.has_room,
+                time.monotonic,
+            ),
             self._beside,
             self._forwarder,
+            time.monotonic,
         )
 
     async def on_start(self) -> None:
@@ -147,10 +151,12 @@
         """Returns what became of the calls of each class lately."""
         return self.statistics.get_statuses()
 
+    def _get_member_id(self) -> str:
+        return f"{self._settings.address}:{self.control_port}"
+
     def _get_owner(self) -> claims_.Owner:
-        address = self._settings.address
         return claims_.Owner(
-            f"{address}:{self.control_port}", address, self.control_port
+            self._get_member_id(), self._settings.address, self.control_port
         )
 
     async def _handle_caller(
--- a/merlintrestle/requests/retries.py
+++ b/merlintrestle/requests/retries.py
@@ -12,7 +12,6 @@
 _EARNED = 0.1
 # Retries that a service which was quiet may make at once.
 _MAX_TOKENS = 10.0
-_SHEDDING = 503
 
 
 class Retry(enum.Enum):
@@ -81,7 +80,7 @@
 
 @classify.register
 def _classify_answered(outcome: outcomes.Answered, call: calls.Call) -> Retry:
-    if outcome.response.status == _SHEDDING and call.plan.repeatable:
+    if outcome.response.status == outcomes.SHEDDING and call.plan.repeatable:
         return _limit(call)
     return Retry.NO
 
