--- a/tools/processes.py
+++ b/tools/processes.py
@@ -165,11 +165,12 @@
         self._folder.cleanup()
 
 
-async def run_command(*arguments: str) -> tuple[int, str, str]:
-    """Runs `python -m arguments...`; returns status, stdout and stderr."""
+async def run_operator(*arguments: str) -> tuple[int, str, str]:
+    """Runs the operators' program; returns status, stdout and stderr."""
     child = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
+        "merlintrestle.operators.command",
         *arguments,
         cwd=ROOT,
         env={**os.environ, "PYTHONPATH": str(ROOT)},
