--- a/tests/operators/builders.py
+++ b/tests/operators/builders.py
@@ -97,6 +97,7 @@
     Attributes:
         replies: Status of each daemon; ports count from 1001.
         unreachable: Addresses that do not answer.
+        asks: Requests so far.
         follow_after_asks: `follow` is called after so many requests.
         follow: Lets the daemons run what is accepted.
         on_ask: Awaited once, at the next request.
@@ -105,6 +106,7 @@
     def __init__(self, count: int):
         self.replies = [_build_reply(1001 + i) for i in range(count)]
         self.unreachable: set[str] = set()
+        self.asks = 0
         self.follow_after_asks = 0
         self.follow: Callable[[FakeFleet], None] | None = None
         self.on_ask: Callable[[], Awaitable[None]] | None = None
@@ -134,6 +136,7 @@
         self, address: str, members: bool, timeout_s: float
     ) -> control_pb2.StatusReply:
         """Answers as `fleet.ask_daemon` does."""
+        self.asks += 1
         await self._act()
         if address in self.unreachable:
             raise fleet.DaemonUnavailableError("fake: no answer")
--- a/tests/operators/test_status.py
+++ b/tests/operators/test_status.py
@@ -100,10 +100,14 @@
     def test_apply_waits_until_in_force(self) -> None:
         self.fleet.follow = self.desk.run_accepted
         self.fleet.follow_after_asks = 9
+        before = self.fleet.asks
         result = self.desk.run("apply", _ZAANOEVER, "--wait", *_DAEMON)
         self.assertEqual(result.exit_code, exits.OK, result.output)
         self.assertIn("in force on all 3 daemons", result.stdout)
         self.assertIn("version 2: 0 of 3 daemons", result.stderr)
+        # Three rounds of one daemon for the members and three for theirs; a
+        # wait that went on to its timeout would ask more.
+        self.assertEqual(self.fleet.asks - before, 12)
 
     def test_apply_gives_up_waiting(self) -> None:
         """A daemon never follows; the change itself is accepted."""
