Heartbeats every 1.5 s, and six idle channels

Ruled out: fewer neighbours (3), which the design does not have; timers per write, which a profile of 12 daemons in one process shows to be small.

--- a/merlintrestle/members/peers.py
+++ b/merlintrestle/members/peers.py
@@ -16,7 +16,7 @@
 
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 # Channels kept open besides those of links.
-_MAX_IDLE_CHANNELS = 16
+_MAX_IDLE_CHANNELS = 6
 _CONNECT_MS = 1000
 _RECONNECT_MS = 100
 
--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -32,8 +32,8 @@
             reads the store itself.
     """
 
-    heartbeat: float = 1.0
-    silence: float = 4.0
+    heartbeat: float = 1.5
+    silence: float = 4.5
     call: float = 1.0
     fetch: float = 5.0
     flush: float = 0.1
