Contain requests that crash backend servers

Cause: one request that kills each backend server it reaches is sent again by its caller, and by the daemon's own retries.

Ruled out: striking all in flight at each crash, which blocks a popular request after two crashes of a herd. Also: nested calls of requests in flight are served during a drain, statistics by class are counted, and a request whose small body breaks off is refused as not run.

--- a/merlintrestle/requests/backend.py
+++ b/merlintrestle/requests/backend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -13,6 +14,8 @@
 
 logger = logging.getLogger(__name__)
 
+_CONNECT_S = 0.5
+
 
 class OwnBackend:
     """What is known about the own backend server.
@@ -21,9 +24,11 @@
         service: Service it serves; empty before it announced itself.
         address: Its "ip:port".
         slots: Calls it runs at once.
-        state: As announced and as the daemon's own checks found it.
+        state: As announced, or DOWN where it refuses connections.
         ready_since_ms: When it became ready, in ms since 1970.
+        reachable: False once it refused a connection, until it takes one.
         on_change: Called after every change of what `build_record` gives.
+        on_down: Called when it turns out to refuse connections.
     """
 
     def __init__(self) -> None:
@@ -32,7 +37,10 @@
         self.slots = 0
         self.state = control_pb2.BACKEND_STATE_UNSPECIFIED
         self.ready_since_ms = 0
-        self.on_change: Callable[[], None] = lambda: None
+        self.reachable = True
+        self.on_change: Callable[[], None] = _ignore
+        self.on_down: Callable[[], None] = _ignore
+        self._announced = control_pb2.BACKEND_STATE_UNSPECIFIED
 
     def announce(
         self,
@@ -46,14 +54,29 @@
         self.service = service
         self.address = address
         self.slots = slots
+        self.reachable = True
+        self._announced = state
         self._set_state(state)
-        if self.build_record() != before:
-            logger.info(
-                "requests: backend server of %s is %s.",
-                service,
-                control_pb2.BackendState.Name(state),
-            )
-            self.on_change()
+        self._tell_change(before)
+
+    async def check(self) -> bool:
+        """Finds out whether it takes connections; returns `reachable`.
+
+        Only a refusal counts: it shows that no process listens. A connection
+        that does not come about in time may as well be a full backlog.
+        """
+        if not self.address:
+            return self.reachable
+        reachable = await _try_connection(self.address)
+        if reachable is None or reachable == self.reachable:
+            return self.reachable
+        before = self.build_record()
+        self.reachable = reachable
+        self._set_state(self._announced if reachable else control_pb2.DOWN)
+        if not reachable:
+            self.on_down()
+        self._tell_change(before)
+        return reachable
 
     def build_record(self) -> control_pb2.Backend:
         """Returns what the other daemons are told."""
@@ -68,3 +91,31 @@
         if state == control_pb2.READY and self.state != control_pb2.READY:
             self.ready_since_ms = int(time.time() * 1000)
         self.state = state
+
+    def _tell_change(self, before: control_pb2.Backend) -> None:
+        if self.build_record() == before:
+            return
+        logger.info(
+            "requests: backend server of %s is %s.",
+            self.service,
+            control_pb2.BackendState.Name(self.state),
+        )
+        self.on_change()
+
+
+async def _try_connection(address: str) -> bool | None:
+    """Returns whether a connection came about; None: it is not known."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(_CONNECT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return False
+    except (OSError, TimeoutError):
+        return None
+    writer.close()
+    return True
+
+
+def _ignore() -> None:
+    pass
--- a/merlintrestle/requests/beside.py
+++ b/merlintrestle/requests/beside.py
@@ -17,6 +17,7 @@
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests import call as calls
     from merlintrestle.requests import claims as claims_
+    from merlintrestle.requests import crashes as crashes_
     from merlintrestle.requests import forwarding
 
 
@@ -33,15 +34,34 @@
         admission: admissions.Admission,
         forwarder: forwarding.Forwarder,
         claims: claims_.Claims,
+        crashes: crashes_.Crashes,
     ):
         """Sets the parts."""
         self._backend = backend
         self._admission = admission
         self._forwarder = forwarder
+        self._crashes = crashes
         self.once = once.Once(claims, admission, self._forward)
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Admits a call and forwards it, or refuses it as not run."""
+        turn = await self._crashes.enter_suspect(call)
+        if isinstance(turn, outcomes.NotRun):
+            return turn
+        if turn is None:
+            return await self._run(call)
+        try:
+            outcome = await self._run(call)
+        except BaseException:
+            turn()
+            raise
+        if isinstance(outcome, outcomes.Answered):
+            outcome.hold(turn)
+        else:
+            turn()
+        return outcome
+
+    async def _run(self, call: calls.Call) -> outcomes.Outcome:
         if call.key and not call.plan.repeatable:
             return await self.once.run(call)
         refusal = await self._admission.enter(call)
@@ -63,12 +83,44 @@
         # a daemon that thaws in the middle of one would not see the pause.
         if time.monotonic() >= call.deadline:
             return outcomes.NotRun("the deadline has passed", 504, None)
-        return await self._forwarder.send(
-            self._backend.address,
-            call.target,
-            call,
-            _build_headers(call),
-        )
+        refusal = self._crashes.check(call)
+        if refusal is not None:
+            return refusal
+        self._crashes.begin(call)
+        try:
+            outcome = await self._forwarder.send(
+                self._backend.address,
+                call.target,
+                call,
+                _build_headers(call),
+            )
+        except BaseException:
+            self._crashes.end(call, False)
+            raise
+        self._note(call, outcome)
+        return outcome
+
+    def _note(self, call: calls.Call, outcome: outcomes.Outcome) -> None:
+        crashes = self._crashes
+        if isinstance(outcome, outcomes.Answered):
+            outcome.hold(lambda: self._end(call, outcome))
+            return
+        if _shows_crash(outcome):
+            crashes.note_break()
+        crashes.end(call, False)
+
+    def _end(self, call: calls.Call, answered: outcomes.Answered) -> None:
+        if answered.cut:
+            self._crashes.note_break()
+        self._crashes.end(call, not answered.cut)
+
+
+def _shows_crash(outcome: outcomes.Outcome) -> bool:
+    if isinstance(outcome, outcomes.NotRun):
+        return outcome.unreachable
+    if isinstance(outcome, (outcomes.Ran, outcomes.Unknown)):
+        return outcome.broken
+    return False
 
 
 def _build_headers(call: calls.Call) -> multidict.CIMultiDict[str]:
--- a/merlintrestle/requests/call.py
+++ b/merlintrestle/requests/call.py
@@ -31,6 +31,8 @@
         attempt: More than 0 if this call is a retry, or if a call above it
             may be tried again.
         key: Idempotency-Key; empty: none.
+        suspect: True if it broke a connection before and may be what crashed
+            the backend server.
         admitted_at: When it took its slot of the backend server, in seconds.
     """
 
@@ -46,14 +48,21 @@
     attempt: int
     key: str
     admitted_at: float = 0.0
+    suspect: bool = False
+    _identity: bytes = b""
 
-    def compute_digest(self) -> bytes:
-        """Returns a digest of what the request is.
+    def get_identity(self) -> bytes:
+        """Returns a digest of what the request is, whoever sends it.
 
         A body that is passed on in pieces counts by its length alone.
         """
+        if not self._identity:
+            self._identity = self._compute_identity()
+        return self._identity
+
+    def _compute_identity(self) -> bytes:
         digest = hashlib.sha256()
-        for text in (self.organisation, self.service, self.method, self.target):
+        for text in (self.service, self.method, self.target):
             digest.update(text.encode("utf-8", "surrogateescape") + b"\0")
         if self.body.held is None:
             digest.update(f"length {self.body.length}".encode())
--- a/merlintrestle/requests/claims.py
+++ b/merlintrestle/requests/claims.py
@@ -135,7 +135,7 @@
         never finds a claim of this daemon that the daemon knows nothing of.
         """
         owner = self._owner()
-        digest = call.compute_digest()
+        digest = call.get_identity()
         record = self.ledger.open(claim_key, secrets.token_hex(8), digest)
         claim = request_pb2.Claim(
             member_id=owner.member_id,
@@ -199,7 +199,7 @@
     ) -> Released | outcomes.Failure | outcomes.Replayed:
         """Finds out what became of another attempt at the same request."""
         claim = taken.claim
-        if claim.request_digest != call.compute_digest():
+        if claim.request_digest != call.get_identity():
             return outcomes.NotRun(
                 "the Idempotency-Key was used for another request", 422, None
             )
--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -68,6 +68,8 @@
             last = len(tried) == min(_MAX_TRIES, len(upstreams))
             if last or not _may_retry(latest, call, budget):
                 return outcome
+            if isinstance(latest, (outcomes.Ran, outcomes.Unknown)):
+                call.suspect |= latest.broken
             outcome = _discard(outcome)
 
     def _get_budget(self, service: str) -> retries.Budget:
@@ -150,4 +152,6 @@
     sent[headers.DEADLINE] = str(max(1, int(left_s * 1000)))
     sent[headers.DEPTH] = str(call.depth)
     sent[headers.ATTEMPT] = str(call.attempt)
+    if call.suspect:
+        sent[headers.SUSPECT] = "1"
     return sent
--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -81,20 +81,23 @@
         except aiohttp.ConnectionTimeoutError:
             return _UNREACHABLE
         except TimeoutError:
-            return _describe(response, "no answer before the deadline", 504)
+            return _fail(response, "no answer before the deadline", 504)
         except (aiohttp.ClientError, OSError) as error:
             if call.body.error is not None:
                 raise call.body.error from error
-            return _describe(response, "the connection broke", 502)
+            return _fail(response, "the connection broke", 502, broken=True)
 
 
-def _describe(
-    response: aiohttp.ClientResponse | None, reason: str, status: int
+def _fail(
+    response: aiohttp.ClientResponse | None,
+    reason: str,
+    status: int,
+    broken: bool = False,
 ) -> outcomes.Failure:
     if response is None:
-        return outcomes.Unknown(reason, status)
+        return outcomes.Unknown(reason, status, broken=broken)
     response.close()
-    return outcomes.Ran(f"{reason} while the answer came", status)
+    return outcomes.Ran(f"{reason} in the answer", status, broken=broken)
 
 
 def _open_session(force_close: bool) -> aiohttp.ClientSession:
--- a/merlintrestle/requests/headers.py
+++ b/merlintrestle/requests/headers.py
@@ -19,6 +19,8 @@
 ATTEMPT = "Merlintrestle-Attempt"
 # Class of work; believed on the peer port only.
 CLASS = "Merlintrestle-Class"
+# Present where the call broke a connection before; believed likewise.
+SUSPECT = "Merlintrestle-Suspect"
 KEY = "Idempotency-Key"
 
 _PREFIX = "merlintrestle-"
--- /dev/null
+++ b/merlintrestle/requests/intake.py
@@ -0,0 +1,114 @@
+"""Intake: from an HTTP request to a call, or to why it is refused."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from merlintrestle.requests import call as calls
+from merlintrestle.requests import headers
+from merlintrestle.requests import outcomes
+from merlintrestle.requests import routing
+from merlintrestle.requests import streams
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from merlintrestle.documents import snapshot
+
+# Calls may be nested this deep; a deeper one is a loop between services.
+MAX_DEPTH = 7
+_MAX_KEY_CHARACTERS = 255
+
+
+def match_caller(
+    running: snapshot.Snapshot, request: web.BaseRequest
+) -> routing.Match | outcomes.NotRun:
+    """Returns where a caller's request goes."""
+    organisation = request.headers.get(headers.ORGANISATION, "")
+    match = routing.find_class(
+        running, request.method, request.raw_path, organisation
+    )
+    if isinstance(match, outcomes.NotRun):
+        return match
+    if get_depth(request) > MAX_DEPTH:
+        return outcomes.NotRun("the calls are nested too deep", 508, None)
+    return _check_key(request, match.plan) or match
+
+
+def match_peer(
+    running: snapshot.Snapshot, request: web.BaseRequest
+) -> routing.Match | outcomes.NotRun:
+    """Returns what a request from another daemon is for."""
+    path = request.raw_path
+    end = path.find("/", 1)
+    service = path[1:end]
+    plan = routing.find_named_class(
+        running,
+        service,
+        request.headers.get(headers.ORGANISATION, ""),
+        request.headers.get(headers.CLASS, ""),
+    )
+    if plan is None:
+        return outcomes.NotRun(
+            "the class of work is not in the version that runs here",
+            elsewhere=True,
+        )
+    return _check_key(request, plan) or routing.Match(service, plan, path[end:])
+
+
+def get_depth(request: web.BaseRequest) -> int:
+    """Returns how many calls are above a request."""
+    return headers.read_number(request.headers, headers.DEPTH) or 0
+
+
+async def read_call(
+    request: web.BaseRequest,
+    match: routing.Match,
+    began: float,
+    from_peer: bool,
+) -> calls.Call | outcomes.NotRun:
+    """Reads a request, its body too if it is small.
+
+    Args:
+        request: The request.
+        match: Where it goes.
+        began: Time of the event loop at which it came, in seconds.
+        from_peer: It comes from another daemon.
+    """
+    plan = match.plan
+    limit_s = plan.deadline_s
+    asked_ms = headers.read_number(request.headers, headers.DEADLINE)
+    if asked_ms is not None:
+        limit_s = min(limit_s, asked_ms / 1000)
+    deadline = began + limit_s
+    try:
+        body = await streams.read_body(request, deadline)
+    except streams.BodyError as error:
+        return outcomes.NotRun(str(error), 400, None)
+    return calls.Call(
+        service=match.service,
+        plan=plan,
+        method=request.method,
+        target=match.target,
+        organisation=plan.organisation,
+        headers=headers.copy_end_to_end(request.headers),
+        body=body,
+        deadline=deadline,
+        depth=get_depth(request),
+        attempt=headers.read_number(request.headers, headers.ATTEMPT) or 0,
+        key=request.headers.get(headers.KEY, ""),
+        suspect=from_peer and headers.SUSPECT in request.headers,
+    )
+
+
+def _check_key(
+    request: web.BaseRequest, plan: snapshot.ClassPlan
+) -> outcomes.NotRun | None:
+    if plan.repeatable:
+        return None
+    key = request.headers.get(headers.KEY, "")
+    if not key and plan.key_required:
+        return outcomes.NotRun("Idempotency-Key is missing", 400, None)
+    if len(key) > _MAX_KEY_CHARACTERS:
+        return outcomes.NotRun("Idempotency-Key is too long", 400, None)
+    return None
--- a/merlintrestle/requests/once.py
+++ b/merlintrestle/requests/once.py
@@ -48,7 +48,7 @@
         claims = self._claims
         claim_key = claims.build_key(call)
         known = claims.ledger.find_answered(claim_key)
-        if known is not None and known.request_digest == call.compute_digest():
+        if known is not None and known.request_digest == call.get_identity():
             return known.answer or _build_ran()
         revision = 0
         for _ in range(_MAX_ROUNDS):
--- a/merlintrestle/requests/outcomes.py
+++ b/merlintrestle/requests/outcomes.py
@@ -31,11 +31,13 @@
         response: The answer, its headers read.
         body: Its whole body; None: to be passed on in pieces.
         release: Frees what the call holds; called once its body has ended.
+        cut: True if its body broke off.
     """
 
     response: aiohttp.ClientResponse
     body: bytes | None
     release: Callable[[], None]
+    cut: bool = False
 
     def hold(self, leave: Callable[[], None]) -> None:
         """Has something else freed as well once the body has ended."""
@@ -77,11 +79,13 @@
         reason: Why, in one sentence for the caller.
         status: HTTP status of the answer.
         retry_after_s: Seconds until it is worth coming back; None: not at all.
+        broken: True if the connection broke, as it does at a crash.
     """
 
     reason: str
     status: int = 502
     retry_after_s: float | None = None
+    broken: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,11 +97,13 @@
         status: HTTP status of the answer.
         retry_after_s: Seconds until asking again with the same key may settle
             it; None: not at all.
+        broken: True if the connection broke, as it does at a crash.
     """
 
     reason: str
     status: int = 502
     retry_after_s: float | None = None
+    broken: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,22 +160,27 @@
     response = answered.response
     answered.release()
     try:
-        fields = json.loads(answered.body or b"")
-        reason = str(fields["reason"])
-        retry_after_s = fields.get("retry_after_s")
-        elsewhere = bool(fields.get("elsewhere"))
-        overloaded = bool(fields.get("overloaded"))
-    except (ValueError, KeyError, TypeError, AttributeError):
-        reason = "a daemon refused without a reason"
-        retry_after_s, elsewhere, overloaded = None, False, False
+        stated = json.loads(answered.body or b"")
+        fields = {
+            "reason": str(stated["reason"]),
+            "retry_after_s": stated["retry_after_s"],
+        }
+    except (ValueError, KeyError, TypeError):
+        stated = {}
+        fields = {
+            "reason": "a daemon refused without a reason",
+            "retry_after_s": None,
+        }
+    fields["status"] = response.status
     name = response.headers[headers.OUTCOME]
     if name == "not-run":
-        return NotRun(
-            reason, response.status, retry_after_s, elsewhere, overloaded
-        )
+        elsewhere = bool(stated.get("elsewhere"))
+        overloaded = bool(stated.get("overloaded"))
+        return NotRun(**fields, elsewhere=elsewhere, overloaded=overloaded)
+    broken = bool(stated.get("broken"))
     if name == "ran":
-        return Ran(reason, response.status, retry_after_s)
-    return Unknown(reason, response.status, retry_after_s)
+        return Ran(**fields, broken=broken)
+    return Unknown(**fields, broken=broken)
 
 
 def _build(
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -14,16 +14,15 @@
 from merlintrestle.requests import admission
 from merlintrestle.requests import backend
 from merlintrestle.requests import beside
-from merlintrestle.requests import call as calls
 from merlintrestle.requests import claims as claims_
+from merlintrestle.requests import crashes
 from merlintrestle.requests import dispatch
 from merlintrestle.requests import forwarding
-from merlintrestle.requests import headers
+from merlintrestle.requests import intake
 from merlintrestle.requests import leases
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import picking
 from merlintrestle.requests import recall
-from merlintrestle.requests import routing
 from merlintrestle.requests import server
 from merlintrestle.requests import statistics
 from merlintrestle.requests import streams
@@ -31,14 +30,15 @@
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
     from merlintrestle.requests import parts
+    from merlintrestle.requests import routing
     from merlintrestle.schema import control_pb2
     from merlintrestle.schema import settings_pb2
 
 logger = logging.getLogger(__name__)
 
-# Calls may be nested this deep; a deeper one is a loop between services.
-MAX_DEPTH = 7
-_MAX_KEY_CHARACTERS = 255
+# Time between checks of the own backend server, in seconds.
+_CHECK_S = 1.0
+_CHECK_DOWN_S = 0.2
 
 
 class Proxy(mode.Service):
@@ -53,6 +53,8 @@
         draining: True once `drain` was called.
         control_port: Port on which this daemon answers recalls; set it before
             `start` where the setting is 0.
+        crashes: Takes strikes of other daemons (`crashes.strikes.add`) and
+            sends own ones (`crashes.send_strike`).
         recalls: gRPC servicer to be added to the control server.
     """
 
@@ -87,8 +89,9 @@
         )
         self.recalls = recall.Recalls(claims)
         slots = admission.Admission(self.backend, holder, table)
+        self.crashes = crashes.Crashes(self.backend)
         self._beside = beside.Beside(
-            self.backend, slots, self._forwarder, claims
+            self.backend, slots, self._forwarder, claims, self.crashes
         )
         self._dispatch = dispatch.Dispatch(
             self._get_member_id,
@@ -147,6 +150,12 @@
             return False
         return True
 
+    @mode.Service.task
+    async def _check_backend(self) -> None:
+        while not self.should_stop:
+            reachable = await self.backend.check()
+            await self.sleep(_CHECK_S if reachable else _CHECK_DOWN_S)
+
     def get_class_statuses(self) -> list[control_pb2.ClassStatus]:
         """Returns what became of the calls of each class lately."""
         return self.statistics.get_statuses()
@@ -163,103 +172,64 @@
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         began = self._get_time()
-        running = self._get_running()
+        running = self._get_running(request)
         if isinstance(running, outcomes.NotRun):
             return outcomes.render(running)
-        organisation = request.headers.get(headers.ORGANISATION, "")
-        match = routing.find_class(
-            running, request.method, request.raw_path, organisation
-        )
+        match = intake.match_caller(running, request)
         if isinstance(match, outcomes.NotRun):
             return outcomes.render(match)
-        depth = headers.read_number(request.headers, headers.DEPTH) or 0
-        if depth > MAX_DEPTH:
-            return outcomes.render(
-                outcomes.NotRun("the calls are nested too deep", 508, None)
-            )
-        return await self._answer(request, match, depth, began, self._dispatch)
+        self._enter()
+        try:
+            outcome = await self._run(request, match, began, False)
+            came = self._get_time()
+            try:
+                response = await _finish(request, outcome)
+            finally:
+                self.statistics.note(match.plan, outcome, came - began)
+        finally:
+            self._leave()
+        return response
 
     async def _handle_peer(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         began = self._get_time()
-        running = self._get_running()
+        running = self._get_running(request)
         if isinstance(running, outcomes.NotRun):
             return outcomes.render(running)
-        path = request.raw_path
-        end = path.find("/", 1)
-        service = path[1:end]
-        plan = routing.find_named_class(
-            running,
-            service,
-            request.headers.get(headers.ORGANISATION, ""),
-            request.headers.get(headers.CLASS, ""),
-        )
-        if plan is None:
-            return outcomes.render(
-                outcomes.NotRun(
-                    "the class of work is not in the version that runs here",
-                    elsewhere=True,
-                )
-            )
-        match = routing.Match(service, plan, path[end:])
-        depth = headers.read_number(request.headers, headers.DEPTH) or 0
-        return await self._answer(request, match, depth, began, self._beside)
-
-    async def _answer(
-        self,
-        request: web.BaseRequest,
-        match: routing.Match,
-        depth: int,
-        began: float,
-        way: dispatch.Dispatch | beside.Beside,
-    ) -> web.StreamResponse:
+        match = intake.match_peer(running, request)
+        if isinstance(match, outcomes.NotRun):
+            return outcomes.render(match)
         self._enter()
         try:
-            refusal = _check_key(request, match.plan)
-            if refusal is not None:
-                return outcomes.render(refusal)
-            call = await self._read_call(request, match, depth, began)
-            outcome = await way.run(call)
-            if isinstance(outcome, outcomes.Answered):
-                return await _relay(request, outcome)
-            return outcomes.render(outcome)
-        except streams.BodyError as error:
-            response = outcomes.render(outcomes.Unknown(str(error), 400))
-            response.force_close()
-            return response
+            outcome = await self._run(request, match, began, True)
+            return await _finish(request, outcome)
         finally:
             self._leave()
 
-    async def _read_call(
+    async def _run(
         self,
         request: web.BaseRequest,
         match: routing.Match,
-        depth: int,
         began: float,
-    ) -> calls.Call:
-        plan = match.plan
-        limit_s = plan.deadline_s
-        asked_ms = headers.read_number(request.headers, headers.DEADLINE)
-        if asked_ms is not None:
-            limit_s = min(limit_s, asked_ms / 1000)
-        deadline = began + limit_s
-        return calls.Call(
-            service=match.service,
-            plan=plan,
-            method=request.method,
-            target=match.target,
-            organisation=plan.organisation,
-            headers=headers.copy_end_to_end(request.headers),
-            body=await streams.read_body(request, deadline),
-            deadline=deadline,
-            depth=depth,
-            attempt=headers.read_number(request.headers, headers.ATTEMPT) or 0,
-            key=request.headers.get(headers.KEY, ""),
-        )
+        from_peer: bool,
+    ) -> outcomes.Outcome:
+        call = await intake.read_call(request, match, began, from_peer)
+        if isinstance(call, outcomes.NotRun):
+            return call
+        try:
+            if from_peer:
+                return await self._beside.run(call)
+            return await self._dispatch.run(call)
+        except streams.BodyError as error:
+            return outcomes.Unknown(str(error), 400)
 
-    def _get_running(self) -> snapshot.Snapshot | outcomes.NotRun:
-        if self.draining:
+    def _get_running(
+        self, request: web.BaseRequest
+    ) -> snapshot.Snapshot | outcomes.NotRun:
+        # A request in flight at the own backend server may make calls of its
+        # own through this daemon; refused, it would be cut off after all.
+        if self.draining and not intake.get_depth(request):
             return outcomes.NotRun("this daemon is stopping", elsewhere=True)
         running = self._holder.running
         if running is None:
@@ -279,17 +249,16 @@
             self._idle.set()
 
 
-def _check_key(
-    request: web.BaseRequest, plan: snapshot.ClassPlan
-) -> outcomes.NotRun | None:
-    if plan.repeatable:
-        return None
-    key = request.headers.get(headers.KEY, "")
-    if not key and plan.key_required:
-        return outcomes.NotRun("Idempotency-Key is missing", 400, None)
-    if len(key) > _MAX_KEY_CHARACTERS:
-        return outcomes.NotRun("Idempotency-Key is too long", 400, None)
-    return None
+async def _finish(
+    request: web.BaseRequest, outcome: outcomes.Outcome
+) -> web.StreamResponse:
+    if isinstance(outcome, outcomes.Answered):
+        return await _relay(request, outcome)
+    response = outcomes.render(outcome)
+    if not request.content.is_eof():
+        # What is left of the body must not be taken for the next request.
+        response.force_close()
+    return response
 
 
 async def _relay(
@@ -298,6 +267,7 @@
     try:
         return await streams.relay(request, answered)
     except (aiohttp.ClientError, OSError) as error:
+        answered.cut = isinstance(error, aiohttp.ClientError)
         raise ConnectionError("the answer was cut") from error
     finally:
         answered.release()
--- a/merlintrestle/requests/statistics.py
+++ b/merlintrestle/requests/statistics.py
@@ -3,22 +3,36 @@
 from __future__ import annotations
 
 import collections
+import functools
 from typing import TYPE_CHECKING
 
+from prometheus_client import metrics_core
+
+from merlintrestle.requests import outcomes
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from merlintrestle.documents import snapshot
 
 WINDOW_S = 60.0
 _PARTS = 12
 _PART_S = WINDOW_S / _PARTS
+_SERVER_ERROR = 500
 
 
 class Counts:
-    """Calls of one class of work in one part of the window."""
+    """Calls of one class of work.
+
+    Attributes:
+        calls: All that ended.
+        answered: Answered whole and without a server error.
+        within_latency: Those of them whose answer came in time.
+        refused: Refused as not run.
+        failed: Ran and failed.
+        unknown: May have run.
+    """
 
     __slots__ = (
         "answered",
@@ -42,7 +56,11 @@
 
 
 class Statistics:
-    """Counts calls by class of work over a sliding window."""
+    """Counts calls by class of work over a sliding window, and in all.
+
+    It is a collector for `prometheus_client`: what is counted per call are
+    plain numbers, and metrics are made of them when they are asked for.
+    """
 
     def __init__(self, get_time: Callable[[], float]):
         """Sets the clock, in seconds."""
@@ -50,18 +68,32 @@
         self._parts: collections.deque[tuple[int, dict[_Key, Counts]]] = (
             collections.deque(maxlen=_PARTS)
         )
-
-    def get_counts(self, plan: snapshot.ClassPlan) -> Counts:
-        """Returns the counts to raise for a call that ends now."""
+        self._totals: dict[_Key, Counts] = {}
+
+    def note(
+        self,
+        plan: snapshot.ClassPlan,
+        outcome: outcomes.Outcome,
+        latency_s: float,
+    ) -> None:
+        """Counts a call that ended.
+
+        Args:
+            plan: Its class of work.
+            outcome: What became of it.
+            latency_s: Time until its outcome, in seconds.
+        """
         number = int(self._get_time() / _PART_S)
         if not self._parts or self._parts[-1][0] != number:
             self._parts.append((number, {}))
-        part = self._parts[-1][1]
         key = (plan.organisation, plan.service, plan.name)
-        counts = part.get(key)
-        if counts is None:
-            counts = part[key] = Counts()
-        return counts
+        in_time = latency_s <= plan.latency_s
+        for counted in (self._parts[-1][1], self._totals):
+            counts = counted.get(key)
+            if counts is None:
+                counts = counted[key] = Counts()
+            counts.calls += 1
+            count(outcome, counts, in_time)
 
     def get_statuses(self) -> list[control_pb2.ClassStatus]:
         """Returns the calls of each class over the window."""
@@ -82,6 +114,69 @@
                 _add(status, counts)
         return list(statuses.values())
 
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        """Yields the metrics of all calls since the start."""
+        family = metrics_core.CounterMetricFamily(
+            "merlintrestle_requests",
+            "Calls from callers by class of work and outcome.",
+            labels=("organisation", "service", "class", "outcome"),
+        )
+        in_time = metrics_core.CounterMetricFamily(
+            "merlintrestle_requests_within_latency",
+            "Calls answered within the latency of their target.",
+            labels=("organisation", "service", "class"),
+        )
+        for key, counts in self._totals.items():
+            for outcome in ("answered", "refused", "failed", "unknown"):
+                family.add_metric((*key, outcome), getattr(counts, outcome))
+            in_time.add_metric(key, counts.within_latency)
+        yield family
+        yield in_time
+
+
+@functools.singledispatch
+def count(outcome: object, counts: Counts, in_time: bool) -> None:
+    """Adds an outcome to the counts of its class."""
+    raise TypeError(f"not an outcome: {outcome!r}")
+
+
+@count.register
+def _count_answered(
+    outcome: outcomes.Answered, counts: Counts, in_time: bool
+) -> None:
+    if outcome.cut or outcome.response.status >= _SERVER_ERROR:
+        counts.failed += 1
+        return
+    counts.answered += 1
+    counts.within_latency += in_time
+
+
+@count.register
+def _count_replayed(
+    outcome: outcomes.Replayed, counts: Counts, in_time: bool
+) -> None:
+    counts.answered += 1
+    counts.within_latency += in_time
+
+
+@count.register
+def _count_not_run(
+    outcome: outcomes.NotRun, counts: Counts, in_time: bool
+) -> None:
+    counts.refused += 1
+
+
+@count.register
+def _count_ran(outcome: outcomes.Ran, counts: Counts, in_time: bool) -> None:
+    counts.failed += 1
+
+
+@count.register
+def _count_unknown(
+    outcome: outcomes.Unknown, counts: Counts, in_time: bool
+) -> None:
+    counts.unknown += 1
+
 
 def _add(status: control_pb2.ClassStatus, counts: Counts) -> None:
     status.calls += counts.calls
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -17,6 +17,7 @@
 from merlintrestle.requests import proxy as proxies
 from merlintrestle.requests import server
 from merlintrestle.requests import streams
+from merlintrestle.schema import control_pb2
 from merlintrestle.schema import request_pb2_grpc
 from merlintrestle.schema import settings_pb2
 from tests.requests import fakes
@@ -161,6 +162,15 @@
             suspect=False,
         )
 
+    def crash(self) -> None:
+        """Ends the backend server as a killed process ends."""
+        listener = self.backend._listener
+        assert listener is not None
+        listener.close()
+        for connection in self.backend.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.served.append((request.method, request.raw_path))
         return await self._handler(request)
@@ -192,9 +202,20 @@
             for other in nodes:
                 if other is node or not apart:
                     node.know(other)
+            node.proxy.crashes.send_strike = _tell_all(nodes)
         yield nodes
 
 
+def _tell_all(
+    nodes: list[Node],
+) -> Callable[[control_pb2.Strike], None]:
+    def tell(strike: control_pb2.Strike) -> None:
+        for node in nodes:
+            node.proxy.crashes.strikes.add(strike)
+
+    return tell
+
+
 @contextlib.asynccontextmanager
 async def open_client() -> AsyncIterator[aiohttp.ClientSession]:
     """Opens an HTTP client, guarded by a generous timeout."""
--- /dev/null
+++ b/tests/requests/test_crashes.py
@@ -0,0 +1,246 @@
+"""Requests that crash each backend server that runs them."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from merlintrestle.requests import backend
+from merlintrestle.requests import crashes
+from merlintrestle.requests import headers
+from merlintrestle.requests import outcomes
+from merlintrestle.requests import strikes
+from merlintrestle.schema import control_pb2
+from tests.requests import builders
+
+
+class ContainmentTest(unittest.IsolatedAsyncioTestCase):
+    """Four backend servers, one request that kills what runs it."""
+
+    def setUp(self) -> None:
+        self.nodes: list[builders.Node] = []
+        self.crashed: list[int] = []
+        self.begun = asyncio.Event()
+        self.waited = 0
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Dies of "/poison"; first leaves "/slow" waiting, then answers it."""
+        if request.path == "/poison":
+            for number, node in enumerate(self.nodes):
+                if request.protocol in node.backend.connections:
+                    self.crashed.append(number)
+                    node.crash()
+        if request.path == "/slow" and not self.waited:
+            self.waited += 1
+            self.begun.set()
+            await asyncio.Event().wait()
+        return web.Response(body=b"well")
+
+    async def test_two_backend_servers_at_most(self) -> None:
+        """The caller hears "not run" and when to come back; two servers died.
+
+        The request kills its backend server, is tried again and kills a
+        second one. From then on no daemon lets it through, although its
+        caller sends it again and again to all of them.
+        """
+        async with (
+            builders.run_nodes(4, handler=self.serve) as self.nodes,
+            builders.open_client() as client,
+        ):
+            await client.get(self.nodes[0].url + "/poison")
+            for node in self.nodes * 2:
+                answer = await client.get(node.url + "/poison")
+            self.assertEqual(len(self.crashed), 2)
+            self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+            self.assertEqual(answer.headers["Retry-After"], "10")
+            for node in self.nodes:
+                answer = await client.get(node.url + "/other")
+                self.assertEqual(await answer.read(), b"well")
+
+    async def test_neighbour_is_not_blamed(self) -> None:
+        """The neighbour's caller gets its answer, then and later.
+
+        An innocent request is in flight where the other one kills the backend
+        server. Both are tried again. Were they to meet again, the innocent
+        one would have two crashes to its name as well.
+        """
+        async with (
+            builders.run_nodes(4, handler=self.serve) as self.nodes,
+            builders.open_client() as client,
+        ):
+            slow = asyncio.ensure_future(
+                client.get(self.nodes[0].url + "/slow")
+            )
+            await self.begun.wait()
+            for _ in range(3):
+                await client.get(self.nodes[0].url + "/poison")
+            answer = await slow
+            self.assertEqual(await answer.read(), b"well")
+            self.assertEqual(len(self.crashed), 2)
+            for node in self.nodes:
+                answer = await client.get(node.url + "/slow")
+                self.assertEqual(await answer.read(), b"well")
+
+    async def test_broken_connection_is_no_crash(self) -> None:
+        """A backend server that closes a connection and lives blames nobody."""
+
+        async def hang_up(request: web.BaseRequest) -> web.StreamResponse:
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response()
+
+        async with (
+            builders.run_nodes(1, handler=hang_up) as (node,),
+            builders.open_client() as client,
+        ):
+            for _ in range(3):
+                answer = await client.get(node.url + "/x")
+                self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+            self.assertFalse(node.proxy.crashes.strikes)
+
+    async def test_crashed_backend_server_is_used_again(self) -> None:
+        async with (
+            builders.run_nodes(1, handler=self.serve) as self.nodes,
+            builders.open_client() as client,
+        ):
+            (node,) = self.nodes
+            await client.get(node.url + "/poison")
+            answer = await client.get(node.url + "/x")
+            self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+            self.assertEqual(
+                node.proxy.backend.build_record().state, control_pb2.DOWN
+            )
+            await node.backend.start("127.0.0.1", node.backend.port)
+            self.assertTrue(await node.proxy.backend.check())
+            answer = await client.get(node.url + "/x")
+            self.assertEqual(answer.status, 200)
+
+
+class BlameTest(unittest.IsolatedAsyncioTestCase):
+    """Who is struck at a crash."""
+
+    def setUp(self) -> None:
+        self.crashes = crashes.Crashes(backend.OwnBackend())
+        self.culprit = builders.build_call(body=b"poison")
+        self.innocent = builders.build_call(body=b"slow")
+
+    def crash(self) -> None:
+        """Has the backend server crash under both requests."""
+        self.crashes.begin(self.culprit)
+        self.crashes.begin(self.innocent)
+        self.crashes.note_crash()
+        self.crashes.end(self.culprit, False)
+        self.crashes.end(self.innocent, False)
+
+    def count(self) -> tuple[int, int]:
+        """Returns the strikes of the culprit and of the innocent one."""
+        known = self.crashes.strikes
+        return (
+            known.count(self.culprit.get_identity()),
+            known.count(self.innocent.get_identity()),
+        )
+
+    async def test_all_are_struck_at_first(self) -> None:
+        self.crash()
+        self.assertEqual(self.count(), (1, 1))
+
+    async def test_suspect_alone_is_struck(self) -> None:
+        self.crash()
+        self.crashes.end(self.innocent, True)
+        self.crash()
+        self.assertEqual(self.count(), (2, 0))
+        self.assertIsInstance(self.crashes.check(self.culprit), outcomes.NotRun)
+        self.assertIsNone(self.crashes.check(self.innocent))
+
+    async def test_one_suspect_at_a_time(self) -> None:
+        self.crash()
+        end = await self.crashes.enter_suspect(self.culprit)
+        waiting = asyncio.create_task(self.crashes.enter_suspect(self.innocent))
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        assert callable(end)
+        end()
+        self.assertTrue(callable(await waiting))
+
+    async def test_late_break_is_the_same_crash(self) -> None:
+        """Each request gets one strike, though their breaks come apart.
+
+        A connection that breaks after the crash was found must not count as
+        a second crash: it would block what was in flight at once.
+        """
+        own = self.crashes._backend
+        own.announce("kassa", "127.0.0.1:1", 12)
+        self.crashes.begin(self.culprit)
+        self.crashes.begin(self.innocent)
+        for call in (self.culprit, self.innocent):
+            self.crashes.note_break()
+            assert self.crashes._checking is not None
+            await self.crashes._checking
+            self.crashes.end(call, False)
+        self.assertEqual(self.count(), (1, 1))
+
+    async def test_retried_request_is_a_suspect_before_strikes_come(
+        self,
+    ) -> None:
+        self.culprit.suspect = True
+        self.crash()
+        self.assertEqual(self.count(), (1, 0))
+
+
+class StrikesTest(unittest.TestCase):
+    """How long strikes count."""
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        self.strikes = strikes.Strikes(lambda: self.now)
+
+    def strike(self, crash_id: str, confirmed: bool = True) -> None:
+        """Adds a strike of now."""
+        strike = self.strikes.build(b"digest", crash_id, confirmed)
+        self.strikes.add(strike)
+
+    def test_blocked_shortly_then_long_then_forgotten(self) -> None:
+        self.strike("1", confirmed=False)
+        self.assertEqual(self.strikes.get_blocked_s(b"digest"), 0.0)
+        self.strike("2")
+        self.assertEqual(self.strikes.get_blocked_s(b"digest"), 10.0)
+        self.now += 11
+        self.assertEqual(self.strikes.get_blocked_s(b"digest"), 0.0)
+        self.strike("3")
+        self.assertEqual(self.strikes.get_blocked_s(b"digest"), 600.0)
+        self.now += 601
+        self.assertEqual(self.strikes.count(b"digest"), 0)
+        self.assertFalse(self.strikes)
+
+    def test_herd_of_crashes_blocks_nothing(self) -> None:
+        """A popular request stays served though many servers die under it.
+
+        It is in flight, among others, wherever a backend server dies.
+        """
+        for number in range(5):
+            self.strike(str(number), confirmed=False)
+        self.assertEqual(self.strikes.get_blocked_s(b"digest"), 0.0)
+
+    def test_one_crash_counts_once(self) -> None:
+        self.strike("1")
+        self.strike("1")
+        self.assertEqual(self.strikes.count(b"digest"), 1)
+
+    def test_cleared_strike_does_not_come_back(self) -> None:
+        self.strike("1")
+        self.strikes.clear(b"digest")
+        self.strike("1")
+        self.assertEqual(self.strikes.count(b"digest"), 0)
+
+    def test_wrong_clock_does_not_block_for_good(self) -> None:
+        for crash_id in ("1", "2", "3"):
+            far = control_pb2.Strike(
+                request_digest=b"digest",
+                crash_id=crash_id,
+                until_ms=10**15,
+                confirmed=True,
+            )
+            self.strikes.add(far)
+        self.assertLessEqual(self.strikes.get_blocked_s(b"digest"), 600.0)
