Drain without cutting, and write down whole sessions

Cause: a planned stop must cut nothing in flight, calls of requests in flight and payouts without a caller included.

Seen to fail without: the wait for calls in flight, the wait for claimed payouts, serving of nested calls, refusal of new work by the daemon and by admission, and an announcement after the drain. The refusal by the daemon had no test that failed at first; it has one now.

--- a/merlintrestle/requests/backend.py
+++ b/merlintrestle/requests/backend.py
@@ -41,6 +41,7 @@
         self.on_change: Callable[[], None] = _ignore
         self.on_down: Callable[[], None] = _ignore
         self._announced = control_pb2.BACKEND_STATE_UNSPECIFIED
+        self._draining = False
 
     def announce(
         self,
@@ -55,8 +56,17 @@
         self.address = address
         self.slots = slots
         self.reachable = True
-        self._announced = state
-        self._set_state(state)
+        self._announced = control_pb2.DRAINING if self._draining else state
+        self._set_state(self._announced)
+        self._tell_change(before)
+
+    def drain(self) -> None:
+        """Takes no new work from now on, whatever it announces."""
+        before = self.build_record()
+        self._draining = True
+        self._announced = control_pb2.DRAINING
+        if self.state == control_pb2.READY:
+            self._set_state(control_pb2.DRAINING)
         self._tell_change(before)
 
     async def check(self) -> bool:
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -137,6 +137,7 @@
             True if nothing is in flight any more.
         """
         self.draining = True
+        self.backend.drain()
         try:
             async with asyncio.timeout(limit_s):
                 await self._idle.wait()
@@ -172,7 +173,9 @@
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         began = self._get_time()
-        running = self._get_running(request)
+        # A request in flight at the own backend server may make calls of its
+        # own through this daemon; refused, it would be cut off after all.
+        running = self._get_running(nested=intake.get_depth(request) > 0)
         if isinstance(running, outcomes.NotRun):
             return outcomes.render(running)
         match = intake.match_caller(running, request)
@@ -194,7 +197,7 @@
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         began = self._get_time()
-        running = self._get_running(request)
+        running = self._get_running(nested=False)
         if isinstance(running, outcomes.NotRun):
             return outcomes.render(running)
         match = intake.match_peer(running, request)
@@ -224,12 +227,8 @@
         except streams.BodyError as error:
             return outcomes.Unknown(str(error), 400)
 
-    def _get_running(
-        self, request: web.BaseRequest
-    ) -> snapshot.Snapshot | outcomes.NotRun:
-        # A request in flight at the own backend server may make calls of its
-        # own through this daemon; refused, it would be cut off after all.
-        if self.draining and not intake.get_depth(request):
+    def _get_running(self, nested: bool) -> snapshot.Snapshot | outcomes.NotRun:
+        if self.draining and not nested:
             return outcomes.NotRun("this daemon is stopping", elsewhere=True)
         running = self._holder.running
         if running is None:
--- /dev/null
+++ b/tests/requests/sessions.py
@@ -0,0 +1,81 @@
+"""Whole sessions, written down and compared with golden files."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+from typing import Any, TYPE_CHECKING
+
+from merlintrestle.requests import headers
+
+if TYPE_CHECKING:
+    import unittest
+
+    import aiohttp
+    from aiohttp import web
+
+    from tests.requests import builders
+
+_ROOT = pathlib.Path(__file__).parent.parent / "roots" / "requests"
+# Set to write the golden files instead of comparing them.
+_WRITE = "WRITE_GOLDEN_FILES"
+_SHOWN_CHARACTERS = 60
+
+
+class Session:
+    """Writes down what callers and backend servers see.
+
+    Attributes:
+        nodes: The daemons, named by their place from 1.
+    """
+
+    def __init__(self) -> None:
+        self.nodes: list[builders.Node] = []
+        self._lines: list[str] = []
+
+    def say(self, line: str) -> None:
+        """Writes down what happens otherwise."""
+        self._lines.append(line)
+
+    def find(self, request: web.BaseRequest) -> int:
+        """Returns the number of the backend server that has a request."""
+        for number, node in enumerate(self.nodes, 1):
+            if request.protocol in node.backend.connections:
+                return number
+        raise LookupError("no backend server has this request")
+
+    def see(self, request: web.BaseRequest) -> None:
+        """Writes down a request that a backend server got."""
+        self.say(
+            f"backend server {self.find(request)} gets {request.method}"
+            f" {request.raw_path}"
+        )
+
+    async def call(
+        self,
+        client: aiohttp.ClientSession,
+        number: int,
+        method: str,
+        path: str,
+        **options: Any,
+    ) -> None:
+        """Sends a request to a daemon and writes down what comes of it."""
+        self.say(f"caller sends {method} {path} to daemon {number}")
+        url = self.nodes[number - 1].url + path
+        async with client.request(method, url, **options) as answer:
+            body = (await answer.read()).decode()
+        line = f"caller gets {answer.status} from daemon {number}"
+        for name in (headers.OUTCOME, "Retry-After"):
+            if name in answer.headers:
+                line += f", {name}: {answer.headers[name]}"
+        self.say(line)
+        if headers.OUTCOME not in answer.headers:
+            self.say(f"    {body[:_SHOWN_CHARACTERS]}")
+
+    def compare(self, test: unittest.TestCase, name: str) -> None:
+        """Compares the session with its golden file."""
+        path = _ROOT / f"{name}.txt"
+        text = "\n".join(self._lines) + "\n"
+        if os.environ.get(_WRITE):
+            path.write_text(text, encoding="utf-8")
+        test.assertEqual(path.read_text(encoding="utf-8"), text)
--- /dev/null
+++ b/tests/requests/test_drain.py
@@ -0,0 +1,134 @@
+"""Planned stops of daemons and of backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from merlintrestle.requests import headers
+from merlintrestle.schema import control_pb2
+from tests.requests import builders
+
+_CARRIED = (headers.DEADLINE, headers.DEPTH, headers.ATTEMPT)
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    """What is in flight goes on; what is new is refused as not run."""
+
+    def setUp(self) -> None:
+        self.begun = asyncio.Event()
+        self.go_on = asyncio.Event()
+        self.urls: list[str] = []
+
+    async def wait(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers when the test lets it."""
+        self.begun.set()
+        await self.go_on.wait()
+        return web.Response(body=b"whole")
+
+    async def nest(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Waits, and then makes a call of its own through its daemon."""
+        if request.path == "/check":
+            return web.Response(body=b"sealed")
+        await self.wait(request)
+        carried = {name: request.headers[name] for name in _CARRIED}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(self.urls[0] + "/check", headers=carried) as answer,
+        ):
+            return web.Response(body=await answer.read())
+
+    async def test_payout_whose_caller_left(self) -> None:
+        """The daemon waits for a payout though nobody waits for its answer.
+
+        Its caller will come again; ended now, the payout would be "unknown".
+        """
+        async with (
+            builders.run_nodes(1, handler=self.wait) as (node,),
+            builders.open_client() as client,
+        ):
+            call = asyncio.create_task(
+                client.post(node.url + "/payouts", headers={headers.KEY: "k"})
+            )
+            await self.begun.wait()
+            call.cancel()
+            while node.proxy.in_flight:
+                await asyncio.sleep(0)
+            draining = asyncio.create_task(node.proxy.drain(60))
+            await asyncio.sleep(0)
+            self.assertFalse(draining.done())
+            self.go_on.set()
+            self.assertTrue(await draining)
+
+    async def test_call_of_a_request_in_flight(self) -> None:
+        """The caller gets its whole answer although the daemon drains.
+
+        Its backend server makes a call of its own for it, through the daemon
+        that drains. Refused as new work, it would fail what is in flight.
+        """
+        async with (
+            builders.run_nodes(2, handler=self.nest) as nodes,
+            builders.open_client() as client,
+        ):
+            self.urls.append(nodes[0].url)
+            call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+            await self.begun.wait()
+            draining = asyncio.create_task(nodes[0].proxy.drain(60))
+            await asyncio.sleep(0)
+            self.go_on.set()
+            self.assertEqual(await (await call).read(), b"sealed")
+            self.assertTrue(await draining)
+        self.assertEqual(nodes[1].served, [("GET", "/check")])
+
+    async def test_backend_server_that_leaves(self) -> None:
+        async with (
+            builders.run_nodes(1, handler=self.wait) as (node,),
+            builders.open_client() as client,
+        ):
+            call = asyncio.create_task(client.get(node.url + "/x"))
+            await self.begun.wait()
+            node.proxy.backend.announce(
+                "kassa",
+                f"127.0.0.1:{node.backend.port}",
+                12,
+                control_pb2.DRAINING,
+            )
+            refused = await client.get(node.url + "/x")
+            self.assertEqual(refused.headers[headers.OUTCOME], "not-run")
+            self.go_on.set()
+            self.assertEqual(await (await call).read(), b"whole")
+        self.assertEqual(len(node.served), 1)
+
+    async def test_draining_daemon_takes_no_work_for_others(self) -> None:
+        """Its callers would keep it from ever coming to an end."""
+        async with (
+            builders.run_nodes(2) as nodes,
+            builders.open_client() as client,
+        ):
+            await nodes[0].proxy.drain(1)
+            refused = await client.get(nodes[0].url + "/x")
+            self.assertEqual(refused.headers[headers.OUTCOME], "not-run")
+            self.assertEqual(refused.headers["Retry-After"], "1")
+            answer = await client.get(nodes[1].url + "/x")
+            self.assertEqual(answer.status, 200)
+
+    async def test_announcement_does_not_end_the_drain(self) -> None:
+        async with builders.run_nodes(1) as (node,):
+            own = node.proxy.backend
+            await node.proxy.drain(1)
+            own.announce("kassa", own.address, 12, control_pb2.READY)
+            self.assertEqual(own.state, control_pb2.DRAINING)
+
+    async def test_limit_of_the_drain(self) -> None:
+        async with (
+            builders.run_nodes(1, handler=self.wait) as (node,),
+            builders.open_client() as client,
+        ):
+            call = asyncio.create_task(client.get(node.url + "/x"))
+            await self.begun.wait()
+            self.assertFalse(await node.proxy.drain(0.01))
+            self.go_on.set()
+            await call
