Take the changed document from the head itself

Ruled out: reading the document earlier. Nobody knows its digest before the head names it.

Watchers use it if it is there.

The new test fails with the line taken out (the read meets the fake store that is down).

--- a/merlintrestle/versions/source.py
+++ b/merlintrestle/versions/source.py
@@ -73,6 +73,7 @@
             errors.StoreUnavailableError: A document could not be read.
             errors.SnapshotError: It is not the snapshot that was accepted.
         """
+        self._take_changed(head)
         documents = {
             organisation: await self._read_document(digest)
             for organisation, digest in sorted(head.documents.items())
@@ -98,6 +99,16 @@
         """
         return await seeds_lib.write_seeds(self._store, zone, member_ids)
 
+    def _take_changed(self, head: document_pb2.Head) -> None:
+        """Takes the document in a head, so that it need not be read.
+
+        The store may fail right after it accepted a head. The others are
+        known from the versions before.
+        """
+        if head.HasField("changed"):
+            digest = compiler.compute_document_digest(head.changed)
+            self._documents[digest] = head.changed
+
     async def _read_document(self, digest: bytes) -> document_pb2.Document:
         document = self._documents.get(digest)
         if document is None:
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -6,6 +6,7 @@
 import unittest
 
 from merlintrestle import errors
+from merlintrestle.documents import compiler
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
 from merlintrestle.versions import source
@@ -140,6 +141,24 @@
         self.assertEqual(self.store.calls["get"], calls)
         self.assertEqual(first.digest, again.digest)
 
+    async def test_changed_document_needs_no_read(self) -> None:
+        """The store fails right after it accepted a change.
+
+        The watch still delivered the head. With the document in it the
+        version spreads; without, everyone waits for the store.
+        """
+        await self.put_head(1)
+        await self.source.compile_head(await self.source.read_head())
+        document = builders.build_document(["balie"], 200)
+        head = document_pb2.Head(
+            version=2,
+            documents={"zaanoever": compiler.compute_document_digest(document)},
+            changed=document,
+        )
+        self.store.down = True
+        snapshot = await self.source.compile_head(head)
+        self.assertEqual(snapshot.version, 2)
+
     async def test_another_snapshot_than_accepted_is_refused(self) -> None:
         """The daemon compiles documents to something else than was accepted.
 
