--- a/tests/versions/test_fleet.py
+++ b/tests/versions/test_fleet.py
@@ -2,24 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 import unittest
 
+from merlintrestle.schema import control_pb2
+from merlintrestle.versions import holder as holder_lib
+from tests.members import builders as member_builders
 from tests.versions import builders
 
 
-class FleetTest(unittest.IsolatedAsyncioTestCase):
-    """Spreading from the store to every daemon."""
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Daemons that are stopped when a test ends."""
 
     async def asyncSetUp(self) -> None:
         self.configuration = builders.FakeConfiguration()
         self.daemons: list[builders.Daemon] = []
 
     async def asyncTearDown(self) -> None:
-        for daemon in self.daemons:
-            await daemon.close()
+        await asyncio.gather(*(daemon.close() for daemon in self.daemons))
 
     async def start_daemons(self, count: int, **settings: Any) -> None:
+        """Starts daemons whose seed is the first one."""
         for _ in range(count):
             seeds = [daemon.id for daemon in self.daemons[:1]]
             daemon = builders.Daemon(
@@ -29,12 +33,29 @@
             await daemon.start()
 
     async def wait_for_version(self, version: int) -> None:
+        """Waits until all run a version."""
         await builders.wait_until(
             lambda: all(
                 daemon.holder.version == version for daemon in self.daemons
             )
         )
 
+    async def wait_for_state(
+        self, member_id: str, *states: control_pb2.MemberState
+    ) -> None:
+        """Waits until all others hold a member for one of some states."""
+
+        def check() -> bool:
+            others = [one for one in self.daemons if one.id != member_id]
+            held = [one.table.get(member_id) for one in others]
+            return all(one is not None and one.state in states for one in held)
+
+        await builders.wait_until(check)
+
+
+class SpreadTest(FleetCase):
+    """Spreading from the store to every daemon."""
+
     async def test_accepted_version_reaches_every_daemon(self) -> None:
         for spread in ("fast", "lean"):
             with self.subTest(spread=spread):
@@ -55,6 +76,256 @@
         await self.wait_for_version(1)
         await builders.wait_until(lambda: self.configuration.watches == 2)
 
+    async def test_version_arrives_though_every_push_is_lost(self) -> None:
+        """No offer and no delta is ever pushed.
+
+        The offer in the heartbeats makes up for it: each neighbour hears
+        that there is a newer version and fetches it.
+        """
+        await self.configuration.accept(1, ["balie"])
+        await self.start_daemons(5)
+        await self.wait_for_version(1)
+        for daemon in self.daemons:
+            links: Any = daemon.membership.links
+            links.send_offer = _lose
+        await self.configuration.accept(2, ["balie"])
+        await self.wait_for_version(2)
+
+    async def test_corrupted_pushes_are_fetched_whole(self) -> None:
+        """Every delta that is pushed or fetched is corrupted on its way.
+
+        Its digest does not match, nothing of it runs, and the whole snapshot
+        is fetched in its place.
+        """
+        await self.configuration.accept(1, ["balie"])
+        await self.start_daemons(4)
+        await self.wait_for_version(1)
+        for daemon in self.daemons:
+            daemon.distribution.archive._make_delta = _corrupt(  # type: ignore[method-assign]
+                daemon.distribution.archive._make_delta
+            )
+        await self.configuration.accept(2, ["balie", "kassa"])
+        await self.wait_for_version(2)
+        digests = {daemon.holder.running.digest for daemon in self.daemons}  # type: ignore[union-attr]
+        self.assertEqual(len(digests), 1)
+
+    async def test_fleet_without_a_version_is_closed(self) -> None:
+        await self.start_daemons(2)
+        await builders.wait_until(
+            lambda: all(
+                daemon.holder.closed_reason == holder_lib.NO_VERSION
+                for daemon in self.daemons
+            )
+        )
+        await self.configuration.accept(1, ["balie"])
+        await self.wait_for_version(1)
+        await builders.wait_until(
+            lambda: not any(one.holder.closed_reason for one in self.daemons)
+        )
+
+    async def test_slow_peer_holds_up_no_fetch(self) -> None:
+        """The peer with the highest offer never answers the fetch.
+
+        Another peer offers the version too and is asked after the hedge
+        time, long before the first call runs into its deadline.
+        """
+        slow = member_builders.FAST._replace(fetch=3600.0)
+        await self.configuration.accept(1, ["balie"])
+        await self.start_daemons(2)
+        await self.wait_for_version(1)
+        joiner = builders.Daemon(
+            self.configuration, seeds=[self.daemons[0].id], timing=slow
+        )
+        call = joiner.membership.peers.call
+        asked: list[str] = []
+
+        async def hang_first(
+            address: str, method: str, request: Any, timeout_s: float
+        ) -> Any:
+            if method == "Fetch":
+                asked.append(address)
+                if address == asked[0]:
+                    await asyncio.Event().wait()
+            return await call(address, method, request, timeout_s)
+
+        joiner.membership.peers.call = hang_first  # type: ignore[method-assign]
+        joiner.distribution._watcher.is_chosen = lambda: False  # type: ignore[method-assign]
+        joiner.distribution._timing = slow
+        self.daemons.append(joiner)
+        await joiner.start()
+        await self.wait_for_version(1)
+
+
+class MembersTest(FleetCase):
+    """Joining, leaving and dying."""
+
+    async def test_announced_backend_is_known_everywhere(self) -> None:
+        await self.start_daemons(5)
+        self.daemons[0].table.set_backend(member_builders.build_backend())
+        await builders.wait_until(
+            lambda: all(
+                len(one.table.get_upstreams("balie")) == 1
+                for one in self.daemons
+            )
+        )
+        self.daemons[0].table.leave()
+        await builders.wait_until(
+            lambda: (
+                not any(
+                    one.table.get_upstreams("balie") for one in self.daemons
+                )
+            )
+        )
+
+    async def test_killed_daemon_is_found_dead(self) -> None:
+        await self.start_daemons(5)
+        lost = self.daemons[2]
+        lost.table.set_backend(member_builders.build_backend())
+        await self.wait_for_state(lost.id, control_pb2.ALIVE)
+        self.daemons.remove(lost)
+        await lost.close()
+        await self.wait_for_state(lost.id, control_pb2.DEAD)
+        for daemon in self.daemons:
+            self.assertEqual(daemon.table.get_upstreams("balie"), ())
+
+    async def test_last_but_one_is_found_dead(self) -> None:
+        await self.start_daemons(2)
+        lost = self.daemons[1]
+        await self.wait_for_state(lost.id, control_pb2.ALIVE)
+        self.daemons.remove(lost)
+        await lost.close()
+        await self.wait_for_state(lost.id, control_pb2.DEAD)
+
+    async def test_restarted_daemon_is_alive_again(self) -> None:
+        await self.configuration.accept(1, ["balie"])
+        await self.start_daemons(4)
+        await self.wait_for_version(1)
+        lost = self.daemons.pop()
+        await lost.close()
+        await self.wait_for_state(lost.id, control_pb2.DEAD)
+        again = builders.Daemon(
+            self.configuration,
+            seeds=[self.daemons[0].id],
+            port=lost.server.port,
+        )
+        self.daemons.append(again)
+        await again.start()
+        await self.wait_for_state(lost.id, control_pb2.ALIVE)
+        await self.wait_for_version(1)
+
+    async def test_daemon_declared_dead_by_mistake_comes_back(self) -> None:
+        """A daemon stood still for so long that the fleet gave it up.
+
+        It runs again with its old incarnation. Someone tells it that it is
+        dead, it refutes, and gets work again.
+        """
+        await self.start_daemons(4)
+        paused = self.daemons[1]
+        for daemon in self.daemons:
+            await self.wait_for_state(daemon.id, control_pb2.ALIVE)
+        for daemon in self.daemons:
+            if daemon is not paused:
+                daemon.table.set_state(paused.id, control_pb2.DEAD)
+        await self.wait_for_state(paused.id, control_pb2.ALIVE)
+
+    async def test_strike_reaches_every_daemon_once(self) -> None:
+        await self.start_daemons(5)
+        for daemon in self.daemons:
+            await self.wait_for_state(daemon.id, control_pb2.ALIVE)
+        heard: list[str] = []
+        for daemon in self.daemons[1:]:
+            daemon.membership.links.on_strike.append(
+                lambda strike, own_id=daemon.id: heard.append(own_id)  # type: ignore[misc]
+            )
+        strike = control_pb2.Strike(
+            request_digest=b"d", crash_id="c", until_ms=2**62
+        )
+        await builders.wait_until(
+            lambda: bool(self.daemons[0].membership.links.get_links())
+        )
+        self.daemons[0].membership.links.send_strike(strike)
+        await builders.wait_until(lambda: len(heard) >= 4)
+        self.assertEqual(len(set(heard)), len(heard))
+
+
+class HerdTest(FleetCase):
+    """All daemons restart at once."""
+
+    async def restart_all(self) -> None:
+        """Ends all daemons, then starts them at their addresses."""
+        old = list(self.daemons)
+        await asyncio.gather(*(daemon.close() for daemon in old))
+        seeds = [daemon.id for daemon in old[:2]]
+        self.daemons = [
+            builders.Daemon(
+                self.configuration, seeds=seeds, port=daemon.server.port
+            )
+            for daemon in old
+        ]
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+
+    async def test_herd_with_the_store_down_stays_closed(self) -> None:
+        """All daemons restart while the store is down, then it returns.
+
+        Nobody knows a floor, so all are closed. When the store returns, all
+        open with its head, and its watchers alone read it more than once.
+        """
+        await self.configuration.accept(1, ["balie"])
+        await self.start_daemons(6)
+        await self.wait_for_version(1)
+        await self.configuration.fail()
+        await self.restart_all()
+        reads = self.configuration.reads
+        await builders.wait_until(lambda: self.configuration.reads > reads + 10)
+        for daemon in self.daemons:
+            self.assertEqual(daemon.holder.closed_reason, holder_lib.NO_FLOOR)
+            self.assertIsNone(daemon.holder.running)
+        self.configuration.down = False
+        await self.wait_for_version(1)
+        await builders.wait_until(
+            lambda: not any(one.holder.closed_reason for one in self.daemons)
+        )
+
+    async def test_one_restarts_with_the_store_down(self) -> None:
+        """One daemon restarts during an outage and opens by its witnesses."""
+        await self.configuration.accept(1, ["balie"])
+        await self.start_daemons(5)
+        await self.wait_for_version(1)
+        await self.configuration.fail()
+        asked = control_pb2.FloorRequest(member_id=self.daemons[-1].id)
+        needed_ms = 2000 * member_builders.FAST.memory
+        await builders.wait_until(
+            lambda: all(
+                one.distribution.witness.answer(asked, 0).memory_ms > needed_ms
+                for one in self.daemons
+            )
+        )
+        lost = self.daemons.pop()
+        await lost.close()
+        again = builders.Daemon(
+            self.configuration,
+            seeds=[self.daemons[0].id],
+            port=lost.server.port,
+        )
+        self.daemons.append(again)
+        await again.start()
+        await self.wait_for_version(1)
+        self.assertEqual(again.holder.closed_reason, "")
+
+
+def _lose(*arguments: Any) -> None:
+    del arguments
+
+
+def _corrupt(make_delta: Any) -> Any:
+    def make(base: Any) -> Any:
+        delta = make_delta(base)
+        if delta is not None and delta.changed:
+            delta.changed[0].value += b"x"
+        return delta
+
+    return make
+
 
 if __name__ == "__main__":
     unittest.main()
