Measure how a daemon's state grows: tools/measure slopes

Cause: docs/CAPACITY.md needs slopes, and the fleet sizes that one machine can run end at about two hundred daemons.

--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import sys
 
@@ -12,6 +13,7 @@
 from tools import latency
 from tools import layouts
 from tools import processes
+from tools import slopes
 
 
 @click.group()
@@ -125,5 +127,11 @@
     sys.exit(processes.run(latency.run(options)))
 
 
+@main.command("slopes")
+def measure_slopes() -> None:
+    """Measures how one daemon's state grows with fleet and targets."""
+    click.echo(json.dumps(slopes.measure_slopes()))
+
+
 if __name__ == "__main__":
     main()
