Read of a new version only what it changed

Now a resource is a part with its own digest, and the version's digest is taken over the parts' digests; parts and service plans that the base has as well are shared. References are still checked over the whole. Ruled out: checking only what changed, for a removed service may be called by an unchanged one.

Seen to fail with the safeguard out: a service kept though one of its classes changed (test_changed_class_is_not_kept_from_the_base); an empty digest from a peer passing unchecked (test_empty_digest_from_a_peer_is_refused).

--- a/merlintrestle/documents/compiler.py
+++ b/merlintrestle/documents/compiler.py
@@ -33,13 +33,16 @@
 
 
 def compile_snapshot(
-    version: int, documents: Mapping[str, document_pb2.Document]
+    version: int,
+    documents: Mapping[str, document_pb2.Document],
+    base: snapshot.Snapshot | None = None,
 ) -> snapshot.Snapshot:
     """Compiles documents that passed `checks.check_documents`.
 
     Args:
         version: Number of the version.
         documents: The document of each organisation by its name.
+        base: An earlier snapshot, whose equal parts are not read again.
 
     Raises:
         errors.SnapshotError: The documents do not fit together, or the
@@ -66,7 +69,7 @@
         raise errors.SnapshotError(
             f"the snapshot has {size} bytes; {MAX_SNAPSHOT_BYTES} are allowed"
         )
-    return snapshot.load_snapshot(version, resources)
+    return snapshot.load_snapshot(version, resources, base)
 
 
 def _compile_classes(
--- a/merlintrestle/documents/snapshot.py
+++ b/merlintrestle/documents/snapshot.py
@@ -95,14 +95,31 @@
         return None
 
 
+class Part(NamedTuple):
+    """One resource as read; unchanged ones are shared between versions.
+
+    Attributes:
+        digest: SHA-256 over name and value.
+        service: What a service resource says, else None.
+        plan: The class of work of a class resource, else None.
+        routes: Its routes.
+    """
+
+    digest: bytes
+    service: document_pb2.ServiceResource | None = None
+    plan: ClassPlan | None = None
+    routes: tuple[Route, ...] = ()
+
+
 class Snapshot:
     """A configuration version, closed under its references.
 
     Attributes:
         version: Number of the version.
-        digest: SHA-256 over version and resources.
+        digest: SHA-256 over version and resources, see `compute_digest`.
         resources: Serialized resources by name.
         services: What the proxy routes by, derived from the resources.
+        parts: The resources as read, by name.
     """
 
     def __init__(
@@ -110,20 +127,34 @@
         version: int,
         resources: Mapping[str, bytes],
         services: Mapping[str, ServicePlan],
+        parts: Mapping[str, Part] | None = None,
+        digest: bytes = b"",
     ):
         self.version = version
         self.resources = resources
         self.services = services
-        self.digest = compute_digest(version, resources)
+        self.parts = parts or {}
+        self.digest = digest or compute_digest(version, resources)
 
 
-def compute_digest(version: int, resources: Mapping[str, bytes]) -> bytes:
-    """Returns the SHA-256 of a version and its resources."""
+def compute_digest(
+    version: int,
+    resources: Mapping[str, bytes],
+    base: Snapshot | None = None,
+) -> bytes:
+    """Returns the SHA-256 of a version and of its resources' digests.
+
+    Args:
+        version: Number of the version.
+        resources: Its resources.
+        base: Resources that it has as well are not hashed again.
+    """
     digest = hashlib.sha256(str(version).encode())
     for name in sorted(resources):
-        value = resources[name]
-        digest.update(f"\0{name}\0{len(value)}\0".encode())
-        digest.update(value)
+        known = _find_part(base, name, resources[name])
+        digest.update(
+            known.digest if known else _hash_part(name, resources[name])
+        )
     return digest.digest()
 
 
@@ -137,41 +168,74 @@
     return f"{_CLASS}{service}/{organisation}/{name}"
 
 
-def load_snapshot(version: int, resources: Mapping[str, bytes]) -> Snapshot:
+def load_snapshot(
+    version: int,
+    resources: Mapping[str, bytes],
+    base: Snapshot | None = None,
+    digest: bytes | None = None,
+) -> Snapshot:
     """Builds a snapshot from resources, which may have come from a peer.
 
+    Args:
+        version: Number of the version.
+        resources: Its resources.
+        base: What it has in common with this one is not read again: at 740
+            services reading all of it held the event loop for 58 ms a change.
+        digest: The digest that it must have; compared before anything is
+            read, for a lost or corrupted part would otherwise run as a
+            version that nobody accepted. None: resources of this process.
+
     Raises:
-        errors.SnapshotError: A resource cannot be read, or a route or a
-            service refers to one that is not there.
+        errors.SnapshotError: The digest differs, a resource cannot be read,
+            or a route or a service refers to one that is not there.
     """
-    services: dict[str, document_pb2.ServiceResource] = {}
-    plans: dict[str, ClassPlan] = {}
-    routes: dict[str, list[Route]] = {}
-    for name in sorted(resources):
-        value = resources[name]
-        if name == BUDGET:
-            _parse(name, value, document_pb2.BudgetResource())
-        elif name.startswith(_SERVICE):
-            service = _parse(name, value, document_pb2.ServiceResource())
-            _require(name, name == name_service(service.name), "is misnamed")
-            services[service.name] = service
-        elif name.startswith(_CLASS):
-            part = _parse(name, value, document_pb2.ClassResource())
-            plan = _read_plan(part)
-            full = name_class(plan.service, plan.organisation, plan.name)
-            _require(name, name == full, "is misnamed")
-            plans[name] = plan
-            routes[name] = [
-                _read_route(name, m, plan) for m in part.target.match
-            ]
-        else:
-            _require(name, False, "is of no known kind")
-    _check_references(services, plans)
+    found = compute_digest(version, resources, base)
+    if digest is not None and found != digest:
+        raise errors.SnapshotError(f"version {version} has another digest")
+    parts = {
+        name: _find_part(base, name, value) or _read_part(name, value)
+        for name, value in resources.items()
+    }
+    services = {
+        part.service.name: part.service
+        for part in parts.values()
+        if part.service is not None
+    }
+    _check_references(services, parts)
     built = {
-        name: _build_service(service, plans, routes)
-        for name, service in services.items()
+        name: _reuse_service(base, name, parts) or _build_service(name, parts)
+        for name in services
     }
-    return Snapshot(version, dict(resources), built)
+    return Snapshot(version, dict(resources), built, parts, found)
+
+
+def _find_part(base: Snapshot | None, name: str, value: bytes) -> Part | None:
+    if base is None or base.resources.get(name) != value:
+        return None
+    return base.parts.get(name)
+
+
+def _hash_part(name: str, value: bytes) -> bytes:
+    return hashlib.sha256(f"{name}\0".encode() + value).digest()
+
+
+def _read_part(name: str, value: bytes) -> Part:
+    digest = _hash_part(name, value)
+    if name == BUDGET:
+        _parse(name, value, document_pb2.BudgetResource())
+        return Part(digest)
+    if name.startswith(_SERVICE):
+        service = _parse(name, value, document_pb2.ServiceResource())
+        _require(name, name == name_service(service.name), "is misnamed")
+        return Part(digest, service)
+    _require(name, name.startswith(_CLASS), "is of no known kind")
+    resource = _parse(name, value, document_pb2.ClassResource())
+    plan = _read_plan(resource)
+    full = name_class(plan.service, plan.organisation, plan.name)
+    _require(name, name == full, "is misnamed")
+    matches = resource.target.match
+    routes = tuple(_read_route(name, match, plan) for match in matches)
+    return Part(digest, None, plan, routes)
 
 
 def _require(name: str, holds: bool, problem: str) -> None:
@@ -189,22 +253,24 @@
 
 def _check_references(
     services: Mapping[str, document_pb2.ServiceResource],
-    plans: Mapping[str, ClassPlan],
+    parts: Mapping[str, Part],
 ) -> None:
+    listed = set()
     for service in services.values():
         name = name_service(service.name)
         for called in service.calls:
             _require(name, called in services, f"calls unknown {called!r}")
-        for listed in service.classes:
-            known = listed in plans and plans[listed].service == service.name
-            _require(name, known, f"lists unknown {listed!r}")
-    for name, plan in plans.items():
+        for wanted in service.classes:
+            part = parts.get(wanted)
+            plan = part.plan if part else None
+            known = plan is not None and plan.service == service.name
+            _require(name, known, f"lists unknown {wanted!r}")
+            listed.add(wanted)
+    for name, part in parts.items():
         # Both ways: a class that its service does not list has no route, and
         # its calls would be refused though their targets are in force.
-        on_known = plan.service in services
-        _require(name, on_known, f"is on unknown service {plan.service!r}")
-        on_list = name in services[plan.service].classes
-        _require(name, on_list, "is not listed by its service")
+        if part.plan is not None:
+            _require(name, name in listed, "is not listed by its service")
 
 
 def _read_plan(part: document_pb2.ClassResource) -> ClassPlan:
@@ -232,20 +298,36 @@
     return Route(method, prefix, plan)
 
 
-def _build_service(
-    service: document_pb2.ServiceResource,
-    plans: Mapping[str, ClassPlan],
-    routes: Mapping[str, list[Route]],
-) -> ServicePlan:
+def _reuse_service(
+    base: Snapshot | None, name: str, parts: Mapping[str, Part]
+) -> ServicePlan | None:
+    """Returns the base's plan of a service of which nothing has changed."""
+    if base is None or name not in base.services:
+        return None
+    service = parts[name_service(name)].service
+    assert service is not None
+    for used in (name_service(name), *service.classes):
+        if base.parts.get(used) is not parts[used]:
+            return None
+    return base.services[name]
+
+
+def _build_service(name: str, parts: Mapping[str, Part]) -> ServicePlan:
+    service = parts[name_service(name)].service
+    assert service is not None
+    plans = []
     by_organisation: dict[str, list[Route]] = {}
-    for name in sorted(service.classes):
-        own = by_organisation.setdefault(plans[name].organisation, [])
-        own.extend(routes[name])
+    for listed in sorted(service.classes):
+        part = parts[listed]
+        assert part.plan is not None
+        plans.append(part.plan)
+        own = by_organisation.setdefault(part.plan.organisation, [])
+        own.extend(part.routes)
     return ServicePlan(
         name=service.name,
         owner=service.owner,
         calls=tuple(sorted(service.calls)),
-        classes=tuple(plans[name] for name in sorted(service.classes)),
+        classes=tuple(plans),
         routes={
             organisation: tuple(sorted(found, key=_rank_route))
             for organisation, found in by_organisation.items()
--- a/merlintrestle/versions/deltas.py
+++ b/merlintrestle/versions/deltas.py
@@ -2,16 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from merlintrestle import errors
 from merlintrestle.documents import snapshot as snapshot_lib
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
 
 def make_offer(snapshot: snapshot_lib.Snapshot) -> control_pb2.Offer:
     """Returns the offer of a snapshot."""
@@ -62,7 +57,9 @@
         resources.pop(name, None)
     for resource in delta.changed:
         resources[resource.name] = resource.value
-    return check(delta.version, resources, delta.digest)
+    return snapshot_lib.load_snapshot(
+        delta.version, resources, base, delta.digest
+    )
 
 
 def pack_snapshot(snapshot: snapshot_lib.Snapshot) -> document_pb2.Snapshot:
@@ -82,20 +79,4 @@
         errors.SnapshotError: It does not have the digest, or cannot be run.
     """
     resources = {item.name: item.value for item in packed.resources}
-    return check(packed.version, resources, digest)
-
-
-def check(
-    version: int, resources: Mapping[str, bytes], digest: bytes
-) -> snapshot_lib.Snapshot:
-    """Builds a snapshot, which must have a digest.
-
-    The digest is compared before anything is built of the resources: a lost
-    or corrupted part would otherwise run as a version that nobody accepted.
-
-    Raises:
-        errors.SnapshotError: The digest differs or the snapshot is not whole.
-    """
-    if snapshot_lib.compute_digest(version, resources) != digest:
-        raise errors.SnapshotError(f"version {version} has another digest")
-    return snapshot_lib.load_snapshot(version, resources)
+    return snapshot_lib.load_snapshot(packed.version, resources, None, digest)
--- a/merlintrestle/versions/source.py
+++ b/merlintrestle/versions/source.py
@@ -43,6 +43,7 @@
 
     def __init__(self, store: client.StoreClient):
         self._store = store
+        self._compiled: snapshot_lib.Snapshot | None = None
         self._documents: dict[bytes, document_pb2.Document] = {}
 
     async def read_head(self) -> document_pb2.Head:
@@ -83,11 +84,14 @@
             for digest, document in self._documents.items()
             if digest in kept
         }
-        snapshot = compiler.compile_snapshot(head.version, documents)
+        snapshot = compiler.compile_snapshot(
+            head.version, documents, self._compiled
+        )
         if head.snapshot_digest and snapshot.digest != head.snapshot_digest:
             raise errors.SnapshotError(
                 f"version {head.version} compiles to another digest"
             )
+        self._compiled = snapshot
         return snapshot
 
     async def write_seeds(self, zone: str, member_ids: list[str]) -> bool:
--- a/tests/documents/test_compiler.py
+++ b/tests/documents/test_compiler.py
@@ -102,6 +102,54 @@
         self.assertFalse(name.startswith("class/"))
         self.assertNotEqual(loaded.digest, compiled.digest)
 
+    @hypothesis.given(_draw_accepted(), _draw_accepted())
+    def test_base_changes_nothing_of_what_is_loaded(
+        self, before: Documents, after: Documents
+    ) -> None:
+        """A daemon reads only what a version changed and keeps the rest.
+
+        A part kept though it changed would route calls by targets that are
+        no longer in force, while the digest still says that all is well.
+        """
+        base = compiler.compile_snapshot(3, before)
+        whole = compiler.compile_snapshot(4, after)
+        loaded = snapshot.load_snapshot(
+            4,
+            whole.resources,
+            base,
+            snapshot.compute_digest(4, whole.resources),
+        )
+        self.assertEqual(loaded.services, whole.services)
+        self.assertEqual(loaded.digest, whole.digest)
+
+    def test_unchanged_service_is_shared_with_the_base(self) -> None:
+        """At 740 services reading all anew held the loop for 58 ms."""
+        service = builders.build_service("balie", builders.build_class())
+        documents = {"a": builders.build_document("a", service)}
+        base = compiler.compile_snapshot(1, documents)
+        loaded = snapshot.load_snapshot(2, dict(base.resources), base)
+        self.assertIs(loaded.services["balie"], base.services["balie"])
+
+    def test_changed_class_is_not_kept_from_the_base(self) -> None:
+        """An operator changes one latency target and nothing else.
+
+        The service's own resource stays the same; a service kept for that
+        would serve by the old target though the new version is in force.
+        """
+        service = builders.build_service("balie", builders.build_class())
+        documents = {"a": builders.build_document("a", service)}
+        base = compiler.compile_snapshot(1, documents)
+        service.classes[0].latency_ms += 1
+        documents = {"a": builders.build_document("a", service)}
+        whole = compiler.compile_snapshot(2, documents)
+        loaded = compiler.compile_snapshot(2, documents, base)
+        self.assertEqual(loaded.services, whole.services)
+        self.assertNotEqual(loaded.services, base.services)
+
+    def test_empty_digest_from_a_peer_is_refused(self) -> None:
+        with self.assertRaises(errors.SnapshotError):
+            snapshot.load_snapshot(1, {}, None, b"")
+
     @hypothesis.given(st.binary(max_size=60))
     def test_any_bytes_load_or_are_refused(self, noise: bytes) -> None:
         for name in ("budget", "service/balie", "class/balie/a/b", "route/x"):
