--- a/tools/convergence.py
+++ b/tools/convergence.py
@@ -27,7 +27,6 @@
 _SETTLE_S = 5.0
 _IDLE_S = 10.0
 _AFTER_CHANGE_S = 2.0
-_STORE_FAILS_AFTER_S = 0.05
 
 
 class Options(NamedTuple):
@@ -40,6 +39,7 @@
         restart_share: Share of the daemons killed and started again right
             after each acceptance.
         store_down: The store fails right after each acceptance.
+        store_fails_after_s: Seconds between acceptance and failure.
     """
 
     layout: layouts.Layout
@@ -47,6 +47,7 @@
     changes: int
     restart_share: float
     store_down: bool
+    store_fails_after_s: float
 
 
 class Idle(NamedTuple):
@@ -78,12 +79,15 @@
             taken off.
         store_calls: Calls of the store meanwhile, idle ones taken off, the
             operator's own included.
+        late_s: Seconds from the store's return until the version was in
+            force everywhere, where it was not before; None: not needed.
     """
 
     delays_s: list[float]
     missing: int
     control_bytes: float
     store_calls: float
+    late_s: float | None
 
 
 async def measure(options: Options, with_baseline: bool) -> dict[str, Any]:
@@ -144,6 +148,7 @@
     delays = [delay for change in changes for delay in change.delays_s]
     per_change = [change.control_bytes / daemons for change in changes]
     calls = [change.store_calls for change in changes]
+    late = [c.late_s for c in changes if c.late_s is not None]
     return {
         "daemons": daemons,
         "changes": len(changes),
@@ -154,6 +159,7 @@
             max(change.delays_s, default=0.0) for change in changes
         ),
         "not_converged": sum(change.missing for change in changes),
+        "late_max_s": max(late, default=None),
         "control_bytes_per_daemon_s_idle": round(idle.bytes_per_s / daemons, 1),
         "control_bytes_per_daemon_change": round(
             statistics.median(per_change), 1
@@ -204,7 +210,7 @@
     version = (await shown.read_head()).version + 1
     if options.store_down:
         await shown.set_store_faults(
-            fail_after_key="head", fail_after_s=_STORE_FAILS_AFTER_S
+            fail_after_key="head", fail_after_s=options.store_fails_after_s
         )
     counters = await shown.read_counters()
     carried = await _read_control_bytes(shown)
@@ -216,17 +222,31 @@
     took_s = time.monotonic() - began
     sent = samples.subtract(carried, await _read_control_bytes(shown))
     called = _count_calls(await shown.read_counters()) - _count_calls(counters)
-    if options.store_down:
-        await shown.set_store_faults()
     delays_s = await _read_delays(shown, version)
+    late_s = await _end_outage(options, shown, version, missing)
     return Change(
         delays_s,
         missing,
         sent - idle.bytes_per_s * took_s,
         called - idle.calls_per_s * took_s,
+        late_s,
     )
 
 
+async def _end_outage(
+    options: Options, shown: fleet.Fleet, version: int, missing: int
+) -> float | None:
+    if not options.store_down:
+        return None
+    await shown.set_store_faults()
+    began = time.monotonic()
+    if not missing:
+        return None
+    if await _find_missing(shown, version, _CHANGE_WITHIN_S):
+        return _CHANGE_WITHIN_S
+    return time.monotonic() - began
+
+
 async def _restart_share(
     options: Options, shown: fleet.Fleet, number: int
 ) -> None:
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import logging
 from typing import Any, NamedTuple, TYPE_CHECKING
 
+import aiohttp
+
 from standins import ledger
 from tools import calls
 from tools import fleet
@@ -19,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+logger = logging.getLogger(__name__)
+
 _IN_FORCE_WITHIN_S = 20.0
 _WARM_S = 3.0
 _DOWNLOAD_BYTES = 1_500_000
@@ -51,6 +57,7 @@
     """Runs the product and then the baseline through the same failures."""
     figures = await _run_kind(options, layouts.build_daemon_arguments, True)
     if with_baseline:
+        logger.info("product: %s", json.dumps(figures))
         figures["baseline"] = await _run_kind(
             options, layouts.build_proxy_arguments, False
         )
@@ -103,7 +110,8 @@
         address = instance.backend.ready["address"]
         upstreams.setdefault(instance.place.service, []).append(address)
     for instance in shown.instances:
-        if instance.daemon.running:
+        # A proxy that stops has closed its port; it is told at its restart.
+        with contextlib.suppress(aiohttp.ClientError):
             await shown.post_json(instance.admin, "/upstreams", upstreams)
 
 
--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -88,6 +88,12 @@
     is_flag=True,
     help="The store fails right after each acceptance.",
 )
+@click.option(
+    "--store-fails-after-s",
+    default=0.05,
+    show_default=True,
+    help="Seconds between acceptance and that failure.",
+)
 @click.option(
     "--baseline/--no-baseline",
     default=True,
@@ -100,11 +106,17 @@
     changes: int,
     restart_share: float,
     store_down: bool,
+    store_fails_after_s: float,
     baseline: bool,
 ) -> None:
     """Measures how long versions take to be in force, and their cost."""
     options = convergence.Options(
-        layouts.LAYOUTS[name], daemons, changes, restart_share, store_down
+        layouts.LAYOUTS[name],
+        daemons,
+        changes,
+        restart_share,
+        store_down,
+        store_fails_after_s,
     )
     sys.exit(processes.run(convergence.run(options, baseline)))
 
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -82,7 +82,8 @@
         self._folder = folder
         self._refresh = refresh
         self._with_versions = with_versions
-        self._leaving: set[processes.Process] = set()
+        # Two restarts of one backend server would want the same port.
+        self._locks = {instance: asyncio.Lock() for instance in shown.instances}
 
     async def run(self) -> None:
         """Causes every failure at its time; returns when all are over."""
@@ -149,11 +150,11 @@
         await self._refresh()
 
     async def _kill_backend(self, instance: fleet.Instance) -> None:
-        assert instance.backend is not None
-        self._leaving.add(instance.backend)
-        await instance.backend.kill()
-        await asyncio.sleep(1.0)
-        await self._fleet.start_backend(instance)
+        async with self._locks[instance]:
+            assert instance.backend is not None
+            await instance.backend.kill()
+            await asyncio.sleep(1.0)
+            await self._fleet.start_backend(instance)
 
     async def _freeze(
         self, process: processes.Process | None, away_s: float
@@ -169,26 +170,34 @@
         await self._fleet.set_store_faults()
 
     async def _silence(self, instance: fleet.Instance) -> None:
-        assert instance.backend is not None
-        control = instance.backend.ready["control"]
-        await self._fleet.post_json(control, "/faults", {"silent": True})
+        async with self._locks[instance]:
+            await self._start_crashed(instance)
+            assert instance.backend is not None
+            control = instance.backend.ready["control"]
+            # A request may crash it at this very moment.
+            with contextlib.suppress(aiohttp.ClientError):
+                await self._fleet.post_json(
+                    control, "/faults", {"silent": True}
+                )
 
     async def _drain_backend(
         self, instance: fleet.Instance, away_s: float
     ) -> None:
         """Lets a backend server leave; it takes what still comes."""
-        backend = instance.backend
-        assert backend is not None
-        self._leaving.add(backend)
-        stop = self._note_stop(instance, daemon=False)
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-            await self._fleet.post_json(backend.ready["control"], "/drain", {})
-        await asyncio.sleep(away_s)
-        await backend.stop()
-        until_ms = time.time_ns() // 1_000_000
-        place = self.stops.index(stop)
-        self.stops[place] = stop._replace(until_ms=until_ms)
-        await self._fleet.start_backend(instance)
+        async with self._locks[instance]:
+            await self._start_crashed(instance)
+            backend = instance.backend
+            assert backend is not None
+            stop = self._note_stop(instance, daemon=False)
+            control = backend.ready["control"]
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                await self._fleet.post_json(control, "/drain", {})
+            await asyncio.sleep(away_s)
+            await backend.stop()
+            until_ms = time.time_ns() // 1_000_000
+            place = self.stops.index(stop)
+            self.stops[place] = stop._replace(until_ms=until_ms)
+            await self._fleet.start_backend(instance)
 
     async def _stop_daemon(self, instance: fleet.Instance) -> None:
         await self._read_versions()
@@ -230,15 +239,17 @@
         """Starts backend servers again that ended by themselves."""
         while True:
             for instance in self._fleet.instances:
-                backend = instance.backend
-                if backend is None or backend.running:
-                    continue
-                if backend not in self._leaving:
-                    self._leaving.add(backend)
-                    self.crashes += 1
-                    await self._fleet.start_backend(instance)
+                if not self._locks[instance].locked():
+                    async with self._locks[instance]:
+                        await self._start_crashed(instance)
             await asyncio.sleep(_WATCH_EVERY_S)
 
+    async def _start_crashed(self, instance: fleet.Instance) -> None:
+        backend = instance.backend
+        if backend is not None and not backend.running:
+            self.crashes += 1
+            await self._fleet.start_backend(instance)
+
     async def _watch_versions(self) -> None:
         while True:
             await self._read_versions()
