Leave silent connections by asking the peer about the call

Cause: a pooled connection that went silent ate the deadline of the next call.

Answers without a stated end are refused as ran.

--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -105,7 +105,7 @@
     async def _send(
         self, upstream: tables.Upstream, call: calls.Call
     ) -> outcomes.Outcome:
-        outcome = await self._forwarder.send(
+        outcome = await self._forwarder.send_to_peer(
             f"{upstream.address}:{upstream.peer_port}",
             f"/{call.service}{call.target}",
             call,
--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import TYPE_CHECKING
 
 import aiohttp
 import yarl
 
+from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import streams
+from merlintrestle.requests import watches
 
 if TYPE_CHECKING:
     import multidict
 
     from merlintrestle.requests import call as calls
 
+logger = logging.getLogger(__name__)
+
 _CONNECT_S = 1.0
 # Shorter than servers keep idle connections: one closed by the other side just
 # as a call is written to it would leave that call with an unknown outcome.
@@ -24,14 +29,18 @@
 _UNREACHABLE = outcomes.NotRun(
     "could not connect", elsewhere=True, unreachable=True
 )
+_REASONS = {
+    watches.Verdict.NONE: "no answer before the deadline",
+    watches.Verdict.CONNECTION_SILENT: "the connection went silent",
+    watches.Verdict.PEER_SILENT: "the daemon does not answer",
+}
 
 
 class Forwarder:
     """Sends calls over pooled connections, or each over one of its own."""
 
     def __init__(self) -> None:
-        self._pooled: aiohttp.ClientSession | None = None
-        self._single: aiohttp.ClientSession | None = None
+        self._call_ids = watches.CallIds()
 
     async def start(self) -> None:
         """Opens the pools."""
@@ -40,9 +49,8 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        for session in (self._pooled, self._single):
-            if session is not None:
-                await session.close()
+        await self._pooled.close()
+        await self._single.close()
 
     async def send(
         self,
@@ -51,48 +59,154 @@
         call: calls.Call,
         sent_headers: multidict.CIMultiDict[str],
     ) -> outcomes.Outcome:
-        """Sends a call and waits for its answer, whole if it is small.
+        """Sends a call to a backend server and waits for its answer.
 
-        Work that may not be repeated gets a new connection: a pooled one that
-        the other side is closing, or that has gone silent, would leave it
-        unknown whether the work ran.
+        A small answer is waited for whole. Work that may not be repeated gets
+        a new connection: a pooled one that the other side is closing, or that
+        has gone silent, would leave it unknown whether the work ran.
 
         Raises:
             streams.BodyError: The caller's body stopped half-way.
         """
         session = self._pooled if call.plan.repeatable else self._single
-        assert session is not None
-        url = yarl.URL(f"http://{address}{target}", encoded=True)
-        response = None
         try:
             async with asyncio.timeout_at(call.deadline):
-                response = await session.request(
-                    call.method,
-                    url,
-                    headers=sent_headers,
-                    data=call.body.make_payload(),
-                    allow_redirects=False,
+                return await _exchange(
+                    session, address, target, call, sent_headers
                 )
-                body = await streams.read_answer(response)
-            return outcomes.Answered(response, body, response.close)
-        except aiohttp.ClientConnectorError:
-            # Raised only while connecting: nothing was written.
-            return _UNREACHABLE
-        except aiohttp.ConnectionTimeoutError:
-            return _UNREACHABLE
         except TimeoutError:
-            return _fail(response, "no answer before the deadline", 504)
-        except (aiohttp.ClientError, OSError) as error:
-            if call.body.error is not None:
-                raise call.body.error from error
-            return _fail(response, "the connection broke", 502, broken=True)
+            return outcomes.Unknown("no answer before the deadline", 504)
+
+    async def send_to_peer(
+        self,
+        address: str,
+        target: str,
+        call: calls.Call,
+        sent_headers: multidict.CIMultiDict[str],
+    ) -> outcomes.Outcome:
+        """Sends a call to another daemon, again if its connection is silent.
+
+        Raises:
+            streams.BodyError: The caller's body stopped half-way.
+        """
+        if not call.plan.repeatable:
+            return await self.send(address, target, call, sent_headers)
+        outcome, verdict = await self._send_watched(
+            self._pooled, address, target, call, sent_headers
+        )
+        if verdict is not watches.Verdict.CONNECTION_SILENT:
+            return outcome
+        logger.info("requests: a connection to %s is silent.", address)
+        self._drop_idle(address)
+        if not call.body.repeatable:
+            return outcome
+        outcome, _ = await self._send_watched(
+            self._single, address, target, call, sent_headers
+        )
+        return outcome
+
+    async def _send_watched(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        target: str,
+        call: calls.Call,
+        sent_headers: multidict.CIMultiDict[str],
+    ) -> tuple[outcomes.Outcome, watches.Verdict]:
+        call_id = self._call_ids.take()
+        sent_headers[headers.CALL] = call_id
+        scope = asyncio.timeout_at(call.deadline)
+        watch = watches.FirstByteWatch(
+            self._single, address, call_id, call.plan.work_s, scope
+        )
+        try:
+            async with scope:
+                outcome = await _exchange(
+                    session, address, target, call, sent_headers
+                )
+        except TimeoutError:
+            reason = _REASONS[watch.verdict]
+            return outcomes.Unknown(reason, 504), watch.verdict
+        finally:
+            watch.close()
+        if isinstance(outcome, outcomes.Answered) and outcome.body is None:
+            self._watch_transfer(address, call_id, outcome)
+        return outcome, watch.verdict
+
+    def _watch_transfer(
+        self, address: str, call_id: str, answered: outcomes.Answered
+    ) -> None:
+        task = asyncio.create_task(
+            watches.watch_transfer(
+                self._single, address, call_id, answered.response
+            )
+        )
+        answered.hold(lambda: _cancel(task))
+
+    def _drop_idle(self, address: str) -> None:
+        """Closes idle connections to a peer; the library has no call for it.
+
+        What made one of them silent was there for all of the same age. Those
+        in use are left: their own watches find out.
+        """
+        connector = self._pooled.connector
+        assert connector is not None
+        host, _, port = address.rpartition(":")
+        for key, idle in connector._conns.items():
+            if key.host == host and key.port == int(port):
+                for protocol, _ in idle:
+                    protocol.close()
+                idle.clear()
+
+
+async def _exchange(
+    session: aiohttp.ClientSession,
+    address: str,
+    target: str,
+    call: calls.Call,
+    sent_headers: multidict.CIMultiDict[str],
+) -> outcomes.Outcome:
+    url = yarl.URL(f"http://{address}{target}", encoded=True)
+    response = None
+    try:
+        response = await session.request(
+            call.method,
+            url,
+            headers=sent_headers,
+            data=call.body.make_payload(),
+            allow_redirects=False,
+        )
+        if not streams.has_clear_end(response, call.method):
+            response.close()
+            return outcomes.Ran("the answer does not say where it ends")
+        body = await streams.read_answer(response)
+        return outcomes.Answered(response, body, response.close)
+    except aiohttp.ClientConnectorError:
+        # Raised only while connecting: nothing was written.
+        return _UNREACHABLE
+    except aiohttp.ConnectionTimeoutError:
+        return _UNREACHABLE
+    except TimeoutError:
+        raise
+    except asyncio.CancelledError:
+        if response is not None:
+            response.close()
+        raise
+    except (aiohttp.ClientError, OSError) as error:
+        if call.body.error is not None:
+            raise call.body.error from error
+        return _fail(response, "the connection broke", 502, broken=True)
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
 
 
 def _fail(
     response: aiohttp.ClientResponse | None,
     reason: str,
     status: int,
-    broken: bool = False,
+    broken: bool,
 ) -> outcomes.Failure:
     if response is None:
         return outcomes.Unknown(reason, status, broken=broken)
--- a/merlintrestle/requests/headers.py
+++ b/merlintrestle/requests/headers.py
@@ -21,6 +21,8 @@
 CLASS = "Merlintrestle-Class"
 # Present where the call broke a connection before; believed likewise.
 SUSPECT = "Merlintrestle-Suspect"
+# Names one attempt at a call between two daemons.
+CALL = "Merlintrestle-Call"
 KEY = "Idempotency-Key"
 
 _PREFIX = "merlintrestle-"
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -18,10 +18,12 @@
 from merlintrestle.requests import crashes
 from merlintrestle.requests import dispatch
 from merlintrestle.requests import forwarding
+from merlintrestle.requests import headers
 from merlintrestle.requests import intake
 from merlintrestle.requests import leases
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import picking
+from merlintrestle.requests import probes
 from merlintrestle.requests import recall
 from merlintrestle.requests import server
 from merlintrestle.requests import statistics
@@ -75,6 +77,7 @@
         self._settings = settings
         self._holder = holder
         self._forwarder = forwarding.Forwarder()
+        self._registry = probes.Registry()
         self._idle = asyncio.Event()
         self._idle.set()
         self.control_port = settings.control_port
@@ -196,6 +199,9 @@
     async def _handle_peer(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
+        if probes.is_probe(request):
+            status, text = self._registry.answer(request.raw_path)
+            return web.Response(status=status, text=text)
         began = self._get_time()
         running = self._get_running(nested=False)
         if isinstance(running, outcomes.NotRun):
@@ -203,12 +209,15 @@
         match = intake.match_peer(running, request)
         if isinstance(match, outcomes.NotRun):
             return outcomes.render(match)
+        call_id = request.headers.get(headers.CALL, "")
+        progress = self._registry.enter(call_id)
         self._enter()
         try:
             outcome = await self._run(request, match, began, True)
-            return await _finish(request, outcome)
+            return await _finish(request, outcome, progress)
         finally:
             self._leave()
+            self._registry.leave(call_id)
 
     async def _run(
         self,
@@ -249,10 +258,12 @@
 
 
 async def _finish(
-    request: web.BaseRequest, outcome: outcomes.Outcome
+    request: web.BaseRequest,
+    outcome: outcomes.Outcome,
+    progress: probes.Progress | None = None,
 ) -> web.StreamResponse:
     if isinstance(outcome, outcomes.Answered):
-        return await _relay(request, outcome)
+        return await _relay(request, outcome, progress)
     response = outcomes.render(outcome)
     if not request.content.is_eof():
         # What is left of the body must not be taken for the next request.
@@ -261,10 +272,12 @@
 
 
 async def _relay(
-    request: web.BaseRequest, answered: outcomes.Answered
+    request: web.BaseRequest,
+    answered: outcomes.Answered,
+    progress: probes.Progress | None,
 ) -> web.StreamResponse:
     try:
-        return await streams.relay(request, answered)
+        return await streams.relay(request, answered, progress)
     except (aiohttp.ClientError, OSError) as error:
         answered.cut = isinstance(error, aiohttp.ClientError)
         raise ConnectionError("the answer was cut") from error
--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -11,6 +11,7 @@
 
 from merlintrestle import errors
 from merlintrestle.requests import headers
+from merlintrestle.requests import probes
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -119,8 +120,24 @@
     return None
 
 
+def has_clear_end(response: aiohttp.ClientResponse, method: str) -> bool:
+    """Returns whether the end of an answer differs from a cut.
+
+    An answer whose end is marked by the close of its connection alone looks
+    whole wherever it is cut.
+    """
+    return (
+        response.content_length is not None
+        or "Transfer-Encoding" in response.headers
+        or method == "HEAD"
+        or response.status in _BODILESS
+    )
+
+
 async def relay(
-    request: web.BaseRequest, answered: outcomes.Answered
+    request: web.BaseRequest,
+    answered: outcomes.Answered,
+    progress: probes.Progress | None = None,
 ) -> web.StreamResponse:
     """Passes an answer on, and cuts the caller off if it is cut.
 
@@ -144,7 +161,9 @@
     try:
         await answer.prepare(request)
         if not bodiless:
-            await _relay_pieces(response.content, answer)
+            await _relay_pieces(
+                response.content, answer, progress or probes.Progress()
+            )
         await answer.write_eof()
     except BaseException:
         cut(request)
@@ -153,12 +172,15 @@
 
 
 async def _relay_pieces(
-    content: aiohttp.StreamReader, answer: web.StreamResponse
+    content: aiohttp.StreamReader,
+    answer: web.StreamResponse,
+    progress: probes.Progress,
 ) -> None:
     while True:
         piece = await content.readany()
         if not piece:
             return
+        progress.written += len(piece)
         await answer.write(piece)
 
 
--- /dev/null
+++ b/tests/requests/relays.py
@@ -0,0 +1,73 @@
+"""A TCP relay whose connections can go silent."""
+
+from __future__ import annotations
+
+import asyncio
+
+
+class Relay:
+    """Passes bytes on to a port, until it is told to lose track.
+
+    Attributes:
+        port: Where it listens.
+    """
+
+    def __init__(self, target_port: int):
+        """Sets the port that is relayed to."""
+        self.port = 0
+        self._target_port = target_port
+        self._silent_from: asyncio.Event = asyncio.Event()
+        self._deaf = False
+        self._writers: list[asyncio.StreamWriter] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def silence(self, new_ones_too: bool = False) -> None:
+        """Drops whatever comes on the connections that are open."""
+        self._silent_from.set()
+        self._silent_from = asyncio.Event()
+        self._deaf = new_ones_too
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.append(writer)
+        if self._deaf:
+            return
+        silent = self._silent_from
+        far_reader, far_writer = await asyncio.open_connection(
+            "127.0.0.1", self._target_port
+        )
+        self._writers.append(far_writer)
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(_pass_on(source, sink, silent))
+            self._tasks.add(task)
+
+
+async def _pass_on(
+    source: asyncio.StreamReader,
+    sink: asyncio.StreamWriter,
+    silent: asyncio.Event,
+) -> None:
+    while True:
+        piece = await source.read(65536)
+        if silent.is_set():
+            if not piece:
+                return
+            continue
+        if not piece:
+            sink.close()
+            return
+        sink.write(piece)
--- /dev/null
+++ b/tests/requests/test_silence.py
@@ -0,0 +1,174 @@
+"""Connections between daemons that go silent for good."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any, TYPE_CHECKING
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from merlintrestle.requests import headers
+from merlintrestle.requests import probes
+from merlintrestle.requests import watches
+from tests.requests import builders
+from tests.requests import relays
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_HALF = b"h" * 100_000
+
+
+class SilenceTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon reaches another one through a relay."""
+
+    def setUp(self) -> None:
+        self.begun = asyncio.Event()
+        self.go_on = asyncio.Event()
+        self.asked = asyncio.Semaphore(0)
+        for name in ("FIRST_BYTE_S", "TRANSFER_S"):
+            patch = mock.patch.object(watches, name, 0.02)
+            patch.start()
+            self.addCleanup(patch.stop)
+        ask = probes.ask
+
+        async def count(*arguments: Any) -> probes.View:
+            view = await ask(*arguments)
+            self.asked.release()
+            return view
+
+        patch_ask = mock.patch.object(probes, "ask", count)
+        patch_ask.start()
+        self.addCleanup(patch_ask.stop)
+
+    @contextlib.asynccontextmanager
+    async def connect(
+        self, handler: Any, count: int = 2
+    ) -> AsyncIterator[tuple[list[builders.Node], relays.Relay, Any]]:
+        """Runs daemons; the first sends all to the second, by a relay."""
+        async with (
+            builders.run_nodes(count, handler=handler) as nodes,
+            builders.open_client() as client,
+        ):
+            relay = relays.Relay(nodes[1].proxy.peer_port)
+            await relay.start()
+            nodes[0].proxy.backend.slots = 0
+            upstreams = [node.build_upstream() for node in nodes[1:]]
+            upstreams[0] = upstreams[0]._replace(peer_port=relay.port)
+            nodes[0].table.upstreams["kassa"] = tuple(upstreams)
+            try:
+                yield nodes, relay, client
+            finally:
+                await relay.close()
+
+    async def wait(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers when the test lets it."""
+        self.begun.set()
+        await self.go_on.wait()
+        return web.Response(body=b"whole")
+
+    async def send_archive(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Sends half an archive, and the rest when the test lets it."""
+        answer = web.StreamResponse()
+        answer.content_length = 2 * len(_HALF)
+        await answer.prepare(request)
+        await answer.write(_HALF)
+        self.begun.set()
+        await self.go_on.wait()
+        await answer.write(_HALF)
+        return answer
+
+    async def test_reused_connection_is_silent(self) -> None:
+        """The caller gets its answer long before its deadline.
+
+        A connection of the pool has gone silent while it was idle. The call
+        sent over it would wait for its deadline; a new connection works.
+        """
+        self.go_on.set()
+        async with self.connect(self.wait) as (nodes, relay, client):
+            url = nodes[0].url + "/x"
+            self.assertEqual((await client.get(url)).status, 200)
+            relay.silence()
+            answer = await client.get(url)
+            self.assertEqual(await answer.read(), b"whole")
+            self.assertEqual(len(nodes[1].served), 2)
+
+    async def test_all_idle_connections_of_that_age_are_dropped(self) -> None:
+        async with self.connect(self.wait) as (nodes, relay, client):
+            url = nodes[0].url + "/x"
+            calls = [asyncio.create_task(client.get(url)) for _ in range(3)]
+            await self.begun.wait()
+            self.go_on.set()
+            await asyncio.gather(*calls)
+            relay.silence()
+            forwarder = nodes[0].proxy._forwarder
+            with mock.patch.object(
+                forwarder, "_drop_idle", wraps=forwarder._drop_idle
+            ) as drop:
+                for _ in range(3):
+                    self.assertEqual((await client.get(url)).status, 200)
+            self.assertEqual(drop.call_count, 1)
+
+    async def test_slow_answer_is_waited_for(self) -> None:
+        """The caller gets its answer; the backend server sees one call.
+
+        Nothing comes for long as the backend server takes its time. On its
+        connection this looks like silence; the peer says that it is not.
+        """
+        async with self.connect(self.wait) as (nodes, _, client):
+            call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+            for _ in range(3):
+                await self.asked.acquire()
+            self.go_on.set()
+            self.assertEqual(await (await call).read(), b"whole")
+            self.assertEqual(len(nodes[1].served), 1)
+
+    async def test_waiting_download_is_not_cut(self) -> None:
+        async with self.connect(self.send_archive) as (nodes, _, client):
+            answer = await client.get(nodes[0].url + "/archive")
+            for _ in range(3):
+                await self.asked.acquire()
+            self.go_on.set()
+            self.assertEqual(await answer.read(), 2 * _HALF)
+
+    async def test_download_over_a_silent_connection_is_reset(self) -> None:
+        """The caller sees a broken answer and can begin again.
+
+        The rest of its download is lost between the daemons. Nobody would
+        ever tell it, and it would wait for good.
+        """
+        async with self.connect(self.send_archive) as (nodes, relay, client):
+            call = asyncio.create_task(
+                builders.fetch(client, nodes[0].url + "/archive")
+            )
+            await self.asked.acquire()
+            relay.silence()
+            self.go_on.set()
+            self.assertIsNone(await call)
+
+    async def test_frozen_daemon(self) -> None:
+        """The caller gets its answer from another upstream.
+
+        The daemon is frozen: its machine takes connections, and nothing ever
+        answers on them, new ones included.
+        """
+        self.go_on.set()
+        async with self.connect(self.wait, 3) as (nodes, relay, client):
+            relay.silence(new_ones_too=True)
+            for _ in range(4):
+                answer = await client.get(nodes[0].url + "/x")
+                self.assertEqual(await answer.read(), b"whole")
+            self.assertEqual(len(nodes[2].served), 4)
+
+    async def test_probe_of_an_unknown_call(self) -> None:
+        async with self.connect(self.wait) as (nodes, _, client):
+            root = f"http://127.0.0.1:{nodes[1].proxy.peer_port}"
+            answer = await client.get(root + probes.PATH + "none")
+            self.assertEqual(answer.status, 404)
+            answer = await client.get(nodes[1].url[:-6] + probes.PATH + "x")
+            self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
