--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -14,9 +14,11 @@
 
     Attributes:
         reason: What its client said.
+        is_corrupt: It answered, but a record in it cannot be used.
     """
 
     reason: str
+    is_corrupt: bool
 
 
 class Validated(NamedTuple):
@@ -37,9 +39,11 @@
 
     Attributes:
         attempts: Newest first.
+        is_whole: False if some at the newest versions are left out.
     """
 
     attempts: tuple[trail.Attempt, ...]
+    is_whole: bool
 
 
 class Difference(NamedTuple):
