Tell the fleet of strikes against crash-causing requests

Cause: a daemon's strikes stayed with it, so a crash-causing request that its caller sent again to another daemon crashed further backend servers.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -92,6 +92,9 @@
         )
         await self._control.start(servicer)
         self._proxy.backend.on_change = self._spread_backend
+        crashes = self._proxy.crashes
+        crashes.send_strike = membership.links.send_strike
+        membership.links.on_strike.append(crashes.strikes.add)
         await self.add_runtime_dependency(membership)
         await self.add_runtime_dependency(distribution)
 
