--- a/tools/convergence.py
+++ b/tools/convergence.py
@@ -155,9 +155,7 @@
         "convergence_p50_s": samples.compute_percentile(delays, 0.5),
         "convergence_p99_s": samples.compute_percentile(delays, 0.99),
         "convergence_max_s": max(delays, default=None),
-        "convergence_last_p50_s": statistics.median(
-            max(change.delays_s, default=0.0) for change in changes
-        ),
+        "convergence_last_p50_s": _compute_last(changes),
         "not_converged": sum(change.missing for change in changes),
         "late_max_s": max(late, default=None),
         "control_bytes_per_daemon_s_idle": round(idle.bytes_per_s / daemons, 1),
@@ -173,6 +171,13 @@
     }
 
 
+def _compute_last(changes: list[Change]) -> float | None:
+    """Returns the median of the last daemon's time; None: one is missing."""
+    if any(change.missing for change in changes):
+        return None
+    return statistics.median(max(change.delays_s) for change in changes)
+
+
 async def _measure_idle(shown: fleet.Fleet) -> Idle:
     pids = [instance.daemon.pid for instance in shown.instances]
     counters = await shown.read_counters()
--- a/tools/latency.py
+++ b/tools/latency.py
@@ -182,11 +182,15 @@
 def _list_percentiles(
     blocks: list[latency_load.Block], name: str, rate: int, share: float
 ) -> list[float]:
-    return [
+    found = [
         samples.compute_percentile(block.latencies_ms, share)
         for block in blocks
         if block.target == name and block.rate == rate
     ]
+    answered = [value for value in found if value is not None]
+    if len(answered) < len(found):
+        raise ValueError(f"no call was answered in a block of {name}")
+    return answered
 
 
 def _compute_throughput(blocks: list[latency_load.Block], name: str) -> float:
--- a/tools/samples.py
+++ b/tools/samples.py
@@ -102,10 +102,13 @@
     return sum(count - before.get(pair, 0) for pair, count in after.items())
 
 
-def compute_percentile(values: Sequence[float], share: float) -> float:
-    """Returns the value that a share (0 to 1) of the values do not exceed."""
+def compute_percentile(values: Sequence[float], share: float) -> float | None:
+    """Returns the value that a share (0 to 1) of the values do not exceed.
+
+    None where there are no values: JSON has no NaN.
+    """
     if not values:
-        return float("nan")
+        return None
     ordered = sorted(values)
     place = max(0, -(-len(ordered) * share // 1) - 1)
     return ordered[min(len(ordered) - 1, int(place))]
