--- a/merlintrestle/versions/source.py
+++ b/merlintrestle/versions/source.py
@@ -43,6 +43,7 @@
 
     def __init__(self, store: client.StoreClient):
         self._store = store
+        self._compiled: snapshot_lib.Snapshot | None = None
         self._documents: dict[bytes, document_pb2.Document] = {}
 
     async def read_head(self) -> document_pb2.Head:
@@ -73,6 +74,7 @@
             errors.StoreUnavailableError: A document could not be read.
             errors.SnapshotError: It is not the snapshot that was accepted.
         """
+        self._take_changed(head)
         documents = {
             organisation: await self._read_document(digest)
             for organisation, digest in sorted(head.documents.items())
@@ -83,11 +85,14 @@
             for digest, document in self._documents.items()
             if digest in kept
         }
-        snapshot = compiler.compile_snapshot(head.version, documents)
+        snapshot = compiler.compile_snapshot(
+            head.version, documents, self._compiled
+        )
         if head.snapshot_digest and snapshot.digest != head.snapshot_digest:
             raise errors.SnapshotError(
                 f"version {head.version} compiles to another digest"
             )
+        self._compiled = snapshot
         return snapshot
 
     async def write_seeds(self, zone: str, member_ids: list[str]) -> bool:
@@ -98,6 +103,16 @@
         """
         return await seeds_lib.write_seeds(self._store, zone, member_ids)
 
+    def _take_changed(self, head: document_pb2.Head) -> None:
+        """Takes the document in a head, so that it need not be read.
+
+        The store may fail right after it accepted a head. The others are
+        known from the versions before.
+        """
+        if head.HasField("changed"):
+            digest = compiler.compute_document_digest(head.changed)
+            self._documents[digest] = head.changed
+
     async def _read_document(self, digest: bytes) -> document_pb2.Document:
         document = self._documents.get(digest)
         if document is None:
