--- a/merlintrestle/requests/intake.py
+++ b/merlintrestle/requests/intake.py
@@ -82,7 +82,9 @@
         limit_s = min(limit_s, asked_ms / 1000)
     deadline = began + limit_s
     try:
-        body = await streams.read_body(request, deadline)
+        body = await streams.read_body(
+            request, deadline, hold_chunks=not plan.repeatable
+        )
     except streams.BodyError as error:
         return outcomes.NotRun(str(error), 400, None)
     return calls.Call(
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -160,6 +160,11 @@
             reachable = await self.backend.check()
             await self.sleep(_CHECK_S if reachable else _CHECK_DOWN_S)
 
+    @property
+    def is_claiming(self) -> bool:
+        """True while claimed calls run, also those without a caller."""
+        return bool(self._beside.once.tasks)
+
     def get_class_statuses(self) -> list[control_pb2.ClassStatus]:
         """Returns what became of the calls of each class lately."""
         return self.statistics.get_statuses()
--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -48,12 +48,14 @@
         held: bytes | None,
         length: int | None,
         content: aiohttp.StreamReader | None = None,
+        begun: bytes = b"",
     ):
         self.held = held
         self.length = length
         self.taken = False
         self.error: BodyError | None = None
         self._content = content
+        self._begun = begun
 
     @property
     def repeatable(self) -> bool:
@@ -69,6 +71,8 @@
     async def _iterate(self) -> AsyncIterator[bytes]:
         assert self._content is not None
         self.taken = True
+        if self._begun:
+            yield self._begun
         while True:
             try:
                 piece = await asyncio.wait_for(self._content.readany(), STALL_S)
@@ -80,26 +84,50 @@
             yield piece
 
 
-async def read_body(request: web.BaseRequest, deadline: float) -> Body:
+async def read_body(
+    request: web.BaseRequest, deadline: float, hold_chunks: bool
+) -> Body:
     """Reads a small body whole; leaves another to be passed on.
 
+    Args:
+        request: The request.
+        deadline: Time of the event loop by which it must be read, in seconds.
+        hold_chunks: Also reads a body of unknown length as far as it may be
+            held, so that a payout that stops half-way has not begun to run.
+
     Raises:
         BodyError: The body stopped half-way or did not come in time.
     """
     if not request.can_read_body:
         return Body(b"", 0)
     length = request.content_length
-    if length is None or length > MAX_HELD_BYTES:
-        return Body(None, length, request.content)
     content = request.content
+    if length is None and not hold_chunks:
+        return Body(None, None, content)
+    if length is not None and length > MAX_HELD_BYTES:
+        return Body(None, length, content)
     if content.is_eof():
         return Body(content.read_nowait(), length)
     try:
         async with asyncio.timeout_at(deadline), asyncio.timeout(STALL_S):
-            held = await content.read()
+            held = await _read_at_most(content, MAX_HELD_BYTES)
     except (web.RequestPayloadError, OSError, TimeoutError) as error:
         raise BodyError("the request body stopped half-way") from error
-    return Body(held, length)
+    if not content.is_eof():
+        return Body(None, None, content, held)
+    return Body(held, len(held))
+
+
+async def _read_at_most(content: aiohttp.StreamReader, limit: int) -> bytes:
+    pieces = []
+    left = limit
+    while left > 0:
+        piece = await content.readany()
+        if not piece:
+            break
+        pieces.append(piece)
+        left -= len(piece)
+    return b"".join(pieces)
 
 
 async def read_answer(response: aiohttp.ClientResponse) -> bytes | None:
--- a/merlintrestle/requests/watches.py
+++ b/merlintrestle/requests/watches.py
@@ -105,8 +105,9 @@
     """Closes an answer whose connection has gone silent in its body.
 
     The signal is that the peer has sent off more than has come, or all there
-    was, and that nothing came between two looks. A transfer that waits for its backend
-    server has all that the peer sent, and is left alone however long it takes.
+    was, and that nothing came between two looks. A transfer that waits for its
+    backend server has all that the peer sent, and is left alone however long
+    it takes.
     """
     content = response.content
     missing = False
--- /dev/null
+++ b/tests/requests/test_bad_input.py
@@ -0,0 +1,211 @@
+"""Bad input of callers: a clear error, and nothing is passed on."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from merlintrestle.requests import server
+from merlintrestle.requests import streams
+from tests.requests import builders
+
+_MALFORMED = {
+    "length and chunks": (
+        b"POST /kassa/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "two lengths": (
+        b"POST /kassa/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+        b"Content-Length: 5\r\n\r\n12345"
+    ),
+    "negative length": (
+        b"POST /kassa/x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n"
+    ),
+    "unknown transfer encoding": (
+        b"POST /kassa/x HTTP/1.1\r\nHost: a\r\n"
+        b"Transfer-Encoding: xchunked\r\n\r\n"
+    ),
+    "space before the colon": (b"GET /kassa/x HTTP/1.1\r\nHost : a\r\n\r\n"),
+    "folded header": (
+        b"GET /kassa/x HTTP/1.1\r\nHost: a\r\nX-A: b\r\n c\r\n\r\n"
+    ),
+    "control character in a header": (
+        b"GET /kassa/x HTTP/1.1\r\nHost: a\r\nX-A: b\0c\r\n\r\n"
+    ),
+    "line too long": (
+        b"GET /kassa/" + b"x" * 9000 + b" HTTP/1.1\r\nHost: a\r\n\r\n"
+    ),
+    "header too long": (
+        b"GET /kassa/x HTTP/1.1\r\nHost: a\r\nX-A: " + b"x" * 9000 + b"\r\n\r\n"
+    ),
+    "too many headers": (
+        b"GET /kassa/x HTTP/1.1\r\nHost: a\r\n"
+        + b"".join(b"X-%d: y\r\n" % number for number in range(200))
+        + b"\r\n"
+    ),
+    "no HTTP": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    "whole address as target": (
+        b"GET http://10.0.0.1/kassa/x HTTP/1.1\r\nHost: a\r\n\r\n"
+    ),
+    "tunnel": b"CONNECT 10.0.0.1:80 HTTP/1.1\r\nHost: a\r\n\r\n",
+    "dot segments": b"GET /kassa/a/../payouts HTTP/1.1\r\nHost: a\r\n\r\n",
+    "unknown service": b"GET /nobody/x HTTP/1.1\r\nHost: a\r\n\r\n",
+}
+
+
+class BadInputTest(unittest.IsolatedAsyncioTestCase):
+    """Raw bytes are sent to the port for callers."""
+
+    async def exchange(self, port: int, sent: bytes) -> bytes:
+        """Sends bytes, then ends, and returns all that comes."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(sent)
+        try:
+            async with asyncio.timeout(builders.GUARD_S):
+                answer = await reader.readuntil(b"}")
+                writer.write_eof()
+                return answer + await reader.read()
+        finally:
+            writer.transport.abort()
+
+    async def test_malformed_requests(self) -> None:
+        async with builders.run_nodes(1) as (node,):
+            for name, sent in _MALFORMED.items():
+                with self.subTest(name):
+                    answer = await self.exchange(node.proxy.caller_port, sent)
+                    self.assertRegex(answer, rb"^HTTP/1.[01] (400|404) ")
+                    self.assertIn(b"Merlintrestle-Outcome: not-run", answer)
+                    self.assertEqual(answer.count(b"HTTP/1."), 1)
+            self.assertEqual(node.served, [])
+
+    async def test_body_that_stops_half_way(self) -> None:
+        """Nothing of a small body reaches the backend server."""
+        async with builders.run_nodes(1) as (node,):
+            for head in (b"Content-Length: 10", b"Transfer-Encoding: chunked"):
+                _, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port
+                )
+                writer.write(
+                    b"POST /kassa/payouts HTTP/1.1\r\nHost: a\r\n"
+                    b"Idempotency-Key: k\r\n" + head + b"\r\n\r\n5\r\nhalf"
+                )
+                while not node.proxy.in_flight:
+                    await asyncio.sleep(0)
+                writer.close()
+                while node.proxy.in_flight or node.proxy.is_claiming:
+                    await asyncio.sleep(0)
+            self.assertEqual(node.served, [])
+
+    async def test_slow_sender(self) -> None:
+        """The caller is refused; it holds neither slot nor backend server."""
+        patient = {"/": builders.build_plan(deadline_s=60.0)}
+        with mock.patch.object(streams, "STALL_S", 0.02):
+            async with (
+                builders.run_nodes(
+                    1, running=builders.build_snapshot(patient)
+                ) as (node,),
+                asyncio.timeout(builders.GUARD_S),
+            ):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port
+                )
+                writer.write(
+                    b"POST /kassa/x HTTP/1.1\r\nHost: a\r\n"
+                    b"Content-Length: 10\r\n\r\nhalf"
+                )
+                answer = await reader.readuntil(b"\r\n\r\n")
+                writer.close()
+            self.assertIn(b"HTTP/1.1 400", answer)
+            self.assertIn(b"Merlintrestle-Outcome: not-run", answer)
+            self.assertEqual(node.served, [])
+
+    async def test_headers_that_never_end(self) -> None:
+        """The connection is closed; it would hold its buffer for good."""
+        with mock.patch.object(server, "FIRST_REQUEST_S", 0.02):
+            async with builders.run_nodes(1) as (node,):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port
+                )
+                writer.write(b"GET /kassa/x HTTP/1.1\r\nHost: a\r\n")
+                async with asyncio.timeout(builders.GUARD_S):
+                    self.assertEqual(await reader.read(), b"")
+                writer.close()
+
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        """Each answer is that of its own request, in the order of sending."""
+
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(text=f"<{request.path}>")
+
+        async with builders.run_nodes(1, handler=answer) as (node,):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", node.proxy.caller_port
+            )
+            writer.write(
+                b"GET /kassa/1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                b"GET /kassa/2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                b"GET /kassa/3 HTTP/1.1\r\nHost: a\r\n"
+                b"Connection: close\r\n\r\n"
+            )
+            got = await reader.read()
+            writer.close()
+        places = [got.find(b"</%d>" % number) for number in (1, 2, 3)]
+        self.assertNotIn(-1, places)
+        self.assertEqual(places, sorted(places))
+
+    async def test_answers_without_a_clear_end(self) -> None:
+        """The caller hears "ran", never half an answer that looks whole.
+
+        The backend server marks the end of its answer by closing alone, so
+        that nobody can tell a cut from the end.
+        """
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            writer.close()
+
+        async with (
+            builders.run_nodes(1) as (node,),
+            builders.open_client() as client,
+        ):
+            plain = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = plain.sockets[0].getsockname()[1]
+            node.proxy.backend.announce("kassa", f"127.0.0.1:{port}", 12)
+            answer = await client.get(node.url + "/x")
+            self.assertEqual(answer.status, 502)
+            self.assertEqual(answer.headers["Merlintrestle-Outcome"], "ran")
+            plain.close()
+
+    async def test_own_headers_are_not_believed(self) -> None:
+        """A caller cannot choose a class, and a backend server no outcome."""
+        seen: dict[str, str] = {}
+
+        async def look(request: web.BaseRequest) -> web.StreamResponse:
+            seen.update(request.headers)
+            return web.Response(headers={"Merlintrestle-Outcome": "not-run"})
+
+        async with (
+            builders.run_nodes(1, handler=look) as (node,),
+            builders.open_client() as client,
+        ):
+            answer = await client.get(
+                node.url + "/x",
+                headers={
+                    "Merlintrestle-Class": "payout",
+                    "Merlintrestle-Suspect": "1",
+                    "Connection": "X-Gone",
+                    "X-Gone": "1",
+                    "X-Kept": "1",
+                },
+            )
+        self.assertNotIn("Merlintrestle-Outcome", answer.headers)
+        self.assertNotIn("Merlintrestle-Class", seen)
+        self.assertNotIn("Merlintrestle-Suspect", seen)
+        self.assertNotIn("X-Gone", seen)
+        self.assertEqual(seen["X-Kept"], "1")
