Cut what is in flight when a daemon stops after its drain

Cause: aiohttp takes a shutdown timeout of 0 for no timeout, so that server.close waited for every handler: a daemon whose drain limit had passed would stop only after its longest download, or by the platform's kill. Safeguard out (shutdown(0)): the new test fails after 5 s with the call's own 504 at its deadline in place of a cut connection. Conclusion: a small positive limit; handlers are cancelled after it.

--- a/merlintrestle/requests/server.py
+++ b/merlintrestle/requests/server.py
@@ -19,6 +19,9 @@
 FIRST_REQUEST_S = 10.0
 # Longer than the pools of other daemons keep a connection that is idle.
 _KEEPALIVE_S = 75.0
+# What `close` leaves a request in flight. The library takes 0 for no limit, so
+# that a stop would last as long as the longest download.
+_CUT_S = 0.05
 _MAX_LINE_BYTES = 8190
 _MAX_FIELD_BYTES = 8190
 _MAX_HEADERS = 100
@@ -71,7 +74,7 @@
         if self._listener is not None:
             self._listener.close()
         self.pre_shutdown()
-        await self.shutdown(0)
+        await self.shutdown(_CUT_S)
 
 
 class _Connection(web.RequestHandler):
--- a/tests/requests/test_path.py
+++ b/tests/requests/test_path.py
@@ -134,3 +134,28 @@
             go_on.set()
             self.assertEqual(await (await call).read(), b"whole")
             self.assertTrue(await drain)
+
+    async def test_stop_cuts_what_is_still_in_flight(self) -> None:
+        """A daemon stops though a call is still in flight after the drain.
+
+        The platform's final kill would otherwise end it, with its leases and
+        its members' records left behind.
+        """
+        begun = asyncio.Event()
+
+        async def hang(request: web.BaseRequest) -> web.StreamResponse:
+            begun.set()
+            await asyncio.Event().wait()
+            return web.Response()
+
+        async with (
+            builders.run_nodes(1, handler=hang) as (node,),
+            builders.open_client() as client,
+        ):
+            call = asyncio.ensure_future(
+                builders.fetch(client, node.url + "/x")
+            )
+            await begun.wait()
+            self.assertFalse(await node.proxy.drain(0))
+            await node.proxy.stop()
+            self.assertIsNone(await call)
