--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -18,10 +18,12 @@
 from merlintrestle.requests import crashes
 from merlintrestle.requests import dispatch
 from merlintrestle.requests import forwarding
+from merlintrestle.requests import headers
 from merlintrestle.requests import intake
 from merlintrestle.requests import leases
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import picking
+from merlintrestle.requests import probes
 from merlintrestle.requests import recall
 from merlintrestle.requests import server
 from merlintrestle.requests import statistics
@@ -75,6 +77,7 @@
         self._settings = settings
         self._holder = holder
         self._forwarder = forwarding.Forwarder()
+        self._registry = probes.Registry()
         self._idle = asyncio.Event()
         self._idle.set()
         self.control_port = settings.control_port
@@ -137,6 +140,7 @@
             True if nothing is in flight any more.
         """
         self.draining = True
+        self.backend.drain()
         try:
             async with asyncio.timeout(limit_s):
                 await self._idle.wait()
@@ -156,6 +160,11 @@
             reachable = await self.backend.check()
             await self.sleep(_CHECK_S if reachable else _CHECK_DOWN_S)
 
+    @property
+    def is_claiming(self) -> bool:
+        """True while claimed calls run, also those without a caller."""
+        return bool(self._beside.once.tasks)
+
     def get_class_statuses(self) -> list[control_pb2.ClassStatus]:
         """Returns what became of the calls of each class lately."""
         return self.statistics.get_statuses()
@@ -172,7 +181,9 @@
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         began = self._get_time()
-        running = self._get_running(request)
+        # A request in flight at the own backend server may make calls of its
+        # own through this daemon; refused, it would be cut off after all.
+        running = self._get_running(nested=intake.get_depth(request) > 0)
         if isinstance(running, outcomes.NotRun):
             return outcomes.render(running)
         match = intake.match_caller(running, request)
@@ -193,19 +204,25 @@
     async def _handle_peer(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
+        if probes.is_probe(request):
+            status, text = self._registry.answer(request.raw_path)
+            return web.Response(status=status, text=text)
         began = self._get_time()
-        running = self._get_running(request)
+        running = self._get_running(nested=False)
         if isinstance(running, outcomes.NotRun):
             return outcomes.render(running)
         match = intake.match_peer(running, request)
         if isinstance(match, outcomes.NotRun):
             return outcomes.render(match)
+        call_id = request.headers.get(headers.CALL, "")
+        progress = self._registry.enter(call_id)
         self._enter()
         try:
             outcome = await self._run(request, match, began, True)
-            return await _finish(request, outcome)
+            return await _finish(request, outcome, progress)
         finally:
             self._leave()
+            self._registry.leave(call_id)
 
     async def _run(
         self,
@@ -224,12 +241,8 @@
         except streams.BodyError as error:
             return outcomes.Unknown(str(error), 400)
 
-    def _get_running(
-        self, request: web.BaseRequest
-    ) -> snapshot.Snapshot | outcomes.NotRun:
-        # A request in flight at the own backend server may make calls of its
-        # own through this daemon; refused, it would be cut off after all.
-        if self.draining and not intake.get_depth(request):
+    def _get_running(self, nested: bool) -> snapshot.Snapshot | outcomes.NotRun:
+        if self.draining and not nested:
             return outcomes.NotRun("this daemon is stopping", elsewhere=True)
         running = self._holder.running
         if running is None:
@@ -250,10 +263,12 @@
 
 
 async def _finish(
-    request: web.BaseRequest, outcome: outcomes.Outcome
+    request: web.BaseRequest,
+    outcome: outcomes.Outcome,
+    progress: probes.Progress | None = None,
 ) -> web.StreamResponse:
     if isinstance(outcome, outcomes.Answered):
-        return await _relay(request, outcome)
+        return await _relay(request, outcome, progress)
     response = outcomes.render(outcome)
     if not request.content.is_eof():
         # What is left of the body must not be taken for the next request.
@@ -262,10 +277,12 @@
 
 
 async def _relay(
-    request: web.BaseRequest, answered: outcomes.Answered
+    request: web.BaseRequest,
+    answered: outcomes.Answered,
+    progress: probes.Progress | None,
 ) -> web.StreamResponse:
     try:
-        return await streams.relay(request, answered)
+        return await streams.relay(request, answered, progress)
     except (aiohttp.ClientError, OSError) as error:
         answered.cut = isinstance(error, aiohttp.ClientError)
         raise ConnectionError("the answer was cut") from error
--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import sys
 
@@ -12,6 +13,7 @@
 from tools import latency
 from tools import layouts
 from tools import processes
+from tools import slopes
 
 
 @click.group()
@@ -88,6 +90,12 @@
     is_flag=True,
     help="The store fails right after each acceptance.",
 )
+@click.option(
+    "--store-fails-after-s",
+    default=0.05,
+    show_default=True,
+    help="Seconds between acceptance and that failure.",
+)
 @click.option(
     "--baseline/--no-baseline",
     default=True,
@@ -100,11 +108,17 @@
     changes: int,
     restart_share: float,
     store_down: bool,
+    store_fails_after_s: float,
     baseline: bool,
 ) -> None:
     """Measures how long versions take to be in force, and their cost."""
     options = convergence.Options(
-        layouts.LAYOUTS[name], daemons, changes, restart_share, store_down
+        layouts.LAYOUTS[name],
+        daemons,
+        changes,
+        restart_share,
+        store_down,
+        store_fails_after_s,
     )
     sys.exit(processes.run(convergence.run(options, baseline)))
 
@@ -125,5 +139,11 @@
     sys.exit(processes.run(latency.run(options)))
 
 
+@main.command("slopes")
+def measure_slopes() -> None:
+    """Measures how one daemon's state grows with fleet and targets."""
+    click.echo(json.dumps(slopes.measure_slopes()))
+
+
 if __name__ == "__main__":
     main()
