Keep a herd's reads of the store flat in the fleet's size

Each daemon began with a table of its own record alone, was the watcher of its zone by that, and the seeds were not up yet when they were tried once.

Seeds are tried again for a while; a daemon is a watcher only after it was chosen for a second; reading the head without a watcher's help comes after five rounds and in a share that keeps the fleet to 500 reads/s.

Ruled out: spreading each daemon's read by a wait. A daemon that waits does not ask its watchers meanwhile, who may know the head long before.

--- a/merlintrestle/members/exchange.py
+++ b/merlintrestle/members/exchange.py
@@ -44,15 +44,15 @@
         self._store = store
         self._seeds = list(seeds)
         self._timing = timing
-        self._contact = asyncio.Event()
+        self._joined = asyncio.Event()
         self._differing: set[str] = set()
         self._round = 0
 
     async def wait_for_contact(self, timeout_s: float) -> bool:
-        """Waits until another daemon has given its members."""
+        """Waits until another daemon was met, or none could be found."""
         try:
             async with asyncio.timeout(timeout_s):
-                await self._contact.wait()
+                await self._joined.wait()
         except TimeoutError:
             return False
         return True
@@ -65,19 +65,34 @@
     async def join(self) -> None:
         """Finds a first daemon: by the seeds, else by the store's records.
 
-        A herd must not put all its reads to the store at once, so the first
-        one is spread over `start_jitter` and later ones back off.
+        In a herd the seeds themselves start just now, so they are tried for a
+        while. The first reads of the store are spread over `start_jitter` and
+        later ones back off: a herd must not put them all at once.
         """
-        backoff = timing_lib.Backoff(1.0, self._timing.store_retry_max)
-        if await self._contact_any(self._seeds):
+        if await self._join_by_seeds():
             return
         await asyncio.sleep(random.uniform(0, self._timing.start_jitter))
-        while not self._contact.is_set():
-            if await self._contact_any(await self._read_seeds()):
+        backoff = timing_lib.Backoff(1.0, self._timing.store_retry_max)
+        while not self._joined.is_set():
+            addresses = await self._read_seeds()
+            if addresses is not None:
+                await self._contact_any(addresses)
+                # Nobody answers though the store names everyone: alone.
+                self._joined.set()
                 return
             await asyncio.sleep(backoff.get_wait())
-            if await self._contact_any(self._seeds):
-                return
+            await self._contact_any(self._seeds)
+
+    async def _join_by_seeds(self) -> bool:
+        """Tries the seeds for `start_jitter`; True once a daemon was met."""
+        backoff = timing_lib.Backoff(0.1, 1.0)
+        loop = asyncio.get_running_loop()
+        tried_until = loop.time() + self._timing.start_jitter
+        while self._seeds and loop.time() < tried_until:
+            if await self._contact_any(self._seeds) or self._joined.is_set():
+                return True
+            await asyncio.sleep(backoff.get_wait())
+        return self._joined.is_set()
 
     async def run_round(self) -> str | None:
         """Compares with one peer; returns its id if it did not answer.
@@ -122,7 +137,7 @@
         self, request: control_pb2.MembersRequest
     ) -> control_pb2.MembersReply:
         """Takes in the members of a request and gives what differs."""
-        self._contact.set()
+        self._joined.set()
         self._merge(request.members)
         buckets = list(request.buckets) or self._find_differing(
             request.bucket_digests
@@ -142,7 +157,7 @@
             except peers_lib.PeerError as error:
                 logger.info("members: no first contact: %s", error)
                 continue
-            self._contact.set()
+            self._joined.set()
             return True
         return False
 
@@ -170,14 +185,15 @@
         except peers_lib.PeerError:
             await self.compare(address)
 
-    async def _read_seeds(self) -> list[str]:
+    async def _read_seeds(self) -> list[str] | None:
+        """Returns the addresses in the store; None: it did not answer."""
         if self._store is None:
             return []
         try:
             return await seeds_lib.read_seeds(self._store)
         except errors.StoreError as error:
             logger.info("members: the store gave no seeds: %s", error)
-            return []
+            return None
 
     def _is_quiet(self) -> bool:
         return not self._differing and not any(
--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -20,16 +20,21 @@
         suspicion: A suspect that has not refuted after this long is dead.
         exchange: Mean time between two rounds of anti-entropy.
         pause: The own loop is paused if a tick is late by more.
-        start_jitter: Window over which a herd spreads its first store reads.
-        store_retry_max: Longest wait between two tries at the store.
+        start_jitter: Seeds are tried so long; then a herd spreads its first
+            reads of the store over the same time.
+        join: Longest wait for a first daemon before this one goes on alone.
+        store_retry_max: Longest wait between two tries at the store by a daemon
+            that has met no other.
+        retry_max: Longest wait between two tries of a watcher, or of a daemon
+            that seeks its floor.
         seeds_write: Least time between two writes of a zone's seeds.
         head_refresh: Mean time between two reads of the head by a watcher.
         memory: A witness must have been open so long to answer for marks.
         hedge: A fetch that takes longer is tried with another peer as well.
         patience: A version that is known and does not come from peers is read
             from the store after so long.
-        settle: A starting daemon waits so long for its peers before it
-            reads the store itself.
+        settle: A daemon must have been chosen as watcher for so long before it
+            acts as one; tables that fill change the choice often.
     """
 
     heartbeat: float = 1.5
@@ -43,7 +48,9 @@
     exchange: float = 10.0
     pause: float = 1.5
     start_jitter: float = 4.0
+    join: float = 12.0
     store_retry_max: float = 15.0
+    retry_max: float = 3.0
     seeds_write: float = 30.0
     head_refresh: float = 15.0
     memory: float = 60.0
--- a/merlintrestle/versions/floor.py
+++ b/merlintrestle/versions/floor.py
@@ -24,9 +24,9 @@
 
 # Members asked besides the watchers of the zone.
 _ASKED = 5
-# Rounds in which other daemons are waited for before a head is believed that
-# no witness has confirmed.
-_PATIENCE = 3
+# Rounds, some 5 s together, in which others are waited for: watchers to answer
+# with the head, and witnesses to confirm one.
+_PATIENCE = 5
 # Reads of the head per second that the whole fleet may put to the store when
 # its watchers do not answer.
 READ_BUDGET = 500
@@ -57,8 +57,8 @@
 
     async def learn(self) -> None:
         """Asks until the floor is known."""
-        await self._membership.wait_for_contact(self._timing.settle)
-        backoff = timing_lib.Backoff(0.2, self._timing.store_retry_max)
+        await self._membership.wait_for_contact(self._timing.join)
+        backoff = timing_lib.Backoff(0.2, self._timing.retry_max)
         attempt = 1
         while not await self.try_learn(attempt):
             await asyncio.sleep(backoff.get_wait())
@@ -82,7 +82,7 @@
             head = await self._read_head()
         if head is None:
             return False
-        if attempt < _PATIENCE and not self._is_heard():
+        if attempt <= _PATIENCE and not self._is_heard():
             return False
         self.version = max(head, self._get_highest())
         return True
@@ -174,23 +174,25 @@
         )
 
     def _may_read(self, attempt: int) -> bool:
-        """Leaves the store to the watchers for the first round."""
-        return attempt > 1 or self._watcher.is_chosen()
+        """Tells whether to read the head without a watcher's help.
+
+        For the first rounds that is left to the watchers. After them so small
+        a share of the daemons reads in each round that all together keep to
+        `READ_BUDGET`; the others ask again.
+        """
+        if self._watcher.is_chosen():
+            return True
+        fleet = len(self._membership.table.usable_ids())
+        share = READ_BUDGET * self._timing.retry_max / 2 / fleet
+        return attempt > _PATIENCE and random.random() < share
 
     async def _read_head(self) -> int | None:
-        if not self._watcher.is_chosen():
-            await asyncio.sleep(random.uniform(0, self._get_read_window()))
         try:
             return await self._watcher.refresh()
         except errors.MerlintrestleError as error:
             logger.info("versions: no head: %s", error)
             return None
 
-    def _get_read_window(self) -> float:
-        """Returns the seconds over which the fleet spreads its reads."""
-        fleet = len(self._membership.table.usable_ids())
-        return max(self._timing.settle, fleet / READ_BUDGET)
-
     def _get_uptime_ms(self) -> int:
         return int(1000 * (self._clock() - self._started_at))
 
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -60,6 +60,7 @@
         self._handled = 0
         self._head = 0
         self._head_at: float | None = None
+        self._chosen_at: float | None = None
         self._reading = asyncio.Lock()
         self._seeds: list[str] = []
         self._seeds_at = 0.0
@@ -71,16 +72,26 @@
         return self._watchers.get()
 
     def is_chosen(self) -> bool:
-        """Tells whether this daemon is a watcher of its zone."""
-        return self._membership.table.own_id in self.get_watchers()
+        """Tells whether this daemon has been a watcher of its zone for a while.
+
+        In a herd each table begins with its own daemon, which then is the
+        watcher of its zone. If that counted, all would read the store.
+        """
+        now = self._clock()
+        if self._membership.table.own_id not in self.get_watchers():
+            self._chosen_at = None
+            return False
+        if self._chosen_at is None:
+            self._chosen_at = now
+        return now - self._chosen_at >= self._timing.settle
 
     async def run(self) -> None:
         """Watches while chosen, for ever."""
-        backoff = timing_lib.Backoff(0.2, self._timing.store_retry_max)
-        await self._membership.wait_for_contact(self._timing.settle)
+        backoff = timing_lib.Backoff(0.2, self._timing.retry_max)
+        await self._membership.wait_for_contact(self._timing.join)
         while True:
             if not self.is_chosen():
-                await asyncio.sleep(timing_lib.jitter(self._timing.heartbeat))
+                await asyncio.sleep(timing_lib.jitter(self._timing.settle))
                 continue
             began = self._clock()
             try:
--- a/tests/members/test_links.py
+++ b/tests/members/test_links.py
@@ -11,6 +11,7 @@
 
 from merlintrestle.members import links as links_lib
 from merlintrestle.members import outbox
+from merlintrestle.members import peers
 from merlintrestle.schema import control_pb2
 from tests.members import builders
 from tests.versions import builders as version_builders
@@ -108,6 +109,22 @@
         link = self.links.get_links()[0]
         self.assertEqual(len(link.box.take_message().members), 1)
 
+    async def test_dropped_channel_ends_the_link_with_an_error(self) -> None:
+        """A call on the same channel failed, and the channel was closed.
+
+        gRPC raises that in the stream as if the link's own task were
+        cancelled. Let through, it would end the task that opens links anew,
+        and the neighbour would be lost without a word.
+        """
+        pipe = self.open("peer")
+
+        async def read() -> None:
+            raise asyncio.CancelledError
+
+        link = links_lib.Link("peer", outgoing=True)
+        with self.assertRaises(peers.PeerError):
+            await self.links.run_link(link, read, pipe.write)
+
     async def test_heartbeats_keep_a_quiet_link(self) -> None:
         pipe = self.open("peer")
         await version_builders.wait_until(lambda: len(pipe.sent) >= 3)
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -10,6 +10,8 @@
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
 from merlintrestle.versions import source
+from merlintrestle.versions import watcher as watcher_lib
+from tests.members import builders as member_builders
 from tests.store import fakes
 from tests.versions import builders
 from tests.versions import models
@@ -49,6 +51,26 @@
         self.assertEqual({reply.head_version for reply in replies}, {1})
         self.assertEqual(self.configuration.reads, 1)
 
+    async def test_choice_of_a_moment_is_no_watcher(self) -> None:
+        """A daemon starts and knows only itself, so it is first of its zone.
+
+        In a herd every daemon is for a moment. It must have been chosen for
+        a while before it puts any load on the store.
+        """
+        table = self.model.table
+        contact = self.model.contact
+        contact.timing = member_builders.FAST
+        watcher = watcher_lib.Watcher(
+            contact,
+            self.configuration,
+            self.model.hold,
+            self.fleet.get_time,
+        )
+        self.assertIn(table.own_id, watcher.get_watchers())
+        self.assertFalse(watcher.is_chosen())
+        self.fleet.now += member_builders.FAST.settle
+        self.assertTrue(watcher.is_chosen())
+
     async def test_slow_store_holds_up_no_floor(self) -> None:
         """A watcher is asked for the head while the store does not answer.
 
