Give every process a log file of its own

Cause: processes started together took their number before any of them was in the table, so they shared one file and each showed the others' lines.

--- a/tools/processes.py
+++ b/tools/processes.py
@@ -127,6 +127,7 @@
         self._folder = tempfile.TemporaryDirectory(prefix="merlintrestle-")
         self.directory = pathlib.Path(self._folder.name)
         self._processes: list[Process] = []
+        self._started = 0
 
     async def start(self, name: str, *arguments: str) -> Process:
         """Starts `python -m arguments...` and waits for its ready line.
@@ -138,8 +139,8 @@
         Raises:
             ProcessError: It did not become ready.
         """
-        number = len(self._processes)
-        errors_path = self.directory / f"{number}-{name}.err"
+        self._started += 1
+        errors_path = self.directory / f"{self._started}-{name}.err"
         with errors_path.open("wb") as file:
             child = await asyncio.create_subprocess_exec(
                 sys.executable,
