--- a/merlintrestle/requests/beside.py
+++ b/merlintrestle/requests/beside.py
@@ -88,11 +88,8 @@
             return refusal
         self._crashes.begin(call)
         try:
-            outcome = await self._forwarder.send(
-                self._backend.address,
-                call.target,
-                call,
-                _build_headers(call),
+            outcome = await self._forwarder.send_to_backend(
+                self._backend, call, _build_headers(call)
             )
         except BaseException:
             self._crashes.end(call, False)
--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -4,19 +4,21 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 import aiohttp
 import yarl
 
 from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
+from merlintrestle.requests import retries
 from merlintrestle.requests import streams
 from merlintrestle.requests import watches
 
 if TYPE_CHECKING:
     import multidict
 
+    from merlintrestle.requests import backend
     from merlintrestle.requests import call as calls
 
 logger = logging.getLogger(__name__)
@@ -41,25 +43,27 @@
 
     def __init__(self) -> None:
         self._call_ids = watches.CallIds()
+        self._budget = retries.Budget()
 
     async def start(self) -> None:
         """Opens the pools."""
         self._pooled = _open_session(force_close=False)
+        self._own = _open_session(force_close=False)
         self._single = _open_session(force_close=True)
 
     async def close(self) -> None:
         """Closes all connections."""
         await self._pooled.close()
+        await self._own.close()
         await self._single.close()
 
-    async def send(
+    async def send_to_backend(
         self,
-        address: str,
-        target: str,
+        own: backend.OwnBackend,
         call: calls.Call,
         sent_headers: multidict.CIMultiDict[str],
     ) -> outcomes.Outcome:
-        """Sends a call to a backend server and waits for its answer.
+        """Sends a call to the own backend server and waits for its answer.
 
         A small answer is waited for whole. Work that may not be repeated gets
         a new connection: a pooled one that the other side is closing, or that
@@ -68,14 +72,34 @@
         Raises:
             streams.BodyError: The caller's body stopped half-way.
         """
-        session = self._pooled if call.plan.repeatable else self._single
-        try:
-            async with asyncio.timeout_at(call.deadline):
-                return await _exchange(
-                    session, address, target, call, sent_headers
-                )
-        except TimeoutError:
-            return outcomes.Unknown("no answer before the deadline", 504)
+        if not call.plan.repeatable:
+            return await self._send_once(
+                own.address, call.target, call, sent_headers
+            )
+        if not any(_get_idle(self._own).values()):
+            # A new connection is not silent: the server itself is slow.
+            return await self._send_once(
+                own.address, call.target, call, sent_headers, self._own
+            )
+        self._budget.earn()
+        scope = asyncio.timeout_at(call.deadline)
+        watch = watches.BackendWatch(
+            own.check, self._budget, call.plan.work_s, scope
+        )
+        outcome = await self._send_watched(
+            self._own,
+            watch,
+            scope,
+            own.address,
+            call.target,
+            call,
+            sent_headers,
+        )
+        if not _is_silent(watch, own.address, self._own, call):
+            return outcome
+        return await self._send_once(
+            own.address, call.target, call, sent_headers
+        )
 
     async def send_to_peer(
         self,
@@ -89,49 +113,62 @@
         Raises:
             streams.BodyError: The caller's body stopped half-way.
         """
+        call_id = self._call_ids.take()
+        sent_headers[headers.CALL] = call_id
         if not call.plan.repeatable:
-            return await self.send(address, target, call, sent_headers)
-        outcome, verdict = await self._send_watched(
-            self._pooled, address, target, call, sent_headers
+            return await self._send_once(address, target, call, sent_headers)
+        scope = asyncio.timeout_at(call.deadline)
+        watch = watches.PeerWatch(
+            self._single, address, call_id, call.plan.work_s, scope
         )
-        if verdict is not watches.Verdict.CONNECTION_SILENT:
-            return outcome
-        logger.info("requests: a connection to %s is silent.", address)
-        self._drop_idle(address)
-        if not call.body.repeatable:
-            return outcome
-        outcome, _ = await self._send_watched(
-            self._single, address, target, call, sent_headers
+        outcome = await self._send_watched(
+            self._pooled, watch, scope, address, target, call, sent_headers
         )
+        if _is_silent(watch, address, self._pooled, call):
+            sent_headers[headers.CALL] = call_id = self._call_ids.take()
+            outcome = await self._send_once(address, target, call, sent_headers)
+        if isinstance(outcome, outcomes.Answered) and outcome.body is None:
+            self._watch_transfer(address, call_id, outcome)
         return outcome
 
+    async def _send_once(
+        self,
+        address: str,
+        target: str,
+        call: calls.Call,
+        sent_headers: multidict.CIMultiDict[str],
+        session: aiohttp.ClientSession | None = None,
+    ) -> outcomes.Outcome:
+        """Sends a call, over a connection of its own if not told otherwise."""
+        session = session or self._single
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                return await _exchange(
+                    session, address, target, call, sent_headers
+                )
+        except TimeoutError:
+            return outcomes.Unknown("no answer before the deadline", 504)
+
     async def _send_watched(
         self,
         session: aiohttp.ClientSession,
+        watch: watches.PeerWatch | watches.BackendWatch,
+        scope: asyncio.Timeout,
         address: str,
         target: str,
         call: calls.Call,
         sent_headers: multidict.CIMultiDict[str],
-    ) -> tuple[outcomes.Outcome, watches.Verdict]:
-        call_id = self._call_ids.take()
-        sent_headers[headers.CALL] = call_id
-        scope = asyncio.timeout_at(call.deadline)
-        watch = watches.FirstByteWatch(
-            self._single, address, call_id, call.plan.work_s, scope
-        )
+    ) -> outcomes.Outcome:
+        """Sends a call over a pooled connection while it is watched."""
         try:
             async with scope:
-                outcome = await _exchange(
+                return await _exchange(
                     session, address, target, call, sent_headers
                 )
         except TimeoutError:
-            reason = _REASONS[watch.verdict]
-            return outcomes.Unknown(reason, 504), watch.verdict
+            return outcomes.Unknown(_REASONS[watch.verdict], 504)
         finally:
             watch.close()
-        if isinstance(outcome, outcomes.Answered) and outcome.body is None:
-            self._watch_transfer(address, call_id, outcome)
-        return outcome, watch.verdict
 
     def _watch_transfer(
         self, address: str, call_id: str, answered: outcomes.Answered
@@ -143,20 +180,40 @@
         )
         answered.hold(lambda: _cancel(task))
 
-    def _drop_idle(self, address: str) -> None:
-        """Closes idle connections to a peer; the library has no call for it.
 
-        What made one of them silent was there for all of the same age. Those
-        in use are left: their own watches find out.
-        """
-        connector = self._pooled.connector
-        assert connector is not None
-        host, _, port = address.rpartition(":")
-        for key, idle in connector._conns.items():
-            if key.host == host and key.port == int(port):
-                for protocol, _ in idle:
-                    protocol.close()
-                idle.clear()
+def _is_silent(
+    watch: watches.PeerWatch | watches.BackendWatch,
+    address: str,
+    session: aiohttp.ClientSession,
+    call: calls.Call,
+) -> bool:
+    """Returns whether a call is to be sent anew over a new connection."""
+    if watch.verdict is not watches.Verdict.CONNECTION_SILENT:
+        return False
+    logger.info("requests: a connection to %s is silent.", address)
+    drop_idle(session, address)
+    return call.body.repeatable
+
+
+def drop_idle(session: aiohttp.ClientSession, address: str) -> None:
+    """Closes the idle connections to an address.
+
+    What made one of them silent was there for all of the same age. Those in
+    use are left: their own watches find out.
+    """
+    host, _, port = address.rpartition(":")
+    for key, idle in _get_idle(session).items():
+        if key.host == host and key.port == int(port):
+            for protocol, _ in idle:
+                protocol.close()
+            idle.clear()
+
+
+def _get_idle(session: aiohttp.ClientSession) -> dict[Any, Any]:
+    """Returns the idle connections of a pool; the library has no way to."""
+    connector = session.connector
+    assert connector is not None
+    return connector._conns
 
 
 async def _exchange(
--- a/merlintrestle/requests/watches.py
+++ b/merlintrestle/requests/watches.py
@@ -11,8 +11,12 @@
 from merlintrestle.requests import probes
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     import aiohttp
 
+    from merlintrestle.requests import retries
+
 # A call without a first byte for so long, or for a multiple of its expected
 # work time, is asked about.
 FIRST_BYTE_S = 0.25
@@ -33,6 +37,11 @@
     PEER_SILENT = enum.auto()
 
 
+def get_patience(work_s: float) -> float:
+    """Returns how long a call waits before it is asked about, in seconds."""
+    return max(FIRST_BYTE_S, _WORK_FACTOR * work_s)
+
+
 class CallIds:
     """Names for calls, unique in the fleet."""
 
@@ -45,7 +54,7 @@
         return f"{self._prefix}-{next(self._numbers)}"
 
 
-class FirstByteWatch:
+class PeerWatch:
     """Ends the wait for a first byte that cannot come any more.
 
     Attributes:
@@ -66,7 +75,7 @@
         self._address = address
         self._call_id = call_id
         self._scope = scope
-        self._wait_s = max(FIRST_BYTE_S, _WORK_FACTOR * work_s)
+        self._wait_s = get_patience(work_s)
         self._loop = asyncio.get_running_loop()
         self._task: asyncio.Task[None] | None = None
         # A timer is cheap; the task is made only for the few that wait.
@@ -96,6 +105,48 @@
         self._scope.reschedule(self._loop.time())
 
 
+class BackendWatch:
+    """Ends the wait for a first byte on a pooled connection to the backend.
+
+    A backend server cannot be asked about a call. If it takes new connections
+    the pooled one is given up, within a budget: were the server merely slow,
+    starting calls anew would only add to its load.
+
+    Attributes:
+        verdict: What it found out.
+    """
+
+    def __init__(
+        self,
+        check: Callable[[], Awaitable[bool]],
+        budget: retries.Budget,
+        work_s: float,
+        scope: asyncio.Timeout,
+    ):
+        """Starts the watch; `check` tells whether connections are taken."""
+        self.verdict = Verdict.NONE
+        self._check = check
+        self._budget = budget
+        self._scope = scope
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[None] | None = None
+        self._timer = self._loop.call_later(get_patience(work_s), self._begin)
+
+    def close(self) -> None:
+        """Ends the watch."""
+        self._timer.cancel()
+        if self._task is not None:
+            self._task.cancel()
+
+    def _begin(self) -> None:
+        self._task = self._loop.create_task(self._watch())
+
+    async def _watch(self) -> None:
+        if await self._check() and self._budget.spend():
+            self.verdict = Verdict.CONNECTION_SILENT
+            self._scope.reschedule(self._loop.time())
+
+
 async def watch_transfer(
     session: aiohttp.ClientSession,
     address: str,
--- a/tests/requests/test_silence.py
+++ b/tests/requests/test_silence.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from merlintrestle.requests import forwarding
 from merlintrestle.requests import headers
 from merlintrestle.requests import probes
 from merlintrestle.requests import watches
@@ -106,9 +107,8 @@
             self.go_on.set()
             await asyncio.gather(*calls)
             relay.silence()
-            forwarder = nodes[0].proxy._forwarder
             with mock.patch.object(
-                forwarder, "_drop_idle", wraps=forwarder._drop_idle
+                forwarding, "drop_idle", wraps=forwarding.drop_idle
             ) as drop:
                 for _ in range(3):
                     self.assertEqual((await client.get(url)).status, 200)
@@ -165,6 +165,50 @@
                 self.assertEqual(await answer.read(), b"whole")
             self.assertEqual(len(nodes[2].served), 4)
 
+    async def test_connection_to_the_backend_server_is_silent(self) -> None:
+        """The caller gets its answer long before its deadline.
+
+        As between daemons, but the backend server cannot be asked.
+        """
+        self.go_on.set()
+        async with (
+            builders.run_nodes(1, handler=self.wait) as (node,),
+            builders.open_client() as client,
+        ):
+            relay = relays.Relay(node.backend.port)
+            await relay.start()
+            node.proxy.backend.announce("kassa", f"127.0.0.1:{relay.port}", 12)
+            url = node.url + "/x"
+            self.assertEqual((await client.get(url)).status, 200)
+            relay.silence()
+            for _ in range(3):
+                self.assertEqual((await client.get(url)).status, 200)
+            await relay.close()
+
+    async def test_slow_backend_server_is_not_flooded(self) -> None:
+        """Calls to a server that takes its time are started anew but rarely."""
+        async with (
+            builders.run_nodes(1, handler=self.wait, slots=40) as (node,),
+            builders.open_client() as client,
+        ):
+            self.go_on.set()
+            for _ in range(2):
+                wave = [
+                    asyncio.create_task(client.get(node.url + "/x"))
+                    for _ in range(30)
+                ]
+                while len(node.served) < 30:
+                    await asyncio.sleep(0.01)
+                # The first wave fills the pool, the second one waits.
+                if not self.go_on.is_set():
+                    while len(node.served) < 30 + 40:
+                        await asyncio.sleep(0.01)
+                    self.go_on.set()
+                answers = await asyncio.gather(*wave)
+                self.assertEqual({one.status for one in answers}, {200})
+                self.go_on.clear()
+        self.assertLessEqual(len(node.served), 60 + 10 + 3)
+
     async def test_probe_of_an_unknown_call(self) -> None:
         async with self.connect(self.wait) as (nodes, _, client):
             root = f"http://127.0.0.1:{nodes[1].proxy.peer_port}"
