Match the class of work on the path that is passed on

Cause: the path was decoded before the service was split off it, and the target was cut from the undecoded one. POST /kassa%2Flookup/payouts/1 was matched as a lookup, which may be repeated and needs no key, and went to the backend server as /payouts/1; /kassa%2Fx ended in a 500 with "unknown", though nothing ran. /kassa//payouts likewise passed for the class of "/". Ruled out: dot segments and escaped letters (refused and decoded before); other escaped slashes inside the path (decoded for the match, passed on as they are). Before: both new tests fail, with 200 where 404 and 400 are due. After: refused as not run; nothing reaches the backend server. Conclusion: split first, decode what is matched, take runs of slashes as one for the match alone.

--- a/merlintrestle/requests/routing.py
+++ b/merlintrestle/requests/routing.py
@@ -13,6 +13,7 @@
 
 # A segment "." or "..", written plainly or escaped.
 _DOT_SEGMENT = re.compile(r"/\.{1,2}(?:/|$)")
+_SLASHES = re.compile(r"/{2,}")
 
 
 class Match(NamedTuple):
@@ -34,27 +35,31 @@
 ) -> Match | outcomes.NotRun:
     """Returns the class of work of a request, or why it has none.
 
-    The path is matched in its decoded form and dot segments are refused:
-    "/x/../payouts" or "/%70ayouts" would otherwise pass for another class than
-    the one the backend server then runs.
+    The path is matched in its decoded form, runs of slashes as one, and dot
+    segments are refused: "/x/../payouts", "/%70ayouts" or "//payouts" would
+    otherwise pass for another class than the one the backend server then runs.
+    The service is not decoded: an escaped slash after it would have another
+    part of the path matched than the one that is passed on.
     """
     if not raw_path.startswith("/") or "#" in raw_path:
         return _refuse("the request target must be a path", 400)
-    path, _, _ = raw_path.partition("?")
-    if "%" in path:
-        path = urllib.parse.unquote(path)
-    if "/." in path and _DOT_SEGMENT.search(path):
-        return _refuse("a path must have no dot segments", 400)
-    name, slash, rest = path[1:].partition("/")
+    name, slash, rest = raw_path[1:].partition("/")
     service = running.services.get(name)
     if service is None:
         return _refuse(f"no service {name[:80]!r}", 404)
     if not slash:
         return _refuse("the path must go on after the service", 404)
-    plan = service.match(method, "/" + rest, organisation)
+    target = "/" + rest
+    path, _, _ = target.partition("?")
+    if "%" in path:
+        path = urllib.parse.unquote(path)
+    if "/." in path and _DOT_SEGMENT.search(path):
+        return _refuse("a path must have no dot segments", 400)
+    if "//" in path:
+        path = _SLASHES.sub("/", path)
+    plan = service.match(method, path, organisation)
     if plan is None:
         return _refuse(f"no class of work of {name} takes this request", 404)
-    target = raw_path[raw_path.index("/", 1) :]
     return Match(name, plan, target)
 
 
--- /dev/null
+++ b/tests/requests/test_smuggling.py
@@ -0,0 +1,58 @@
+"""Requests that pass for something else on their way."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.requests import builders
+
+
+class SmugglingTest(unittest.IsolatedAsyncioTestCase):
+    """Raw requests, as no well-behaved client sends them."""
+
+    async def exchange(
+        self, node: builders.Node, target: str, *lines: bytes
+    ) -> bytes:
+        """Sends a POST without a body; returns the whole answer."""
+        head = f"POST {target} HTTP/1.1\r\nHost: a\r\n".encode()
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", node.proxy.caller_port
+        )
+        closing = (b"Content-Length: 0", b"Connection: close")
+        for line in (*lines, *closing):
+            head += line + b"\r\n"
+        writer.write(head + b"\r\n")
+        async with asyncio.timeout(builders.GUARD_S):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
+    def assert_refused(self, answer: bytes, status: int) -> None:
+        self.assertRegex(answer, rb"^HTTP/1\.[01] %d " % status)
+        self.assertIn(b"Merlintrestle-Outcome: not-run", answer)
+
+    async def test_escaped_slash_after_the_service(self) -> None:
+        """The caller is refused; nothing reaches the backend server.
+
+        "/kassa%2Flookup/payouts" decodes to the class of lookups, which may
+        be repeated, while what follows the first plain slash is the payout
+        that the backend server would run, without a claim.
+        """
+        async with builders.run_nodes(1) as (node,):
+            for target in ("/kassa%2Flookup/payouts/1", "/kassa%2Fx"):
+                answer = await self.exchange(node, target)
+                self.assert_refused(answer, 404)
+            self.assertEqual(node.served, [])
+
+    async def test_empty_segments(self) -> None:
+        """The caller is told that its payout lacks a key.
+
+        Many servers take "//payouts" for "/payouts"; matched as it stands it
+        would pass for a class that may be repeated.
+        """
+        async with builders.run_nodes(1) as (node,):
+            for target in ("/kassa//payouts/1", "/kassa/%2Fpayouts/1"):
+                answer = await self.exchange(node, target)
+                self.assert_refused(answer, 400)
+            self.assertEqual(node.served, [])
