Keep the key of a request whole on its way

Cause: a caller's "Connection: idempotency-key" had the key removed as a header of the connection. The daemon beside the backend server then ran the payout without a claim, while the caller's daemon, which knew the key, took a retry for safe. A key with a byte that is not UTF-8 raised in the digest (500, "unknown", though nothing ran), and the library drops such bytes when it passes a header on: two keys could become one. Ruled out: Content-Length and Transfer-Encoding named the same way (the library sets them anew). Before: the payout ran twice (2 != 1); odd keys got a 500. After: it runs once; odd keys are refused as not run with 400. Conclusion: the key is end to end whatever the connection says, and ASCII.

--- a/merlintrestle/requests/headers.py
+++ b/merlintrestle/requests/headers.py
@@ -42,6 +42,8 @@
     )
 )
 
+_KEPT = frozenset((KEY.lower(),))
+
 
 def copy_end_to_end(
     headers: Mapping[str, str],
@@ -50,12 +52,16 @@
 
     A caller's own `Merlintrestle-` headers end here: passed on, they would let
     it choose a class of work or an outcome that is not true.
+
+    A key stays whatever the caller's "Connection" names: without it the next
+    daemon would run the call without a claim, and again at each retry.
     """
     removed = _HOP_BY_HOP
     connection = headers.get("Connection")
     if connection is not None:
         named = connection.lower().split(",")
         removed = removed.union(name.strip() for name in named)
+        removed -= _KEPT
     copied: multidict.CIMultiDict[str] = multidict.CIMultiDict()
     for name, value in headers.items():
         lower = name.lower()
--- a/merlintrestle/requests/intake.py
+++ b/merlintrestle/requests/intake.py
@@ -113,4 +113,8 @@
         return outcomes.NotRun("Idempotency-Key is missing", 400, None)
     if len(key) > _MAX_KEY_CHARACTERS:
         return outcomes.NotRun("Idempotency-Key is too long", 400, None)
+    if not key.isascii():
+        # The library drops what is not UTF-8 when it passes a header on, so
+        # that the keys of two requests could become the same.
+        return outcomes.NotRun("Idempotency-Key must be ASCII", 400, None)
     return None
--- a/tests/requests/test_smuggling.py
+++ b/tests/requests/test_smuggling.py
@@ -5,6 +5,8 @@
 import asyncio
 import unittest
 
+from aiohttp import web
+
 from tests.requests import builders
 
 
@@ -56,3 +58,51 @@
                 answer = await self.exchange(node, target)
                 self.assert_refused(answer, 400)
             self.assertEqual(node.served, [])
+
+    async def test_key_named_as_a_header_of_the_connection(self) -> None:
+        """The payout runs once.
+
+        Its caller names the key in "Connection", so that it would be removed
+        on the way. The first daemon breaks off after its backend server ran
+        the payout; the caller's daemon, which knows the key, tries the next
+        one, which would run it without a claim.
+        """
+        runs = 0
+
+        async def pay(request: web.BaseRequest) -> web.StreamResponse:
+            nonlocal runs
+            runs += 1
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response()
+
+        plans = builders.build_plans()
+        plans["/payouts"] = plans["/payouts"]._replace(key_required=False)
+        running = builders.build_snapshot(plans)
+        async with builders.run_nodes(3, handler=pay, running=running) as nodes:
+            first = nodes[0]
+            first.table.upstreams["kassa"] = tuple(
+                node.build_upstream() for node in nodes[1:]
+            )
+            await self.exchange(
+                first,
+                "/kassa/payouts/1",
+                b"Idempotency-Key: k",
+                b"Connection: idempotency-key",
+            )
+        self.assertEqual(runs, 1)
+
+    async def test_key_of_odd_bytes(self) -> None:
+        """The caller is refused instead of hearing "unknown".
+
+        A byte that is not ASCII is lost between daemons: two payouts whose
+        keys differ in it alone would pass for one, and the second seller
+        would get the first one's answer.
+        """
+        async with builders.run_nodes(1) as (node,):
+            for key in (b"k\xe9", b"k\xc3\xa9"):
+                answer = await self.exchange(
+                    node, "/kassa/payouts/1", b"Idempotency-Key: " + key
+                )
+                self.assert_refused(answer, 400)
+            self.assertEqual(node.served, [])
