Test whole daemons: first answer, planned stop, payouts

Cause: each part had its tests, but nothing put whole daemons together short of the measuring tools: ports, announcement, first contact, floor, table, claims and stop were proved apart.

--- /dev/null
+++ b/tests/daemon/builders.py
@@ -0,0 +1,211 @@
+"""Whole daemons in one process, with a store and backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+from typing import Any, TYPE_CHECKING
+from unittest import mock
+
+import aiohttp
+
+from merlintrestle.daemon import service
+from merlintrestle.documents import compiler
+from merlintrestle.members import timing
+from merlintrestle.requests import server
+from merlintrestle.schema import document_pb2
+from merlintrestle.schema import settings_pb2
+from merlintrestle.store import acceptance
+from merlintrestle.store import client as clients
+from merlintrestle.store import records
+from standins import store as stores
+from tests.members import builders as member_builders
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+
+    from aiohttp import web
+
+GUARD_S = 20.0
+
+
+def build_class(
+    name: str, match: str, **fields: Any
+) -> document_pb2.ClassTarget:
+    """Builds a class of work; repeatable and small unless told otherwise."""
+    values: dict[str, Any] = {
+        "latency_ms": 200,
+        "share": 0.99,
+        "availability": 0.99,
+        "repeatable": True,
+        "importance": 3,
+        "rate": 10.0,
+        "work_ms": 5.0,
+        "size": document_pb2.SMALL,
+        "deadline_ms": 5000,
+        "match": [match],
+    }
+    return document_pb2.ClassTarget(name=name, **(values | fields))
+
+
+def build_document() -> document_pb2.Document:
+    """Builds the targets of kassa: lookups, payouts and an archive."""
+    document = document_pb2.Document(organisation="zaanoever")
+    kassa = document.services.add(name="kassa")
+    kassa.classes.append(build_class("lookup", "* /"))
+    kassa.classes.append(
+        build_class(
+            "payout", "POST /payouts", repeatable=False, key_required=True
+        )
+    )
+    kassa.classes.append(
+        build_class("archive", "GET /archive", size=document_pb2.LARGE)
+    )
+    return document
+
+
+class Daemon(service.Daemon):
+    """A whole daemon, and the backend server beside it."""
+
+    def __init__(self, settings: settings_pb2.DaemonSettings):
+        super().__init__(settings)
+        self.backend: server.Server | None = None
+
+    @property
+    def url(self) -> str:
+        """Where callers send requests for kassa."""
+        return f"http://127.0.0.1:{self._proxy.caller_port}/kassa"
+
+    @property
+    def admin_url(self) -> str:
+        """Its loopback port."""
+        return f"http://127.0.0.1:{self._admin.port}"
+
+    @property
+    def control_address(self) -> str:
+        """Its control port, "ip:port"."""
+        return self._table.own_id
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that it has not answered whole."""
+        return self._proxy.in_flight
+
+    async def wait_until_open(self) -> None:
+        """Waits until it serves."""
+        while self._holder.closed_reason:
+            await asyncio.sleep(0.01)
+
+    async def wait_for_upstreams(self, count: int) -> None:
+        """Waits until it knows so many upstreams of kassa."""
+        while len(self._table.get_upstreams("kassa")) != count:
+            await asyncio.sleep(0.01)
+
+
+class Fleet:
+    """Daemons in one process that share a store.
+
+    Attributes:
+        store: The stand-in of the store.
+        daemons: The daemons, in the order of their start.
+        client: An HTTP client for callers and backend servers.
+    """
+
+    def __init__(self, client: aiohttp.ClientSession):
+        self.store = stores.StoreStandin()
+        self.daemons: list[Daemon] = []
+        self.client = client
+
+    async def accept(self, document: document_pb2.Document) -> None:
+        """Has a first version accepted by the store."""
+        store = clients.StoreClient(self.store.address)
+        await store.start()
+        try:
+            digest = await records.write_document(store, document)
+            documents = {document.organisation: digest}
+            snapshot = compiler.compile_snapshot(
+                1, {document.organisation: document}
+            )
+            head = acceptance.make_head(
+                document_pb2.Head(), "1", documents, snapshot.digest
+            )
+            await acceptance.swap_head(store, head, 0)
+        finally:
+            await store.close()
+
+    async def start_daemon(self) -> Daemon:
+        """Starts a daemon; the first one is the seed of the others."""
+        settings = settings_pb2.DaemonSettings(
+            address="127.0.0.1",
+            zone="noord",
+            region="local",
+            store=self.store.address,
+            spread="fast",
+            drain_limit_s=GUARD_S,
+            claims="claims/",
+            seeds=[one.control_address for one in self.daemons[:1]],
+        )
+        daemon = Daemon(settings)
+        # The line with the bound ports is for people and measurements.
+        with contextlib.redirect_stdout(io.StringIO()):
+            await daemon.start()
+        self.daemons.append(daemon)
+        return daemon
+
+    async def start_backend(
+        self,
+        daemon: Daemon,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> None:
+        """Starts a backend server of kassa, which announces itself."""
+        daemon.backend = server.Server(handler)
+        await daemon.backend.start("127.0.0.1", 0)
+        status = await self.announce(
+            daemon,
+            {
+                "service": "kassa",
+                "address": f"127.0.0.1:{daemon.backend.port}",
+                "slots": 12,
+                "state": "ready",
+            },
+        )
+        assert status == 200
+
+    async def announce(
+        self, daemon: Daemon, announcement: Mapping[str, Any]
+    ) -> int:
+        """Announces to a daemon what a backend server says of itself."""
+        async with self.client.post(
+            daemon.admin_url + "/announce", json=announcement
+        ) as answer:
+            return answer.status
+
+    async def close(self) -> None:
+        """Ends backend servers, daemons and the store."""
+        for daemon in self.daemons:
+            if daemon.backend is not None:
+                await daemon.backend.close()
+            await daemon.stop()
+        await self.store.close()
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(count: int) -> AsyncIterator[Fleet]:
+    """Runs daemons with short intervals on one accepted version."""
+    with mock.patch.object(timing, "Timing", lambda: member_builders.FAST):
+        async with (
+            asyncio.timeout(GUARD_S),
+            aiohttp.ClientSession() as client,
+        ):
+            fleet = Fleet(client)
+            await fleet.store.start()
+            try:
+                await fleet.accept(build_document())
+                for _ in range(count):
+                    await fleet.start_daemon()
+                for daemon in fleet.daemons:
+                    await daemon.wait_until_open()
+                yield fleet
+            finally:
+                await fleet.close()
--- /dev/null
+++ b/tests/daemon/test_daemons.py
@@ -0,0 +1,97 @@
+"""Whole daemons: from the start to the first answer, stops, payouts."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from merlintrestle.requests import headers
+from standins import faults
+from tests.daemon import builders
+
+_KEY = {headers.KEY: "ticket-7"}
+
+
+class DaemonsTest(unittest.IsolatedAsyncioTestCase):
+    """Daemons in one process over loopback, with the store stand-in."""
+
+    def setUp(self) -> None:
+        self.begun = asyncio.Event()
+        self.go_on = asyncio.Event()
+        self.runs = 0
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers with its path."""
+        await request.read()
+        return web.Response(text=request.path)
+
+    async def pay(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Books a payout."""
+        self.runs += 1
+        return await self.answer(request)
+
+    async def send_archive(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Sends half a download, and the rest when the test lets it."""
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b"first ")
+        self.begun.set()
+        await self.go_on.wait()
+        await response.write(b"second")
+        await response.write_eof()
+        return response
+
+    async def test_start_to_first_answer(self) -> None:
+        async with builders.run_fleet(2) as fleet:
+            near, far = fleet.daemons
+            await fleet.start_backend(far, self.answer)
+            await near.wait_for_upstreams(1)
+            async with fleet.client.get(near.url + "/x") as answer:
+                self.assertEqual(await answer.text(), "/x")
+
+    async def test_same_payout_through_two_daemons(self) -> None:
+        """The second sending gets the answer of the first; it runs once."""
+        async with builders.run_fleet(2) as fleet:
+            for daemon in fleet.daemons:
+                await fleet.start_backend(daemon, self.pay)
+            for daemon in fleet.daemons:
+                async with fleet.client.post(
+                    daemon.url + "/payouts", headers=_KEY
+                ) as answer:
+                    self.assertEqual(await answer.text(), "/payouts")
+        self.assertEqual(self.runs, 1)
+
+    async def test_planned_stop_during_a_download(self) -> None:
+        """The clerk gets the whole bundle; later requests go elsewhere.
+
+        The daemon beside the backend server is stopped half-way. It announces
+        that it leaves, takes nothing new, and ends after the last byte.
+        """
+        async with builders.run_fleet(2) as fleet:
+            near, far = fleet.daemons
+            await fleet.start_backend(far, self.send_archive)
+            await near.wait_for_upstreams(1)
+            async with fleet.client.get(near.url + "/archive/1") as answer:
+                await self.begun.wait()
+                stopping = asyncio.create_task(far.stop())
+                await near.wait_for_upstreams(0)
+                async with fleet.client.get(near.url + "/x") as refused:
+                    outcome = refused.headers[headers.OUTCOME]
+                    self.assertEqual(outcome, "not-run")
+                self.assertFalse(stopping.done())
+                self.go_on.set()
+                self.assertEqual(await answer.read(), b"first second")
+            await stopping
+
+    async def test_stop_while_the_store_hangs(self) -> None:
+        """The stop ends although no call to the store ever does."""
+        async with builders.run_fleet(2) as fleet:
+            hanging = faults.StoreFaults(faults.Outage.HANGING)
+            await fleet.store.set_faults(hanging)
+            await fleet.daemons[1].stop()
+            await fleet.daemons[0].stop()
+            await fleet.store.set_faults(faults.StoreFaults())
