Refuse announcements that the daemon cannot use

Cause: the loopback port took any text as the address of a backend server. A task connects to it every second; for "localhost" or a port over 65535 it raised ValueError or OverflowError, and mode ends the whole daemon when a task raises. A service name that is no UTF-8 raised in the record for the others. Ruled out: nothing else reads the address before it is used. After: 400 with findings, and the daemon serves.

--- a/merlintrestle/config.py
+++ b/merlintrestle/config.py
@@ -202,9 +202,11 @@
     return ""
 
 
-def _check_address(text: str) -> str:
+def check_address(text: str) -> str:
+    """Returns what is wrong with an "ip:port"; empty: nothing."""
     host, _, port = text.rpartition(":")
-    if _check_ip(host.strip("[]")) or not port.isdecimal():
+    whole = port.isascii() and port.isdecimal()
+    if _check_ip(host.strip("[]")) or not whole:
         return f"{text!r} is not an address (IP number:port)."
     if not 0 < int(port) <= _MAX_PORT:
         return f"{text!r} has no port from 1 to {_MAX_PORT}."
@@ -215,5 +217,5 @@
     "": _check_any,
     "name": _check_name,
     "ip": _check_ip,
-    "address": _check_address,
+    "address": check_address,
 }
--- a/merlintrestle/daemon/admin.py
+++ b/merlintrestle/daemon/admin.py
@@ -4,13 +4,15 @@
 
 import json
 import logging
-from typing import NamedTuple, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 from aiohttp import web
 import mode
 import prometheus_client
 
+from merlintrestle import config
 from merlintrestle import errors
+from merlintrestle.documents import fields as names
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
@@ -143,10 +145,7 @@
         raise errors.InvalidInputError(
             [errors.Finding("announcement", "is not a JSON object.")]
         )
-    findings = []
-    for name in ("service", "address"):
-        if not isinstance(fields.get(name), str) or not fields[name]:
-            findings.append(errors.Finding(name, "must be a text."))
+    findings = _check_texts(fields)
     slots = fields.get("slots")
     if type(slots) is not int or not 0 < slots <= _MAX_SLOTS:
         text = f"must be a whole number from 1 to {_MAX_SLOTS}."
@@ -165,6 +164,25 @@
     )
 
 
+def _check_texts(fields: dict[str, Any]) -> list[errors.Finding]:
+    """Returns what is wrong with service and address.
+
+    A task connects to the address every second and other daemons are told of
+    the service: one that cannot be used there would end the whole daemon.
+    """
+    findings = []
+    service = fields.get("service")
+    if not isinstance(service, str) or not names.NAME.fullmatch(service):
+        text = "must be a name (a-z, 0-9 and '-', 63 at most)."
+        findings.append(errors.Finding("service", text))
+    address = fields.get("address")
+    if not isinstance(address, str):
+        findings.append(errors.Finding("address", "must be a text."))
+    elif problem := config.check_address(address):
+        findings.append(errors.Finding("address", problem))
+    return findings
+
+
 async def _handle_metrics(request: web.Request) -> web.Response:
     del request
     return web.Response(
--- a/merlintrestle/documents/fields.py
+++ b/merlintrestle/documents/fields.py
@@ -16,7 +16,8 @@
 if TYPE_CHECKING:
     from google.protobuf import message
 
-_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+# Names of organisations, services and classes of work.
+NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 _METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "*")
 _PATH = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@/-]{0,199}")
 _MAX_LISTED = 1000
@@ -190,7 +191,7 @@
         return 0
 
     def _keep_name(self, key: str, name: str) -> bool:
-        if _NAME.fullmatch(name):
+        if NAME.fullmatch(name):
             return True
         text = f"{_show(name)} is not a name (a-z, 0-9 and '-', 63 at most)."
         self.report(key, text)
@@ -218,4 +219,4 @@
 
 
 def _show_key(key: str) -> str:
-    return key if _NAME.fullmatch(key.replace("_", "-")) else _show(key)
+    return key if NAME.fullmatch(key.replace("_", "-")) else _show(key)
--- a/tests/daemon/test_daemons.py
+++ b/tests/daemon/test_daemons.py
@@ -11,6 +11,14 @@
 from standins import faults
 from tests.daemon import builders
 
+_BAD_ADDRESSES = (
+    "localhost",
+    "localhost:80",
+    "127.0.0.1:99999",
+    "127.0.0.1:0",
+    "[::1]:x",
+    "a\0b:80",
+)
 _KEY = {headers.KEY: "ticket-7"}
 
 
@@ -95,3 +103,28 @@
             await fleet.daemons[1].stop()
             await fleet.daemons[0].stop()
             await fleet.store.set_faults(faults.StoreFaults())
+
+    async def test_announcement_that_makes_no_sense(self) -> None:
+        """The announcement is refused; the daemon goes on serving.
+
+        The address of a backend server is used by a task that looks whether
+        it is up, and its service goes into messages to all daemons. One that
+        cannot be read there would end the whole daemon.
+        """
+        good = {"service": "kassa", "slots": 12, "state": "ready"}
+        bad = (
+            *({"address": address} for address in _BAD_ADDRESSES),
+            *(
+                {"address": "127.0.0.1:9000", "service": service}
+                for service in ("\ud800", "kassa/../balie", "x" * 200)
+            ),
+        )
+        async with builders.run_fleet(1) as fleet:
+            daemon = fleet.daemons[0]
+            for fields in bad:
+                with self.subTest(fields):
+                    status = await fleet.announce(daemon, good | fields)
+                    self.assertEqual(status, 400)
+            await fleet.start_backend(daemon, self.answer)
+            async with fleet.client.get(daemon.url + "/x") as answer:
+                self.assertEqual(await answer.text(), "/x")
