Refuse records of members that cannot be used

Cause: the table took in whatever a peer told. A member with port 99999 became a witness or a neighbour, and OverflowError ended the daemon; as records spread, that is every daemon that hears of it. A READY backend server without slots raised ZeroDivisionError in every pick of its service (500, "unknown"); a peer port over 65535 or an address that is none raised in the forwarder; an incarnation of 2**64-1 for one's own id raised at the refutation, which in anti-entropy ends the daemon. Ruled out: unknown states and a member without zone (never used or chosen). After: such a record is neither kept nor passed on. Conclusion: checked where records come in, once, so that none can pass.

--- a/merlintrestle/members/table.py
+++ b/merlintrestle/members/table.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import hashlib
+import logging
 import time
 from typing import NamedTuple, TYPE_CHECKING
 
+from merlintrestle.members import validity
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+logger = logging.getLogger(__name__)
+
 # Members of one bucket are compared by one digest (anti-entropy).
 BUCKETS = 64
 # A member that left or died is remembered this long, so that late news of its
@@ -156,6 +160,9 @@
         held = self._members.get(member.id)
         if held is not None and not outranks(member, held):
             return False
+        if fault := validity.find_fault(member):
+            logger.info("members: record of %r refused: %s", member.id, fault)
+            return False
         if member.id == self.own_id:
             self._refute(member)
             return True
