Drain until the last bytes have left the process

Cause: a call counts as answered once its last piece is in the connection's buffer. With a caller on a slow line up to 64 KB wait there; the drain returned, the process ended, and the end of the bundle was lost. To a caller of HTTP/1.0 the rest looks whole. Second, the drain waited for calls, then for claimed tasks, but not for a call that such a task's backend server made through this daemon meanwhile. Ruled out: small answers (written in the same step in which the call ends).

--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -143,10 +143,9 @@
         self.backend.drain()
         try:
             async with asyncio.timeout(limit_s):
-                await self._idle.wait()
-                # Claimed calls go on after their callers have left.
-                while self._beside.once.tasks:
-                    await asyncio.wait(self._beside.once.tasks)
+                await self._finish_calls()
+                await self._caller_server.flush()
+                await self._peer_server.flush()
         except TimeoutError:
             logger.warning(
                 "requests: %d calls are still in flight.", self.in_flight
@@ -154,6 +153,18 @@
             return False
         return True
 
+    async def _finish_calls(self) -> None:
+        """Waits until no call is in flight, and no claimed one runs on.
+
+        Claimed calls go on after their callers have left; their backend
+        server may still make a call of its own through this daemon.
+        """
+        tasks = self._beside.once.tasks
+        while self.in_flight or tasks:
+            await self._idle.wait()
+            if tasks:
+                await asyncio.wait(tasks)
+
     @mode.Service.task
     async def _check_backend(self) -> None:
         while not self.should_stop:
--- a/merlintrestle/requests/server.py
+++ b/merlintrestle/requests/server.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import Any, TYPE_CHECKING
 
 from aiohttp import web
 
 from merlintrestle.requests import outcomes
+from merlintrestle.requests import streams
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Awaitable, Callable
 
 logger = logging.getLogger(__name__)
@@ -22,6 +23,8 @@
 # What `close` leaves a request in flight. The library takes 0 for no limit, so
 # that a stop would last as long as the longest download.
 _CUT_S = 0.05
+# Time between two looks at the buffers of connections at a planned stop.
+_FLUSH_S = 0.02
 _MAX_LINE_BYTES = 8190
 _MAX_FIELD_BYTES = 8190
 _MAX_HEADERS = 100
@@ -69,6 +72,23 @@
         )
         self.port = self._listener.sockets[0].getsockname()[1]
 
+    async def flush(self) -> None:
+        """Waits until all answers have gone to the operating system.
+
+        A call counts as answered once its last bytes are in the buffer of the
+        connection. What is still there when the process ends is lost, and the
+        end of a long download to a slow caller with it. Callers that take
+        nothing at all for `streams.STALL_S` are not waited for.
+        """
+        held_back = self._get_held_back()
+        moved_at = self._loop.time()
+        while held_back and self._loop.time() - moved_at < streams.STALL_S:
+            await asyncio.sleep(_FLUSH_S)
+            now_held_back = self._get_held_back()
+            if now_held_back != held_back:
+                moved_at = self._loop.time()
+            held_back = now_held_back
+
     async def close(self) -> None:
         """Stops listening and cuts every connection."""
         if self._listener is not None:
@@ -76,6 +96,14 @@
         self.pre_shutdown()
         await self.shutdown(_CUT_S)
 
+    def _get_held_back(self) -> int:
+        """Returns the bytes of answers that wait to be sent."""
+        return sum(
+            connection.transport.get_write_buffer_size()
+            for connection in self.connections
+            if connection.transport is not None
+        )
+
 
 class _Connection(web.RequestHandler):
     """One connection; answers that the library makes state an outcome too."""
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import Any, TYPE_CHECKING
 
 import aiohttp
@@ -162,6 +163,21 @@
             suspect=False,
         )
 
+    def use_handler(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> None:
+        """Has the backend server answer by another handler."""
+        self._handler = handler
+
+    def list_transports(self) -> list[asyncio.Transport]:
+        """Returns the connections of callers."""
+        return [
+            connection.transport
+            for connection in self.proxy._caller_server.connections
+            if connection.transport is not None
+        ]
+
     def crash(self) -> None:
         """Ends the backend server as a killed process ends."""
         listener = self.backend._listener
@@ -176,6 +192,59 @@
         return await self._handler(request)
 
 
+class Bundle:
+    """A download whose last bytes a slow caller keeps the daemon from sending.
+
+    Attributes:
+        length: Bytes that the backend server sent.
+    """
+
+    _PIECE = bytes(8 * 1024)
+
+    def __init__(self, node: Node):
+        self.length = 0
+        self._node = node
+
+    async def ask(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Asks for it over a connection that takes little unread."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        port = self._node.proxy.caller_port
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
+        writer.write(
+            b"GET /kassa/archive HTTP/1.0\r\nHost: a\r\n"
+            b"Connection: close\r\n\r\n"
+        )
+        return reader, writer
+
+    async def send(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Sends until the daemon cannot pass all of it on at once."""
+        answer = web.StreamResponse()
+        await answer.prepare(request)
+        while not self._get_held_back():
+            await answer.write(self._PIECE)
+            self.length += len(self._PIECE)
+            for _ in range(10):
+                await asyncio.sleep(0)
+        await answer.write_eof()
+        return answer
+
+    async def wait_until_held_back(self) -> None:
+        """Waits until only the slow caller keeps the answer from its end."""
+        while self._node.proxy.in_flight or not self.length:
+            await asyncio.sleep(0)
+        assert self._get_held_back()
+
+    def _get_held_back(self) -> int:
+        return sum(
+            transport.get_write_buffer_size()
+            for transport in self._node.list_transports()
+        )
+
+
 async def _answer_ok(request: web.BaseRequest) -> web.StreamResponse:
     body = await request.read()
     return web.Response(body=b"ok:" + body, headers={"X-Backend": "yes"})
--- a/tests/requests/test_drain.py
+++ b/tests/requests/test_drain.py
@@ -132,3 +132,72 @@
             self.assertFalse(await node.proxy.drain(0.01))
             self.go_on.set()
             await call
+
+    async def test_caller_that_reads_slowly(self) -> None:
+        """The clerk gets the whole bundle though the daemon ends meanwhile.
+
+        The daemon has the last bytes from the backend server, but not all of
+        them have gone to the operating system as the clerk's line is slow.
+        What a process still holds when it ends is lost, and the bundle cut.
+        """
+        async with builders.run_nodes(1) as (node,):
+            bundle = builders.Bundle(node)
+            node.use_handler(bundle.send)
+            reader, writer = await bundle.ask()
+            await bundle.wait_until_held_back()
+            draining = asyncio.create_task(node.proxy.drain(60))
+            await asyncio.sleep(0)
+            reading = asyncio.create_task(reader.read())
+            self.assertTrue(await draining)
+            for transport in node.list_transports():
+                # As the end of the process does.
+                transport.abort()
+            got = await reading
+            writer.close()
+        self.assertEqual(len(got.partition(b"\r\n\r\n")[2]), bundle.length)
+
+    async def test_call_that_a_payout_without_caller_makes(self) -> None:
+        """A nested call gets its whole answer though its payout has ended.
+
+        The caller of the payout has left, and the backend server ends it
+        before a call of its own that runs through the same daemon.
+        """
+
+        async def pay(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path == "/check":
+                return await self.wait(request)
+            carried = {name: request.headers[name] for name in _CARRIED}
+            paying.set()
+            await go_on_paying.wait()
+            get = client.get(self.urls[0] + "/check", headers=carried)
+            nested.append(asyncio.ensure_future(get))
+            await self.begun.wait()
+            return web.Response()
+
+        paying, go_on_paying = asyncio.Event(), asyncio.Event()
+        nested: list[asyncio.Future[aiohttp.ClientResponse]] = []
+        async with (
+            builders.run_nodes(2, handler=pay) as (node, _),
+            builders.open_client() as client,
+        ):
+            self.urls.append(node.url)
+            claims = node.proxy._beside.once.tasks
+            call = asyncio.create_task(
+                client.post(node.url + "/payouts", headers={headers.KEY: "k"})
+            )
+            await paying.wait()
+            call.cancel()
+            while node.proxy.in_flight:
+                await asyncio.sleep(0)
+            draining = asyncio.create_task(node.proxy.drain(60))
+            await asyncio.sleep(0)
+            go_on_paying.set()
+            await self.begun.wait()
+            while claims:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.assertFalse(draining.done())
+            self.go_on.set()
+            answer = await nested[0]
+            self.assertEqual(await answer.read(), b"whole")
+            self.assertTrue(await draining)
