Cut off callers that take nothing of their answer

Cause: the relay waited to write without a limit. A caller that asked for a bundle and read nothing, or whose host had gone without a word, held its slot for good; as many of them as there are slots stop a backend server, and a planned stop waits for its whole limit. Ruled out: a limit on each write (a slow line that needs long for one piece is not a stalled one); downloads that wait for their backend server (nothing is held back then, so they are left alone). Conclusion: a timer per answer that is passed on in pieces.

--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -186,19 +186,54 @@
     answer = web.StreamResponse(
         status=response.status, reason=response.reason, headers=copied
     )
+    progress = progress or probes.Progress()
+    watch = _ReceiverWatch(request, progress)
     try:
         await answer.prepare(request)
         if not bodiless:
-            await _relay_pieces(
-                response.content, answer, progress or probes.Progress()
-            )
+            await _relay_pieces(response.content, answer, progress)
         await answer.write_eof()
     except BaseException:
         cut(request)
         raise
+    finally:
+        watch.close()
     return answer
 
 
+class _ReceiverWatch:
+    """Cuts off a receiver that takes nothing of what waits to be sent.
+
+    Its host may be gone without a word. The call would hold its slot for good,
+    and a few such receivers would stop a backend server. A receiver that is
+    slow moves something, and for one that waits nothing is held back.
+    """
+
+    def __init__(self, request: web.BaseRequest, progress: probes.Progress):
+        """Starts the watch."""
+        self._request = request
+        self._progress = progress
+        self._seen = (0, 0)
+        self._loop = asyncio.get_running_loop()
+        self._timer = self._loop.call_later(STALL_S, self._look)
+
+    def close(self) -> None:
+        """Ends the watch."""
+        self._timer.cancel()
+
+    def _look(self) -> None:
+        transport = self._request.transport
+        if transport is None:
+            return
+        held_back = transport.get_write_buffer_size()
+        seen = (self._progress.written, held_back)
+        if held_back and seen == self._seen:
+            cut(self._request)
+            return
+        self._seen = seen
+        self._timer = self._loop.call_later(STALL_S, self._look)
+
+
 async def _relay_pieces(
     content: aiohttp.StreamReader,
     answer: web.StreamResponse,
--- a/tests/requests/test_bad_input.py
+++ b/tests/requests/test_bad_input.py
@@ -122,6 +122,35 @@
             self.assertIn(b"Merlintrestle-Outcome: not-run", answer)
             self.assertEqual(node.served, [])
 
+    async def test_caller_that_does_not_read(self) -> None:
+        """The caller is cut off, and its slot comes free.
+
+        It asks for a bundle and then reads nothing; its host may be gone. The
+        daemon waits to write, and the slot would be held for good: as many
+        such callers as there are slots would stop the backend server.
+        """
+
+        async def send(request: web.BaseRequest) -> web.StreamResponse:
+            answer = web.StreamResponse()
+            await answer.prepare(request)
+            while True:
+                await answer.write(bytes(64 * 1024))
+
+        with mock.patch.object(streams, "STALL_S", 0.1):
+            async with (
+                builders.run_nodes(1, handler=send) as (node,),
+                asyncio.timeout(builders.GUARD_S),
+            ):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port, limit=1024
+                )
+                writer.write(b"GET /kassa/archive HTTP/1.1\r\nHost: a\r\n\r\n")
+                while not node.served:
+                    await asyncio.sleep(0.01)
+                while node.proxy.in_flight:
+                    await asyncio.sleep(0.01)
+                writer.close()
+
     async def test_headers_that_never_end(self) -> None:
         """The connection is closed; it would hold its buffer for good."""
         with mock.patch.object(server, "FIRST_REQUEST_S", 0.02):
