Take only chunks for the end of an answer

Cause: any Transfer-Encoding counted as one that marks the end of an answer. With identity, gzip or "chunked, gzip" the close of the connection marks it; half an answer was passed on in chunks with a clean end. Ruled out: Content-Length together with chunks, and two lengths (the library refuses both). Before: 200 with the half of an answer for all three (200 != 502). After: 502; the half is never shown. Conclusion: the last coding must be chunked.

--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -152,14 +152,14 @@
     """Returns whether the end of an answer differs from a cut.
 
     An answer whose end is marked by the close of its connection alone looks
-    whole wherever it is cut.
+    whole wherever it is cut. Of the transfer encodings only chunks mark one.
     """
-    return (
-        response.content_length is not None
-        or "Transfer-Encoding" in response.headers
-        or method == "HEAD"
-        or response.status in _BODILESS
-    )
+    if method == "HEAD" or response.status in _BODILESS:
+        return True
+    codings = response.headers.get("Transfer-Encoding")
+    if codings is not None:
+        return codings.lower().rpartition(",")[2].strip() == "chunked"
+    return response.content_length is not None
 
 
 async def relay(
