Tell callers that wait with their body to go on

Cause: "Expect: 100-continue" is answered by the library's router alone, and the data path has none. Common clients hold back an upload for a second, and strict ones until the daemon gave up their body (400 after the deadline). After: 100, then the answer. Conclusion: told when the body is about to be read, so that a request that is refused before never sends it.

--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -102,6 +102,8 @@
         return Body(b"", 0)
     length = request.content_length
     content = request.content
+    if "Expect" in request.headers and not content.is_eof():
+        _tell_to_continue(request)
     if length is None and not hold_chunks:
         return Body(None, None, content)
     if length is not None and length > MAX_HELD_BYTES:
@@ -130,6 +132,14 @@
     return b"".join(pieces)
 
 
+def _tell_to_continue(request: web.BaseRequest) -> None:
+    """Has a caller send its body that waits to be told (RFC 9110, 10.1.1)."""
+    expected = request.headers["Expect"].lower() == "100-continue"
+    transport = request.transport
+    if expected and transport is not None and request.version.minor >= 1:
+        transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
 async def read_answer(response: aiohttp.ClientResponse) -> bytes | None:
     """Reads a small answer whole; leaves another to be passed on.
 
--- a/tests/requests/test_path.py
+++ b/tests/requests/test_path.py
@@ -55,6 +55,29 @@
             )
             self.assertEqual(await answer.read(), content)
 
+    async def test_caller_that_waits_before_it_sends_its_body(self) -> None:
+        """The caller gets its answer; it is told to go on with its body.
+
+        It sends its headers with "Expect: 100-continue" and waits. Not told,
+        it would wait until the daemon gives up its body as stopped half-way.
+        """
+        async with builders.run_nodes(1) as (node,):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", node.proxy.caller_port
+            )
+            writer.write(
+                b"POST /kassa/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                b"Expect: 100-continue\r\nConnection: close\r\n\r\n"
+            )
+            async with asyncio.timeout(builders.GUARD_S):
+                told = await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"in")
+                answer = await reader.read()
+            writer.close()
+        self.assertEqual(told, b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.assertIn(b"HTTP/1.1 200 OK", answer)
+        self.assertTrue(answer.endswith(b"ok:in"))
+
     async def test_cut_answer_is_not_shown_whole(self) -> None:
         """The caller sees an error, never half an answer that looks whole.
 
