Give no caller an answer that nobody asked for

Cause: the library's pool looks only at whether a connection is open. Bytes that a server sent between two calls (408 before it closes, an answer sent twice) are kept on the connection and were taken for the next call's answer; from then on each caller of that connection got the answer of the one before. Ruled out: bytes that come before the first answer was released (the library closes then); work that may not be repeated (a connection each). Before: 'late' != '/2'. Conclusion: the pool gives out no connection on which something waits. Left: bytes that arrive after the call was written cannot be told from its answer.

--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -11,6 +11,7 @@
 
 from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
+from merlintrestle.requests import pools
 from merlintrestle.requests import retries
 from merlintrestle.requests import streams
 from merlintrestle.requests import watches
@@ -273,7 +274,7 @@
 
 def _open_session(force_close: bool) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=pools.Connector(
             limit=0,
             force_close=force_close,
             keepalive_timeout=None if force_close else _KEEPALIVE_S,
