Answer a malformed body at once

Cause: a chunk that is none, in a body whose headers were well, is kept by the library as the next request of the connection. Ruled out: malformed headers (answered at once before), bodies that stop with their connection (the library fails them). After: 400 at once, before and after the first chunk. Conclusion: the connection fails the body when the finding comes in.

--- a/merlintrestle/requests/server.py
+++ b/merlintrestle/requests/server.py
@@ -7,6 +7,7 @@
 from typing import Any, TYPE_CHECKING
 
 from aiohttp import web
+from aiohttp import web_protocol
 
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import streams
@@ -122,6 +123,20 @@
         self._first_request.cancel()
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Reads on; fails the body of a call that turns out malformed."""
+        super().data_received(data)
+        request = self._current_request
+        if request is None or not self._messages:
+            return
+        # The library keeps its finding as the next request. The call under way
+        # would wait for the rest of its body until its deadline.
+        malformed = isinstance(self._messages[-1][0], web_protocol._ErrInfo)
+        if malformed and not request.content.is_eof():
+            request.content.set_exception(
+                web.RequestPayloadError("the body is malformed")
+            )
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/tests/requests/test_bad_input.py
+++ b/tests/requests/test_bad_input.py
@@ -100,6 +100,32 @@
                     await asyncio.sleep(0)
             self.assertEqual(node.served, [])
 
+    async def test_body_in_chunks_that_are_none(self) -> None:
+        """The caller is told at once, not when its deadline is near.
+
+        Its headers are well, so the call is under way when its body turns
+        out to be malformed. The library keeps that for the time after the
+        call, which would wait for the rest of the body until its deadline.
+        """
+        patient = {"/": builders.build_plan(deadline_s=600.0)}
+        running = builders.build_snapshot(patient)
+        async with builders.run_nodes(1, running=running) as (node,):
+            for begin in (b"", b"2\r\nab\r\n"):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port
+                )
+                writer.write(
+                    b"POST /kassa/x HTTP/1.1\r\nHost: a\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n" + begin
+                )
+                while not node.proxy.in_flight:
+                    await asyncio.sleep(0)
+                writer.write(b"no size\r\n")
+                async with asyncio.timeout(builders.GUARD_S):
+                    answer = await reader.readuntil(b"}")
+                self.assertRegex(answer, b"^HTTP/1.1 400 ")
+                writer.close()
+
     async def test_slow_sender(self) -> None:
         """The caller is refused; it holds neither slot nor backend server."""
         patient = {"/": builders.build_plan(deadline_s=60.0)}
