Use no lease on that the store does not know

Cause: a daemon writes its claims under one lease for an hour. A store that was restored, or lost its leases, refuses each of them, and every payout through that daemon was refused as not run until the hour was over. Ruled out: running under such a claim (nothing runs unless the write is seen); a lease that lapsed while the machine slept (the clock counts sleep). Before: [200, 503, 503]. After: [200, 503, 200].

--- a/merlintrestle/requests/claims.py
+++ b/merlintrestle/requests/claims.py
@@ -257,6 +257,7 @@
             # The answer was lost, not necessarily the write: read it.
             entry = await self._store.get(claim_key)
             if entry is None:
+                self._lease.forget(lease_id)
                 raise errors.StoreUnavailableError("no claim yet") from error
             return entry
 
--- a/merlintrestle/requests/leases.py
+++ b/merlintrestle/requests/leases.py
@@ -56,6 +56,16 @@
                 await self._renew()
         return self._lease_id
 
+    def forget(self, lease_id: int) -> None:
+        """Uses a lease no more: the store took no write under it.
+
+        A store that was restored may know nothing of it and would refuse all
+        claims until the hour of the lease is over. Where the write failed for
+        another reason, the next claim costs a lease, and no more.
+        """
+        if lease_id == self._lease_id:
+            self._lease_id = 0
+
     async def _renew(self) -> None:
         asked_at = self._get_time()
         self._lease_id = await self._store.grant_lease(LEASE_S)
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -42,6 +42,8 @@
     AFTER = enum.auto()
     # The caller gives up; it takes effect later.
     LATE = enum.auto()
+    # A read is answered as if the last write to its key had not been.
+    STALE = enum.auto()
 
 
 class Store:
@@ -61,13 +63,18 @@
         self.writes = 0
         self._entries: dict[str, client.Entry] = {}
         self._leases: dict[int, float] = {}
+        self._last_lease_id = 0
         self._entry_leases: dict[str, int] = {}
         self._revision = 0
         self._late: list[tuple[str, bytes, int, int]] = []
+        self._earlier: dict[str, client.Entry | None] = {}
 
     async def get(self, key: str) -> client.Entry | None:
         """Reads one key."""
-        if self._take_fault() is not Fault.NONE:
+        fault = self._take_fault()
+        if fault is Fault.STALE:
+            return self._earlier.get(key)
+        if fault is not Fault.NONE:
             raise errors.StoreUnavailableError("no answer")
         return self._read(key)
 
@@ -95,20 +102,26 @@
         entry = self._read(key)
         if entry is None or entry.revision != expected_revision:
             return False
-        del self._entries[key]
+        self._earlier[key] = self._entries.pop(key)
         if fault is Fault.AFTER:
             raise errors.StoreUnknownOutcomeError("no answer")
         return True
 
     async def grant_lease(self, seconds: int) -> int:
         """Opens a lease."""
-        if self._take_fault() is not Fault.NONE:
+        if self._take_fault() not in (Fault.NONE, Fault.STALE):
             raise errors.StoreUnknownOutcomeError("no answer")
         self.writes += 1
-        lease_id = len(self._leases) + 1
+        self._last_lease_id += 1
+        lease_id = self._last_lease_id
         self._leases[lease_id] = self.now + seconds
         return lease_id
 
+    def lose_leases(self) -> None:
+        """Forgets all leases, as a store that was restored may."""
+        self._leases.clear()
+        self._entries.clear()
+
     def deliver_late(self) -> None:
         """Lets the writes that were under way take effect."""
         for write in self._late:
@@ -130,10 +143,13 @@
         self, key: str, value: bytes, expected_revision: int, lease_id: int
     ) -> client.WriteReply:
         self.writes += 1
+        if lease_id not in self._leases:
+            raise errors.StoreUnknownOutcomeError("no such lease")
         entry = self._read(key) or client.Entry(key, b"", 0)
         if entry.revision != expected_revision:
             return client.WriteReply(False, entry)
         self._revision += 1
+        self._earlier[key] = self._entries.get(key)
         entry = client.Entry(key, value, self._revision)
         self._entries[key] = entry
         self._entry_leases[key] = lease_id
--- a/tests/requests/test_interleaving.py
+++ b/tests/requests/test_interleaving.py
@@ -21,7 +21,7 @@
     ("release", 8, [0, 0, 1, 2]),
     ("crash", 1, [0]),
     ("freeze", 2, [0]),
-    ("fault", 2, [1, 2, 3]),
+    ("fault", 2, [1, 2, 3, 4]),
     ("late", 1, [0]),
     ("fate", 2, [0, 1, 2]),
     ("wait", 1, [3, 30, 26 * 3600]),
@@ -119,6 +119,29 @@
         self.assertIsInstance(world.results[0][1], outcomes.NotRun)
         self.assertEqual([run.sending for run in world.runs], [1])
 
+    def test_read_after_a_lost_answer_is_stale(self) -> None:
+        """The second sending runs, the first never does.
+
+        The first daemon's claim was written and the answer lost; the read
+        that settles it comes from before the write and shows no claim. The
+        daemon gives up its claim, and says so when the second one asks.
+        """
+        world = asyncio.run(
+            play(
+                [
+                    ("send", 0, 1),
+                    ("release", 0, 0),
+                    ("fault", 0, 2),
+                    ("fault", 0, 4),
+                    ("release", 0, 0),
+                    ("release", 0, 0),
+                    ("send", 1, 1),
+                ]
+            )
+        )
+        self.assertIsInstance(world.results[0][1], outcomes.NotRun)
+        self.assertEqual([run.sending for run in world.runs], [1])
+
     def test_holder_is_silent_or_has_forgotten(self) -> None:
         """The second caller hears "unknown"; nothing runs twice.
 
--- a/tests/requests/test_once.py
+++ b/tests/requests/test_once.py
@@ -186,3 +186,24 @@
                 self.assertEqual(answer.status, 400)
                 self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
         self.assertEqual(self.runs, 0)
+
+    async def test_store_that_lost_its_leases(self) -> None:
+        """The payout runs when it is sent again, not an hour later.
+
+        The store forgot the lease under which the daemon writes its claims,
+        as one that was restored may, and refuses each claim under it.
+        """
+        self.go_on.set()
+        async with (
+            builders.run_nodes(1, handler=self.pay) as (node,),
+            builders.open_client() as client,
+        ):
+            statuses = []
+            for number in range(3):
+                answer = await client.post(
+                    node.url + "/payouts", headers={headers.KEY: str(number)}
+                )
+                statuses.append(answer.status)
+                if not number:
+                    node.store.lose_leases()
+            self.assertEqual(statuses, [200, 503, 200])
