Bound what the ledger keeps by what it takes

Cause: kept answers counted by their bodies alone, though those of payouts are mostly headers, and each of 20,000 records held an event with a queue. Conclusion: headers count, and records that have ended share one event.

--- a/merlintrestle/requests/ledger.py
+++ b/merlintrestle/requests/ledger.py
@@ -14,8 +14,10 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-# About 300 bytes each. A claim that was evicted is answered as lost.
+# About 450 bytes each without its answer. A claim that was evicted is answered as lost.
 MAX_RECORDS = 20_000
+# What a header takes besides its text.
+_HEADER_BYTES = 150
 # Answers kept for callers that send a request again.
 MAX_KEPT_BYTES = 8 * 1024 * 1024
 
@@ -53,6 +55,8 @@
         self._max_records = max_records
         self._max_kept_bytes = max_kept_bytes
         self._kept_bytes = 0
+        self._has_ended = asyncio.Event()
+        self._has_ended.set()
         self._records: dict[str, Record] = {}
         self._by_key: dict[str, Record] = {}
         self._ended: collections.deque[Record] = collections.deque()
@@ -83,13 +87,15 @@
             return
         record.state = state
         record.ended.set()
+        # One event for all that have ended: it is most of a record's size.
+        record.ended = self._has_ended
         if state == request_pb2.ANSWERED:
             self._by_key[record.claim_key] = record
         self._ended.append(record)
         if answer is not None:
             record.answer = answer
             self._kept.append(record)
-            self._kept_bytes += len(answer.body)
+            self._kept_bytes += _get_size(answer)
         self._evict()
 
     def _evict(self) -> None:
@@ -107,10 +113,18 @@
 
     def _drop_answer(self, record: Record) -> None:
         assert record.answer is not None
-        self._kept_bytes -= len(record.answer.body)
+        self._kept_bytes -= _get_size(record.answer)
         record.answer = None
 
 
+def _get_size(answer: outcomes.Replayed) -> int:
+    """Returns about how many bytes a kept answer takes."""
+    size = len(answer.body)
+    for name, value in answer.headers:
+        size += len(name) + len(value) + _HEADER_BYTES
+    return size
+
+
 def keep_answer(answered: outcomes.Answered) -> outcomes.Replayed | None:
     """Returns a copy of an answer to keep; None if it is too large."""
     if answered.body is None:
