--- a/merlintrestle/requests/ledger.py
+++ b/merlintrestle/requests/ledger.py
@@ -14,7 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-# About 450 bytes each without its answer. A claim that was evicted is answered as lost.
+# About 450 bytes each without its answer. A claim that was evicted is answered
+# as lost.
 MAX_RECORDS = 20_000
 # What a header takes besides its text.
 _HEADER_BYTES = 150
