Start although a record of seeds cannot be read

Cause: a record of seeds that is no message raised DecodeError in the task that joins, and mode ends the daemon: every daemon without configured seeds that started, in every zone, until somebody mended the record. Ruled out: head, documents and changes (read as CorruptRecordError, which is caught); addresses that are none (the call fails and the next is tried). Conclusion: skip and log; the zone's own daemons write it anew.

--- a/merlintrestle/members/seeds.py
+++ b/merlintrestle/members/seeds.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
+from google.protobuf import message
+
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from merlintrestle.store import client
 
+logger = logging.getLogger(__name__)
+
 PREFIX = "seeds/"
 # Members named per availability zone.
 SEEDS_PER_ZONE = 8
@@ -22,7 +27,13 @@
     """
     addresses: list[str] = []
     for entry in await store.list(PREFIX, limit=100):
-        record = control_pb2.MembersReply.FromString(entry.value)
+        try:
+            record = control_pb2.MembersReply.FromString(entry.value)
+        except message.DecodeError as error:
+            # The zone's own daemons write it anew; those that start now find
+            # the fleet by the others.
+            logger.warning("members: record %s: %s", entry.key, error)
+            continue
         addresses.extend(member.id for member in record.members)
     return addresses
 
