Say "not run" of a key's other request only where it is one

Cause 1: whether a payout in chunks of more than 64 KB counted by its content or by its length hung on how it arrived: all at once, it was held whole. Sent again faster or slower, the same payout was "another request" (422), not run, though it had run. Cause 2: a long body counts by its stated length; the same payout sent once with a length and once in chunks was refused as not run as well. Cause 3: a claim record that cannot be read raised DecodeError (500), and left a record of the ledger open for good. Ruled out: bodies of up to 64 KB (held, and compared by content, in any form). Before: 422 "not-run" in both cases; 500. After: the kept answer; "unknown" with 422; "unknown" with 502, and nothing stays open. Conclusion: what is held depends on length alone, and a long body that cannot be compared is never said not to have run.

--- a/merlintrestle/requests/claims.py
+++ b/merlintrestle/requests/claims.py
@@ -9,6 +9,8 @@
 import time
 from typing import NamedTuple, Protocol, TYPE_CHECKING
 
+from google.protobuf import message
+
 from merlintrestle import errors
 from merlintrestle.requests import leases
 from merlintrestle.requests import ledger as ledgers
@@ -128,7 +130,7 @@
 
     async def acquire(
         self, call: calls.Call, claim_key: str, expected_revision: int
-    ) -> Held | Taken | Released | outcomes.NotRun:
+    ) -> Held | Taken | Released | outcomes.NotRun | outcomes.Unknown:
         """Claims a key, new or from a claim that was released.
 
         The ledger knows the claim before the store does, so that a recall
@@ -163,10 +165,12 @@
         if not entry.revision:
             self.ledger.end(record, request_pb2.RELEASED)
             return Released(0)
-        found = request_pb2.Claim.FromString(entry.value)
-        if found.claim_id == record.claim_id:
+        found = _parse(entry.value)
+        if found is not None and found.claim_id == record.claim_id:
             return Held(record, entry.revision, written_at)
         self.ledger.end(record, request_pb2.RELEASED)
+        if found is None:
+            return outcomes.Unknown("the claim of the key cannot be read")
         return Taken(found, entry.revision)
 
     async def check(
@@ -200,9 +204,7 @@
         """Finds out what became of another attempt at the same request."""
         claim = taken.claim
         if claim.request_digest != call.get_identity():
-            return outcomes.NotRun(
-                "the Idempotency-Key was used for another request", 422, None
-            )
+            return _refuse_other(call)
         reply = await self._recall(claim, claim_key, 0.0)
         # Asked in short turns: a holder that freezes meanwhile shows at once.
         while reply is not None and reply.state == request_pb2.RUNNING:
@@ -269,6 +271,25 @@
         return await self._recaller.recall(claim, claim_key, wait_s)
 
 
+def _refuse_other(call: calls.Call) -> outcomes.NotRun | outcomes.Unknown:
+    """Refuses a key that was used for another request.
+
+    A long body counts by its stated length: the same payout, sent once with a
+    length and once in chunks, looks like two, and may have run.
+    """
+    reason = "the Idempotency-Key was used for another request"
+    if call.body.held is None:
+        return outcomes.Unknown(reason, 422)
+    return outcomes.NotRun(reason, 422, None)
+
+
+def _parse(value: bytes) -> request_pb2.Claim | None:
+    try:
+        return request_pb2.Claim.FromString(value)
+    except message.DecodeError:
+        return None
+
+
 def read_answer(reply: request_pb2.RecallReply) -> outcomes.Replayed:
     """Returns the answer that a recall brought."""
     pairs = tuple((header.name, header.value) for header in reply.headers)
--- a/merlintrestle/requests/once.py
+++ b/merlintrestle/requests/once.py
@@ -63,7 +63,7 @@
             if isinstance(claim, claims_.Held):
                 return await self._run_claimed(call, claim)
             self._admission.leave(call)
-            if isinstance(claim, outcomes.NotRun):
+            if isinstance(claim, (outcomes.NotRun, outcomes.Unknown)):
                 return claim
             settled: object = claim
             if isinstance(claim, claims_.Taken):
--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -109,15 +109,25 @@
     if length is not None and length > MAX_HELD_BYTES:
         return Body(None, length, content)
     if content.is_eof():
-        return Body(content.read_nowait(), length)
+        return _build_body(content.read_nowait(), content)
     try:
         async with asyncio.timeout_at(deadline), asyncio.timeout(STALL_S):
             held = await _read_at_most(content, MAX_HELD_BYTES)
     except (web.RequestPayloadError, OSError, TimeoutError) as error:
         raise BodyError("the request body stopped half-way") from error
-    if not content.is_eof():
-        return Body(None, None, content, held)
-    return Body(held, len(held))
+    return _build_body(held, content)
+
+
+def _build_body(begun: bytes, content: aiohttp.StreamReader) -> Body:
+    """Returns the body that begins with what was read.
+
+    More than may be held can arrive at once. Whether a body is held must not
+    depend on that, for what the request is taken to be depends on it: sent
+    again in pieces, the same payout would look like another.
+    """
+    if content.is_eof() and len(begun) <= MAX_HELD_BYTES:
+        return Body(begun, len(begun))
+    return Body(None, None, content, begun)
 
 
 async def _read_at_most(content: aiohttp.StreamReader, limit: int) -> bytes:
--- a/tests/requests/test_once.py
+++ b/tests/requests/test_once.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 import unittest
 
 from aiohttp import web
@@ -11,6 +12,9 @@
 from tests.requests import builders
 from tests.requests import fakes
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 _KEY = {headers.KEY: "ticket-7"}
 
 
@@ -207,3 +211,82 @@
                 if not number:
                     node.store.lose_leases()
             self.assertEqual(statuses, [200, 503, 200])
+
+    async def test_claim_that_cannot_be_read(self) -> None:
+        """The caller hears "unknown"; the daemon keeps nothing of it open.
+
+        The record under the key is no claim, so nobody can be asked whether
+        the payout ran.
+        """
+        async with (
+            builders.run_nodes(1, handler=self.pay) as (node,),
+            builders.open_client() as client,
+        ):
+            claims = node.proxy._beside.once._claims
+            call = builders.build_call(key="ticket-7")
+            lease_id = await node.store.grant_lease(1000)
+            key = claims.build_key(call)
+            await node.store.put(key, b"\xff\xff", 0, lease_id)
+            answer = await client.post(node.url + "/payouts", headers=_KEY)
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+            self.assertEqual(answer.status, 502)
+            records = claims.ledger._records.values()
+            self.assertTrue(all(one.ended.is_set() for one in records))
+        self.assertEqual(self.runs, 0)
+
+    async def test_long_payout_sent_in_another_form(self) -> None:
+        """The caller hears "unknown", not "not run".
+
+        The payout ran. Sent again in chunks where it had a length before, its
+        long body cannot be compared: told "not run", the caller would take a
+        new key, and pay twice.
+        """
+        self.go_on.set()
+        body = bytes(100_000)
+
+        async def send_in_chunks() -> AsyncIterator[bytes]:
+            yield body
+
+        async with (
+            builders.run_nodes(1, handler=self.pay) as (node,),
+            builders.open_client() as client,
+        ):
+            url = node.url + "/payouts"
+            await client.post(url, headers=_KEY, data=body)
+            again = await client.post(url, headers=_KEY, data=send_in_chunks())
+            self.assertEqual(again.status, 422)
+            self.assertEqual(again.headers[headers.OUTCOME], "unknown")
+        self.assertEqual(self.runs, 1)
+
+    async def test_long_payout_that_arrives_faster_the_second_time(
+        self,
+    ) -> None:
+        """The second sending gets the answer of the first.
+
+        Both are the same chunks. The first time they come one by one, the
+        second time all at once, so that the whole body is there when the
+        daemon looks; that must not make another request of it.
+        """
+        self.go_on.set()
+        go_on = asyncio.Event()
+
+        async def send_in_chunks() -> AsyncIterator[bytes]:
+            yield bytes(70_000)
+            await go_on.wait()
+            yield bytes(10)
+
+        async with (
+            builders.run_nodes(1, handler=self.pay) as (node,),
+            builders.open_client() as client,
+        ):
+            url = node.url + "/payouts"
+            sending = asyncio.create_task(
+                client.post(url, headers=_KEY, data=send_in_chunks())
+            )
+            while not node.served:
+                await asyncio.sleep(0)
+            go_on.set()
+            await sending
+            again = await client.post(url, headers=_KEY, data=send_in_chunks())
+            self.assertEqual(await again.read(), b"paid")
+        self.assertEqual(self.runs, 1)
