Replace whole daemons while the store answers from the past

Cause: never back was proved on parts without sockets; whole daemons, with first contact, floor, marks and the store's watch, were not. Fleets of 2, 3 and 4: version 2 runs, the store answers reads from before it, and each daemon in turn is replaced at its control address. Not covered: a fleet of one, and all at once, which rely on the store.

--- a/tests/daemon/builders.py
+++ b/tests/daemon/builders.py
@@ -19,6 +19,8 @@
 from merlintrestle.store import acceptance
 from merlintrestle.store import client as clients
 from merlintrestle.store import records
+from standins import faults
+from standins import keyvalue
 from standins import store as stores
 from tests.members import builders as member_builders
 
@@ -92,6 +94,16 @@
         """Requests that it has not answered whole."""
         return self._proxy.in_flight
 
+    @property
+    def taken(self) -> list[int]:
+        """The versions that it took into use, in order."""
+        return [taken.version for taken in self._holder.history]
+
+    async def wait_for_version(self, version: int) -> None:
+        """Waits until it runs a version."""
+        while self._holder.version != version:
+            await asyncio.sleep(0.01)
+
     async def wait_until_open(self) -> None:
         """Waits until it serves."""
         while self._holder.closed_reason:
@@ -117,29 +129,49 @@
         self.daemons: list[Daemon] = []
         self.client = client
 
-    async def accept(self, document: document_pb2.Document) -> None:
-        """Has a first version accepted by the store."""
+    async def accept(self, document: document_pb2.Document) -> int:
+        """Has the next version accepted by the store; returns its number."""
         store = clients.StoreClient(self.store.address)
         await store.start()
         try:
+            before, revision = await records.read_head(store)
             digest = await records.write_document(store, document)
             documents = {document.organisation: digest}
+            version = before.version + 1
             snapshot = compiler.compile_snapshot(
-                1, {document.organisation: document}
+                version, {document.organisation: document}
             )
             head = acceptance.make_head(
-                document_pb2.Head(), "1", documents, snapshot.digest
+                before, str(version), documents, snapshot.digest
             )
-            await acceptance.swap_head(store, head, 0)
+            await acceptance.swap_head(store, head, revision)
+            return version
         finally:
             await store.close()
 
-    async def start_daemon(self) -> Daemon:
+    def copy_store(self) -> dict[str, keyvalue.Entry]:
+        """Returns what the store holds now."""
+        return self.store.servicer.data.copy()
+
+    async def answer_from(self, past: dict[str, keyvalue.Entry]) -> None:
+        """Has the store answer reads from a past, and its watches be silent."""
+        await self.store.set_faults(faults.StoreFaults(stale=True))
+        self.store.servicer._past = past
+
+    async def restart_daemon(self, index: int) -> Daemon:
+        """Replaces a daemon by a new process at its control address."""
+        old = self.daemons.pop(index)
+        await old.stop()
+        port = int(old.control_address.rpartition(":")[2])
+        return await self.start_daemon(port)
+
+    async def start_daemon(self, control_port: int = 0) -> Daemon:
         """Starts a daemon; the first one is the seed of the others."""
         settings = settings_pb2.DaemonSettings(
             address="127.0.0.1",
             zone="noord",
             region="local",
+            control_port=control_port,
             store=self.store.address,
             spread="fast",
             drain_limit_s=GUARD_S,
--- a/tests/daemon/test_daemons.py
+++ b/tests/daemon/test_daemons.py
@@ -104,6 +104,29 @@
             await fleet.daemons[0].stop()
             await fleet.store.set_faults(faults.StoreFaults())
 
+    async def test_restart_while_the_store_answers_from_the_past(self) -> None:
+        """No daemon goes back, whatever the store says.
+
+        Version 2 runs everywhere. The store is restored and answers reads
+        from before it was accepted, just when one daemon after the other is
+        replaced at its address. Each learns from its witnesses what ran.
+        """
+        for size in (2, 3, 4):
+            async with builders.run_fleet(size) as fleet:
+                past = fleet.copy_store()
+                document = builders.build_document()
+                document.services[0].classes[0].latency_ms += 1
+                version = await fleet.accept(document)
+                for daemon in fleet.daemons:
+                    await daemon.wait_for_version(version)
+                await fleet.answer_from(past)
+                for _ in range(size):
+                    # The last one, which has others as seeds.
+                    daemon = await fleet.restart_daemon(-1)
+                    await daemon.wait_until_open()
+                    self.assertEqual(daemon.taken, [version], size)
+                    fleet.daemons.insert(0, fleet.daemons.pop())
+
     async def test_announcement_that_makes_no_sense(self) -> None:
         """The announcement is refused; the daemon goes on serving.
 
