--- a/standins/servicer.py
+++ b/standins/servicer.py
@@ -19,6 +19,7 @@
     from collections.abc import AsyncIterator
 
 _KEPT_WRITES = 10_000
+_KEPT_SECONDS = 120
 
 
 class Write(NamedTuple):
@@ -42,6 +43,7 @@
         data: What is stored.
         faults: Faults in force; change them by `set_faults`.
         calls: Calls by kind, and by kind and first part of the key.
+        calls_by_second: Calls by second since 1970, the newest two minutes.
         most_waiting: Most watches that ever waited at once.
         writes: Key, revision and ms since 1970 of each write, oldest first.
     """
@@ -50,6 +52,7 @@
         self.data = data
         self.faults = faults.StoreFaults()
         self.calls: collections.Counter[str] = collections.Counter()
+        self.calls_by_second: dict[int, int] = {}
         self.most_waiting = 0
         self.writes: collections.deque[Write] = collections.deque(
             maxlen=_KEPT_WRITES
@@ -146,7 +149,16 @@
             return self._past.get(key, keyvalue.Entry(key))
         return self.data.get(key)
 
+    def _count_second(self) -> None:
+        second = int(time.time())
+        if second not in self.calls_by_second:
+            self.calls_by_second[second] = 0
+            if len(self.calls_by_second) > _KEPT_SECONDS:
+                del self.calls_by_second[min(self.calls_by_second)]
+        self.calls_by_second[second] += 1
+
     async def _begin(self, kind: str, context: Any, key: str = "") -> None:
+        self._count_second()
         self.calls[kind] += 1
         if key:
             self.calls[f"{kind} {key.split('/')[0]}"] += 1
--- a/standins/store.py
+++ b/standins/store.py
@@ -80,6 +80,7 @@
         """Returns calls by kind and watches that wait."""
         return {
             "calls": dict(self.servicer.calls),
+            "calls_by_second": self.servicer.calls_by_second,
             "waiting_watches": self.servicer.data.waiting,
             "most_waiting_watches": self.servicer.most_waiting,
             "revision": self.servicer.data.revision,
--- a/tools/convergence.py
+++ b/tools/convergence.py
@@ -10,6 +10,7 @@
 import time
 from typing import Any, NamedTuple, TYPE_CHECKING
 
+from tools import costs
 from tools import demonstration
 from tools import fleet
 from tools import layouts
@@ -25,7 +26,6 @@
 _FIRST_WITHIN_S = 90.0
 _CHANGE_WITHIN_S = 30.0
 _SETTLE_S = 5.0
-_IDLE_S = 10.0
 _AFTER_CHANGE_S = 2.0
 
 
@@ -50,24 +50,6 @@
     store_fails_after_s: float
 
 
-class Idle(NamedTuple):
-    """What a fleet costs while nothing changes.
-
-    Attributes:
-        bytes_per_s: Control bytes per second of the whole fleet.
-        calls_per_s: Calls of the store per second.
-        watches: Watches that wait at the store.
-        cpu_shares: Share of a core by daemon.
-        rss_mb: Resident memory by daemon in MB.
-    """
-
-    bytes_per_s: float
-    calls_per_s: float
-    watches: int
-    cpu_shares: list[float]
-    rss_mb: list[float]
-
-
 class Change(NamedTuple):
     """What one change took.
 
@@ -79,6 +61,7 @@
             taken off.
         store_calls: Calls of the store meanwhile, idle ones taken off, the
             operator's own included.
+        peak_calls_per_s: Most calls of the store in one second.
         late_s: Seconds from the store's return until the version was in
             force everywhere, where it was not before; None: not needed.
     """
@@ -87,6 +70,7 @@
     missing: int
     control_bytes: float
     store_calls: float
+    peak_calls_per_s: int
     late_s: float | None
 
 
@@ -131,7 +115,7 @@
         )
     logger.info("first version after %.1f s", time.monotonic() - began)
     await asyncio.sleep(_SETTLE_S)
-    idle = await _measure_idle(shown)
+    idle = await costs.measure_idle(shown)
     changes = []
     for number in range(options.changes):
         changes.append(
@@ -142,7 +126,7 @@
 
 
 def summarize(
-    daemons: int, idle: Idle, changes: list[Change]
+    daemons: int, idle: costs.Idle, changes: list[Change]
 ) -> dict[str, Any]:
     """Returns the figures of one kind of fleet."""
     delays = [delay for change in changes for delay in change.delays_s]
@@ -164,6 +148,8 @@
         ),
         "store_calls_per_change": round(statistics.median(calls), 1),
         "store_calls_per_s_idle": round(idle.calls_per_s, 2),
+        "store_calls_idle_by_kind": idle.calls_by_kind,
+        "store_peak_calls_per_s": max(c.peak_calls_per_s for c in changes),
         "store_watches": idle.watches,
         "cpu_share_median": round(statistics.median(idle.cpu_shares), 5),
         "cpu_share_max": round(max(idle.cpu_shares), 5),
@@ -178,35 +164,12 @@
     return statistics.median(max(change.delays_s) for change in changes)
 
 
-async def _measure_idle(shown: fleet.Fleet) -> Idle:
-    pids = [instance.daemon.pid for instance in shown.instances]
-    counters = await shown.read_counters()
-    cpu_s = [samples.read_cpu_s(pid) for pid in pids]
-    carried = await _read_control_bytes(shown)
-    began = time.monotonic()
-    await asyncio.sleep(_IDLE_S)
-    took_s = time.monotonic() - began
-    sent = samples.subtract(carried, await _read_control_bytes(shown))
-    later = await shown.read_counters()
-    used_s = [
-        samples.read_cpu_s(pid) - before
-        for pid, before in zip(pids, cpu_s, strict=True)
-    ]
-    return Idle(
-        bytes_per_s=sent / took_s,
-        calls_per_s=(_count_calls(later) - _count_calls(counters)) / took_s,
-        watches=later["waiting_watches"],
-        cpu_shares=[used / took_s for used in used_s],
-        rss_mb=[samples.read_rss_mb(pid) for pid in pids],
-    )
-
-
 async def _measure_change(
     options: Options,
     table: processes.ProcessTable,
     shown: fleet.Fleet,
     number: int,
-    idle: Idle,
+    idle: costs.Idle,
 ) -> Change:
     document = workload.list_documents(options.layout.name)[-1]
     path = demonstration.change_document(
@@ -218,15 +181,16 @@
             fail_after_key="head", fail_after_s=options.store_fails_after_s
         )
     counters = await shown.read_counters()
-    carried = await _read_control_bytes(shown)
+    carried = await costs.read_control_bytes(shown)
     began = time.monotonic()
     await shown.apply(str(path))
     await _restart_share(options, shown, number)
     missing = await _find_missing(shown, version, _CHANGE_WITHIN_S)
     await asyncio.sleep(_AFTER_CHANGE_S)
     took_s = time.monotonic() - began
-    sent = samples.subtract(carried, await _read_control_bytes(shown))
-    called = _count_calls(await shown.read_counters()) - _count_calls(counters)
+    sent = samples.subtract(carried, await costs.read_control_bytes(shown))
+    later = await shown.read_counters()
+    called = costs.count_calls(later) - costs.count_calls(counters)
     delays_s = await _read_delays(shown, version)
     late_s = await _end_outage(options, shown, version, missing)
     return Change(
@@ -234,6 +198,7 @@
         missing,
         sent - idle.bytes_per_s * took_s,
         called - idle.calls_per_s * took_s,
+        costs.find_peak(later, took_s),
         late_s,
     )
 
@@ -286,22 +251,6 @@
     return delays
 
 
-async def _read_control_bytes(
-    shown: fleet.Fleet,
-) -> dict[tuple[int, int], int]:
-    ports = [i.daemon.ready.get("control_port") for i in shown.instances]
-    store_port = int(shown.store_address.rpartition(":")[2])
-    return await samples.read_control_bytes(
-        {port for port in ports if port}, store_port
-    )
-
-
-def _count_calls(counters: dict[str, Any]) -> int:
-    """Returns all calls; kinds with a key repeat those without."""
-    calls: dict[str, int] = counters["calls"]
-    return sum(count for kind, count in calls.items() if " " not in kind)
-
-
 def _read_errors(shown: fleet.Fleet) -> str:
     return "\n".join(i.daemon.read_errors() for i in shown.instances[:3])
 
