--- a/tests/tools/builders.py
+++ b/tests/tools/builders.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from tools import calls
+from tools import convergence
 from tools import load
 from tools import workload
 
@@ -46,6 +47,13 @@
     )
 
 
+def build_change(
+    delays_s: list[float], missing: int = 0, control_bytes: float = 0.0
+) -> convergence.Change:
+    """Builds what a change took, without calls of the store."""
+    return convergence.Change(delays_s, missing, control_bytes, 0.0, 0, None)
+
+
 def build_run(
     attempt_id: str, key: str = "", at: str = "there", at_ms: int = 0
 ) -> dict[str, Any]:
--- a/tools/costs.py
+++ b/tools/costs.py
@@ -71,7 +71,7 @@
 
 
 def count_calls(counters: dict[str, Any]) -> int:
-    """Returns the number of all calls; kinds with a key repeat those without."""
+    """Returns how many calls there were; kinds with a key repeat others."""
     calls: dict[str, int] = counters["calls"]
     return sum(count for kind, count in calls.items() if " " not in kind)
 
