Answer stale reads from before a change, and cut connections

Cause: the scenario's stale reads began after its last change, so they showed the head that everyone ran already and tried nothing. Backend servers can cut every connection open now.

--- a/standins/faults.py
+++ b/standins/faults.py
@@ -31,7 +31,8 @@
         outage: How it fails.
         latency_s: Time in seconds added to every call.
         lose_answers: Writes still to come that take effect unanswered.
-        stale: Reads are answered as things stood when this was set.
+        stale: Reads are answered as things stood when this was set, or, if
+            the store was told to remember before, as they stood then.
         fail_after_key: The next write of this key begins an outage, in which
             every call is refused at once; empty: none.
         fail_after_s: Seconds between that write and the outage.
--- a/standins/servicer.py
+++ b/standins/servicer.py
@@ -57,13 +57,19 @@
         self.writes: collections.deque[Write] = collections.deque(
             maxlen=_KEPT_WRITES
         )
-        self._past: dict[str, keyvalue.Entry] = {}
+        self._past: dict[str, keyvalue.Entry] | None = None
         self._faults_changed = asyncio.Event()
 
+    def remember(self) -> None:
+        """Keeps what is stored now for the stale reads of a later fault."""
+        self._past = self.data.copy()
+
     def set_faults(self, new: faults.StoreFaults) -> None:
         """Puts faults in force in place of those before."""
-        if new.stale and not self.faults.stale:
-            self._past = self.data.copy()
+        if new.stale and not self.faults.stale and self._past is None:
+            self.remember()
+        if not new.stale and self.faults.stale:
+            self._past = None
         self.faults = new
         self._faults_changed.set()
         self._faults_changed = asyncio.Event()
@@ -110,7 +116,7 @@
         """Reads keys with a prefix."""
         await self._begin("list", context, request.prefix)
         asked = request.prefix, request.after, request.limit
-        if self.faults.stale:
+        if self.faults.stale and self._past is not None:
             entries = keyvalue.select(self._past, *asked)
         else:
             entries = self.data.list(*asked)
@@ -145,7 +151,7 @@
         return store_pb2.Lease(lease_id=request.lease_id, seconds=seconds)
 
     def _read(self, key: str) -> keyvalue.Entry:
-        if self.faults.stale:
+        if self.faults.stale and self._past is not None:
             return self._past.get(key, keyvalue.Entry(key))
         return self.data.get(key)
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -54,6 +54,7 @@
         application = web.Application()
         application.router.add_get("/counters", self._show_counters)
         application.router.add_get("/writes", self._show_writes)
+        application.router.add_post("/remember", self._remember)
         application.router.add_post("/faults", self._change_faults)
         self._runner, self.control_port = await process.serve(
             application, self.control_port
@@ -116,6 +117,10 @@
         writes = [w for w in self.servicer.writes if key in (None, w.key)]
         return web.json_response([write._asdict() for write in writes])
 
+    async def _remember(self, _request: web.Request) -> web.Response:
+        self.servicer.remember()
+        return web.json_response({})
+
     async def _change_faults(self, request: web.Request) -> web.Response:
         try:
             new = faults.parse_faults(await request.json())
--- a/standins/work.py
+++ b/standins/work.py
@@ -57,6 +57,7 @@
         load_lag_s: Seconds that the load endpoint lags.
         slow_factor: How many times longer each piece of work takes.
         silent: Connections open now never carry an answer again.
+        cut: Connections open now are cut, once.
     """
 
     healthy: bool = True
@@ -64,6 +65,7 @@
     load_lag_s: float = 2.0
     slow_factor: float = 1.0
     silent: bool = False
+    cut: bool = False
 
 
 class Worker:
@@ -91,6 +93,9 @@
     def set_faults(self, new: Faults) -> None:
         """Puts faults in force in place of those before."""
         self._silent = set(self._open) if new.silent else set()
+        if new.cut:
+            for transport in list(self._open):
+                transport.abort()
         self.faults = new
 
     async def wait_idle(self) -> None:
--- a/tests/standins/test_backend.py
+++ b/tests/standins/test_backend.py
@@ -96,6 +96,17 @@
         self.assertFalse(done)
         hanging.cancel()
 
+    async def test_cut_download_is_seen_to_be_cut(self) -> None:
+        backend = await builders.start_backend(self)
+        url = f"http://{backend.address}/footage/1?bytes=500000&rate=100000"
+        async with self.session.get(url) as got:
+            await got.content.read(1)
+            control = f"http://127.0.0.1:{backend.control_port}/faults"
+            async with aiohttp.ClientSession() as other:
+                await other.post(control, json={"cut": True})
+            with self.assertRaises(aiohttp.ClientError):
+                await got.read()
+
     async def _get(self, backend, path, headers=None) -> int:
         url = f"http://{backend.address}{path}"
         async with self.session.get(url, headers=headers) as answer:
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -130,6 +130,13 @@
         await self.store.set_faults(faults.StoreFaults())
         self.assertEqual(await self.client.get("head"), reply.entry)
 
+    async def test_stale_reads_answer_from_what_was_remembered(self) -> None:
+        first = await self.client.put("head", b"old", 0)
+        self.store.servicer.remember()
+        await self.client.put("head", b"new", first.entry.revision)
+        await self.store.set_faults(faults.StoreFaults(stale=True))
+        self.assertEqual(await self.client.get("head"), first.entry)
+
 
 async def _wait_until_answered(store: client.StoreClient) -> None:
     """Returns once a read is answered; gRPC connects again by itself."""
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -180,6 +180,7 @@
         "not_in_force_at_end": caused.not_in_force,
         "backends_crashed": caused.crashes,
         "changes_accepted": caused.accepted,
+        "versions_read": sum(map(len, versions)),
     }
 
 
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -96,9 +96,11 @@
             (7.0, self._fail_store(4.0, outage="unavailable")),
             (8.0, self._kill_daemon(kassa[0], 2.0)),
             (9.0, self._freeze(kassa[1].backend, 2.0)),
-            (11.0, self._silence(balie[3 % len(balie)])),
+            (10.0, self._change_backend(archive[2 % len(archive)], "cut")),
+            (11.0, self._change_backend(balie[3 % len(balie)], "silent")),
             (12.0, self._drain_backend(archive[0], 8.0)),
             (14.0, self._stop_daemon(archive[1])),
+            (16.0, self._remember_store()),
             (17.0, self._lose_answers_of_change()),
             (19.0, self._fail_store(3.0, latency_s=0.5)),
             (20.0, self._kill_backend(kassa[2 % len(kassa)])),
@@ -169,16 +171,21 @@
         await asyncio.sleep(away_s)
         await self._fleet.set_store_faults()
 
-    async def _silence(self, instance: fleet.Instance) -> None:
+    async def _remember_store(self) -> None:
+        """Has later stale reads answer from before the next change."""
+        control = self._fleet.store.ready["control"]
+        await self._fleet.post_json(control, "/remember", {})
+
+    async def _change_backend(
+        self, instance: fleet.Instance, fault: str
+    ) -> None:
         async with self._locks[instance]:
             await self._start_crashed(instance)
             assert instance.backend is not None
             control = instance.backend.ready["control"]
             # A request may crash it at this very moment.
             with contextlib.suppress(aiohttp.ClientError):
-                await self._fleet.post_json(
-                    control, "/faults", {"silent": True}
-                )
+                await self._fleet.post_json(control, "/faults", {fault: True})
 
     async def _drain_backend(
         self, instance: fleet.Instance, away_s: float
