--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -63,7 +63,11 @@
             if upstream is None:
                 return outcome or _refuse(call)
             tried.add(upstream.member_id)
+            deadline = call.deadline
+            if len(upstreams) > 1 and budget.tokens >= 1:
+                call.deadline = retries.limit_first_try(call, self._get_time())
             latest = await self._try(upstream, call)
+            call.deadline = deadline
             outcome = retries.combine(outcome, latest)
             last = len(tried) == min(_MAX_TRIES, len(upstreams))
             if last or not _may_retry(latest, call, budget):
--- a/merlintrestle/requests/retries.py
+++ b/merlintrestle/requests/retries.py
@@ -10,6 +10,11 @@
 
 # Retries earned by one call: at most one call in ten is sent twice.
 _EARNED = 0.1
+# A first try ends after the greatest of these, if as much is left for another:
+# this time, and multiples of the latency target and of the expected work.
+_LEAST_TRY_S = 0.25
+_LATENCY_FACTOR = 3.0
+_WORK_FACTOR = 10.0
 # Retries that a service which was quiet may make at once.
 _MAX_TOKENS = 10.0
 
@@ -99,6 +104,27 @@
     return Retry.NO if call.attempt else Retry.BUDGETED
 
 
+def limit_first_try(call: calls.Call, now: float) -> float:
+    """Returns by when a try must be answered, so that another one is left.
+
+    A frozen upstream would otherwise use up the whole deadline of each call
+    that is sent to it before it is known to be frozen. The limit is far beyond
+    what the targets expect of a call, and there is none where no time or no
+    further try would be left.
+    """
+    plan = call.plan
+    if not plan.repeatable or plan.large or call.attempt:
+        return call.deadline
+    limit_s = max(
+        _LEAST_TRY_S,
+        _LATENCY_FACTOR * plan.latency_s,
+        _WORK_FACTOR * plan.work_s,
+    )
+    if now + 2 * limit_s > call.deadline or not call.body.repeatable:
+        return call.deadline
+    return now + limit_s
+
+
 def combine(
     earlier: outcomes.Outcome | None, latest: outcomes.Outcome
 ) -> outcomes.Outcome:
--- a/tests/requests/test_retries.py
+++ b/tests/requests/test_retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 import aiohttp
@@ -58,6 +59,35 @@
                 self.assertEqual(answer.status, 200)
         self.assertEqual(len(nodes[2].served), 8)
 
+    async def test_frozen_backend_server_does_not_use_up_the_deadline(
+        self,
+    ) -> None:
+        """The caller gets its answer from another upstream.
+
+        A backend server takes calls and answers none; its daemon is well, so
+        that nothing looks broken. The call would wait for its deadline.
+        """
+        frozen: list[builders.Node] = []
+
+        async def freeze(request: web.BaseRequest) -> web.StreamResponse:
+            if request.protocol in frozen[0].backend.connections:
+                await asyncio.Event().wait()
+            return web.Response()
+
+        plan = builders.build_plan(latency_s=0.01)
+        async with (
+            builders.run_nodes(
+                2,
+                handler=freeze,
+                running=builders.build_snapshot({"/": plan}),
+            ) as nodes,
+            builders.open_client() as client,
+        ):
+            frozen.append(nodes[0])
+            answer = await client.get(nodes[0].url + "/x")
+            self.assertEqual(answer.status, 200)
+        self.assertEqual([len(node.served) for node in nodes], [1, 1])
+
     async def test_budget_bounds_retries(self) -> None:
         """Callers see failures; the service sees few calls more than theirs.
 
