Time calls by one timer for each connection

Cause: each call made and cancelled two timers and a timeout scope (deadline and first byte); the profile gave 0.10 s of 2.5 s to the scope alone. Safeguards, each test seen to fail without its own: the timer that rings too early is set again (no answer before the guard), a cleared alarm (it rang), the deadline while a peer is asked (no end before the guard). test_silence counts Pool.drop in place of forwarding.drop_idle, which is gone; the count is as strict. A deadline that passes while a connection is opened is now not-run with 504 in place of unknown: nothing was sent.

--- a/merlintrestle/requests/connections.py
+++ b/merlintrestle/requests/connections.py
@@ -68,13 +68,19 @@
     Attributes:
         address: Its other end, "ip:port".
         idle_since: Time of the event loop at which its last call ended.
+        get_time: Returns the time of the event loop, in seconds.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: str):
         super().__init__(loop)
         self.address = address
         self.idle_since = 0.0
+        self.get_time = loop.time
         self._upload: asyncio.Task[None] | None = None
+        self._alarm_timer: asyncio.TimerHandle | None = None
+        self._alarm_timer_at = 0.0
+        self._alarm: Callable[[], None] | None = None
+        self._alarm_at = 0.0
 
     @property
     def reusable(self) -> bool:
@@ -128,6 +134,22 @@
         if content is not None:
             content.set_exception(error)
 
+    def set_alarm(self, when: float, alarm: Callable[[], None]) -> None:
+        """Has `alarm` called at a time, unless it is cleared; keeps only one.
+
+        The timer of an earlier call that rings before goes on and is set
+        again when it has rung. A timer made and cancelled for every call
+        would cost more than all else that a watch does.
+        """
+        self._alarm = alarm
+        self._alarm_at = when
+        if self._alarm_timer is None or when < self._alarm_timer_at:
+            self._set_timer(when)
+
+    def clear_alarm(self) -> None:
+        """Forgets the alarm."""
+        self._alarm = None
+
     def rest(self, now: float) -> None:
         """Prepares for the wait for the next call."""
         self.idle_since = now
@@ -148,8 +170,27 @@
         """Fails what is under way; called by the event loop."""
         if self._upload is not None:
             self._upload.cancel()
+        if self._alarm_timer is not None:
+            self._alarm_timer.cancel()
         super().connection_lost(exc)
 
+    def _set_timer(self, when: float) -> None:
+        if self._alarm_timer is not None:
+            self._alarm_timer.cancel()
+        self._alarm_timer = self._loop.call_at(when, self._ring)
+        self._alarm_timer_at = when
+
+    def _ring(self) -> None:
+        self._alarm_timer = None
+        alarm = self._alarm
+        if alarm is None:
+            return
+        if self._loop.time() < self._alarm_at:
+            self._set_timer(self._alarm_at)
+            return
+        self._alarm = None
+        alarm()
+
     async def _send(
         self,
         method: str,
--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
-from typing import Any, TYPE_CHECKING
+from typing import TYPE_CHECKING
 
 import aiohttp
-import yarl
+from aiohttp import http
 
+from merlintrestle.requests import connections
 from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import retries
@@ -24,13 +26,10 @@
 logger = logging.getLogger(__name__)
 
 _CONNECT_S = 1.0
-# Shorter than servers keep idle connections: one closed by the other side just
-# as a call is written to it would leave that call with an unknown outcome.
-_KEEPALIVE_S = 15.0
-_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 _UNREACHABLE = outcomes.NotRun(
     "could not connect", elsewhere=True, unreachable=True
 )
+_TOO_LATE = outcomes.NotRun("the deadline has passed", 504, None)
 _REASONS = {
     watches.Verdict.NONE: "no answer before the deadline",
     watches.Verdict.CONNECTION_SILENT: "the connection went silent",
@@ -46,16 +45,15 @@
         self._budget = retries.Budget()
 
     async def start(self) -> None:
-        """Opens the pools."""
-        self._pooled = _open_session(force_close=False)
-        self._own = _open_session(force_close=False)
-        self._single = _open_session(force_close=True)
+        """Opens the pool."""
+        self._loop = asyncio.get_running_loop()
+        self._pool = connections.Pool(self._loop)
+        self._probes = _open_probes()
 
     async def close(self) -> None:
-        """Closes all connections."""
-        await self._pooled.close()
-        await self._own.close()
-        await self._single.close()
+        """Closes the connections that are idle."""
+        self._pool.close()
+        await self._probes.close()
 
     async def send_to_backend(
         self,
@@ -72,34 +70,28 @@
         Raises:
             streams.BodyError: The caller's body stopped half-way.
         """
-        if not call.plan.repeatable:
-            return await self._send_once(
-                own.address, call.target, call, sent_headers
-            )
-        if not any(_get_idle(self._own).values()):
+        address = own.address
+        pooled = None
+        if call.plan.repeatable:
+            pooled = self._pool.take(address)
+        if pooled is None:
             # A new connection is not silent: the server itself is slow.
-            return await self._send_once(
-                own.address, call.target, call, sent_headers, self._own
+            return await self._send_anew(
+                address, call.target, call, sent_headers, call.plan.repeatable
             )
         self._budget.earn()
-        scope = asyncio.timeout_at(call.deadline)
-        watch = watches.BackendWatch(
-            own.check, self._budget, call.plan.work_s, scope
+        watch = watches.Watch(
+            pooled,
+            call.plan.work_s,
+            call.deadline,
+            functools.partial(watches.check_backend, own.check, self._budget),
         )
-        outcome = await self._send_watched(
-            self._own,
-            watch,
-            scope,
-            own.address,
-            call.target,
-            call,
-            sent_headers,
+        outcome = await self._exchange(
+            pooled, watch, call.target, call, sent_headers
         )
-        if not _is_silent(watch, own.address, self._own, call):
+        if not self._is_silent(watch, address, call):
             return outcome
-        return await self._send_once(
-            own.address, call.target, call, sent_headers
-        )
+        return await self._send_anew(address, call.target, call, sent_headers)
 
     async def send_to_peer(
         self,
@@ -116,177 +108,147 @@
         call_id = self._call_ids.take()
         sent_headers[headers.CALL] = call_id
         if not call.plan.repeatable:
-            return await self._send_once(address, target, call, sent_headers)
-        scope = asyncio.timeout_at(call.deadline)
-        watch = watches.PeerWatch(
-            self._single, address, call_id, call.plan.work_s, scope
+            return await self._send_anew(address, target, call, sent_headers)
+        connection: connections.Connection | outcomes.NotRun | None
+        connection = self._pool.take(address)
+        if connection is None:
+            connection = await self._open(address, call.deadline)
+            if isinstance(connection, outcomes.NotRun):
+                return connection
+        work_s = call.plan.work_s
+        watch = watches.Watch(
+            connection,
+            work_s,
+            call.deadline,
+            functools.partial(
+                watches.ask_peer, self._probes, address, call_id, work_s
+            ),
         )
-        outcome = await self._send_watched(
-            self._pooled, watch, scope, address, target, call, sent_headers
+        outcome = await self._exchange(
+            connection, watch, target, call, sent_headers
         )
-        if _is_silent(watch, address, self._pooled, call):
+        if self._is_silent(watch, address, call):
             sent_headers[headers.CALL] = call_id = self._call_ids.take()
-            outcome = await self._send_once(address, target, call, sent_headers)
+            outcome = await self._send_anew(address, target, call, sent_headers)
         if isinstance(outcome, outcomes.Answered) and outcome.body is None:
             self._watch_transfer(address, call_id, outcome)
         return outcome
 
-    async def _send_once(
+    async def _send_anew(
         self,
         address: str,
         target: str,
         call: calls.Call,
         sent_headers: multidict.CIMultiDict[str],
-        session: aiohttp.ClientSession | None = None,
+        keep: bool = False,
     ) -> outcomes.Outcome:
-        """Sends a call, over a connection of its own if not told otherwise."""
-        session = session or self._single
+        """Sends a call over a new connection; `keep` it for other calls."""
+        connection = await self._open(address, call.deadline)
+        if isinstance(connection, outcomes.NotRun):
+            return connection
+        if not keep:
+            sent_headers["Connection"] = "close"
+            connection.force_close()
+        watch = watches.Watch(connection, 0.0, call.deadline, None)
+        return await self._exchange(
+            connection, watch, target, call, sent_headers
+        )
+
+    async def _open(
+        self, address: str, deadline: float
+    ) -> connections.Connection | outcomes.NotRun:
+        """Opens a connection, or tells why there is none: nothing was sent."""
+        left_s = deadline - self._loop.time()
         try:
-            async with asyncio.timeout_at(call.deadline):
-                return await _exchange(
-                    session, address, target, call, sent_headers
-                )
+            async with asyncio.timeout(min(_CONNECT_S, left_s)):
+                return await self._pool.open(address)
         except TimeoutError:
-            return outcomes.Unknown("no answer before the deadline", 504)
+            return _UNREACHABLE if left_s > _CONNECT_S else _TOO_LATE
+        except OSError:
+            return _UNREACHABLE
 
-    async def _send_watched(
+    async def _exchange(
         self,
-        session: aiohttp.ClientSession,
-        watch: watches.PeerWatch | watches.BackendWatch,
-        scope: asyncio.Timeout,
-        address: str,
+        connection: connections.Connection,
+        watch: watches.Watch,
         target: str,
         call: calls.Call,
         sent_headers: multidict.CIMultiDict[str],
     ) -> outcomes.Outcome:
-        """Sends a call over a pooled connection while it is watched."""
+        """Sends a call once, whatever its method: retries are decided above."""
+        answer = None
         try:
-            async with scope:
-                return await _exchange(
-                    session, address, target, call, sent_headers
-                )
+            answer = await connection.call(
+                call.method, target, sent_headers, call.body
+            )
+            if not streams.has_clear_end(answer, call.method):
+                connection.abort()
+                return outcomes.Ran("the answer does not say where it ends")
+            body = await streams.read_answer(answer)
         except TimeoutError:
+            connection.abort()
             return outcomes.Unknown(_REASONS[watch.verdict], 504)
+        except (
+            aiohttp.ClientError,
+            http.HttpProcessingError,
+            OSError,
+        ) as error:
+            connection.abort()
+            if call.body.error is not None:
+                raise call.body.error from error
+            return _fail(answer, "the connection broke", 502, broken=True)
+        except BaseException:
+            connection.abort()
+            raise
         finally:
             watch.close()
+        release = functools.partial(self._pool.give_back, connection)
+        return outcomes.Answered(answer, body, release)
+
+    def _is_silent(
+        self, watch: watches.Watch, address: str, call: calls.Call
+    ) -> bool:
+        """Returns whether a call is to be sent anew over a new connection."""
+        if watch.verdict is not watches.Verdict.CONNECTION_SILENT:
+            return False
+        logger.info("requests: a connection to %s is silent.", address)
+        self._pool.drop(address)
+        return call.body.repeatable
 
     def _watch_transfer(
         self, address: str, call_id: str, answered: outcomes.Answered
     ) -> None:
         task = asyncio.create_task(
             watches.watch_transfer(
-                self._single, address, call_id, answered.response
+                self._probes, address, call_id, answered.response
             )
         )
         answered.hold(lambda: _cancel(task))
 
 
-def _is_silent(
-    watch: watches.PeerWatch | watches.BackendWatch,
-    address: str,
-    session: aiohttp.ClientSession,
-    call: calls.Call,
-) -> bool:
-    """Returns whether a call is to be sent anew over a new connection."""
-    if watch.verdict is not watches.Verdict.CONNECTION_SILENT:
-        return False
-    logger.info("requests: a connection to %s is silent.", address)
-    drop_idle(session, address)
-    return call.body.repeatable
-
-
-def drop_idle(session: aiohttp.ClientSession, address: str) -> None:
-    """Closes the idle connections to an address.
-
-    What made one of them silent was there for all of the same age. Those in
-    use are left: their own watches find out.
-    """
-    host, _, port = address.rpartition(":")
-    for key, idle in _get_idle(session).items():
-        if key.host == host and key.port == int(port):
-            for protocol, _ in idle:
-                protocol.close()
-            idle.clear()
-
-
-def _get_idle(session: aiohttp.ClientSession) -> dict[Any, Any]:
-    """Returns the idle connections of a pool; the library has no way to."""
-    connector = session.connector
-    assert connector is not None
-    return connector._conns
-
-
-async def _exchange(
-    session: aiohttp.ClientSession,
-    address: str,
-    target: str,
-    call: calls.Call,
-    sent_headers: multidict.CIMultiDict[str],
-) -> outcomes.Outcome:
-    url = yarl.URL(f"http://{address}{target}", encoded=True)
-    response = None
-    try:
-        response = await session.request(
-            call.method,
-            url,
-            headers=sent_headers,
-            data=call.body.make_payload(),
-            allow_redirects=False,
-        )
-        if not streams.has_clear_end(response, call.method):
-            response.close()
-            return outcomes.Ran("the answer does not say where it ends")
-        body = await streams.read_answer(response)
-        return outcomes.Answered(response, body, response.close)
-    except aiohttp.ClientConnectorError:
-        # Raised only while connecting: nothing was written.
-        return _UNREACHABLE
-    except aiohttp.ConnectionTimeoutError:
-        return _UNREACHABLE
-    except TimeoutError:
-        raise
-    except asyncio.CancelledError:
-        if response is not None:
-            response.close()
-        raise
-    except (aiohttp.ClientError, OSError) as error:
-        if call.body.error is not None:
-            raise call.body.error from error
-        return _fail(response, "the connection broke", 502, broken=True)
-
-
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
 
 
 def _fail(
-    response: aiohttp.ClientResponse | None,
+    answer: connections.Answer | None,
     reason: str,
     status: int,
     broken: bool,
 ) -> outcomes.Failure:
-    if response is None:
+    if answer is None:
         return outcomes.Unknown(reason, status, broken=broken)
-    response.close()
     return outcomes.Ran(f"{reason} in the answer", status, broken=broken)
 
 
-def _open_session(force_close: bool) -> aiohttp.ClientSession:
-    session = aiohttp.ClientSession(
+def _open_probes() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
             limit=0,
-            force_close=force_close,
-            keepalive_timeout=None if force_close else _KEEPALIVE_S,
+            force_close=True,
             use_dns_cache=False,
             happy_eyeballs_delay=None,
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        skip_auto_headers=_AUTO_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
     )
-    # The library sends idempotent methods again by itself. Retries are decided
-    # in one place, by class of work; a hidden one would run a GET twice that
-    # may run once, and would hide a crash from the strikes.
-    session._retry_connection = False
-    return session
--- a/merlintrestle/requests/watches.py
+++ b/merlintrestle/requests/watches.py
@@ -6,15 +6,16 @@
 import enum
 import itertools
 import secrets
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 from merlintrestle.requests import probes
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Coroutine
 
     import aiohttp
 
+    from merlintrestle.requests import connections
     from merlintrestle.requests import retries
 
 # A call without a first byte for so long, or for a multiple of its expected
@@ -54,104 +55,98 @@
         return f"{self._prefix}-{next(self._numbers)}"
 
 
-class PeerWatch:
-    """Ends the wait for a first byte that cannot come any more.
+class Watch:
+    """Ends the wait for an answer that cannot come any more.
+
+    It costs a call that is answered soon no timer and no task of its own.
 
     Attributes:
         verdict: What it found out.
     """
 
+    __slots__ = ("_connection", "_deadline", "_look", "_task", "verdict")
+
     def __init__(
         self,
-        session: aiohttp.ClientSession,
-        address: str,
-        call_id: str,
+        connection: connections.Connection,
         work_s: float,
-        scope: asyncio.Timeout,
+        deadline: float,
+        look: Callable[[], Coroutine[Any, Any, Verdict]] | None,
     ):
-        """Starts the watch; `scope` is ended when it finds silence."""
+        """Starts the watch.
+
+        Args:
+            connection: Where the answer is awaited.
+            work_s: Expected work time, in seconds.
+            deadline: Time of the event loop at which the wait ends anyway.
+            look: Finds out what is wrong with a call that gives no sign;
+                None: nobody asks before the deadline.
+        """
         self.verdict = Verdict.NONE
-        self._session = session
-        self._address = address
-        self._call_id = call_id
-        self._scope = scope
-        self._wait_s = get_patience(work_s)
-        self._loop = asyncio.get_running_loop()
+        self._connection = connection
+        self._deadline = deadline
+        self._look = look
         self._task: asyncio.Task[None] | None = None
-        # A timer is cheap; the task is made only for the few that wait.
-        self._timer = self._loop.call_later(self._wait_s, self._begin)
+        if look is None:
+            connection.set_alarm(deadline, connection.expire)
+            return
+        asks_at = connection.get_time() + get_patience(work_s)
+        connection.set_alarm(min(asks_at, deadline), self._begin)
 
     def close(self) -> None:
         """Ends the watch."""
-        self._timer.cancel()
+        self._connection.clear_alarm()
         if self._task is not None:
             self._task.cancel()
 
     def _begin(self) -> None:
-        self._task = self._loop.create_task(self._watch())
+        connection = self._connection
+        if connection.get_time() >= self._deadline:
+            connection.expire()
+            return
+        connection.set_alarm(self._deadline, connection.expire)
+        self._task = asyncio.create_task(self._watch())
 
     async def _watch(self) -> None:
-        while True:
-            view = await probes.ask(self._session, self._address, self._call_id)
-            if not view.answers:
-                return self._end(Verdict.PEER_SILENT)
-            if not view.in_flight:
-                await asyncio.sleep(_GRACE_S)
-                return self._end(Verdict.CONNECTION_SILENT)
-            await asyncio.sleep(self._wait_s)
+        assert self._look is not None
+        self.verdict = await self._look()
+        if self.verdict is not Verdict.NONE:
+            self._connection.expire()
 
-    def _end(self, verdict: Verdict) -> None:
-        self.verdict = verdict
-        self._scope.reschedule(self._loop.time())
+
+async def ask_peer(
+    session: aiohttp.ClientSession, address: str, call_id: str, work_s: float
+) -> Verdict:
+    """Asks a peer about a call until it is silent."""
+    while True:
+        view = await probes.ask(session, address, call_id)
+        if not view.answers:
+            return Verdict.PEER_SILENT
+        if not view.in_flight:
+            await asyncio.sleep(_GRACE_S)
+            return Verdict.CONNECTION_SILENT
+        await asyncio.sleep(get_patience(work_s))
 
 
-class BackendWatch:
-    """Ends the wait for a first byte on a pooled connection to the backend.
+async def check_backend(
+    check: Callable[[], Awaitable[bool]], budget: retries.Budget
+) -> Verdict:
+    """Finds out whether a pooled connection to a backend server is silent.
 
     A backend server cannot be asked about a call. If it takes new connections
     the pooled one is given up, within a budget: were the server merely slow,
     starting calls anew would only add to its load.
-
-    Attributes:
-        verdict: What it found out.
     """
-
-    def __init__(
-        self,
-        check: Callable[[], Awaitable[bool]],
-        budget: retries.Budget,
-        work_s: float,
-        scope: asyncio.Timeout,
-    ):
-        """Starts the watch; `check` tells whether connections are taken."""
-        self.verdict = Verdict.NONE
-        self._check = check
-        self._budget = budget
-        self._scope = scope
-        self._loop = asyncio.get_running_loop()
-        self._task: asyncio.Task[None] | None = None
-        self._timer = self._loop.call_later(get_patience(work_s), self._begin)
-
-    def close(self) -> None:
-        """Ends the watch."""
-        self._timer.cancel()
-        if self._task is not None:
-            self._task.cancel()
-
-    def _begin(self) -> None:
-        self._task = self._loop.create_task(self._watch())
-
-    async def _watch(self) -> None:
-        if await self._check() and self._budget.spend():
-            self.verdict = Verdict.CONNECTION_SILENT
-            self._scope.reschedule(self._loop.time())
+    if await check() and budget.spend():
+        return Verdict.CONNECTION_SILENT
+    return Verdict.NONE
 
 
 async def watch_transfer(
     session: aiohttp.ClientSession,
     address: str,
     call_id: str,
-    response: aiohttp.ClientResponse,
+    response: connections.Answer,
 ) -> None:
     """Closes an answer whose connection has gone silent in its body.
 
--- a/tests/requests/test_connections.py
+++ b/tests/requests/test_connections.py
@@ -13,6 +13,7 @@
 from merlintrestle.requests import connections
 from merlintrestle.requests import headers
 from merlintrestle.requests import streams
+from merlintrestle.requests import watches
 from tests.requests import builders
 
 if TYPE_CHECKING:
@@ -159,6 +160,32 @@
             self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
             await cancelled.wait()
 
+    async def test_deadline_on_a_connection_in_use_again(self) -> None:
+        """The second call on a connection has its answer at its own deadline.
+
+        The timer of the first call is not cancelled when that is answered. It
+        rings too early for the second one and has to be set again.
+        """
+
+        async def answer_first(
+            request: web.BaseRequest,
+        ) -> web.StreamResponse:
+            if request.raw_path == "/second":
+                await asyncio.Event().wait()
+            return web.Response()
+
+        plans = {"/": builders.build_plan(deadline_s=0.2)}
+        running = builders.build_snapshot(plans)
+        async with (
+            builders.run_nodes(1, handler=answer_first, running=running) as (
+                node,
+            ),
+            builders.open_client() as client,
+        ):
+            first = await client.get(node.url + "/first")
+            second = await client.get(node.url + "/second")
+            self.assertEqual((first.status, second.status), (200, 504))
+
     async def test_caller_that_leaves_cancels_the_call(self) -> None:
         begun = asyncio.Event()
         cancelled = asyncio.Event()
@@ -181,6 +208,42 @@
             await cancelled.wait()
 
 
+class AlarmTest(unittest.IsolatedAsyncioTestCase):
+    """The one timer of a connection, which outlives its calls."""
+
+    def setUp(self) -> None:
+        patch = mock.patch.object(watches, "FIRST_BYTE_S", 0.01)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def test_cleared_alarm_stays_silent(self) -> None:
+        """A download is not cut at the deadline that its headers have kept."""
+        loop = asyncio.get_running_loop()
+        connection = connections.Connection(loop, "127.0.0.1:1")
+        rung = asyncio.Event()
+        later = asyncio.Event()
+        connection.set_alarm(loop.time() + 0.01, rung.set)
+        connection.clear_alarm()
+        loop.call_later(0.05, later.set)
+        await later.wait()
+        self.assertFalse(rung.is_set())
+
+    async def test_deadline_while_a_peer_is_asked(self) -> None:
+        """The caller has its answer at the deadline, also if nobody knows."""
+        loop = asyncio.get_running_loop()
+        connection = connections.Connection(loop, "127.0.0.1:1")
+
+        async def look() -> watches.Verdict:
+            await asyncio.Event().wait()
+            return watches.Verdict.NONE
+
+        watch = watches.Watch(connection, 0.0, loop.time() + 0.05, look)
+        async with asyncio.timeout(builders.GUARD_S):
+            with self.assertRaisesRegex(TimeoutError, "before the deadline"):
+                await connection.read()
+        watch.close()
+
+
 class UploadTest(unittest.IsolatedAsyncioTestCase):
     """Long bodies are sent while the answer is awaited."""
 
--- a/tests/requests/test_silence.py
+++ b/tests/requests/test_silence.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from merlintrestle.requests import forwarding
+from merlintrestle.requests import connections
 from merlintrestle.requests import headers
 from merlintrestle.requests import probes
 from merlintrestle.requests import watches
@@ -108,7 +108,10 @@
             await asyncio.gather(*calls)
             relay.silence()
             with mock.patch.object(
-                forwarding, "drop_idle", wraps=forwarding.drop_idle
+                connections.Pool,
+                "drop",
+                autospec=True,
+                side_effect=connections.Pool.drop,
             ) as drop:
                 for _ in range(3):
                     self.assertEqual((await client.get(url)).status, 200)
