Open the port for callers once a version runs

Cause: a daemon that is replaced refused each caller for the second in which it learns its floor and its peers.

The port for peers opens first, so that the record is right; the port for callers opens when a version runs, when none was accepted yet, or after 3 s: callers of a fleet that cannot open must be told so. Ruled out: letting a stopping daemon go on as an entry for callers; its callers could keep it from ending, as test_draining_daemon_takes_no_work_for_others says.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
 import logging
 
@@ -22,6 +24,12 @@
 
 logger = logging.getLogger(__name__)
 
+# Longest time for which callers find the port closed after a start, in s.
+READY_LIMIT_S = 3.0
+_READY_POLL_S = 0.05
+# Open, or closed until operators accept a first version.
+_SETTLED = ("", holders.NO_VERSION)
+
 
 class Daemon(mode.Service):
     """One daemon, beside one backend server.
@@ -51,9 +59,12 @@
         self._proxy = proxies.Proxy(
             settings, self._holder, self._table, self._store
         )
+        self._proxy.hold_callers = True
         await self.add_runtime_dependency(self._proxy)
         self._table.set_peer_port(self._proxy.peer_port)
         await self._start_control()
+        await self._wait_until_ready()
+        await self._proxy.open_callers()
         self._admin = admin.AdminServer(
             settings.admin_port, self._holder, self._announce
         )
@@ -98,6 +109,19 @@
         await self.add_runtime_dependency(membership)
         await self.add_runtime_dependency(distribution)
 
+    async def _wait_until_ready(self) -> None:
+        """Waits until a version runs, but not for long.
+
+        A daemon that is replaced would refuse each caller for the second in
+        which it learns its floor and its peers; while its port is closed they
+        go to another at once. The wait is bounded, for callers of a whole
+        fleet that cannot open must be told so and when to come back.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READY_LIMIT_S):
+                while self._holder.closed_reason not in _SETTLED:
+                    await asyncio.sleep(_READY_POLL_S)
+
     def _build_member(self) -> control_pb2.Member:
         settings = self._settings
         return control_pb2.Member(
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -53,6 +53,7 @@
         peer_port: Bound port for other daemons, once started.
         in_flight: Calls that are not yet answered whole.
         draining: True once `drain` was called.
+        hold_callers: Set before `start`: `open_callers` opens their port.
         control_port: Port on which this daemon answers recalls; set it before
             `start` where the setting is 0.
         crashes: Takes strikes of other daemons (`crashes.strikes.add`) and
@@ -74,6 +75,7 @@
         self.peer_port = 0
         self.in_flight = 0
         self.draining = False
+        self.hold_callers = False
         self._settings = settings
         self._holder = holder
         self._forwarder = forwarding.Forwarder()
@@ -111,17 +113,23 @@
         )
 
     async def on_start(self) -> None:
-        """Opens both ports."""
+        """Opens the port for peers, and that for callers if not held."""
         self._get_time = asyncio.get_running_loop().time
         self.statistics = statistics.Statistics(self._get_time)
         await self._forwarder.start()
         address = self._settings.address
         self._caller_server = server.Server(self._handle_caller)
         self._peer_server = server.Server(self._handle_peer)
-        await self._caller_server.start(address, self._settings.port)
         await self._peer_server.start(address, self._settings.peer_port)
-        self.caller_port = self._caller_server.port
         self.peer_port = self._peer_server.port
+        if not self.hold_callers:
+            await self.open_callers()
+
+    async def open_callers(self) -> None:
+        """Opens the port for callers."""
+        address = self._settings.address
+        await self._caller_server.start(address, self._settings.port)
+        self.caller_port = self._caller_server.port
 
     async def on_stop(self) -> None:
         """Cuts what is still in flight; `drain` comes first."""
