Measure retries one to three calls deep

They now call on through the daemon beside them, and record calls that they shed.

The test of shedding expected no second record; a shed call is now recorded as shed, and the test asks for exactly one run and one shed call, which is as strict. The test of nested calls was seen to fail without the attempt header (KeyError: 'Merlintrestle-Attempt').

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -16,6 +16,7 @@
 
 from standins import announce
 from standins import ledger
+from standins import nested
 from standins import process
 from standins import work
 
@@ -34,13 +35,28 @@
         state: "ready", "draining" or "down".
     """
 
-    def __init__(self, settings: work.Settings, admin: str, ledger_path: str):
+    def __init__(
+        self,
+        settings: work.Settings,
+        admin: str = "",
+        ledger_path: str = "",
+        daemon: str = "",
+    ):
+        """Prepares a backend server.
+
+        Args:
+            settings: How it behaves.
+            admin: Admin address of the daemon beside it; empty: none.
+            ledger_path: File in which it records its runs; empty: none.
+            daemon: URL of that daemon for own calls; empty: none are made.
+        """
         self.settings = settings
         self.port = 0
         self.control_port = 0
         self.state = "ready"
         self._ledger = ledger.Ledger(ledger_path)
-        self._worker = work.Worker(settings, self._ledger)
+        self._caller = nested.NestedCaller(daemon)
+        self._worker = work.Worker(settings, self._ledger, self._caller)
         self._announcer = announce.Announcer(admin)
         self._runners: list[web.AppRunner] = []
 
@@ -52,6 +68,7 @@
     async def start(self, port: int = 0, control_port: int = 0) -> None:
         """Opens both ports and announces itself."""
         self._ledger.start()
+        await self._caller.start()
         calls = web.Application(client_max_size=64 * 1024 * 1024)
         calls.router.add_get("/-/health", self._show_health)
         calls.router.add_get("/-/load", self._show_load)
@@ -81,6 +98,7 @@
         await self._announcer.close()
         for runner in self._runners:
             await runner.cleanup()
+        await self._caller.close()
         self._ledger.close()
 
     def _announcement(self) -> announce.Announcement:
@@ -115,10 +133,14 @@
 
 
 async def _run(
-    settings: work.Settings, admin: str, ledger_path: str, port: int
+    settings: work.Settings,
+    admin: str,
+    ledger_path: str,
+    daemon: str,
+    port: int,
 ) -> None:
     stop = process.wait_for_stop_signal()
-    backend = BackendStandin(settings, admin, ledger_path)
+    backend = BackendStandin(settings, admin, ledger_path, daemon)
     await backend.start(port)
     process.print_ready(
         "backend",
@@ -142,6 +164,7 @@
 @click.command()
 @click.option("--service", required=True, help="Service that it serves.")
 @click.option("--admin", default="", help="Admin address of its daemon.")
+@click.option("--daemon", default="", help="URL of its daemon for calls.")
 @click.option("--port", default=0, help="Port for calls; 0: a free one.")
 @click.option("--slots", default=12, help="Calls it runs at once.")
 @click.option("--work", "work_ms", multiple=True, help="/prefix=ms of work.")
@@ -151,6 +174,7 @@
 def main(
     service: str,
     admin: str,
+    daemon: str,
     port: int,
     slots: int,
     work_ms: tuple[str, ...],
@@ -163,7 +187,9 @@
     settings = work.Settings(
         service, slots, _parse_work(work_ms), cold_start_s, cold_factor
     )
-    run: Any = functools.partial(_run, settings, admin, ledger_path, port)
+    run: Any = functools.partial(
+        _run, settings, admin, ledger_path, daemon, port
+    )
     process.run(run)
 
 
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -39,7 +39,13 @@
             self._file = -1
 
     def record(self, event: str, request_id: str, **fields: Any) -> None:
-        """Records an event of a request: "started", "done" or "cancelled"."""
+        """Records an event of a request.
+
+        Args:
+            event: "started", "done", "cancelled" or "shed" (it did not run).
+            request_id: Identity of the request.
+            fields: More to record.
+        """
         line = {
             "event": event,
             "request_id": request_id,
--- a/standins/work.py
+++ b/standins/work.py
@@ -18,6 +18,7 @@
     from collections.abc import Mapping
 
     from standins import ledger
+    from standins import nested
 
 REQUEST_ID_HEADER = "Request-Id"
 ATTEMPT_HEADER = "Attempt-Id"
@@ -58,6 +59,8 @@
         slow_factor: How many times longer each piece of work takes.
         silent: Connections open now never carry an answer again.
         cut: Connections open now are cut, once.
+        breaks: Calls run and then break their connection unanswered.
+        sheds: Every call is shed, whatever runs.
     """
 
     healthy: bool = True
@@ -66,6 +69,8 @@
     slow_factor: float = 1.0
     silent: bool = False
     cut: bool = False
+    breaks: bool = False
+    sheds: bool = False
 
 
 class Worker:
@@ -77,12 +82,18 @@
         in_flight: Requests that run now.
     """
 
-    def __init__(self, settings: Settings, runs: ledger.Ledger):
+    def __init__(
+        self,
+        settings: Settings,
+        runs: ledger.Ledger,
+        caller: nested.NestedCaller,
+    ):
         self.address = ""
         self.faults = Faults()
         self.in_flight = 0
         self._settings = settings
         self._runs = runs
+        self._caller = caller
         self._started = time.monotonic()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -114,18 +125,14 @@
         """Runs one request, or sheds it when all slots are taken."""
         self._open.add(request.transport)
         await self._hang_if_silent(request)
-        if self.in_flight >= self._settings.slots:
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        fields = self._describe(request)
+        if self.faults.sheds or self.in_flight >= self._settings.slots:
+            self._runs.record("shed", request_id, **fields)
             return web.json_response(
                 {"shed": True}, status=503, headers={"Retry-After": "1"}
             )
         self._enter()
-        request_id = request.headers.get(REQUEST_ID_HEADER, "")
-        fields = {
-            "key": request.headers.get(KEY_HEADER, ""),
-            "attempt_id": request.headers.get(ATTEMPT_HEADER, ""),
-            "at": self.address,
-            "path": request.path,
-        }
         self._runs.record("started", request_id, **fields)
         if CRASH_HEADER in request.headers:
             os._exit(_CRASH_STATUS)
@@ -139,6 +146,14 @@
             self._runs.record(event, request_id, **fields)
             self._leave()
 
+    def _describe(self, request: web.Request) -> dict[str, str]:
+        return {
+            "key": request.headers.get(KEY_HEADER, ""),
+            "attempt_id": request.headers.get(ATTEMPT_HEADER, ""),
+            "at": self.address,
+            "path": request.path,
+        }
+
     async def _run(
         self, request: web.Request, request_id: str
     ) -> web.StreamResponse:
@@ -149,6 +164,11 @@
             await asyncio.sleep(max(0.0, float(deadline_ms) / 1000))
             return web.json_response({"deadline": True}, status=504)
         await asyncio.sleep(work_s)
+        if self.faults.breaks and request.transport is not None:
+            request.transport.abort()
+        status = await self._caller.call(request)
+        if status >= 400:
+            return web.json_response({"nested": status}, status=502)
         if "bytes" in request.query:
             return await self._send_download(request, request_id)
         return web.json_response(
--- a/tests/standins/builders.py
+++ b/tests/standins/builders.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from aiohttp import web
+
 from merlintrestle.store import client
 from standins import backend
+from standins import process
 from standins import store
 from standins import work
 
@@ -35,12 +38,29 @@
     return made
 
 
+async def start_recorder(
+    case: unittest.IsolatedAsyncioTestCase,
+) -> tuple[str, list[web.Request]]:
+    """Starts a server that answers all; returns its URL and what it got."""
+    seen: list[web.Request] = []
+
+    async def answer(request: web.Request) -> web.Response:
+        seen.append(request)
+        return web.Response()
+
+    application = web.Application()
+    application.router.add_get("/{path:.*}", answer)
+    runner, port = await process.serve(application)
+    case.addAsyncCleanup(runner.cleanup)
+    return f"http://{process.HOST}:{port}", seen
+
+
 async def start_backend(
-    case: unittest.IsolatedAsyncioTestCase, slots: int = 12
+    case: unittest.IsolatedAsyncioTestCase, slots: int = 12, daemon: str = ""
 ) -> backend.BackendStandin:
     """Starts a backend server without a daemon, closed after the test."""
     settings = work.Settings("balie", slots)
-    standin = backend.BackendStandin(settings, admin="", ledger_path="")
+    standin = backend.BackendStandin(settings, daemon=daemon)
     await standin.start()
     case.addAsyncCleanup(standin.close)
     return standin
--- a/tests/standins/test_backend.py
+++ b/tests/standins/test_backend.py
@@ -49,7 +49,7 @@
         self.addCleanup(first.cancel)
         await self._wait_events(backend, ["started"])
         self.assertEqual(await self._get(backend, "/b?work_ms=0"), 503)
-        await self._wait_events(backend, ["started"])
+        await self._wait_events(backend, ["started", "shed"])
 
     async def test_work_stops_when_its_caller_leaves(self) -> None:
         backend = await builders.start_backend(self)
@@ -96,6 +96,28 @@
         self.assertFalse(done)
         hanging.cancel()
 
+    async def test_nested_calls_pass_on_what_bounds_them(self) -> None:
+        """A nested call has the deadline, depth and attempt of the first.
+
+        A daemon in between removes such headers, so the backend server copies
+        them; without them the nested call would be taken for a fresh one.
+        """
+        url, seen = await builders.start_recorder(self)
+        backend = await builders.start_backend(self, daemon=url)
+        headers = {
+            work.REQUEST_ID_HEADER: "r1",
+            work.DEADLINE_HEADER: "900",
+            "Merlintrestle-Depth": "2",
+            "Merlintrestle-Attempt": "1",
+        }
+        path = "/a?work_ms=0&then=kassa/seals,balie/tickets"
+        self.assertEqual(await self._get(backend, path, headers), 200)
+        [nested] = seen
+        self.assertEqual(nested.path, "/kassa/seals/nested")
+        self.assertEqual(nested.query["then"], "balie/tickets")
+        for name, value in headers.items():
+            self.assertEqual(nested.headers[name], value)
+
     async def test_cut_download_is_seen_to_be_cut(self) -> None:
         backend = await builders.start_backend(self)
         url = f"http://{backend.address}/footage/1?bytes=500000&rate=100000"
--- a/tools/demonstration.py
+++ b/tools/demonstration.py
@@ -38,6 +38,8 @@
 # A leaving backend server gets no new work after "a few seconds".
 _LEAVE_WITHIN_MS = 3000
 _CONVERGED_WITHIN_S = 5.0
+# What each event of a run adds to the runs in flight.
+_STEPS = {"started": 1, "done": -1, "cancelled": -1}
 
 
 class Seen(NamedTuple):
@@ -180,7 +182,7 @@
     """Returns the instance of a service with most runs in flight."""
     in_flight: dict[str, int] = {}
     for run in ledger.read_ledger(shown.ledger_path):
-        step = 1 if run["event"] == "started" else -1
+        step = _STEPS.get(run["event"], 0)
         in_flight[run["at"]] = in_flight.get(run["at"], 0) + step
 
     def count(instance: fleet.Instance) -> int:
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -76,11 +76,11 @@
 
         async def refresh() -> None:
             if not is_product:
-                await _tell_upstreams(shown)
+                await tell_upstreams(shown)
 
         await refresh()
         if is_product:
-            await _apply_documents(shown)
+            await apply_documents(shown)
         await asyncio.sleep(_WARM_S)
         caused = scenario.Scenario(shown, table.directory, refresh, is_product)
         results, _ = await asyncio.gather(
@@ -93,7 +93,12 @@
         await table.close()
 
 
-async def _apply_documents(shown: fleet.Fleet) -> None:
+async def apply_documents(shown: fleet.Fleet) -> None:
+    """Applies a fleet's documents and waits until they are in force.
+
+    Raises:
+        processes.ProcessError: They are not in force in time.
+    """
     await shown.apply(*workload.list_documents(shown.layout.name))
     version = (await shown.read_head()).version
     taken = await shown.wait_in_force(
@@ -103,7 +108,8 @@
         raise processes.ProcessError("the first version is not in force")
 
 
-async def _tell_upstreams(shown: fleet.Fleet) -> None:
+async def tell_upstreams(shown: fleet.Fleet) -> None:
+    """Tells every proxy of the baseline the upstreams of each service."""
     upstreams: dict[str, list[str]] = {}
     for instance in shown.instances:
         assert instance.backend is not None
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -134,6 +134,7 @@
         arguments = [
             *("standins.backend", "--service", service),
             *("--admin", instance.admin, "--ledger", self.ledger_path),
+            *("--daemon", instance.url),
         ]
         for load in workload.read_classes(self.layout.name):
             if load.service == service and not load.large:
--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -8,6 +8,7 @@
 
 import click
 
+from tools import amplification
 from tools import convergence
 from tools import failures
 from tools import latency
@@ -145,5 +146,30 @@
     click.echo(json.dumps(slopes.measure_slopes()))
 
 
+@main.command("amplification")
+@click.option(
+    "--fleet",
+    "name",
+    default="zaanoever",
+    show_default=True,
+    type=click.Choice(sorted(layouts.LAYOUTS)),
+    help="Example fleet; its services call each other in their order.",
+)
+@click.option("--rate", default=50.0, show_default=True, help="Per second.")
+@click.option("--requests", default=200, show_default=True, help="Per case.")
+@click.option(
+    "--baseline/--no-baseline",
+    default=True,
+    show_default=True,
+    help="Also measure the plain random proxy.",
+)
+def measure_amplification(
+    name: str, rate: float, requests: int, baseline: bool
+) -> None:
+    """Measures the tries of a failing service, one to three calls deep."""
+    options = amplification.Options(layouts.LAYOUTS[name], rate, requests)
+    sys.exit(processes.run(amplification.run(options, baseline)))
+
+
 if __name__ == "__main__":
     main()
