Say "unknown" of a call whose first sending may have run

Cause: a call whose connection went silent is sent anew over a new one, and only the outcome of the second sending was stated. Where that was refused (the peer had closed or begun to drain, or the connection failed), the caller heard "not run", though the first sending may have run and its answer been lost in the silence. Ruled out: retries at another upstream (combined before); work that may not be repeated (never sent anew here). Before: 'not-run' != 'unknown', with the call served. After: "unknown". Conclusion: the outcomes of both sendings are combined, to a peer and to the own backend server.

--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -98,9 +98,10 @@
         )
         if not _is_silent(watch, own.address, self._own, call):
             return outcome
-        return await self._send_once(
+        second = await self._send_once(
             own.address, call.target, call, sent_headers
         )
+        return retries.combine(outcome, second)
 
     async def send_to_peer(
         self,
@@ -127,7 +128,8 @@
         )
         if _is_silent(watch, address, self._pooled, call):
             sent_headers[headers.CALL] = call_id = self._call_ids.take()
-            outcome = await self._send_once(address, target, call, sent_headers)
+            second = await self._send_once(address, target, call, sent_headers)
+            outcome = _combine(outcome, second)
         if isinstance(outcome, outcomes.Answered) and outcome.body is None:
             self._watch_transfer(address, call_id, outcome)
         return outcome
@@ -196,6 +198,22 @@
     return call.body.repeatable
 
 
+def _combine(
+    first: outcomes.Outcome, second: outcomes.Outcome
+) -> outcomes.Outcome:
+    """Returns what is true of a call that was sent anew to a peer.
+
+    The first sending may have run and its answer been lost. A peer that
+    refuses the second one as not run says nothing of the first.
+    """
+    if isinstance(second, outcomes.Answered):
+        stated = second.response.headers.get(headers.OUTCOME)
+        if stated != "not-run":
+            return second
+        second = outcomes.read_failure(second)
+    return retries.combine(first, second)
+
+
 def drop_idle(session: aiohttp.ClientSession, address: str) -> None:
     """Closes the idle connections to an address.
 
--- a/tests/requests/test_silence.py
+++ b/tests/requests/test_silence.py
@@ -99,6 +99,27 @@
             self.assertEqual(await answer.read(), b"whole")
             self.assertEqual(len(nodes[1].served), 2)
 
+    async def test_refusal_over_the_new_connection(self) -> None:
+        """The caller hears "unknown": its first sending has run.
+
+        The call arrives and runs, but its connection is silent from then on
+        and the answer is lost. Sent again over a new connection it is refused
+        as not run, which is true of the second sending alone.
+        """
+
+        async def run(request: web.BaseRequest) -> web.StreamResponse:
+            if len(nodes[1].served) > 1:
+                relay.silence()
+                nodes[1].holder.running = None
+            return web.Response()
+
+        async with self.connect(run) as (nodes, relay, client):
+            url = nodes[0].url + "/x"
+            self.assertEqual((await client.get(url)).status, 200)
+            answer = await client.get(url)
+            self.assertEqual(len(nodes[1].served), 2)
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+
     async def test_all_idle_connections_of_that_age_are_dropped(self) -> None:
         async with self.connect(self.wait) as (nodes, relay, client):
             url = nodes[0].url + "/x"
