Frame every body by what is sent, not by what the caller said

Cause: the pool of connections of our own passed on the caller's headers and added a length to none but empty bodies. A body in chunks that is held (each small payout in chunks) has no Content-Length, and a caller that names it in "Connection" has it removed as a header of the connection. The body then followed a request without one, and the next daemon or backend server took it for the next request: smuggling, past the choice of a class of work. Before: the backend server got [0, 34] bytes for [34, 34], and small payouts in chunks got a 400. After: whole bodies, four subtests. Conclusion: Content-Length and chunks are set from the body alone.

--- a/merlintrestle/requests/connections.py
+++ b/merlintrestle/requests/connections.py
@@ -202,13 +202,12 @@
         payload = body.make_payload()
         pieces = None if isinstance(payload, (bytes, type(None))) else payload
         headers.setdefault("Host", self.address)
+        length = len(payload) if isinstance(payload, bytes) else body.length
+        _frame(headers, method, length)
         if pieces is not None:
-            writer.length = body.length
-            if body.length is None:
-                headers["Transfer-Encoding"] = "chunked"
+            writer.length = length
+            if length is None:
                 writer.enable_chunking()
-        elif payload is None and method not in _BODILESS_METHODS:
-            headers.setdefault("Content-Length", "0")
         await writer.write_headers(f"{method} {target} HTTP/1.1", headers)
         if pieces is not None:
             upload = self._send_pieces(writer, pieces)
@@ -233,6 +232,22 @@
             self.abort()
 
 
+def _frame(
+    headers: multidict.CIMultiDict[str], method: str, length: int | None
+) -> None:
+    """Sets the headers that tell where a body ends.
+
+    Those of the caller are not enough: it may have sent in chunks what is
+    held here, or have its length removed by its "Connection". A body without
+    them would be taken for the next request on the connection.
+    """
+    headers.popall("Content-Length", None)
+    if length is None:
+        headers["Transfer-Encoding"] = "chunked"
+    elif length or method not in _BODILESS_METHODS:
+        headers["Content-Length"] = str(length)
+
+
 class Pool:
     """Idle connections by address; the one used last is used first."""
 
--- a/tests/requests/test_smuggling.py
+++ b/tests/requests/test_smuggling.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from merlintrestle.requests import streams
 from tests.requests import builders
 
 
@@ -106,3 +107,48 @@
                 )
                 self.assert_refused(answer, 400)
             self.assertEqual(node.served, [])
+
+    async def test_body_whose_length_is_not_passed_on(self) -> None:
+        """The backend server gets one request, with its whole body.
+
+        The caller's length is a header of the connection where it says so,
+        and a body in chunks has none. Sent on without either, the body would
+        be taken for the next request on the connection.
+        """
+        smuggled = b"GET /payouts HTTP/1.1\r\nHost: a\r\n\r\n"
+        long = smuggled + bytes(streams.MAX_HELD_BYTES)
+        for target in ("/kassa/x", "/kassa/payouts/1"):
+            for body in (smuggled, long):
+                with self.subTest(target, length=len(body)):
+                    await self.send_unusual(target, body)
+
+    async def send_unusual(self, target: str, body: bytes) -> None:
+        """Sends a body with its length hidden, and in one chunk."""
+        got: list[bytes] = []
+
+        async def serve(request: web.BaseRequest) -> web.StreamResponse:
+            got.append(await request.read())
+            return web.Response()
+
+        length = b"%d" % len(body)
+        hidden = (b"Content-Length: " + length, b"Connection: content-length")
+        chunked = (b"Transfer-Encoding: chunked",)
+        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        async with builders.run_nodes(2, handler=serve) as nodes:
+            nodes[0].proxy.backend.slots = 0
+            for key, lines, sent in (
+                (b"1", hidden, body),
+                (b"2", chunked, chunk),
+            ):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", nodes[0].proxy.caller_port
+                )
+                head = f"POST {target} HTTP/1.1\r\nHost: a\r\n".encode()
+                for line in (*lines, b"Idempotency-Key: " + key):
+                    head += line + b"\r\n"
+                writer.write(head + b"\r\n" + sent)
+                async with asyncio.timeout(builders.GUARD_S):
+                    answer = await reader.readuntil(b"\r\n")
+                writer.close()
+                self.assertEqual(answer, b"HTTP/1.1 200 OK\r\n")
+        self.assertEqual([len(one) for one in got], [len(body)] * 2)
