--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -91,7 +91,8 @@
         )
         if not self._is_silent(watch, address, call):
             return outcome
-        return await self._send_anew(address, call.target, call, sent_headers)
+        second = await self._send_anew(address, call.target, call, sent_headers)
+        return retries.combine(outcome, second)
 
     async def send_to_peer(
         self,
@@ -129,7 +130,8 @@
         )
         if self._is_silent(watch, address, call):
             sent_headers[headers.CALL] = call_id = self._call_ids.take()
-            outcome = await self._send_anew(address, target, call, sent_headers)
+            second = await self._send_anew(address, target, call, sent_headers)
+            outcome = _combine(outcome, second)
         if isinstance(outcome, outcomes.Answered) and outcome.body is None:
             self._watch_transfer(address, call_id, outcome)
         return outcome
@@ -226,6 +228,22 @@
         answered.hold(lambda: _cancel(task))
 
 
+def _combine(
+    first: outcomes.Outcome, second: outcomes.Outcome
+) -> outcomes.Outcome:
+    """Returns what is true of a call that was sent anew to a peer.
+
+    The first sending may have run and its answer been lost. A peer that
+    refuses the second one as not run says nothing of the first.
+    """
+    if isinstance(second, outcomes.Answered):
+        stated = second.response.headers.get(headers.OUTCOME)
+        if stated != "not-run":
+            return second
+        second = outcomes.read_failure(second)
+    return retries.combine(first, second)
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
 
