--- a/merlintrestle/documents/compiler.py
+++ b/merlintrestle/documents/compiler.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle import errors
+from merlintrestle.documents import loading
 from merlintrestle.documents import snapshot
 from merlintrestle.schema import document_pb2
 
@@ -69,7 +70,7 @@
         raise errors.SnapshotError(
             f"the snapshot has {size} bytes; {MAX_SNAPSHOT_BYTES} are allowed"
         )
-    return snapshot.load_snapshot(version, resources, base)
+    return loading.load_snapshot(version, resources, base)
 
 
 def _compile_classes(
--- a/merlintrestle/versions/deltas.py
+++ b/merlintrestle/versions/deltas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from merlintrestle import errors
+from merlintrestle.documents import loading
 from merlintrestle.documents import snapshot as snapshot_lib
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
@@ -57,9 +58,7 @@
         resources.pop(name, None)
     for resource in delta.changed:
         resources[resource.name] = resource.value
-    return snapshot_lib.load_snapshot(
-        delta.version, resources, base, delta.digest
-    )
+    return loading.load_snapshot(delta.version, resources, base, delta.digest)
 
 
 def pack_snapshot(snapshot: snapshot_lib.Snapshot) -> document_pb2.Snapshot:
@@ -79,4 +78,4 @@
         errors.SnapshotError: It does not have the digest, or cannot be run.
     """
     resources = {item.name: item.value for item in packed.resources}
-    return snapshot_lib.load_snapshot(packed.version, resources, None, digest)
+    return loading.load_snapshot(packed.version, resources, None, digest)
