Use the library's protocol and writer without its session

Ruled out: making header copies faster alone, they are a small part.

Pools of our own also end two uses of the session's private attributes. The hidden retry of the session is gone with it. A body that is still passed on when its call ends is stopped first: left waiting, it kept the server from reading the rest away.

--- a/merlintrestle/requests/once.py
+++ b/merlintrestle/requests/once.py
@@ -43,6 +43,11 @@
         self._admission = admission
         self._forward = forward
 
+    def close(self) -> None:
+        """Ends what still runs; its outcomes stay unknown."""
+        for task in self.tasks:
+            task.cancel()
+
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Runs a call, or tells what became of an earlier sending of it."""
         claims = self._claims
--- a/merlintrestle/requests/outcomes.py
+++ b/merlintrestle/requests/outcomes.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    import aiohttp
+    from merlintrestle.requests import pools
 
 
 # Status by which a backend server sheds load.
@@ -34,7 +34,7 @@
         cut: True if its body broke off.
     """
 
-    response: aiohttp.ClientResponse
+    response: pools.Response
     body: bytes | None
     release: Callable[[], None]
     cut: bool = False
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -127,6 +127,7 @@
         """Cuts what is still in flight; `drain` comes first."""
         await self._caller_server.close()
         await self._peer_server.close()
+        self._beside.once.close()
         await self._forwarder.close()
         await self._recall_client.close()
 
@@ -191,10 +192,10 @@
             return outcomes.render(match)
         self._enter()
         try:
-            outcome = await self._run(request, match, began, False)
+            outcome, body = await self._run(request, match, began, False)
             came = self._get_time()
             try:
-                response = await _finish(request, outcome)
+                response = await _finish(request, outcome, body)
             finally:
                 self.statistics.note(match.plan, outcome, came - began)
         finally:
@@ -218,8 +219,8 @@
         progress = self._registry.enter(call_id)
         self._enter()
         try:
-            outcome = await self._run(request, match, began, True)
-            return await _finish(request, outcome, progress)
+            outcome, body = await self._run(request, match, began, True)
+            return await _finish(request, outcome, body, progress)
         finally:
             self._leave()
             self._registry.leave(call_id)
@@ -230,16 +231,15 @@
         match: routing.Match,
         began: float,
         from_peer: bool,
-    ) -> outcomes.Outcome:
+    ) -> tuple[outcomes.Outcome, streams.Body | None]:
         call = await intake.read_call(request, match, began, from_peer)
         if isinstance(call, outcomes.NotRun):
-            return call
+            return call, None
+        way = self._beside if from_peer else self._dispatch
         try:
-            if from_peer:
-                return await self._beside.run(call)
-            return await self._dispatch.run(call)
+            return await way.run(call), call.body
         except streams.BodyError as error:
-            return outcomes.Unknown(str(error), 400)
+            return outcomes.Unknown(str(error), 400), call.body
 
     def _get_running(self, nested: bool) -> snapshot.Snapshot | outcomes.NotRun:
         if self.draining and not nested:
@@ -265,11 +265,15 @@
 async def _finish(
     request: web.BaseRequest,
     outcome: outcomes.Outcome,
+    body: streams.Body | None,
     progress: probes.Progress | None = None,
 ) -> web.StreamResponse:
     if isinstance(outcome, outcomes.Answered):
-        return await _relay(request, outcome, progress)
-    response = outcomes.render(outcome)
+        response = await _relay(request, outcome, progress)
+    else:
+        response = outcomes.render(outcome)
+    if body is not None:
+        await body.stop()
     if not request.content.is_eof():
         # What is left of the body must not be taken for the next request.
         response.force_close()
--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -19,6 +19,7 @@
     import aiohttp
 
     from merlintrestle.requests import outcomes
+    from merlintrestle.requests import pools
 
 # Bodies up to this size are held whole, so that they can be sent again.
 MAX_HELD_BYTES = 64 * 1024
@@ -26,6 +27,7 @@
 STALL_S = 20.0
 # l_onoff and l_linger: close at once with a reset.
 _RESET = struct.pack("ii", 1, 0)
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BODILESS = frozenset((204, 304))
 
 
@@ -41,6 +43,7 @@
         length: Its length in bytes; None: not known before it ends.
         taken: True once a piece of it was taken and it cannot be sent again.
         error: Why it could not be read; None: nothing wrong.
+        sending: The task that passes it on; None: none does.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         self.length = length
         self.taken = False
         self.error: BodyError | None = None
+        self.sending: asyncio.Task[None] | None = None
         self._content = content
         self._begun = begun
 
@@ -68,6 +72,16 @@
             return self.held or None
         return self._iterate()
 
+    async def stop(self) -> None:
+        """Ends the passing on.
+
+        Until its task has ended it waits for the caller's next piece, and the
+        server could not read away what is left of the request.
+        """
+        if self.sending is not None:
+            self.sending.cancel()
+            await asyncio.wait((self.sending,))
+
     async def _iterate(self) -> AsyncIterator[bytes]:
         assert self._content is not None
         self.taken = True
@@ -75,7 +89,8 @@
             yield self._begun
         while True:
             try:
-                piece = await asyncio.wait_for(self._content.readany(), STALL_S)
+                async with asyncio.timeout(STALL_S):
+                    piece = await self._content.readany()
             except (web.RequestPayloadError, OSError, TimeoutError) as error:
                 self.error = BodyError("the request body stopped half-way")
                 raise self.error from error
@@ -100,6 +115,10 @@
     """
     if not request.can_read_body:
         return Body(b"", 0)
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(_CONTINUE)
+        # It is no part of the answer, which has not begun.
+        request.writer.output_size = 0
     length = request.content_length
     content = request.content
     if length is None and not hold_chunks:
@@ -130,7 +149,7 @@
     return b"".join(pieces)
 
 
-async def read_answer(response: aiohttp.ClientResponse) -> bytes | None:
+async def read_answer(response: pools.Response) -> bytes | None:
     """Reads a small answer whole; leaves another to be passed on.
 
     A small answer that is cut can then still be tried again or be refused with
@@ -148,7 +167,7 @@
     return None
 
 
-def has_clear_end(response: aiohttp.ClientResponse, method: str) -> bool:
+def has_clear_end(response: pools.Response, method: str) -> bool:
     """Returns whether the end of an answer differs from a cut.
 
     An answer whose end is marked by the close of its connection alone looks
--- a/merlintrestle/requests/watches.py
+++ b/merlintrestle/requests/watches.py
@@ -15,6 +15,7 @@
 
     import aiohttp
 
+    from merlintrestle.requests import pools
     from merlintrestle.requests import retries
 
 # A call without a first byte for so long, or for a multiple of its expected
@@ -122,19 +123,33 @@
         budget: retries.Budget,
         work_s: float,
         scope: asyncio.Timeout,
+        reused: bool,
     ):
-        """Starts the watch; `check` tells whether connections are taken."""
+        """Starts the watch.
+
+        Args:
+            check: Tells whether the backend server takes connections.
+            budget: What starting anew is paid from.
+            work_s: Expected work of the call, in seconds.
+            scope: Is ended when the watch finds silence.
+            reused: False if the call has a new connection: it is not silent,
+                the server itself is slow.
+        """
         self.verdict = Verdict.NONE
         self._check = check
         self._budget = budget
         self._scope = scope
         self._loop = asyncio.get_running_loop()
         self._task: asyncio.Task[None] | None = None
-        self._timer = self._loop.call_later(get_patience(work_s), self._begin)
+        self._timer: asyncio.TimerHandle | None = None
+        if reused:
+            patience_s = get_patience(work_s)
+            self._timer = self._loop.call_later(patience_s, self._begin)
 
     def close(self) -> None:
         """Ends the watch."""
-        self._timer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
 
@@ -151,7 +166,7 @@
     session: aiohttp.ClientSession,
     address: str,
     call_id: str,
-    response: aiohttp.ClientResponse,
+    response: pools.Response,
 ) -> None:
     """Closes an answer whose connection has gone silent in its body.
 
--- a/tests/requests/test_bad_input.py
+++ b/tests/requests/test_bad_input.py
@@ -99,6 +99,75 @@
                     await asyncio.sleep(0)
             self.assertEqual(node.served, [])
 
+    async def test_large_body_that_stops_half_way(self) -> None:
+        """The backend server sees a broken request, not a shorter whole one.
+
+        Its beginning was passed on before it broke off. Were the request ended
+        cleanly, half an upload would be filed as all of it.
+        """
+        seen: asyncio.Queue[str] = asyncio.Queue()
+
+        async def read(request: web.BaseRequest) -> web.StreamResponse:
+            await request.content.readany()
+            seen.put_nowait("begun")
+            try:
+                while not request.content.at_eof():
+                    await request.content.readany()
+            except (Exception, asyncio.CancelledError):
+                seen.put_nowait("broken")
+                raise
+            seen.put_nowait("whole")
+            return web.Response()
+
+        async with (
+            asyncio.timeout(builders.GUARD_S),
+            builders.run_nodes(1, handler=read) as (node,),
+        ):
+            for head, sent, then in (
+                (b"Content-Length: 200000", b"x" * 100_000, b""),
+                (b"Transfer-Encoding: chunked", b"5\r\nhello\r\n", b""),
+                (
+                    b"Merlintrestle-Deadline-Ms: 300\r\n"
+                    b"Transfer-Encoding: chunked",
+                    b"5\r\nhello\r\n",
+                    b"ZZ\r\n",
+                ),
+            ):
+                _, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port
+                )
+                writer.write(
+                    b"POST /kassa/x HTTP/1.1\r\nHost: a\r\n"
+                    + head
+                    + b"\r\n\r\n"
+                    + sent
+                )
+                self.assertEqual(await seen.get(), "begun")
+                if then:
+                    writer.write(then)
+                else:
+                    writer.close()
+                self.assertEqual(await seen.get(), "broken")
+                writer.close()
+
+    async def test_body_that_is_announced(self) -> None:
+        """A caller that asks first is told to go on before it sends."""
+        async with builders.run_nodes(1) as (node,):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", node.proxy.caller_port
+            )
+            writer.write(
+                b"POST /kassa/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                b"Expect: 100-continue\r\n\r\n"
+            )
+            async with asyncio.timeout(builders.GUARD_S):
+                interim = await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"in")
+                answer = await reader.readuntil(b"ok:in")
+            writer.close()
+        self.assertTrue(interim.startswith(b"HTTP/1.1 100 "))
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 "))
+
     async def test_slow_sender(self) -> None:
         """The caller is refused; it holds neither slot nor backend server."""
         patient = {"/": builders.build_plan(deadline_s=60.0)}
--- a/tests/requests/test_silence.py
+++ b/tests/requests/test_silence.py
@@ -10,7 +10,6 @@
 
 from aiohttp import web
 
-from merlintrestle.requests import forwarding
 from merlintrestle.requests import headers
 from merlintrestle.requests import probes
 from merlintrestle.requests import watches
@@ -107,8 +106,9 @@
             self.go_on.set()
             await asyncio.gather(*calls)
             relay.silence()
+            peers = nodes[0].proxy._forwarder._peers
             with mock.patch.object(
-                forwarding, "drop_idle", wraps=forwarding.drop_idle
+                peers, "drop_idle", wraps=peers.drop_idle
             ) as drop:
                 for _ in range(3):
                     self.assertEqual((await client.get(url)).status, 200)
--- a/tests/requests/test_streams.py
+++ b/tests/requests/test_streams.py
@@ -28,7 +28,10 @@
     async def read(self, length: int | None, hold: bool) -> streams.Body:
         """Reads the body of a request that states a length, or none."""
         request: Any = types.SimpleNamespace(
-            can_read_body=True, content_length=length, content=self.content
+            can_read_body=True,
+            content_length=length,
+            content=self.content,
+            headers={},
         )
         return await streams.read_body(request, self.deadline, hold)
 
