--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -135,6 +135,7 @@
         """Cuts what is still in flight; `drain` comes first."""
         await self._caller_server.close()
         await self._peer_server.close()
+        self._beside.once.close()
         await self._forwarder.close()
         await self._recall_client.close()
 
