Write a held answer in one go, without web.Response

Cause: web.Response prepares content types, charsets, cookies and missing headers that a backend server's answer already has. An answer without length, type or date, and one to HTTP/1.0 or to a connection that is to be closed, goes the library's way.

--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -7,6 +7,7 @@
 import struct
 from typing import TYPE_CHECKING
 
+from aiohttp import http
 from aiohttp import web
 
 from merlintrestle import errors
@@ -17,6 +18,8 @@
     from collections.abc import AsyncIterator
 
     import aiohttp
+    from aiohttp import abc
+    import multidict
 
     from merlintrestle.requests import connections
     from merlintrestle.requests import outcomes
@@ -178,6 +181,8 @@
     copied = headers.copy_end_to_end(response.headers)
     bodiless = request.method == "HEAD" or response.status in _BODILESS
     if answered.body is not None and not bodiless:
+        if _is_complete(request, copied):
+            return _Whole(response, copied, answered.body)
         return web.Response(
             body=answered.body,
             status=response.status,
@@ -200,6 +205,56 @@
     return answer
 
 
+class _Whole(web.StreamResponse):
+    """An answer whose headers and body are known, written in one go.
+
+    It leaves out what `web.Response` does for answers that are being made:
+    content types, charsets, cookies, compression, missing headers.
+    """
+
+    def __init__(
+        self,
+        response: connections.Answer,
+        copied: multidict.CIMultiDict[str],
+        body: bytes,
+    ):
+        super().__init__(
+            status=response.status, reason=response.reason, _real_headers=copied
+        )
+        self._held = body
+
+    @property
+    def keep_alive(self) -> bool:
+        """True: other connections are not answered in this way."""
+        return True
+
+    async def prepare(
+        self, request: web.BaseRequest
+    ) -> abc.AbstractStreamWriter:
+        """Writes the whole answer."""
+        writer = request.writer
+        line = f"HTTP/1.1 {self._status} {self._reason}"
+        await writer.write_headers(line, self._headers)
+        await writer.write_eof(self._held)
+        return writer
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Does nothing: all is written."""
+
+
+def _is_complete(
+    request: web.BaseRequest, copied: multidict.CIMultiDict[str]
+) -> bool:
+    """Returns whether nothing has to be added to the headers of an answer."""
+    return (
+        "Content-Length" in copied
+        and "Content-Type" in copied
+        and "Date" in copied
+        and request.version == http.HttpVersion11
+        and request.keep_alive
+    )
+
+
 async def _relay_pieces(
     content: aiohttp.StreamReader,
     answer: web.StreamResponse,
