Let refused callers come back, and tell failures by class and second

Cause: a daemon that stops refuses as not run and says when to come back, but callers of repeatable work gave up, while a baseline's proxy that stops refuses the connection, after which the same callers tried another one at no cost. A caller told to come back now does so once; latency still counts from the first sending, and goodput_first_ratio shows what the first sending had.

--- a/tests/standins/builders.py
+++ b/tests/standins/builders.py
@@ -40,13 +40,15 @@
 
 async def start_recorder(
     case: unittest.IsolatedAsyncioTestCase,
+    status: int = 200,
+    headers: dict[str, str] | None = None,
 ) -> tuple[str, list[web.Request]]:
-    """Starts a server that answers all; returns its URL and what it got."""
+    """Starts a server that answers all alike; returns URL and requests."""
     seen: list[web.Request] = []
 
     async def answer(request: web.Request) -> web.Response:
         seen.append(request)
-        return web.Response()
+        return web.Response(status=status, headers=headers)
 
     application = web.Application()
     application.router.add_get("/{path:.*}", answer)
--- a/tests/tools/test_load.py
+++ b/tests/tools/test_load.py
@@ -82,6 +82,27 @@
         self.assertEqual(len(result.attempts), 3)
         self.assertEqual(result.verdict, calls.Verdict.FAILED)
 
+    async def test_repeatable_call_that_failed_is_not_sent_again(self) -> None:
+        target = builders.build_class(method="GET", repeatable=True)
+        result = await self._call(calls.Request(target, "r1"))
+        self.assertEqual(len(result.attempts), 1)
+
+    async def test_caller_comes_back_once_when_told_to(self) -> None:
+        """A refused lookup is sent once more and then given up.
+
+        Each daemon refuses it as not run and says when to come back; a caller
+        who does so gets the same answer and leaves.
+        """
+        headers = {calls.OUTCOME_HEADER: "not-run", "Retry-After": "0.01"}
+        self.entry, seen = await standin_builders.start_recorder(
+            self, status=503, headers=headers
+        )
+        target = builders.build_class(method="GET", repeatable=True)
+        result = await self._call(calls.Request(target, "r1"))
+        self.assertEqual(len(seen), 2)
+        self.assertEqual(result.verdict, calls.Verdict.NOT_RUN)
+        self.assertEqual(result.first_verdict, calls.Verdict.NOT_RUN)
+
     async def _call(self, request: calls.Request) -> load.Result:
         chooser = random.Random(1)
         return await load.call(self.session, [self.entry], request, chooser)
--- a/tools/failures.py
+++ b/tools/failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import json
 import logging
@@ -87,6 +88,7 @@
             _run_loaders(table, shown, options), caused.run()
         )
         runs = ledger.read_ledger(shown.ledger_path)
+        log_timeline(results)
         return summarize(results, runs, caused)
     finally:
         await shown.close()
@@ -162,12 +164,14 @@
     # A request that crashes its backend server has no answer to be right.
     ordinary = [result for result in results if not result.crash]
     right = [r for r in ordinary if r.verdict is calls.Verdict.RIGHT]
+    first = [r for r in right if r.first_verdict is calls.Verdict.RIGHT]
     answered = [r for r in ordinary if r.verdict is not calls.Verdict.TIMEOUT]
     versions = caused.list_versions()
     return {
         "requests": len(ordinary),
         "answered": len(answered),
         "goodput_ratio": round(len(right) / max(1, len(ordinary)), 4),
+        "goodput_first_ratio": round(len(first) / max(1, len(ordinary)), 4),
         **harm.count_harm(results, runs)._asdict(),
         "downloads_cut_by_planned_stop": _count_cut(results, runs, caused),
         "new_work_after_leave": sum(
@@ -238,12 +242,30 @@
     return shares
 
 
-def _count_verdicts(results: list[load.Result]) -> dict[str, int]:
-    counts: dict[str, int] = {}
+def _count_verdicts(
+    results: list[load.Result],
+) -> dict[str, dict[str, int]]:
+    """Counts what callers had in the end, by class of work."""
+    counts: dict[str, collections.Counter[str]] = {}
     for result in results:
-        name = result.verdict.value
-        counts[name] = counts.get(name, 0) + 1
-    return counts
+        own = counts.setdefault(result.label, collections.Counter())
+        own[result.verdict.value] += 1
+    return {label: dict(own) for label, own in sorted(counts.items())}
+
+
+def log_timeline(results: list[load.Result]) -> None:
+    """Logs by second of the run what was not answered right."""
+    began_ms = min(result.attempts[0].started_ms for result in results)
+    seconds: dict[int, collections.Counter[str]] = {}
+    for result in results:
+        if result.crash or result.verdict is calls.Verdict.RIGHT:
+            continue
+        second = (result.attempts[0].started_ms - began_ms) // 1000
+        own = seconds.setdefault(second, collections.Counter())
+        own[f"{result.label} {result.verdict}"] += 1
+    for second, own in sorted(seconds.items()):
+        texts = [f"{count} {name}" for name, count in sorted(own.items())]
+        logger.info("second %d: %s", second, ", ".join(texts))
 
 
 async def run(options: Options, with_baseline: bool) -> int:
--- a/tools/load.py
+++ b/tools/load.py
@@ -23,6 +23,7 @@
     from collections.abc import Iterator
 
 _MOST_SENDINGS = 3
+_MOST_REFUSALS = 2
 _MOST_RETRY_AFTER_S = 1.0
 _WAIT_MARGIN_S = 2.0
 _DOWNLOAD_WAIT_S = 120.0
@@ -85,6 +86,13 @@
         """What the caller had in the end."""
         return self.attempts[-1].verdict
 
+    @property
+    def first_verdict(self) -> calls.Verdict:
+        """What came of the first sending that found an open port."""
+        not_sent = calls.Verdict.NOT_SENT
+        verdicts = [attempt.verdict for attempt in self.attempts]
+        return next((v for v in verdicts if v is not not_sent), not_sent)
+
 
 async def run_load(plan: Plan) -> list[Result]:
     """Makes the load and returns every request's result."""
@@ -131,11 +139,12 @@
 
     Work that may not be repeated is sent again, with the same key and by way
     of another daemon, unless it was answered; so is a request that crashes
-    its backend servers. Other work is sent once.
+    its backend servers. Other work is sent again once, where the caller was
+    told that it did not run and when to come back.
     """
     load = request.load
     patient = request.crash or not load.repeatable
-    most = _MOST_SENDINGS if patient else 1
+    most = _MOST_SENDINGS if patient else _MOST_REFUSALS
     attempts: list[calls.Attempt] = []
     waited_s = load.deadline_ms / 1000 + _WAIT_MARGIN_S
     if load.large:
@@ -153,6 +162,8 @@
             continue
         if attempt.verdict in (calls.Verdict.RIGHT, calls.Verdict.WRONG):
             break
+        if not patient and not _is_told_to_return(attempt):
+            break
         if len(attempts) - not_sent < most:
             again_s = attempt.retry_after_s or 0.1
             await asyncio.sleep(min(again_s, _MOST_RETRY_AFTER_S))
@@ -209,6 +220,13 @@
     return calls.Attempt(verdict=verdict, **fields)
 
 
+def _is_told_to_return(attempt: calls.Attempt) -> bool:
+    return (
+        attempt.verdict is calls.Verdict.NOT_RUN
+        and attempt.retry_after_s is not None
+    )
+
+
 def _compute_rate(plan: Plan, target: workload.ClassLoad) -> float:
     """Returns calls begun per second of one class."""
     if target.large:
