--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -37,8 +37,8 @@
             acts as one; tables that fill change the choice often.
     """
 
-    heartbeat: float = 1.5
-    silence: float = 4.5
+    heartbeat: float = 2.0
+    silence: float = 6.0
     call: float = 1.0
     fetch: float = 5.0
     flush: float = 0.1
--- a/merlintrestle/versions/floor.py
+++ b/merlintrestle/versions/floor.py
@@ -88,7 +88,11 @@
         return True
 
     async def _ask_all(self) -> None:
-        """Asks those in line to be witnesses, then whom these name."""
+        """Asks those in line to be witnesses, then whom these name.
+
+        The watchers of other zones are asked where those of this zone are
+        restarting too.
+        """
         self._replies.clear()
         candidates = self._marker.get_candidates()[:_ASKED]
         await self._ask_each([*candidates, *self._watcher.get_watchers()])
@@ -96,6 +100,8 @@
             name for reply in self._replies.values() for name in reply.witnesses
         }
         await self._ask_each(named)
+        if self._find_head() is None:
+            await self._ask_each(self._watcher.list_other_watchers())
 
     async def _ask_each(self, names: Iterable[str]) -> None:
         own_id = self._membership.table.own_id
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -9,7 +9,9 @@
 
 from merlintrestle import errors
 from merlintrestle.members import choice as choice_lib
+from merlintrestle.members import rendezvous
 from merlintrestle.members import seeds as seeds_lib
+from merlintrestle.members import table as table_lib
 from merlintrestle.members import timing as timing_lib
 
 if TYPE_CHECKING:
@@ -71,6 +73,21 @@
         """Returns the ids of the watchers of this daemon's zone."""
         return self._watchers.get()
 
+    def list_other_watchers(self) -> list[str]:
+        """Returns the ids of the watchers of all other zones."""
+        table = self._membership.table
+        zones: dict[str, list[str]] = {}
+        for member in table.members():
+            if not table_lib.is_gone(member) and member.zone != table.own.zone:
+                zones.setdefault(member.zone, []).append(member.id)
+        return [
+            name
+            for zone, ids in sorted(zones.items())
+            for name in rendezvous.choose(
+                _name_key("watch", zone), ids, WATCHERS_PER_ZONE
+            )
+        ]
+
     def is_chosen(self) -> bool:
         """Tells whether this daemon has been a watcher of its zone for a while.
 
@@ -215,5 +232,9 @@
     def _choose(self, purpose: str, count: int) -> choice_lib.Choice:
         table = self._membership.table
         zone = table.own.zone
-        key = f"{purpose}/{zone}"
+        key = _name_key(purpose, zone)
         return choice_lib.Choice(table, key, count, zone, with_own=True)
+
+
+def _name_key(purpose: str, zone: str) -> str:
+    return f"{purpose}/{zone}"
