--- a/merlintrestle/requests/once.py
+++ b/merlintrestle/requests/once.py
@@ -43,6 +43,11 @@
         self._admission = admission
         self._forward = forward
 
+    def close(self) -> None:
+        """Ends what still runs; its outcomes stay unknown."""
+        for task in self.tasks:
+            task.cancel()
+
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Runs a call, or tells what became of an earlier sending of it."""
         claims = self._claims
@@ -63,7 +68,7 @@
             if isinstance(claim, claims_.Held):
                 return await self._run_claimed(call, claim)
             self._admission.leave(call)
-            if isinstance(claim, outcomes.NotRun):
+            if isinstance(claim, (outcomes.NotRun, outcomes.Unknown)):
                 return claim
             settled: object = claim
             if isinstance(claim, claims_.Taken):
