Recall over channels that are neither cut nor silent

Cause 1: with more than 32 holders asked, the channel used longest ago was closed while recalls waited on it; gRPC raises CancelledError in them, as if their tasks were cancelled, and those callers got no answer at all. Cause 2: a channel was kept after a recall failed. Over a connection that went silent every payout of that holder stayed "unknown" until the operating system gave it up, although new connections worked; gRPC besides shared connections between channels and backed off for up to two minutes. Ruled out: calls between daemons for control (channels dropped on failure). Conclusion: a failed channel is dropped, one in use is not closed.

--- a/merlintrestle/requests/recall.py
+++ b/merlintrestle/requests/recall.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from typing import Any, TYPE_CHECKING
 
 import grpc
 import grpc.aio
 
+from merlintrestle.members import peers
 from merlintrestle.schema import request_pb2
 from merlintrestle.schema import request_pb2_grpc
 
@@ -35,11 +37,26 @@
         return await self._claims.answer_recall(request.claim_id, wait_s)
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class _Channel:
+    """A channel to a holder.
+
+    Attributes:
+        channel: The gRPC channel.
+        calls: Recalls under way on it.
+        dropped: True if no further recall is to use it.
+    """
+
+    channel: Any
+    calls: int = 0
+    dropped: bool = False
+
+
 class RecallClient:
     """Asks the daemons that hold claims."""
 
     def __init__(self) -> None:
-        self._channels: collections.OrderedDict[str, Any] = (
+        self._channels: collections.OrderedDict[str, _Channel] = (
             collections.OrderedDict()
         )
 
@@ -48,31 +65,54 @@
     ) -> request_pb2.RecallReply | None:
         """Returns what became of a claim; None if its holder is silent."""
         address = f"{claim.address}:{claim.control_port}"
-        stub = request_pb2_grpc.RequestsStub(await self._get_channel(address))
         request = request_pb2.RecallRequest(
             claim_key=claim_key,
             claim_id=claim.claim_id,
             wait_ms=int(wait_s * 1000),
         )
+        held = self._take(address)
         try:
+            stub = request_pb2_grpc.RequestsStub(held.channel)
             return await stub.Recall(request, timeout=wait_s + _SILENT_S)
         except grpc.aio.AioRpcError:
+            # Its connection may have gone silent while new ones work.
+            self._drop(address, held)
             return None
+        finally:
+            held.calls -= 1
+            await self._trim()
+            if held.dropped and not held.calls:
+                await held.channel.close()
 
     async def close(self) -> None:
         """Closes all channels."""
         channels = list(self._channels.values())
         self._channels.clear()
-        for channel in channels:
-            await channel.close()
-
-    async def _get_channel(self, address: str) -> Any:
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = grpc.aio.insecure_channel(address)
-            self._channels[address] = channel
+        for held in channels:
+            await held.channel.close()
+
+    def _take(self, address: str) -> _Channel:
+        held = self._channels.get(address)
+        if held is None:
+            held = _Channel(peers.open_channel(address))
+            self._channels[address] = held
         self._channels.move_to_end(address)
-        if len(self._channels) > _MAX_CHANNELS:
-            _, oldest = self._channels.popitem(last=False)
-            await oldest.close(_SILENT_S)
-        return channel
+        held.calls += 1
+        return held
+
+    def _drop(self, address: str, held: _Channel) -> None:
+        held.dropped = True
+        if self._channels.get(address) is held:
+            del self._channels[address]
+
+    async def _trim(self) -> None:
+        """Closes the channels used longest ago on which nobody waits.
+
+        gRPC ends who waits on a channel that is closed as if its task were
+        cancelled; the caller of that task would get no answer at all.
+        """
+        spare = len(self._channels) - _MAX_CHANNELS
+        idle = [item for item in self._channels.items() if not item[1].calls]
+        for address, held in idle[: max(0, spare)]:
+            self._drop(address, held)
+            await held.channel.close()
