Let connections end with their answers while a daemon drains

Cause: connections of callers were kept open through the drain and cut at its end. A caller that sends a payout over one just then cannot tell whether it ran, and the pools of callers kept sending to a daemon that stops. Ruled out: the library's own way (pre_shutdown), which drops the rest of uploads in flight; closing idle connections at once (the same race earlier). Before: no Connection header in either answer. After: close in both; what is in flight is answered whole. Conclusion: refusals and last answers close their connections. Left: a kept connection over which nothing was asked during the drain.

--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -205,7 +205,7 @@
         # own through this daemon; refused, it would be cut off after all.
         running = self._get_running(nested=intake.get_depth(request) > 0)
         if isinstance(running, outcomes.NotRun):
-            return outcomes.render(running)
+            return self._close_if_draining(outcomes.render(running))
         match = intake.match_caller(running, request)
         if isinstance(match, outcomes.NotRun):
             return outcomes.render(match)
@@ -219,7 +219,7 @@
                 self.statistics.note(match.plan, outcome, came - began)
         finally:
             self._leave()
-        return response
+        return self._close_if_draining(response)
 
     async def _handle_peer(
         self, request: web.BaseRequest
@@ -230,7 +230,7 @@
         began = self._get_time()
         running = self._get_running(nested=False)
         if isinstance(running, outcomes.NotRun):
-            return outcomes.render(running)
+            return self._close_if_draining(outcomes.render(running))
         match = intake.match_peer(running, request)
         if isinstance(match, outcomes.NotRun):
             return outcomes.render(match)
@@ -239,10 +239,11 @@
         self._enter()
         try:
             outcome = await self._run(request, match, began, True)
-            return await _finish(request, outcome, progress)
+            response = await _finish(request, outcome, progress)
         finally:
             self._leave()
             self._registry.leave(call_id)
+        return self._close_if_draining(response)
 
     async def _run(
         self,
@@ -272,6 +273,18 @@
             )
         return running
 
+    def _close_if_draining(
+        self, response: web.StreamResponse
+    ) -> web.StreamResponse:
+        """Has the connection close after this answer if the daemon stops.
+
+        Cut at the end of the drain, it may just have got another request, and
+        its caller could not tell whether that ran.
+        """
+        if self.draining:
+            response.force_close()
+        return response
+
     def _enter(self) -> None:
         self.in_flight += 1
         self._idle.clear()
--- a/tests/requests/test_drain.py
+++ b/tests/requests/test_drain.py
@@ -201,3 +201,26 @@
             answer = await nested[0]
             self.assertEqual(await answer.read(), b"whole")
             self.assertTrue(await draining)
+
+    async def test_connections_are_not_used_on(self) -> None:
+        """Callers send their next request to a daemon that does not stop.
+
+        The daemon drains while a caller waits on a kept connection. Left open
+        after the answer, it would be cut at the end of the drain, maybe just
+        as the caller has sent a payout over it; its fate would be unknown.
+        """
+        async with (
+            builders.run_nodes(1, handler=self.wait) as (node,),
+            builders.open_client() as client,
+        ):
+            call = asyncio.create_task(client.get(node.url + "/x"))
+            await self.begun.wait()
+            draining = asyncio.create_task(node.proxy.drain(60))
+            await asyncio.sleep(0)
+            refused = await client.get(node.url + "/x")
+            self.assertEqual(refused.headers["Connection"], "close")
+            self.go_on.set()
+            answer = await call
+            self.assertEqual(answer.headers["Connection"], "close")
+            self.assertEqual(await answer.read(), b"whole")
+            self.assertTrue(await draining)
