Refuse an address that does not name one host

Cause: the address of a daemon is its name in the fleet. 0.0.0.0 was taken without a word: all daemons of a deployment would share one name, and take one another's claims and marks for their own. ::1 ended in a traceback, as nobody puts brackets around it. Ruled out: two daemons at one address and port (the port cannot be bound). Conclusion: IPv4 of one host, until names with IPv6 are read everywhere.

--- a/merlintrestle/config.py
+++ b/merlintrestle/config.py
@@ -20,6 +20,7 @@
 VARIABLE_PREFIX = "MERLINTRESTLE_"
 _NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._/-]{0,62}$")
 _MAX_PORT = 65535
+_IP_VERSION = 4
 _INTEGERS = (
     descriptors.FieldDescriptor.TYPE_UINT32,
     descriptors.FieldDescriptor.TYPE_UINT64,
@@ -202,6 +203,21 @@
     return ""
 
 
+def _check_own_ip(text: str) -> str:
+    """Returns what is wrong with the number by which others reach this host.
+
+    It names the daemon in the fleet, so it must be its own.
+    """
+    if problem := _check_ip(text):
+        return problem
+    number = ipaddress.ip_address(text)
+    if number.is_unspecified or number.is_multicast:
+        return f"{text!r} is not the number of one host."
+    if number.version != _IP_VERSION:
+        return f"{text!r} is not an IPv4 number."
+    return ""
+
+
 def check_address(text: str) -> str:
     """Returns what is wrong with an "ip:port"; empty: nothing."""
     host, _, port = text.rpartition(":")
@@ -216,6 +232,6 @@
 _CHECKS: dict[str, Callable[[str], str]] = {
     "": _check_any,
     "name": _check_name,
-    "ip": _check_ip,
+    "ip": _check_own_ip,
     "address": check_address,
 }
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -21,6 +21,21 @@
         self.assertEqual(settings.spread, "fast")
         self.assertEqual(list(settings.seeds), [])
 
+    def test_address_that_tells_daemons_not_apart(self):
+        """The daemon does not start, and says why.
+
+        Its address is its name in the fleet. With 0.0.0.0 all daemons would
+        have one name, and each would take the others' claims and marks for
+        its own. Names with IPv6 are not read yet by those who connect.
+        """
+        for address in ("0.0.0.0", "::", "::1", "224.0.0.1"):
+            with self.subTest(address):
+                values = {**REQUIRED, "address": address}
+                with self.assertRaises(errors.InvalidInputError) as caught:
+                    config.read_settings(settings_pb2.DaemonSettings, values)
+                places = [one.place for one in caught.exception.findings]
+                self.assertEqual(places, ["--address (MERLINTRESTLE_ADDRESS)"])
+
     def test_every_finding_is_reported_with_flag_and_variable(self):
         values = {
             "address": "localhost",
