--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -22,7 +22,8 @@
     from merlintrestle.requests import parts
     from merlintrestle.requests import picking
 
-_MAX_TRIES = 3
+# Each further one is free (it did not run) or paid from the budget.
+_MAX_TRIES = 5
 
 
 class Dispatch:
--- a/merlintrestle/requests/headers.py
+++ b/merlintrestle/requests/headers.py
@@ -26,6 +26,9 @@
 KEY = "Idempotency-Key"
 
 _PREFIX = "merlintrestle-"
+# Which header names are passed on, for the names seen so far.
+_known: dict[str, bool] = {}
+_MAX_KNOWN = 1000
 # Headers that describe one connection (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
     (
@@ -56,18 +59,30 @@
     A key stays whatever the caller's "Connection" names: without it the next
     daemon would run the call without a claim, and again at each retry.
     """
-    removed = _HOP_BY_HOP
+    copied = []
+    for pair in headers.items():
+        keep = _known.get(pair[0])
+        if keep is None:
+            keep = _classify(pair[0])
+        if keep:
+            copied.append(pair)
+    result: multidict.CIMultiDict[str] = multidict.CIMultiDict(copied)
     connection = headers.get("Connection")
     if connection is not None:
-        named = connection.lower().split(",")
-        removed = removed.union(name.strip() for name in named)
-        removed -= _KEPT
-    copied: multidict.CIMultiDict[str] = multidict.CIMultiDict()
-    for name, value in headers.items():
-        lower = name.lower()
-        if lower not in removed and not lower.startswith(_PREFIX):
-            copied.add(name, value)
-    return copied
+        for name in connection.lower().split(","):
+            if name.strip() not in _KEPT:
+                result.popall(name.strip(), None)
+    return result
+
+
+def _classify(name: str) -> bool:
+    """Returns whether a header is passed on, and remembers it."""
+    lower = name.lower()
+    keep = lower not in _HOP_BY_HOP and not lower.startswith(_PREFIX)
+    # Callers make up names; what is remembered of them must stay bounded.
+    if len(_known) < _MAX_KNOWN:
+        _known[name] = keep
+    return keep
 
 
 def read_number(headers: Mapping[str, str], name: str) -> int | None:
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -112,6 +112,7 @@
 
     async def on_start(self) -> None:
         """Opens both ports."""
+        self._member_id = f"{self._settings.address}:{self.control_port}"
         self._get_time = asyncio.get_running_loop().time
         self.statistics = statistics.Statistics(self._get_time)
         await self._forwarder.start()
@@ -171,7 +172,7 @@
         return self.statistics.get_statuses()
 
     def _get_member_id(self) -> str:
-        return f"{self._settings.address}:{self.control_port}"
+        return self._member_id
 
     def _get_owner(self) -> claims_.Owner:
         return claims_.Owner(
