--- a/merlintrestle/requests/admission.py
+++ b/merlintrestle/requests/admission.py
@@ -157,8 +157,15 @@
         return refusal
 
     def _estimate_wait(self, queue: shares.ClassQueue) -> float:
+        """Returns the time until a call that comes now would get a slot.
+
+        The class gets what is promised to it and what the others leave.
+        """
         ahead = len(queue.waiting) + 1
-        slots = max(1.0, queue.share.guarantee)
+        left = self._slots - (self.in_flight - queue.in_flight)
+        if queue.share.large:
+            left = min(left, self._large_slots)
+        slots = max(1.0, queue.share.guarantee, left)
         return ahead * queue.hold_s / slots
 
     def _make_room(self, queue: shares.ClassQueue) -> bool:
--- a/tests/requests/test_admission.py
+++ b/tests/requests/test_admission.py
@@ -129,6 +129,22 @@
         self.assertTrue(refusal.overloaded)
         self.assertGreater(refusal.retry_after_s or 0, 0)
 
+    async def test_burst_may_count_on_what_others_leave(self) -> None:
+        """Calls of a burst wait, as they can be answered in time.
+
+        The class is promised one slot and holds all four, which nobody else
+        wants. Judged by its promise alone half of the burst would be refused.
+        """
+        rare = _LOOKUP._replace(rate=0.001, work_s=1.0, latency_s=3.0)
+        slots = build_admission(rare, _FOREIGN)
+        for _ in range(_SLOTS):
+            await self.enter(slots, rare)
+        waiting = [self.queue(slots, rare) for _ in range(_SLOTS)]
+        await asyncio.sleep(0)
+        self.assertFalse(any(task.done() for task in waiting))
+        for task in waiting:
+            task.cancel()
+
     async def test_least_important_is_shed_first(self) -> None:
         slots = build_admission(_LOOKUP, _CHECK)
         for _ in range(_SLOTS):
