--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 from typing import TYPE_CHECKING
 
 import aiohttp
+from aiohttp import http
 
-from merlintrestle.requests import exchanges
+from merlintrestle.requests import connections
 from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import pools
 from merlintrestle.requests import retries
+from merlintrestle.requests import streams
 from merlintrestle.requests import watches
 
 if TYPE_CHECKING:
@@ -23,6 +25,11 @@
 
 logger = logging.getLogger(__name__)
 
+_CONNECT_S = 1.0
+_UNREACHABLE = outcomes.NotRun(
+    "could not connect", elsewhere=True, unreachable=True
+)
+_TOO_LATE = outcomes.NotRun("the deadline has passed", 504, None)
 _REASONS = {
     watches.Verdict.NONE: "no answer before the deadline",
     watches.Verdict.CONNECTION_SILENT: "the connection went silent",
@@ -38,18 +45,14 @@
         self._budget = retries.Budget()
 
     async def start(self) -> None:
-        """Opens the pools."""
-        self._peers = pools.Pool()
-        self._own = pools.Pool()
-        self._probes = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        """Opens the pool."""
+        self._loop = asyncio.get_running_loop()
+        self._pool = connections.Pool(self._loop)
+        self._probes = _open_probes()
 
     async def close(self) -> None:
-        """Closes all connections."""
-        self._peers.close()
-        self._own.close()
+        """Closes the connections that are idle."""
+        self._pool.close()
         await self._probes.close()
 
     async def send_to_backend(
@@ -67,33 +70,29 @@
         Raises:
             streams.BodyError: The caller's body stopped half-way.
         """
-        if not call.plan.repeatable:
-            return await _send_once(
-                self._own, own.address, call.target, call, sent_headers
+        address = own.address
+        pooled = None
+        if call.plan.repeatable:
+            pooled = self._pool.take(address)
+        if pooled is None:
+            # A new connection is not silent: the server itself is slow.
+            return await self._send_anew(
+                address, call.target, call, sent_headers, call.plan.repeatable
             )
         self._budget.earn()
-        scope = asyncio.timeout_at(call.deadline)
-        watch = watches.BackendWatch(
-            own.check,
-            self._budget,
+        watch = watches.Watch(
+            pooled,
             call.plan.work_s,
-            scope,
-            reused=self._own.has_idle(own.address),
+            call.deadline,
+            functools.partial(watches.check_backend, own.check, self._budget),
         )
-        outcome = await _send_watched(
-            self._own,
-            watch,
-            scope,
-            own.address,
-            call.target,
-            call,
-            sent_headers,
+        outcome = await self._exchange(
+            pooled, watch, call.target, call, sent_headers
         )
-        if not _is_silent(watch, own.address, self._own, call):
+        if not self._is_silent(watch, address, call):
             return outcome
-        return await _send_once(
-            self._own, own.address, call.target, call, sent_headers
-        )
+        second = await self._send_anew(address, call.target, call, sent_headers)
+        return retries.combine(outcome, second)
 
     async def send_to_peer(
         self,
@@ -110,25 +109,114 @@
         call_id = self._call_ids.take()
         sent_headers[headers.CALL] = call_id
         if not call.plan.repeatable:
-            return await _send_once(
-                self._peers, address, target, call, sent_headers
-            )
-        scope = asyncio.timeout_at(call.deadline)
-        watch = watches.PeerWatch(
-            self._probes, address, call_id, call.plan.work_s, scope
+            return await self._send_anew(address, target, call, sent_headers)
+        connection: connections.Connection | outcomes.NotRun | None
+        connection = self._pool.take(address)
+        if connection is None:
+            connection = await self._open(address, call.deadline)
+            if isinstance(connection, outcomes.NotRun):
+                return connection
+        work_s = call.plan.work_s
+        watch = watches.Watch(
+            connection,
+            work_s,
+            call.deadline,
+            functools.partial(
+                watches.ask_peer, self._probes, address, call_id, work_s
+            ),
         )
-        outcome = await _send_watched(
-            self._peers, watch, scope, address, target, call, sent_headers
+        outcome = await self._exchange(
+            connection, watch, target, call, sent_headers
         )
-        if _is_silent(watch, address, self._peers, call):
+        if self._is_silent(watch, address, call):
             sent_headers[headers.CALL] = call_id = self._call_ids.take()
-            outcome = await _send_once(
-                self._peers, address, target, call, sent_headers
-            )
+            second = await self._send_anew(address, target, call, sent_headers)
+            outcome = _combine(outcome, second)
         if isinstance(outcome, outcomes.Answered) and outcome.body is None:
             self._watch_transfer(address, call_id, outcome)
         return outcome
 
+    async def _send_anew(
+        self,
+        address: str,
+        target: str,
+        call: calls.Call,
+        sent_headers: multidict.CIMultiDict[str],
+        keep: bool = False,
+    ) -> outcomes.Outcome:
+        """Sends a call over a new connection; `keep` it for other calls."""
+        connection = await self._open(address, call.deadline)
+        if isinstance(connection, outcomes.NotRun):
+            return connection
+        if not keep:
+            sent_headers["Connection"] = "close"
+            connection.force_close()
+        watch = watches.Watch(connection, 0.0, call.deadline, None)
+        return await self._exchange(
+            connection, watch, target, call, sent_headers
+        )
+
+    async def _open(
+        self, address: str, deadline: float
+    ) -> connections.Connection | outcomes.NotRun:
+        """Opens a connection, or tells why there is none: nothing was sent."""
+        left_s = deadline - self._loop.time()
+        try:
+            async with asyncio.timeout(min(_CONNECT_S, left_s)):
+                return await self._pool.open(address)
+        except TimeoutError:
+            return _UNREACHABLE if left_s > _CONNECT_S else _TOO_LATE
+        except OSError:
+            return _UNREACHABLE
+
+    async def _exchange(
+        self,
+        connection: connections.Connection,
+        watch: watches.Watch,
+        target: str,
+        call: calls.Call,
+        sent_headers: multidict.CIMultiDict[str],
+    ) -> outcomes.Outcome:
+        """Sends a call once, whatever its method: retries are decided above."""
+        answer = None
+        try:
+            answer = await connection.call(
+                call.method, target, sent_headers, call.body
+            )
+            if not streams.has_clear_end(answer, call.method):
+                connection.abort()
+                return outcomes.Ran("the answer does not say where it ends")
+            body = await streams.read_answer(answer)
+        except TimeoutError:
+            connection.abort()
+            return outcomes.Unknown(_REASONS[watch.verdict], 504)
+        except (
+            aiohttp.ClientError,
+            http.HttpProcessingError,
+            OSError,
+        ) as error:
+            connection.abort()
+            if call.body.error is not None:
+                raise call.body.error from error
+            return _fail(answer, "the connection broke", 502, broken=True)
+        except BaseException:
+            connection.abort()
+            raise
+        finally:
+            watch.close()
+        release = functools.partial(self._pool.give_back, connection)
+        return outcomes.Answered(answer, body, release)
+
+    def _is_silent(
+        self, watch: watches.Watch, address: str, call: calls.Call
+    ) -> bool:
+        """Returns whether a call is to be sent anew over a new connection."""
+        if watch.verdict is not watches.Verdict.CONNECTION_SILENT:
+            return False
+        logger.info("requests: a connection to %s is silent.", address)
+        self._pool.drop(address)
+        return call.body.repeatable
+
     def _watch_transfer(
         self, address: str, call_id: str, answered: outcomes.Answered
     ) -> None:
@@ -140,57 +228,45 @@
         answered.hold(lambda: _cancel(task))
 
 
-async def _send_once(
-    pool: pools.Pool,
-    address: str,
-    target: str,
-    call: calls.Call,
-    sent_headers: multidict.CIMultiDict[str],
+def _combine(
+    first: outcomes.Outcome, second: outcomes.Outcome
 ) -> outcomes.Outcome:
-    """Sends a call over a connection of its own."""
-    try:
-        async with asyncio.timeout_at(call.deadline):
-            return await exchanges.exchange(
-                pool, address, target, call, sent_headers, single=True
-            )
-    except TimeoutError:
-        return outcomes.Unknown("no answer before the deadline", 504)
-
-
-async def _send_watched(
-    pool: pools.Pool,
-    watch: watches.PeerWatch | watches.BackendWatch,
-    scope: asyncio.Timeout,
-    address: str,
-    target: str,
-    call: calls.Call,
-    sent_headers: multidict.CIMultiDict[str],
-) -> outcomes.Outcome:
-    """Sends a call over a pooled connection while it is watched."""
-    try:
-        async with scope:
-            return await exchanges.exchange(
-                pool, address, target, call, sent_headers
-            )
-    except TimeoutError:
-        return outcomes.Unknown(_REASONS[watch.verdict], 504)
-    finally:
-        watch.close()
-
-
-def _is_silent(
-    watch: watches.PeerWatch | watches.BackendWatch,
-    address: str,
-    pool: pools.Pool,
-    call: calls.Call,
-) -> bool:
-    """Returns whether a call is to be sent anew over a new connection."""
-    if watch.verdict is not watches.Verdict.CONNECTION_SILENT:
-        return False
-    logger.info("requests: a connection to %s is silent.", address)
-    pool.drop_idle(address)
-    return call.body.repeatable
+    """Returns what is true of a call that was sent anew to a peer.
+
+    The first sending may have run and its answer been lost. A peer that
+    refuses the second one as not run says nothing of the first.
+    """
+    if isinstance(second, outcomes.Answered):
+        stated = second.response.headers.get(headers.OUTCOME)
+        if stated != "not-run":
+            return second
+        second = outcomes.read_failure(second)
+    return retries.combine(first, second)
 
 
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
+
+
+def _fail(
+    answer: connections.Answer | None,
+    reason: str,
+    status: int,
+    broken: bool,
+) -> outcomes.Failure:
+    if answer is None:
+        return outcomes.Unknown(reason, status, broken=broken)
+    return outcomes.Ran(f"{reason} in the answer", status, broken=broken)
+
+
+def _open_probes() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            force_close=True,
+            use_dns_cache=False,
+            happy_eyeballs_delay=None,
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
+    )
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -53,6 +53,7 @@
         peer_port: Bound port for other daemons, once started.
         in_flight: Calls that are not yet answered whole.
         draining: True once `drain` was called.
+        hold_callers: Set before `start`: `open_callers` opens their port.
         control_port: Port on which this daemon answers recalls; set it before
             `start` where the setting is 0.
         crashes: Takes strikes of other daemons (`crashes.strikes.add`) and
@@ -74,6 +75,7 @@
         self.peer_port = 0
         self.in_flight = 0
         self.draining = False
+        self.hold_callers = False
         self._settings = settings
         self._holder = holder
         self._forwarder = forwarding.Forwarder()
@@ -111,7 +113,7 @@
         )
 
     async def on_start(self) -> None:
-        """Opens both ports."""
+        """Opens the port for peers, and that for callers if not held."""
         self._member_id = f"{self._settings.address}:{self.control_port}"
         self._get_time = asyncio.get_running_loop().time
         self.statistics = statistics.Statistics(self._get_time)
@@ -119,10 +121,16 @@
         address = self._settings.address
         self._caller_server = server.Server(self._handle_caller)
         self._peer_server = server.Server(self._handle_peer)
-        await self._caller_server.start(address, self._settings.port)
         await self._peer_server.start(address, self._settings.peer_port)
-        self.caller_port = self._caller_server.port
         self.peer_port = self._peer_server.port
+        if not self.hold_callers:
+            await self.open_callers()
+
+    async def open_callers(self) -> None:
+        """Opens the port for callers."""
+        address = self._settings.address
+        await self._caller_server.start(address, self._settings.port)
+        self.caller_port = self._caller_server.port
 
     async def on_stop(self) -> None:
         """Cuts what is still in flight; `drain` comes first."""
@@ -145,10 +153,9 @@
         self.backend.drain()
         try:
             async with asyncio.timeout(limit_s):
-                await self._idle.wait()
-                # Claimed calls go on after their callers have left.
-                while self._beside.once.tasks:
-                    await asyncio.wait(self._beside.once.tasks)
+                await self._finish_calls()
+                await self._caller_server.flush()
+                await self._peer_server.flush()
         except TimeoutError:
             logger.warning(
                 "requests: %d calls are still in flight.", self.in_flight
@@ -156,6 +163,18 @@
             return False
         return True
 
+    async def _finish_calls(self) -> None:
+        """Waits until no call is in flight, and no claimed one runs on.
+
+        Claimed calls go on after their callers have left; their backend
+        server may still make a call of its own through this daemon.
+        """
+        tasks = self._beside.once.tasks
+        while self.in_flight or tasks:
+            await self._idle.wait()
+            if tasks:
+                await asyncio.wait(tasks)
+
     @mode.Service.task
     async def _check_backend(self) -> None:
         while not self.should_stop:
@@ -193,10 +212,10 @@
             return outcomes.render(match)
         self._enter()
         try:
-            outcome, body = await self._run(request, match, began, False)
+            outcome = await self._run(request, match, began, False)
             came = self._get_time()
             try:
-                response = await _finish(request, outcome, body)
+                response = await _finish(request, outcome)
             finally:
                 self.statistics.note(match.plan, outcome, came - began)
         finally:
@@ -220,8 +239,8 @@
         progress = self._registry.enter(call_id)
         self._enter()
         try:
-            outcome, body = await self._run(request, match, began, True)
-            return await _finish(request, outcome, body, progress)
+            outcome = await self._run(request, match, began, True)
+            return await _finish(request, outcome, progress)
         finally:
             self._leave()
             self._registry.leave(call_id)
@@ -232,15 +251,16 @@
         match: routing.Match,
         began: float,
         from_peer: bool,
-    ) -> tuple[outcomes.Outcome, streams.Body | None]:
+    ) -> outcomes.Outcome:
         call = await intake.read_call(request, match, began, from_peer)
         if isinstance(call, outcomes.NotRun):
-            return call, None
-        way = self._beside if from_peer else self._dispatch
+            return call
         try:
-            return await way.run(call), call.body
+            if from_peer:
+                return await self._beside.run(call)
+            return await self._dispatch.run(call)
         except streams.BodyError as error:
-            return outcomes.Unknown(str(error), 400), call.body
+            return outcomes.Unknown(str(error), 400)
 
     def _get_running(self, nested: bool) -> snapshot.Snapshot | outcomes.NotRun:
         if self.draining and not nested:
@@ -266,15 +286,11 @@
 async def _finish(
     request: web.BaseRequest,
     outcome: outcomes.Outcome,
-    body: streams.Body | None,
     progress: probes.Progress | None = None,
 ) -> web.StreamResponse:
     if isinstance(outcome, outcomes.Answered):
-        response = await _relay(request, outcome, progress)
-    else:
-        response = outcomes.render(outcome)
-    if body is not None:
-        await body.stop()
+        return await _relay(request, outcome, progress)
+    response = outcomes.render(outcome)
     if not request.content.is_eof():
         # What is left of the body must not be taken for the next request.
         response.force_close()
--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -18,8 +18,8 @@
 
     import aiohttp
 
+    from merlintrestle.requests import connections
     from merlintrestle.requests import outcomes
-    from merlintrestle.requests import pools
 
 # Bodies up to this size are held whole, so that they can be sent again.
 MAX_HELD_BYTES = 64 * 1024
@@ -27,7 +27,6 @@
 STALL_S = 20.0
 # l_onoff and l_linger: close at once with a reset.
 _RESET = struct.pack("ii", 1, 0)
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _BODILESS = frozenset((204, 304))
 
 
@@ -43,7 +42,6 @@
         length: Its length in bytes; None: not known before it ends.
         taken: True once a piece of it was taken and it cannot be sent again.
         error: Why it could not be read; None: nothing wrong.
-        sending: The task that passes it on; None: none does.
     """
 
     def __init__(
@@ -57,7 +55,6 @@
         self.length = length
         self.taken = False
         self.error: BodyError | None = None
-        self.sending: asyncio.Task[None] | None = None
         self._content = content
         self._begun = begun
 
@@ -72,16 +69,6 @@
             return self.held or None
         return self._iterate()
 
-    async def stop(self) -> None:
-        """Ends the passing on.
-
-        Until its task has ended it waits for the caller's next piece, and the
-        server could not read away what is left of the request.
-        """
-        if self.sending is not None:
-            self.sending.cancel()
-            await asyncio.wait((self.sending,))
-
     async def _iterate(self) -> AsyncIterator[bytes]:
         assert self._content is not None
         self.taken = True
@@ -89,8 +76,7 @@
             yield self._begun
         while True:
             try:
-                async with asyncio.timeout(STALL_S):
-                    piece = await self._content.readany()
+                piece = await asyncio.wait_for(self._content.readany(), STALL_S)
             except (web.RequestPayloadError, OSError, TimeoutError) as error:
                 self.error = BodyError("the request body stopped half-way")
                 raise self.error from error
@@ -115,26 +101,34 @@
     """
     if not request.can_read_body:
         return Body(b"", 0)
-    if request.headers.get("Expect", "").lower() == "100-continue":
-        await request.writer.write(_CONTINUE)
-        # It is no part of the answer, which has not begun.
-        request.writer.output_size = 0
     length = request.content_length
     content = request.content
+    if "Expect" in request.headers and not content.is_eof():
+        _tell_to_continue(request)
     if length is None and not hold_chunks:
         return Body(None, None, content)
     if length is not None and length > MAX_HELD_BYTES:
         return Body(None, length, content)
     if content.is_eof():
-        return Body(content.read_nowait(), length)
+        return _build_body(content.read_nowait(), content)
     try:
         async with asyncio.timeout_at(deadline), asyncio.timeout(STALL_S):
             held = await _read_at_most(content, MAX_HELD_BYTES)
     except (web.RequestPayloadError, OSError, TimeoutError) as error:
         raise BodyError("the request body stopped half-way") from error
-    if not content.is_eof():
-        return Body(None, None, content, held)
-    return Body(held, len(held))
+    return _build_body(held, content)
+
+
+def _build_body(begun: bytes, content: aiohttp.StreamReader) -> Body:
+    """Returns the body that begins with what was read.
+
+    More than may be held can arrive at once. Whether a body is held must not
+    depend on that, for what the request is taken to be depends on it: sent
+    again in pieces, the same payout would look like another.
+    """
+    if content.is_eof() and len(begun) <= MAX_HELD_BYTES:
+        return Body(begun, len(begun))
+    return Body(None, None, content, begun)
 
 
 async def _read_at_most(content: aiohttp.StreamReader, limit: int) -> bytes:
@@ -149,7 +143,15 @@
     return b"".join(pieces)
 
 
-async def read_answer(response: pools.Response) -> bytes | None:
+def _tell_to_continue(request: web.BaseRequest) -> None:
+    """Has a caller send its body that waits to be told (RFC 9110, 10.1.1)."""
+    expected = request.headers["Expect"].lower() == "100-continue"
+    transport = request.transport
+    if expected and transport is not None and request.version.minor >= 1:
+        transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+async def read_answer(response: connections.Answer) -> bytes | None:
     """Reads a small answer whole; leaves another to be passed on.
 
     A small answer that is cut can then still be tried again or be refused with
@@ -167,18 +169,18 @@
     return None
 
 
-def has_clear_end(response: pools.Response, method: str) -> bool:
+def has_clear_end(response: connections.Answer, method: str) -> bool:
     """Returns whether the end of an answer differs from a cut.
 
     An answer whose end is marked by the close of its connection alone looks
-    whole wherever it is cut.
+    whole wherever it is cut. Of the transfer encodings only chunks mark one.
     """
-    return (
-        response.content_length is not None
-        or "Transfer-Encoding" in response.headers
-        or method == "HEAD"
-        or response.status in _BODILESS
-    )
+    if method == "HEAD" or response.status in _BODILESS:
+        return True
+    codings = response.headers.get("Transfer-Encoding")
+    if codings is not None:
+        return codings.lower().rpartition(",")[2].strip() == "chunked"
+    return response.content_length is not None
 
 
 async def relay(
@@ -205,19 +207,54 @@
     answer = web.StreamResponse(
         status=response.status, reason=response.reason, headers=copied
     )
+    progress = progress or probes.Progress()
+    watch = _ReceiverWatch(request, progress)
     try:
         await answer.prepare(request)
         if not bodiless:
-            await _relay_pieces(
-                response.content, answer, progress or probes.Progress()
-            )
+            await _relay_pieces(response.content, answer, progress)
         await answer.write_eof()
     except BaseException:
         cut(request)
         raise
+    finally:
+        watch.close()
     return answer
 
 
+class _ReceiverWatch:
+    """Cuts off a receiver that takes nothing of what waits to be sent.
+
+    Its host may be gone without a word. The call would hold its slot for good,
+    and a few such receivers would stop a backend server. A receiver that is
+    slow moves something, and for one that waits nothing is held back.
+    """
+
+    def __init__(self, request: web.BaseRequest, progress: probes.Progress):
+        """Starts the watch."""
+        self._request = request
+        self._progress = progress
+        self._seen = (0, 0)
+        self._loop = asyncio.get_running_loop()
+        self._timer = self._loop.call_later(STALL_S, self._look)
+
+    def close(self) -> None:
+        """Ends the watch."""
+        self._timer.cancel()
+
+    def _look(self) -> None:
+        transport = self._request.transport
+        if transport is None:
+            return
+        held_back = transport.get_write_buffer_size()
+        seen = (self._progress.written, held_back)
+        if held_back and seen == self._seen:
+            cut(self._request)
+            return
+        self._seen = seen
+        self._timer = self._loop.call_later(STALL_S, self._look)
+
+
 async def _relay_pieces(
     content: aiohttp.StreamReader,
     answer: web.StreamResponse,
