State the length of every body that is sent on

Cause: a caller can name Content-Length in Connection, by which it is removed. A chunked payout that is held whole was sent without a length as well. Safeguard out: the backend server serves GET /kassa/y, which no caller sent. Conclusion: the framing is stated from the body that is sent.

--- a/merlintrestle/requests/connections.py
+++ b/merlintrestle/requests/connections.py
@@ -202,13 +202,17 @@
         payload = body.make_payload()
         pieces = None if isinstance(payload, (bytes, type(None))) else payload
         headers.setdefault("Host", self.address)
-        if pieces is not None:
-            writer.length = body.length
-            if body.length is None:
-                headers["Transfer-Encoding"] = "chunked"
-                writer.enable_chunking()
-        elif payload is None and method not in _BODILESS_METHODS:
-            headers.setdefault("Content-Length", "0")
+        length = body.length if body.held is None else len(body.held)
+        # Stated anew: a caller can have its own Content-Length taken away by
+        # naming it in "Connection", and its body would then pass for the next
+        # request on this connection.
+        if length is None:
+            headers.popall("Content-Length", None)
+            headers["Transfer-Encoding"] = "chunked"
+            writer.enable_chunking()
+        elif length or method not in _BODILESS_METHODS:
+            headers["Content-Length"] = str(length)
+            writer.length = length
         await writer.write_headers(f"{method} {target} HTTP/1.1", headers)
         if pieces is not None:
             upload = self._send_pieces(writer, pieces)
--- a/tests/requests/test_connections.py
+++ b/tests/requests/test_connections.py
@@ -275,6 +275,39 @@
                 self.assertEqual(await answer.read(), b"big")
             stop.set()
 
+    async def test_length_named_as_a_header_of_the_connection(self) -> None:
+        """The backend server sees one request with its whole body.
+
+        The caller names Content-Length in "Connection", so that it is removed
+        on the way. Sent on without a length, the body would pass for the next
+        request on a connection that other callers use.
+        """
+        bodies = []
+
+        async def note(request: web.BaseRequest) -> web.StreamResponse:
+            bodies.append(await request.read())
+            return web.Response()
+
+        hidden = b"GET /kassa/y HTTP/1.1\r\nHost: x\r\n\r\n"
+        for body in (hidden, hidden + bytes(100_000)):
+            async with (
+                asyncio.timeout(builders.GUARD_S),
+                builders.run_nodes(1, handler=note) as (node,),
+            ):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port
+                )
+                writer.write(
+                    b"POST /kassa/x HTTP/1.1\r\nHost: x\r\n"
+                    b"Connection: content-length\r\n"
+                    b"Content-Length: %d\r\n\r\n" % len(body)
+                )
+                writer.write(body)
+                self.assertIn(b" 200 ", await reader.readline())
+                writer.close()
+                self.assertEqual(node.served, [("POST", "/x")])
+                self.assertEqual(bodies.pop(), body)
+
     @mock.patch.object(streams, "STALL_S", 0.05)
     async def test_body_that_stops_is_cut_off(self) -> None:
         """The caller is told so, and no server takes the half for whole.
