--- a/merlintrestle/requests/connections.py
+++ b/merlintrestle/requests/connections.py
@@ -202,17 +202,12 @@
         payload = body.make_payload()
         pieces = None if isinstance(payload, (bytes, type(None))) else payload
         headers.setdefault("Host", self.address)
-        length = body.length if body.held is None else len(body.held)
-        # Stated anew: a caller can have its own Content-Length taken away by
-        # naming it in "Connection", and its body would then pass for the next
-        # request on this connection.
-        if length is None:
-            headers.popall("Content-Length", None)
-            headers["Transfer-Encoding"] = "chunked"
-            writer.enable_chunking()
-        elif length or method not in _BODILESS_METHODS:
-            headers["Content-Length"] = str(length)
+        length = len(payload) if isinstance(payload, bytes) else body.length
+        _frame(headers, method, length)
+        if pieces is not None:
             writer.length = length
+            if length is None:
+                writer.enable_chunking()
         await writer.write_headers(f"{method} {target} HTTP/1.1", headers)
         if pieces is not None:
             upload = self._send_pieces(writer, pieces)
@@ -237,6 +232,22 @@
             self.abort()
 
 
+def _frame(
+    headers: multidict.CIMultiDict[str], method: str, length: int | None
+) -> None:
+    """Sets the headers that tell where a body ends.
+
+    Those of the caller are not enough: it may have sent in chunks what is
+    held here, or have its length removed by its "Connection". A body without
+    them would be taken for the next request on the connection.
+    """
+    headers.popall("Content-Length", None)
+    if length is None:
+        headers["Transfer-Encoding"] = "chunked"
+    elif length or method not in _BODILESS_METHODS:
+        headers["Content-Length"] = str(length)
+
+
 class Pool:
     """Idle connections by address; the one used last is used first."""
 
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -53,6 +53,7 @@
         peer_port: Bound port for other daemons, once started.
         in_flight: Calls that are not yet answered whole.
         draining: True once `drain` was called.
+        hold_callers: Set before `start`: `open_callers` opens their port.
         control_port: Port on which this daemon answers recalls; set it before
             `start` where the setting is 0.
         crashes: Takes strikes of other daemons (`crashes.strikes.add`) and
@@ -74,6 +75,7 @@
         self.peer_port = 0
         self.in_flight = 0
         self.draining = False
+        self.hold_callers = False
         self._settings = settings
         self._holder = holder
         self._forwarder = forwarding.Forwarder()
@@ -111,22 +113,29 @@
         )
 
     async def on_start(self) -> None:
-        """Opens both ports."""
+        """Opens the port for peers, and that for callers if not held."""
         self._get_time = asyncio.get_running_loop().time
         self.statistics = statistics.Statistics(self._get_time)
         await self._forwarder.start()
         address = self._settings.address
         self._caller_server = server.Server(self._handle_caller)
         self._peer_server = server.Server(self._handle_peer)
-        await self._caller_server.start(address, self._settings.port)
         await self._peer_server.start(address, self._settings.peer_port)
-        self.caller_port = self._caller_server.port
         self.peer_port = self._peer_server.port
+        if not self.hold_callers:
+            await self.open_callers()
+
+    async def open_callers(self) -> None:
+        """Opens the port for callers."""
+        address = self._settings.address
+        await self._caller_server.start(address, self._settings.port)
+        self.caller_port = self._caller_server.port
 
     async def on_stop(self) -> None:
         """Cuts what is still in flight; `drain` comes first."""
         await self._caller_server.close()
         await self._peer_server.close()
+        self._beside.once.close()
         await self._forwarder.close()
         await self._recall_client.close()
 
@@ -143,10 +152,9 @@
         self.backend.drain()
         try:
             async with asyncio.timeout(limit_s):
-                await self._idle.wait()
-                # Claimed calls go on after their callers have left.
-                while self._beside.once.tasks:
-                    await asyncio.wait(self._beside.once.tasks)
+                await self._finish_calls()
+                await self._caller_server.flush()
+                await self._peer_server.flush()
         except TimeoutError:
             logger.warning(
                 "requests: %d calls are still in flight.", self.in_flight
@@ -154,6 +162,18 @@
             return False
         return True
 
+    async def _finish_calls(self) -> None:
+        """Waits until no call is in flight, and no claimed one runs on.
+
+        Claimed calls go on after their callers have left; their backend
+        server may still make a call of its own through this daemon.
+        """
+        tasks = self._beside.once.tasks
+        while self.in_flight or tasks:
+            await self._idle.wait()
+            if tasks:
+                await asyncio.wait(tasks)
+
     @mode.Service.task
     async def _check_backend(self) -> None:
         while not self.should_stop:
--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -7,10 +7,10 @@
 import struct
 from typing import TYPE_CHECKING
 
-from aiohttp import http
 from aiohttp import web
 
 from merlintrestle import errors
+from merlintrestle.requests import answers
 from merlintrestle.requests import headers
 from merlintrestle.requests import probes
 
@@ -18,8 +18,6 @@
     from collections.abc import AsyncIterator
 
     import aiohttp
-    from aiohttp import abc
-    import multidict
 
     from merlintrestle.requests import connections
     from merlintrestle.requests import outcomes
@@ -106,20 +104,32 @@
         return Body(b"", 0)
     length = request.content_length
     content = request.content
+    if "Expect" in request.headers and not content.is_eof():
+        _tell_to_continue(request)
     if length is None and not hold_chunks:
         return Body(None, None, content)
     if length is not None and length > MAX_HELD_BYTES:
         return Body(None, length, content)
     if content.is_eof():
-        return Body(content.read_nowait(), length)
+        return _build_body(content.read_nowait(), content)
     try:
         async with asyncio.timeout_at(deadline), asyncio.timeout(STALL_S):
             held = await _read_at_most(content, MAX_HELD_BYTES)
     except (web.RequestPayloadError, OSError, TimeoutError) as error:
         raise BodyError("the request body stopped half-way") from error
-    if not content.is_eof():
-        return Body(None, None, content, held)
-    return Body(held, len(held))
+    return _build_body(held, content)
+
+
+def _build_body(begun: bytes, content: aiohttp.StreamReader) -> Body:
+    """Returns the body that begins with what was read.
+
+    More than may be held can arrive at once. Whether a body is held must not
+    depend on that, for what the request is taken to be depends on it: sent
+    again in pieces, the same payout would look like another.
+    """
+    if content.is_eof() and len(begun) <= MAX_HELD_BYTES:
+        return Body(begun, len(begun))
+    return Body(None, None, content, begun)
 
 
 async def _read_at_most(content: aiohttp.StreamReader, limit: int) -> bytes:
@@ -134,6 +144,14 @@
     return b"".join(pieces)
 
 
+def _tell_to_continue(request: web.BaseRequest) -> None:
+    """Has a caller send its body that waits to be told (RFC 9110, 10.1.1)."""
+    expected = request.headers["Expect"].lower() == "100-continue"
+    transport = request.transport
+    if expected and transport is not None and request.version.minor >= 1:
+        transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
 async def read_answer(response: connections.Answer) -> bytes | None:
     """Reads a small answer whole; leaves another to be passed on.
 
@@ -156,14 +174,14 @@
     """Returns whether the end of an answer differs from a cut.
 
     An answer whose end is marked by the close of its connection alone looks
-    whole wherever it is cut.
+    whole wherever it is cut. Of the transfer encodings only chunks mark one.
     """
-    return (
-        response.content_length is not None
-        or "Transfer-Encoding" in response.headers
-        or method == "HEAD"
-        or response.status in _BODILESS
-    )
+    if method == "HEAD" or response.status in _BODILESS:
+        return True
+    codings = response.headers.get("Transfer-Encoding")
+    if codings is not None:
+        return codings.lower().rpartition(",")[2].strip() == "chunked"
+    return response.content_length is not None
 
 
 async def relay(
@@ -181,78 +199,56 @@
     copied = headers.copy_end_to_end(response.headers)
     bodiless = request.method == "HEAD" or response.status in _BODILESS
     if answered.body is not None and not bodiless:
-        if _is_complete(request, copied):
-            return _Whole(response, copied, answered.body)
-        return web.Response(
-            body=answered.body,
-            status=response.status,
-            reason=response.reason,
-            headers=copied,
-        )
+        return answers.build_held(request, response, copied, answered.body)
     answer = web.StreamResponse(
         status=response.status, reason=response.reason, headers=copied
     )
+    progress = progress or probes.Progress()
+    watch = _ReceiverWatch(request, progress)
     try:
         await answer.prepare(request)
         if not bodiless:
-            await _relay_pieces(
-                response.content, answer, progress or probes.Progress()
-            )
+            await _relay_pieces(response.content, answer, progress)
         await answer.write_eof()
     except BaseException:
         cut(request)
         raise
+    finally:
+        watch.close()
     return answer
 
 
-class _Whole(web.StreamResponse):
-    """An answer whose headers and body are known, written in one go.
+class _ReceiverWatch:
+    """Cuts off a receiver that takes nothing of what waits to be sent.
 
-    It leaves out what `web.Response` does for answers that are being made:
-    content types, charsets, cookies, compression, missing headers.
+    Its host may be gone without a word. The call would hold its slot for good,
+    and a few such receivers would stop a backend server. A receiver that is
+    slow moves something, and for one that waits nothing is held back.
     """
 
-    def __init__(
-        self,
-        response: connections.Answer,
-        copied: multidict.CIMultiDict[str],
-        body: bytes,
-    ):
-        super().__init__(
-            status=response.status, reason=response.reason, _real_headers=copied
-        )
-        self._held = body
-
-    @property
-    def keep_alive(self) -> bool:
-        """True: other connections are not answered in this way."""
-        return True
-
-    async def prepare(
-        self, request: web.BaseRequest
-    ) -> abc.AbstractStreamWriter:
-        """Writes the whole answer."""
-        writer = request.writer
-        line = f"HTTP/1.1 {self._status} {self._reason}"
-        await writer.write_headers(line, self._headers)
-        await writer.write_eof(self._held)
-        return writer
-
-    async def write_eof(self, data: bytes = b"") -> None:
-        """Does nothing: all is written."""
-
-
-def _is_complete(
-    request: web.BaseRequest, copied: multidict.CIMultiDict[str]
-) -> bool:
-    """Returns whether nothing has to be added to the headers of an answer."""
-    return (
-        "Content-Length" in copied
-        and "Content-Type" in copied
-        and "Date" in copied
-        and request.version == http.HttpVersion11
-        and request.keep_alive
-    )
+    def __init__(self, request: web.BaseRequest, progress: probes.Progress):
+        """Starts the watch."""
+        self._request = request
+        self._progress = progress
+        self._seen = (0, 0)
+        self._loop = asyncio.get_running_loop()
+        self._timer = self._loop.call_later(STALL_S, self._look)
+
+    def close(self) -> None:
+        """Ends the watch."""
+        self._timer.cancel()
+
+    def _look(self) -> None:
+        transport = self._request.transport
+        if transport is None:
+            return
+        held_back = transport.get_write_buffer_size()
+        seen = (self._progress.written, held_back)
+        if held_back and seen == self._seen:
+            cut(self._request)
+            return
+        self._seen = seen
+        self._timer = self._loop.call_later(STALL_S, self._look)
 
 
 async def _relay_pieces(
--- a/tests/requests/test_bad_input.py
+++ b/tests/requests/test_bad_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 from unittest import mock
 
@@ -99,6 +100,101 @@
                     await asyncio.sleep(0)
             self.assertEqual(node.served, [])
 
+    async def test_body_in_chunks_that_are_none(self) -> None:
+        """The caller is told at once, not when its deadline is near.
+
+        Its headers are well, so the call is under way when its body turns
+        out to be malformed. The library keeps that for the time after the
+        call, which would wait for the rest of the body until its deadline.
+        """
+        patient = {"/": builders.build_plan(deadline_s=600.0)}
+        running = builders.build_snapshot(patient)
+        async with builders.run_nodes(1, running=running) as (node,):
+            for begin in (b"", b"2\r\nab\r\n"):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port
+                )
+                writer.write(
+                    b"POST /kassa/x HTTP/1.1\r\nHost: a\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n" + begin
+                )
+                while not node.proxy.in_flight:
+                    await asyncio.sleep(0)
+                writer.write(b"no size\r\n")
+                async with asyncio.timeout(builders.GUARD_S):
+                    answer = await reader.readuntil(b"}")
+                self.assertRegex(answer, b"^HTTP/1.1 400 ")
+                writer.close()
+
+    async def test_large_body_that_stops_half_way(self) -> None:
+        """The backend server sees a broken request, not a shorter whole one.
+
+        Its beginning was passed on before it broke off. Were the request ended
+        cleanly, half an upload would be filed as all of it.
+        """
+        seen: asyncio.Queue[str] = asyncio.Queue()
+
+        async def read(request: web.BaseRequest) -> web.StreamResponse:
+            await request.content.readany()
+            seen.put_nowait("begun")
+            try:
+                while not request.content.at_eof():
+                    await request.content.readany()
+            except (Exception, asyncio.CancelledError):
+                seen.put_nowait("broken")
+                raise
+            seen.put_nowait("whole")
+            return web.Response()
+
+        async with (
+            asyncio.timeout(builders.GUARD_S),
+            builders.run_nodes(1, handler=read) as (node,),
+        ):
+            for head, sent, then in (
+                (b"Content-Length: 200000", b"x" * 100_000, b""),
+                (b"Transfer-Encoding: chunked", b"5\r\nhello\r\n", b""),
+                (
+                    b"Merlintrestle-Deadline-Ms: 300\r\n"
+                    b"Transfer-Encoding: chunked",
+                    b"5\r\nhello\r\n",
+                    b"ZZ\r\n",
+                ),
+            ):
+                _, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port
+                )
+                writer.write(
+                    b"POST /kassa/x HTTP/1.1\r\nHost: a\r\n"
+                    + head
+                    + b"\r\n\r\n"
+                    + sent
+                )
+                self.assertEqual(await seen.get(), "begun")
+                if then:
+                    writer.write(then)
+                else:
+                    writer.close()
+                self.assertEqual(await seen.get(), "broken")
+                writer.close()
+
+    async def test_body_that_is_announced(self) -> None:
+        """A caller that asks first is told to go on before it sends."""
+        async with builders.run_nodes(1) as (node,):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", node.proxy.caller_port
+            )
+            writer.write(
+                b"POST /kassa/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                b"Expect: 100-continue\r\n\r\n"
+            )
+            async with asyncio.timeout(builders.GUARD_S):
+                interim = await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"in")
+                answer = await reader.readuntil(b"ok:in")
+            writer.close()
+        self.assertTrue(interim.startswith(b"HTTP/1.1 100 "))
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 "))
+
     async def test_slow_sender(self) -> None:
         """The caller is refused; it holds neither slot nor backend server."""
         patient = {"/": builders.build_plan(deadline_s=60.0)}
@@ -122,6 +218,35 @@
             self.assertIn(b"Merlintrestle-Outcome: not-run", answer)
             self.assertEqual(node.served, [])
 
+    async def test_caller_that_does_not_read(self) -> None:
+        """The caller is cut off, and its slot comes free.
+
+        It asks for a bundle and then reads nothing; its host may be gone. The
+        daemon waits to write, and the slot would be held for good: as many
+        such callers as there are slots would stop the backend server.
+        """
+
+        async def send(request: web.BaseRequest) -> web.StreamResponse:
+            answer = web.StreamResponse()
+            await answer.prepare(request)
+            while True:
+                await answer.write(bytes(64 * 1024))
+
+        with mock.patch.object(streams, "STALL_S", 0.1):
+            async with (
+                builders.run_nodes(1, handler=send) as (node,),
+                asyncio.timeout(builders.GUARD_S),
+            ):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", node.proxy.caller_port, limit=1024
+                )
+                writer.write(b"GET /kassa/archive HTTP/1.1\r\nHost: a\r\n\r\n")
+                while not node.served:
+                    await asyncio.sleep(0.01)
+                while node.proxy.in_flight:
+                    await asyncio.sleep(0.01)
+                writer.close()
+
     async def test_headers_that_never_end(self) -> None:
         """The connection is closed; it would hold its buffer for good."""
         with mock.patch.object(server, "FIRST_REQUEST_S", 0.02):
@@ -160,14 +285,17 @@
         """The caller hears "ran", never half an answer that looks whole.
 
         The backend server marks the end of its answer by closing alone, so
-        that nobody can tell a cut from the end.
+        that nobody can tell a cut from the end. A transfer encoding that does
+        not end in chunks marks none either.
         """
+        sent = b""
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\n" + sent + b"\r\nhalf")
             writer.close()
 
         async with (
@@ -177,9 +305,14 @@
             plain = await asyncio.start_server(serve, "127.0.0.1", 0)
             port = plain.sockets[0].getsockname()[1]
             node.proxy.backend.announce("kassa", f"127.0.0.1:{port}", 12)
-            answer = await client.get(node.url + "/x")
-            self.assertEqual(answer.status, 502)
-            self.assertEqual(answer.headers["Merlintrestle-Outcome"], "ran")
+            for coding in (b"", b"identity", b"gzip", b"chunked, gzip"):
+                if coding:
+                    sent = b"Transfer-Encoding: " + coding + b"\r\n"
+                with self.subTest(coding):
+                    answer = await client.get(node.url + "/x")
+                    self.assertEqual(answer.status, 502)
+                    outcome = answer.headers["Merlintrestle-Outcome"]
+                    self.assertEqual(outcome, "ran")
             plain.close()
 
     async def test_own_headers_are_not_believed(self) -> None:
