Keep what an answer frees in a list instead of nested functions

Cause: three functions were wrapped around each other for every call. Trial (perf stat over 3000 calls, proxy alone with fakes): 454 -> 437 thousand instructions a call. The order is as before.

--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -205,7 +205,7 @@
         finally:
             watch.close()
         release = functools.partial(self._pool.give_back, connection)
-        return outcomes.Answered(answer, body, release)
+        return outcomes.Answered(answer, body, [release])
 
     def _is_silent(
         self, watch: watches.Watch, address: str, call: calls.Call
--- a/merlintrestle/requests/outcomes.py
+++ b/merlintrestle/requests/outcomes.py
@@ -30,25 +30,24 @@
     Attributes:
         response: The answer, its headers read.
         body: Its whole body; None: to be passed on in pieces.
-        release: Frees what the call holds; called once its body has ended.
+        leaves: What frees what the call holds, in this order.
         cut: True if its body broke off.
     """
 
     response: connections.Answer
     body: bytes | None
-    release: Callable[[], None]
+    leaves: list[Callable[[], None]]
     cut: bool = False
 
     def hold(self, leave: Callable[[], None]) -> None:
         """Has something else freed as well once the body has ended."""
-        release = self.release
+        self.leaves.append(leave)
 
-        def release_both() -> None:
-            release()
+    def release(self) -> None:
+        """Frees what the call holds; called once its body has ended."""
+        for leave in self.leaves:
             leave()
 
-        self.release = release_both
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotRun:
