Handle the requests of a connection in its own task

Cause: the library makes a task for each request and awaits it at once. Ruled out: an own loop over the library's requests, which would copy much of its server.

--- a/merlintrestle/requests/server.py
+++ b/merlintrestle/requests/server.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from typing import Any, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING, TypeVar
 
 from aiohttp import web
 from aiohttp import web_protocol
@@ -13,7 +13,9 @@
 from merlintrestle.requests import streams
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Coroutine
+
+_T = TypeVar("_T")
 
 logger = logging.getLogger(__name__)
 
@@ -113,6 +115,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        # The task of the connection is made; from here on the library makes
+        # tasks for single requests alone.
+        self._loop = _InlineLoop(self._loop)  # type: ignore[assignment]
         # A sender that never ends its first headers holds a connection and
         # its buffer for good. The library limits idle time only afterwards.
         self._first_request = self._loop.call_later(
@@ -167,3 +172,28 @@
     def _close_if_silent(self) -> None:
         if self._request_count == 0:
             self.force_close()
+
+
+class _InlineLoop:
+    """An event loop whose new tasks run in the task that awaits them.
+
+    The library makes a task for each request and awaits it at once, so that
+    its context variables are its own. Nothing here uses any, and one task for
+    each connection is enough. Later releases of Python begin such a task
+    without waiting for the event loop, to the same end.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        self._loop = loop
+        self.time = loop.time
+        self.call_at = loop.call_at
+        self.create_future = loop.create_future
+
+    def create_task(
+        self, request: Coroutine[Any, Any, _T]
+    ) -> Coroutine[Any, Any, _T]:
+        """Returns what is awaited in place of a task."""
+        return request
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._loop, name)
