--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -280,14 +280,19 @@
 
     @property
     def keep_alive(self) -> bool:
-        """True: other connections are not answered in this way."""
-        return True
+        """True unless `force_close` was called.
+
+        Connections that end by the caller's wish are not answered this way.
+        """
+        return self._keep_alive is not False
 
     async def prepare(
         self, request: web.BaseRequest
     ) -> abc.AbstractStreamWriter:
         """Writes the whole answer."""
         writer = request.writer
+        if not self.keep_alive:
+            self._headers["Connection"] = "close"
         line = f"HTTP/1.1 {self._status} {self._reason}"
         await writer.write_headers(line, self._headers)
         await writer.write_eof(self._held)
