--- a/tests/requests/test_path.py
+++ b/tests/requests/test_path.py
@@ -100,6 +100,52 @@
             answer = await builders.fetch(client, node.url + "/x")
             self.assertIsNone(answer)
 
+    async def test_caller_that_leaves_ends_the_work(self) -> None:
+        """The backend server is told, through two daemons, and stops.
+
+        Its caller has gone; work that goes on holds a slot for nobody.
+        """
+        begun = asyncio.Event()
+        ended = asyncio.Event()
+
+        async def wait(request: web.BaseRequest) -> web.StreamResponse:
+            begun.set()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ended.set()
+            return web.Response()
+
+        async with builders.run_nodes(2, handler=wait) as (near, far):
+            known = near.table.upstreams
+            known["kassa"] = known["kassa"][1:]
+            async with builders.open_client() as client:
+                call = asyncio.create_task(client.get(near.url + "/x"))
+                await begun.wait()
+                call.cancel()
+                await ended.wait()
+            while near.proxy.in_flight or far.proxy.in_flight:
+                await asyncio.sleep(0)
+
+    async def test_deadline_is_carried(self) -> None:
+        """Each call down the line is told what is left to the first caller."""
+        told: list[int] = []
+
+        async def look(request: web.BaseRequest) -> web.StreamResponse:
+            told.append(int(request.headers[headers.DEADLINE]))
+            return web.Response()
+
+        async with builders.run_nodes(2, handler=look) as (near, _):
+            known = near.table.upstreams
+            known["kassa"] = known["kassa"][1:]
+            async with builders.open_client() as client:
+                for left in ({}, {headers.DEADLINE: "700"}):
+                    await client.get(near.url + "/x", headers=left)
+        # The class allows 5 s.
+        self.assertLessEqual(told[0], 5000)
+        self.assertGreater(told[0], 700)
+        self.assertLessEqual(told[1], 700)
+
     async def test_closed_daemon_refuses_as_not_run(self) -> None:
         async with (
             builders.run_nodes(1) as (node,),
