--- a/tools/convergence.py
+++ b/tools/convergence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import logging
 import pathlib
@@ -40,6 +41,7 @@
             after each acceptance.
         store_down: The store fails right after each acceptance.
         store_fails_after_s: Seconds between acceptance and failure.
+        spread: The daemons' setting, "fast" or "lean".
     """
 
     layout: layouts.Layout
@@ -48,6 +50,7 @@
     restart_share: float
     store_down: bool
     store_fails_after_s: float
+    spread: str
 
 
 class Change(NamedTuple):
@@ -76,7 +79,11 @@
 
 async def measure(options: Options, with_baseline: bool) -> dict[str, Any]:
     """Measures the product and then the baseline."""
-    figures = await _measure_kind(options, layouts.build_daemon_arguments)
+    build_arguments = functools.partial(
+        layouts.build_daemon_arguments, spread=options.spread
+    )
+    figures = await _measure_kind(options, build_arguments)
+    figures["spread"] = options.spread
     if with_baseline:
         figures["baseline"] = await _measure_kind(
             options, layouts.build_watcher_arguments
--- a/tools/layouts.py
+++ b/tools/layouts.py
@@ -88,14 +88,18 @@
 
 
 def build_daemon_arguments(
-    place: Place, region: str, store: str, seeds: list[str]
+    place: Place,
+    region: str,
+    store: str,
+    seeds: list[str],
+    spread: str = "fast",
 ) -> list[str]:
     """Returns module and arguments that start a daemon on free ports."""
     arguments = [
         *("merlintrestle.daemon.command", "--address", HOST),
         *("--zone", place.zone, "--region", region, "--port", "0"),
         *("--peer-port", "0", "--control-port", "0", "--admin-port", "0"),
-        *("--store", store, "--log-level", "warning"),
+        *("--store", store, "--spread", spread, "--log-level", "warning"),
     ]
     if seeds:
         arguments += ["--seeds", ",".join(seeds)]
--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -97,6 +97,13 @@
     show_default=True,
     help="Seconds between acceptance and that failure.",
 )
+@click.option(
+    "--spread",
+    default="fast",
+    show_default=True,
+    type=click.Choice(["fast", "lean"]),
+    help="The daemons' setting of that name.",
+)
 @click.option(
     "--baseline/--no-baseline",
     default=True,
@@ -110,6 +117,7 @@
     restart_share: float,
     store_down: bool,
     store_fails_after_s: float,
+    spread: str,
     baseline: bool,
 ) -> None:
     """Measures how long versions take to be in force, and their cost."""
@@ -120,6 +128,7 @@
         restart_share,
         store_down,
         store_fails_after_s,
+        spread,
     )
     sys.exit(processes.run(convergence.run(options, baseline)))
 
