Compare throughput within each round

Cause: a run of latency, 3 rounds, load of the machine 4 to 10, gave a throughput_ratio of 1.212 for the daemon and 1.001 for the baseline, which cannot be: the direct calls (1801 a second, 3306 in another run) met the busiest moments. Ratios are taken within a round and all of them are shown.

--- a/tests/tools/test_summaries.py
+++ b/tests/tools/test_summaries.py
@@ -60,6 +60,7 @@
         self.assertEqual(figures["baseline"]["added_p99_ms"], 3.0)
         self.assertEqual(figures["cpu_us_per_call"], 1000.0)
         self.assertEqual(figures["throughput_ratio"], 1.0)
+        self.assertEqual(figures["throughput_ratios"], [1.0, 1.0])
 
 
 class FailuresTest(unittest.TestCase):
--- a/tools/latency.py
+++ b/tools/latency.py
@@ -122,13 +122,15 @@
     by_rate = {str(rate): _summarize_rate(blocks, rate) for rate in rates}
     main_rate = _MAIN_RATE if _MAIN_RATE in rates else rates[0]
     figures = {"rate": main_rate, **by_rate[str(main_rate)]}
-    direct = _compute_throughput(blocks, "direct")
+    direct = _list_throughputs(blocks, "direct")
     ways = {"daemon": figures, "two_daemons": figures["two_daemons"]}
     ways["baseline"] = figures["baseline"]
     for name, fields in ways.items():
-        ratio = _compute_throughput(blocks, name) / direct
-        fields["throughput_ratio"] = round(ratio, 3)
-    figures["direct_calls_per_s"] = round(direct)
+        pairs = zip(_list_throughputs(blocks, name), direct, strict=True)
+        ratios = [own / straight for own, straight in pairs]
+        fields["throughput_ratio"] = round(statistics.median(ratios), 3)
+        fields["throughput_ratios"] = [round(ratio, 3) for ratio in ratios]
+    figures["direct_calls_per_s"] = [round(each) for each in direct]
     figures["failures"] = sum(block.failures for block in blocks)
     figures["rates"] = by_rate
     return figures
@@ -193,13 +195,15 @@
     return answered
 
 
-def _compute_throughput(blocks: list[latency_load.Block], name: str) -> float:
-    """Returns the median over the rounds of calls per second, closed loop."""
-    return statistics.median(
+def _list_throughputs(
+    blocks: list[latency_load.Block], name: str
+) -> list[float]:
+    """Returns the calls per second of each round of the closed loop."""
+    return [
         len(block.latencies_ms) / block.took_s
         for block in blocks
         if block.target == name and block.rate == 0
-    )
+    ]
 
 
 async def run(options: Options) -> int:
