Let the backend stand-in's load history cost the same per call

Cause: once its history was 4 s long, each call copied the whole of it, twice: the more calls a second, the slower the stand-in. Ruled out: the daemon, as direct calls do not pass it, and failed calls (0).

--- a/standins/work.py
+++ b/standins/work.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import hashlib
 import os
@@ -99,7 +100,10 @@
         self._idle.set()
         self._open: weakref.WeakSet[Any] = weakref.WeakSet()
         self._silent: set[Any] = set()
-        self._load_history: list[tuple[float, float]] = []
+        # Seconds and load; a call costs the same however long this is.
+        self._load_history: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
 
     def set_faults(self, new: Faults) -> None:
         """Puts faults in force in place of those before."""
@@ -231,8 +235,7 @@
     def _note_load(self) -> None:
         now = time.monotonic()
         oldest = now - 2 * self.faults.load_lag_s
-        if self._load_history and self._load_history[0][0] < oldest:
-            kept = [pair for pair in self._load_history if pair[0] >= oldest]
-            self._load_history = kept
+        while self._load_history and self._load_history[0][0] < oldest:
+            self._load_history.popleft()
         load = self.in_flight / self._settings.slots
         self._load_history.append((now, load))
