Tell the neighbours of a leave before the links are cut

Cause: a daemon with nothing in flight ended at once, with the news of its leave still in the boxes of its links, which send at an interval. Others then called a closed port, suspected it and held it for dead, instead of knowing at once that it leaves. Ruled out: a daemon that drains (its links live on); work sent meanwhile (the connection is refused, so it is tried elsewhere as not run). Conclusion: wait for the boxes beside the drain, half a second at most.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -31,6 +31,10 @@
 _SETTLED = ("", holders.NO_VERSION)
 
 
+# Longest wait for neighbours to be told that this daemon leaves.
+_LEAVE_S = 0.5
+
+
 class Daemon(mode.Service):
     """One daemon, beside one backend server.
 
@@ -74,7 +78,11 @@
     async def on_stop(self) -> None:
         """Leaves the fleet and waits for requests in flight."""
         self._table.leave()
-        if await self._proxy.drain(self._settings.drain_limit_s):
+        drained, _ = await asyncio.gather(
+            self._proxy.drain(self._settings.drain_limit_s),
+            self._membership.links.flush(_LEAVE_S),
+        )
+        if drained:
             logger.info("daemon: nothing is in flight any more.")
 
     async def on_shutdown(self) -> None:
@@ -86,6 +94,7 @@
         membership = memberships.Membership(
             self._table, self._store, self._settings.seeds
         )
+        self._membership = membership
         distribution = distributions.Distribution(
             self._holder,
             membership,
--- a/merlintrestle/members/links.py
+++ b/merlintrestle/members/links.py
@@ -38,6 +38,7 @@
         box: What the peer is to be told.
         peer_offer: The newest version that the peer is known to hold.
         heard_at: Monotonic time of its last message, in seconds.
+        writing: True while a message is being sent.
     """
 
     def __init__(self, peer_id: str, outgoing: bool):
@@ -46,6 +47,7 @@
         self.box = outbox.Outbox()
         self.peer_offer: control_pb2.Offer | None = None
         self.heard_at = time.monotonic()
+        self.writing = False
 
 
 class Links:
@@ -112,6 +114,21 @@
                     # heartbeat, and says what it holds in its own.
                     link.peer_offer = offer
 
+    async def flush(self, limit_s: float) -> None:
+        """Waits until all neighbours were sent what they are to be told.
+
+        A daemon that ends cuts its links, and gRPC drops what the other side
+        has not read yet; so it lets one more interval pass.
+
+        Args:
+            limit_s: Longest wait, in seconds; a neighbour may be silent.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                while any(map(_has_work, self._links)):
+                    await asyncio.sleep(self._timing.flush / 4)
+                await asyncio.sleep(self._timing.flush)
+
     async def run_link(
         self,
         link: Link,
@@ -210,8 +227,10 @@
             sender = ""
             told = self._fill_offer(message, told)
             accounting.count_sent(_KIND, message)
+            link.writing = True
             async with asyncio.timeout(self._timing.silence):
                 await write(message)
+            link.writing = False
             await self._wait_for_work(link)
             self._check_silence(link)
 
@@ -257,3 +276,7 @@
         """
         if time.monotonic() - link.heard_at > self._timing.silence:
             raise TimeoutError(f"{link.peer_id} is silent")
+
+
+def _has_work(link: Link) -> bool:
+    return link.writing or link.box.filled.is_set()
--- a/tests/daemon/builders.py
+++ b/tests/daemon/builders.py
@@ -14,6 +14,7 @@
 from merlintrestle.documents import compiler
 from merlintrestle.members import timing
 from merlintrestle.requests import server
+from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
 from merlintrestle.schema import settings_pb2
 from merlintrestle.store import acceptance
@@ -99,6 +100,17 @@
         """The versions that it took into use, in order."""
         return [taken.version for taken in self._holder.history]
 
+    def record_states(self, other: Daemon) -> list[int]:
+        """Returns a list that grows with each state of another daemon."""
+        states: list[int] = []
+
+        def note(member: control_pb2.Member) -> None:
+            if member.id == other.control_address:
+                states.append(member.state)
+
+        self._table.on_change.append(note)
+        return states
+
     async def wait_for_version(self, version: int) -> None:
         """Waits until it runs a version."""
         while self._holder.version != version:
--- a/tests/daemon/test_daemons.py
+++ b/tests/daemon/test_daemons.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from merlintrestle.requests import headers
+from merlintrestle.schema import control_pb2
 from standins import faults
 from tests.daemon import builders
 
@@ -95,6 +96,23 @@
                 self.assertEqual(await answer.read(), b"first second")
             await stopping
 
+    async def test_stop_of_an_idle_daemon_is_announced(self) -> None:
+        """Others are told that it leaves, and need not find it dead.
+
+        Nothing is in flight, so the daemon ends at once. Were its links cut
+        before they carried the news, others would call a port that is closed
+        and hold the daemon for failed.
+        """
+        async with builders.run_fleet(3) as fleet:
+            leaving = fleet.daemons.pop()
+            told = [daemon.record_states(leaving) for daemon in fleet.daemons]
+            await leaving.stop()
+            for states in told:
+                while all(state == control_pb2.ALIVE for state in states):
+                    await asyncio.sleep(0.01)
+                states = [one for one in states if one != control_pb2.ALIVE]
+                self.assertEqual(states[0], control_pb2.LEAVING)
+
     async def test_stop_while_the_store_hangs(self) -> None:
         """The stop ends although no call to the store ever does."""
         async with builders.run_fleet(2) as fleet:
--- a/tests/members/test_links.py
+++ b/tests/members/test_links.py
@@ -125,6 +125,15 @@
         with self.assertRaises(peers.PeerError):
             await self.links.run_link(link, read, pipe.write)
 
+    async def test_flush_ends_when_all_were_told(self) -> None:
+        pipe = self.open("peer")
+        await version_builders.wait_until(lambda: bool(pipe.sent))
+        member = builders.build_member(7)
+        self.links.send_member(member)
+        await self.links.flush(60)
+        told = [one for message in pipe.sent for one in message.members]
+        self.assertIn(member, told)
+
     async def test_heartbeats_keep_a_quiet_link(self) -> None:
         pipe = self.open("peer")
         await version_builders.wait_until(lambda: len(pipe.sent) >= 3)
