Show old callers no half answer of a daemon that was killed

Cause: to a caller of HTTP/1.0 (some proxies by default) the close of the connection alone marks the end of an answer without a length. Cut by the daemon itself, it is reset; but when the daemon is killed the operating system closes its connections as usual, and half an answer looks whole. Ruled out: answers with a length or in chunks (the cut shows). Before: a clean end after "half" (ConnectionResetError not raised). After: a reset. An answer that is whole ends as before (3 MB, own test). Conclusion: such a connection is set to reset on close from its first byte until its last has left the process. The test of the slow caller at a drain spoke HTTP/1.0 and would now wait in another place than the one it is for.

--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -7,6 +7,7 @@
 import struct
 from typing import TYPE_CHECKING
 
+from aiohttp import http
 from aiohttp import web
 
 from merlintrestle import errors
@@ -28,6 +29,9 @@
 STALL_S = 20.0
 # l_onoff and l_linger: close at once with a reset.
 _RESET = struct.pack("ii", 1, 0)
+_NO_RESET = struct.pack("ii", 0, 0)
+# Time between two looks at what is held back of an answer to an old caller.
+_FLUSH_S = 0.02
 _BODILESS = frozenset((204, 304))
 
 
@@ -205,11 +209,21 @@
     )
     progress = progress or probes.Progress()
     watch = _ReceiverWatch(request, progress)
+    # The close of the connection is all that marks the end of such an answer.
+    unmarked = (
+        request.version < http.HttpVersion11
+        and not bodiless
+        and "Content-Length" not in copied
+    )
     try:
+        if unmarked:
+            _set_linger(request, _RESET)
         await answer.prepare(request)
         if not bodiless:
             await _relay_pieces(response.content, answer, progress)
         await answer.write_eof()
+        if unmarked:
+            await _end_unmarked(request)
     except BaseException:
         cut(request)
         raise
@@ -266,10 +280,29 @@
 
 def cut(request: web.BaseRequest) -> None:
     """Resets the caller's connection, so that its answer shows as broken."""
+    transport = request.transport
+    if transport is None:
+        return
+    _set_linger(request, _RESET)
+    transport.abort()
+
+
+async def _end_unmarked(request: web.BaseRequest) -> None:
+    """Has the connection end as usual, once nothing more is held back.
+
+    Until then it is to be reset whoever closes it: if the daemon is killed,
+    the operating system does, and half an answer would look whole.
+    """
+    transport = request.transport
+    while transport is not None and transport.get_write_buffer_size():
+        await asyncio.sleep(_FLUSH_S)
+    _set_linger(request, _NO_RESET)
+
+
+def _set_linger(request: web.BaseRequest, linger: bytes) -> None:
     transport = request.transport
     if transport is None:
         return
     sock = transport.get_extra_info("socket")
     if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-    transport.abort()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -215,7 +215,7 @@
         await loop.sock_connect(sock, ("127.0.0.1", port))
         reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
         writer.write(
-            b"GET /kassa/archive HTTP/1.0\r\nHost: a\r\n"
+            b"GET /kassa/archive HTTP/1.1\r\nHost: a\r\n"
             b"Connection: close\r\n\r\n"
         )
         return reader, writer
--- a/tests/requests/test_drain.py
+++ b/tests/requests/test_drain.py
@@ -154,7 +154,9 @@
                 transport.abort()
             got = await reading
             writer.close()
-        self.assertEqual(len(got.partition(b"\r\n\r\n")[2]), bundle.length)
+        # Its pieces are zeros, and nothing else that is sent is.
+        self.assertEqual(got.count(0), bundle.length)
+        self.assertTrue(got.endswith(b"\r\n0\r\n\r\n"))
 
     async def test_call_that_a_payout_without_caller_makes(self) -> None:
         """A nested call gets its whole answer though its payout has ended.
--- a/tests/requests/test_path.py
+++ b/tests/requests/test_path.py
@@ -146,6 +146,59 @@
         self.assertGreater(told[0], 700)
         self.assertLessEqual(told[1], 700)
 
+    async def test_killed_daemon_shows_no_half_answer(self) -> None:
+        """An HTTP/1.0 caller sees a reset, not half an answer that looks whole.
+
+        To such a caller the close of the connection alone marks the end of an
+        answer without a length. The daemon is killed half-way, and the
+        operating system closes its connections for it.
+        """
+        begun = asyncio.Event()
+
+        async def send(request: web.BaseRequest) -> web.StreamResponse:
+            answer = web.StreamResponse()
+            await answer.prepare(request)
+            await answer.write(b"half")
+            begun.set()
+            await asyncio.Event().wait()
+            return answer
+
+        async with builders.run_nodes(1, handler=send) as (node,):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", node.proxy.caller_port
+            )
+            writer.write(b"GET /kassa/x HTTP/1.0\r\nHost: a\r\n\r\n")
+            await begun.wait()
+            async with asyncio.timeout(builders.GUARD_S):
+                await reader.readuntil(b"half")
+                for transport in node.list_transports():
+                    # Closes without a word from the daemon, as a kill does.
+                    transport.abort()
+                with self.assertRaises(ConnectionResetError):
+                    await reader.read()
+            writer.close()
+
+    async def test_whole_answer_to_an_old_caller(self) -> None:
+        """What marks a killed daemon must not cut an answer that is whole."""
+        content = os.urandom(3_000_000)
+
+        async def send(request: web.BaseRequest) -> web.StreamResponse:
+            answer = web.StreamResponse()
+            await answer.prepare(request)
+            await answer.write(content)
+            await answer.write_eof()
+            return answer
+
+        async with builders.run_nodes(1, handler=send) as (node,):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", node.proxy.caller_port
+            )
+            writer.write(b"GET /kassa/x HTTP/1.0\r\nHost: a\r\n\r\n")
+            async with asyncio.timeout(builders.GUARD_S):
+                answer = await reader.read()
+            writer.close()
+        self.assertTrue(answer.endswith(b"\r\n\r\n" + content))
+
     async def test_closed_daemon_refuses_as_not_run(self) -> None:
         async with (
             builders.run_nodes(1) as (node,),
