Export what a daemon runs, knows and serves as metrics

Cause: the calls by class and outcome were collected and never registered, and nothing told the running version or the members to a monitoring system.

A registry of each daemon's own holds both, so that several daemons in one process (tests) do not share one. Seen in test_start_to_first_answer.

--- a/merlintrestle/daemon/admin.py
+++ b/merlintrestle/daemon/admin.py
@@ -64,6 +64,7 @@
         port: int,
         holder: holders.Holder,
         announce: Callable[[Announcement], None],
+        registry: prometheus_client.CollectorRegistry,
     ):
         """Sets what is served.
 
@@ -71,11 +72,13 @@
             port: Port to bind on loopback; 0 takes a free one.
             holder: The versions of this daemon.
             announce: Called with each valid announcement.
+            registry: Metrics of this daemon, beside those of the process.
         """
         super().__init__()
         self.port = port
         self._holder = holder
         self._announce = announce
+        self._registry = registry
         self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
@@ -86,7 +89,7 @@
                 web.post("/announce", self._handle_announce),
                 web.get("/health", self._handle_health),
                 web.get("/versions", self._handle_versions),
-                web.get("/metrics", _handle_metrics),
+                web.get("/metrics", self._handle_metrics),
             ]
         )
         self._runner = web.AppRunner(application, access_log=None)
@@ -128,6 +131,15 @@
             ]
         )
 
+    async def _handle_metrics(self, request: web.Request) -> web.Response:
+        del request
+        of_process = prometheus_client.generate_latest()
+        of_daemon = prometheus_client.generate_latest(self._registry)
+        return web.Response(
+            body=of_process + of_daemon,
+            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+        )
+
 
 def read_announcement(body: bytes) -> Announcement:
     """Checks the JSON of an announcement.
@@ -181,11 +193,3 @@
     elif problem := config.check_address(address):
         findings.append(errors.Finding("address", problem))
     return findings
-
-
-async def _handle_metrics(request: web.Request) -> web.Response:
-    del request
-    return web.Response(
-        body=prometheus_client.generate_latest(),
-        headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
-    )
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -10,6 +10,7 @@
 import mode
 
 from merlintrestle.daemon import admin
+from merlintrestle.daemon import metrics
 from merlintrestle.members import membership as memberships
 from merlintrestle.members import service as control
 from merlintrestle.members import table as tables
@@ -66,7 +67,10 @@
         await self._wait_until_ready()
         await self._proxy.open_callers()
         self._admin = admin.AdminServer(
-            settings.admin_port, self._holder, self._announce
+            settings.admin_port,
+            self._holder,
+            self._announce,
+            metrics.build_registry(self._holder, self._table, self._proxy),
         )
         await self.add_runtime_dependency(self._admin)
         print(json.dumps(self._describe_ports()), flush=True)
--- a/tests/daemon/test_daemons.py
+++ b/tests/daemon/test_daemons.py
@@ -60,6 +60,13 @@
             await near.wait_for_upstreams(1)
             async with fleet.client.get(near.url + "/x") as answer:
                 self.assertEqual(await answer.text(), "/x")
+            async with fleet.client.get(near.admin_url + "/metrics") as answer:
+                page = await answer.text()
+        self.assertIn("merlintrestle_running_version 1.0", page)
+        self.assertIn('merlintrestle_members{state="alive"} 2.0', page)
+        self.assertRegex(
+            page, r'merlintrestle_requests_total\{.*outcome="answered".*\} 1.0'
+        )
 
     async def test_same_payout_through_two_daemons(self) -> None:
         """The second sending gets the answer of the first; it runs once."""
