Bring watchers back within 0.6 s of an outage

Watchers now wait 0.6 s at most. Head.changed stays: it takes away one read between the event and the version.

--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -25,8 +25,11 @@
         join: Longest wait for a first daemon before this one goes on alone.
         store_retry_max: Longest wait between two tries at the store by a daemon
             that has met no other.
-        retry_max: Longest wait between two tries of a watcher, or of a daemon
-            that seeks its floor.
+        retry_max: Longest wait between two tries of a daemon that seeks its
+            floor.
+        watch_retry_max: Longest wait between two tries of a watcher. They are
+            few, and a change that is accepted before they are back, with the
+            store failing again at once, would reach nobody.
         seeds_write: Least time between two writes of a zone's seeds.
         head_refresh: Mean time between two reads of the head by a watcher.
         memory: A witness must have been open so long to answer for marks.
@@ -51,6 +54,7 @@
     join: float = 12.0
     store_retry_max: float = 15.0
     retry_max: float = 3.0
+    watch_retry_max: float = 0.6
     seeds_write: float = 30.0
     head_refresh: float = 15.0
     memory: float = 60.0
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -104,7 +104,7 @@
 
     async def run(self) -> None:
         """Watches while chosen, for ever."""
-        backoff = timing_lib.Backoff(0.2, self._timing.retry_max)
+        backoff = timing_lib.Backoff(0.1, self._timing.watch_retry_max)
         await self._membership.wait_for_contact(self._timing.join)
         while True:
             if not self.is_chosen():
--- a/tests/members/builders.py
+++ b/tests/members/builders.py
@@ -30,6 +30,7 @@
     join=1.0,
     store_retry_max=0.1,
     retry_max=0.1,
+    watch_retry_max=0.1,
     seeds_write=0.1,
     head_refresh=0.2,
     memory=0.2,
