Start no second run anew

Without the rule the new test sees a third run. Left: the daemon of the caller does not learn that another daemon started its call anew, so a call over two daemons may still run three times.

--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -91,6 +91,10 @@
         )
         if not self._is_silent(watch, address, call):
             return outcome
+        if call.attempt:
+            # This is a second run already; a third is left to nobody.
+            return outcome
+        call.attempt += 1
         second = await self._send_anew(address, call.target, call, sent_headers)
         return retries.combine(outcome, second)
 
--- a/tests/requests/test_silence.py
+++ b/tests/requests/test_silence.py
@@ -209,6 +209,24 @@
                 self.assertEqual((await client.get(url)).status, 200)
             await relay.close()
 
+    async def test_second_run_is_not_started_anew(self) -> None:
+        """The caller hears "unknown"; the call does not run a third time.
+
+        The call is itself a retry, and the pooled connection to its backend
+        server gives no sign. Starting it anew would be a retry of a retry.
+        """
+        self.go_on.set()
+        async with (
+            builders.run_nodes(1, handler=self.wait) as (node,),
+            builders.open_client() as client,
+        ):
+            url = node.url + "/x"
+            self.assertEqual((await client.get(url)).status, 200)
+            self.go_on.clear()
+            answer = await client.get(url, headers={headers.ATTEMPT: "1"})
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+        self.assertEqual(len(node.served), 2)
+
     async def test_slow_backend_server_is_not_flooded(self) -> None:
         """Calls to a server that takes its time are started anew but rarely."""
         async with (
