--- a/merlintrestle/requests/answers.py
+++ b/merlintrestle/requests/answers.py
@@ -55,8 +55,8 @@
 
     @property
     def keep_alive(self) -> bool:
-        """True: other connections are not answered in this way."""
-        return True
+        """False only after `force_close`, which a daemon that drains calls."""
+        return self._keep_alive is not False
 
     async def prepare(
         self, request: web.BaseRequest
@@ -64,6 +64,8 @@
         """Writes the whole answer."""
         writer = request.writer
         line = f"HTTP/1.1 {self._status} {self._reason}"
+        if not self.keep_alive:
+            self._headers["Connection"] = "close"
         await writer.write_headers(line, self._headers)
         await writer.write_eof(self._held)
         return writer
