--- a/merlintrestle/requests/statistics.py
+++ b/merlintrestle/requests/statistics.py
@@ -68,6 +68,10 @@
         self._parts: collections.deque[tuple[int, dict[_Key, Counts]]] = (
             collections.deque(maxlen=_PARTS)
         )
+        self._part: dict[_Key, Counts] = {}
+        self._part_ends_at = 0.0
+        # Of the parts that are over; those of the running one are added when
+        # metrics are asked for, so that a call is counted in one place.
         self._totals: dict[_Key, Counts] = {}
 
     def note(
@@ -83,17 +87,15 @@
             outcome: What became of it.
             latency_s: Time until its outcome, in seconds.
         """
-        number = int(self._get_time() / _PART_S)
-        if not self._parts or self._parts[-1][0] != number:
-            self._parts.append((number, {}))
+        now = self._get_time()
+        if now >= self._part_ends_at:
+            self._begin_part(now)
         key = (plan.organisation, plan.service, plan.name)
-        in_time = latency_s <= plan.latency_s
-        for counted in (self._parts[-1][1], self._totals):
-            counts = counted.get(key)
-            if counts is None:
-                counts = counted[key] = Counts()
-            counts.calls += 1
-            count(outcome, counts, in_time)
+        counts = self._part.get(key)
+        if counts is None:
+            counts = self._part[key] = Counts()
+        counts.calls += 1
+        count(outcome, counts, latency_s <= plan.latency_s)
 
     def get_statuses(self) -> list[control_pb2.ClassStatus]:
         """Returns the calls of each class over the window."""
@@ -126,13 +128,28 @@
             "Calls answered within the latency of their target.",
             labels=("organisation", "service", "class"),
         )
-        for key, counts in self._totals.items():
+        for key, counts in self._sum_up().items():
             for outcome in ("answered", "refused", "failed", "unknown"):
                 family.add_metric((*key, outcome), getattr(counts, outcome))
             in_time.add_metric(key, counts.within_latency)
         yield family
         yield in_time
 
+    def _begin_part(self, now: float) -> None:
+        self._totals = self._sum_up()
+        number = int(now / _PART_S)
+        self._part = {}
+        self._part_ends_at = (number + 1) * _PART_S
+        self._parts.append((number, self._part))
+
+    def _sum_up(self) -> dict[_Key, Counts]:
+        """Returns the counts of all calls since the start."""
+        totals: dict[_Key, Counts] = {}
+        for counted in (self._totals, self._part):
+            for key, counts in counted.items():
+                _add(totals.setdefault(key, Counts()), counts)
+        return totals
+
 
 @functools.singledispatch
 def count(outcome: object, counts: Counts, in_time: bool) -> None:
@@ -178,7 +195,7 @@
     counts.unknown += 1
 
 
-def _add(status: control_pb2.ClassStatus, counts: Counts) -> None:
+def _add(status: control_pb2.ClassStatus | Counts, counts: Counts) -> None:
     status.calls += counts.calls
     status.answered += counts.answered
     status.within_latency += counts.within_latency
