Look headers up by names that are lower case already

Cause: a plain text is put into lower case at each look-up in headers, some twenty times a call. Trial (perf stat over 3000 calls, proxy alone with fakes): 419 -> 405 thousand instructions a call. 143 tests of the data path pass.

--- a/merlintrestle/requests/answers.py
+++ b/merlintrestle/requests/answers.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from aiohttp import hdrs
 from aiohttp import http
 from aiohttp import web
 
@@ -65,7 +66,7 @@
         writer = request.writer
         line = f"HTTP/1.1 {self._status} {self._reason}"
         if not self.keep_alive:
-            self._headers["Connection"] = "close"
+            self._headers[hdrs.CONNECTION] = "close"
         await writer.write_headers(line, self._headers)
         await writer.write_eof(self._held)
         return writer
@@ -81,9 +82,9 @@
 ) -> bool:
     """Returns whether nothing has to be added to the headers or put right."""
     return (
-        headers.get("Content-Length") == str(len(body))
-        and "Content-Type" in headers
-        and "Date" in headers
+        headers.get(hdrs.CONTENT_LENGTH) == str(len(body))
+        and hdrs.CONTENT_TYPE in headers
+        and hdrs.DATE in headers
         and request.version == http.HttpVersion11
         and bool(request.keep_alive)
     )
--- a/merlintrestle/requests/connections.py
+++ b/merlintrestle/requests/connections.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import hdrs
 from aiohttp import http
 
 if TYPE_CHECKING:
@@ -58,7 +59,7 @@
     @property
     def content_length(self) -> int | None:
         """Stated length of the body in bytes; None: not stated."""
-        text = self.headers.get("Content-Length")
+        text = self.headers.get(hdrs.CONTENT_LENGTH)
         return None if text is None else int(text)
 
 
@@ -201,7 +202,7 @@
         writer = http.StreamWriter(self, self._loop)
         payload = body.make_payload()
         pieces = None if isinstance(payload, (bytes, type(None))) else payload
-        headers.setdefault("Host", self.address)
+        headers.setdefault(hdrs.HOST, self.address)
         length = len(payload) if isinstance(payload, bytes) else body.length
         _frame(headers, method, length)
         if pieces is not None:
@@ -241,11 +242,11 @@
     held here, or have its length removed by its "Connection". A body without
     them would be taken for the next request on the connection.
     """
-    headers.popall("Content-Length", None)
+    headers.popall(hdrs.CONTENT_LENGTH, None)
     if length is None:
-        headers["Transfer-Encoding"] = "chunked"
+        headers[hdrs.TRANSFER_ENCODING] = "chunked"
     elif length or method not in _BODILESS_METHODS:
-        headers["Content-Length"] = str(length)
+        headers[hdrs.CONTENT_LENGTH] = str(length)
 
 
 class Pool:
--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+from aiohttp import hdrs
 from aiohttp import http
 
 from merlintrestle.requests import connections
@@ -149,7 +150,7 @@
         if isinstance(connection, outcomes.NotRun):
             return connection
         if not keep:
-            sent_headers["Connection"] = "close"
+            sent_headers[hdrs.CONNECTION] = "close"
             connection.force_close()
         watch = watches.Watch(connection, 0.0, call.deadline, None)
         return await self._exchange(
--- a/merlintrestle/requests/headers.py
+++ b/merlintrestle/requests/headers.py
@@ -4,26 +4,29 @@
 
 from typing import TYPE_CHECKING
 
+from aiohttp import hdrs
 import multidict
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-ORGANISATION = "Merlintrestle-Organisation"
-OUTCOME = "Merlintrestle-Outcome"
+# Of a type that is compared without regard to case; a plain text would be
+# put into lower case at each look-up.
+ORGANISATION = multidict.istr("Merlintrestle-Organisation")
+OUTCOME = multidict.istr("Merlintrestle-Outcome")
 # Milliseconds that are left to the caller's deadline.
-DEADLINE = "Merlintrestle-Deadline-Ms"
+DEADLINE = multidict.istr("Merlintrestle-Deadline-Ms")
 # Calls above this one: 0 for a call that comes from outside the mesh.
-DEPTH = "Merlintrestle-Depth"
+DEPTH = multidict.istr("Merlintrestle-Depth")
 # 0 where nobody above this call runs it again; else it is not tried again.
-ATTEMPT = "Merlintrestle-Attempt"
+ATTEMPT = multidict.istr("Merlintrestle-Attempt")
 # Class of work; believed on the peer port only.
-CLASS = "Merlintrestle-Class"
+CLASS = multidict.istr("Merlintrestle-Class")
 # Present where the call broke a connection before; believed likewise.
-SUSPECT = "Merlintrestle-Suspect"
+SUSPECT = multidict.istr("Merlintrestle-Suspect")
 # Names one attempt at a call between two daemons.
-CALL = "Merlintrestle-Call"
-KEY = "Idempotency-Key"
+CALL = multidict.istr("Merlintrestle-Call")
+KEY = multidict.istr("Idempotency-Key")
 
 _PREFIX = "merlintrestle-"
 # Which header names are passed on, for the names seen so far.
@@ -67,7 +70,7 @@
         if keep:
             copied.append(pair)
     result: multidict.CIMultiDict[str] = multidict.CIMultiDict(copied)
-    connection = headers.get("Connection")
+    connection = headers.get(hdrs.CONNECTION)
     if connection is not None:
         for name in connection.lower().split(","):
             if name.strip() not in _KEPT:
--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -7,6 +7,7 @@
 import struct
 from typing import TYPE_CHECKING
 
+from aiohttp import hdrs
 from aiohttp import web
 
 from merlintrestle import errors
@@ -178,7 +179,7 @@
     """
     if method == "HEAD" or response.status in _BODILESS:
         return True
-    codings = response.headers.get("Transfer-Encoding")
+    codings = response.headers.get(hdrs.TRANSFER_ENCODING)
     if codings is not None:
         return codings.lower().rpartition(",")[2].strip() == "chunked"
     return response.content_length is not None
