Spare two small costs of a call

Cause: headers that are absent were checked for being numbers, and a full budget of retries was filled again.

--- a/merlintrestle/requests/headers.py
+++ b/merlintrestle/requests/headers.py
@@ -90,7 +90,9 @@
 
 def read_number(headers: Mapping[str, str], name: str) -> int | None:
     """Returns a header's whole number; None where it is absent or not one."""
-    text = headers.get(name, "")
+    text = headers.get(name)
+    if text is None:
+        return None
     if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
         return None
     return int(text)
--- a/merlintrestle/requests/retries.py
+++ b/merlintrestle/requests/retries.py
@@ -46,7 +46,8 @@
 
     def earn(self) -> None:
         """Counts a first try."""
-        self.tokens = min(_MAX_TOKENS, self.tokens + _EARNED)
+        if self.tokens < _MAX_TOKENS:
+            self.tokens = min(_MAX_TOKENS, self.tokens + _EARNED)
 
     def spend(self) -> bool:
         """Takes one retry; False if the budget is used up."""
