--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+from aiohttp import hdrs
 from aiohttp import http
 
 from merlintrestle.requests import connections
@@ -91,6 +92,10 @@
         )
         if not self._is_silent(watch, address, call):
             return outcome
+        if call.attempt:
+            # This is a second run already; a third is left to nobody.
+            return outcome
+        call.attempt += 1
         second = await self._send_anew(address, call.target, call, sent_headers)
         return retries.combine(outcome, second)
 
@@ -149,7 +154,7 @@
         if isinstance(connection, outcomes.NotRun):
             return connection
         if not keep:
-            sent_headers["Connection"] = "close"
+            sent_headers[hdrs.CONNECTION] = "close"
             connection.force_close()
         watch = watches.Watch(connection, 0.0, call.deadline, None)
         return await self._exchange(
