Bound a call over two daemons to two runs

Without the rule the new test sees 3 runs. Ruled out: telling the caller's daemon in the answer, which does not come when its try has timed out.

--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -114,7 +114,7 @@
             f"{upstream.address}:{upstream.peer_port}",
             f"/{call.service}{call.target}",
             call,
-            _build_headers(call),
+            self._build_headers(call),
         )
         if (
             isinstance(outcome, outcomes.Answered)
@@ -123,6 +123,22 @@
             return outcomes.read_failure(outcome)
         return outcome
 
+    def _build_headers(self, call: calls.Call) -> multidict.CIMultiDict[str]:
+        left_s = call.deadline - asyncio.get_running_loop().time()
+        sent = call.headers.copy()
+        sent[headers.ORGANISATION] = call.organisation
+        sent[headers.CLASS] = call.plan.name
+        sent[headers.DEADLINE] = str(max(1, int(left_s * 1000)))
+        sent[headers.DEPTH] = str(call.depth)
+        # Where this daemon can try another upstream, the other daemon must not
+        # start the call anew by itself: together they would run it 3 times.
+        others = len(self._table.get_upstreams(call.service)) > 1
+        again = call.attempt or (others and call.plan.repeatable)
+        sent[headers.ATTEMPT] = str(int(again))
+        if call.suspect:
+            sent[headers.SUSPECT] = "1"
+        return sent
+
 
 def _may_retry(
     outcome: outcomes.Outcome, call: calls.Call, budget: retries.Budget
@@ -147,16 +163,3 @@
 
 def _refuse(call: calls.Call) -> outcomes.NotRun:
     return outcomes.NotRun(f"no backend server of {call.service} is known")
-
-
-def _build_headers(call: calls.Call) -> multidict.CIMultiDict[str]:
-    left_s = call.deadline - asyncio.get_running_loop().time()
-    sent = call.headers.copy()
-    sent[headers.ORGANISATION] = call.organisation
-    sent[headers.CLASS] = call.plan.name
-    sent[headers.DEADLINE] = str(max(1, int(left_s * 1000)))
-    sent[headers.DEPTH] = str(call.depth)
-    sent[headers.ATTEMPT] = str(call.attempt)
-    if call.suspect:
-        sent[headers.SUSPECT] = "1"
-    return sent
--- a/tests/requests/test_silence.py
+++ b/tests/requests/test_silence.py
@@ -227,6 +227,25 @@
             self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
         self.assertEqual(len(node.served), 2)
 
+    async def test_call_over_two_daemons_runs_twice_at_most(self) -> None:
+        """The caller hears "unknown" after two runs, one on each upstream.
+
+        Neither backend server answers. Were each daemon beside one to start
+        the call anew by itself as well, it would run three times or more.
+        """
+        self.go_on.set()
+        async with self.connect(self.wait, 3) as (nodes, _, client):
+            url = nodes[0].url + "/x"
+            # Each daemon has an idle connection to its backend server.
+            for node in nodes[1:]:
+                await client.get(node.url + "/x")
+            before = sum(len(node.served) for node in nodes)
+            self.go_on.clear()
+            answer = await client.get(url, headers={headers.DEADLINE: "3000"})
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+            after = sum(len(node.served) for node in nodes)
+        self.assertEqual(after - before, 2)
+
     async def test_slow_backend_server_is_not_flooded(self) -> None:
         """Calls to a server that takes its time are started anew but rarely."""
         async with (
