Let parts of a fleet that started alone meet by the seeds' records

Cause: found by reading.

Whoever writes seeds now contacts those of all zones that stood there and that it does not know, and looks again after 10 minutes; a daemon that knows nobody reads the records in each round (10 s).

Ruled out: reading the records in every round in any case; that would grow with the fleet.

The new test (three daemons in two zones) fails with the contact taken out: they never know each other. The skip of unreadable records is kept.

--- a/merlintrestle/members/exchange.py
+++ b/merlintrestle/members/exchange.py
@@ -101,6 +101,8 @@
         some is made.
         """
         self._round += 1
+        if self._is_alone():
+            await self._contact_any(await self._read_seeds() or [])
         if self._is_quiet() and self._round % _QUIET_ROUNDS:
             return None
         peer_id = self._choose_peer()
@@ -195,6 +197,19 @@
             logger.info("members: the store gave no seeds: %s", error)
             return None
 
+    async def contact_unknown(self, addresses: Sequence[str]) -> None:
+        """Contacts daemons that the table does not have.
+
+        Two parts of a fleet that started at the same time, each alone, know
+        nothing of each other; the records of seeds are where they meet.
+        """
+        unknown = [i for i in addresses if self._table.get(i) is None]
+        await self._contact_any(unknown)
+
+    def _is_alone(self) -> bool:
+        """Tells whether no other member is known, as when all start at once."""
+        return len(self._table.usable_ids()) <= 1
+
     def _is_quiet(self) -> bool:
         return not self._differing and not any(
             table_lib.is_gone(member) for member in self._table.members()
--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -93,6 +93,10 @@
         """Waits for the first answer of another daemon; False: none came."""
         return await self._exchange.wait_for_contact(timeout_s)
 
+    async def contact_unknown(self, addresses: Sequence[str]) -> None:
+        """Contacts daemons that the table does not have yet."""
+        await self._exchange.contact_unknown(addresses)
+
     async def serve_link(self, stream: grpc.aio.ServicerContext) -> None:
         """Serves a link that a peer opened, until it ends."""
         link = links_lib.Link("", outgoing=False)
--- a/merlintrestle/members/seeds.py
+++ b/merlintrestle/members/seeds.py
@@ -10,6 +10,8 @@
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from merlintrestle.store import client
 
 logger = logging.getLogger(__name__)
@@ -17,6 +19,7 @@
 PREFIX = "seeds/"
 # Members named per availability zone.
 SEEDS_PER_ZONE = 8
+_MAX_ZONES = 100
 
 
 async def read_seeds(store: client.StoreClient) -> list[str]:
@@ -25,23 +28,16 @@
     Raises:
         errors.StoreUnavailableError: The store did not answer.
     """
-    addresses: list[str] = []
-    for entry in await store.list(PREFIX, limit=100):
-        try:
-            record = control_pb2.MembersReply.FromString(entry.value)
-        except message.DecodeError as error:
-            # The zone's own daemons write it anew; those that start now find
-            # the fleet by the others.
-            logger.warning("members: record %s: %s", entry.key, error)
-            continue
-        addresses.extend(member.id for member in record.members)
-    return addresses
+    return _list_addresses(await store.list(PREFIX, limit=_MAX_ZONES))
 
 
 async def write_seeds(
     store: client.StoreClient, zone: str, member_ids: list[str]
-) -> bool:
-    """Writes the record of a zone if it would change; False: lost a race.
+) -> list[str]:
+    """Writes the record of a zone if it would change.
+
+    Returns:
+        The addresses in the records of all zones as they stood before.
 
     Raises:
         errors.StoreError: The store did not answer.
@@ -51,8 +47,25 @@
         members=[control_pb2.Member(id=member_id) for member_id in member_ids]
     )
     value = record.SerializeToString(deterministic=True)
-    entry = await store.get(key)
-    if entry is not None and entry.value == value:
-        return True
-    reply = await store.put(key, value, entry.revision if entry else 0)
-    return reply.written
+    before = await store.list(PREFIX, limit=_MAX_ZONES)
+    held = {entry.key: entry for entry in before}.get(key)
+    if held is None:
+        await store.put(key, value, 0)
+    elif held.value != value:
+        # Another writer may be faster; its record names seeds as well.
+        await store.put(key, value, held.revision)
+    return _list_addresses(before)
+
+
+def _list_addresses(entries: Sequence[client.Entry]) -> list[str]:
+    addresses: list[str] = []
+    for entry in entries:
+        try:
+            record = control_pb2.MembersReply.FromString(entry.value)
+        except message.DecodeError as error:
+            # The zone's own daemons write it anew; those that start now find
+            # the fleet by the others.
+            logger.warning("members: record %s: %s", entry.key, error)
+            continue
+        addresses.extend(member.id for member in record.members)
+    return addresses
--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -31,6 +31,8 @@
             few, and a change that is accepted before they are back, with the
             store failing again at once, would reach nobody.
         seeds_write: Least time between two writes of a zone's seeds.
+        seeds_check: The records of seeds are looked at again after so long,
+            for parts of the fleet that this one does not know.
         head_refresh: Mean time between two reads of the head by a watcher.
         memory: A witness must have been open so long to answer for marks.
         hedge: A fetch that takes longer is tried with another peer as well.
@@ -56,6 +58,7 @@
     retry_max: float = 3.0
     watch_retry_max: float = 0.6
     seeds_write: float = 30.0
+    seeds_check: float = 600.0
     head_refresh: float = 15.0
     memory: float = 60.0
     hedge: float = 0.3
--- a/merlintrestle/versions/source.py
+++ b/merlintrestle/versions/source.py
@@ -31,8 +31,8 @@
     ) -> snapshot_lib.Snapshot:
         """Compiles the snapshot that a head accepts."""
 
-    async def write_seeds(self, zone: str, member_ids: list[str]) -> bool:
-        """Names members of a zone, for first contact."""
+    async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
+        """Names members of a zone; returns those named before."""
 
 
 class StoreSource:
@@ -95,8 +95,8 @@
         self._compiled = snapshot
         return snapshot
 
-    async def write_seeds(self, zone: str, member_ids: list[str]) -> bool:
-        """Names members of a zone; False if another writer was faster.
+    async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
+        """Names members of a zone; returns those named before.
 
         Raises:
             errors.StoreError: The store did not answer.
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -221,13 +221,15 @@
     async def _write_seeds(self) -> None:
         """Names members of the zone in the store, for first contact."""
         seeds = self._seeding.get()
-        too_soon = self._clock() - self._seeds_at < self._timing.seeds_write
-        if seeds == self._seeds or (self._seeds and too_soon):
+        age = self._clock() - self._seeds_at
+        changed = seeds != self._seeds and age >= self._timing.seeds_write
+        if self._seeds and not changed and age < self._timing.seeds_check:
             return
         zone = self._membership.table.own.zone
-        if await self._source.write_seeds(zone, seeds):
-            self._seeds = seeds
-            self._seeds_at = self._clock()
+        before = await self._source.write_seeds(zone, seeds)
+        self._seeds = seeds
+        self._seeds_at = self._clock()
+        await self._membership.contact_unknown(before)
 
     def _choose(self, purpose: str, count: int) -> choice_lib.Choice:
         table = self._membership.table
--- a/tests/members/builders.py
+++ b/tests/members/builders.py
@@ -32,6 +32,7 @@
     retry_max=0.1,
     watch_retry_max=0.1,
     seeds_write=0.1,
+    seeds_check=3600.0,
     head_refresh=0.2,
     memory=0.2,
     hedge=0.1,
--- a/tests/versions/builders.py
+++ b/tests/versions/builders.py
@@ -156,12 +156,13 @@
             documents["zaanoever"] = self._documents[head.version]
         return compiler.compile_snapshot(head.version, documents)
 
-    async def write_seeds(self, zone: str, member_ids: list[str]) -> bool:
+    async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
         """Names members of a zone."""
         self._check()
         self.seed_writes += 1
+        before = [name for ids in self.seeds.values() for name in ids]
         self.seeds[zone] = member_ids
-        return True
+        return before
 
     def _check(self) -> None:
         if self.down:
--- a/tests/versions/models.py
+++ b/tests/versions/models.py
@@ -16,6 +16,8 @@
 from tests.versions import builders
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from merlintrestle.documents import snapshot as snapshot_lib
 
 TIMING = member_builders.FAST._replace(memory=60.0, settle=0.0, flush=0.0)
@@ -35,6 +37,9 @@
         """Needs no wait."""
         return True
 
+    async def contact_unknown(self, addresses: Sequence[str]) -> None:
+        """Knows everyone."""
+
 
 class Model:
     """The version part of one process at one address."""
--- a/tests/versions/test_fleet.py
+++ b/tests/versions/test_fleet.py
@@ -215,6 +215,25 @@
         await builders.wait_until(lambda: len(heard) >= 4)
         self.assertEqual(len(set(heard)), len(heard))
 
+    async def test_fleet_started_at_once_without_seeds_finds_itself(
+        self,
+    ) -> None:
+        """All daemons start at once, no seeds are set, the store is empty.
+
+        Each finds nobody and is alone. They meet by the records of seeds,
+        which each of them writes; or they would stay apart for good.
+        """
+        self.daemons = [
+            builders.Daemon(self.configuration, zone=zone)
+            for zone in ("zone-a", "zone-b", "zone-a")
+        ]
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+        await builders.wait_until(
+            lambda: all(
+                len(one.table.usable_ids()) == 3 for one in self.daemons
+            )
+        )
+
 
 class HerdTest(FleetCase):
     """All daemons restart at once."""
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 import unittest
 
 from merlintrestle import errors
 from merlintrestle.documents import compiler
+from merlintrestle.members import seeds
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
 from merlintrestle.versions import source
@@ -137,6 +139,21 @@
         self.assertEqual(self.configuration.seed_writes, 1)
 
 
+class SeedsTest(unittest.IsolatedAsyncioTestCase):
+    """Records by which daemons find each other."""
+
+    async def test_records_of_all_zones_are_read_back(self) -> None:
+        store: Any = fakes.FakeStore()
+        self.assertEqual(await seeds.write_seeds(store, "a", ["1"]), [])
+        self.assertEqual(await seeds.write_seeds(store, "b", ["2"]), ["1"])
+        again = await seeds.write_seeds(store, "a", ["3"])
+        self.assertEqual(again, ["1", "2"])
+        self.assertEqual(await seeds.read_seeds(store), ["3", "2"])
+        writes = store.calls["put"]
+        await seeds.write_seeds(store, "a", ["3"])
+        self.assertEqual(store.calls["put"], writes)
+
+
 class StoreSourceTest(unittest.IsolatedAsyncioTestCase):
     """Versions from the records in the store."""
 
