--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -10,6 +10,7 @@
 import mode
 
 from merlintrestle.daemon import admin
+from merlintrestle.daemon import metrics
 from merlintrestle.members import membership as memberships
 from merlintrestle.members import service as control
 from merlintrestle.members import table as tables
@@ -31,6 +32,10 @@
 _SETTLED = ("", holders.NO_VERSION)
 
 
+# Longest wait for neighbours to be told that this daemon leaves.
+_LEAVE_S = 0.5
+
+
 class Daemon(mode.Service):
     """One daemon, beside one backend server.
 
@@ -66,7 +71,10 @@
         await self._wait_until_ready()
         await self._proxy.open_callers()
         self._admin = admin.AdminServer(
-            settings.admin_port, self._holder, self._announce
+            settings.admin_port,
+            self._holder,
+            self._announce,
+            metrics.build_registry(self._holder, self._table, self._proxy),
         )
         await self.add_runtime_dependency(self._admin)
         print(json.dumps(self._describe_ports()), flush=True)
@@ -74,7 +82,11 @@
     async def on_stop(self) -> None:
         """Leaves the fleet and waits for requests in flight."""
         self._table.leave()
-        if await self._proxy.drain(self._settings.drain_limit_s):
+        drained, _ = await asyncio.gather(
+            self._proxy.drain(self._settings.drain_limit_s),
+            self._membership.links.flush(_LEAVE_S),
+        )
+        if drained:
             logger.info("daemon: nothing is in flight any more.")
 
     async def on_shutdown(self) -> None:
@@ -86,6 +98,7 @@
         membership = memberships.Membership(
             self._table, self._store, self._settings.seeds
         )
+        self._membership = membership
         distribution = distributions.Distribution(
             self._holder,
             membership,
