--- a/tests/requests/test_silence.py
+++ b/tests/requests/test_silence.py
@@ -209,6 +209,43 @@
                 self.assertEqual((await client.get(url)).status, 200)
             await relay.close()
 
+    async def test_second_run_is_not_started_anew(self) -> None:
+        """The caller hears "unknown"; the call does not run a third time.
+
+        The call is itself a retry, and the pooled connection to its backend
+        server gives no sign. Starting it anew would be a retry of a retry.
+        """
+        self.go_on.set()
+        async with (
+            builders.run_nodes(1, handler=self.wait) as (node,),
+            builders.open_client() as client,
+        ):
+            url = node.url + "/x"
+            self.assertEqual((await client.get(url)).status, 200)
+            self.go_on.clear()
+            answer = await client.get(url, headers={headers.ATTEMPT: "1"})
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+        self.assertEqual(len(node.served), 2)
+
+    async def test_call_over_two_daemons_runs_twice_at_most(self) -> None:
+        """The caller hears "unknown" after two runs, one on each upstream.
+
+        Neither backend server answers. Were each daemon beside one to start
+        the call anew by itself as well, it would run three times or more.
+        """
+        self.go_on.set()
+        async with self.connect(self.wait, 3) as (nodes, _, client):
+            url = nodes[0].url + "/x"
+            # Each daemon has an idle connection to its backend server.
+            for node in nodes[1:]:
+                await client.get(node.url + "/x")
+            before = sum(len(node.served) for node in nodes)
+            self.go_on.clear()
+            answer = await client.get(url, headers={headers.DEADLINE: "3000"})
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+            after = sum(len(node.served) for node in nodes)
+        self.assertEqual(after - before, 2)
+
     async def test_slow_backend_server_is_not_flooded(self) -> None:
         """Calls to a server that takes its time are started anew but rarely."""
         async with (
