Give each daemon of a measured fleet an address of its own

Each daemon listens on its own loopback address; outgoing connections come from 127.0.0.1, so none can hold its ports. The admin port, on 127.0.0.1 always, is kept only where a backend server announces itself to it.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -45,7 +45,8 @@
     @property
     def url(self) -> str:
         """Where callers reach the daemon."""
-        return f"http://{layouts.HOST}:{self.daemon.ready['port']}"
+        address = self.id.rpartition(":")[0] or layouts.HOST
+        return f"http://{address}:{self.daemon.ready['port']}"
 
     @property
     def admin(self) -> str:
@@ -88,6 +89,7 @@
         self._table = table
         self._build_arguments = build_arguments
         self._session: aiohttp.ClientSession | None = None
+        self._started = 0
 
     @property
     def store_address(self) -> str:
@@ -118,7 +120,11 @@
         """Starts a daemon that has ended again, at the same ports."""
         before = instance.daemon
         arguments = list(before.arguments)
-        for field in ("port", "peer_port", "control_port", "admin_port"):
+        fields = ["port", "peer_port", "control_port"]
+        if instance.backend is not None:
+            # It goes on announcing itself to this port.
+            fields.append("admin_port")
+        for field in fields:
             flag = "--" + field.replace("_", "-")
             if flag in arguments and field in before.ready:
                 arguments[arguments.index(flag) + 1] = str(before.ready[field])
@@ -242,6 +248,10 @@
         arguments = self._build_arguments(
             place, self.layout.region, self.store_address, seeds
         )
+        if "--address" in arguments:
+            address = layouts.get_address(self._started)
+            arguments[arguments.index("--address") + 1] = address
+        self._started += 1
         daemon = await self._table.start("daemon", *arguments)
         self.instances.append(Instance(place, daemon))
 
--- a/tools/layouts.py
+++ b/tools/layouts.py
@@ -8,6 +8,8 @@
     from collections.abc import Mapping
 
 HOST = "127.0.0.1"
+# Hosts of one /24 that are used.
+_HOSTS = 250
 
 
 class Place(NamedTuple):
@@ -72,6 +74,15 @@
     ]
 
 
+def get_address(number: int) -> str:
+    """Returns the loopback address of an instance.
+
+    Each has its own, as in a mesh. Outgoing connections of this machine use
+    `HOST`, so that none takes the port of a daemon that is being restarted.
+    """
+    return f"127.0.{1 + number // _HOSTS}.{1 + number % _HOSTS}"
+
+
 def build_proxy_arguments(
     _place: Place, _region: str, _store: str, _seeds: list[str]
 ) -> list[str]:
