Send the changed document with the head

Cause: each watcher read the document after the head, one more chance for an outage to fall in between (six reads a change, and a version that nobody could compile while the store was down). Watchers took it from Head.changed already; the operators' program never set it. Up to 64 KB it does now; the digest in the head is what a watcher believes.

--- a/merlintrestle/operators/changes.py
+++ b/merlintrestle/operators/changes.py
@@ -21,6 +21,8 @@
 MAX_ATTEMPTS = 16
 MAX_BASE_VERSIONS = 1000
 _MAX_SUMMARY_LINES = 20
+# A document up to this size travels in the head as well.
+_MAX_HEAD_DOCUMENT_BYTES = 64 * 1024
 _MAX_LINE = 200
 
 
@@ -136,6 +138,11 @@
             },
             compiled.digest,
         )
+        document = proposal.document
+        if document and document.ByteSize() <= _MAX_HEAD_DOCUMENT_BYTES:
+            # The store may fail right after it accepted: watchers then have
+            # all that they need with the head.
+            proposed.changed.CopyFrom(document)
         outcome = await acceptance.swap_head(
             self._store, proposed, revision, self._pause_s
         )
