Hand an accepted version to a daemon

A daemon that does not answer changes nothing of what was accepted. Ruled out: sending it to all members, for links and offers do that.

Only what was accepted is handed over: test_only_what_was_accepted_is_handed_over.

--- a/merlintrestle/members/service.py
+++ b/merlintrestle/members/service.py
@@ -97,6 +97,12 @@
         reply = self._distribution.archive.answer(request)
         return _count("Fetch", request, reply)
 
+    async def Hold(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Takes over a version that operators have just had accepted."""
+        del context
+        held = self._distribution.take_over(request)
+        return _count("Hold", request, control_pb2.HoldReply(held=held))
+
     async def Mark(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Records the version of a daemon."""
         del context
--- a/merlintrestle/operators/changes.py
+++ b/merlintrestle/operators/changes.py
@@ -16,7 +16,9 @@
 from merlintrestle.store import records
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Awaitable, Callable, Mapping
+
+    from merlintrestle.documents import snapshot as snapshots
 
 MAX_ATTEMPTS = 16
 MAX_BASE_VERSIONS = 1000
@@ -61,6 +63,8 @@
         make_id: Callable[[int], str] = make_change_id,
         read_ms: Callable[[], int] = read_clock_ms,
         pause_s: float = acceptance.PAUSE_S,
+        hand_over: Callable[[snapshots.Snapshot], Awaitable[None]]
+        | None = None,
     ):
         """Sets the store and the sources of ids and times.
 
@@ -69,11 +73,13 @@
             make_id: Makes a change id for the version it would make.
             read_ms: Returns milliseconds since 1970.
             pause_s: Seconds between two tries of a write without answer.
+            hand_over: Called with each accepted version's snapshot.
         """
         self._store = store
         self._make_id = make_id
         self._read_ms = read_ms
         self._pause_s = pause_s
+        self._hand_over = hand_over
 
     async def propose(self, proposal: Proposal) -> outcomes.Outcome:
         """Tries to have a change accepted and says what became of it.
@@ -147,6 +153,8 @@
             self._store, proposed, revision, self._pause_s
         )
         if isinstance(outcome, acceptance.Accepted):
+            if self._hand_over is not None:
+                await self._hand_over(compiled)
             return outcomes.Accepted(
                 outcome.version,
                 compiled.digest.hex(),
--- a/merlintrestle/operators/changing.py
+++ b/merlintrestle/operators/changing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import pathlib
 from typing import NamedTuple, TYPE_CHECKING
 
@@ -20,6 +21,9 @@
 from merlintrestle.operators import status
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from merlintrestle.documents import snapshot as snapshots
     from merlintrestle.schema import document_pb2
 
 _FILE = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
@@ -170,7 +174,11 @@
         run.require("daemon")
     async with run.open_store() as store:
         proposer = changes.Proposer(
-            store, run.sources.make_id, run.sources.read_ms, run.sources.pause_s
+            store,
+            run.sources.make_id,
+            run.sources.read_ms,
+            run.sources.pause_s,
+            _choose_hand_over(run),
         )
         outcome = await proposer.propose(proposal)
     waits = isinstance(outcome, outcomes.Accepted | outcomes.Unchanged)
@@ -180,6 +188,16 @@
     return await _wait(run, outcome, wait.timeout_s)
 
 
+def _choose_hand_over(
+    run: session.Session,
+) -> Callable[[snapshots.Snapshot], Awaitable[None]] | None:
+    if not run.settings.daemon:
+        return None
+    return functools.partial(
+        run.sources.hand_over, run.settings.daemon, run.settings.timeout_s
+    )
+
+
 async def _wait(
     run: session.Session, outcome: outcomes.Outcome, timeout_s: float
 ) -> int:
--- a/merlintrestle/operators/fleet.py
+++ b/merlintrestle/operators/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import NamedTuple, TYPE_CHECKING
 
 import grpc
@@ -11,11 +12,15 @@
 from merlintrestle import errors
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import control_pb2_grpc
+from merlintrestle.versions import deltas
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable, Sequence
 
+    from merlintrestle.documents import snapshot as snapshots
+
     Ask = Callable[[str, bool, float], Awaitable[control_pb2.StatusReply]]
+    HandOver = Callable[[str, float, snapshots.Snapshot], Awaitable[None]]
 
 IN_FORCE = "in force"
 BEHIND = "behind"
@@ -95,6 +100,29 @@
             ) from error
 
 
+async def hand_over(
+    address: str, timeout_s: float, snapshot: snapshots.Snapshot
+) -> None:
+    """Gives an accepted version to one daemon, which spreads it.
+
+    Watchers bring it too. It matters where the store fails just as it accepts;
+    a daemon that does not answer changes nothing of what was accepted.
+
+    Args:
+        address: Its control address, "ip:port".
+        timeout_s: Longest wait in seconds.
+        snapshot: The accepted version.
+    """
+    request = control_pb2.HoldRequest(
+        offer=deltas.make_offer(snapshot),
+        snapshot=deltas.pack_snapshot(snapshot),
+    )
+    async with grpc.aio.insecure_channel(address) as channel:
+        stub = control_pb2_grpc.ControlStub(channel)
+        with contextlib.suppress(grpc.aio.AioRpcError):
+            await stub.Hold(request, timeout=timeout_s)
+
+
 async def list_members(
     address: str, timeout_s: float, ask: Ask = ask_daemon
 ) -> list[control_pb2.Member]:
--- a/merlintrestle/operators/session.py
+++ b/merlintrestle/operators/session.py
@@ -37,6 +37,7 @@
         read_ms: Returns milliseconds since 1970.
         pause_s: Seconds between two tries of a write without answer.
         ask: Asks a daemon for its status.
+        hand_over: Gives an accepted version to a daemon.
     """
 
     open_store: Callable[[str, float], Any] = client.StoreClient
@@ -44,6 +45,7 @@
     read_ms: Callable[[], int] = changes.read_clock_ms
     pause_s: float = acceptance.PAUSE_S
     ask: fleet.Ask = fleet.ask_daemon
+    hand_over: fleet.HandOver = fleet.hand_over
 
 
 class Session:
--- a/merlintrestle/versions/distribution.py
+++ b/merlintrestle/versions/distribution.py
@@ -95,6 +95,23 @@
         )
         self._wake_run.set()
 
+    def take_over(self, request: control_pb2.HoldRequest) -> bool:
+        """Holds a version that an operator hands over; False: it is not whole.
+
+        The store may fail as it accepts a head, before any watcher hears of
+        it. The operator has been told "accepted", and without this the
+        version would wait for the store to come back.
+        """
+        try:
+            snapshot = deltas.unpack_snapshot(
+                request.snapshot, request.offer.digest
+            )
+        except errors.SnapshotError as error:
+            logger.warning("versions: handed over: %s", error)
+            return False
+        self.hold(snapshot)
+        return True
+
     async def answer_floor(
         self, request: control_pb2.FloorRequest
     ) -> control_pb2.FloorReply:
--- a/tests/daemon/test_daemons.py
+++ b/tests/daemon/test_daemons.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from merlintrestle.documents import compiler
+from merlintrestle.operators import fleet as operators
 from merlintrestle.requests import headers
 from merlintrestle.schema import control_pb2
 from standins import faults
@@ -129,6 +131,26 @@
             await fleet.daemons[0].stop()
             await fleet.store.set_faults(faults.StoreFaults())
 
+    async def test_version_that_the_store_tells_nobody(self) -> None:
+        """The operator is told "accepted"; every daemon runs the version.
+
+        The store took the write and tells no watcher, as when it fails at
+        that moment. The operator's program has the version and hands it to
+        one daemon, which spreads it; else it would wait for the store.
+        """
+        async with builders.run_fleet(2) as fleet:
+            await fleet.answer_from(fleet.copy_store())
+            document = builders.build_document()
+            document.services[0].classes[0].latency_ms += 1
+            version = await fleet.accept(document)
+            snapshot = compiler.compile_snapshot(
+                version, {document.organisation: document}
+            )
+            first = fleet.daemons[0]
+            await operators.hand_over(first.control_address, 5.0, snapshot)
+            for daemon in fleet.daemons:
+                await daemon.wait_for_version(version)
+
     async def test_restart_while_the_store_answers_from_the_past(self) -> None:
         """No daemon goes back, whatever the store says.
 
--- a/tests/operators/builders.py
+++ b/tests/operators/builders.py
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from merlintrestle.documents import snapshot as snapshots
+
 FLEETS = pathlib.Path(__file__).parents[2] / "fleets"
 START_MS = 1_800_000_000_000
 
@@ -64,7 +66,9 @@
 
     def use_fleet(self, replies: FakeFleet) -> None:
         """Lets the commands ask a fake fleet."""
-        self.sources = self.sources._replace(ask=replies.ask)
+        self.sources = self.sources._replace(
+            ask=replies.ask, hand_over=replies.hand_over
+        )
 
     def run_accepted(self, replies: FakeFleet) -> None:
         """Lets every daemon of a fake fleet run the accepted version."""
@@ -132,6 +136,11 @@
             failed=calls - answered,
         )
 
+    async def hand_over(
+        self, address: str, timeout_s: float, snapshot: snapshots.Snapshot
+    ) -> None:
+        """Takes an accepted version and leaves it at that."""
+
     async def ask(
         self, address: str, members: bool, timeout_s: float
     ) -> control_pb2.StatusReply:
--- a/tests/operators/test_changes.py
+++ b/tests/operators/test_changes.py
@@ -18,6 +18,7 @@
 from tests.store import fakes
 
 if TYPE_CHECKING:
+    from merlintrestle.documents import snapshot as snapshots
     from merlintrestle.schema import document_pb2
 
 
@@ -70,6 +71,25 @@
 
         self.store.before_call = race
 
+    async def test_only_what_was_accepted_is_handed_over(self) -> None:
+        """A daemon runs what it is handed, so no refused change may be."""
+        handed = []
+
+        async def hand_over(snapshot: snapshots.Snapshot) -> None:
+            handed.append((snapshot.version, snapshot.digest))
+
+        self.proposer = changes.Proposer(
+            self.store, builders.build_make_id(), pause_s=0, hand_over=hand_over
+        )
+        dangling = _build("zaanoever", "balie", 1)
+        dangling.services[0].calls.append("nowhere")
+        refused = await self._propose("zaanoever", dangling)
+        self.assertIsInstance(refused, outcomes.Refused)
+        self.assertEqual(handed, [])
+        await self._accept("zaanoever", _build("zaanoever", "balie", 1))
+        head, _ = await records.read_head(self.store)
+        self.assertEqual(handed, [(head.version, head.snapshot_digest)])
+
     async def test_same_organisation_loser_is_told_by_whom(self) -> None:
         """Two operators of one organisation change its document at once.
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -161,12 +161,20 @@
                 "apply",
                 path,
                 *("--store", self.store_address, "--operator", operator),
+                *self._name_daemon(),
             )
             if status:
                 raise processes.ProcessError(
                     f"apply ended with status {status}:\n{out}{err}"
                 )
 
+    def _name_daemon(self) -> list[str]:
+        """Returns the option that names a daemon; none for a baseline."""
+        for instance in self.instances:
+            if instance.id and instance.daemon.running:
+                return ["--daemon", instance.id]
+        return []
+
     async def get_json(self, address: str, path: str) -> Any:
         """Reads a page as JSON; None where it cannot be had."""
         assert self._session is not None
