Open no link while the membership stops

The daemon that was closed had not yet chosen neighbours; news during its stop had it open a link that nobody ended, over which it refuted each time that it was held for suspect. The log of a stuck run shows 'is suspect' some 20 times a second and ALIVE in between. Ruled out: a connection to itself (the connection is refused in the log), a link task that survives its cancellation (none seen).

test_news_during_the_stop_open_no_link fails without the check.

--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -121,8 +121,13 @@
 
     @mode.Service.task
     async def _choose_neighbours(self) -> None:
-        while not self.should_stop:
+        while True:
             await self._changed.wait()
+            if self.should_stop:
+                # News that come while the links are being ended would open
+                # one that nobody ends; over it this daemon would go on saying
+                # that it is alive.
+                return
             self._changed.clear()
             self._update_neighbours()
             await self.sleep(self.timing.flush)
--- /dev/null
+++ b/tests/members/test_membership.py
@@ -0,0 +1,39 @@
+"""Tests of starting and stopping the membership."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from merlintrestle.members import membership as memberships
+from merlintrestle.members import table as tables
+from tests.members import builders
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_news_during_the_stop_open_no_link(self) -> None:
+        """A daemon that was stopped goes on refuting that it is gone.
+
+        It hears of its first neighbour just while it ends its links. The new
+        link would be ended by nobody, and the other daemons would send work
+        to a daemon that serves none.
+        """
+        table = tables.MemberTable(builders.build_member(1))
+        timing = builders.FAST._replace(flush=0)
+        membership = memberships.Membership(table, None, (), timing)
+        await membership.start()
+        await _let_others_run()
+
+        async def close() -> None:
+            table.merge(builders.build_member(2))
+            await _let_others_run()
+
+        with mock.patch.object(membership.peers, "close", close):
+            await membership.stop()
+        self.assertEqual(membership._neighbours, {})
+
+
+async def _let_others_run() -> None:
+    for _ in range(20):
+        await asyncio.sleep(0)
