--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -121,7 +121,9 @@
 
     @mode.Service.task
     async def _choose_neighbours(self) -> None:
-        while True:
+        # Looked at before each wait as well: `sleep` may return for the stop
+        # and swallow the cancellation that comes with it.
+        while not self.should_stop:
             await self._changed.wait()
             if self.should_stop:
                 # News that come while the links are being ended would open
