--- a/tools/demonstration.py
+++ b/tools/demonstration.py
@@ -279,14 +279,7 @@
 
 
 @click.command()
-@click.option(
-    "--fleet",
-    "name",
-    default="zaanoever",
-    show_default=True,
-    type=click.Choice(sorted(layouts.LAYOUTS)),
-    help="Example fleet.",
-)
+@layouts.add_fleet_option("Example fleet.")
 @click.option(
     "--scale",
     default=1.0,
--- a/tools/layouts.py
+++ b/tools/layouts.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING, TypeVar
+
+import click
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
+
+F = TypeVar("F", bound="Callable[..., Any]")
 
 HOST = "127.0.0.1"
 # Hosts of one /24 that are used.
@@ -115,3 +119,19 @@
     if seeds:
         arguments += ["--seeds", ",".join(seeds)]
     return arguments
+
+
+def add_fleet_option(text: str) -> Callable[[F], F]:
+    """Returns a decorator that gives a command the option `--fleet`.
+
+    Args:
+        text: What the command uses the fleet for.
+    """
+    return click.option(
+        "--fleet",
+        "name",
+        default="zaanoever",
+        show_default=True,
+        type=click.Choice(sorted(LAYOUTS)),
+        help=text,
+    )
--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -24,14 +24,7 @@
 
 
 @main.command("failures")
-@click.option(
-    "--fleet",
-    "name",
-    default="zaanoever",
-    show_default=True,
-    type=click.Choice(sorted(layouts.LAYOUTS)),
-    help="Example fleet.",
-)
+@layouts.add_fleet_option("Example fleet.")
 @click.option(
     "--factor",
     default=0.06,
@@ -69,14 +62,7 @@
 
 
 @main.command("convergence")
-@click.option(
-    "--fleet",
-    "name",
-    default="zaanoever",
-    show_default=True,
-    type=click.Choice(sorted(layouts.LAYOUTS)),
-    help="Fleet whose zones and documents are used.",
-)
+@layouts.add_fleet_option("Fleet whose zones and documents are used.")
 @click.option("--daemons", default=12, show_default=True, help="Daemons.")
 @click.option("--changes", default=5, show_default=True, help="Changes.")
 @click.option(
@@ -156,13 +142,8 @@
 
 
 @main.command("amplification")
-@click.option(
-    "--fleet",
-    "name",
-    default="zaanoever",
-    show_default=True,
-    type=click.Choice(sorted(layouts.LAYOUTS)),
-    help="Example fleet; its services call each other in their order.",
+@layouts.add_fleet_option(
+    "Example fleet; its services call each other in their order."
 )
 @click.option("--rate", default=50.0, show_default=True, help="Per second.")
 @click.option("--requests", default=200, show_default=True, help="Per case.")
