--- /dev/null
+++ b/tests/requests/test_heartbeats.py
@@ -0,0 +1,39 @@
+"""A backend server that sends heartbeats is not asked whether it lives."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from merlintrestle.requests import watches
+from tests.requests import builders
+
+
+class SlowBackendTest(unittest.IsolatedAsyncioTestCase):
+    """One daemon and its backend server, which is slow."""
+
+    async def test_slow_call_runs_once(self) -> None:
+        """The caller gets the answer of the first run, and there is one only.
+
+        A call on a kept connection takes longer than expected, as the backend
+        server is slow. Its heartbeats tell that it lives; taken for a silent
+        connection, the run was cut and the caller got a 504 in its place.
+        """
+        with mock.patch.object(watches, "FIRST_BYTE_S", 0.02):
+            async with (
+                builders.run_nodes(1, handler=_answer_slowly) as (node,),
+                builders.open_client() as client,
+            ):
+                node.proxy.backend.instance_id = "i-1"
+                for _ in range(2):
+                    async with client.get(node.url + "/x") as answer:
+                        self.assertEqual(answer.status, 200)
+                self.assertEqual(len(node.served), 2)
+
+
+async def _answer_slowly(request: web.BaseRequest) -> web.StreamResponse:
+    await asyncio.sleep(0.2)
+    return web.Response(body=b"slow")
