--- a/merlintrestle/application.py
+++ b/merlintrestle/application.py
@@ -4,20 +4,20 @@
 
 import asyncio
 import gc
-import logging
 import os
 import pathlib
 import signal
 from typing import TYPE_CHECKING
 
+import mode
+
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    import mode
-
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("application")
 
 EXIT_OK = 0
 EXIT_CRASHED = 1
@@ -33,11 +33,20 @@
     """The event loop opened an io_uring, which the instances forbid."""
 
 
-def run(create: Callable[[], mode.Service]) -> int:
+class Program(mode.Service):
+    """A service that is a process of its own."""
+
+    def reload(self) -> None:
+        """Takes over what changed in its settings; called on SIGHUP."""
+        events.note("reload", changed=[])
+
+
+def run(create: Callable[[], Program]) -> int:
     """Runs a service until a signal stops it or it crashes.
 
     SIGTERM or SIGINT begins the planned stop; a second one ends the process
-    without waiting for requests in flight.
+    without waiting for requests in flight. SIGHUP, which would end a process
+    that does not expect it, has the settings read again.
 
     Args:
         create: Makes the service; called inside the running event loop.
@@ -81,13 +90,14 @@
     gc.set_threshold(*_GC_THRESHOLDS)
 
 
-async def _run(create: Callable[[], mode.Service]) -> int:
+async def _run(create: Callable[[], Program]) -> int:
     check_io_uring()
     service = create()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _receive_signal, stop)
+    loop.add_signal_handler(signal.SIGHUP, service.reload)
     await service.start()
     calm_gc()
     result = await service.wait(stop)
@@ -97,7 +107,7 @@
 
 def _receive_signal(stop: asyncio.Event) -> None:
     if stop.is_set():
-        logger.warning("application: second stop signal, ending now.")
+        events.warn("second stop signal")
         os._exit(EXIT_SECOND_SIGNAL)
-    logger.info("application: planned stop.")
+    events.note("stop")
     stop.set()
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -5,11 +5,10 @@
 import asyncio
 import contextlib
 import json
-import logging
 from typing import Any, NamedTuple
 
-import mode
-
+from merlintrestle import application
+from merlintrestle import events as event_logs
 from merlintrestle.daemon import admin
 from merlintrestle.daemon import heartbeats as heartbeats_lib
 from merlintrestle.daemon import metrics
@@ -27,7 +26,7 @@
 from merlintrestle.versions import holder as holders
 from merlintrestle.versions import source as sources
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("daemon")
 
 # Longest time for which callers find the port closed after a start, in s.
 READY_LIMIT_S = 3.0
@@ -72,7 +71,7 @@
     )
 
 
-class Daemon(mode.Service):
+class Daemon(application.Program):
     """One daemon, beside one backend server.
 
     It starts with its ports, so that its own record tells where it is
@@ -161,6 +160,7 @@
         moved they are served as before.
         """
         self._leaving = True
+        self._proxy.leave()
         self._table.leave()
         await asyncio.sleep(self._settings.farewell_s)
         drained, _ = await asyncio.gather(
@@ -168,7 +168,7 @@
             self._membership.links.flush(_LEAVE_S),
         )
         if drained:
-            logger.info("daemon: nothing is in flight any more.")
+            events.note("drained", in_flight=0)
 
     async def on_shutdown(self) -> None:
         """Closes what is not a service."""
--- a/merlintrestle/members/exchange.py
+++ b/merlintrestle/members/exchange.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 from typing import TYPE_CHECKING
 
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.members import peers as peers_lib
 from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.members import table as table_lib
@@ -19,7 +19,7 @@
 
     from merlintrestle.store import client
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("members")
 
 # One round in so many goes to a member held for dead, or to a seed: it heals
 # regions that were cut from each other for so long that each gave up the other.
@@ -157,7 +157,7 @@
             try:
                 await self._contact_by(address)
             except peers_lib.PeerError as error:
-                logger.info("members: no first contact: %s", error)
+                events.note("no contact", member=address, error=str(error))
                 continue
             self._joined.set()
             return True
@@ -194,7 +194,7 @@
         try:
             return await seeds_lib.read_seeds(self._store)
         except errors.StoreError as error:
-            logger.info("members: the store gave no seeds: %s", error)
+            events.note("no seeds", error=str(error))
             return None
 
     async def contact_unknown(self, addresses: Sequence[str]) -> None:
--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from typing import TYPE_CHECKING
 
 import grpc.aio
 import mode
 
+from merlintrestle import events as event_logs
 from merlintrestle.members import choice
 from merlintrestle.members import exchange
 from merlintrestle.members import links as links_lib
@@ -26,7 +26,7 @@
 
     from merlintrestle.store import client
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("members")
 
 NEIGHBOURS = 4
 
@@ -93,6 +93,16 @@
         """Waits for the first answer of another daemon; False: none came."""
         return await self._exchange.wait_for_contact(timeout_s)
 
+    def is_cut_off(self) -> bool:
+        """Tells whether no peer has said anything for a while.
+
+        A daemon that is cut from its peers, or whose zone has just lost its
+        watchers, hears of no version but from the store.
+        """
+        heard_at = self.links.heard_at
+        silent_s = time.monotonic() - heard_at
+        return bool(heard_at) and silent_s > 2 * self.timing.heartbeat
+
     async def contact_unknown(self, addresses: Sequence[str]) -> None:
         """Contacts daemons that the table does not have yet."""
         await self._exchange.contact_unknown(addresses)
@@ -103,7 +113,7 @@
         try:
             await self.links.run_link(link, stream.read, stream.write)
         except _LINK_ERRORS as error:
-            logger.info("members: link from %s lost: %s", link.peer_id, error)
+            events.note("link from lost", member=link.peer_id, error=str(error))
         finally:
             # gRPC cancels this coroutine when the connection breaks.
             if link.peer_id and not self.should_stop:
@@ -176,7 +186,7 @@
             try:
                 await self._run_outgoing(member_id)
             except _LINK_ERRORS as error:
-                logger.debug("members: link to %s lost: %s", member_id, error)
+                events.note("link to lost", member=member_id, error=str(error))
             if time.monotonic() - began > self.timing.silence:
                 backoff.reset()
             self._judge.check_soon(member_id)
--- a/merlintrestle/members/seeds.py
+++ b/merlintrestle/members/seeds.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
 from google.protobuf import message
 
+from merlintrestle import events as event_logs
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
@@ -15,7 +15,7 @@
     from merlintrestle.store import client
     from merlintrestle.store import records
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("members")
 
 PREFIX = "seeds/"
 # Members named per availability zone.
@@ -66,7 +66,7 @@
         except message.DecodeError as error:
             # The zone's own daemons write it anew; those that start now find
             # the fleet by the others.
-            logger.warning("members: record %s: %s", entry.key, error)
+            events.warn("seeds malformed", key=entry.key, error=str(error))
             continue
         addresses.extend(member.id for member in record.members)
     return addresses
--- a/merlintrestle/members/suspicion.py
+++ b/merlintrestle/members/suspicion.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 import time
 from typing import TYPE_CHECKING
 
+from merlintrestle import events as event_logs
 from merlintrestle.members import peers as peers_lib
 from merlintrestle.members import table as table_lib
 from merlintrestle.schema import control_pb2
@@ -16,7 +16,7 @@
     from merlintrestle.members import links as links_lib
     from merlintrestle.members import timing as timing_lib
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("members")
 
 # Daemons that are asked to reach a member which this one cannot reach.
 HELPERS = 3
@@ -90,14 +90,14 @@
         if member is None:
             return
         if member.state == control_pb2.ALIVE:
-            logger.info("members: %s is suspect", member_id)
+            events.note("member suspected", member=member_id)
             self._table.set_state(member_id, control_pb2.SUSPECT)
             return
         age = self._table.get_state_age(member_id)
         suspect = member.state == control_pb2.SUSPECT
         if suspect and age <= self._timing.suspicion:
             return
-        logger.info("members: %s is dead", member_id)
+        events.note("member dead", member=member_id, suspected_s=age)
         self._table.set_state(member_id, control_pb2.DEAD)
 
     async def _reach_by_others(self, member_id: str) -> bool:
@@ -145,6 +145,6 @@
         return await self._peers.is_refused(member_id, self._timing.call)
 
     def _forgive(self, late: float) -> None:
-        logger.warning("members: this daemon was paused for %.1f s", late)
+        events.warn("paused", late_s=late)
         self._healthy_from = time.monotonic() + self._timing.silence
         self._table.delay_states(late)
--- a/merlintrestle/members/table.py
+++ b/merlintrestle/members/table.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import hashlib
-import logging
 import time
 from typing import NamedTuple, TYPE_CHECKING
 
+from merlintrestle import events as event_logs
 from merlintrestle.members import validity
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("members")
 
 # Members of one bucket are compared by one digest (anti-entropy).
 BUCKETS = 64
@@ -80,6 +80,7 @@
         self.on_change: list[Callable[[control_pb2.Member], None]] = []
         self._clock = clock
         self._members: dict[str, control_pb2.Member] = {}
+        self._usable_count = 0
         self._suspects: set[str] = set()
         self._changed_at: dict[str, float] = {}
         self._served: dict[str, dict[str, Upstream]] = {}
@@ -115,6 +116,10 @@
             if member.state in _USABLE
         ]
 
+    def count_usable(self) -> int:
+        """Returns the number of members that are not gone."""
+        return self._usable_count
+
     def get_upstreams(self, service: str) -> tuple[Upstream, ...]:
         """Returns the upstreams of a service; the same tuple until a change."""
         found = self._upstreams.get(service)
@@ -161,7 +166,7 @@
         if held is not None and not outranks(member, held):
             return False
         if fault := validity.find_fault(member):
-            logger.info("members: record of %r refused: %s", member.id, fault)
+            events.warn("record refused", member=member.id, error=fault)
             return False
         if member.id == self.own_id:
             self._refute(member)
@@ -221,7 +226,9 @@
         if held is not None:
             self._count_digest(held)
             self._forget_upstream(held)
+            self._usable_count -= held.state in _USABLE
         self._members[member.id] = member
+        self._usable_count += member.state in _USABLE
         self._suspects.discard(member.id)
         if member.state == control_pb2.SUSPECT:
             self._suspects.add(member.id)
--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -82,7 +82,7 @@
     retry_max=1.0,
     seeds_write=1.0,
     seeds_check=20.0,
-    head_refresh=20.0,
+    head_refresh=1.0,
     patience=1.0,
     settle=0.2,
 )
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -32,6 +32,8 @@
     def __init__(self, store: stores.PlatformStore):
         self._store = store
         self._latest: dict[int, client.Entry] = {}
+        self._revision = 0
+        self._head = document_pb2.Head()
         self._compiled: snapshots.Snapshot | None = None
 
     async def read_head(self) -> document_pb2.Head:
@@ -81,9 +83,12 @@
         return await seeds_lib.write_seeds(self._store, zone, member_ids)
 
     def _take(self, entry: client.Entry) -> document_pb2.Head:
-        version = read_version(_parse(entry.value))
-        self._latest = {version: entry}
-        return document_pb2.Head(version=version)
+        if entry.revision != self._revision:
+            version = read_version(_parse(entry.value))
+            self._latest = {version: entry}
+            self._revision = entry.revision
+            self._head = document_pb2.Head(version=version)
+        return self._head
 
 
 def read_version(configuration: Mapping[str, Any]) -> int:
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import re
 from typing import Any, TYPE_CHECKING
 
@@ -11,15 +10,15 @@
 
 from merlintrestle import config
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.daemon import heartbeats
+from merlintrestle.platform import settings as settings_lib
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from merlintrestle.platform import settings as settings_lib
-
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("platform")
 
 _READY_PATH = "/merlintrestle/ready"
 _HEARTBEAT_PATH = "/merlintrestle/Instances.Heartbeat/{instance_id}"
@@ -31,7 +30,12 @@
 
 
 class Endpoints(mode.Service):
-    """Serves readiness to the platform and heartbeats to the backend server."""
+    """Serves readiness to the platform and heartbeats to the backend server.
+
+    Attributes:
+        readiness: Where it tells whether callers may come; bound by `start`.
+        announcements: Where it takes heartbeats; bound by `start`.
+    """
 
     def __init__(
         self,
@@ -49,7 +53,8 @@
             leave: Called with the id of a process that takes no new work.
         """
         super().__init__()
-        self._settings = settings
+        self.readiness = settings.readiness
+        self.announcements = settings.announcements
         self._is_ready = is_ready
         self._announce = announce
         self._leave = leave
@@ -57,11 +62,11 @@
 
     async def on_start(self) -> None:
         """Binds both ports."""
-        await self._serve(
-            self._settings.readiness, [web.get(_READY_PATH, self._handle_ready)]
+        self.readiness = await self._serve(
+            self.readiness, [web.get(_READY_PATH, self._handle_ready)]
         )
-        await self._serve(
-            self._settings.announcements,
+        self.announcements = await self._serve(
+            self.announcements,
             [
                 web.post(_HEARTBEAT_PATH, self._handle_heartbeat),
                 web.post(_LEAVE_PATH, self._handle_leave),
@@ -75,7 +80,7 @@
 
     async def _serve(
         self, address: settings_lib.Address, routes: list[web.RouteDef]
-    ) -> None:
+    ) -> settings_lib.Address:
         application = web.Application(client_max_size=_MAX_BODY_BYTES)
         application.add_routes(routes)
         runner = web.AppRunner(
@@ -84,6 +89,7 @@
         await runner.setup()
         self._runners.append(runner)
         await web.TCPSite(runner, address.host, address.port).start()
+        return settings_lib.Address(address.host, runner.addresses[0][1])
 
     async def _handle_ready(self, request: web.Request) -> web.Response:
         del request
@@ -94,7 +100,9 @@
         try:
             heartbeat = read_heartbeat(instance_id, await request.json())
         except (errors.InvalidInputError, ValueError) as error:
-            logger.warning("platform: heartbeat of %s: %s", instance_id, error)
+            events.warn(
+                "heartbeat refused", instance=instance_id, error=str(error)
+            )
             return web.json_response({}, status=400)
         self._announce(heartbeat)
         return web.json_response({})
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -44,14 +44,13 @@
     async def start_endpoints(self) -> None:
         """Opens the ports for the platform and the backend server."""
         await super().start_endpoints()
-        await self.add_runtime_dependency(
-            endpoints.Endpoints(
-                self._platform,
-                self.is_ready,
-                self.take_heartbeat,
-                self.retire_backend,
-            )
+        self._endpoints = endpoints.Endpoints(
+            self._platform,
+            self.is_ready,
+            self.take_heartbeat,
+            self.retire_backend,
         )
+        await self.add_runtime_dependency(self._endpoints)
 
 
 def build_daemon_settings(
@@ -65,12 +64,14 @@
         port=settings.callers.port,
         peer_port=settings.peers.port,
         control_port=settings.first_port,
-        admin_port=settings.first_port + 1,
+        admin_port=settings.first_port and settings.first_port + 1,
         store=str(settings.store),
         spread="fast",
         drain_limit_s=settings.grace_s - _FAREWELL_S - _STOP_S,
         log_level="info",
         log_format="json",
         claims="claims/",
+        retry_ratio=settings.retry_ratio,
+        retry_slack=settings.retry_slack,
         farewell_s=min(_FAREWELL_S, settings.grace_s / 2),
     )
--- a/merlintrestle/requests/admission.py
+++ b/merlintrestle/requests/admission.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from merlintrestle.requests import loads
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import shares
 from merlintrestle.schema import control_pb2
@@ -63,6 +64,14 @@
             and backend.state == control_pb2.READY
         )
 
+    def get_load(self) -> loads.Load:
+        """Returns what other daemons are told of the own backend server."""
+        return loads.Load(
+            self.in_flight + self._waiting,
+            self._backend.slots,
+            self._mean_hold(),
+        )
+
     async def enter(self, call: calls.Call) -> outcomes.NotRun | None:
         """Takes a slot, waiting as long as the latency target allows.
 
@@ -78,7 +87,18 @@
         if not queue.waiting and self._has_room(queue):
             self._take(queue)
         else:
+            began = time.monotonic()
+            waiting = self._waiting
             refusal = await self._wait(queue, call)
+            call.story.add(
+                "waited for a slot",
+                outcome="refused" if refusal else "admitted",
+                waiting=waiting,
+                in_flight=self.in_flight,
+                slots=self._slots,
+                hold_ms=round(queue.hold_s * 1000),
+                took_ms=round((time.monotonic() - began) * 1000),
+            )
         call.admitted_at = time.monotonic()
         return refusal
 
@@ -125,11 +145,13 @@
         loop = asyncio.get_running_loop()
         if not self._slots:
             return _refuse("the backend server has no slots", 1.0)
-        left_s = call.deadline - loop.time() - call.plan.work_s
-        limit_s = min(queue.share.wait_s, left_s)
+        left_s = call.deadline - loop.time()
+        limit_s = min(queue.share.wait_s, left_s - queue.hold_s)
         expected_s = self._estimate_wait(queue)
         if expected_s > limit_s or not self._make_room(queue):
-            return _refuse("no free slot in time", expected_s)
+            return _refuse(
+                "no free slot in time", max(expected_s, call.plan.latency_s)
+            )
         future: asyncio.Future[bool] = loop.create_future()
         queue.waiting.append(future)
         self._waiting += 1
@@ -146,7 +168,10 @@
             if future in queue.waiting:
                 queue.waiting.remove(future)
                 self._waiting -= 1
-        return _refuse("no free slot in time", self._estimate_wait(queue))
+        return _refuse(
+            "no free slot in time",
+            max(self._estimate_wait(queue), call.plan.latency_s),
+        )
 
     def _check_again(
         self, queue: shares.ClassQueue, call: calls.Call
@@ -159,14 +184,33 @@
     def _estimate_wait(self, queue: shares.ClassQueue) -> float:
         """Returns the time until a call that comes now would get a slot.
 
-        The class gets what is promised to it and what the others leave.
+        The class gets what is promised to it and what the others leave, or
+        its turn when the slots come free one after the other, whichever is
+        sooner.
         """
         ahead = len(queue.waiting) + 1
         left = self._slots - (self.in_flight - queue.in_flight)
         if queue.share.large:
             left = min(left, self._large_slots)
         slots = max(1.0, queue.share.guarantee, left)
-        return ahead * queue.hold_s / slots
+        promised_s = ahead * queue.hold_s / slots
+        if queue.share.large:
+            return promised_s
+        before = sum(
+            len(other.waiting)
+            for other in self._queues.values()
+            if other is not queue and other.precedes(queue)
+        )
+        in_turn_s = (before + ahead) * self._mean_hold() / self._slots
+        return min(promised_s, in_turn_s)
+
+    def _mean_hold(self) -> float:
+        """Returns how long the calls in flight hold their slots, in seconds."""
+        busy = [queue for queue in self._queues.values() if queue.in_flight]
+        if not busy:
+            return 0.0
+        held_s = sum(queue.in_flight * queue.hold_s for queue in busy)
+        return held_s / self.in_flight
 
     def _make_room(self, queue: shares.ClassQueue) -> bool:
         """Sheds a waiting call of the least important class if it must."""
@@ -208,7 +252,7 @@
         key = (call.organisation, call.plan.name)
         queue = self._queues.get(key)
         if queue is None:
-            queue = self._queues[key] = shares.ClassQueue(call.plan.work_s)
+            queue = self._queues[key] = shares.ClassQueue(call.plan)
         return queue
 
     def _update_shares(self) -> None:
@@ -234,7 +278,7 @@
         for one in classes:
             key = (one.organisation, one.name)
             if key not in self._queues:
-                self._queues[key] = shares.ClassQueue(one.work_s)
+                self._queues[key] = shares.ClassQueue(one)
         for key, queue in self._queues.items():
             queue.share = computed.classes.get(key, shares.NO_SHARE)
         self._large_in_flight = sum(
--- a/merlintrestle/requests/backend.py
+++ b/merlintrestle/requests/backend.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from typing import TYPE_CHECKING
 
+from merlintrestle import events as event_logs
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("requests")
 
 _CONNECT_S = 0.5
 
@@ -117,10 +117,13 @@
     def _tell_change(self, before: control_pb2.Backend) -> None:
         if self.build_record() == before:
             return
-        logger.info(
-            "requests: backend server of %s is %s.",
-            self.service,
-            control_pb2.BackendState.Name(self.state),
+        events.note(
+            "backend server changed",
+            service=self.service,
+            instance=self.instance_id,
+            address=self.address,
+            slots=self.slots,
+            state=control_pb2.BackendState.Name(self.state).lower(),
         )
         self.on_change()
 
--- a/merlintrestle/requests/call.py
+++ b/merlintrestle/requests/call.py
@@ -6,6 +6,8 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from merlintrestle.requests import stories
+
 if TYPE_CHECKING:
     import multidict
 
@@ -36,6 +38,7 @@
         admitted_at: When it took its slot of the backend server, in seconds.
         request_id: Id that the caller gave it; empty: none.
         origin: Service of the instance at which it began; empty: not known.
+        story: The decisions about it.
     """
 
     service: str
@@ -53,6 +56,9 @@
     suspect: bool = False
     request_id: str = ""
     origin: str = ""
+    story: stories.Story = dataclasses.field(
+        default_factory=lambda: stories.Story("")
+    )
     _identity: bytes = b""
 
     def get_identity(self) -> bytes:
--- a/merlintrestle/requests/crashes.py
+++ b/merlintrestle/requests/crashes.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import secrets
 from typing import TYPE_CHECKING
 
+from merlintrestle import events as event_logs
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import strikes
 
@@ -17,7 +17,7 @@
     from merlintrestle.requests import call as calls
     from merlintrestle.schema import control_pb2
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("requests")
 
 # Longest wait of a suspect for other suspects that run here.
 _SUSPECT_WAIT_S = 1.0
@@ -125,11 +125,11 @@
         suspects = [call for call in in_flight if self._is_suspect(call)]
         crash_id = secrets.token_hex(8)
         struck = {call.get_identity() for call in suspects or in_flight}
-        logger.warning(
-            "requests: the backend server crashed with %d requests in flight;"
-            " %d get a strike.",
-            len(in_flight),
-            len(struck),
+        events.warn(
+            "backend server crashed",
+            in_flight=len(in_flight),
+            struck=len(struck),
+            crash=crash_id,
         )
         for digest in struck:
             strike = self.strikes.build(digest, crash_id, bool(suspects))
--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests import headers
+from merlintrestle.requests import loads
 from merlintrestle.requests import observations
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import plans
 from merlintrestle.requests import retries
+from merlintrestle.requests import stories
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,6 +27,10 @@
 
 # Each further one is free (it did not run) or paid from the budget.
 _MAX_TRIES = 5
+# Daemons that may refuse a call for want of room before its caller is told.
+# When two that looked best have none, the service is full; asking all of them
+# would spend processor time on refusals just when there is none to spare.
+_MAX_REFUSALS = 2
 
 
 class Dispatch:
@@ -38,6 +44,7 @@
         beside: besides.Beside,
         forwarder: forwarding.Forwarder,
         get_time: Callable[[], float],
+        budgets: retries.Budgets,
     ):
         """Sets the parts; `member_id` gives the id of this daemon."""
         self._member_id = member_id
@@ -46,14 +53,15 @@
         self._beside = beside
         self._forwarder = forwarder
         self._get_time = get_time
-        self._budgets: dict[str, retries.Budget] = {}
+        self._budgets = budgets
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Returns the answer of an upstream, or the failure to state."""
-        budget = self._get_budget(call.service)
+        budget = self._budgets.get(call.service)
         budget.earn()
         tried: set[str] = set()
         reached = 0
+        refusals = 0
         outcome: outcomes.Outcome | None = None
         while True:
             upstreams = self._table.get_upstreams(call.service)
@@ -66,29 +74,43 @@
             if upstream is None:
                 return outcome or _refuse(call)
             tried.add(upstream.member_id)
+            call.story.add(
+                "picked", **self._picker.describe(upstream, len(upstreams))
+            )
             deadline = call.deadline
             if len(upstreams) > 1 and budget.tokens >= 1:
                 call.deadline = retries.limit_first_try(call, self._get_time())
+            began = self._get_time()
             latest = await self._try(upstream, call)
             call.deadline = deadline
+            call.story.add(
+                "tried",
+                upstream=upstream.member_id,
+                took_ms=round((self._get_time() - began) * 1000),
+                **stories.describe(latest),
+            )
             outcome = retries.combine(outcome, latest)
             reached += _reached_backend(latest)
+            refusals += _is_refusal(latest)
             last = (
                 len(tried) == min(_MAX_TRIES, len(upstreams))
+                or refusals == _MAX_REFUSALS
                 or 0 < call.plan.max_attempts <= reached
             )
             if last or not _may_retry(latest, call, budget):
+                if not isinstance(latest, outcomes.Answered):
+                    call.story.add(
+                        "given up",
+                        tries=len(tried),
+                        reached=reached,
+                        budget=round(budget.tokens, 1),
+                    )
                 return outcome
+            call.story.add("sent again", budget=round(budget.tokens, 1))
             if isinstance(latest, (outcomes.Ran, outcomes.Unknown)):
                 call.suspect |= latest.broken
             outcome = _discard(outcome)
 
-    def _get_budget(self, service: str) -> retries.Budget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = retries.Budget()
-        return budget
-
     async def _try(
         self, upstream: tables.Upstream, call: calls.Call
     ) -> outcomes.Outcome:
@@ -122,10 +144,14 @@
             call,
             self._build_headers(call),
         )
-        if (
-            isinstance(outcome, outcomes.Answered)
-            and headers.OUTCOME in outcome.response.headers
-        ):
+        if not isinstance(outcome, outcomes.Answered):
+            return outcome
+        reported = outcome.response.headers.get(headers.LOAD)
+        load = loads.decode_load(reported) if reported else None
+        if load is not None:
+            observation = self._picker.observe(upstream.member_id)
+            observation.note_load(self._get_time(), load)
+        if headers.OUTCOME in outcome.response.headers:
             return outcomes.read_failure(outcome)
         return outcome
 
@@ -154,6 +180,11 @@
     return not isinstance(outcome, outcomes.NotRun) or outcome.reached
 
 
+def _is_refusal(outcome: outcomes.Outcome) -> bool:
+    """Returns whether an upstream had no room for the call."""
+    return isinstance(outcome, outcomes.NotRun) and outcome.overloaded
+
+
 def _may_retry(
     outcome: outcomes.Outcome, call: calls.Call, budget: retries.Budget
 ) -> bool:
--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/forwarding.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import functools
-import logging
 from typing import Any, TYPE_CHECKING
 
 import aiohttp
 from aiohttp import hdrs
 from aiohttp import http
 
+from merlintrestle import events as event_logs
 from merlintrestle.requests import connections
 from merlintrestle.requests import dialect as dialects
 from merlintrestle.requests import headers
@@ -27,7 +27,7 @@
     from merlintrestle.requests import backend
     from merlintrestle.requests import call as calls
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("requests")
 
 _CONNECT_S = 1.0
 _UNREACHABLE = outcomes.NotRun(
@@ -46,7 +46,9 @@
 class Forwarder:
     """Sends calls over pooled connections, or each over one of its own."""
 
-    def __init__(self) -> None:
+    def __init__(self, accepts_unframed: bool = False) -> None:
+        """Sets whether an answer may end with its connection alone."""
+        self._accepts_unframed = accepts_unframed
         self._call_ids = watches.CallIds()
         self._budget = retries.Budget()
 
@@ -81,6 +83,12 @@
         pooled = None
         if call.plan.repeatable:
             pooled = self._pool.take(address)
+        call.story.add(
+            "sent to the backend server",
+            instance=own.instance_id,
+            address=address,
+            connection="new" if pooled is None else "kept",
+        )
         if pooled is None:
             # A new connection is not silent: the server itself is slow.
             return await self._send_anew(
@@ -225,7 +233,7 @@
             failure = self._judge(connection, answer, call, dialect)
             if failure is not None:
                 return failure
-            body = await streams.read_answer(answer)
+            body = await streams.read_answer(answer, call.method)
         except TimeoutError:
             connection.abort()
             return outcomes.Unknown(_REASONS[watch.verdict], 504)
@@ -257,7 +265,7 @@
         failure = dialects.judge_answer(dialect, answer)
         if failure is None:
             clear = streams.has_clear_end(answer, call.method)
-            if clear or dialects.accepts_unframed(dialect):
+            if clear or self._accepts_unframed:
                 return None
             failure = outcomes.Ran("the answer does not say where it ends")
         if answer.content.is_eof():
@@ -272,7 +280,7 @@
         """Returns whether a call is to be sent anew over a new connection."""
         if watch.verdict is not watches.Verdict.CONNECTION_SILENT:
             return False
-        logger.info("requests: a connection to %s is silent.", address)
+        events.note("connection silent", address=address)
         self._pool.drop(address)
         return call.body.repeatable
 
--- a/merlintrestle/requests/headers.py
+++ b/merlintrestle/requests/headers.py
@@ -28,6 +28,8 @@
 ORIGIN = multidict.istr("Merlintrestle-Origin")
 # Present where the call broke a connection before; believed likewise.
 SUSPECT = multidict.istr("Merlintrestle-Suspect")
+# Load of the backend server beside the daemon that answers, see `loads`.
+LOAD = multidict.istr("Merlintrestle-Load")
 # Names one attempt at a call between two daemons.
 CALL = multidict.istr("Merlintrestle-Call")
 KEY = multidict.istr("Idempotency-Key")
--- a/merlintrestle/requests/intake.py
+++ b/merlintrestle/requests/intake.py
@@ -9,6 +9,7 @@
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import plans
 from merlintrestle.requests import routing
+from merlintrestle.requests import stories
 from merlintrestle.requests import streams
 
 if TYPE_CHECKING:
@@ -124,6 +125,7 @@
         suspect=from_peer and headers.SUSPECT in request.headers,
         request_id=asked.request_id,
         origin=asked.origin,
+        story=stories.Story(asked.request_id),
     )
 
 
--- a/merlintrestle/requests/observations.py
+++ b/merlintrestle/requests/observations.py
@@ -7,6 +7,7 @@
 
 import functools
 
+from merlintrestle.requests import loads
 from merlintrestle.requests import outcomes
 
 # Failures in a row after which an upstream is ejected.
@@ -22,6 +23,9 @@
 # Weight of the newest latency in the mean.
 _NEWEST = 0.2
 _LEAST_WORK_S = 0.001
+# A reported load says nothing any more after this time: calls take some tenths
+# of a second, so that by then most of those it counted have ended.
+LOAD_AGE_S = 1.0
 
 
 class Observation:
@@ -38,6 +42,9 @@
         slowness: Mean of latency over expected work time; 0: not known.
         answered_at: When it last answered.
         quiet_since: Since when nothing came though a call was waiting.
+        load: What its daemon reported last; None: nothing yet.
+        load_at: When that came.
+        sent_at_load: Calls in flight from here at that time.
     """
 
     __slots__ = (
@@ -47,9 +54,12 @@
         "ejections",
         "failures",
         "in_flight",
+        "load",
+        "load_at",
         "probing",
         "quiet_since",
         "refused_until",
+        "sent_at_load",
         "slowness",
     )
 
@@ -64,6 +74,23 @@
         self.slowness = 0.0
         self.answered_at = 0.0
         self.quiet_since = 0.0
+        self.load: loads.Load | None = None
+        self.load_at = 0.0
+        self.sent_at_load = 0
+
+    def note_load(self, now: float, load: loads.Load) -> None:
+        """Notes what the daemon of the upstream reported with an answer."""
+        self.load = load
+        self.load_at = now
+        self.sent_at_load = self.in_flight
+
+    def estimate_calls(self, now: float) -> int:
+        """Returns the calls that the upstream has, those of others too."""
+        load = self.load
+        if load is None or now - self.load_at > LOAD_AGE_S:
+            return self.in_flight
+        others = max(0, load.calls - self.sent_at_load)
+        return others + self.in_flight
 
     def begin(self, now: float, work_s: float) -> None:
         """Counts a call that is being sent and takes `work_s` as expected."""
--- a/merlintrestle/requests/parts.py
+++ b/merlintrestle/requests/parts.py
@@ -28,6 +28,9 @@
     def get_upstreams(self, service: str) -> tuple[table.Upstream, ...]:
         """Returns the upstreams of a service; the same tuple until changed."""
 
+    def count_usable(self) -> int:
+        """Returns the number of daemons that are not gone."""
+
 
 class Store(Protocol):
     """What claims use of `store.client.StoreClient`."""
--- a/merlintrestle/requests/picking.py
+++ b/merlintrestle/requests/picking.py
@@ -4,8 +4,9 @@
 
 import random
 import time
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
+from merlintrestle.requests import loads
 from merlintrestle.requests import observations
 
 if TYPE_CHECKING:
@@ -74,6 +75,30 @@
             self._observations[member_id] = observation
         return observation
 
+    def describe(self, upstream: tables.Upstream, count: int) -> dict[str, Any]:
+        """Returns what decided that an upstream was picked, for its log line.
+
+        Args:
+            upstream: The one that was picked.
+            count: How many there are.
+        """
+        seen = self.observe(upstream.member_id)
+        return {
+            "upstream": upstream.member_id,
+            "zone": upstream.zone,
+            "among": count,
+            "in_flight": seen.in_flight,
+            "suspect": upstream.suspect,
+            "failures": seen.failures,
+            "load": seen.load and loads.encode_load(seen.load),
+            "load_age_ms": round((self._get_time() - seen.load_at) * 1000)
+            if seen.load
+            else None,
+            "answer_age_ms": round((self._get_time() - seen.answered_at) * 1000)
+            if seen.answered_at
+            else None,
+        }
+
     def pick(
         self,
         service: str,
@@ -168,8 +193,8 @@
                 if best is None or self._is_better(upstream, best, now):
                     best = upstream
             if best is not None:
-                full = self.observe(best.member_id).in_flight >= best.slots
-                return None if full else best
+                calls = self.observe(best.member_id).estimate_calls(now)
+                return None if calls >= best.slots else best
         return None
 
     def _search(
@@ -213,17 +238,20 @@
     ) -> bool:
         weight = self._weigh(one, now)
         other_weight = self._weigh(other, now)
-        slowness = self.observe(one.member_id).slowness
-        other_slowness = self.observe(other.member_id).slowness
-        if slowness and other_slowness:
-            weight *= slowness
-            other_weight *= other_slowness
+        seen = self.observe(one.member_id)
+        other_seen = self.observe(other.member_id)
+        if seen.load and other_seen.load:
+            weight *= seen.load.hold_s
+            other_weight *= other_seen.load.hold_s
+        elif seen.slowness and other_seen.slowness:
+            weight *= seen.slowness
+            other_weight *= other_seen.slowness
         return weight < other_weight
 
     def _weigh(self, upstream: tables.Upstream, now: float) -> float:
         """Returns the load that one more call would make."""
-        in_flight = self.observe(upstream.member_id).in_flight
-        return (in_flight + 1) / (upstream.slots * _get_share(upstream))
+        calls = self.observe(upstream.member_id).estimate_calls(now)
+        return (calls + 1) / (upstream.slots * _get_share(upstream))
 
 
 def _get_share(upstream: tables.Upstream) -> float:
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from typing import TYPE_CHECKING
 
@@ -11,6 +10,7 @@
 from aiohttp import web
 import mode
 
+from merlintrestle import events as event_logs
 from merlintrestle.requests import admission
 from merlintrestle.requests import backend
 from merlintrestle.requests import beside
@@ -22,22 +22,27 @@
 from merlintrestle.requests import headers
 from merlintrestle.requests import intake
 from merlintrestle.requests import leases
+from merlintrestle.requests import loads
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import picking
 from merlintrestle.requests import probes
 from merlintrestle.requests import recall
+from merlintrestle.requests import retries
 from merlintrestle.requests import server
 from merlintrestle.requests import statistics
+from merlintrestle.requests import stories
 from merlintrestle.requests import streams
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from merlintrestle.documents import snapshot
+    from merlintrestle.requests import call as calls
     from merlintrestle.requests import parts
-    from merlintrestle.requests import routing
     from merlintrestle.schema import control_pb2
     from merlintrestle.schema import settings_pb2
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("requests")
 
 _OWN_DIALECT = dialects.OwnDialect()
 # Time between checks of the own backend server, in seconds.
@@ -54,6 +59,7 @@
         caller_port: Bound port for callers, once started.
         peer_port: Bound port for other daemons, once started.
         in_flight: Calls that are not yet answered whole.
+        leaving: True once callers are to find another daemon.
         draining: True once `drain` was called.
         hold_callers: Set before `start`: `open_callers` opens their port.
         control_port: Port on which this daemon answers recalls; set it before
@@ -86,11 +92,14 @@
         self.caller_port = 0
         self.peer_port = 0
         self.in_flight = 0
+        self.leaving = False
         self.draining = False
         self.hold_callers = False
         self._settings = settings
         self._holder = holder
-        self._forwarder = forwarding.Forwarder()
+        self._forwarder = forwarding.Forwarder(
+            dialects.accepts_unframed(dialect)
+        )
         self._registry = probes.Registry()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -105,7 +114,7 @@
             time.monotonic,
         )
         self.recalls = recall.Recalls(claims)
-        slots = admission.Admission(self.backend, holder, table)
+        self._slots = slots = admission.Admission(self.backend, holder, table)
         self.crashes = crashes.Crashes(self.backend)
         self._beside = beside.Beside(
             self.backend, slots, self._forwarder, claims, self.crashes, dialect
@@ -122,6 +131,9 @@
             self._beside,
             self._forwarder,
             time.monotonic,
+            retries.Budgets(
+                settings.retry_ratio, settings.retry_slack, table.count_usable
+            ),
         )
 
     async def on_start(self) -> None:
@@ -152,6 +164,11 @@
         await self._forwarder.close()
         await self._recall_client.close()
 
+    def leave(self) -> None:
+        """Has callers and daemons go elsewhere; serves those that come."""
+        self.leaving = True
+        self.backend.drain()
+
     async def drain(self, limit_s: float) -> bool:
         """Refuses new work and waits for all work in flight.
 
@@ -161,17 +178,15 @@
         Returns:
             True if nothing is in flight any more.
         """
+        self.leave()
         self.draining = True
-        self.backend.drain()
         try:
             async with asyncio.timeout(limit_s):
                 await self._finish_calls()
                 await self._caller_server.flush()
                 await self._peer_server.flush()
         except TimeoutError:
-            logger.warning(
-                "requests: %d calls are still in flight.", self.in_flight
-            )
+            events.warn("drain incomplete", in_flight=self.in_flight)
             return False
         return True
 
@@ -229,15 +244,44 @@
         self._enter()
         try:
             asked = dialects.read_asked(self._dialect, request)
-            outcome = await self._run(request, match, asked, began, False)
+            call = await intake.read_call(request, match, asked, began, False)
+            if isinstance(call, outcomes.NotRun):
+                return self._close_if_draining(self._refuse(call, request))
+            call.story.add(
+                "routed",
+                version=running.version,
+                service=match.service,
+                work=match.plan.name,
+                left_ms=round((call.deadline - began) * 1000),
+            )
+            response = await self._serve_caller(request, call, began)
+        finally:
+            self._leave()
+        return self._close_if_draining(response)
+
+    async def _serve_caller(
+        self, request: web.BaseRequest, call: calls.Call, began: float
+    ) -> web.StreamResponse:
+        try:
+            outcome = await _catch_body_error(self._dispatch.run(call))
             came = self._get_time()
             try:
                 response = await _finish(request, outcome, self._dialect)
             finally:
-                self.statistics.note(match.plan, outcome, came - began)
-        finally:
-            self._leave()
-        return self._close_if_draining(response)
+                self.statistics.note(call.plan, outcome, came - began)
+        except BaseException as error:
+            self._end_cut(call, error, began)
+            raise
+        stories.end_story(call.story, outcome, self._get_time() - began)
+        return response
+
+    def _end_cut(
+        self, call: calls.Call, error: BaseException, began: float
+    ) -> None:
+        """Ends the story of a request whose caller left or was cut off."""
+        elapsed_ms = round((self._get_time() - began) * 1000)
+        cause = type(error).__name__
+        call.story.end("cut", False, cause=cause, elapsed_ms=elapsed_ms)
 
     async def _handle_peer(
         self, request: web.BaseRequest
@@ -257,30 +301,37 @@
         self._enter()
         try:
             asked = intake.read_asked(request)
-            outcome = await self._run(request, match, asked, began, True)
-            response = await _finish(request, outcome, _OWN_DIALECT, progress)
+            call = await intake.read_call(request, match, asked, began, True)
+            if isinstance(call, outcomes.NotRun):
+                return outcomes.render(call)
+            call.story.add("passed on", left_ms=asked.limit_ms)
+            response = await self._serve_peer(request, call, began, progress)
         finally:
             self._leave()
             self._registry.leave(call_id)
         return self._close_if_draining(response)
 
-    async def _run(
+    async def _serve_peer(
         self,
         request: web.BaseRequest,
-        match: routing.Match,
-        asked: intake.Asked,
+        call: calls.Call,
         began: float,
-        from_peer: bool,
-    ) -> outcomes.Outcome:
-        call = await intake.read_call(request, match, asked, began, from_peer)
-        if isinstance(call, outcomes.NotRun):
-            return call
+        progress: probes.Progress,
+    ) -> web.StreamResponse:
         try:
-            if from_peer:
-                return await self._beside.run(call)
-            return await self._dispatch.run(call)
-        except streams.BodyError as error:
-            return outcomes.Unknown(str(error), 400)
+            outcome = await _catch_body_error(self._beside.run(call))
+            response = await _finish(
+                request, outcome, _OWN_DIALECT, progress, self._report_load()
+            )
+        except BaseException as error:
+            self._end_cut(call, error, began)
+            raise
+        stories.end_story(call.story, outcome, self._get_time() - began)
+        return response
+
+    def _report_load(self) -> tuple[tuple[str, str], ...]:
+        """Returns the header that tells daemons how busy this one is."""
+        return ((headers.LOAD, loads.encode_load(self._slots.get_load())),)
 
     def _refuse(
         self, refusal: outcomes.NotRun, request: web.BaseRequest
@@ -306,7 +357,7 @@
         Cut at the end of the drain, it may just have got another request, and
         its caller could not tell whether that ran.
         """
-        if self.draining:
+        if self.leaving:
             response.force_close()
         return response
 
@@ -320,18 +371,29 @@
             self._idle.set()
 
 
+async def _catch_body_error(
+    run: Awaitable[outcomes.Outcome],
+) -> outcomes.Outcome:
+    try:
+        return await run
+    except streams.BodyError as error:
+        return outcomes.Unknown(str(error), 400)
+
+
 async def _finish(
     request: web.BaseRequest,
     outcome: outcomes.Outcome,
     dialect: object,
     progress: probes.Progress | None = None,
+    added: tuple[tuple[str, str], ...] = (),
 ) -> web.StreamResponse:
     if isinstance(outcome, outcomes.Answered):
-        return await _relay(request, outcome, progress)
+        return await _relay(request, outcome, progress, added)
     if isinstance(outcome, outcomes.Replayed):
         response = outcomes.render(outcome)
     else:
         response = dialects.render(dialect, outcome, request)
+    response.headers.extend(added)
     if not request.content.is_eof():
         # What is left of the body must not be taken for the next request.
         response.force_close()
@@ -342,9 +404,10 @@
     request: web.BaseRequest,
     answered: outcomes.Answered,
     progress: probes.Progress | None,
+    added: tuple[tuple[str, str], ...],
 ) -> web.StreamResponse:
     try:
-        return await streams.relay(request, answered, progress)
+        return await streams.relay(request, answered, progress, added)
     except (aiohttp.ClientError, OSError) as error:
         answered.cut = isinstance(error, aiohttp.ClientError)
         raise ConnectionError("the answer was cut") from error
--- a/merlintrestle/requests/retries.py
+++ b/merlintrestle/requests/retries.py
@@ -4,10 +4,14 @@
 
 import enum
 import functools
+from typing import TYPE_CHECKING
 
 from merlintrestle.requests import call as calls
 from merlintrestle.requests import outcomes
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Retries earned by one call: at most one call in ten is sent twice.
 _EARNED = 0.1
 # A first try ends after the greatest of these, if as much is left for another:
@@ -17,18 +21,53 @@
 _WORK_FACTOR = 10.0
 # Retries that a service which was quiet may make at once.
 _MAX_TOKENS = 10.0
+# Part of a bound of the whole fleet that is used: calls that a retried call
+# makes of its own count as retries too, and daemons come and go.
+_USED_PART = 0.5
 
 
 class Retry(enum.Enum):
     """Whether a failed call may be tried at another upstream."""
 
     NO = enum.auto()
-    # It did not run and burdened nobody: no amplification of work.
+    # No backend server saw it: no amplification of work.
     FREE = enum.auto()
     # It may have run, or met an overload: taken from the budget.
     BUDGETED = enum.auto()
 
 
+class Budgets:
+    """The budgets of all services, as parts of one that the fleet shares.
+
+    Every daemon sees its own retries alone. Each takes an equal part of what
+    the fleet may make at once, and earns in proportion to its own calls, so
+    that the sum keeps to the bound however the calls are spread.
+    """
+
+    def __init__(self, ratio: float, slack: float, count: Callable[[], int]):
+        """Sets the bound.
+
+        Args:
+            ratio: Retries that the fleet may make for each call of a service.
+            slack: Retries that it may make beside these at once; 0: each
+                daemon has a slack of its own.
+            count: Returns the number of daemons.
+        """
+        self._earned = ratio * _USED_PART if ratio else _EARNED
+        self._slack = slack * _USED_PART
+        self._count = count
+        self._budgets: dict[str, Budget] = {}
+
+    def get(self, service: str) -> Budget:
+        """Returns the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = Budget(self._earned)
+        if self._slack:
+            budget.limit(max(1.0, self._slack / max(1, self._count())))
+        return budget
+
+
 class Budget:
     """A token bucket of the retries of one service.
 
@@ -39,15 +78,23 @@
         tokens: Retries that may be made now.
     """
 
-    __slots__ = ("tokens",)
+    __slots__ = ("_earned", "_most", "tokens")
 
-    def __init__(self) -> None:
+    def __init__(self, earned: float = _EARNED):
+        """Sets the tokens earned by one call."""
         self.tokens = _MAX_TOKENS
+        self._earned = earned
+        self._most = _MAX_TOKENS
+
+    def limit(self, most: float) -> None:
+        """Sets how many retries may be saved up."""
+        self._most = most
+        self.tokens = min(self.tokens, most)
 
     def earn(self) -> None:
         """Counts a first try."""
-        if self.tokens < _MAX_TOKENS:
-            self.tokens = min(_MAX_TOKENS, self.tokens + _EARNED)
+        if self.tokens < self._most:
+            self.tokens = min(self._most, self.tokens + self._earned)
 
     def spend(self) -> bool:
         """Takes one retry; False if the budget is used up."""
@@ -67,7 +114,7 @@
 def _classify_not_run(outcome: outcomes.NotRun, call: calls.Call) -> Retry:
     if not outcome.elsewhere:
         return Retry.NO
-    return _limit(call) if outcome.overloaded else Retry.FREE
+    return _limit(call) if outcome.reached else Retry.FREE
 
 
 @classify.register
--- a/merlintrestle/requests/server.py
+++ b/merlintrestle/requests/server.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from aiohttp import web_protocol
 
+from merlintrestle import events as event_logs
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import streams
 
@@ -17,7 +18,7 @@
 
 _T = TypeVar("_T")
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("requests")
 
 # A new connection that has not sent its first request by then is closed.
 FIRST_REQUEST_S = 10.0
@@ -157,7 +158,7 @@
                 outcomes.NotRun("the request is malformed", status, None)
             )
         else:
-            logger.error("requests: a request failed.", exc_info=exc)
+            events.write(logging.ERROR, "request crashed", {}, exception=exc)
             if request.writer.output_size > 0:
                 raise ConnectionError("the answer has begun")
             response = outcomes.render(
--- a/merlintrestle/requests/shares.py
+++ b/merlintrestle/requests/shares.py
@@ -15,6 +15,9 @@
 # Slots above the mean need, for calls that come unevenly.
 _HEADROOM = 1.5
 _BURST_SLOTS = 1.0
+# Part of the latency target that a call is thought to hold a slot, until some
+# were seen, where the targets do not say.
+_WORK_PART = 0.25
 
 
 class Share(NamedTuple):
@@ -63,10 +66,10 @@
 
     __slots__ = ("hold_s", "in_flight", "share", "waiting")
 
-    def __init__(self, hold_s: float):
+    def __init__(self, plan: snapshot.ClassPlan):
         self.share = NO_SHARE
         self.in_flight = 0
-        self.hold_s = hold_s
+        self.hold_s = plan.work_s or plan.latency_s * _WORK_PART
         self.waiting: collections.deque[asyncio.Future[bool]] = (
             collections.deque()
         )
@@ -76,10 +79,20 @@
         """True if the next call is within what the class is promised."""
         return self.in_flight < max(1.0, self.share.guarantee)
 
-    def rank(self) -> tuple[bool, int, float]:
-        """Returns a key that is greater for the class to be served first."""
+    def rank(self) -> tuple[bool, int, float, float]:
+        """Returns a key that is greater for the class to be served first.
+
+        Of two equally important classes without a promised rate the shorter
+        calls go first: they are mostly made on behalf of calls that hold a
+        slot elsewhere and fail with them.
+        """
         used = self.in_flight / max(1.0, self.share.guarantee)
-        return self.under_guarantee, self.share.importance, -used
+        hold_s = 0.0 if self.share.guarantee else self.hold_s
+        return self.under_guarantee, self.share.importance, -hold_s, -used
+
+    def precedes(self, other: ClassQueue) -> bool:
+        """Returns whether its waiting calls go before those of another."""
+        return self.rank()[1:] > other.rank()[1:]
 
 
 def compute_shares(
--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/streams.py
@@ -157,16 +157,21 @@
         transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
 
-async def read_answer(response: connections.Answer) -> bytes | None:
+async def read_answer(
+    response: connections.Answer, method: str
+) -> bytes | None:
     """Reads a small answer whole; leaves another to be passed on.
 
     A small answer that is cut can then still be tried again or be refused with
-    an honest outcome: the caller has seen nothing of it yet.
+    an honest outcome: the caller has seen nothing of it yet. One without a
+    clear end is never held: nobody knows whether it is whole.
 
     Raises:
         aiohttp.ClientError: It was cut.
     """
     content = response.content
+    if not has_clear_end(response, method):
+        return None
     if content.is_eof():
         return content.read_nowait()
     length = response.content_length
@@ -193,6 +198,7 @@
     request: web.BaseRequest,
     answered: outcomes.Answered,
     progress: probes.Progress | None = None,
+    added: tuple[tuple[str, str], ...] = (),
 ) -> web.StreamResponse:
     """Passes an answer on, and cuts the caller off if it is cut.
 
@@ -202,16 +208,20 @@
     """
     response = answered.response
     copied = headers.copy_end_to_end(response.headers)
+    copied.extend(added)
     bodiless = request.method == "HEAD" or response.status in _BODILESS
     if answered.body is not None and not bodiless:
         return answers.build_held(request, response, copied, answered.body)
-    answer = web.StreamResponse(
+    framed = has_clear_end(response, request.method)
+    answer = (web.StreamResponse if framed else _Unframed)(
         status=response.status, reason=response.reason, headers=copied
     )
+    if not framed:
+        answer.force_close()
     progress = progress or probes.Progress()
     watch = _ReceiverWatch(request, progress)
     # The close of the connection is all that marks the end of such an answer.
-    unmarked = (
+    unmarked = not framed or (
         request.version < http.HttpVersion11
         and not bodiless
         and "Content-Length" not in copied
@@ -233,6 +243,16 @@
     return answer
 
 
+class _Unframed(web.StreamResponse):
+    """An answer whose end only the close of its connection marks.
+
+    It stays so on its way: given a length or chunks here, an answer that its
+    backend server broke off would look whole to the caller.
+    """
+
+    _length_check = False
+
+
 class _ReceiverWatch:
     """Cuts off a receiver that takes nothing of what waits to be sent.
 
--- a/merlintrestle/versions/distribution.py
+++ b/merlintrestle/versions/distribution.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from typing import TYPE_CHECKING
 
 import mode
 
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.members import timing as timing_lib
 from merlintrestle.versions import archive as archive_lib
 from merlintrestle.versions import deltas
@@ -27,7 +27,7 @@
     from merlintrestle.schema import document_pb2
     from merlintrestle.versions import source as source_lib
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("versions")
 
 FAST = "fast"
 LEAN = "lean"
@@ -97,7 +97,7 @@
         """Keeps a checked snapshot, passes it on and prepares to run it."""
         if not self.archive.add(snapshot):
             return
-        logger.info("versions: hold version %d", snapshot.version)
+        events.note("version held", version=snapshot.version)
         self._membership.links.send_offer(
             deltas.make_offer(snapshot), self._choose_delta
         )
@@ -115,7 +115,7 @@
                 request.snapshot, request.offer.digest
             )
         except errors.SnapshotError as error:
-            logger.warning("versions: handed over: %s", error)
+            events.warn("version handed over refused", error=str(error))
             return False
         self.hold(snapshot)
         return True
@@ -173,10 +173,10 @@
                 await self._read_missing()
             return
         if self._witnessed and not await self._marker.mark(newest.version):
-            logger.info("versions: too few witnesses for %d", newest.version)
+            events.note("too few witnesses", version=newest.version)
             return
         if self.holder.take(newest):
-            logger.info("versions: run version %d", newest.version)
+            events.note("version runs", version=newest.version)
         self.holder.closed_reason = ""
         self.witness.open()
 
@@ -198,7 +198,7 @@
         try:
             await self._watcher.refresh()
         except errors.MerlintrestleError as error:
-            logger.info("versions: nothing from the store: %s", error)
+            events.note("store gave nothing", error=str(error))
 
     async def _wait_for_work(self) -> None:
         """Waits for a new version, or for the time to look at the marks."""
@@ -237,6 +237,8 @@
         try:
             self.hold(deltas.apply_delta(base, delta))
         except errors.SnapshotError as error:
-            logger.info("versions: pushed delta refused: %s", error)
+            events.note(
+                "delta refused", version=delta.version, error=str(error)
+            )
             return False
         return True
--- a/merlintrestle/versions/fetcher.py
+++ b/merlintrestle/versions/fetcher.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from typing import TYPE_CHECKING
 
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.members import peers as peers_lib
 from merlintrestle.schema import control_pb2
 from merlintrestle.versions import deltas
@@ -18,7 +18,7 @@
     from merlintrestle.members import timing as timing_lib
     from merlintrestle.versions import archive as archive_lib
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("versions")
 
 # Peers that are asked at once for one version.
 _MAX_FETCHES = 3
@@ -123,12 +123,12 @@
                 peer_id, "Fetch", request, self._timing.fetch
             )
         except peers_lib.PeerError as error:
-            logger.info("versions: not fetched: %s", error)
+            events.note("not fetched", member=peer_id, error=str(error))
             return True
         try:
             self._take(reply)
         except errors.SnapshotError as error:
-            logger.warning("versions: fetch from %s: %s", peer_id, error)
+            events.warn("fetch malformed", member=peer_id, error=str(error))
             return False
         return True
 
--- a/merlintrestle/versions/floor.py
+++ b/merlintrestle/versions/floor.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 import time
 from typing import TYPE_CHECKING
 
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.members import peers as peers_lib
 from merlintrestle.members import timing as timing_lib
 from merlintrestle.schema import control_pb2
@@ -20,7 +20,7 @@
     from merlintrestle.members import membership as membership_lib
     from merlintrestle.versions import watcher as watcher_lib
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("versions")
 
 # Members asked besides the watchers of the zone.
 _ASKED = 5
@@ -196,7 +196,7 @@
         try:
             return await self._watcher.refresh()
         except errors.MerlintrestleError as error:
-            logger.info("versions: no head: %s", error)
+            events.note("store silent", error=str(error))
             return None
 
     def _get_uptime_ms(self) -> int:
--- a/merlintrestle/versions/marks.py
+++ b/merlintrestle/versions/marks.py
@@ -8,10 +8,10 @@
 
 import asyncio
 import collections
-import logging
 import time
 from typing import TYPE_CHECKING
 
+from merlintrestle import events as event_logs
 from merlintrestle.members import choice as choice_lib
 from merlintrestle.members import peers as peers_lib
 from merlintrestle.members import rendezvous
@@ -23,7 +23,7 @@
 
     from merlintrestle.members import timing as timing_lib
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("versions")
 
 WITNESSES = 3
 # Acknowledgements before a version runs, and answers before a floor is known:
@@ -209,7 +209,7 @@
                 witness, "Mark", request, self._timing.call
             )
         except peers_lib.PeerError as error:
-            logger.info("versions: not marked: %s", error)
+            events.note("not marked", witness=witness, error=str(error))
             return False
         if reply.recorded:
             self._forget_marks(witness)
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from typing import TYPE_CHECKING
 
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.members import choice as choice_lib
 from merlintrestle.members import rendezvous
 from merlintrestle.members import seeds as seeds_lib
@@ -23,7 +23,7 @@
     from merlintrestle.schema import document_pb2
     from merlintrestle.versions import source as source_lib
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("versions")
 
 WATCHERS_PER_ZONE = 2
 
@@ -98,7 +98,11 @@
         watcher of its zone. If that counted, all would read the store.
         """
         now = self._clock()
-        if self._membership.table.own_id not in self.get_watchers():
+        own_id = self._membership.table.own_id
+        if (
+            own_id not in self.get_watchers()
+            and not self._membership.is_cut_off()
+        ):
             self._chosen_at = None
             return False
         if self._chosen_at is None:
@@ -120,7 +124,7 @@
                 await self._watch()
             except errors.MerlintrestleError as error:
                 self.store_reachable = False
-                logger.info("versions: watch lost: %s", error)
+                events.warn("store lost", error=str(error))
                 if self._clock() - began > self._timing.head_refresh:
                     backoff.reset()
                 await asyncio.sleep(backoff.get_wait())
@@ -131,7 +135,7 @@
             try:
                 await self.refresh()
             except errors.MerlintrestleError as error:
-                logger.info("versions: no head: %s", error)
+                events.warn("store silent", error=str(error))
                 await asyncio.sleep(backoff.get_wait())
 
     async def refresh(self) -> int:
@@ -191,7 +195,8 @@
         """Watches until no longer chosen; the head is re-read meanwhile.
 
         A watch whose connection went silent delivers nothing and does not
-        end. The read has a deadline and finds that out.
+        end, and neither does one that the store has stopped to tell of changes
+        before it drops its history. The read has a deadline and finds that out.
         """
         watching = asyncio.create_task(self._follow())
         refresh_at = self._clock()
@@ -203,8 +208,10 @@
                     refresh_at = self._clock() + timing_lib.jitter(
                         self._timing.head_refresh
                     )
+                left_s = refresh_at - self._clock()
                 done, _ = await asyncio.wait(
-                    (watching,), timeout=self._timing.heartbeat
+                    (watching,),
+                    timeout=max(0.0, min(left_s, self._timing.heartbeat)),
                 )
                 if done:
                     return watching.result()
@@ -224,8 +231,8 @@
         try:
             snapshot = await self._source.compile_head(head)
         except errors.SnapshotError as error:
-            logger.error(
-                "versions: version %d is refused: %s", head.version, error
+            events.fail(
+                "version refused", version=head.version, error=str(error)
             )
             self._handled = max(self._handled, head.version)
             return
--- /dev/null
+++ b/standins/platform_backend.py
@@ -0,0 +1,117 @@
+"""Stand-in of a backend server of the users' platform, by its pages."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+
+from standins import process
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+_ids = itertools.count(1)
+
+
+class PlatformBackendStandin:
+    """A backend server; each start of one has another id.
+
+    Attributes:
+        instance_id: Its id.
+        port: Its port; known after `start`.
+        ran: Ids of the attempts that it ran, in order.
+        seen: Headers of the requests that it got, in order.
+        handler: Answers what it runs; the test may replace it.
+        full: Refuses every request as not run.
+    """
+
+    def __init__(self, service: str, zone: str = "noord", slots: int = 12):
+        self.instance_id = f"i-{next(_ids):08x}"
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.port = 0
+        self.ran: list[str] = []
+        self.seen: list[dict[str, str]] = []
+        self.full = False
+        self.handler: Callable[[web.Request], Awaitable[web.StreamResponse]] = (
+            self.answer
+        )
+        self._sequence = 0
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Opens the port."""
+        application = web.Application()
+        application.router.add_route("*", "/{path:.*}", self._handle)
+        self._runner, self.port = await process.serve(
+            application,
+            self.port,
+            handler_cancellation=True,
+            shutdown_timeout=0.05,
+        )
+
+    async def close(self) -> None:
+        """Closes the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def send_heartbeat(
+        self, control: str, state: str = "ready", sequence: int | None = None
+    ) -> int:
+        """Announces itself to a daemon; returns the status of the answer."""
+        self._sequence += 1
+        body = {
+            "service": self.service,
+            "address": f"{process.HOST}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "coldRemainingMs": 0,
+            "seq": self._sequence if sequence is None else sequence,
+        }
+        path = f"/merlintrestle/Instances.Heartbeat/{self.instance_id}"
+        return await _post(f"http://{control}{path}", body)
+
+    async def leave(self, control: str) -> int:
+        """Says that it takes no new work; returns the status of the answer."""
+        path = f"/merlintrestle/Instances.Leave/{self.instance_id}"
+        return await _post(f"http://{control}{path}", {})
+
+    async def answer(self, request: web.Request) -> web.StreamResponse:
+        """Answers with a signature and a body."""
+        return web.Response(body=b"whole", headers=self.sign(request))
+
+    def sign(self, request: web.Request) -> dict[str, str]:
+        """Returns the headers of an answer of its own."""
+        return {
+            "X-Attempt-Id": request.headers["X-Attempt-Id"],
+            "X-Response-Signature": f"sig-{self.instance_id}",
+            "X-Served-By": self.instance_id,
+            "X-Server-Load": f"1,0,{self.slots}",
+        }
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        self.seen.append(dict(request.headers))
+        wanted = request.headers.get("X-Target-Instance", self.instance_id)
+        if wanted != self.instance_id:
+            return web.Response(status=421)
+        if self.full:
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        self.ran.append(request.headers["X-Attempt-Id"])
+        return await self.handler(request)
+
+
+async def _post(url: str, body: dict[str, object]) -> int:
+    async with (
+        asyncio.timeout(5),
+        aiohttp.ClientSession() as session,
+        session.post(url, json=body) as answer,
+    ):
+        await answer.read()
+        return answer.status
--- a/standins/process.py
+++ b/standins/process.py
@@ -41,10 +41,14 @@
     application: web.Application,
     port: int = 0,
     handler_cancellation: bool = False,
+    shutdown_timeout: float = 60.0,
 ) -> tuple[web.AppRunner, int]:
     """Serves an application on loopback and returns runner and port."""
     runner = web.AppRunner(
-        application, access_log=None, handler_cancellation=handler_cancellation
+        application,
+        access_log=None,
+        handler_cancellation=handler_cancellation,
+        shutdown_timeout=shutdown_timeout,
     )
     await runner.setup()
     site = web.TCPSite(runner, HOST, port)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/builders.py
@@ -0,0 +1,97 @@
+"""Builders of test data for the adapter to the platform."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from merlintrestle.platform import settings as settings_lib
+
+SETTINGS = {
+    "node": "sidecar-noord-1",
+    "ip": "127.0.0.1",
+    "zone": "noord",
+    "region": "zaanstreek",
+    "service": "balie",
+    "app": "127.0.0.1:8628",
+    "listen.inbound": "127.0.0.1:8624",
+    "listen.outbound": "127.0.0.1:8629",
+    "listen.ready": "127.0.0.1:8625",
+    "listen.control": "127.0.0.1:8620",
+    "internalPorts": "7600,7615",
+    "platform.address": "127.0.0.1:8627",
+    "heartbeatMs": "1500",
+    "bounds": "drainMs=2000,graceS=6,retryBudgetRatio=0.2,budgetWindowS=10,"
+    "retrySlack=62",
+    "something.new": "ignored",
+}
+
+
+def build_text(**changes: str | None) -> str:
+    """Builds the text of a settings file; None leaves a name out."""
+    values = {**SETTINGS, **changes}
+    return "".join(
+        f"{name}={value}\n"
+        for name, value in values.items()
+        if value is not None
+    )
+
+
+def build_settings(**changes: Any) -> settings_lib.Settings:
+    """Builds settings whose ports are free ones."""
+    settings = settings_lib.parse_settings(build_text())
+    free = settings_lib.Address("127.0.0.1", 0)
+    settings = settings._replace(
+        callers=free,
+        peers=free,
+        readiness=free,
+        announcements=free,
+        first_port=0,
+    )
+    return settings._replace(**changes)
+
+
+def build_route(name: str, **changes: Any) -> dict[str, Any]:
+    """Builds a route as the operators write it."""
+    route = {
+        "name": name,
+        "host": "desk.example",
+        "prefix": f"/{name}/",
+        "kind": "idempotent",
+        "timeoutMs": 1000,
+        "targetLatencyMs": 400,
+        "priority": 2,
+        "service": "balie",
+        "maxAttempts": 2,
+    }
+    return {**route, **changes}
+
+
+def build_configuration(
+    version: int, *routes: dict[str, Any], **changes: Any
+) -> bytes:
+    """Builds a configuration of the services balie and kassa."""
+    services = [
+        {"name": name, "healthPath": "/health", "maxConnections": 130}
+        for name in ("balie", "kassa")
+    ]
+    configuration = {
+        "version": f"{version:08x}",
+        "routes": _tabulate(routes or (build_route("tickets"),)),
+        "services": _tabulate(services),
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 67108864,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+    return json.dumps({**configuration, **changes}).encode()
+
+
+def _tabulate(rows: Any) -> dict[str, Any]:
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    return {
+        "columns": columns,
+        "rows": [[row.get(name) for name in columns] for row in rows],
+    }
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,114 @@
+"""Tests of the client of the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator
+import unittest
+from unittest import mock
+
+from merlintrestle import errors
+from merlintrestle.platform import store as stores
+from standins import platform_store
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """The client against the stand-in."""
+
+    async def asyncSetUp(self) -> None:
+        self.standin = platform_store.PlatformStoreStandin()
+        await self.standin.start()
+        self.addAsyncCleanup(self.standin.close)
+        self.store = stores.PlatformStore(self.standin.address)
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+
+    async def test_a_write_needs_the_expected_revision(self):
+        written = await self.store.put("a", b"1", 0)
+        self.assertTrue(written.written)
+        again = await self.store.put("a", b"2", 0)
+        self.assertFalse(again.written)
+        self.assertEqual(again.entry.value, b"1")
+        self.assertEqual(again.entry.revision, written.entry.revision)
+        self.assertTrue(await self.store.delete("a", again.entry.revision))
+        self.assertIsNone(await self.store.get("a"))
+
+    async def test_a_range_has_pages(self):
+        for number in range(3):
+            await self.store.put(f"seeds/{number}", b"x", 0)
+        with mock.patch.object(platform_store, "_PAGE_ITEMS", 2):
+            found = await self.store.list("seeds/")
+        self.assertEqual(
+            [entry.key for entry in found], ["seeds/0", "seeds/1", "seeds/2"]
+        )
+
+    async def test_a_lease_ends(self):
+        lease = await self.store.grant_lease(1)
+        await self.store.put("a", b"1", 0, lease)
+        self.assertEqual(await self.store.keep_lease(lease), 1)
+        self.assertEqual(await self.store.keep_lease(lease + 1), 0)
+
+    async def test_a_lost_answer_is_unknown(self):
+        """An operator's own change may have been made and must be looked up.
+
+        The store does the write and the connection ends without an answer.
+        Reported as refused, the writer would take its own record for that of
+        another.
+        """
+        self.standin.faults.lose_answers = 1
+        with self.assertRaises(errors.StoreUnknownOutcomeError):
+            await self.store.put("a", b"1", 0)
+        entry = await self.store.get("a")
+        assert entry is not None
+        self.assertEqual(entry.value, b"1")
+
+    async def test_a_refused_write_had_no_effect(self):
+        for status in (503, 429):
+            self.standin.faults.status = status
+            with self.assertRaises(errors.StoreUnavailableError):
+                await self.store.put("a", b"1", 0)
+
+    async def test_a_silent_store_is_given_up(self):
+        self.standin.faults.silent = True
+        with (
+            mock.patch.object(stores, "_TIMEOUT_S", 0.05),
+            self.assertRaises(errors.StoreUnavailableError),
+        ):
+            await asyncio.wait_for(
+                self.store._read("key", {"key": "a"}, 0.05), 5
+            )
+
+    async def test_a_cut_answer_is_an_error(self):
+        """The daemon goes on with what it has, and says what came.
+
+        The store's answer is cut in the middle; half an object must neither
+        end a task nor be taken in part.
+        """
+        await self.store.put("a", b"1", 0)
+        self.standin.faults.cut = True
+        with self.assertRaises(errors.StoreError):
+            await self.store.get("a")
+
+    async def test_the_history_is_gone(self):
+        """A version written while the history was dropped is not missed.
+
+        The store compacts and cuts the watch. The watch ends with an error,
+        and the one that follows begins with what stands in the store.
+        """
+        watch = self.store.watch("head", 0)
+        await self.store.put("head", b"1", 0)
+        self.assertEqual((await anext(watch)).value, b"1")
+        waiting = asyncio.ensure_future(anext(watch))
+        await asyncio.sleep(0.05)
+        entry = await self.store.get("head")
+        assert entry is not None
+        await self.standin.compact()
+        # The watch that waits is from before the compaction.
+        await self.standin.write("other", b"")
+        await self.standin.compact()
+        with self.assertRaises(errors.StoreUnavailableError):
+            await asyncio.wait_for(waiting, 5)
+        again = self.store.watch("head", 0)
+        self.assertEqual((await anext(again)).value, b"1")
+        assert isinstance(again, AsyncGenerator)
+        await again.aclose()
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -31,6 +31,10 @@
         """Returns the upstreams of a service."""
         return self.upstreams.get(service, ())
 
+    def count_usable(self) -> int:
+        """Returns the number of daemons."""
+        return 1
+
 
 class Fault(enum.Enum):
     """What goes wrong with one call of the store."""
--- a/tests/versions/models.py
+++ b/tests/versions/models.py
@@ -40,6 +40,10 @@
     async def contact_unknown(self, addresses: Sequence[str]) -> None:
         """Knows everyone."""
 
+    def is_cut_off(self) -> bool:
+        """Hears the others."""
+        return False
+
 
 class Model:
     """The version part of one process at one address."""
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -95,7 +95,7 @@
         await self.run_watcher()
         await builders.wait_until(lambda: self.model.archive.version == 1)
         self.configuration.broken.add(2)
-        with self.assertLogs("merlintrestle.versions.watcher", "ERROR"):
+        with self.assertLogs("merlintrestle.versions", "ERROR"):
             await self.configuration.accept(2, ["balie"])
             await builders.wait_until(lambda: 2 in self.configuration.tried)
         self.assertEqual(self.model.archive.version, 1)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -99,10 +99,9 @@
         """
         assert self._child.stdout is not None
         try:
-            line = await asyncio.wait_for(
-                self._child.stdout.readline(), _READY_WITHIN_S
+            self.ready = await asyncio.wait_for(
+                _read_ready(self._child.stdout), _READY_WITHIN_S
             )
-            self.ready = json.loads(line)
         except (TimeoutError, ValueError) as error:
             raise ProcessError(
                 f"{self.name} did not become ready:\n{self.read_errors()}"
@@ -111,6 +110,18 @@
         self._drain = asyncio.create_task(_discard(self._child.stdout))
 
 
+async def _read_ready(stream: asyncio.StreamReader) -> dict[str, Any]:
+    """Returns the ready line; log lines may come before it.
+
+    Raises:
+        ValueError: The output ended without it.
+    """
+    while line := await stream.readline():
+        if line.startswith(b'{"ready"'):
+            return json.loads(line)
+    raise ValueError("the output ended")
+
+
 async def _discard(stream: asyncio.StreamReader) -> None:
     while await stream.read(65536):
         pass
