--- a/merlintrestle/daemon/admin.py
+++ b/merlintrestle/daemon/admin.py
@@ -12,6 +12,7 @@
 
 from merlintrestle import config
 from merlintrestle import errors
+from merlintrestle.daemon import metrics
 from merlintrestle.documents import fields as names
 from merlintrestle.schema import control_pb2
 
@@ -133,10 +134,8 @@
 
     async def _handle_metrics(self, request: web.Request) -> web.Response:
         del request
-        of_process = prometheus_client.generate_latest()
-        of_daemon = prometheus_client.generate_latest(self._registry)
         return web.Response(
-            body=of_process + of_daemon,
+            body=metrics.render_metrics(self._registry),
             headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
         )
 
--- a/merlintrestle/daemon/metrics.py
+++ b/merlintrestle/daemon/metrics.py
@@ -68,4 +68,11 @@
     registry = prometheus_client.CollectorRegistry()
     registry.register(StateCollector(holder, table, proxy))
     registry.register(proxy.statistics)
+    registry.register(proxy.latencies)
     return registry
+
+
+def render_metrics(registry: prometheus_client.CollectorRegistry) -> bytes:
+    """Returns the metrics of the process and of a daemon as text."""
+    of_process = prometheus_client.generate_latest()
+    return of_process + prometheus_client.generate_latest(registry)
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -123,14 +123,21 @@
 
     async def start_endpoints(self) -> None:
         """Opens the ports for what is neither a caller nor a daemon."""
+        self.registry = metrics.build_registry(
+            self._holder, self._table, self._proxy
+        )
         self._admin = admin.AdminServer(
             self._settings.admin_port,
             self._holder,
             self._announce,
-            metrics.build_registry(self._holder, self._table, self._proxy),
+            self.registry,
         )
         await self.add_runtime_dependency(self._admin)
 
+    def set_retries(self, ratio: float, slack: float) -> None:
+        """Bounds the retries of the whole fleet anew; see the settings."""
+        self._proxy.budgets.set_bounds(ratio, slack)
+
     def is_ready(self) -> bool:
         """Returns whether callers may be sent to this daemon."""
         closed = bool(self._holder.closed_reason)
--- a/merlintrestle/operators/command.py
+++ b/merlintrestle/operators/command.py
@@ -6,6 +6,7 @@
 
 from merlintrestle import config
 from merlintrestle.operators import changing
+from merlintrestle.operators import explaining
 from merlintrestle.operators import viewing
 from merlintrestle.schema import settings_pb2
 
@@ -52,6 +53,7 @@
     viewing.audit,
     viewing.status,
     viewing.watch,
+    explaining.explain,
 ):
     main.add_command(_command)
 
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 import mode
+import prometheus_client
 
 from merlintrestle import config
 from merlintrestle import errors
@@ -23,6 +24,8 @@
 _READY_PATH = "/merlintrestle/ready"
 _HEARTBEAT_PATH = "/merlintrestle/Instances.Heartbeat/{instance_id}"
 _LEAVE_PATH = "/merlintrestle/Instances.Leave/{instance_id}"
+# deploy/system.toml tells the platform the same.
+METRICS_PORT = 9464
 _MAX_BODY_BYTES = 16 * 1024
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _MAX_SLOTS = 100_000
@@ -43,6 +46,7 @@
         is_ready: Callable[[], bool],
         announce: Callable[[heartbeats.Heartbeat], None],
         leave: Callable[[str], None],
+        render_metrics: Callable[[], bytes],
     ):
         """Sets what is served.
 
@@ -51,6 +55,7 @@
             is_ready: Returns whether callers may be sent here.
             announce: Called with each heartbeat.
             leave: Called with the id of a process that takes no new work.
+            render_metrics: Returns the metrics as text.
         """
         super().__init__()
         self.readiness = settings.readiness
@@ -58,13 +63,20 @@
         self._is_ready = is_ready
         self._announce = announce
         self._leave = leave
+        self._render_metrics = render_metrics
+        self._metrics = settings_lib.Address(
+            settings.address, METRICS_PORT if settings.first_port else 0
+        )
         self._runners: list[web.AppRunner] = []
 
     async def on_start(self) -> None:
-        """Binds both ports."""
+        """Binds the ports."""
         self.readiness = await self._serve(
             self.readiness, [web.get(_READY_PATH, self._handle_ready)]
         )
+        self._metrics = await self._serve(
+            self._metrics, [web.get("/metrics", self._handle_metrics)]
+        )
         self.announcements = await self._serve(
             self.announcements,
             [
@@ -74,7 +86,7 @@
         )
 
     async def on_stop(self) -> None:
-        """Closes both ports."""
+        """Closes the ports."""
         for runner in self._runners:
             await runner.cleanup()
 
@@ -95,6 +107,13 @@
         del request
         return web.Response(status=200 if self._is_ready() else 503)
 
+    async def _handle_metrics(self, request: web.Request) -> web.Response:
+        del request
+        return web.Response(
+            body=self._render_metrics(),
+            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+        )
+
     async def _handle_heartbeat(self, request: web.Request) -> web.Response:
         instance_id = request.match_info["instance_id"]
         try:
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from merlintrestle import errors
+from merlintrestle import events as event_logs
+from merlintrestle.daemon import metrics
 from merlintrestle.daemon import service
 from merlintrestle.members import timing as timings
 from merlintrestle.platform import configuration
 from merlintrestle.platform import endpoints
 from merlintrestle.platform import requests
+from merlintrestle.platform import settings as settings_lib
 from merlintrestle.platform import store as stores
 from merlintrestle.schema import settings_pb2
 
-if TYPE_CHECKING:
-    from merlintrestle.platform import settings as settings_lib
+events = event_logs.EventLog("platform")
 
 # The platform asks once a second and sends callers elsewhere after two misses;
 # they need a moment more to be told.
@@ -41,6 +42,27 @@
             ),
         )
 
+    def reload(self) -> None:
+        """Reads the settings file again and tells what differs.
+
+        Addresses and ports stay until the process starts anew; what bounds
+        retries is taken over at once.
+        """
+        try:
+            settings = settings_lib.read_settings(settings_lib.find_path())
+        except errors.InvalidInputError as error:
+            events.warn("reload refused", error=str(error))
+            return
+        before = self._platform._asdict()
+        changed = {
+            name: str(value)
+            for name, value in settings._asdict().items()
+            if value != before[name]
+        }
+        events.note("reload", changed=changed)
+        self._platform = settings
+        self.set_retries(settings.retry_ratio, settings.retry_slack)
+
     async def start_endpoints(self) -> None:
         """Opens the ports for the platform and the backend server."""
         await super().start_endpoints()
@@ -49,6 +71,7 @@
             self.is_ready,
             self.take_heartbeat,
             self.retire_backend,
+            lambda: metrics.render_metrics(self.registry),
         )
         await self.add_runtime_dependency(self._endpoints)
 
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -21,6 +21,7 @@
 from merlintrestle.requests import forwarding
 from merlintrestle.requests import headers
 from merlintrestle.requests import intake
+from merlintrestle.requests import latencies
 from merlintrestle.requests import leases
 from merlintrestle.requests import loads
 from merlintrestle.requests import outcomes
@@ -56,6 +57,8 @@
     Attributes:
         backend: The own backend server.
         statistics: What became of the calls of each class.
+        budgets: What bounds retries.
+        latencies: How long callers waited, and why they were refused.
         caller_port: Bound port for callers, once started.
         peer_port: Bound port for other daemons, once started.
         in_flight: Calls that are not yet answered whole.
@@ -92,6 +95,7 @@
         self.caller_port = 0
         self.peer_port = 0
         self.in_flight = 0
+        self.latencies = latencies.Latencies()
         self.leaving = False
         self.draining = False
         self.hold_callers = False
@@ -119,6 +123,9 @@
         self._beside = beside.Beside(
             self.backend, slots, self._forwarder, claims, self.crashes, dialect
         )
+        self.budgets = retries.Budgets(
+            settings.retry_ratio, settings.retry_slack, table.count_usable
+        )
         self._dispatch = dispatch.Dispatch(
             self._get_member_id,
             table,
@@ -131,9 +138,7 @@
             self._beside,
             self._forwarder,
             time.monotonic,
-            retries.Budgets(
-                settings.retry_ratio, settings.retry_slack, table.count_usable
-            ),
+            self.budgets,
         )
 
     async def on_start(self) -> None:
@@ -269,6 +274,9 @@
                 response = await _finish(request, outcome, self._dialect)
             finally:
                 self.statistics.note(call.plan, outcome, came - began)
+                self.latencies.note(
+                    call.plan, call.service, outcome, came - began
+                )
         except BaseException as error:
             self._end_cut(call, error, began)
             raise
--- a/merlintrestle/requests/retries.py
+++ b/merlintrestle/requests/retries.py
@@ -53,10 +53,15 @@
                 daemon has a slack of its own.
             count: Returns the number of daemons.
         """
-        self._earned = ratio * _USED_PART if ratio else _EARNED
-        self._slack = slack * _USED_PART
         self._count = count
         self._budgets: dict[str, Budget] = {}
+        self.set_bounds(ratio, slack)
+
+    def set_bounds(self, ratio: float, slack: float) -> None:
+        """Sets the bound anew; budgets begin afresh."""
+        self._earned = ratio * _USED_PART if ratio else _EARNED
+        self._slack = slack * _USED_PART
+        self._budgets.clear()
 
     def get(self, service: str) -> Budget:
         """Returns the budget of a service."""
--- /dev/null
+++ b/tests/requests/test_latencies.py
@@ -0,0 +1,50 @@
+"""Tests of latency histograms and reasons."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+import prometheus_client
+
+from merlintrestle.requests import latencies
+from merlintrestle.requests import outcomes
+from tests.requests import builders
+
+
+class LatenciesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.latencies = latencies.Latencies()
+        self.plan = builders.build_plan()
+
+    def render(self) -> str:
+        """Returns the metrics as text."""
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(self.latencies)
+        return prometheus_client.generate_latest(registry).decode()
+
+    def test_a_refusal_is_counted_by_its_reason(self):
+        refusal = outcomes.NotRun("no free slot in time", overloaded=True)
+        self.latencies.note(self.plan, "kassa", refusal, 0.06)
+        text = self.render()
+        self.assertIn(
+            'merlintrestle_request_failures_total{outcome="refused",'
+            'reason="no free slot in time",service="kassa"} 1.0',
+            text,
+        )
+        self.assertIn('le="0.05",outcome="refused",service="kassa"} 0.0', text)
+        self.assertIn('le="0.075",outcome="refused",service="kassa"} 1.0', text)
+
+    def test_label_values_are_bounded(self):
+        """A daemon's memory does not grow with what callers come up with.
+
+        Reasons name services, and a long day has many of them; what comes
+        beyond the bound is counted together.
+        """
+        with mock.patch.object(latencies, "MAX_VALUES", 2):
+            for number in range(9):
+                refusal = outcomes.NotRun(f"reason {number}")
+                self.latencies.note(self.plan, "kassa", refusal, 0.06)
+        text = self.render()
+        self.assertIn('reason="other",service="other"} 7.0', text)
+        self.assertNotIn("reason 5", text)
