Split the flat room of requests into folders by role

Transport, load, unrepeatable work, crashing requests and reports have one each; the tests mirror them.

--- a/merlintrestle/platform/requests.py
+++ b/merlintrestle/platform/requests.py
@@ -11,16 +11,16 @@
 import multidict
 
 from merlintrestle.requests import dialect as dialects
-from merlintrestle.requests import headers
 from merlintrestle.requests import intake
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import routing
+from merlintrestle.requests.transport import headers
 
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests import call as calls
-    from merlintrestle.requests import connections
+    from merlintrestle.requests.transport import connections
 
 # Id of one attempt of a caller; a retry of its own has another one.
 _ATTEMPT_ID = multidict.istr("X-Attempt-Id")
--- a/merlintrestle/requests/call.py
+++ b/merlintrestle/requests/call.py
@@ -6,13 +6,13 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import stories
+from merlintrestle.requests.reports import stories
 
 if TYPE_CHECKING:
     import multidict
 
     from merlintrestle.documents import snapshot
-    from merlintrestle.requests import streams
+    from merlintrestle.requests.transport import streams
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/merlintrestle/requests/crashing/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash backend servers."""
--- a/merlintrestle/requests/crashes.py
+++ b/merlintrestle/requests/crashing/crashes.py
@@ -8,7 +8,7 @@
 
 from merlintrestle import events as event_logs
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import strikes
+from merlintrestle.requests.crashing import strikes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/merlintrestle/requests/dialect.py
+++ b/merlintrestle/requests/dialect.py
@@ -10,9 +10,9 @@
 import functools
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import headers
 from merlintrestle.requests import intake
 from merlintrestle.requests import outcomes
+from merlintrestle.requests.transport import headers
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -21,8 +21,8 @@
     from merlintrestle.documents import snapshot
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests import call as calls
-    from merlintrestle.requests import connections
     from merlintrestle.requests import routing
+    from merlintrestle.requests.transport import connections
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -5,13 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import headers
-from merlintrestle.requests import loads
-from merlintrestle.requests import observations
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import plans
-from merlintrestle.requests import retries
-from merlintrestle.requests import stories
+from merlintrestle.requests.load import loads
+from merlintrestle.requests.load import observations
+from merlintrestle.requests.load import retries
+from merlintrestle.requests.reports import stories
+from merlintrestle.requests.transport import headers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,9 +21,9 @@
     from merlintrestle.members import table as tables
     from merlintrestle.requests import beside as besides
     from merlintrestle.requests import call as calls
-    from merlintrestle.requests import forwarding
     from merlintrestle.requests import parts
-    from merlintrestle.requests import picking
+    from merlintrestle.requests.load import picking
+    from merlintrestle.requests.transport import forwarding
 
 # Each further one is free (it did not run) or paid from the budget.
 _MAX_TRIES = 5
--- a/merlintrestle/requests/intake.py
+++ b/merlintrestle/requests/intake.py
@@ -5,12 +5,12 @@
 from typing import NamedTuple, TYPE_CHECKING
 
 from merlintrestle.requests import call as calls
-from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import plans
 from merlintrestle.requests import routing
-from merlintrestle.requests import stories
-from merlintrestle.requests import streams
+from merlintrestle.requests.reports import stories
+from merlintrestle.requests.transport import headers
+from merlintrestle.requests.transport import streams
 
 if TYPE_CHECKING:
     from aiohttp import web
--- a/merlintrestle/requests/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -6,9 +6,9 @@
 import time
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import loads
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import shares
+from merlintrestle.requests.load import loads
+from merlintrestle.requests.load import shares
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
--- a/merlintrestle/requests/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -6,10 +6,13 @@
 from __future__ import annotations
 
 import functools
+from typing import TYPE_CHECKING
 
-from merlintrestle.requests import loads
 from merlintrestle.requests import outcomes
 
+if TYPE_CHECKING:
+    from merlintrestle.requests.load import loads
+
 # Failures in a row after which an upstream is ejected.
 _MAX_FAILURES = 3
 _FIRST_EJECTION_S = 1.0
--- a/merlintrestle/requests/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -6,8 +6,8 @@
 import time
 from typing import Any, TYPE_CHECKING
 
-from merlintrestle.requests import loads
-from merlintrestle.requests import observations
+from merlintrestle.requests.load import loads
+from merlintrestle.requests.load import observations
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
--- a/merlintrestle/requests/outcomes.py
+++ b/merlintrestle/requests/outcomes.py
@@ -11,12 +11,12 @@
 from aiohttp import web
 import multidict
 
-from merlintrestle.requests import headers
+from merlintrestle.requests.transport import headers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from merlintrestle.requests import connections
+    from merlintrestle.requests.transport import connections
 
 
 # Status by which a backend server sheds load.
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -11,28 +11,28 @@
 import mode
 
 from merlintrestle import events as event_logs
-from merlintrestle.requests import admission
 from merlintrestle.requests import backend
 from merlintrestle.requests import beside
-from merlintrestle.requests import claims as claims_
-from merlintrestle.requests import crashes
 from merlintrestle.requests import dialect as dialects
 from merlintrestle.requests import dispatch
-from merlintrestle.requests import forwarding
-from merlintrestle.requests import headers
 from merlintrestle.requests import intake
-from merlintrestle.requests import latencies
-from merlintrestle.requests import leases
-from merlintrestle.requests import loads
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import picking
-from merlintrestle.requests import probes
-from merlintrestle.requests import recall
-from merlintrestle.requests import retries
-from merlintrestle.requests import server
-from merlintrestle.requests import statistics
-from merlintrestle.requests import stories
-from merlintrestle.requests import streams
+from merlintrestle.requests.crashing import crashes
+from merlintrestle.requests.load import admission
+from merlintrestle.requests.load import loads
+from merlintrestle.requests.load import picking
+from merlintrestle.requests.load import retries
+from merlintrestle.requests.reports import latencies
+from merlintrestle.requests.reports import statistics
+from merlintrestle.requests.reports import stories
+from merlintrestle.requests.transport import forwarding
+from merlintrestle.requests.transport import headers
+from merlintrestle.requests.transport import probes
+from merlintrestle.requests.transport import server
+from merlintrestle.requests.transport import streams
+from merlintrestle.requests.unrepeatable import claims as claims_
+from merlintrestle.requests.unrepeatable import leases
+from merlintrestle.requests.unrepeatable import recall
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- /dev/null
+++ b/merlintrestle/requests/reports/__init__.py
@@ -0,0 +1,1 @@
+"""What is told of requests: statistics, latencies, stories."""
--- /dev/null
+++ b/merlintrestle/requests/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections, bodies and answers: how calls travel."""
--- a/merlintrestle/requests/answers.py
+++ b/merlintrestle/requests/transport/answers.py
@@ -12,7 +12,7 @@
     from aiohttp import abc
     import multidict
 
-    from merlintrestle.requests import connections
+    from merlintrestle.requests.transport import connections
 
 
 def build_held(
--- a/merlintrestle/requests/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -20,7 +20,7 @@
 
     import multidict
 
-    from merlintrestle.requests import streams
+    from merlintrestle.requests.transport import streams
 
 # Shorter than servers keep idle connections: one closed by the other side just
 # as a call is written to it would leave that call with an unknown outcome.
--- a/merlintrestle/requests/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -11,13 +11,13 @@
 from aiohttp import http
 
 from merlintrestle import events as event_logs
-from merlintrestle.requests import connections
 from merlintrestle.requests import dialect as dialects
-from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import retries
-from merlintrestle.requests import streams
-from merlintrestle.requests import watches
+from merlintrestle.requests.load import retries
+from merlintrestle.requests.transport import connections
+from merlintrestle.requests.transport import headers
+from merlintrestle.requests.transport import streams
+from merlintrestle.requests.transport import watches
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
--- a/merlintrestle/requests/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -11,7 +11,7 @@
 
 from merlintrestle import events as event_logs
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import streams
+from merlintrestle.requests.transport import streams
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
--- a/merlintrestle/requests/streams.py
+++ b/merlintrestle/requests/transport/streams.py
@@ -12,17 +12,17 @@
 from aiohttp import web
 
 from merlintrestle import errors
-from merlintrestle.requests import answers
-from merlintrestle.requests import headers
-from merlintrestle.requests import probes
+from merlintrestle.requests.transport import answers
+from merlintrestle.requests.transport import headers
+from merlintrestle.requests.transport import probes
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     import aiohttp
 
-    from merlintrestle.requests import connections
     from merlintrestle.requests import outcomes
+    from merlintrestle.requests.transport import connections
 
 # Bodies up to this size are held whole, so that they can be sent again.
 MAX_HELD_BYTES = 64 * 1024
--- a/merlintrestle/requests/watches.py
+++ b/merlintrestle/requests/transport/watches.py
@@ -8,15 +8,15 @@
 import secrets
 from typing import Any, TYPE_CHECKING
 
-from merlintrestle.requests import probes
+from merlintrestle.requests.transport import probes
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
 
     import aiohttp
 
-    from merlintrestle.requests import connections
-    from merlintrestle.requests import retries
+    from merlintrestle.requests.load import retries
+    from merlintrestle.requests.transport import connections
 
 # A call without a first byte for so long, or for a multiple of its expected
 # work time, is asked about.
--- /dev/null
+++ b/merlintrestle/requests/unrepeatable/__init__.py
@@ -0,0 +1,1 @@
+"""Work that may not be repeated, and its claims in the store."""
--- a/merlintrestle/requests/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -12,9 +12,9 @@
 from google.protobuf import message
 
 from merlintrestle import errors
-from merlintrestle.requests import leases
-from merlintrestle.requests import ledger as ledgers
 from merlintrestle.requests import outcomes
+from merlintrestle.requests.unrepeatable import leases
+from merlintrestle.requests.unrepeatable import ledger as ledgers
 from merlintrestle.schema import request_pb2
 
 if TYPE_CHECKING:
--- a/merlintrestle/requests/ledger.py
+++ b/merlintrestle/requests/unrepeatable/ledger.py
@@ -7,8 +7,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
+from merlintrestle.requests.transport import headers
 from merlintrestle.schema import request_pb2
 
 if TYPE_CHECKING:
--- a/merlintrestle/requests/recall.py
+++ b/merlintrestle/requests/unrepeatable/recall.py
@@ -14,7 +14,7 @@
 from merlintrestle.schema import request_pb2_grpc
 
 if TYPE_CHECKING:
-    from merlintrestle.requests import claims as claims_
+    from merlintrestle.requests.unrepeatable import claims as claims_
 
 # A holder that does not answer a recall for so long counts as silent.
 _SILENT_S = 0.7
--- a/tests/daemon/builders.py
+++ b/tests/daemon/builders.py
@@ -13,7 +13,7 @@
 from merlintrestle.daemon import service
 from merlintrestle.documents import compiler
 from merlintrestle.members import timing
-from merlintrestle.requests import server
+from merlintrestle.requests.transport import server
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
 from merlintrestle.schema import settings_pb2
--- a/tests/daemon/test_daemons.py
+++ b/tests/daemon/test_daemons.py
@@ -9,7 +9,7 @@
 
 from merlintrestle.documents import compiler
 from merlintrestle.operators import fleet as operators
-from merlintrestle.requests import headers
+from merlintrestle.requests.transport import headers
 from merlintrestle.schema import control_pb2
 from standins import faults
 from tests.daemon import builders
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from merlintrestle.platform import store as stores
-from merlintrestle.requests import streams
+from merlintrestle.requests.transport import streams
 from tests.platform import builders
 from tests.platform import fleets
 
--- a/tests/requests/test_crashes.py
+++ b/tests/requests/crashing/test_crashes.py
@@ -8,10 +8,10 @@
 from aiohttp import web
 
 from merlintrestle.requests import backend
-from merlintrestle.requests import crashes
-from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import strikes
+from merlintrestle.requests.crashing import crashes
+from merlintrestle.requests.crashing import strikes
+from merlintrestle.requests.transport import headers
 from merlintrestle.schema import control_pb2
 from tests.requests import builders
 
--- a/tests/requests/interleaving.py
+++ b/tests/requests/interleaving.py
@@ -5,10 +5,10 @@
 import asyncio
 from typing import Any, NamedTuple, TYPE_CHECKING
 
-from merlintrestle.requests import claims
-from merlintrestle.requests import leases
-from merlintrestle.requests import once
 from merlintrestle.requests import outcomes
+from merlintrestle.requests.unrepeatable import claims
+from merlintrestle.requests.unrepeatable import leases
+from merlintrestle.requests.unrepeatable import once
 from tests.requests import builders
 from tests.requests import fakes
 
--- a/tests/requests/test_admission.py
+++ b/tests/requests/load/test_admission.py
@@ -9,9 +9,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from merlintrestle.requests import admission
 from merlintrestle.requests import backend
 from merlintrestle.requests import outcomes
+from merlintrestle.requests.load import admission
 from merlintrestle.schema import control_pb2
 from tests.requests import builders
 from tests.requests import fakes
--- a/tests/requests/test_picking.py
+++ b/tests/requests/load/test_picking.py
@@ -9,9 +9,9 @@
 import unittest
 
 from merlintrestle.members import table
-from merlintrestle.requests import observations
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import picking
+from merlintrestle.requests.load import observations
+from merlintrestle.requests.load import picking
 from tests.requests import builders
 from tests.requests import fakes
 
--- a/tests/requests/test_retries.py
+++ b/tests/requests/load/test_retries.py
@@ -8,9 +8,9 @@
 import aiohttp
 from aiohttp import web
 
-from merlintrestle.requests import headers
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import retries
+from merlintrestle.requests.load import retries
+from merlintrestle.requests.transport import headers
 from tests.requests import builders
 
 _CARRIED = (headers.DEADLINE, headers.DEPTH, headers.ATTEMPT)
--- a/tests/requests/test_latencies.py
+++ b/tests/requests/reports/test_latencies.py
@@ -7,8 +7,8 @@
 
 import prometheus_client
 
-from merlintrestle.requests import latencies
 from merlintrestle.requests import outcomes
+from merlintrestle.requests.reports import latencies
 from tests.requests import builders
 
 
--- a/tests/requests/test_statistics.py
+++ b/tests/requests/reports/test_statistics.py
@@ -5,7 +5,7 @@
 import unittest
 
 from merlintrestle.requests import outcomes
-from merlintrestle.requests import statistics
+from merlintrestle.requests.reports import statistics
 from tests.requests import builders
 
 
--- a/tests/requests/sessions.py
+++ b/tests/requests/sessions.py
@@ -6,7 +6,7 @@
 import pathlib
 from typing import Any, TYPE_CHECKING
 
-from merlintrestle.requests import headers
+from merlintrestle.requests.transport import headers
 
 if TYPE_CHECKING:
     import unittest
--- a/tests/requests/test_bad_input.py
+++ b/tests/requests/test_bad_input.py
@@ -9,8 +9,8 @@
 
 from aiohttp import web
 
-from merlintrestle.requests import server
-from merlintrestle.requests import streams
+from merlintrestle.requests.transport import server
+from merlintrestle.requests.transport import streams
 from tests.requests import builders
 
 _MALFORMED = {
--- a/tests/requests/test_drain.py
+++ b/tests/requests/test_drain.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import web
 
-from merlintrestle.requests import headers
+from merlintrestle.requests.transport import headers
 from merlintrestle.schema import control_pb2
 from tests.requests import builders
 
--- a/tests/requests/test_interleaving.py
+++ b/tests/requests/test_interleaving.py
@@ -8,8 +8,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from merlintrestle.requests import claims
 from merlintrestle.requests import outcomes
+from merlintrestle.requests.unrepeatable import claims
 from tests.requests import builders
 from tests.requests import fakes
 from tests.requests import interleaving
--- a/tests/requests/test_path.py
+++ b/tests/requests/test_path.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 import yarl
 
-from merlintrestle.requests import headers
+from merlintrestle.requests.transport import headers
 from tests.requests import builders
 
 
--- a/tests/requests/test_smuggling.py
+++ b/tests/requests/test_smuggling.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from merlintrestle.requests import streams
+from merlintrestle.requests.transport import streams
 from tests.requests import builders
 
 
--- a/tests/requests/test_connections.py
+++ b/tests/requests/transport/test_connections.py
@@ -10,10 +10,10 @@
 
 from aiohttp import web
 
-from merlintrestle.requests import connections
-from merlintrestle.requests import headers
-from merlintrestle.requests import streams
-from merlintrestle.requests import watches
+from merlintrestle.requests.transport import connections
+from merlintrestle.requests.transport import headers
+from merlintrestle.requests.transport import streams
+from merlintrestle.requests.transport import watches
 from tests.requests import builders
 
 if TYPE_CHECKING:
--- a/tests/requests/test_heartbeats.py
+++ b/tests/requests/transport/test_heartbeats.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from merlintrestle.requests import watches
+from merlintrestle.requests.transport import watches
 from tests.requests import builders
 
 
--- a/tests/requests/test_streams.py
+++ b/tests/requests/transport/test_streams.py
@@ -11,7 +11,7 @@
 from aiohttp import base_protocol
 from aiohttp import web
 
-from merlintrestle.requests import streams
+from merlintrestle.requests.transport import streams
 
 _LARGE = b"x" * (streams.MAX_HELD_BYTES + 1)
 
--- a/tests/requests/test_once.py
+++ b/tests/requests/unrepeatable/test_once.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from merlintrestle.requests import headers
+from merlintrestle.requests.transport import headers
 from tests.requests import builders
 from tests.requests import fakes
 
--- a/tests/requests/test_recall.py
+++ b/tests/requests/unrepeatable/test_recall.py
@@ -10,7 +10,7 @@
 
 import grpc.aio
 
-from merlintrestle.requests import recall
+from merlintrestle.requests.unrepeatable import recall
 from merlintrestle.schema import request_pb2
 from merlintrestle.schema import request_pb2_grpc
 from tests.requests import builders
