--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -7,6 +7,8 @@
 if TYPE_CHECKING:
     from merlintrestle.schema import control_pb2
 
+# Sequence of what is known of a process before its first heartbeat.
+BEFORE_ALL = -1.0
 # Processes of the backend server that are remembered as ended.
 _MAX_ENDED = 64
 
@@ -45,9 +47,14 @@
     def __init__(self) -> None:
         """Starts without a backend server."""
         self._instance_id = ""
-        self._sequence = -1.0
+        self._sequence = BEFORE_ALL
         self._ended: dict[str, None] = {}
 
+    @property
+    def heard(self) -> bool:
+        """True once anything was heard of a backend server."""
+        return bool(self._instance_id or self._ended)
+
     def is_news(self, heartbeat: Heartbeat) -> bool:
         """Notes a heartbeat; False if it says nothing any more."""
         if heartbeat.instance_id in self._ended:
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -143,6 +143,11 @@
         closed = bool(self._holder.closed_reason)
         return self._opened and not self._leaving and not closed
 
+    @property
+    def heard_backend(self) -> bool:
+        """True once the backend server said anything."""
+        return self._heartbeats.heard
+
     def take_heartbeat(self, heartbeat: heartbeats_lib.Heartbeat) -> None:
         """Takes over what the backend server says, if it is news."""
         if not self._heartbeats.is_news(heartbeat):
@@ -153,6 +158,7 @@
             heartbeat.slots,
             heartbeat.state,
             heartbeat.instance_id,
+            heartbeat.cold_s,
         )
 
     def retire_backend(self, instance_id: str) -> None:
--- a/merlintrestle/events.py
+++ b/merlintrestle/events.py
@@ -32,18 +32,19 @@
         left_out: Lines left out since the last one that was written.
     """
 
-    __slots__ = ("_at", "_rate", "_tokens", "left_out")
+    __slots__ = ("_at", "_burst", "_rate", "_tokens", "left_out")
 
-    def __init__(self, now: float, rate: float):
+    def __init__(self, now: float, rate: float, burst: float = BURST):
         self.left_out = 0
         self._at = now
         self._rate = rate
-        self._tokens = BURST
+        self._burst = burst
+        self._tokens = burst
 
     def take(self, now: float) -> bool:
         """Returns whether one more line may be written."""
         earned = (now - self._at) * self._rate
-        self._tokens = min(BURST, self._tokens + earned)
+        self._tokens = min(self._burst, self._tokens + earned)
         self._at = now
         if self._tokens < 1:
             self.left_out += 1
--- a/merlintrestle/members/table.py
+++ b/merlintrestle/members/table.py
@@ -223,6 +223,8 @@
 
     def _put(self, member: control_pb2.Member) -> None:
         held = self._members.get(member.id)
+        if held is None or _differs(held, member):
+            _note_change(member)
         if held is not None:
             self._count_digest(held)
             self._forget_upstream(held)
@@ -299,6 +301,27 @@
     return member.state == control_pb2.DEAD
 
 
+def _differs(one: control_pb2.Member, other: control_pb2.Member) -> bool:
+    """Tells whether calls are sent otherwise by one record than by another."""
+    return (
+        one.state != other.state
+        or one.backend.state != other.backend.state
+        or one.backend.service != other.backend.service
+    )
+
+
+def _note_change(member: control_pb2.Member) -> None:
+    events.note(
+        "member changed",
+        member=member.id,
+        zone=member.zone,
+        incarnation=member.incarnation,
+        state=control_pb2.MemberState.Name(member.state).lower(),
+        service=member.backend.service,
+        backend=control_pb2.BackendState.Name(member.backend.state).lower(),
+    )
+
+
 def _serialize(member: control_pb2.Member) -> bytes:
     return member.SerializeToString(deterministic=True)
 
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -18,9 +18,9 @@
 
     from merlintrestle.store import client
 
-# Kinds of a route: which may run more than once, and which are long transfers.
+# Kinds of a route: which may run more than once. Downloads have latency targets
+# like the others, so they are no long transfers that hold a slot for minutes.
 _REPEATABLE = {"idempotent": True, "download": True, "non_idempotent": False}
-_LARGE = frozenset(("download",))
 # The product's importance goes up from 1, the platform's rank down from 0.
 _MOST_IMPORTANT = 5
 _HEXADECIMAL = 16
@@ -240,7 +240,7 @@
         deadline_ms=deadline_ms,
         repeatable=_REPEATABLE[kind],
         importance=max(1, _MOST_IMPORTANT - rank),
-        size=document_pb2.LARGE if kind in _LARGE else document_pb2.SMALL,
+        size=document_pb2.SMALL,
     )
 
 
--- a/merlintrestle/platform/requests.py
+++ b/merlintrestle/platform/requests.py
@@ -38,6 +38,8 @@
 _WRONG_INSTANCE = 421
 _OVERLOADED = (429, 503)
 _UNAVAILABLE = 503
+# Statuses that tell callers that a request was not run and never will be.
+_PROMISES = (408, 421, 429, 503)
 # Answers that count only with a signature.
 _SUCCESS = range(200, 300)
 
@@ -123,7 +125,12 @@
 def _is_answer_to(
     dialect: PlatformDialect, answer: connections.Answer, call: calls.Call
 ) -> bool:
-    return answer.headers.get(_ATTEMPT_ID, call.request_id) == call.request_id
+    sent = answer.headers
+    if _ATTEMPT_ID in sent:
+        return sent[_ATTEMPT_ID] == call.request_id
+    # A second answer to an earlier request is one that was run. Without an id
+    # only a refusal can be about this request.
+    return not call.request_id or _is_refusal(answer)
 
 
 @dialects.judge_answer.register(PlatformDialect)
@@ -131,13 +138,16 @@
     dialect: PlatformDialect, answer: connections.Answer
 ) -> outcomes.Failure | None:
     sent = answer.headers
-    if answer.status == _WRONG_INSTANCE or _NOT_RUN in sent:
+    if _is_refusal(answer):
         return outcomes.NotRun(
             f"the backend server refused with {answer.status}",
             elsewhere=True,
             overloaded=answer.status in _OVERLOADED,
             reached=True,
         )
+    if answer.status in _PROMISES:
+        # Passed on, its status would promise that the request was not run.
+        return outcomes.Ran(f"the backend server answered {answer.status}")
     if answer.status not in _SUCCESS:
         return None
     if _SIGNATURE not in sent or hdrs.CONTENT_ENCODING in sent:
@@ -145,6 +155,11 @@
     return None
 
 
+def _is_refusal(answer: connections.Answer) -> bool:
+    """Returns whether an answer proves that the request was not run."""
+    return answer.status == _WRONG_INSTANCE or _NOT_RUN in answer.headers
+
+
 @dialects.accepts_unframed.register(PlatformDialect)
 def _accepts_unframed(dialect: PlatformDialect) -> bool:
     return True
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -9,6 +9,7 @@
 from merlintrestle.members import timing as timings
 from merlintrestle.platform import configuration
 from merlintrestle.platform import endpoints
+from merlintrestle.platform import health
 from merlintrestle.platform import requests
 from merlintrestle.platform import settings as settings_lib
 from merlintrestle.platform import store as stores
@@ -74,6 +75,9 @@
             lambda: metrics.render_metrics(self.registry),
         )
         await self.add_runtime_dependency(self._endpoints)
+        status = await health.ask_backend(self._platform)
+        if status is not None and not self.heard_backend:
+            self.take_heartbeat(status)
 
 
 def build_daemon_settings(
--- a/merlintrestle/requests/backend.py
+++ b/merlintrestle/requests/backend.py
@@ -15,6 +15,8 @@
 events = event_logs.EventLog("requests")
 
 _CONNECT_S = 0.5
+# An upstream that became ready gets a share of work that rises for so long.
+COLD_S = 10.0
 
 
 class OwnBackend:
@@ -44,6 +46,7 @@
         self.on_down: Callable[[], None] = _ignore
         self._announced = control_pb2.BACKEND_STATE_UNSPECIFIED
         self._draining = False
+        self._cold_s = COLD_S
 
     def announce(
         self,
@@ -52,9 +55,22 @@
         slots: int,
         state: control_pb2.BackendState = control_pb2.READY,
         instance_id: str = "",
+        cold_s: float = COLD_S,
     ) -> None:
-        """Takes over what the backend server says about itself."""
+        """Takes over what the backend server says about itself.
+
+        Args:
+            service: Service it serves.
+            address: Its "ip:port".
+            slots: Calls it runs at once.
+            state: Whether it takes new work.
+            instance_id: Id of its process; empty: it gave none.
+            cold_s: Seconds for which it will still be slow after its start.
+                A daemon that restarts beside a warm backend server would
+                otherwise take it for a cold one.
+        """
         before = self.build_record()
+        self._cold_s = min(cold_s, COLD_S)
         self.instance_id = instance_id
         self.service = service
         self.address = address
@@ -111,7 +127,8 @@
 
     def _set_state(self, state: control_pb2.BackendState) -> None:
         if state == control_pb2.READY and self.state != control_pb2.READY:
-            self.ready_since_ms = int(time.time() * 1000)
+            warm_s = COLD_S - self._cold_s
+            self.ready_since_ms = int((time.time() - warm_s) * 1000)
         self.state = state
 
     def _tell_change(self, before: control_pb2.Backend) -> None:
--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -81,8 +81,8 @@
         refusal = self._check_backend(call)
         if refusal is not None:
             return refusal
-        self._update_shares()
         queue = self._get_queue(call)
+        self._update_shares()
         # Calls of other classes may wait: those that had room were woken.
         if not queue.waiting and self._has_room(queue):
             self._take(queue)
@@ -146,7 +146,7 @@
         if not self._slots:
             return _refuse("the backend server has no slots", 1.0)
         left_s = call.deadline - loop.time()
-        limit_s = min(queue.share.wait_s, left_s - queue.hold_s)
+        limit_s = min(queue.get_patience(), left_s - queue.hold_s)
         expected_s = self._estimate_wait(queue)
         if expected_s > limit_s or not self._make_room(queue):
             return _refuse(
@@ -253,6 +253,7 @@
         queue = self._queues.get(key)
         if queue is None:
             queue = self._queues[key] = shares.ClassQueue(call.plan)
+            self._plan = None
         return queue
 
     def _update_shares(self) -> None:
@@ -263,7 +264,8 @@
         upstreams = self._table.get_upstreams(service)
         slots = self._backend.slots
         if (
-            plan is self._plan
+            self._plan is not None
+            and plan is self._plan
             and upstreams is self._upstreams
             and slots == self._slots
         ):
@@ -272,15 +274,16 @@
         self._upstreams = upstreams
         self._slots = slots
         service_slots = sum(upstream.slots for upstream in upstreams)
-        classes = plan.classes if plan else ()
-        computed = shares.compute_shares(classes, slots, service_slots)
-        self._large_slots = computed.large_slots
-        for one in classes:
+        for one in plan.classes if plan else ():
             key = (one.organisation, one.name)
             if key not in self._queues:
                 self._queues[key] = shares.ClassQueue(one)
+        # Classes of routes by host are known from their calls alone.
+        classes = [queue.plan for queue in self._queues.values()]
+        computed = shares.compute_shares(classes, slots, service_slots)
+        self._large_slots = computed.large_slots
         for key, queue in self._queues.items():
-            queue.share = computed.classes.get(key, shares.NO_SHARE)
+            queue.share = computed.classes[key]
         self._large_in_flight = sum(
             queue.in_flight
             for queue in self._queues.values()
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any, TYPE_CHECKING
 
+from merlintrestle.requests import backend
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import observations
 
@@ -14,8 +15,6 @@
 
     from merlintrestle.members import table as tables
 
-# An upstream that became ready gets a share that rises for so long.
-COLD_S = 10.0
 _LEAST_SHARE = 0.1
 # Pairs drawn at random before all upstreams are looked through.
 _DRAWS = 3
@@ -257,6 +256,6 @@
 def _get_share(upstream: tables.Upstream) -> float:
     """Returns the part of its slots that a cold upstream is given."""
     age_s = time.time() - upstream.ready_since_ms / 1000
-    if age_s >= COLD_S:
+    if age_s >= backend.COLD_S:
         return 1.0
-    return max(_LEAST_SHARE, age_s / COLD_S)
+    return max(_LEAST_SHARE, age_s / backend.COLD_S)
--- a/merlintrestle/requests/load/shares.py
+++ b/merlintrestle/requests/load/shares.py
@@ -18,6 +18,12 @@
 # Part of the latency target that a call is thought to hold a slot, until some
 # were seen, where the targets do not say.
 _WORK_PART = 0.25
+# Multiple of the mean time that nearly all calls end within.
+_MOST_HOLDS = 1.5
+# A wait that people do not notice, in seconds: the usual bound for an answer
+# that seems immediate. Short calls may wait so long even if that is most of
+# their target, for a refusal fails the call on whose behalf they are made.
+_UNNOTICED_S = 0.1
 
 
 class Share(NamedTuple):
@@ -58,15 +64,17 @@
     """Calls of one class of work at the own backend server.
 
     Attributes:
+        plan: The class.
         share: What the class may use.
         in_flight: Its calls that hold a slot.
         hold_s: How long a call held a slot lately, in seconds.
         waiting: Its calls that wait for a slot.
     """
 
-    __slots__ = ("hold_s", "in_flight", "share", "waiting")
+    __slots__ = ("hold_s", "in_flight", "plan", "share", "waiting")
 
     def __init__(self, plan: snapshot.ClassPlan):
+        self.plan = plan
         self.share = NO_SHARE
         self.in_flight = 0
         self.hold_s = plan.work_s or plan.latency_s * _WORK_PART
@@ -79,6 +87,18 @@
         """True if the next call is within what the class is promised."""
         return self.in_flight < max(1.0, self.share.guarantee)
 
+    def get_patience(self) -> float:
+        """Returns how long a call may wait for a slot, in seconds.
+
+        Where the targets say nothing of the work, the time that most calls
+        lately took is left of the latency target. A full backend server serves
+        no more calls for a longer queue, and all that waited in it are late.
+        """
+        if self.plan.work_s:
+            return self.share.wait_s
+        most_s = self.share.wait_s - _MOST_HOLDS * self.hold_s
+        return max(_UNNOTICED_S, most_s)
+
     def rank(self) -> tuple[bool, int, float, float]:
         """Returns a key that is greater for the class to be served first.
 
--- a/merlintrestle/requests/reports/stories.py
+++ b/merlintrestle/requests/reports/stories.py
@@ -34,7 +34,7 @@
     ("end",),
 )
 _bad = event_logs.Bucket(time.monotonic(), STORIES_PER_S)
-_good = event_logs.Bucket(time.monotonic(), GOOD_PER_S)
+_good = event_logs.Bucket(time.monotonic(), GOOD_PER_S, burst=GOOD_PER_S)
 
 
 class Story:
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -29,7 +29,10 @@
 
 events = event_logs.EventLog("requests")
 
-_CONNECT_S = 1.0
+# Longest wait for a connection, in seconds: regions are some 35 ms apart, and
+# one lost packet is sent again only after a second; another upstream is there
+# before that.
+_CONNECT_S = 0.3
 _UNREACHABLE = outcomes.NotRun(
     "could not connect", elsewhere=True, unreachable=True
 )
--- a/merlintrestle/requests/transport/probes.py
+++ b/merlintrestle/requests/transport/probes.py
@@ -18,7 +18,8 @@
     from aiohttp import web
 
 PATH = "/-/calls/"
-_TIMEOUT_S = 0.5
+# A daemon that lives answers in milliseconds; a busy one in some tens of them.
+_TIMEOUT_S = 0.3
 _IN_FLIGHT = 200
 _NOT_IN_FLIGHT = 404
 
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -97,6 +97,8 @@
         }
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
+        if request.path == "/health":
+            return self._answer_status()
         self.seen.append(dict(request.headers))
         wanted = request.headers.get("X-Target-Instance", self.instance_id)
         if wanted != self.instance_id:
@@ -106,6 +108,15 @@
         self.ran.append(request.headers["X-Attempt-Id"])
         return await self.handler(request)
 
+    def _answer_status(self) -> web.Response:
+        return web.Response(
+            status=503 if self.full else 200,
+            headers={
+                "X-Served-By": self.instance_id,
+                "X-Server-Load": f"0,0,{self.slots}",
+            },
+        )
+
 
 async def _post(url: str, body: dict[str, object]) -> int:
     async with (
--- a/tests/platform/fleets.py
+++ b/tests/platform/fleets.py
@@ -83,24 +83,26 @@
             await self.add(name)
         await self.meet(services)
 
-    async def add(self, name: str) -> None:
-        """Adds a daemon with a backend server."""
+    async def add(self, name: str, announced: bool = True) -> None:
+        """Adds a daemon with a backend server, which may announce itself."""
         host, _, port = self.store.address.rpartition(":")
+        backend = platform_backend.PlatformBackendStandin(name)
+        await backend.start()
+        self.push_async_callback(backend.close)
         daemon = Daemon(
             builders.build_settings(
                 service=name,
+                backend=builders.settings_lib.Address(host, backend.port),
                 store=builders.settings_lib.Address(host, int(port)),
             )
         )
-        backend = platform_backend.PlatformBackendStandin(name)
-        await backend.start()
-        self.push_async_callback(backend.close)
         await daemon.start()
         self.push_async_callback(daemon.stop)
         daemon.skip_farewell()
         self.daemons.append(daemon)
         self.backends.append(backend)
-        assert await backend.send_heartbeat(daemon.control) == 200
+        if announced:
+            assert await backend.send_heartbeat(daemon.control) == 200
 
     async def meet(self, services: tuple[str, ...]) -> None:
         """Waits until every daemon knows every upstream."""
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -33,18 +33,18 @@
 
     def test_a_kind_says_what_may_be_repeated(self):
         expected = {
-            "idempotent": (True, False),
-            "download": (True, True),
-            "non_idempotent": (False, False),
+            "idempotent": True,
+            "download": True,
+            "non_idempotent": False,
         }
-        for kind, (repeatable, large) in expected.items():
+        for kind, repeatable in expected.items():
             with self.subTest(kind=kind):
                 route = builders.build_route("a", kind=kind, priority=0)
                 snapshot = _load(builders.build_configuration(1, route))
                 plan = snapshot.hosts["desk.example"][0].plan
-                self.assertEqual(
-                    (plan.repeatable, plan.large), (repeatable, large)
-                )
+                self.assertEqual(plan.repeatable, repeatable)
+                # Each has a latency target, so none is judged by progress.
+                self.assertFalse(plan.large)
                 self.assertEqual(plan.importance, 5)
                 self.assertEqual(plan.max_attempts, 2)
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -94,24 +94,33 @@
         """The caller gets the answer to its own request.
 
         The backend server sends a second answer to an earlier request on a
-        kept connection, just where the next answer is expected.
+        kept connection, just where the next answer is expected. It names that
+        request, or none at all.
         """
         await self.fleet.start("balie")
         backend = self.fleet.backends[0]
-        await self.fleet.send()
+        for name in (b"X-Attempt-Id: a0\r\n", b""):
+            with self.subTest(name=name):
+                await self.fleet.send()
+                backend.handler = _build_doubled(backend, name)
+                status, _, body = await self.fleet.send()
+                self.assertEqual((status, body), (200, b"whole"))
+                backend.handler = backend.answer
+
+    async def test_a_refusal_status_of_a_run_request_is_not_passed_on(self):
+        """A caller that reads "not run" must be able to rely on it.
+
+        A backend server answers 503 without saying that it did not run the
+        payout. Passed on, the status would promise just that.
+        """
+        await self.fleet.start("balie")
 
-        async def send_two(request: web.Request) -> web.StreamResponse:
-            assert request.transport is not None
-            request.transport.write(
-                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
-                b"X-Response-Signature: old\r\nContent-Length: 3\r\n\r\nold"
-            )
-            return await backend.answer(request)
+        async def fail(request: web.Request) -> web.StreamResponse:
+            headers = self.fleet.backends[0].sign(request)
+            return web.Response(status=503, headers=headers)
 
-        backend.handler = send_two
-        status, headers, body = await self.fleet.send()
-        self.assertEqual((status, body), (200, b"whole"))
-        self.assertEqual(headers["X-Attempt-Id"], "a2")
+        self.fleet.backends[0].handler = fail
+        self.assertEqual((await self.fleet.send())[0], 502)
 
     async def test_a_leaving_backend_server_gets_no_new_work(self):
         """New work goes elsewhere at once, though the leaver still serves.
@@ -127,6 +136,21 @@
             self.assertEqual((await self.fleet.send(number))[0], 200)
         self.assertEqual(leaver.ran, [])
 
+    async def test_a_restarted_daemon_knows_its_backend_server(self):
+        """Calls are served before the next heartbeat, which may take seconds.
+
+        A daemon starts beside a backend server that runs on and asks it once.
+        The heartbeat that comes later is news all the same.
+        """
+        await self.fleet.start("kassa")
+        await self.fleet.add("balie", announced=False)
+        await self.fleet.meet(("kassa", "balie"))
+        self.assertEqual((await self.fleet.send())[0], 200)
+        leaver = self.fleet.backends[1]
+        control = self.fleet.daemons[1].control
+        await leaver.send_heartbeat(control, "draining", sequence=0)
+        self.assertEqual((await self.fleet.send(1))[0], 503)
+
     async def test_a_change_is_in_force(self):
         await self.fleet.start("balie", "kassa")
         await self.fleet.store.write(
@@ -204,6 +228,19 @@
             self.assertEqual(one.status, 200)
 
 
+def _build_doubled(backend, name: bytes):
+    async def handle(request: web.Request) -> web.StreamResponse:
+        assert request.transport is not None
+        request.transport.write(
+            b"HTTP/1.1 200 OK\r\nX-Response-Signature: old\r\n"
+            + name
+            + b"Content-Length: 3\r\n\r\nold"
+        )
+        return await backend.answer(request)
+
+    return handle
+
+
 async def _lose_answer(request: web.Request) -> web.StreamResponse:
     assert request.transport is not None
     request.transport.abort()
--- a/tests/requests/load/test_admission.py
+++ b/tests/requests/load/test_admission.py
@@ -66,6 +66,49 @@
     async def asyncSetUp(self) -> None:
         self.deadline = asyncio.get_running_loop().time() + 60
 
+    async def test_classes_known_from_their_calls_wait(self) -> None:
+        """A call waits for the next slot instead of being refused.
+
+        Its class of work stands in no target document; routes by host bring
+        it along. All slots are held by calls that end in a few hundredths of
+        a second. Refused, it would take the call above it down with it.
+        """
+        slots = build_admission()
+        check = builders.build_plan(
+            "check", rate=0.0, work_s=0.0, latency_s=0.4, importance=5
+        )
+        held = [await self.enter(slots, check) for _ in range(_SLOTS)]
+        waiting = [self.queue(slots, check) for _ in range(2)]
+        await asyncio.sleep(0)
+        self.assertFalse(any(task.done() for task in waiting))
+        for call in held[:2]:
+            slots.leave(call)
+        self.assertEqual([await task for task in waiting], [None, None])
+
+    async def test_shorter_calls_of_equal_importance_go_first(self) -> None:
+        """A check does not wait behind the payouts that came before it.
+
+        Checks take a tenth of their time, and lookups that hold slots of other
+        backend servers wait for them.
+        """
+        slots = build_admission()
+        payout = builders.build_plan(
+            "payout", rate=0.0, work_s=0.0, latency_s=4.0, importance=4
+        )
+        check = payout._replace(name="check", latency_s=0.4)
+        held = [await self.enter(slots, payout) for _ in range(_SLOTS - 1)]
+        held.append(await self.enter(slots, check))
+        payouts = [self.queue(slots, payout) for _ in range(3)]
+        await asyncio.sleep(0)
+        checks = [self.queue(slots, check) for _ in range(2)]
+        await asyncio.sleep(0)
+        slots.leave(held[0])
+        slots.leave(held[1])
+        self.assertEqual([await task for task in checks], [None, None])
+        self.assertFalse(any(task.done() for task in payouts))
+        for task in payouts:
+            task.cancel()
+
     async def test_downloads_leave_slots_to_checks(self) -> None:
         """A check is admitted at once, however many downloads are asked for.
 
