Name the failures once for logs and metrics; drop a dead parameter

The same map from outcomes to names stood in stories and latencies. end_story took a function that no caller gave.

--- a/merlintrestle/requests/outcomes.py
+++ b/merlintrestle/requests/outcomes.py
@@ -129,6 +129,8 @@
 
 Outcome = Answered | Replayed | NotRun | Ran | Unknown
 Failure = NotRun | Ran | Unknown
+# What logs and metrics call the failures.
+NAMES: dict[type, str] = {NotRun: "refused", Ran: "failed", Unknown: "unknown"}
 
 
 @functools.singledispatch
--- a/merlintrestle/requests/reports/latencies.py
+++ b/merlintrestle/requests/reports/latencies.py
@@ -112,9 +112,4 @@
         return "failed" if failed or outcome.cut else "answered"
     if isinstance(outcome, outcomes.Replayed):
         return "answered"
-    names = {
-        outcomes.NotRun: "refused",
-        outcomes.Ran: "failed",
-        outcomes.Unknown: "unknown",
-    }
-    return names[type(outcome)]
+    return outcomes.NAMES[type(outcome)]
--- a/merlintrestle/requests/reports/stories.py
+++ b/merlintrestle/requests/reports/stories.py
@@ -10,16 +10,13 @@
 
 import logging
 import time
-from typing import Any, TYPE_CHECKING
+from typing import Any
 
 import prometheus_client
 
 from merlintrestle import events as event_logs
 from merlintrestle.requests import outcomes
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 # Stories of failed requests written per second: with some 8 lines of 250 bytes
 # each, 20 KB/s at most.
 STORIES_PER_S = 10.0
@@ -93,7 +90,6 @@
     story: Story,
     outcome: outcomes.Outcome,
     elapsed_s: float,
-    choose_status: Callable[[outcomes.Failure], int] = lambda one: one.status,
 ) -> None:
     """Ends the story of a request that got its final answer."""
     elapsed_ms = round(elapsed_s * 1000)
@@ -107,9 +103,9 @@
         story.end("answered again", True, status=outcome.status)
         return
     story.end(
-        _NAMES[type(outcome)],
+        outcomes.NAMES[type(outcome)],
         False,
-        status=choose_status(outcome),
+        status=outcome.status,
         reason=outcome.reason,
         retry_after_s=outcome.retry_after_s,
         elapsed_ms=elapsed_ms,
@@ -122,11 +118,4 @@
         return {"outcome": "answered", "status": outcome.response.status}
     if isinstance(outcome, outcomes.Replayed):
         return {"outcome": "answered again", "status": outcome.status}
-    return {"outcome": _NAMES[type(outcome)], "reason": outcome.reason}
-
-
-_NAMES: dict[type, str] = {
-    outcomes.NotRun: "refused",
-    outcomes.Ran: "failed",
-    outcomes.Unknown: "unknown",
-}
+    return {"outcome": outcomes.NAMES[type(outcome)], "reason": outcome.reason}
