Let a stopping daemon serve the other daemons until its callers have moved

Cause: at a planned stop the daemon withdrew its backend server at once and then waited 2.6 s for its own callers to move.

Change: other daemons are told 0.4 s before the farewell ends, and are served until then.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -34,9 +34,11 @@
 # Open, or closed until operators accept a first version.
 _SETTLED = ("", holders.NO_VERSION)
 
-
 # Longest wait for neighbours to be told that this daemon leaves.
 _LEAVE_S = 0.5
+# Time for which other daemons are still served after they were told that this
+# one leaves: news take two or three hops of up to 0.1 s each.
+_NOTICE_S = 0.4
 
 
 class Surroundings(NamedTuple):
@@ -170,12 +172,18 @@
         """Leaves the fleet and waits for requests in flight.
 
         Callers learn by and by that they are to go elsewhere; until they have
-        moved they are served as before.
+        moved they are served as before. Other daemons are told last: without
+        this one the own backend server gets no work, and while the daemons of
+        a fleet are replaced in turn several would be idle at any time.
         """
         self._leaving = True
         self._proxy.leave()
+        farewell_s = self._settings.farewell_s
+        notice_s = min(_NOTICE_S, farewell_s)
+        await asyncio.sleep(farewell_s - notice_s)
+        self._proxy.leave_peers()
         self._table.leave()
-        await asyncio.sleep(self._settings.farewell_s)
+        await asyncio.sleep(notice_s)
         drained, _ = await asyncio.gather(
             self._proxy.drain(self._settings.drain_limit_s),
             self._membership.links.flush(_LEAVE_S),
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -64,6 +64,7 @@
         peer_port: Bound port for other daemons, once started.
         in_flight: Calls that are not yet answered whole.
         leaving: True once callers are to find another daemon.
+        leaving_peers: True once other daemons are to send calls elsewhere.
         draining: True once `drain` was called.
         hold_callers: Set before `start`: `open_callers` opens their port.
         control_port: Port on which this daemon answers recalls; set it before
@@ -98,6 +99,7 @@
         self.in_flight = 0
         self.latencies = latencies.Latencies()
         self.leaving = False
+        self.leaving_peers = False
         self.draining = False
         self.hold_callers = False
         self._settings = settings
@@ -171,9 +173,17 @@
         await self._recall_client.close()
 
     def leave(self) -> None:
-        """Has callers and daemons go elsewhere; serves those that come."""
+        """Has callers go elsewhere; serves those that come.
+
+        Other daemons go on sending calls for the own backend server, which
+        may well outlive this process and cannot be reached without it.
+        """
         self.leaving = True
-        self.backend.drain()
+
+    def leave_peers(self) -> None:
+        """Has other daemons go elsewhere too; serves those that come."""
+        self.leave()
+        self.leaving_peers = True
 
     async def drain(self, limit_s: float) -> bool:
         """Refuses new work and waits for all work in flight.
@@ -184,7 +194,8 @@
         Returns:
             True if nothing is in flight any more.
         """
-        self.leave()
+        self.leave_peers()
+        self.backend.drain()
         self.draining = True
         try:
             async with asyncio.timeout(limit_s):
@@ -243,7 +254,7 @@
         # own through this daemon; refused, it would be cut off after all.
         running = self._get_running(nested=intake.get_depth(request) > 0)
         if isinstance(running, outcomes.NotRun):
-            return self._close_if_draining(self._refuse(running, request))
+            return _close_if(self.leaving, self._refuse(running, request))
         match = dialects.match_caller(self._dialect, running, request)
         if isinstance(match, outcomes.NotRun):
             return self._refuse(match, request)
@@ -252,7 +263,7 @@
             asked = dialects.read_asked(self._dialect, request)
             call = await intake.read_call(request, match, asked, began, False)
             if isinstance(call, outcomes.NotRun):
-                return self._close_if_draining(self._refuse(call, request))
+                return _close_if(self.leaving, self._refuse(call, request))
             call.story.add(
                 "routed",
                 version=running.version,
@@ -263,7 +274,7 @@
             response = await self._serve_caller(request, call, began)
         finally:
             self._leave()
-        return self._close_if_draining(response)
+        return _close_if(self.leaving, response)
 
     async def _serve_caller(
         self, request: web.BaseRequest, call: calls.Call, began: float
@@ -302,7 +313,7 @@
         response = await self._answer_peer(request, call_id)
         if not response.prepared:
             response.headers[headers.CALL] = call_id
-        return self._close_if_draining(response)
+        return _close_if(self.leaving_peers, response)
 
     async def _answer_peer(
         self, request: web.BaseRequest, call_id: str
@@ -373,18 +384,6 @@
             )
         return running
 
-    def _close_if_draining(
-        self, response: web.StreamResponse
-    ) -> web.StreamResponse:
-        """Has the connection close after this answer if the daemon stops.
-
-        Cut at the end of the drain, it may just have got another request, and
-        its caller could not tell whether that ran.
-        """
-        if self.leaving:
-            response.force_close()
-        return response
-
     def _enter(self) -> None:
         self.in_flight += 1
         self._idle.clear()
@@ -395,6 +394,19 @@
             self._idle.set()
 
 
+def _close_if(
+    leaving: bool, response: web.StreamResponse
+) -> web.StreamResponse:
+    """Has the connection close after this answer if the daemon stops.
+
+    Cut at the end of the drain, it may just have got another request, and
+    its caller could not tell whether that ran.
+    """
+    if leaving:
+        response.force_close()
+    return response
+
+
 async def _catch_body_error(
     run: Awaitable[outcomes.Outcome],
 ) -> outcomes.Outcome:
--- a/tests/daemon/builders.py
+++ b/tests/daemon/builders.py
@@ -100,6 +100,10 @@
         """The versions that it took into use, in order."""
         return [taken.version for taken in self._holder.history]
 
+    def set_farewell(self, seconds: float) -> None:
+        """Sets for how long callers are still served after a stop began."""
+        self._settings.farewell_s = seconds
+
     def record_states(self, other: Daemon) -> list[int]:
         """Returns a list that grows with each state of another daemon."""
         states: list[int] = []
--- a/tests/daemon/test_daemons.py
+++ b/tests/daemon/test_daemons.py
@@ -105,6 +105,28 @@
                 self.assertEqual(await answer.read(), b"first second")
             await stopping
 
+    async def test_backend_server_works_on_while_callers_move(self) -> None:
+        """Callers of other daemons are still served by its backend server.
+
+        A daemon is stopped and waits until its own callers have moved. The
+        backend server beside it runs on and is reached through it alone:
+        withdrawn at once, it would be idle all the while, and a fleet whose
+        daemons are replaced in turn would lack several of them.
+        """
+        async with builders.run_fleet(2) as fleet:
+            near, far = fleet.daemons
+            await fleet.start_backend(far, self.answer)
+            await near.wait_for_upstreams(1)
+            far.set_farewell(builders.GUARD_S)
+            stopping = asyncio.create_task(far.on_stop())
+            while far.is_ready():
+                await asyncio.sleep(0)
+            async with fleet.client.get(near.url + "/x") as answer:
+                self.assertEqual(await answer.text(), "/x")
+            self.assertFalse(stopping.done())
+            stopping.cancel()
+            far.set_farewell(0.0)
+
     async def test_stop_of_an_idle_daemon_is_announced(self) -> None:
         """Others are told that it leaves, and need not find it dead.
 
