Let the first calls of a new daemon wait until it knows an upstream

Cause: a daemon opens as soon as it has a version.

Change: for 2 s after it opened, calls of a service without upstreams wait for one, for half of their latency target at most; a refusal then says 0.2 s. Later such calls are refused at once as before.

--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -7,6 +7,7 @@
 
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import plans
+from merlintrestle.requests.load import joining
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import observations
 from merlintrestle.requests.load import retries
@@ -34,7 +35,11 @@
 
 
 class Dispatch:
-    """Sends calls to upstreams of their service."""
+    """Sends calls to upstreams of their service.
+
+    Attributes:
+        joining: Has calls wait while the daemon learns of upstreams.
+    """
 
     def __init__(
         self,
@@ -54,6 +59,7 @@
         self._forwarder = forwarder
         self._get_time = get_time
         self._budgets = budgets
+        self.joining = joining.Joining(table, get_time)
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Returns the answer of an upstream, or the failure to state."""
@@ -63,6 +69,8 @@
         reached = 0
         refusals = 0
         outcome: outcomes.Outcome | None = None
+        if not await self.joining.wait(call):
+            return self._refuse(call)
         while True:
             upstreams = self._table.get_upstreams(call.service)
             upstream = self._picker.pick(
@@ -72,7 +80,7 @@
                 call.plan.repeatable,
             )
             if upstream is None:
-                return outcome or _refuse(call)
+                return outcome or self._refuse(call)
             tried.add(upstream.member_id)
             call.story.add(
                 "picked", **self._picker.describe(upstream, len(upstreams))
@@ -111,6 +119,12 @@
                 call.suspect |= latest.broken
             outcome = _discard(outcome)
 
+    def _refuse(self, call: calls.Call) -> outcomes.NotRun:
+        return outcomes.NotRun(
+            f"no backend server of {call.service} is known",
+            retry_after_s=self.joining.retry_after_s,
+        )
+
     async def _try(
         self, upstream: tables.Upstream, call: calls.Call
     ) -> outcomes.Outcome:
@@ -204,7 +218,3 @@
         return outcome
     outcome.release()
     return outcomes.Ran("the backend server is shedding load", 503, 1.0)
-
-
-def _refuse(call: calls.Call) -> outcomes.NotRun:
-    return outcomes.NotRun(f"no backend server of {call.service} is known")
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -160,6 +160,7 @@
 
     async def open_callers(self) -> None:
         """Opens the port for callers."""
+        self._dispatch.joining.begin()
         address = self._settings.address
         await self._caller_server.start(address, self._settings.port)
         self.caller_port = self._caller_server.port
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -81,6 +81,21 @@
     return snapshot.Snapshot(version, {}, {"kassa": service})
 
 
+def build_upstream(number: int, **fields: Any) -> table.Upstream:
+    """Builds an upstream with 12 slots that has long been ready."""
+    upstream = table.Upstream(
+        member_id=f"10.0.0.{number}:1",
+        address=f"10.0.0.{number}",
+        peer_port=2,
+        zone="noord",
+        region="local",
+        slots=12,
+        ready_since_ms=1,
+        suspect=False,
+    )
+    return upstream._replace(**fields)
+
+
 class Node(contextlib.AsyncExitStack):
     """A daemon's proxy with its backend server.
 
--- a/tests/requests/load/test_picking.py
+++ b/tests/requests/load/test_picking.py
@@ -5,43 +5,32 @@
 import collections
 import random
 import time
-from typing import Any
+from typing import TYPE_CHECKING
 import unittest
 
-from merlintrestle.members import table
 from merlintrestle.requests import outcomes
 from merlintrestle.requests.load import observations
 from merlintrestle.requests.load import picking
 from tests.requests import builders
 from tests.requests import fakes
 
+if TYPE_CHECKING:
+    from merlintrestle.members import table
+
 _WORK_S = 0.01
 _UNREACHABLE = outcomes.NotRun("", elsewhere=True, unreachable=True)
 _REFUSED = outcomes.NotRun("", elsewhere=True, overloaded=True)
 
 
-def build_upstream(number: int, **fields: Any) -> table.Upstream:
-    """Builds an upstream with 12 slots that has long been ready."""
-    upstream = table.Upstream(
-        member_id=f"10.0.0.{number}:1",
-        address=f"10.0.0.{number}",
-        peer_port=2,
-        zone="noord",
-        region="local",
-        slots=12,
-        ready_since_ms=1,
-        suspect=False,
-    )
-    return upstream._replace(**fields)
-
-
 class PickingTest(unittest.TestCase):
     """Calls are picked for and their outcomes noted, on a clock of its own."""
 
     def setUp(self) -> None:
         self.now = 100.0
         self.own_has_room = False
-        self.upstreams = tuple(build_upstream(number) for number in range(4))
+        self.upstreams = tuple(
+            builders.build_upstream(number) for number in range(4)
+        )
         self.picker = picking.Picker(
             "noord",
             lambda: "10.0.0.0:1",
@@ -90,7 +79,10 @@
         self.assertGreater(len(self.count()), 1)
 
     def test_own_zone_comes_first_until_it_is_full(self) -> None:
-        near, far = build_upstream(1), build_upstream(2, zone="zuid")
+        near, far = (
+            builders.build_upstream(1),
+            builders.build_upstream(2, zone="zuid"),
+        )
         self.upstreams = (near, far)
         self.assertEqual(set(self.count()), {0})
         seen = self.picker.observe(near.member_id)
@@ -184,9 +176,9 @@
         """A backend server that just became ready is not flooded."""
         now_ms = int(time.time() * 1000)
         self.upstreams = (
-            build_upstream(1, ready_since_ms=now_ms),
-            build_upstream(2),
-            build_upstream(3),
+            builders.build_upstream(1, ready_since_ms=now_ms),
+            builders.build_upstream(2),
+            builders.build_upstream(3),
         )
         for _ in range(60):
             seen = self.picker.observe(self.pick().member_id)
@@ -197,8 +189,8 @@
 
     def test_suspected_upstream_that_answers_is_used(self) -> None:
         self.upstreams = (
-            build_upstream(1, suspect=True),
-            build_upstream(2),
+            builders.build_upstream(1, suspect=True),
+            builders.build_upstream(2),
         )
         self.assertEqual(set(self.count()), {1})
         self.answer(0, _WORK_S)
