Trust a kept connection no longer than its server does; send anew what met none

Cause, found by reading: the pool kept idle connections to the backend server for 15 s whatever its Keep-Alive said, and backend servers close them after 10 s. A connection that was forgotten without a word answers the next request by a reset, which was passed up as "unknown" and taken for a crash: the call became a suspect, of which a backend server runs one at a time, and cost the fleet one of its retries.

Change: a connection is used until one second before the time that its server states. A call that may be repeated and whose kept connection, idle for 0.5 s or more, breaks within 0.05 s is sent anew over a new one, within the budget.

Tests: both fail without the change (a connection taken at 4.5 of 5 s; 502 in place of 200).

--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -17,12 +18,13 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Mapping
 
     import multidict
 
     from merlintrestle.requests.transport import bodies
 
+_KEEP_ALIVE = re.compile(r"\btimeout\s*=\s*(\d{1,6})")
 _READ_BYTES = 64 * 1024
 _SWITCHING_PROTOCOLS = 101
 _LAST_INFORMATIONAL = 199
@@ -36,6 +38,8 @@
     Attributes:
         address: Its other end, "ip:port".
         idle_since: Time of the event loop at which its last call ended.
+        keep_alive_s: How long the other side said to keep it open while it is
+            idle, in seconds; None: it did not say.
         get_time: Returns the time of the event loop, in seconds.
     """
 
@@ -43,6 +47,7 @@
         super().__init__(loop)
         self.address = address
         self.idle_since = 0.0
+        self.keep_alive_s: float | None = None
         self.get_time = loop.time
         self._upload: asyncio.Task[None] | None = None
         self._alarm_timer: asyncio.TimerHandle | None = None
@@ -100,6 +105,7 @@
         while True:
             message, content = await self.read()
             if message.code > _LAST_INFORMATIONAL:
+                self.keep_alive_s = _read_keep_alive(message.headers)
                 return answers.Answer(message, content, self.abort)
             if message.code == _SWITCHING_PROTOCOLS:
                 raise aiohttp.ClientPayloadError("nobody asked to upgrade")
@@ -215,6 +221,13 @@
             self.abort()
 
 
+def _read_keep_alive(headers: Mapping[str, str]) -> float | None:
+    """Returns the seconds that a "Keep-Alive" header states."""
+    stated = headers.get(hdrs.KEEP_ALIVE)
+    found = _KEEP_ALIVE.search(stated) if stated else None
+    return float(found[1]) if found else None
+
+
 def _frame(
     headers: multidict.CIMultiDict[str], method: str, length: int | None
 ) -> None:
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -37,6 +37,12 @@
 # before that. With 0.3 s on a host at twice its processors, calls to a backend
 # server that took them were given up (3 of 6 runs; none of 8 with 0.5 s).
 _CONNECT_S = 0.5
+# A connection that was used so recently has not been forgotten, in seconds: no
+# server closes connections sooner.
+_IDLE_S = 0.5
+# A reset of a connection that is gone comes within this time, in seconds: both
+# ends are on one instance.
+_GONE_S = 0.05
 _UNREACHABLE = outcomes.NotRun(
     "could not connect", elsewhere=True, unreachable=True
 )
@@ -110,15 +116,22 @@
         watch = watches.Watch(
             pooled, call.plan.work_s, call.deadline, self._choose_look(own)
         )
+        began = self._loop.time()
+        idle_s = began - pooled.idle_since
         outcome = await self._exchange(
             pooled, watch, call.target, call, sent_headers, dialect
         )
-        if not self._is_silent(watch, address, call):
+        broke = _broke_while_idle(outcome, idle_s, self._loop.time() - began)
+        if broke and call.body.repeatable and self._budget.spend():
+            call.story.add("connection was gone", idle_ms=round(idle_s * 1000))
+            self._pool.drop(address)
+        elif not self._is_silent(watch, address, call):
             return outcome
-        if call.attempt:
+        elif call.attempt:
             # This is a second run already; a third is left to nobody.
             return outcome
-        call.attempt += 1
+        else:
+            call.attempt += 1
         second = await self._send_anew(
             address,
             call.target,
@@ -329,6 +342,19 @@
     return dialects.is_answer_to(dialect, answer, call)
 
 
+def _broke_while_idle(
+    outcome: outcomes.Outcome, idle_s: float, took_s: float
+) -> bool:
+    """Returns whether a connection was gone before a call was sent over it.
+
+    The other side may forget a connection that is idle, sooner than it said
+    and without a word; what is sent next is answered by a reset, at once.
+    Passed up, that would look like a crash of the backend server.
+    """
+    broke = isinstance(outcome, outcomes.Unknown) and outcome.broken
+    return broke and idle_s >= _IDLE_S and took_s <= _GONE_S
+
+
 def _combine(
     first: outcomes.Outcome, second: outcomes.Outcome
 ) -> outcomes.Outcome:
--- a/merlintrestle/requests/transport/pool.py
+++ b/merlintrestle/requests/transport/pool.py
@@ -13,6 +13,10 @@
 # Shorter than servers keep idle connections: one closed by the other side just
 # as a call is written to it would leave that call with an unknown outcome.
 KEEPALIVE_S = 15.0
+# How long before the other side closes an idle connection it is no longer used,
+# in seconds: its clock started when it wrote its answer, and it states whole
+# seconds only.
+_MARGIN_S = 1.0
 # Longest time for which what was sent may stay unacknowledged, in ms: three
 # times the least time after which a lost packet is sent again (200 ms). A call
 # on a connection that has gone silent would wait for its deadline; a backend
@@ -34,10 +38,10 @@
         idle = self._idle.get(address)
         if not idle:
             return None
-        oldest = self._loop.time() - KEEPALIVE_S
+        now = self._loop.time()
         while idle:
             connection = idle.pop()
-            if connection.idle_since >= oldest and connection.reusable:
+            if _is_fresh(connection, now) and connection.reusable:
                 return connection
             connection.close()
         return None
@@ -84,14 +88,22 @@
     def _sweep(self) -> None:
         """Closes connections that were idle for too long."""
         self._sweeping = None
-        oldest = self._loop.time() - KEEPALIVE_S
+        now = self._loop.time()
         for address, idle in list(self._idle.items()):
-            kept = [one for one in idle if one.idle_since >= oldest]
+            kept = [one for one in idle if _is_fresh(one, now)]
             for connection in idle:
-                if connection.idle_since < oldest:
+                if not _is_fresh(connection, now):
                     connection.close()
             self._idle[address] = kept
             if not kept:
                 del self._idle[address]
         if self._idle:
             self._sweeping = self._loop.call_later(KEEPALIVE_S, self._sweep)
+
+
+def _is_fresh(connection: connections.Connection, now: float) -> bool:
+    """Returns whether the other side surely keeps an idle connection open."""
+    limit_s = KEEPALIVE_S
+    if connection.keep_alive_s is not None:
+        limit_s = min(limit_s, connection.keep_alive_s - _MARGIN_S)
+    return now - connection.idle_since <= limit_s
--- a/tests/requests/transport/test_connections.py
+++ b/tests/requests/transport/test_connections.py
@@ -12,6 +12,7 @@
 
 from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import connections
+from merlintrestle.requests.transport import forwarding
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import pool as pools
 from merlintrestle.requests.transport import watches
@@ -131,6 +132,63 @@
             self.assertIsNone(pool.take(address))
             self.assertFalse(connection.is_connected())
 
+    async def test_what_the_other_side_says_of_idle_connections(self) -> None:
+        """A connection is not used when its server is about to close it.
+
+        The server said that it keeps the connection for 5 s, and 4.5 s have
+        gone by. A call sent now would cross the close, and nobody could tell
+        whether it ran.
+        """
+
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(headers={"Keep-Alive": "max=9, timeout=5"})
+
+        pool = pools.Pool(asyncio.get_running_loop())
+        async with builders.Node(handler=answer) as node:
+            await node.start()
+            address = f"127.0.0.1:{node.backend.port}"
+            for idle_s, kept in ((3.5, True), (4.5, False)):
+                connection = await pool.open(address)
+                call = builders.build_call(body=b"")
+                await connection.call("GET", "/", call.headers, call.body)
+                pool.give_back(connection)
+                connection.idle_since -= idle_s
+                taken = pool.take(address)
+                self.assertEqual(taken is connection, kept)
+                if taken is not None:
+                    taken.close()
+
+    async def test_connection_that_was_forgotten_while_idle(self) -> None:
+        """The caller gets its answer; nothing is held for crashed.
+
+        Something between daemon and backend server has forgotten an idle
+        connection without a word. What is sent over it next is answered by a
+        reset; the backend server has not seen it and takes it over a new one.
+        """
+        served = 0
+
+        async def forget(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal served
+            await reader.readuntil(b"\r\n\r\n")
+            served += 1
+            writer.write(_EMPTY)
+            await reader.readexactly(1)
+            writer.transport.abort()
+
+        async with (
+            _run_raw_backend(forget) as node,
+            builders.open_client() as client,
+        ):
+            retry = {headers.ATTEMPT: "1"}
+            with mock.patch.object(forwarding, "_IDLE_S", 0.0):
+                for _ in range(2):
+                    answer = await client.get(node.url + "/x", headers=retry)
+                    self.assertEqual(answer.status, 200)
+            self.assertFalse(node.proxy.crashes.strikes)
+        self.assertEqual(served, 2)
+
 
 class BreakTest(unittest.IsolatedAsyncioTestCase):
     """Connections that break or wait in the midst of a call."""
