Make three tests independent of how busy the machine is

Seen at load 19 on 8 cores, one run of the tests of requests (one more failure of that run's kind was seen earlier and its output not kept): - test_headers_that_never_end: the daemon closes before it has read the bytes, which shows as a reset. Closed is closed; that nothing is answered stays. - test_all_idle_connections_of_that_age_are_dropped and test_slow_backend_server_is_not_flooded: with the limit for a first byte set to 0.02 s, calls that merely waited for the processor were held for silent, and fewer connections were kept than the test went on to count. The limit is short only after they are kept, and all calls of the first wave run at once.

The assertions stay as they were.

--- a/tests/requests/test_bad_input.py
+++ b/tests/requests/test_bad_input.py
@@ -256,7 +256,9 @@
                 )
                 writer.write(b"GET /kassa/x HTTP/1.1\r\nHost: a\r\n")
                 async with asyncio.timeout(builders.GUARD_S):
-                    self.assertEqual(await reader.read(), b"")
+                    # Closed before the daemon has read them, it is reset.
+                    with contextlib.suppress(ConnectionResetError):
+                        self.assertEqual(await reader.read(), b"")
                 writer.close()
 
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
--- a/tests/requests/transport/test_silence.py
+++ b/tests/requests/transport/test_silence.py
@@ -123,10 +123,13 @@
     async def test_all_idle_connections_of_that_age_are_dropped(self) -> None:
         async with self.connect(self.wait) as (nodes, relay, client):
             url = nodes[0].url + "/x"
-            calls = [asyncio.create_task(client.get(url)) for _ in range(3)]
-            await self.begun.wait()
-            self.go_on.set()
-            await asyncio.gather(*calls)
+            # Held for silent while it was merely slow, a connection would not
+            # be kept, and none would be there to go silent.
+            with mock.patch.object(watches, "FIRST_BYTE_S", builders.GUARD_S):
+                calls = [asyncio.create_task(client.get(url)) for _ in range(3)]
+                await self.begun.wait()
+                self.go_on.set()
+                await asyncio.gather(*calls)
             relay.silence()
             with mock.patch.object(
                 pools.Pool,
@@ -246,28 +249,30 @@
             after = sum(len(node.served) for node in nodes)
         self.assertEqual(after - before, 2)
 
+    async def send_wave(
+        self, client: Any, node: builders.Node, until: int
+    ) -> None:
+        """Sends 30 calls and has them answered once so many were begun."""
+        self.go_on.clear()
+        wave = [
+            asyncio.create_task(client.get(node.url + "/x")) for _ in range(30)
+        ]
+        while len(node.served) < until:
+            await asyncio.sleep(0.01)
+        self.go_on.set()
+        answers = await asyncio.gather(*wave)
+        self.assertEqual({one.status for one in answers}, {200})
+
     async def test_slow_backend_server_is_not_flooded(self) -> None:
         """Calls to a server that takes its time are started anew but rarely."""
         async with (
             builders.run_nodes(1, handler=self.wait, slots=40) as (node,),
             builders.open_client() as client,
         ):
-            self.go_on.set()
-            for _ in range(2):
-                wave = [
-                    asyncio.create_task(client.get(node.url + "/x"))
-                    for _ in range(30)
-                ]
-                while len(node.served) < 30:
-                    await asyncio.sleep(0.01)
-                # The first wave fills the pool, the second one waits.
-                if not self.go_on.is_set():
-                    while len(node.served) < 30 + 40:
-                        await asyncio.sleep(0.01)
-                    self.go_on.set()
-                answers = await asyncio.gather(*wave)
-                self.assertEqual({one.status for one in answers}, {200})
-                self.go_on.clear()
+            with mock.patch.object(watches, "FIRST_BYTE_S", builders.GUARD_S):
+                # All run at once, so that as many connections are kept.
+                await self.send_wave(client, node, 30)
+            await self.send_wave(client, node, 30 + 40)
         self.assertLessEqual(len(node.served), 60 + 10 + 3)
 
     async def test_probe_of_an_unknown_call(self) -> None:
