Split the proxy into the side of callers, the side of peers and what they share

Behaviour stays as it is, but for one thing: a request without a route is told to close its connection too while the daemon leaves.

--- /dev/null
+++ b/merlintrestle/requests/callers.py
@@ -0,0 +1,112 @@
+"""Callers: the requests that come from outside, on the port for callers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from merlintrestle.requests import answering
+from merlintrestle.requests import dialect as dialects
+from merlintrestle.requests import intake
+from merlintrestle.requests import outcomes
+from merlintrestle.requests.load import urgency
+from merlintrestle.requests.reports import stories
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from merlintrestle.requests import call as calls
+    from merlintrestle.requests import dispatch as dispatches
+    from merlintrestle.requests import routing
+    from merlintrestle.requests import standing as standings
+    from merlintrestle.requests.reports import latencies as latencies_
+    from merlintrestle.requests.reports import statistics as statistics_
+
+
+class Callers:
+    """Answers callers by way of an upstream."""
+
+    def __init__(
+        self,
+        standing: standings.Standing,
+        dialect: object,
+        dispatch: dispatches.Dispatch,
+        statistics: statistics_.Statistics,
+        latencies: latencies_.Latencies,
+    ):
+        """Sets the parts; the dialect is that of the callers."""
+        self._standing = standing
+        self._dialect = dialect
+        self._dispatch = dispatch
+        self._statistics = statistics
+        self._latencies = latencies
+        self._usual_limits = urgency.UsualLimits(time.monotonic)
+        self._get_time = asyncio.get_running_loop().time
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers a request."""
+        response = await self._answer(request)
+        return answering.close_if(self._standing.leaving, response)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        began = self._get_time()
+        running = self._standing.get_running(intake.get_depth(request) > 0)
+        if isinstance(running, outcomes.NotRun):
+            return self._refuse(running, request)
+        match = dialects.match_caller(self._dialect, running, request)
+        if isinstance(match, outcomes.NotRun):
+            return self._refuse(match, request)
+        self._standing.enter()
+        try:
+            asked = self._read_asked(request, match)
+            call = await intake.read_call(request, match, asked, began, False)
+            if isinstance(call, outcomes.NotRun):
+                return self._refuse(call, request)
+            call.story.add(
+                "routed",
+                version=running.version,
+                service=match.service,
+                work=match.plan.name,
+                left_ms=round((call.deadline - began) * 1000),
+                waited_ms=asked.waited_ms,
+            )
+            return await self._serve(request, call, began)
+        finally:
+            self._standing.leave()
+
+    def _read_asked(
+        self, request: web.BaseRequest, match: routing.Match
+    ) -> intake.Asked:
+        """Returns what a caller asks for, and since when."""
+        asked = dialects.read_asked(self._dialect, request)
+        if asked.limit_ms is None or not asked.usual_limits:
+            return asked
+        waited_s = self._usual_limits.estimate_waited(
+            match.route, asked.limit_ms / 1000
+        )
+        return asked._replace(waited_ms=round(waited_s * 1000))
+
+    async def _serve(
+        self, request: web.BaseRequest, call: calls.Call, began: float
+    ) -> web.StreamResponse:
+        try:
+            outcome = await answering.catch_body_error(self._dispatch.run(call))
+            took_s = self._get_time() - began
+            try:
+                response = await answering.finish(
+                    request, outcome, self._dialect
+                )
+            finally:
+                self._statistics.note(call.plan, outcome, took_s)
+                self._latencies.note(call.plan, call.service, outcome, took_s)
+        except BaseException as error:
+            stories.end_cut(call.story, error, self._get_time() - began)
+            raise
+        stories.end_story(call.story, outcome, self._get_time() - began)
+        return response
+
+    def _refuse(
+        self, refusal: outcomes.NotRun, request: web.BaseRequest
+    ) -> web.Response:
+        return dialects.render(self._dialect, refusal, request)
--- a/merlintrestle/requests/reports/stories.py
+++ b/merlintrestle/requests/reports/stories.py
@@ -86,6 +86,16 @@
 _REMARKABLE = frozenset(("sent again", "given up"))
 
 
+def end_cut(story: Story, error: BaseException, elapsed_s: float) -> None:
+    """Ends the story of a request whose sender left or was cut off."""
+    story.end(
+        "cut",
+        False,
+        cause=type(error).__name__,
+        elapsed_ms=round(elapsed_s * 1000),
+    )
+
+
 def end_story(
     story: Story,
     outcome: outcomes.Outcome,
