--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -136,9 +136,9 @@
         )
         await self.add_runtime_dependency(self._admin)
 
-    def set_retries(self, ratio: float, slack: float) -> None:
+    def set_retries(self, ratio: float, slack: float, window_s: float) -> None:
         """Bounds the retries of the whole fleet anew; see the settings."""
-        self._proxy.budgets.set_bounds(ratio, slack)
+        self._proxy.bound_retries(ratio, slack, window_s)
 
     def is_ready(self) -> bool:
         """Returns whether callers may be sent to this daemon."""
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -62,7 +62,9 @@
         }
         events.note("reload", changed=changed)
         self._platform = settings
-        self.set_retries(settings.retry_ratio, settings.retry_slack)
+        self.set_retries(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
 
     async def start_endpoints(self) -> None:
         """Opens the ports for the platform and the backend server."""
@@ -100,5 +102,6 @@
         claims="claims/",
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
+        retry_window_s=settings.retry_window_s,
         farewell_s=min(_FAREWELL_S, settings.grace_s / 2),
     )
--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/dispatch.py
@@ -7,6 +7,7 @@
 
 from merlintrestle.requests import outcomes
 from merlintrestle.requests import plans
+from merlintrestle.requests.load import budgets as budgets_
 from merlintrestle.requests.load import joining
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import observations
@@ -49,7 +50,7 @@
         beside: besides.Beside,
         forwarder: forwarding.Forwarder,
         get_time: Callable[[], float],
-        budgets: retries.Budgets,
+        budgets: budgets_.Budgets,
     ):
         """Sets the parts; `member_id` gives the id of this daemon."""
         self._member_id = member_id
@@ -86,7 +87,7 @@
                 "picked", **self._picker.describe(upstream, len(upstreams))
             )
             deadline = call.deadline
-            if len(upstreams) > 1 and budget.tokens >= 1:
+            if len(upstreams) > 1 and budget.left >= 1:
                 call.deadline = retries.limit_first_try(call, self._get_time())
             began = self._get_time()
             latest = await self._try(upstream, call)
@@ -111,10 +112,10 @@
                         "given up",
                         tries=len(tried),
                         reached=reached,
-                        budget=round(budget.tokens, 1),
+                        budget=round(budget.left, 1),
                     )
                 return outcome
-            call.story.add("sent again", budget=round(budget.tokens, 1))
+            call.story.add("sent again", budget=round(budget.left, 1))
             if isinstance(latest, (outcomes.Ran, outcomes.Unknown)):
                 call.suspect |= latest.broken
             outcome = _discard(outcome)
@@ -203,7 +204,7 @@
 
 
 def _may_retry(
-    outcome: outcomes.Outcome, call: calls.Call, budget: retries.Budget
+    outcome: outcomes.Outcome, call: calls.Call, budget: budgets_.Budget
 ) -> bool:
     left_s = call.deadline - asyncio.get_running_loop().time()
     if left_s <= call.plan.work_s or not call.body.repeatable:
--- a/merlintrestle/requests/load/retries.py
+++ b/merlintrestle/requests/load/retries.py
@@ -4,26 +4,15 @@
 
 import enum
 import functools
-from typing import TYPE_CHECKING
 
 from merlintrestle.requests import call as calls
 from merlintrestle.requests import outcomes
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-# Retries earned by one call: at most one call in ten is sent twice.
-_EARNED = 0.1
 # A first try ends after the greatest of these, if as much is left for another:
 # this time, and multiples of the latency target and of the expected work.
 _LEAST_TRY_S = 0.25
 _LATENCY_FACTOR = 3.0
 _WORK_FACTOR = 10.0
-# Retries that a service which was quiet may make at once.
-_MAX_TOKENS = 10.0
-# Part of a bound of the whole fleet that is used: calls that a retried call
-# makes of its own count as retries too, and daemons come and go.
-_USED_PART = 0.5
 
 
 class Retry(enum.Enum):
@@ -36,79 +25,6 @@
     BUDGETED = enum.auto()
 
 
-class Budgets:
-    """The budgets of all services, as parts of one that the fleet shares.
-
-    Every daemon sees its own retries alone. Each takes an equal part of what
-    the fleet may make at once, and earns in proportion to its own calls, so
-    that the sum keeps to the bound however the calls are spread.
-    """
-
-    def __init__(self, ratio: float, slack: float, count: Callable[[], int]):
-        """Sets the bound.
-
-        Args:
-            ratio: Retries that the fleet may make for each call of a service.
-            slack: Retries that it may make beside these at once; 0: each
-                daemon has a slack of its own.
-            count: Returns the number of daemons.
-        """
-        self._count = count
-        self._budgets: dict[str, Budget] = {}
-        self.set_bounds(ratio, slack)
-
-    def set_bounds(self, ratio: float, slack: float) -> None:
-        """Sets the bound anew; budgets begin afresh."""
-        self._earned = ratio * _USED_PART if ratio else _EARNED
-        self._slack = slack * _USED_PART
-        self._budgets.clear()
-
-    def get(self, service: str) -> Budget:
-        """Returns the budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = Budget(self._earned)
-        if self._slack:
-            budget.limit(max(1.0, self._slack / max(1, self._count())))
-        return budget
-
-
-class Budget:
-    """A token bucket of the retries of one service.
-
-    Without it, a service that answers slowly gets each call several times
-    just when it can least bear it, and stays down under its own retries.
-
-    Attributes:
-        tokens: Retries that may be made now.
-    """
-
-    __slots__ = ("_earned", "_most", "tokens")
-
-    def __init__(self, earned: float = _EARNED):
-        """Sets the tokens earned by one call."""
-        self.tokens = _MAX_TOKENS
-        self._earned = earned
-        self._most = _MAX_TOKENS
-
-    def limit(self, most: float) -> None:
-        """Sets how many retries may be saved up."""
-        self._most = most
-        self.tokens = min(self.tokens, most)
-
-    def earn(self) -> None:
-        """Counts a first try."""
-        if self.tokens < self._most:
-            self.tokens = min(self._most, self.tokens + self._earned)
-
-    def spend(self) -> bool:
-        """Takes one retry; False if the budget is used up."""
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-
 @functools.singledispatch
 def classify(outcome: object, call: calls.Call) -> Retry:
     """Returns whether a call with this outcome may be tried again."""
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -18,8 +18,8 @@
 from merlintrestle.requests import standing
 from merlintrestle.requests.crashing import crashes
 from merlintrestle.requests.load import admission
+from merlintrestle.requests.load import budgets
 from merlintrestle.requests.load import picking
-from merlintrestle.requests.load import retries
 from merlintrestle.requests.reports import latencies
 from merlintrestle.requests.reports import statistics
 from merlintrestle.requests.transport import forwarding
@@ -36,6 +36,9 @@
 events = event_logs.EventLog("requests")
 
 _OWN_DIALECT = dialects.OwnDialect()
+# Part of the bound of retries that calls sent anew to the same upstream add:
+# few of them reach it twice, as their connection was gone.
+_BESIDE_PART = 0.2
 # Time between checks of the own backend server, in seconds.
 _CHECK_S = 1.0
 _CHECK_DOWN_S = 0.2
@@ -47,7 +50,6 @@
     Attributes:
         backend: The own backend server.
         statistics: What became of the calls of each class.
-        budgets: What bounds retries.
         latencies: How long callers waited, and why they were refused.
         caller_port: Bound port for callers, once started.
         peer_port: Bound port for other daemons, once started.
@@ -85,8 +87,13 @@
         self.hold_callers = False
         self._settings = settings
         self._standing = standing.Standing(holder)
+        self._budgets = budgets.Budgets(table.count_usable)
+        self._beside_budgets = budgets.Budgets(table.count_usable)
+        self.bound_retries(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
         self._forwarder = forwarding.Forwarder(
-            dialects.accepts_unframed(dialect)
+            self._beside_budgets, dialects.accepts_unframed(dialect)
         )
         self.control_port = settings.control_port
         self._recall_client = recall.RecallClient()
@@ -104,9 +111,6 @@
         self._beside = beside.Beside(
             self.backend, slots, self._forwarder, claims, self.crashes, dialect
         )
-        self.budgets = retries.Budgets(
-            settings.retry_ratio, settings.retry_slack, table.count_usable
-        )
         self._dispatch = dispatch.Dispatch(
             self._get_member_id,
             table,
@@ -119,7 +123,16 @@
             self._beside,
             self._forwarder,
             time.monotonic,
-            self.budgets,
+            self._budgets,
+        )
+
+    def bound_retries(
+        self, ratio: float, slack: float, window_s: float
+    ) -> None:
+        """Bounds the retries of the whole fleet; see the settings."""
+        self._budgets.set_bounds(ratio, slack, window_s)
+        self._beside_budgets.set_bounds(
+            ratio * _BESIDE_PART, slack * _BESIDE_PART, window_s
         )
 
     async def on_start(self) -> None:
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -29,6 +29,7 @@
 
     from merlintrestle.requests import backend
     from merlintrestle.requests import call as calls
+    from merlintrestle.requests.load import budgets as budgets_
 
 events = event_logs.EventLog("requests")
 
@@ -59,11 +60,18 @@
 class Forwarder:
     """Sends calls over pooled connections, or each over one of its own."""
 
-    def __init__(self, accepts_unframed: bool = False) -> None:
-        """Sets whether an answer may end with its connection alone."""
+    def __init__(
+        self, budgets: budgets_.Budgets, accepts_unframed: bool = False
+    ) -> None:
+        """Sets the parts.
+
+        Args:
+            budgets: What bounds calls that are sent anew to one upstream.
+            accepts_unframed: An answer may end with its connection alone.
+        """
+        self._budgets = budgets
         self._accepts_unframed = accepts_unframed
         self._call_ids = watches.CallIds()
-        self._budget = retries.Budget()
 
     async def start(self) -> None:
         """Opens the pool."""
@@ -112,9 +120,13 @@
                 call.plan.repeatable,
                 dialect,
             )
-        self._budget.earn()
+        budget = self._budgets.get(call.service)
+        budget.earn()
         watch = watches.Watch(
-            pooled, call.plan.work_s, call.deadline, self._choose_look(own)
+            pooled,
+            call.plan.work_s,
+            call.deadline,
+            self._choose_look(own, budget),
         )
         began = self._loop.time()
         idle_s = began - pooled.idle_since
@@ -122,7 +134,7 @@
             pooled, watch, call.target, call, sent_headers, dialect
         )
         broke = _broke_while_idle(outcome, idle_s, self._loop.time() - began)
-        if broke and call.body.repeatable and self._budget.spend():
+        if broke and call.body.repeatable and budget.spend():
             call.story.add("connection was gone", idle_ms=round(idle_s * 1000))
             self._pool.drop(address)
         elif not self._is_silent(watch, address, call):
@@ -142,7 +154,7 @@
         return retries.combine(outcome, second)
 
     def _choose_look(
-        self, own: backend.OwnBackend
+        self, own: backend.OwnBackend, budget: budgets_.Budget
     ) -> Callable[[], Coroutine[Any, Any, watches.Verdict]] | None:
         """Returns what finds out why a backend server gives no sign.
 
@@ -152,7 +164,7 @@
         """
         if own.instance_id:
             return None
-        return functools.partial(watches.check_backend, own.check, self._budget)
+        return functools.partial(watches.check_backend, own.check, budget)
 
     async def send_to_peer(
         self,
--- a/merlintrestle/requests/transport/watches.py
+++ b/merlintrestle/requests/transport/watches.py
@@ -15,7 +15,7 @@
 
     import aiohttp
 
-    from merlintrestle.requests.load import retries
+    from merlintrestle.requests.load import budgets
     from merlintrestle.requests.transport import answers
     from merlintrestle.requests.transport import connections
 
@@ -130,7 +130,7 @@
 
 
 async def check_backend(
-    check: Callable[[], Awaitable[bool]], budget: retries.Budget
+    check: Callable[[], Awaitable[bool]], budget: budgets.Budget
 ) -> Verdict:
     """Finds out whether a pooled connection to a backend server is silent.
 
