--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -13,6 +13,21 @@
     from merlintrestle.members import table
 
 
+class Clock:
+    """Time that passes as the test says.
+
+    Attributes:
+        now: The time in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def get_time(self) -> float:
+        """Returns the time."""
+        return self.now
+
+
 class Holder:
     """Holds one snapshot, or none while closed."""
 
--- a/tests/requests/load/test_budgets.py
+++ b/tests/requests/load/test_budgets.py
@@ -9,26 +9,12 @@
 from hypothesis import strategies
 
 from merlintrestle.requests.load import budgets
-
-
-class Clock:
-    """Time that passes as the test says.
-
-    Attributes:
-        now: The time in seconds.
-    """
-
-    def __init__(self) -> None:
-        self.now = 1000.0
-
-    def get_time(self) -> float:
-        """Returns the time."""
-        return self.now
+from tests.requests import fakes
 
 
 class BudgetTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.clock = Clock()
+        self.clock = fakes.Clock()
         self.budgets = budgets.Budgets(lambda: 13, self.clock.get_time)
         self.budgets.set_bounds(0.2, 62.0, 10.0)
 
@@ -70,7 +56,7 @@
     def test_no_window_has_more_than_its_part(self, seed: int) -> None:
         """No ten seconds hold more retries than their calls allow."""
         chance = random.Random(seed)
-        clock = Clock()
+        clock = fakes.Clock()
         budget = budgets.Budget(budgets.Bounds(0.1, 2.0, 10.0), clock.get_time)
         called, retried = [], []
         for _ in range(300):
--- a/tests/requests/load/test_joining.py
+++ b/tests/requests/load/test_joining.py
@@ -10,24 +10,9 @@
 from tests.requests import fakes
 
 
-class Clock:
-    """Time that passes as the test says.
-
-    Attributes:
-        now: The time in seconds.
-    """
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def get_time(self) -> float:
-        """Returns the time."""
-        return self.now
-
-
 class JoiningTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
-        self.clock = Clock()
+        self.clock = fakes.Clock()
         self.table = fakes.Table()
         self.joining = joining.Joining(self.table, self.clock.get_time)
 
