Log the start and end of a daemon, links that open, and the store's return

Missing in both incidents: nothing told that a process ended without a stop signal, and a dependency had a line when it was lost and none when it came back.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -121,7 +121,16 @@
         await self._wait_until_ready()
         await self._proxy.open_callers()
         self._opened = True
-        print(json.dumps(self._describe_ports()), flush=True)
+        ports = self._describe_ports()
+        events.note(
+            "started",
+            **ports,
+            zone=self._settings.zone,
+            region=self._settings.region,
+            store=self._settings.store,
+            version=self._holder.version,
+        )
+        print(json.dumps(ports), flush=True)
 
     async def start_endpoints(self) -> None:
         """Opens the ports for what is neither a caller nor a daemon."""
@@ -193,6 +202,7 @@
 
     async def on_shutdown(self) -> None:
         """Closes what is not a service."""
+        events.note("ended", in_flight=self._proxy.in_flight)
         await self._control.close()
         await self._store.close()
 
--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -208,6 +208,7 @@
 
         A peer that was held for dead learns it from here and refutes.
         """
+        events.note("link open", member=link.peer_id, outgoing=link.outgoing)
         link.box.add_member(self.table.own)
         held = self.table.get(link.peer_id)
         if held is not None:
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -60,6 +60,7 @@
         """
         self._directly = directly
         self.store_reachable = False
+        self._lost_at: float | None = None
         self._membership = membership
         self._timing = membership.timing
         self._source = source
@@ -126,7 +127,7 @@
             try:
                 await self._watch()
             except errors.MerlintrestleError as error:
-                self.store_reachable = False
+                self._note_store(False)
                 events.warn("store lost", error=str(error))
                 if self._clock() - began > self._timing.head_refresh:
                     backoff.reset()
@@ -168,9 +169,9 @@
         try:
             head = await self._source.read_head()
         except errors.StoreError:
-            self.store_reachable = False
+            self._note_store(False)
             raise
-        self.store_reachable = True
+        self._note_store(True)
         self._head = head.version
         self._head_at = began
         await self._compile(head)
@@ -241,9 +242,20 @@
 
     async def _follow(self) -> None:
         async for head in self._source.watch_head():
-            self.store_reachable = True
+            self._note_store(True)
             await self._compile(head)
 
+    def _note_store(self, reachable: bool) -> None:
+        """Notes whether a call to the store succeeded; logs its return."""
+        if reachable and not self.store_reachable:
+            lost_s = None
+            if self._lost_at is not None:
+                lost_s = round(self._clock() - self._lost_at, 1)
+            events.note("store reached", lost_s=lost_s)
+        if not reachable and (self.store_reachable or self._lost_at is None):
+            self._lost_at = self._clock()
+        self.store_reachable = reachable
+
     async def _compile(self, head: document_pb2.Head) -> None:
         """Compiles a head that is news; one that fails is refused whole."""
         if head.version <= self._handled:
--- a/tests/daemon/test_daemons.py
+++ b/tests/daemon/test_daemons.py
@@ -127,6 +127,15 @@
             stopping.cancel()
             far.set_farewell(0.0)
 
+    async def test_log_tells_when_a_daemon_started_and_ended(self) -> None:
+        """An engineer tells a planned end from a kill by the log alone."""
+        with self.assertLogs("merlintrestle") as logs:
+            async with builders.run_fleet(2) as fleet:
+                await fleet.daemons.pop().stop()
+        told = [record.getMessage() for record in logs.records]
+        for event in ("daemon: started", "members: link open", "daemon: ended"):
+            self.assertIn(event, told)
+
     async def test_stop_of_an_idle_daemon_is_announced(self) -> None:
         """Others are told that it leaves, and need not find it dead.
 
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -145,8 +145,10 @@
         await self.configuration.fail()
         await builders.wait_until(lambda: not self.watcher.store_reachable)
         self.configuration.down = False
-        await self.configuration.accept(2, ["balie"])
-        await builders.wait_until(lambda: self.model.archive.version == 2)
+        with self.assertLogs("merlintrestle.versions") as logs:
+            await self.configuration.accept(2, ["balie"])
+            await builders.wait_until(lambda: self.model.archive.version == 2)
+        self.assertIn("store reached", " ".join(logs.output))
 
     async def test_seeds_are_written_once_while_nothing_changes(self) -> None:
         await self.run_watcher()
