Leave time for requests in flight where a stop is followed by a kill soon

Cause, found by reading: the time for requests in flight was what a farewell of 2.6 s leaves of the grace, also where the farewell is cut to half of the grace. With a grace of 3.4 s or less nothing was left, and a stop cut all requests. With the grace of 6 s of both deployments the values stay 2.6 and 2.6 s.

--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -86,6 +86,7 @@
     settings: settings_lib.Settings,
 ) -> settings_pb2.DaemonSettings:
     """Returns the settings of the product's daemon."""
+    farewell_s = min(_FAREWELL_S, settings.grace_s / 2)
     return settings_pb2.DaemonSettings(
         address=settings.address,
         zone=settings.zone,
@@ -96,12 +97,12 @@
         admin_port=settings.first_port and settings.first_port + 1,
         store=str(settings.store),
         spread="fast",
-        drain_limit_s=settings.grace_s - _FAREWELL_S - _STOP_S,
+        drain_limit_s=max(0.0, settings.grace_s - farewell_s - _STOP_S),
         log_level="info",
         log_format="json",
         claims="claims/",
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
         retry_window_s=settings.retry_window_s,
-        farewell_s=min(_FAREWELL_S, settings.grace_s / 2),
+        farewell_s=farewell_s,
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,6 +5,7 @@
 import unittest
 
 from merlintrestle import errors
+from merlintrestle.platform import service
 from merlintrestle.platform import settings
 from tests.platform import builders
 
@@ -34,3 +35,17 @@
         places = [finding.place for finding in caught.exception.findings]
         self.assertIn("bounds.drainMs", places)
         self.assertIn("bounds.retrySlack", places)
+
+    def test_a_short_grace_leaves_time_for_requests_in_flight(self):
+        """A stop does not cut what is in flight where the kill comes soon.
+
+        The platform kills a process 3 s after the stop signal. With the usual
+        time for callers to move, nothing was left of it for their requests.
+        """
+        text = builders.build_text(
+            bounds="drainMs=2000,graceS=3,retryBudgetRatio=0.2,"
+            "budgetWindowS=10,retrySlack=62"
+        )
+        built = service.build_daemon_settings(settings.parse_settings(text))
+        self.assertGreater(built.drain_limit_s, 0.5)
+        self.assertLess(built.farewell_s + built.drain_limit_s, 3.0)
