--- /dev/null
+++ b/tests/store/test_contract.py
@@ -0,0 +1,136 @@
+"""What the product needs of a store, from both clients alike."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+import unittest
+
+from merlintrestle import errors
+from merlintrestle.platform import store as stores
+from standins import faults
+from standins import platform_store
+from tests.standins import builders as standins
+
+_GUARD_S = 30.0
+
+
+class Contract:
+    """The tests, over a store that a subclass starts.
+
+    Attributes:
+        store: The client under test.
+    """
+
+    store: Any
+
+    async def lose_answer(self) -> None:
+        """Has the store do the next write and lose its answer."""
+        raise NotImplementedError
+
+    async def refuse(self) -> None:
+        """Has the store refuse every call."""
+        raise NotImplementedError
+
+    async def test_a_key_that_is_not_there(self: Any) -> None:
+        self.assertIsNone(await self.store.get("a"))
+        self.assertEqual(await self.store.list("a"), [])
+
+    async def test_a_write_creates_a_key_once(self: Any) -> None:
+        """Of two writers that each found no key, the second learns of it."""
+        first = await self.store.put("a", b"1", 0)
+        second = await self.store.put("a", b"2", 0)
+        self.assertTrue(first.written)
+        self.assertFalse(second.written)
+        self.assertEqual(second.entry, first.entry)
+        self.assertEqual(await self.store.get("a"), first.entry)
+
+    async def test_a_write_needs_the_last_revision(self: Any) -> None:
+        first = (await self.store.put("a", b"1", 0)).entry
+        changed = await self.store.put("a", b"2", first.revision)
+        self.assertTrue(changed.written)
+        self.assertGreater(changed.entry.revision, first.revision)
+        late = await self.store.put("a", b"3", first.revision)
+        self.assertFalse(late.written)
+        self.assertEqual(late.entry.value, b"2")
+
+    async def test_a_delete_needs_the_last_revision(self: Any) -> None:
+        first = (await self.store.put("a", b"1", 0)).entry
+        second = (await self.store.put("a", b"2", first.revision)).entry
+        self.assertFalse(await self.store.delete("a", first.revision))
+        self.assertTrue(await self.store.delete("a", second.revision))
+        self.assertIsNone(await self.store.get("a"))
+
+    async def test_keys_are_listed_in_order(self: Any) -> None:
+        for name in ("seeds/b", "seeds/a", "seeds/c", "other"):
+            await self.store.put(name, name.encode(), 0)
+        found = await self.store.list("seeds/")
+        self.assertEqual(
+            [entry.key for entry in found], ["seeds/a", "seeds/b", "seeds/c"]
+        )
+        (after,) = await self.store.list("seeds/", after="seeds/a", limit=1)
+        self.assertEqual(after.key, "seeds/b")
+
+    async def test_a_watch_yields_what_is_newer(self: Any) -> None:
+        first = (await self.store.put("a", b"1", 0)).entry
+        watch = self.store.watch("a", first.revision)
+        coming = asyncio.ensure_future(anext(watch))
+        await asyncio.sleep(0.05)
+        second = (await self.store.put("a", b"2", first.revision)).entry
+        async with asyncio.timeout(_GUARD_S):
+            self.assertEqual(await coming, second)
+        await watch.aclose()
+
+    async def test_bytes_come_back_as_they_were(self: Any) -> None:
+        value = bytes(range(256))
+        await self.store.put("a", value, 0)
+        self.assertEqual((await self.store.get("a")).value, value)
+
+    async def test_a_lost_answer_is_unknown(self: Any) -> None:
+        """The writer reads the key to learn what became of its write."""
+        await self.lose_answer()
+        with self.assertRaises(errors.StoreUnknownOutcomeError):
+            await self.store.put("a", b"1", 0)
+        self.assertEqual((await self.store.get("a")).value, b"1")
+
+    async def test_a_refused_read_is_an_error(self: Any) -> None:
+        """Nobody takes a store that refuses for one without the key."""
+        await self.refuse()
+        with self.assertRaises(errors.StoreUnavailableError):
+            await self.store.get("a")
+        with self.assertRaises(errors.StoreUnavailableError):
+            await self.store.list("a")
+
+
+class OwnStoreTest(Contract, unittest.IsolatedAsyncioTestCase):
+    """The product's own store."""
+
+    async def asyncSetUp(self) -> None:
+        self.standin = await standins.start_store(self)
+        self.store = await standins.start_client(self, self.standin)
+
+    async def lose_answer(self) -> None:
+        await self.standin.set_faults(faults.StoreFaults(lose_answers=1))
+
+    async def refuse(self) -> None:
+        await self.standin.set_faults(
+            faults.StoreFaults(faults.Outage.UNAVAILABLE)
+        )
+
+
+class PlatformStoreTest(Contract, unittest.IsolatedAsyncioTestCase):
+    """The store of the users' platform."""
+
+    async def asyncSetUp(self) -> None:
+        self.standin = platform_store.PlatformStoreStandin()
+        await self.standin.start()
+        self.addAsyncCleanup(self.standin.close)
+        self.store = stores.PlatformStore(self.standin.address)
+        await self.store.start()
+        self.addAsyncCleanup(self.store.close)
+
+    async def lose_answer(self) -> None:
+        self.standin.faults.lose_answers = 1
+
+    async def refuse(self) -> None:
+        self.standin.faults.status = 503
