Untie the circle of imports among the operators' modules

Seven modules imported each other in a circle, for annotations: what is said of a fleet stood beside what asks it. The statuses have a module of their own.

--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple, TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from merlintrestle.operators import status
+    from merlintrestle.operators import states
     from merlintrestle.operators import trail
 
 
@@ -83,4 +83,4 @@
 
     at: str
     accepted: tuple[trail.Attempt, ...]
-    status: status.Status
+    status: states.Status
--- a/merlintrestle/operators/status.py
+++ b/merlintrestle/operators/status.py
@@ -1,14 +1,14 @@
-"""Whether what was accepted is in force everywhere and its targets hold."""
+"""Asking store and fleet whether what was accepted is in force."""
 
 from __future__ import annotations
 
 import asyncio
 import time
-from typing import NamedTuple, TYPE_CHECKING
+from typing import TYPE_CHECKING
 
 from merlintrestle import errors
-from merlintrestle.operators import exits
 from merlintrestle.operators import fleet
+from merlintrestle.operators import states
 from merlintrestle.operators import targets
 from merlintrestle.store import records
 
@@ -21,45 +21,7 @@
 _POLL_S = 0.2
 
 
-class Status(NamedTuple):
-    """What store and fleet say at one time.
-
-    Attributes:
-        version: The accepted version; None: the store does not answer.
-        store_problem: Why it does not.
-        daemon_problem: Why nothing is known about the fleet.
-        daemons: Every daemon that serves.
-        targets: Every class of work.
-    """
-
-    version: int | None
-    store_problem: str
-    daemon_problem: str
-    daemons: tuple[fleet.Daemon, ...]
-    targets: tuple[targets.Target, ...]
-
-
-class InForce(NamedTuple):
-    """How far a version got while an operator waited.
-
-    Attributes:
-        version: The version.
-        everywhere: True if every daemon that serves runs it or a newer one.
-        daemons: How many daemons serve.
-        waited_s: Seconds that this took.
-        missing: Daemons that do not run it.
-        problem: Why nothing is known about the fleet.
-    """
-
-    version: int
-    everywhere: bool
-    daemons: int
-    waited_s: float
-    missing: tuple[fleet.Daemon, ...]
-    problem: str
-
-
-async def read_status(run: session.Session) -> Status:
+async def read_status(run: session.Session) -> states.Status:
     """Asks the store and, where one is set, a daemon and its members."""
     problem = ""
     head: document_pb2.Head | None = None
@@ -80,7 +42,7 @@
     version = head.version if head else None
     digest = head.snapshot_digest if head else b""
     replies = [one.reply for one in answers if one.reply is not None]
-    return Status(
+    return states.Status(
         version=version,
         store_problem=problem,
         daemon_problem=daemon_problem,
@@ -93,24 +55,13 @@
     )
 
 
-def choose_exit(status: Status) -> int:
-    """Returns the exit code that a status stands for."""
-    if status.version is None:
-        return exits.STORE_UNAVAILABLE
-    if status.daemon_problem or fleet.list_not_in_force(status.daemons):
-        return exits.NOT_HOLDING
-    if any(one.state == targets.MISSED for one in status.targets):
-        return exits.NOT_HOLDING
-    return exits.OK
-
-
 async def wait_in_force(
     run: session.Session,
     version: int,
     digest: bytes,
     timeout_s: float,
     progress: Callable[[str], None],
-) -> InForce:
+) -> states.InForce:
     """Waits until every daemon that serves runs a version.
 
     A daemon that was seen to run it is not asked again: none goes back.
@@ -139,14 +90,14 @@
 
 async def _check_once(
     run: session.Session, version: int, digest: bytes, done: set[str]
-) -> InForce:
+) -> states.InForce:
     timeout_s = run.settings.timeout_s
     try:
         members = await fleet.list_members(
             run.settings.daemon, timeout_s, run.sources.ask
         )
     except fleet.DaemonUnavailableError as error:
-        return InForce(version, False, 0, 0.0, (), str(error))
+        return states.InForce(version, False, 0, 0.0, (), str(error))
     answers = await fleet.ask_members(
         [one for one in members if one.id not in done],
         timeout_s,
@@ -155,10 +106,10 @@
     daemons = [fleet.judge_daemon(one, version, digest) for one in answers]
     done.update(one.id for one in daemons if one.state == fleet.IN_FORCE)
     missing = fleet.list_not_in_force(daemons)
-    return InForce(version, not missing, len(members), 0.0, missing, "")
+    return states.InForce(version, not missing, len(members), 0.0, missing, "")
 
 
-def _describe(result: InForce) -> str:
+def _describe(result: states.InForce) -> str:
     if result.problem:
         return f"version {result.version}: {result.problem}"
     running = result.daemons - len(result.missing)
--- a/merlintrestle/operators/texts.py
+++ b/merlintrestle/operators/texts.py
@@ -8,7 +8,7 @@
 from merlintrestle.operators import fleet
 from merlintrestle.operators import outcomes
 from merlintrestle.operators import results
-from merlintrestle.operators import status
+from merlintrestle.operators import states
 from merlintrestle.operators import targets
 from merlintrestle.operators import trail
 
@@ -142,7 +142,7 @@
 
 
 @format_text.register
-def _(result: status.InForce) -> list[str]:
+def _(result: states.InForce) -> list[str]:
     number = f"Version {result.version}"
     if result.problem:
         return [
@@ -157,7 +157,7 @@
 
 
 @format_text.register
-def _(result: status.Status) -> list[str]:
+def _(result: states.Status) -> list[str]:
     lines = []
     missing = fleet.list_not_in_force(result.daemons)
     if result.version is None:
--- a/merlintrestle/operators/viewing.py
+++ b/merlintrestle/operators/viewing.py
@@ -11,6 +11,7 @@
 from merlintrestle.operators import exits
 from merlintrestle.operators import results
 from merlintrestle.operators import session
+from merlintrestle.operators import states
 from merlintrestle.operators import status as statuses
 from merlintrestle.operators import trail
 
@@ -92,7 +93,7 @@
     """
     found = await statuses.read_status(run)
     run.report(found)
-    return statuses.choose_exit(found)
+    return states.choose_exit(found)
 
 
 @click.command(
@@ -120,7 +121,7 @@
     With --output json each round that differs is one line.
     """
     seen: int | None = None
-    last: statuses.Status | None = None
+    last: states.Status | None = None
     rounds = 0
     while True:
         found = await statuses.read_status(run)
@@ -138,7 +139,7 @@
             seen = found.version
         rounds += 1
         if rounds == count:
-            return statuses.choose_exit(found)
+            return states.choose_exit(found)
         await asyncio.sleep(interval)
 
 
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,37 @@
+"""Modules of the package import each other without a circle."""
+
+from __future__ import annotations
+
+import ast
+import graphlib
+import pathlib
+import unittest
+
+_PACKAGE = pathlib.Path(__file__).parents[1] / "merlintrestle"
+
+
+def _read_imports(path: pathlib.Path) -> set[str]:
+    """Returns the modules of the package that a module imports.
+
+    Imports for annotations alone count: who reads one module has to read the
+    other as well.
+    """
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.ImportFrom) or node.module is None:
+            continue
+        if node.module.split(".")[0] == "merlintrestle":
+            found |= {f"{node.module}.{one.name}" for one in node.names}
+    return found
+
+
+class ImportsTest(unittest.TestCase):
+    def test_there_is_no_circle(self) -> None:
+        modules = {}
+        for path in _PACKAGE.rglob("*.py"):
+            parts = path.relative_to(_PACKAGE.parent).with_suffix("").parts
+            modules[".".join(parts)] = _read_imports(path)
+        try:
+            graphlib.TopologicalSorter(modules).prepare()
+        except graphlib.CycleError as error:
+            self.fail(" -> ".join(error.args[1]))
