--- /dev/null
+++ b/tests/requests/load/fleets.py
@@ -0,0 +1,205 @@
+"""Plays of load over a fleet: picking, retries and slots in simulated time.
+
+The daemons are the real `dispatch.Dispatch` with its parts and the real
+admission beside each backend server; what lies between them takes no time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+from typing import Any, NamedTuple, TYPE_CHECKING
+
+import multidict
+
+from merlintrestle.requests import backend
+from merlintrestle.requests import dispatch
+from merlintrestle.requests import outcomes
+from merlintrestle.requests.load import admission
+from merlintrestle.requests.load import budgets
+from merlintrestle.requests.load import loads
+from merlintrestle.requests.load import picking
+from merlintrestle.requests.transport import headers
+from merlintrestle.schema import control_pb2
+from tests.requests import builders
+from tests.requests import fakes
+from tests.requests.load import plays
+
+if TYPE_CHECKING:
+    from merlintrestle.requests import call as calls
+
+_SLOTS = 12
+
+
+class Server(NamedTuple):
+    """A backend server of the play.
+
+    Attributes:
+        work_s: Mean time that it needs for a call, in seconds.
+        broken: Part of its calls after which it breaks the connection.
+    """
+
+    work_s: float
+    broken: float = 0.0
+
+
+class _Beside:
+    """The daemon beside one backend server, as other daemons see it."""
+
+    def __init__(self, server: Server, table: fakes.Table, chance: Any):
+        self._server = server
+        self._chance = chance
+        self._loop = asyncio.get_running_loop()
+        self.calls = 0
+        own = backend.OwnBackend()
+        own.announce("kassa", "127.0.0.1:1", _SLOTS, control_pb2.READY)
+        self.slots = admission.Admission(
+            own,
+            fakes.Holder(builders.build_snapshot({})),
+            table,
+            self._loop.time,
+        )
+
+    async def run(self, call: calls.Call) -> outcomes.Outcome:
+        """Admits a call and runs it, or refuses it."""
+        refusal = await self.slots.enter(call)
+        if refusal is not None:
+            return refusal
+        self.calls += 1
+        spread = self._chance.lognormvariate(-0.125, 0.5)
+        await asyncio.sleep(self._server.work_s * spread)
+        self.slots.leave(call)
+        if self._chance.random() < self._server.broken:
+            return outcomes.Unknown("the connection broke", broken=True)
+        answer: Any = _Answer(loads.encode_load(self.slots.get_load()))
+        return outcomes.Answered(answer, b"", [])
+
+
+class _Answer:
+    """The head of a good answer."""
+
+    def __init__(self, load: str):
+        self.status = 200
+        self.headers = multidict.CIMultiDict({headers.LOAD: load})
+
+
+class _Wire:
+    """Takes calls to the daemons beside the backend servers."""
+
+    def __init__(self, daemons: dict[str, _Beside]):
+        self._daemons = daemons
+
+    async def send_to_peer(
+        self, address: str, target: str, call: calls.Call, sent: Any
+    ) -> outcomes.Outcome:
+        """Passes a call on as it is."""
+        del target, sent
+        return await self._daemons[address].run(call)
+
+
+class FleetPlay:
+    """Daemons without a backend server of their own, and some upstreams.
+
+    Attributes:
+        counts: Calls by what became of them: "in time", "late", "refused" or
+            "failed".
+    """
+
+    def __init__(self, servers: list[Server], daemons: int):
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._chance = random.Random(1)
+        self._loop = asyncio.get_running_loop()
+        table = fakes.Table()
+        upstreams = [
+            builders.build_upstream(number) for number in range(len(servers))
+        ]
+        table.upstreams["kassa"] = tuple(upstreams)
+        self._besides = {
+            f"{upstream.address}:{upstream.peer_port}": _Beside(
+                server, table, self._chance
+            )
+            for upstream, server in zip(upstreams, servers, strict=True)
+        }
+        self._daemons = [self._build_daemon(table) for _ in range(daemons)]
+
+    def get_part(self, result: str) -> float:
+        """Returns the part of the calls with one result."""
+        return self.counts[result] / self.counts.total()
+
+    def list_calls(self) -> list[int]:
+        """Returns how many calls each backend server ran."""
+        return [beside.calls for beside in self._besides.values()]
+
+    async def run(self, callers: plays.Callers, length_s: float) -> None:
+        """Plays the load of some callers for a time."""
+        until = self._loop.time() + length_s
+        async with asyncio.TaskGroup() as group:
+            while self._loop.time() < until:
+                await asyncio.sleep(self._chance.expovariate(callers.rate))
+                group.create_task(self._make_call(callers))
+
+    def _build_daemon(self, table: fakes.Table) -> dispatch.Dispatch:
+        wire: Any = _Wire(self._besides)
+        nobody: Any = None
+        bounds = budgets.Budgets(lambda: 11, self._loop.time)
+        bounds.set_bounds(0.2, 58.0, 10.0)
+        return dispatch.Dispatch(
+            lambda: "",
+            table,
+            picking.Picker(
+                "noord",
+                lambda: "",
+                lambda: False,
+                self._loop.time,
+                self._chance,
+            ),
+            nobody,
+            wire,
+            self._loop.time,
+            bounds,
+        )
+
+    async def _make_call(self, callers: plays.Callers) -> None:
+        began = self._loop.time()
+        daemon = self._chance.choice(self._daemons)
+        for _ in range(callers.retries + 1):
+            outcome = await daemon.run(self._build_call(callers, began))
+            if not isinstance(outcome, outcomes.NotRun):
+                break
+            left_s = began + callers.limit_s - self._loop.time()
+            wait_s = min(outcome.retry_after_s or 1.0, left_s / 3)
+            await asyncio.sleep(wait_s)
+        self.counts[self._judge(outcome, callers, began)] += 1
+
+    def _build_call(self, callers: plays.Callers, began: float) -> calls.Call:
+        return builders.build_call(
+            plan=callers.plan,
+            deadline=began + callers.limit_s,
+            due=began + callers.plan.latency_s,
+        )
+
+    def _judge(
+        self, outcome: outcomes.Outcome, callers: plays.Callers, began: float
+    ) -> str:
+        if isinstance(outcome, outcomes.NotRun):
+            return "refused"
+        if not isinstance(outcome, outcomes.Answered):
+            return "failed"
+        outcome.release()
+        took_s = self._loop.time() - began
+        return "in time" if took_s <= callers.plan.latency_s else "late"
+
+
+def play(
+    servers: list[Server], callers: plays.Callers, length_s: float
+) -> FleetPlay:
+    """Plays the load of some callers over eleven daemons."""
+
+    async def run() -> FleetPlay:
+        played = FleetPlay(servers, 11)
+        await played.run(callers, length_s)
+        return played
+
+    with asyncio.Runner(loop_factory=plays.SimulatedLoop) as runner:
+        return runner.run(run())
--- /dev/null
+++ b/tests/requests/load/test_fleets.py
@@ -0,0 +1,65 @@
+"""What callers get of a fleet under load, by picking, slots and retries."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.requests import builders
+from tests.requests.load import fleets
+from tests.requests.load import plays
+
+_LOOKUP = builders.build_plan(
+    "lookup", rate=0.0, work_s=0.0, latency_s=0.4, importance=3
+)
+_LENGTH_S = 8.0
+# Five backend servers with 12 slots each, of which one is half and one is one
+# and a half times as fast as the others.
+_UNEVEN = [fleets.Server(work_s) for work_s in (0.24, 0.12, 0.12, 0.08, 0.12)]
+_BROKEN = [fleets.Server(0.12, 0.4)] * 2 + [fleets.Server(0.12)] * 3
+
+
+def _play(servers: list[fleets.Server], load: float) -> fleets.FleetPlay:
+    """Plays callers that ask for a part of what the backend servers can do."""
+    capacity = sum(12 / server.work_s for server in servers)
+    callers = plays.Callers(_LOOKUP, load * capacity, 0.12, 2.5, 2)
+    return fleets.play(servers, callers, _LENGTH_S)
+
+
+class FleetsTest(unittest.TestCase):
+    """Eleven daemons, each of which sees its own calls alone.
+
+    Figures in brackets are those of the run for which a bound was set.
+    """
+
+    def test_much_to_do(self) -> None:
+        """At 0.8 of the capacity nobody is refused (0.987 in time).
+
+        The slow backend server gets about half of the calls of the others: by
+        the calls in flight alone it would get as many, and answer them late.
+        """
+        played = _play(_UNEVEN, 0.8)
+        self.assertGreater(played.get_part("in time"), 0.95)
+        self.assertLess(played.get_part("refused"), 0.005)
+        slow, usual = played.list_calls()[:2]
+        self.assertLess(slow, 0.7 * usual)
+
+    def test_too_much_to_do(self) -> None:
+        """At 1.1 times the capacity most calls are in time (0.77).
+
+        Of what can be served at all, 0.91, nearly all is (0.85).
+        """
+        played = _play(_UNEVEN, 1.1)
+        self.assertGreater(played.get_part("in time"), 0.7)
+        self.assertLess(played.get_part("refused"), 0.2)
+
+    def test_backend_servers_that_break_some_calls(self) -> None:
+        """Two of five break two calls in five; few callers notice (0.03).
+
+        They get about half of the calls of the others, and the calls that
+        break are sent again while the budget allows. Left to chance, one call
+        in six would fail.
+        """
+        played = _play(_BROKEN, 0.5)
+        self.assertLess(played.get_part("failed"), 0.06)
+        calls = played.list_calls()
+        self.assertLess(sum(calls[:2]) / 2, 0.75 * sum(calls[2:]) / 3)
