Show by a test that a daemon behind a full link is held for silent

Of 328 answers 504 in the kept lines of nine seconds 234 say "the daemon does not answer". Its instances have links of 6.5 Mbit/s; a question that is not answered within 0.3 s over a full link ends the calls that run there, though the same daemon answers others meanwhile.

--- a/tests/requests/transport/test_silence.py
+++ b/tests/requests/transport/test_silence.py
@@ -192,6 +192,30 @@
                 self.assertEqual(await answer.read(), b"whole")
             self.assertEqual(len(nodes[2].served), 4)
 
+    async def test_peer_that_answers_others_is_not_silent(self) -> None:
+        """The caller gets its answer, though a question about it goes astray.
+
+        A link is full, so that the question whether the other daemon is alive
+        is not answered within its time. The same daemon answered another call
+        meanwhile: it is not silent, and the work that runs there is not lost.
+        """
+
+        async def ask(*arguments: Any) -> probes.View:
+            answer = await client.get(nodes[0].url + "/quick")
+            self.assertEqual(answer.status, 200)
+            self.go_on.set()
+            return probes.View(False)
+
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path == "/quick":
+                return web.Response(body=b"quick")
+            return await self.wait(request)
+
+        async with self.connect(answer) as (nodes, _, client):
+            with mock.patch.object(probes, "ask", ask):
+                found = await client.get(nodes[0].url + "/x")
+            self.assertEqual(await found.read(), b"whole")
+
     async def test_connection_to_the_backend_server_is_silent(self) -> None:
         """The caller gets its answer long before its deadline.
 
