Hold no daemon for silent of which bytes come

Cause: a question about a call that gets no answer within 0.3 s had the peer held for silent, although answers of other calls came from it meanwhile. Its caller got a 504 while the backend server ran the call. Change: the pool notes when bytes came from an address; a peer heard of since the question is asked again later instead.

--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -43,9 +43,23 @@
         get_time: Returns the time of the event loop, in seconds.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: str):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: str,
+        heard: dict[str, float] | None = None,
+    ):
+        """Sets its other end.
+
+        Args:
+            loop: The event loop.
+            address: Its other end, "ip:port".
+            heard: Where it notes by address when bytes came last, in seconds
+                of the event loop.
+        """
         super().__init__(loop)
         self.address = address
+        self._heard = {} if heard is None else heard
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.get_time = loop.time
@@ -150,6 +164,11 @@
             content.set_exception(aiohttp.ClientConnectionError("it was cut"))
         super().abort()
 
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes that came; called by the event loop."""
+        self._heard[self.address] = self._loop.time()
+        super().data_received(data)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails what is under way; called by the event loop."""
         content = self._payload
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -194,7 +194,12 @@
             work_s,
             call.deadline,
             functools.partial(
-                watches.ask_peer, self._probes, address, call_id, work_s
+                watches.ask_peer,
+                self._probes,
+                address,
+                call_id,
+                work_s,
+                self._pool.has_heard,
             ),
         )
         outcome = await self._exchange(
--- a/merlintrestle/requests/transport/pool.py
+++ b/merlintrestle/requests/transport/pool.py
@@ -31,6 +31,7 @@
         """Starts without connections."""
         self._loop = loop
         self._idle: dict[str, list[connections.Connection]] = {}
+        self._heard: dict[str, float] = {}
         self._sweeping: asyncio.TimerHandle | None = None
 
     def take(self, address: str) -> connections.Connection | None:
@@ -54,11 +55,17 @@
         """
         host, _, port = address.rpartition(":")
         transport, connection = await self._loop.create_connection(
-            lambda: connections.Connection(self._loop, address), host, int(port)
+            lambda: connections.Connection(self._loop, address, self._heard),
+            host,
+            int(port),
         )
         connectors.limit_unacknowledged(transport, _UNACKNOWLEDGED_MS)
         return connection
 
+    def has_heard(self, address: str, since: float) -> bool:
+        """Returns whether bytes came from an address since a time."""
+        return self._heard.get(address, 0.0) > since
+
     def give_back(self, connection: connections.Connection) -> None:
         """Keeps a connection whose call has ended, or closes it."""
         if not connection.reusable:
@@ -97,6 +104,7 @@
             self._idle[address] = kept
             if not kept:
                 del self._idle[address]
+                self._heard.pop(address, None)
         if self._idle:
             self._sweeping = self._loop.call_later(KEEPALIVE_S, self._sweep)
 
--- a/merlintrestle/requests/transport/watches.py
+++ b/merlintrestle/requests/transport/watches.py
@@ -116,14 +116,34 @@
 
 
 async def ask_peer(
-    session: aiohttp.ClientSession, address: str, call_id: str, work_s: float
+    session: aiohttp.ClientSession,
+    address: str,
+    call_id: str,
+    work_s: float,
+    has_heard: Callable[[str, float], bool],
 ) -> Verdict:
-    """Asks a peer about a call until it is silent."""
+    """Asks a peer about a call until it is silent.
+
+    On a full link a question is not answered in time. Held for silent then,
+    the peer's answers to calls that it runs would be lost. A peer of which
+    bytes came since the question, on whatever connection, is not silent; it
+    is asked again later.
+
+    Args:
+        session: Where questions are sent.
+        address: Address of the peer.
+        call_id: Name of the call.
+        work_s: Expected work time, in seconds.
+        has_heard: Returns whether bytes came from an address since a time.
+    """
+    loop = asyncio.get_running_loop()
     while True:
+        began = loop.time()
         view = await probes.ask(session, address, call_id)
         if not view.answers:
-            return Verdict.PEER_SILENT
-        if not view.in_flight:
+            if not has_heard(address, began):
+                return Verdict.PEER_SILENT
+        elif not view.in_flight:
             await asyncio.sleep(_GRACE_S)
             return Verdict.CONNECTION_SILENT
         await asyncio.sleep(get_patience(work_s))
