Know a restarted backend server by the time of its start; refuse other writers' entries

Cause: a process that restarts under its id counts from the beginning, so its heartbeats were dropped as late ones until they had caught up, and an id that had left never counted again. What was known of the earlier process stayed: warmth, kept connections, what other daemons had seen of it. Change: a process is its id and its start; late heartbeats and leaves of an earlier life say nothing. A restart makes it cold, drops kept connections and has peers forget what they saw. A heartbeat of an unknown service, or with a field of another kind, is refused and logged; an entry of the store that cannot be read no longer hides the others; seeds that are no addresses are left out.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -170,11 +170,12 @@
             heartbeat.state,
             heartbeat.instance_id,
             heartbeat.cold_s,
+            heartbeat.born_ms,
         )
 
-    def retire_backend(self, instance_id: str) -> None:
+    def retire_backend(self, instance_id: str, born_ms: int = 0) -> None:
         """Sends the backend server no new work, as it leaves."""
-        if self._heartbeats.retire(instance_id):
+        if self._heartbeats.retire(instance_id, born_ms):
             self._proxy.backend.retire()
 
     async def on_stop(self) -> None:
--- a/merlintrestle/members/seeds.py
+++ b/merlintrestle/members/seeds.py
@@ -6,6 +6,7 @@
 
 from google.protobuf import message
 
+from merlintrestle import config
 from merlintrestle import events as event_logs
 from merlintrestle.schema import control_pb2
 
@@ -68,5 +69,10 @@
             # the fleet by the others.
             events.warn("seeds malformed", key=entry.key, error=str(error))
             continue
-        addresses.extend(member.id for member in record.members)
+        for member in record.members:
+            # Whoever else writes here may name what no connection is made to.
+            if fault := config.check_address(member.id):
+                events.warn("seed malformed", key=entry.key, error=fault)
+            else:
+                addresses.append(member.id)
     return addresses
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import math
 import re
 from typing import Any, TYPE_CHECKING
 
@@ -45,7 +47,8 @@
         settings: settings_lib.Settings,
         is_ready: Callable[[], bool],
         announce: Callable[[heartbeats.Heartbeat], None],
-        leave: Callable[[str], None],
+        leave: Callable[[str, int], None],
+        knows_service: Callable[[str], bool],
         render_metrics: Callable[[], bytes],
     ):
         """Sets what is served.
@@ -54,7 +57,9 @@
             settings: Where to listen.
             is_ready: Returns whether callers may be sent here.
             announce: Called with each heartbeat.
-            leave: Called with the id of a process that takes no new work.
+            leave: Called with the id of a process that takes no new work, and
+                when it started, in ms since 1970; 0: it did not say.
+            knows_service: Returns whether a service is known.
             render_metrics: Returns the metrics as text.
         """
         super().__init__()
@@ -63,6 +68,7 @@
         self._is_ready = is_ready
         self._announce = announce
         self._leave = leave
+        self._knows_service = knows_service
         self._render_metrics = render_metrics
         self._metrics = settings_lib.Address(
             settings.address, METRICS_PORT if settings.first_port else 0
@@ -118,6 +124,7 @@
         instance_id = request.match_info["instance_id"]
         try:
             heartbeat = read_heartbeat(instance_id, await request.json())
+            self._check_service(heartbeat.service)
         except (errors.InvalidInputError, ValueError) as error:
             events.warn(
                 "heartbeat refused", instance=instance_id, error=str(error)
@@ -127,9 +134,26 @@
         return web.json_response({})
 
     async def _handle_leave(self, request: web.Request) -> web.Response:
-        self._leave(request.match_info["instance_id"])
+        instance_id = request.match_info["instance_id"]
+        try:
+            born_ms = read_leave(await request.read())
+        except (errors.InvalidInputError, ValueError) as error:
+            events.warn("leave refused", instance=instance_id, error=str(error))
+            return web.json_response({}, status=400)
+        self._leave(instance_id, born_ms)
         return web.json_response({})
 
+    def _check_service(self, name: str) -> None:
+        """Refuses a heartbeat that names a service that nobody knows.
+
+        It is another writer's. Taken over, it would have the backend server
+        here vanish from its service.
+        """
+        if not self._knows_service(name):
+            raise errors.InvalidInputError(
+                [errors.Finding("service", f"{name!r} is not known.")]
+            )
+
 
 _SHUTDOWN_S = 0.1
 
@@ -153,6 +177,7 @@
             ("state", _is_state),
             ("coldRemainingMs", _is_number),
             ("seq", _is_number),
+            ("born", _is_born),
         )
         if not fits(fields.get(name))
     ]
@@ -166,9 +191,29 @@
         _STATES[fields["state"]],
         fields["coldRemainingMs"] / 1000,
         fields["seq"],
+        fields.get("born") or 0,
     )
 
 
+def read_leave(body: bytes) -> int:
+    """Checks the body of a leave, which may be empty.
+
+    Returns:
+        When the process started, in ms since 1970; 0: it does not say.
+
+    Raises:
+        errors.InvalidInputError: The start is not a whole number.
+        ValueError: It is not JSON.
+    """
+    fields = json.loads(body) if body else {}
+    born_ms = fields.get("born") if isinstance(fields, dict) else fields
+    if not _is_born(born_ms):
+        raise errors.InvalidInputError(
+            [errors.Finding("born", f"{born_ms!r} is not allowed.")]
+        )
+    return born_ms or 0
+
+
 def _is_name(value: Any) -> bool:
     return isinstance(value, str) and _NAME.fullmatch(value) is not None
 
@@ -186,4 +231,11 @@
 
 
 def _is_number(value: Any) -> bool:
-    return type(value) in (int, float) and value >= 0
+    if type(value) not in (int, float):
+        return False
+    return math.isfinite(value) and value >= 0
+
+
+def _is_born(value: Any) -> bool:
+    """Returns whether a start in ms since 1970 is one, or left out."""
+    return value is None or (type(value) is int and value > 0)
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -74,6 +74,7 @@
             self.is_ready,
             self.take_heartbeat,
             self.retire_backend,
+            self._knows_service,
             lambda: metrics.render_metrics(self.registry),
         )
         await self.add_runtime_dependency(self._endpoints)
@@ -81,6 +82,12 @@
         if status is not None and not self.heard_backend:
             self.take_heartbeat(status)
 
+    def _knows_service(self, name: str) -> bool:
+        """Returns whether the settings or the running version name it."""
+        running = self._holder.running
+        known = running is not None and name in running.services
+        return known or name == self._platform.service
+
 
 def build_daemon_settings(
     settings: settings_lib.Settings,
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -8,9 +8,7 @@
 
 import asyncio
 import base64
-import binascii
 import json
-import logging
 from typing import Any, TYPE_CHECKING
 
 import aiohttp
@@ -18,12 +16,13 @@
 
 from merlintrestle import connectors
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.store import client
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-logger = logging.getLogger(__name__)
+events = event_logs.EventLog("platform")
 
 # The system's own keys; the store forbids writing those of the operators.
 OWN_PREFIX = "merlintrestle/"
@@ -88,7 +87,8 @@
             query["after"] = _name(after)
         while True:
             _, answer = await self._read("range", query)
-            found = [_read_item(item) for item in _get(answer, "items", list)]
+            items = _get(answer, "items", list)
+            found = read_items(items)
             entries += found
             more = bool(answer.get("hasMore")) and bool(found)
             if not more or len(entries) >= limit:
@@ -105,8 +105,7 @@
         """
         # The range tells the store's revision also where the key is absent.
         _, answer = await self._read("range", {"prefix": _name(key)})
-        for item in _get(answer, "items", list):
-            entry = _read_item(item)
+        for entry in read_items(_get(answer, "items", list)):
             if entry.key == key and entry.revision > after_revision:
                 yield entry
         at = _get(answer, "at", int)
@@ -219,11 +218,40 @@
     return key if key == CONFIGURATION_KEY else OWN_PREFIX + key
 
 
-def _read_item(item: dict[str, Any]) -> client.Entry:
+def read_items(items: list[Any]) -> list[client.Entry]:
+    """Returns entries; one that is malformed does not hide the others.
+
+    Whoever else writes to the store may leave what cannot be read. Its
+    revision is kept where there is one, so that it can be written anew.
+    """
+    entries = []
+    for item in items:
+        try:
+            entries.append(_read_item(item))
+        except errors.CorruptRecordError as error:
+            events.warn("entry malformed", error=str(error))
+            key, revision = _get_place(item)
+            if key:
+                entries.append(client.Entry(key, b"", revision))
+    return entries
+
+
+def _get_place(item: Any) -> tuple[str, int]:
+    """Returns key and revision of an entry; no key: they are malformed too."""
+    fields = item if isinstance(item, dict) else {}
+    key, revision = fields.get("key"), fields.get("revision")
+    if not isinstance(key, str) or type(revision) is not int:
+        return "", 0
+    return key.removeprefix(OWN_PREFIX), revision
+
+
+def _read_item(item: Any) -> client.Entry:
+    if not isinstance(item, dict):
+        raise errors.CorruptRecordError(f"store: an item is {item!r}")
     key = _get(item, "key", str).removeprefix(OWN_PREFIX)
     try:
         value = base64.b64decode(_get(item, "value", str), validate=True)
-    except binascii.Error as error:
+    except ValueError as error:
         raise errors.CorruptRecordError(f"{key}: {error}") from error
     return client.Entry(key, value, _get(item, "revision", int))
 
--- a/merlintrestle/requests/backend.py
+++ b/merlintrestle/requests/backend.py
@@ -28,10 +28,13 @@
         slots: Calls it runs at once.
         instance_id: Id of its process; empty: it gave none.
         state: As announced, or DOWN where it refuses connections.
+        born_ms: When its process started, in ms since 1970; 0: not stated.
         ready_since_ms: When it became ready, in ms since 1970.
         reachable: False once it refused a connection, until it takes one.
         on_change: Called after every change of what `build_record` gives.
         on_down: Called when it turns out to refuse connections.
+        on_restart: Called with its address when another process announces
+            itself.
     """
 
     def __init__(self) -> None:
@@ -39,11 +42,13 @@
         self.address = ""
         self.slots = 0
         self.instance_id = ""
+        self.born_ms = 0
         self.state = control_pb2.BACKEND_STATE_UNSPECIFIED
         self.ready_since_ms = 0
         self.reachable = True
         self.on_change: Callable[[], None] = _ignore
         self.on_down: Callable[[], None] = _ignore
+        self.on_restart: Callable[[str], None] = _ignore_restart
         self._announced = control_pb2.BACKEND_STATE_UNSPECIFIED
         self._draining = False
         self._cold_s = COLD_S
@@ -56,6 +61,7 @@
         state: control_pb2.BackendState = control_pb2.READY,
         instance_id: str = "",
         cold_s: float = COLD_S,
+        born_ms: int = 0,
     ) -> None:
         """Takes over what the backend server says about itself.
 
@@ -68,10 +74,17 @@
             cold_s: Seconds for which it will still be slow after its start.
                 A daemon that restarts beside a warm backend server would
                 otherwise take it for a cold one.
+            born_ms: When its process started, in ms since 1970; 0: not stated.
         """
         before = self.build_record()
         self._cold_s = min(cold_s, COLD_S)
+        if self._is_another(instance_id, born_ms):
+            # What is known is of the process before: that it is warm, and
+            # connections that nobody answers on any more.
+            self.state = control_pb2.BACKEND_STATE_UNSPECIFIED
+            self.on_restart(self.address)
         self.instance_id = instance_id
+        self.born_ms = born_ms
         self.service = service
         self.address = address
         self.slots = slots
@@ -125,6 +138,13 @@
             ready_since_ms=self.ready_since_ms,
         )
 
+    def _is_another(self, instance_id: str, born_ms: int) -> bool:
+        """Returns whether another process than the one known speaks."""
+        if not self.instance_id:
+            return False
+        restarted = 0 < self.born_ms < born_ms
+        return restarted or instance_id != self.instance_id
+
     def _set_state(self, state: control_pb2.BackendState) -> None:
         if state == control_pb2.READY and self.state != control_pb2.READY:
             warm_s = COLD_S - self._cold_s
@@ -161,3 +181,7 @@
 
 def _ignore() -> None:
     pass
+
+
+def _ignore_restart(address: str) -> None:
+    del address
--- a/merlintrestle/requests/load/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -90,6 +90,16 @@
         self.load_at = 0.0
         self.sent_at_load = 0
 
+    def renew(self) -> None:
+        """Forgets what was seen: another process is at its place.
+
+        Its failures, its speed and its load are not those of the one before.
+        Calls in flight are still counted until they end.
+        """
+        in_flight, awaiting = self.in_flight, self.awaiting
+        Observation.__init__(self)
+        self.in_flight, self.awaiting = in_flight, awaiting
+
     def note_load(self, now: float, load: loads.Load) -> None:
         """Notes what the daemon of the upstream reported with an answer."""
         self.load = load
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -147,14 +147,17 @@
         pool = Pool(upstreams, self._zone, self._own_id())
         self._pools[service] = pool
         if before is not None:
-            left = {one.member_id for one in upstreams}
-            for gone in before.upstreams:
-                self._forget(gone.member_id, left)
+            left = {one.member_id: one.ready_since_ms for one in upstreams}
+            for known in before.upstreams:
+                if known.member_id not in left:
+                    self._forget(known.member_id)
+                elif known.ready_since_ms != left[known.member_id]:
+                    self.observe(known.member_id).renew()
         return pool
 
-    def _forget(self, member_id: str, left: set[str]) -> None:
+    def _forget(self, member_id: str) -> None:
         observation = self._observations.get(member_id)
-        if member_id in left or observation is None or observation.in_flight:
+        if observation is None or observation.in_flight:
             return
         del self._observations[member_id]
 
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/proxy.py
@@ -141,6 +141,7 @@
         loop = asyncio.get_running_loop()
         self.statistics = statistics.Statistics(loop.time)
         await self._forwarder.start()
+        self.backend.on_restart = self._forwarder.drop_idle
         address = self._settings.address
         caller_side = callers.Callers(
             self._standing,
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -84,6 +84,10 @@
         self._pool.close()
         await self._probes.close()
 
+    def drop_idle(self, address: str) -> None:
+        """Closes the idle connections to an address."""
+        self._pool.drop(address)
+
     async def send_to_backend(
         self,
         own: backend.OwnBackend,
--- a/tests/members/test_seeds.py
+++ b/tests/members/test_seeds.py
@@ -24,3 +24,14 @@
         await seeds.write_seeds(store, "noord", ["127.0.0.1:9002"])
         found = await seeds.read_seeds(store)
         self.assertEqual(found, ["127.0.0.1:9002", "127.0.0.1:9001"])
+
+    async def test_seed_that_is_no_address(self) -> None:
+        """A starting daemon asks the others that the record names.
+
+        Another writer's bytes happen to be a record, and name something to
+        which no connection can be made; asking it would raise.
+        """
+        store = fakes.FakeStore()
+        await seeds.write_seeds(store, "noord", ["lost", "127.0.0.1:9002"])
+        found = await seeds.read_seeds(store)
+        self.assertEqual(found, ["127.0.0.1:9002"])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,8 +7,12 @@
 import unittest
 from unittest import mock
 
+import hypothesis
+from hypothesis import strategies
+
 from merlintrestle import errors
 from merlintrestle.platform import store as stores
+from merlintrestle.store import client
 from standins import platform_store
 
 
@@ -112,3 +116,46 @@
         self.assertEqual((await anext(again)).value, b"1")
         assert isinstance(again, AsyncGenerator)
         await again.aclose()
+
+
+_FOREIGN = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(["key", "value", "revision", "lease"]),
+            inner,
+        )
+    ),
+    max_leaves=4,
+)
+
+
+class ForeignEntryTest(unittest.TestCase):
+    """Entries of another writer among those of the fleet's own."""
+
+    @hypothesis.given(strategies.lists(_FOREIGN, max_size=4))
+    def test_whatever_is_among_them_the_others_hold(
+        self, foreign: list[object]
+    ) -> None:
+        """A starting daemon still finds its fleet.
+
+        One entry cannot be read. Were the whole list given up for it, no
+        daemon that starts would find another one until it is gone.
+        """
+        own = {
+            "key": stores.OWN_PREFIX + "seeds/noord",
+            "value": "bm9kZS0x",
+            "revision": 4,
+        }
+        found = stores.read_items([*foreign, own])
+        self.assertEqual(found[-1].value, b"node-1")
+
+    def test_a_value_that_cannot_be_read_can_be_written_anew(self) -> None:
+        item = {"key": "merlintrestle/seeds/noord", "value": "?", "revision": 4}
+        self.assertEqual(
+            stores.read_items([item]), [client.Entry("seeds/noord", b"", 4)]
+        )
