--- a/merlintrestle/daemon/metrics.py
+++ b/merlintrestle/daemon/metrics.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterator
 
     from merlintrestle.members import table as tables
-    from merlintrestle.requests import proxy as proxies
+    from merlintrestle.requests.serving import proxy as proxies
     from merlintrestle.versions import holder as holders
 
 
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -16,8 +16,8 @@
 from merlintrestle.members import service as control
 from merlintrestle.members import table as tables
 from merlintrestle.members import timing as timings
-from merlintrestle.requests import dialect as dialects
-from merlintrestle.requests import proxy as proxies
+from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.serving import proxy as proxies
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import request_pb2_grpc
 from merlintrestle.schema import settings_pb2
--- a/merlintrestle/platform/requests.py
+++ b/merlintrestle/platform/requests.py
@@ -10,16 +10,16 @@
 from aiohttp import web
 import multidict
 
-from merlintrestle.requests import dialect as dialects
-from merlintrestle.requests import intake
-from merlintrestle.requests import outcomes
-from merlintrestle.requests import routing
+from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.calls import intake
+from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import routing
 from merlintrestle.requests.transport import headers
 
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
     from merlintrestle.requests import backend as backends
-    from merlintrestle.requests import call as calls
+    from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.transport import answers
 
 # Id of one attempt of a caller; a retry of its own has another one.
--- a/merlintrestle/requests/dialect.py
+++ b/merlintrestle/requests/calls/dialect.py
@@ -10,8 +10,8 @@
 import functools
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import intake
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import intake
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.transport import headers
 
 if TYPE_CHECKING:
@@ -20,8 +20,8 @@
 
     from merlintrestle.documents import snapshot
     from merlintrestle.requests import backend as backends
-    from merlintrestle.requests import call as calls
-    from merlintrestle.requests import routing
+    from merlintrestle.requests.calls import call as calls
+    from merlintrestle.requests.calls import routing
     from merlintrestle.requests.transport import answers
 
 
--- a/merlintrestle/requests/intake.py
+++ b/merlintrestle/requests/calls/intake.py
@@ -4,10 +4,10 @@
 
 from typing import NamedTuple, TYPE_CHECKING
 
-from merlintrestle.requests import call as calls
-from merlintrestle.requests import outcomes
-from merlintrestle.requests import plans
-from merlintrestle.requests import routing
+from merlintrestle.requests.calls import call as calls
+from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import plans
+from merlintrestle.requests.calls import routing
 from merlintrestle.requests.reports import stories
 from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import headers
--- a/merlintrestle/requests/routing.py
+++ b/merlintrestle/requests/calls/routing.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple, TYPE_CHECKING
 import urllib.parse
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
--- a/merlintrestle/requests/crashing/crashes.py
+++ b/merlintrestle/requests/crashing/crashes.py
@@ -7,14 +7,14 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle import events as event_logs
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.crashing import strikes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from merlintrestle.requests import backend as backends
-    from merlintrestle.requests import call as calls
+    from merlintrestle.requests.calls import call as calls
     from merlintrestle.schema import control_pb2
 
 events = event_logs.EventLog("requests")
--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import queues
 from merlintrestle.requests.load import shares
@@ -19,8 +19,8 @@
     from merlintrestle.documents import snapshot
     from merlintrestle.members import table as tables
     from merlintrestle.requests import backend as backends
-    from merlintrestle.requests import call as calls
     from merlintrestle.requests import parts
+    from merlintrestle.requests.calls import call as calls
 
 # Waiting calls per slot, of all classes together.
 WAITING_PER_SLOT = 4
--- a/merlintrestle/requests/load/joining.py
+++ b/merlintrestle/requests/load/joining.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from merlintrestle.requests import call as calls
     from merlintrestle.requests import parts
+    from merlintrestle.requests.calls import call as calls
 
 # Time after its start in which a daemon still hears of upstreams that have
 # long been there, in seconds. After the restart of a whole fleet the first
--- a/merlintrestle/requests/load/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -8,7 +8,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 
 if TYPE_CHECKING:
     from merlintrestle.requests.load import loads
--- a/merlintrestle/requests/load/retries.py
+++ b/merlintrestle/requests/load/retries.py
@@ -5,8 +5,8 @@
 import enum
 import functools
 
-from merlintrestle.requests import call as calls
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import call as calls
+from merlintrestle.requests.calls import outcomes
 
 # A first try ends after the greatest of these, if as much is left for another:
 # this time, and multiples of the latency target and of the expected work.
--- a/merlintrestle/requests/reports/latencies.py
+++ b/merlintrestle/requests/reports/latencies.py
@@ -9,7 +9,7 @@
 
 from prometheus_client import metrics_core
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/merlintrestle/requests/reports/statistics.py
+++ b/merlintrestle/requests/reports/statistics.py
@@ -8,7 +8,7 @@
 
 from prometheus_client import metrics_core
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
--- a/merlintrestle/requests/reports/stories.py
+++ b/merlintrestle/requests/reports/stories.py
@@ -15,7 +15,7 @@
 import prometheus_client
 
 from merlintrestle import events as event_logs
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 
 # Stories of failed requests written per second: with some 8 lines of 250 bytes
 # each, 20 KB/s at most.
--- a/merlintrestle/requests/answering.py
+++ b/merlintrestle/requests/serving/answering.py
@@ -7,8 +7,8 @@
 import aiohttp
 from aiohttp import web
 
-from merlintrestle.requests import dialect as dialects
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import streams
--- a/merlintrestle/requests/beside.py
+++ b/merlintrestle/requests/serving/beside.py
@@ -5,12 +5,12 @@
 import time
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.unrepeatable import once
 
 if TYPE_CHECKING:
     from merlintrestle.requests import backend as backends
-    from merlintrestle.requests import call as calls
+    from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.crashing import crashes as crashes_
     from merlintrestle.requests.load import admission as admissions
     from merlintrestle.requests.transport import forwarding
--- a/merlintrestle/requests/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -5,22 +5,22 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import answering
-from merlintrestle.requests import dialect as dialects
-from merlintrestle.requests import intake
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.calls import intake
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import urgency
 from merlintrestle.requests.reports import stories
+from merlintrestle.requests.serving import answering
 
 if TYPE_CHECKING:
     from aiohttp import web
 
-    from merlintrestle.requests import call as calls
-    from merlintrestle.requests import dispatch as dispatches
-    from merlintrestle.requests import routing
-    from merlintrestle.requests import standing as standings
+    from merlintrestle.requests.calls import call as calls
+    from merlintrestle.requests.calls import routing
     from merlintrestle.requests.reports import latencies as latencies_
     from merlintrestle.requests.reports import statistics as statistics_
+    from merlintrestle.requests.serving import dispatch as dispatches
+    from merlintrestle.requests.serving import standing as standings
 
 
 class Callers:
--- a/merlintrestle/requests/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import outcomes
-from merlintrestle.requests import plans
+from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import plans
 from merlintrestle.requests.load import budgets as budgets_
 from merlintrestle.requests.load import joining
 from merlintrestle.requests.load import loads
@@ -21,10 +21,10 @@
     import multidict
 
     from merlintrestle.members import table as tables
-    from merlintrestle.requests import beside as besides
-    from merlintrestle.requests import call as calls
     from merlintrestle.requests import parts
+    from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import picking
+    from merlintrestle.requests.serving import beside as besides
     from merlintrestle.requests.transport import forwarding
 
 # Each further one is free (it did not run) or paid from the budget.
--- a/merlintrestle/requests/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -7,20 +7,20 @@
 
 from aiohttp import web
 
-from merlintrestle.requests import answering
-from merlintrestle.requests import dialect as dialects
-from merlintrestle.requests import intake
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.calls import intake
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.reports import stories
+from merlintrestle.requests.serving import answering
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
 
 if TYPE_CHECKING:
-    from merlintrestle.requests import beside as besides
-    from merlintrestle.requests import call as calls
-    from merlintrestle.requests import standing as standings
+    from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import admission
+    from merlintrestle.requests.serving import beside as besides
+    from merlintrestle.requests.serving import standing as standings
 
 _OWN_DIALECT = dialects.OwnDialect()
 
--- a/merlintrestle/requests/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -10,18 +10,18 @@
 
 from merlintrestle import events as event_logs
 from merlintrestle.requests import backend
-from merlintrestle.requests import beside
-from merlintrestle.requests import callers
-from merlintrestle.requests import dialect as dialects
-from merlintrestle.requests import dispatch
-from merlintrestle.requests import peers
-from merlintrestle.requests import standing
+from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.crashing import crashes
 from merlintrestle.requests.load import admission
 from merlintrestle.requests.load import budgets
 from merlintrestle.requests.load import picking
 from merlintrestle.requests.reports import latencies
 from merlintrestle.requests.reports import statistics
+from merlintrestle.requests.serving import beside
+from merlintrestle.requests.serving import callers
+from merlintrestle.requests.serving import dispatch
+from merlintrestle.requests.serving import peers
+from merlintrestle.requests.serving import standing
 from merlintrestle.requests.transport import forwarding
 from merlintrestle.requests.transport import server
 from merlintrestle.requests.unrepeatable import claims as claims_
--- a/merlintrestle/requests/standing.py
+++ b/merlintrestle/requests/serving/standing.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -12,8 +12,8 @@
 
 from merlintrestle import connectors
 from merlintrestle import events as event_logs
-from merlintrestle.requests import dialect as dialects
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import retries
 from merlintrestle.requests.transport import answers
 from merlintrestle.requests.transport import connections
@@ -28,7 +28,7 @@
     import multidict
 
     from merlintrestle.requests import backend
-    from merlintrestle.requests import call as calls
+    from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import budgets as budgets_
 
 events = event_logs.EventLog("requests")
--- a/merlintrestle/requests/transport/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -10,7 +10,7 @@
 from aiohttp import web_protocol
 
 from merlintrestle import events as event_logs
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.transport import bodies
 
 if TYPE_CHECKING:
--- a/merlintrestle/requests/transport/streams.py
+++ b/merlintrestle/requests/transport/streams.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     import aiohttp
 
-    from merlintrestle.requests import outcomes
+    from merlintrestle.requests.calls import outcomes
 
 # l_onoff and l_linger: close at once with a reset.
 _RESET = struct.pack("ii", 1, 0)
--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -12,7 +12,7 @@
 from google.protobuf import message
 
 from merlintrestle import errors
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.unrepeatable import leases
 from merlintrestle.requests.unrepeatable import ledger as ledgers
 from merlintrestle.schema import request_pb2
@@ -20,8 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from merlintrestle.requests import call as calls
     from merlintrestle.requests import parts
+    from merlintrestle.requests.calls import call as calls
     from merlintrestle.store import client
 
 # Longest wait for the store before the request is refused as not run.
--- a/merlintrestle/requests/unrepeatable/ledger.py
+++ b/merlintrestle/requests/unrepeatable/ledger.py
@@ -7,7 +7,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.transport import headers
 from merlintrestle.schema import request_pb2
 
--- a/merlintrestle/requests/unrepeatable/once.py
+++ b/merlintrestle/requests/unrepeatable/once.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import Any, TYPE_CHECKING
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.unrepeatable import claims as claims_
 from merlintrestle.requests.unrepeatable import ledger as ledgers
 from merlintrestle.schema import request_pb2
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from merlintrestle.requests import call as calls
+    from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import admission as admissions
 
 _MAX_ROUNDS = 4
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -14,8 +14,8 @@
 
 from merlintrestle.documents import snapshot
 from merlintrestle.members import table
-from merlintrestle.requests import call as calls
-from merlintrestle.requests import proxy as proxies
+from merlintrestle.requests.calls import call as calls
+from merlintrestle.requests.serving import proxy as proxies
 from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import server
 from merlintrestle.schema import control_pb2
--- /dev/null
+++ b/tests/requests/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of merlintrestle.requests.calls."""
--- a/tests/requests/test_outcomes.py
+++ b/tests/requests/calls/test_outcomes.py
@@ -7,7 +7,7 @@
 import unittest
 import weakref
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 
 
 class _Response:
--- a/tests/requests/crashing/test_crashes.py
+++ b/tests/requests/crashing/test_crashes.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from merlintrestle.requests import backend
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.crashing import crashes
 from merlintrestle.requests.crashing import strikes
 from merlintrestle.requests.transport import headers
--- a/tests/requests/interleaving.py
+++ b/tests/requests/interleaving.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any, NamedTuple, TYPE_CHECKING
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.unrepeatable import claims
 from merlintrestle.requests.unrepeatable import leases
 from merlintrestle.requests.unrepeatable import once
@@ -13,7 +13,7 @@
 from tests.requests import fakes
 
 if TYPE_CHECKING:
-    from merlintrestle.requests import call as calls
+    from merlintrestle.requests.calls import call as calls
     from merlintrestle.schema import request_pb2
 
 # Turns of the event loop in which everything that can go on does so.
--- a/tests/requests/load/fleets.py
+++ b/tests/requests/load/fleets.py
@@ -14,12 +14,12 @@
 import multidict
 
 from merlintrestle.requests import backend
-from merlintrestle.requests import dispatch
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import admission
 from merlintrestle.requests.load import budgets
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import picking
+from merlintrestle.requests.serving import dispatch
 from merlintrestle.requests.transport import headers
 from merlintrestle.schema import control_pb2
 from tests.requests import builders
@@ -27,7 +27,7 @@
 from tests.requests.load import plays
 
 if TYPE_CHECKING:
-    from merlintrestle.requests import call as calls
+    from merlintrestle.requests.calls import call as calls
 
 _SLOTS = 12
 
--- a/tests/requests/load/plays.py
+++ b/tests/requests/load/plays.py
@@ -15,8 +15,8 @@
 
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
-    from merlintrestle.requests import call as calls
-    from merlintrestle.requests import outcomes
+    from merlintrestle.requests.calls import call as calls
+    from merlintrestle.requests.calls import outcomes
 
 
 # Spread of the time that a call needs: the logarithm's standard deviation, so
--- a/tests/requests/load/test_admission.py
+++ b/tests/requests/load/test_admission.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies
 
 from merlintrestle.requests import backend
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import admission
 from merlintrestle.schema import control_pb2
 from tests.requests import builders
@@ -20,7 +20,7 @@
     import random
 
     from merlintrestle.documents import snapshot
-    from merlintrestle.requests import call as calls
+    from merlintrestle.requests.calls import call as calls
 
 _SLOTS = 4
 _LOOKUP = builders.build_plan("lookup", rate=100.0, work_s=0.01, latency_s=5.0)
--- a/tests/requests/load/test_picking.py
+++ b/tests/requests/load/test_picking.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 import unittest
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import observations
 from merlintrestle.requests.load import picking
 from tests.requests import builders
--- a/tests/requests/load/test_retries.py
+++ b/tests/requests/load/test_retries.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import web
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import retries
 from merlintrestle.requests.transport import headers
 from tests.requests import builders
--- a/tests/requests/reports/test_latencies.py
+++ b/tests/requests/reports/test_latencies.py
@@ -7,7 +7,7 @@
 
 import prometheus_client
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.reports import latencies
 from tests.requests import builders
 
--- a/tests/requests/reports/test_statistics.py
+++ b/tests/requests/reports/test_statistics.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.reports import statistics
 from tests.requests import builders
 
--- a/tests/requests/test_interleaving.py
+++ b/tests/requests/serving/test_interleaving.py
@@ -8,7 +8,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.unrepeatable import claims
 from tests.requests import builders
 from tests.requests import fakes
--- a/tests/requests/unrepeatable/test_ledger.py
+++ b/tests/requests/unrepeatable/test_ledger.py
@@ -5,7 +5,7 @@
 import asyncio
 import unittest
 
-from merlintrestle.requests import outcomes
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.unrepeatable import ledger as ledgers
 from merlintrestle.schema import request_pb2
 
