Bring parts of a fleet that started alone together within seconds

Both parts write the record of a zone; the slower write is refused and its writer never read the other's record until the check after 20 s. Change: a refused write gives the record that was there, and who it names is contacted; the records are looked at again 1, 2, 4, 8 and 16 s after the first write.

--- a/merlintrestle/members/exchange.py
+++ b/merlintrestle/members/exchange.py
@@ -206,6 +206,10 @@
         unknown = [i for i in addresses if self._table.get(i) is None]
         await self._contact_any(unknown)
 
+    async def find_others(self) -> None:
+        """Contacts daemons that the records of seeds name and nobody knows."""
+        await self.contact_unknown(await self._read_seeds() or [])
+
     def _is_alone(self) -> bool:
         """Tells whether no other member is known, as when all start at once."""
         return len(self._table.usable_ids()) <= 1
--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -107,6 +107,10 @@
         """Contacts daemons that the table does not have yet."""
         await self._exchange.contact_unknown(addresses)
 
+    async def find_others(self) -> None:
+        """Contacts daemons that the store names and the table does not."""
+        await self._exchange.find_others()
+
     async def serve_link(self, stream: grpc.aio.ServicerContext) -> None:
         """Serves a link that a peer opened, until it ends."""
         link = links_lib.Link("", outgoing=False)
--- a/merlintrestle/members/seeds.py
+++ b/merlintrestle/members/seeds.py
@@ -38,8 +38,12 @@
 ) -> list[str]:
     """Writes the record of a zone if it would change.
 
+    Where another writer was faster its record stays. It may be of a part of
+    the fleet that started at the same time and knows nothing of this one, so
+    it is returned with the others: by it the two parts meet.
+
     Returns:
-        The addresses in the records of all zones as they stood before.
+        The addresses in the records of all zones but for what was written.
 
     Raises:
         errors.StoreError: The store did not answer.
@@ -51,11 +55,11 @@
     value = record.SerializeToString(deterministic=True)
     before = await store.list(PREFIX, limit=_MAX_ZONES)
     held = {entry.key: entry for entry in before}.get(key)
-    if held is None:
-        await store.put(key, value, 0)
-    elif held.value != value:
-        # Another writer may be faster; its record names seeds as well.
-        await store.put(key, value, held.revision)
+    if held is not None and held.value == value:
+        return _list_addresses(before)
+    reply = await store.put(key, value, held.revision if held else 0)
+    if not reply.written:
+        before = [*before, reply.entry]
     return _list_addresses(before)
 
 
--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -32,7 +32,8 @@
             store failing again at once, would reach nobody.
         seeds_write: Least time between two writes of a zone's seeds.
         seeds_check: The records of seeds are looked at again after so long,
-            for parts of the fleet that this one does not know.
+            for parts of the fleet that this one does not know; sooner, from
+            `seeds_write` on, after the start.
         head_refresh: Mean time between two reads of the head by a watcher.
         memory: A witness must have been open so long to answer for marks.
         hedge: A fetch that takes longer is tried with another peer as well.
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -73,6 +73,7 @@
         self._reading = asyncio.Lock()
         self._seeds: list[str] = []
         self._seeds_at = 0.0
+        self._find_s = self._timing.seeds_write
         self._watchers = self._choose("watch", WATCHERS_PER_ZONE)
         self._seeding = self._choose("seeds", seeds_lib.SEEDS_PER_ZONE)
 
@@ -277,6 +278,7 @@
         age = self._clock() - self._seeds_at
         changed = seeds != self._seeds and age >= self._timing.seeds_write
         if self._seeds and not changed and age < self._timing.seeds_check:
+            await self._find_others(age)
             return
         zone = self._membership.table.own.zone
         before = await self._source.write_seeds(zone, seeds)
@@ -284,6 +286,18 @@
         self._seeds_at = self._clock()
         await self._membership.contact_unknown(before)
 
+    async def _find_others(self, age_s: float) -> None:
+        """Looks for parts of the fleet, soon after the start and then rarely.
+
+        Where all start at once, a few may meet each other alone; their callers
+        would find no upstream for most services until the next check. What is
+        looked at after 1, 2, 4 and 8 s has been written by then.
+        """
+        if age_s < self._find_s or self._find_s >= self._timing.seeds_check:
+            return
+        self._find_s *= 2
+        await self._membership.find_others()
+
     def _choose(self, purpose: str, count: int) -> choice_lib.Choice:
         table = self._membership.table
         zone = table.own.zone
--- a/tests/members/test_seeds.py
+++ b/tests/members/test_seeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from merlintrestle.members import seeds
@@ -35,3 +36,28 @@
         await seeds.write_seeds(store, "noord", ["lost", "127.0.0.1:9002"])
         found = await seeds.read_seeds(store)
         self.assertEqual(found, ["127.0.0.1:9002"])
+
+    async def test_two_parts_of_a_fleet_that_write_at_once(self) -> None:
+        """Callers of both parts find all upstreams.
+
+        All daemons start at once, and a few of a zone meet only each other.
+        Both parts find no record and write one; the slower one's write is
+        refused. Nobody ever read the other part's record, and its daemons knew
+        two upstreams of fourteen for the next twenty seconds.
+        """
+        store = fakes.FakeStore()
+        turn = asyncio.Barrier(2)
+
+        async def wait(method: str, key: str) -> None:
+            del key
+            if method == "put":
+                await turn.wait()
+
+        store.before_call = wait
+        found = await asyncio.gather(
+            seeds.write_seeds(store, "noord", ["127.0.0.1:9001"]),
+            seeds.write_seeds(store, "noord", ["127.0.0.1:9002"]),
+        )
+        self.assertIn(
+            found, ([[], ["127.0.0.1:9001"]], [["127.0.0.1:9002"], []])
+        )
--- a/tests/versions/models.py
+++ b/tests/versions/models.py
@@ -24,7 +24,11 @@
 
 
 class Contact:
-    """Stands in for `membership.Membership`."""
+    """Stands in for `membership.Membership`.
+
+    Attributes:
+        searches: How often it was told to look for others.
+    """
 
     def __init__(
         self, table: table_lib.MemberTable, peers: member_builders.FakePeers
@@ -32,6 +36,7 @@
         self.table = table
         self.peers = peers
         self.timing = TIMING
+        self.searches = 0
 
     async def wait_for_contact(self, timeout_s: float) -> bool:
         """Needs no wait."""
@@ -40,6 +45,10 @@
     async def contact_unknown(self, addresses: Sequence[str]) -> None:
         """Knows everyone."""
 
+    async def find_others(self) -> None:
+        """Counts; there are no others."""
+        self.searches += 1
+
     def is_cut_off(self) -> bool:
         """Hears the others."""
         return False
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -161,6 +161,31 @@
             )
         self.assertEqual(self.configuration.seed_writes, 1)
 
+    async def test_others_are_looked_for_soon_after_the_start(self) -> None:
+        """Callers of a part of the fleet do not find services missing for long.
+
+        Daemons that met only each other as all started learn of the others
+        from the records of seeds. Looked at again after twenty seconds, these
+        came too late; looked at for ever, they would cost a call a second.
+        """
+        contact = self.model.contact
+        contact.timing = contact.timing._replace(
+            seeds_write=1.0, seeds_check=20.0
+        )
+        self.watcher = watcher_lib.Watcher(
+            contact, self.configuration, self.model.hold, self.fleet.get_time
+        )
+        await self.run_watcher()
+        await builders.wait_until(lambda: bool(self.configuration.seeds))
+        for _ in range(20):
+            self.fleet.now += 2.5
+            reads = self.configuration.reads
+            await builders.wait_until(
+                lambda reads=reads: self.configuration.reads > reads  # type: ignore[misc]
+            )
+        self.assertGreaterEqual(contact.searches, 3)
+        self.assertLessEqual(contact.searches, 5)
+
 
 class SeedsTest(unittest.IsolatedAsyncioTestCase):
     """Records by which daemons find each other."""
