Split the way of a call's tries from the loop that makes them

dispatch.run kept five variables of its own; they are one record now, and a try and its line in the story are one function. No change of behaviour.

--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -164,7 +164,7 @@
         limit_s = self._limit_wait(queue, call, waiter.late, now)
         expected_s = self._estimate_wait(queue, waiter)
         if expected_s > limit_s or not self._make_room(queue):
-            return self._refuse(queue, waiter, expected_s, now)
+            return self._refuse_full(queue, waiter, expected_s, now)
         queue.add(waiter)
         self._waiting += 1
         timer = loop.call_later(limit_s, _give_up, waiter)
@@ -182,7 +182,7 @@
                 queue.waiting.remove(waiter)
                 self._waiting -= 1
         expected_s = self._estimate_wait(queue, waiter)
-        return self._refuse(queue, waiter, expected_s, loop.time())
+        return self._refuse_full(queue, waiter, expected_s, loop.time())
 
     def _limit_wait(
         self,
@@ -199,7 +199,7 @@
             return 0.0
         return min(queue.get_late_patience(), left_s / 2)
 
-    def _refuse(
+    def _refuse_full(
         self,
         queue: queues.ClassQueue,
         waiter: queues.Waiter,
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.calls import outcomes
@@ -35,6 +36,37 @@
 _MAX_REFUSALS = 2
 
 
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far a call has come.
+
+    Attributes:
+        tried: Ids of the upstreams that it was sent to.
+        reached: Backend servers that were sent it.
+        refusals: Upstreams that had no room for it.
+        outcome: What is true of it so far; None: it was not tried.
+    """
+
+    tried: set[str] = dataclasses.field(default_factory=set)
+    reached: int = 0
+    refusals: int = 0
+    outcome: outcomes.Outcome | None = None
+
+    def note(self, latest: outcomes.Outcome) -> None:
+        """Takes in what became of a try."""
+        self.outcome = retries.combine(self.outcome, latest)
+        self.reached += _reached_backend(latest)
+        self.refusals += _is_refusal(latest)
+
+    def is_over(self, call: calls.Call, count: int) -> bool:
+        """Returns whether the last try was made, of `count` upstreams."""
+        return (
+            len(self.tried) == min(_MAX_TRIES, count)
+            or self.refusals == _MAX_REFUSALS
+            or 0 < call.plan.max_attempts <= self.reached
+        )
+
+
 class Dispatch:
     """Sends calls to upstreams of their service.
 
@@ -66,10 +98,7 @@
         """Returns the answer of an upstream, or the failure to state."""
         budget = self._budgets.get(call.service)
         budget.earn()
-        tried: set[str] = set()
-        reached = 0
-        refusals = 0
-        outcome: outcomes.Outcome | None = None
+        progress = _Progress()
         if not await self.joining.wait(call):
             return self._refuse(call)
         while True:
@@ -77,48 +106,57 @@
             upstream = self._picker.pick(
                 call.service,
                 upstreams,
-                tried,
+                progress.tried,
                 call.plan.repeatable,
             )
             if upstream is None:
-                return outcome or self._refuse(call)
-            tried.add(upstream.member_id)
+                return progress.outcome or self._refuse(call)
+            progress.tried.add(upstream.member_id)
             call.story.add(
                 "picked", **self._picker.describe(upstream, len(upstreams))
             )
-            deadline = call.deadline
-            if len(upstreams) > 1 and budget.left >= 1:
-                call.deadline = retries.limit_first_try(call, self._get_time())
-            began = self._get_time()
-            latest = await self._try(upstream, call)
-            call.deadline = deadline
-            call.story.add(
-                "tried",
-                upstream=upstream.member_id,
-                took_ms=round((self._get_time() - began) * 1000),
-                **stories.describe(latest),
-            )
-            outcome = retries.combine(outcome, latest)
-            reached += _reached_backend(latest)
-            refusals += _is_refusal(latest)
-            last = (
-                len(tried) == min(_MAX_TRIES, len(upstreams))
-                or refusals == _MAX_REFUSALS
-                or 0 < call.plan.max_attempts <= reached
-            )
-            if last or not _may_retry(latest, call, budget):
+            several = len(upstreams) > 1 and budget.left >= 1
+            latest = await self._try_and_tell(upstream, call, several)
+            progress.note(latest)
+            assert progress.outcome is not None
+            over = progress.is_over(call, len(upstreams))
+            if over or not _may_retry(latest, call, budget):
                 if not isinstance(latest, outcomes.Answered):
                     call.story.add(
                         "given up",
-                        tries=len(tried),
-                        reached=reached,
+                        tries=len(progress.tried),
+                        reached=progress.reached,
                         budget=round(budget.left, 1),
                     )
-                return outcome
+                return progress.outcome
             call.story.add("sent again", budget=round(budget.left, 1))
             if isinstance(latest, (outcomes.Ran, outcomes.Unknown)):
                 call.suspect |= latest.broken
-            outcome = _discard(outcome)
+            progress.outcome = _discard(progress.outcome)
+
+    async def _try_and_tell(
+        self, upstream: tables.Upstream, call: calls.Call, several: bool
+    ) -> outcomes.Outcome:
+        """Sends a call to an upstream and adds to its story.
+
+        Args:
+            upstream: Where it is sent.
+            call: The call.
+            several: Another upstream could be tried after this one.
+        """
+        deadline = call.deadline
+        if several:
+            call.deadline = retries.limit_first_try(call, self._get_time())
+        began = self._get_time()
+        latest = await self._try(upstream, call)
+        call.deadline = deadline
+        call.story.add(
+            "tried",
+            upstream=upstream.member_id,
+            took_ms=round((self._get_time() - began) * 1000),
+            **stories.describe(latest),
+        )
+        return latest
 
     def _refuse(self, call: calls.Call) -> outcomes.NotRun:
         return outcomes.NotRun(
