--- a/merlintrestle/requests/load/joining.py
+++ b/merlintrestle/requests/load/joining.py
@@ -50,6 +50,8 @@
 
     async def wait(self, call: calls.Call) -> bool:
         """Waits for an upstream; returns whether there is one."""
+        if self._table.get_upstreams(call.service):
+            return True
         until = self._get_time() + call.plan.latency_s * _PART
         until = min(until, self._until)
         while not self._table.get_upstreams(call.service):
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -19,6 +19,7 @@
 from merlintrestle.requests.transport import connections
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import pool as pools
+from merlintrestle.requests.transport import results
 from merlintrestle.requests.transport import streams
 from merlintrestle.requests.transport import watches
 
@@ -38,23 +39,12 @@
 # before that. With 0.3 s on a host at twice its processors, calls to a backend
 # server that took them were given up (3 of 6 runs; none of 8 with 0.5 s).
 _CONNECT_S = 0.5
-# A connection that was used so recently has not been forgotten, in seconds: no
-# server closes connections sooner.
-_IDLE_S = 0.5
-# A reset of a connection that is gone comes within this time, in seconds: both
-# ends are on one instance.
-_GONE_S = 0.05
 _UNREACHABLE = outcomes.NotRun(
     "could not connect", elsewhere=True, unreachable=True
 )
 _TOO_LATE = outcomes.NotRun("the deadline has passed", 504, None)
 # Daemons pass on whole answers only, and each for its own call.
 _BETWEEN_DAEMONS = dialects.OwnDialect()
-_REASONS = {
-    watches.Verdict.NONE: "no answer before the deadline",
-    watches.Verdict.CONNECTION_SILENT: "the connection went silent",
-    watches.Verdict.PEER_SILENT: "the daemon does not answer",
-}
 
 
 class Forwarder:
@@ -137,7 +127,9 @@
         outcome = await self._exchange(
             pooled, watch, call.target, call, sent_headers, dialect
         )
-        broke = _broke_while_idle(outcome, idle_s, self._loop.time() - began)
+        broke = results.broke_while_idle(
+            outcome, idle_s, self._loop.time() - began
+        )
         if broke and call.body.repeatable and budget.spend():
             call.story.add("connection was gone", idle_ms=round(idle_s * 1000))
             self._pool.drop(address)
@@ -215,7 +207,7 @@
         if self._is_silent(watch, address, call):
             sent_headers[headers.CALL] = call_id = self._call_ids.take()
             second = await self._send_anew(address, target, call, sent_headers)
-            outcome = _combine(outcome, second)
+            outcome = results.combine(outcome, second)
         if isinstance(outcome, outcomes.Answered) and outcome.body is None:
             self._watch_transfer(address, call_id, outcome)
         return outcome
@@ -269,7 +261,7 @@
             answer = await connection.call(
                 call.method, target, sent_headers, call.body
             )
-            while not _belongs(answer, call, sent_headers, dialect):
+            while not results.belongs(answer, call, sent_headers, dialect):
                 # A late answer to an earlier call of this connection.
                 events.warn(
                     "foreign answer",
@@ -286,7 +278,7 @@
             body = await streams.read_answer(answer, call.method)
         except TimeoutError:
             connection.abort()
-            return outcomes.Unknown(_REASONS[watch.verdict], 504)
+            return results.time_out(watch.verdict)
         except (
             aiohttp.ClientError,
             http.HttpProcessingError,
@@ -295,7 +287,9 @@
             connection.abort()
             if call.body.error is not None:
                 raise call.body.error from error
-            return _fail(answer, "the connection broke", 502, broken=True)
+            return results.fail(
+                answer, "the connection broke", 502, broken=True
+            )
         except BaseException:
             connection.abort()
             raise
@@ -345,68 +339,10 @@
         answered.hold(lambda: _cancel(task))
 
 
-def _belongs(
-    answer: answers.Answer,
-    call: calls.Call,
-    sent_headers: multidict.CIMultiDict[str],
-    dialect: object,
-) -> bool:
-    """Returns whether an answer is to what was sent, and not to another call.
-
-    Daemons name the call in each answer. Taken for this call's, another one's
-    answer would go to the wrong caller, and so would all that follow it on
-    the connection.
-    """
-    call_id = sent_headers.get(headers.CALL)
-    if call_id is not None:
-        return answer.headers.get(headers.CALL, call_id) == call_id
-    return dialects.is_answer_to(dialect, answer, call)
-
-
-def _broke_while_idle(
-    outcome: outcomes.Outcome, idle_s: float, took_s: float
-) -> bool:
-    """Returns whether a connection was gone before a call was sent over it.
-
-    The other side may forget a connection that is idle, sooner than it said
-    and without a word; what is sent next is answered by a reset, at once.
-    Passed up, that would look like a crash of the backend server.
-    """
-    broke = isinstance(outcome, outcomes.Unknown) and outcome.broken
-    return broke and idle_s >= _IDLE_S and took_s <= _GONE_S
-
-
-def _combine(
-    first: outcomes.Outcome, second: outcomes.Outcome
-) -> outcomes.Outcome:
-    """Returns what is true of a call that was sent anew to a peer.
-
-    The first sending may have run and its answer been lost. A peer that
-    refuses the second one as not run says nothing of the first.
-    """
-    if isinstance(second, outcomes.Answered):
-        stated = second.response.headers.get(headers.OUTCOME)
-        if stated != "not-run":
-            return second
-        second = outcomes.read_failure(second)
-    return retries.combine(first, second)
-
-
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
 
 
-def _fail(
-    answer: answers.Answer | None,
-    reason: str,
-    status: int,
-    broken: bool,
-) -> outcomes.Failure:
-    if answer is None:
-        return outcomes.Unknown(reason, status, broken=broken)
-    return outcomes.Ran(f"{reason} in the answer", status, broken=broken)
-
-
 def _open_probes() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connectors.Connector(force_close=True),
--- a/tests/requests/transport/test_connections.py
+++ b/tests/requests/transport/test_connections.py
@@ -12,9 +12,9 @@
 
 from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import connections
-from merlintrestle.requests.transport import forwarding
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import pool as pools
+from merlintrestle.requests.transport import results
 from merlintrestle.requests.transport import watches
 from tests.requests import builders
 
@@ -182,7 +182,7 @@
             builders.open_client() as client,
         ):
             retry = {headers.ATTEMPT: "1"}
-            with mock.patch.object(forwarding, "_IDLE_S", 0.0):
+            with mock.patch.object(results, "_IDLE_S", 0.0):
                 for _ in range(2):
                     answer = await client.get(node.url + "/x", headers=retry)
                     self.assertEqual(answer.status, 200)
