Tell callers that a backend server turned away to come back at once

Change: they are told the time for which a call holds a slot there just now. A test over the adapter fails without the change (1.0 s).

--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -121,6 +121,16 @@
         queue.hold_s += _NEWEST * (held_s - queue.hold_s)
         self._give_back(queue)
 
+    def estimate_turnover(self, call: calls.Call) -> float:
+        """Returns when it is worth asking the backend server again, in s.
+
+        It refused though a slot was given out: by the time that a call holds
+        one, others have ended there. Callers that were told to wait a second
+        came back late; a backend server that turns away every second call
+        takes the next one as soon as any.
+        """
+        return max(_LEAST_RETRY_S, self._get_queue(call).hold_s)
+
     def wake(self) -> None:
         """Gives free slots to calls that wait."""
         while self._waiting:
--- a/merlintrestle/requests/serving/beside.py
+++ b/merlintrestle/requests/serving/beside.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from typing import TYPE_CHECKING
 
@@ -70,6 +71,9 @@
         except BaseException:
             self._admission.leave(call)
             raise
+        if isinstance(outcome, outcomes.NotRun) and outcome.reached:
+            turnover_s = self._admission.estimate_turnover(call)
+            outcome = dataclasses.replace(outcome, retry_after_s=turnover_s)
         if isinstance(outcome, outcomes.Answered):
             outcome.hold(lambda: self._admission.leave(call))
         else:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -220,6 +220,21 @@
         self.assertEqual(status, 503)
         self.assertGreater(float(headers["Retry-After"]), 0)
 
+    async def test_when_to_come_back_after_a_refusal_of_the_backend_server(
+        self,
+    ):
+        """The caller comes back while an answer is still in time.
+
+        A backend server turns calls away though it has room, as a faulty one
+        does with every second. Told to come back after a second, its callers
+        waited until they were late; the next call may well be taken.
+        """
+        await self.fleet.start("balie")
+        self.fleet.backends[0].full = True
+        status, headers, _ = await self.fleet.send()
+        self.assertEqual(status, 503)
+        self.assertLess(float(headers["Retry-After"]), 0.2)
+
     async def test_ready(self):
         await self.fleet.start("balie")
         async with self.fleet.client.get(
