--- a/tests/requests/load/fleets.py
+++ b/tests/requests/load/fleets.py
@@ -24,11 +24,11 @@
 from merlintrestle.schema import control_pb2
 from tests.requests import builders
 from tests.requests import fakes
-from tests.requests.load import plays
 from tools import model
 
 if TYPE_CHECKING:
     from merlintrestle.requests.calls import call as calls
+    from tests.requests.load import plays
 
 _SLOTS = 12
 
--- a/tests/requests/load/test_queues.py
+++ b/tests/requests/load/test_queues.py
@@ -8,6 +8,7 @@
 from merlintrestle.requests.load import admission
 from tests.requests import builders
 from tests.requests.load import plays
+from tools import model
 
 _LOOKUP = builders.build_plan(
     "lookup", rate=0.0, work_s=0.0, latency_s=0.4, importance=3
@@ -39,7 +40,7 @@
             await asyncio.gather(*waiting)
             return turns
 
-        with asyncio.Runner(loop_factory=plays.SimulatedLoop) as runner:
+        with asyncio.Runner(loop_factory=model.SimulatedLoop) as runner:
             return runner.run(run())
 
     def test_a_caller_that_comes_back_goes_first(self) -> None:
@@ -78,7 +79,7 @@
             for rival in rivals:
                 rival.cancel()
 
-        with asyncio.Runner(loop_factory=plays.SimulatedLoop) as runner:
+        with asyncio.Runner(loop_factory=model.SimulatedLoop) as runner:
             runner.run(run())
 
 
