--- a/tests/requests/relays.py
+++ b/tests/requests/relays.py
@@ -3,6 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from typing import Any, TYPE_CHECKING
+
+from tests.requests import builders
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import aiohttp
 
 
 class Relay:
@@ -71,3 +80,30 @@
             sink.close()
             return
         sink.write(piece)
+
+
+@contextlib.asynccontextmanager
+async def connect(
+    handler: Any, count: int = 2, **options: Any
+) -> AsyncIterator[tuple[list[builders.Node], Relay, aiohttp.ClientSession]]:
+    """Runs daemons; the first sends all to the others, the second by a relay.
+
+    Args:
+        handler: Answers at every backend server.
+        count: How many daemons.
+        **options: Passed to each node.
+    """
+    async with (
+        builders.run_nodes(count, handler=handler, **options) as nodes,
+        builders.open_client() as client,
+    ):
+        relay = Relay(nodes[1].proxy.peer_port)
+        await relay.start()
+        nodes[0].proxy.backend.slots = 0
+        upstreams = [node.build_upstream() for node in nodes[1:]]
+        upstreams[0] = upstreams[0]._replace(peer_port=relay.port)
+        nodes[0].table.upstreams["kassa"] = tuple(upstreams)
+        try:
+            yield nodes, relay, client
+        finally:
+            await relay.close()
--- a/tests/requests/transport/test_silence.py
+++ b/tests/requests/transport/test_silence.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-from typing import Any, TYPE_CHECKING
+from typing import Any
 import unittest
 from unittest import mock
 
@@ -17,9 +16,6 @@
 from tests.requests import builders
 from tests.requests import relays
 
-if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
 _HALF = b"h" * 100_000
 
 
@@ -45,26 +41,6 @@
         patch_ask.start()
         self.addCleanup(patch_ask.stop)
 
-    @contextlib.asynccontextmanager
-    async def connect(
-        self, handler: Any, count: int = 2
-    ) -> AsyncIterator[tuple[list[builders.Node], relays.Relay, Any]]:
-        """Runs daemons; the first sends all to the second, by a relay."""
-        async with (
-            builders.run_nodes(count, handler=handler) as nodes,
-            builders.open_client() as client,
-        ):
-            relay = relays.Relay(nodes[1].proxy.peer_port)
-            await relay.start()
-            nodes[0].proxy.backend.slots = 0
-            upstreams = [node.build_upstream() for node in nodes[1:]]
-            upstreams[0] = upstreams[0]._replace(peer_port=relay.port)
-            nodes[0].table.upstreams["kassa"] = tuple(upstreams)
-            try:
-                yield nodes, relay, client
-            finally:
-                await relay.close()
-
     async def wait(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers when the test lets it."""
         self.begun.set()
@@ -91,7 +67,7 @@
         sent over it would wait for its deadline; a new connection works.
         """
         self.go_on.set()
-        async with self.connect(self.wait) as (nodes, relay, client):
+        async with relays.connect(self.wait) as (nodes, relay, client):
             url = nodes[0].url + "/x"
             self.assertEqual((await client.get(url)).status, 200)
             relay.silence()
@@ -113,7 +89,7 @@
                 nodes[1].holder.running = None
             return web.Response()
 
-        async with self.connect(run) as (nodes, relay, client):
+        async with relays.connect(run) as (nodes, relay, client):
             url = nodes[0].url + "/x"
             self.assertEqual((await client.get(url)).status, 200)
             answer = await client.get(url)
@@ -121,7 +97,7 @@
             self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
 
     async def test_all_idle_connections_of_that_age_are_dropped(self) -> None:
-        async with self.connect(self.wait) as (nodes, relay, client):
+        async with relays.connect(self.wait) as (nodes, relay, client):
             url = nodes[0].url + "/x"
             # Held for silent while it was merely slow, a connection would not
             # be kept, and none would be there to go silent.
@@ -147,7 +123,7 @@
         Nothing comes for long as the backend server takes its time. On its
         connection this looks like silence; the peer says that it is not.
         """
-        async with self.connect(self.wait) as (nodes, _, client):
+        async with relays.connect(self.wait) as (nodes, _, client):
             call = asyncio.create_task(client.get(nodes[0].url + "/x"))
             for _ in range(3):
                 await self.asked.acquire()
@@ -156,7 +132,7 @@
             self.assertEqual(len(nodes[1].served), 1)
 
     async def test_waiting_download_is_not_cut(self) -> None:
-        async with self.connect(self.send_archive) as (nodes, _, client):
+        async with relays.connect(self.send_archive) as (nodes, _, client):
             answer = await client.get(nodes[0].url + "/archive")
             for _ in range(3):
                 await self.asked.acquire()
@@ -169,7 +145,7 @@
         The rest of its download is lost between the daemons. Nobody would
         ever tell it, and it would wait for good.
         """
-        async with self.connect(self.send_archive) as (nodes, relay, client):
+        async with relays.connect(self.send_archive) as (nodes, relay, client):
             call = asyncio.create_task(
                 builders.fetch(client, nodes[0].url + "/archive")
             )
@@ -185,7 +161,7 @@
         answers on them, new ones included.
         """
         self.go_on.set()
-        async with self.connect(self.wait, 3) as (nodes, relay, client):
+        async with relays.connect(self.wait, 3) as (nodes, relay, client):
             relay.silence(new_ones_too=True)
             for _ in range(4):
                 answer = await client.get(nodes[0].url + "/x")
@@ -211,7 +187,7 @@
                 return web.Response(body=b"quick")
             return await self.wait(request)
 
-        async with self.connect(answer) as (nodes, _, client):
+        async with relays.connect(answer) as (nodes, _, client):
             with mock.patch.object(probes, "ask", ask):
                 found = await client.get(nodes[0].url + "/x")
             self.assertEqual(await found.read(), b"whole")
@@ -261,7 +237,7 @@
         the call anew by itself as well, it would run three times or more.
         """
         self.go_on.set()
-        async with self.connect(self.wait, 3) as (nodes, _, client):
+        async with relays.connect(self.wait, 3) as (nodes, _, client):
             url = nodes[0].url + "/x"
             # Each daemon has an idle connection to its backend server.
             for node in nodes[1:]:
@@ -300,7 +276,7 @@
         self.assertLessEqual(len(node.served), 60 + 10 + 3)
 
     async def test_probe_of_an_unknown_call(self) -> None:
-        async with self.connect(self.wait) as (nodes, _, client):
+        async with relays.connect(self.wait) as (nodes, _, client):
             root = f"http://127.0.0.1:{nodes[1].proxy.peer_port}"
             answer = await client.get(root + probes.PATH + "none")
             self.assertEqual(answer.status, 404)
