Pause between reads of a store that has no version yet

Cause: a daemon that reads the store before it has met a peer looped without a wait on success while the head was 0. The store answers at once, so each daemon of a fleet that starts asked it some hundred times a second until the first configuration was there.

Ruled out: the watch and the refresh, which have their waits; waiting for contact with a peer alone, which would hold up a daemon that starts alone.

Change: one backoff for both cases, from timing.first_read (0.1 s) to watch_retry_max (0.6 s); a read that brings a version ends it.

--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -30,6 +30,8 @@
         watch_retry_max: Longest wait between two tries of a watcher. They are
             few, and a change that is accepted before they are back, with the
             store failing again at once, would reach nobody.
+        first_read: First wait between two reads of a store that has no version
+            yet; it grows to `watch_retry_max`.
         seeds_write: Least time between two writes of a zone's seeds.
         seeds_check: The records of seeds are looked at again after so long,
             for parts of the fleet that this one does not know; sooner, from
@@ -58,6 +60,7 @@
     store_retry_max: float = 15.0
     retry_max: float = 3.0
     watch_retry_max: float = 0.6
+    first_read: float = 0.1
     seeds_write: float = 30.0
     seeds_check: float = 600.0
     head_refresh: float = 15.0
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -118,7 +118,7 @@
         """Watches while chosen, for ever."""
         backoff = timing_lib.Backoff(0.1, self._timing.watch_retry_max)
         if self._directly:
-            await self._read_first(backoff)
+            await self._read_first()
         await self._membership.wait_for_contact(self._timing.join)
         while True:
             if not self.is_chosen():
@@ -134,14 +134,23 @@
                     backoff.reset()
                 await asyncio.sleep(backoff.get_wait())
 
-    async def _read_first(self, backoff: timing_lib.Backoff) -> None:
-        """Reads the head until it is known, here or from a peer."""
+    async def _read_first(self) -> None:
+        """Reads the head until it is known, here or from a peer.
+
+        A store that has no version yet answers at once, so success needs a
+        pause as well: without one each daemon of a fleet that starts asked a
+        hundred times a second. One that has met a peer need not ask at all.
+        """
+        backoff = timing_lib.Backoff(
+            self._timing.first_read, self._timing.watch_retry_max
+        )
         while not self._handled and not self._membership.links.get_links():
             try:
-                await self.refresh()
+                if await self.refresh():
+                    return
             except errors.MerlintrestleError as error:
                 events.warn("store silent", error=str(error))
-                await asyncio.sleep(backoff.get_wait())
+            await asyncio.sleep(backoff.get_wait())
 
     def get_refresh_s(self) -> float:
         """Returns the mean time between two reads of the head, in seconds.
--- a/tests/versions/builders.py
+++ b/tests/versions/builders.py
@@ -118,6 +118,8 @@
 
     async def read_head(self) -> document_pb2.Head:
         """Reads the head."""
+        # No store answers before other tasks have had their turn.
+        await asyncio.sleep(0)
         self.reads += 1
         if self.hang:
             await asyncio.Event().wait()
--- a/tests/versions/models.py
+++ b/tests/versions/models.py
@@ -5,6 +5,7 @@
 from typing import Any, TYPE_CHECKING
 
 from merlintrestle import errors
+from merlintrestle.members import links as links_lib
 from merlintrestle.members import table as table_lib
 from merlintrestle.schema import control_pb2
 from merlintrestle.versions import archive as archive_lib
@@ -27,6 +28,7 @@
     """Stands in for `membership.Membership`.
 
     Attributes:
+        links: Links to peers; none is open.
         searches: How often it was told to look for others.
     """
 
@@ -36,6 +38,7 @@
         self.table = table
         self.peers = peers
         self.timing = TIMING
+        self.links = links_lib.Links(table, TIMING)
         self.searches = 0
 
     async def wait_for_contact(self, timeout_s: float) -> bool:
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -161,6 +161,39 @@
             )
         self.assertEqual(self.configuration.seed_writes, 1)
 
+    async def test_store_without_a_version_is_asked_with_pauses(self) -> None:
+        """Callers of a fleet that starts do not pay for reads that bring none.
+
+        All daemons start before the first version is there, and the store
+        answers at once. Asked again at once, it answered hundreds of calls a
+        second over links that the first callers needed. The first version is
+        still taken soon after it is there.
+        """
+        await self.start_directly(first_read=3600.0, watch_retry_max=3600.0)
+        await builders.wait_until(lambda: self.configuration.reads > 0)
+        for _ in range(50):
+            await asyncio.sleep(0)
+        self.assertEqual(self.configuration.reads, 1)
+
+    async def test_first_version_is_taken_after_a_pause(self) -> None:
+        await self.start_directly()
+        await builders.wait_until(lambda: self.configuration.reads > 0)
+        await self.configuration.accept(1, ["balie"])
+        await builders.wait_until(lambda: self.model.archive.version == 1)
+
+    async def start_directly(self, **timing: float) -> None:
+        """Starts a watcher that reads the store before it met a peer."""
+        contact = self.model.contact
+        contact.timing = contact.timing._replace(**timing)
+        self.watcher = watcher_lib.Watcher(
+            contact,
+            self.configuration,
+            self.model.hold,
+            self.fleet.get_time,
+            directly=True,
+        )
+        await self.run_watcher()
+
     async def test_others_are_looked_for_soon_after_the_start(self) -> None:
         """Callers of a part of the fleet do not find services missing for long.
 
