Tell a full link from a short processor in logs and metrics

Change: bytes by other end and direction (counted where they come in and where an answer or request is written), bytes held back in write buffers and the lateness of the event loop, as metrics; and one line in 5 s, only if bytes were held back at a look (two a second) or the loop was 0.1 s late.

--- a/merlintrestle/daemon/metrics.py
+++ b/merlintrestle/daemon/metrics.py
@@ -69,6 +69,7 @@
     registry.register(StateCollector(holder, table, proxy))
     registry.register(proxy.statistics)
     registry.register(proxy.latencies)
+    registry.register(proxy.traffic)
     return registry
 
 
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -17,6 +17,7 @@
 from merlintrestle.requests.load import picking
 from merlintrestle.requests.reports import latencies
 from merlintrestle.requests.reports import statistics
+from merlintrestle.requests.reports import traffic
 from merlintrestle.requests.serving import beside
 from merlintrestle.requests.serving import callers
 from merlintrestle.requests.serving import dispatch
@@ -42,6 +43,9 @@
 # Time between checks of the own backend server, in seconds.
 _CHECK_S = 1.0
 _CHECK_DOWN_S = 0.2
+# Time between two looks at what waits for the link and at the event loop, in
+# seconds: often enough to meet a full buffer, too seldom to cost anything.
+_LOOK_S = 0.5
 
 
 class Proxy(mode.Service):
@@ -51,6 +55,7 @@
         backend: The own backend server.
         statistics: What became of the calls of each class.
         latencies: How long callers waited, and why they were refused.
+        traffic: What went over the link, and what waited for it.
         caller_port: Bound port for callers, once started.
         peer_port: Bound port for other daemons, once started.
         hold_callers: Set before `start`: `open_callers` opens their port.
@@ -92,8 +97,11 @@
         self.bound_retries(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
+        self._traffics = traffic.build_traffics()
         self._forwarder = forwarding.Forwarder(
-            self._beside_budgets, dialects.accepts_unframed(dialect)
+            self._beside_budgets,
+            dialects.accepts_unframed(dialect),
+            self._traffics,
         )
         self.control_port = settings.control_port
         self._recall_client = recall.RecallClient()
@@ -151,8 +159,14 @@
             self.latencies,
         )
         peer_side = peers.Peers(self._standing, self._beside, self._slots)
-        self._caller_server = server.Server(caller_side.handle)
-        self._peer_server = server.Server(peer_side.handle)
+        traffics = self._traffics
+        self._caller_server = server.Server(
+            caller_side.handle, traffics.callers
+        )
+        self._peer_server = server.Server(peer_side.handle, traffics.peers)
+        self.traffic = traffic.TrafficReport(
+            traffics, self._get_held_back, loop.time
+        )
         await self._peer_server.start(address, self._settings.peer_port)
         self.peer_port = self._peer_server.port
         if not self.hold_callers:
@@ -230,6 +244,19 @@
             )
             await self.sleep(_CHECK_S if reachable else _CHECK_DOWN_S)
 
+    @mode.Service.task
+    async def _watch_traffic(self) -> None:
+        loop = asyncio.get_running_loop()
+        while not self.should_stop:
+            due = loop.time() + _LOOK_S
+            await self.sleep(_LOOK_S)
+            self.traffic.look(max(0.0, loop.time() - due))
+
+    def _get_held_back(self) -> int:
+        """Returns the bytes of answers that wait to be sent."""
+        servers = (self._caller_server, self._peer_server)
+        return sum(one.get_held_back() for one in servers)
+
     @property
     def in_flight(self) -> int:
         """Calls that are not yet answered whole."""
--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -14,6 +14,7 @@
 from aiohttp import hdrs
 from aiohttp import http
 
+from merlintrestle.requests.reports import traffic as traffics
 from merlintrestle.requests.transport import answers
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
         loop: asyncio.AbstractEventLoop,
         address: str,
         heard: dict[str, float] | None = None,
+        traffic: traffics.Traffic | None = None,
     ):
         """Sets its other end.
 
@@ -56,8 +58,10 @@
             address: Its other end, "ip:port".
             heard: Where it notes by address when bytes came last, in seconds
                 of the event loop.
+            traffic: Where its bytes are counted.
         """
         super().__init__(loop)
+        self._traffic = traffic or traffics.Traffic()
         self.address = address
         self._heard = {} if heard is None else heard
         self.idle_since = 0.0
@@ -167,6 +171,7 @@
     def data_received(self, data: bytes) -> None:
         """Takes bytes that came; called by the event loop."""
         self._heard[self.address] = self._loop.time()
+        self._traffic.received += len(data)
         super().data_received(data)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -226,6 +231,7 @@
             # would otherwise hold back its own answer.
             await writer.write(payload, drain=False)
         writer.set_eof()
+        self._traffic.sent += writer.output_size
 
     async def _send_pieces(
         self, writer: http.StreamWriter, pieces: AsyncIterator[bytes]
@@ -238,6 +244,8 @@
             # The body stopped half-way. Cut off, it cannot look whole to the
             # server, and the wait for the answer ends.
             self.abort()
+        finally:
+            self._traffic.sent += writer.output_size
 
 
 def _read_keep_alive(headers: Mapping[str, str]) -> float | None:
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -15,6 +15,7 @@
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import retries
+from merlintrestle.requests.reports import traffic as traffics_
 from merlintrestle.requests.transport import answers
 from merlintrestle.requests.transport import connections
 from merlintrestle.requests.transport import headers
@@ -51,14 +52,19 @@
     """Sends calls over pooled connections, or each over one of its own."""
 
     def __init__(
-        self, budgets: budgets_.Budgets, accepts_unframed: bool = False
+        self,
+        budgets: budgets_.Budgets,
+        accepts_unframed: bool = False,
+        traffics: traffics_.Traffics | None = None,
     ) -> None:
         """Sets the parts.
 
         Args:
             budgets: What bounds calls that are sent anew to one upstream.
             accepts_unframed: An answer may end with its connection alone.
+            traffics: Where the bytes of its connections are counted.
         """
+        self._traffics = traffics or traffics_.build_traffics()
         self._budgets = budgets
         self._accepts_unframed = accepts_unframed
         self._call_ids = watches.CallIds()
@@ -181,7 +187,9 @@
         connection: connections.Connection | outcomes.NotRun | None
         connection = self._pool.take(address)
         if connection is None:
-            connection = await self._open(address, call.deadline)
+            connection = await self._open(
+                address, call.deadline, self._traffics.peers
+            )
             if isinstance(connection, outcomes.NotRun):
                 return connection
         work_s = call.plan.work_s
@@ -222,7 +230,13 @@
         dialect: object = _BETWEEN_DAEMONS,
     ) -> outcomes.Outcome:
         """Sends a call over a new connection; `keep` it for other calls."""
-        connection = await self._open(address, call.deadline)
+        between = dialect is _BETWEEN_DAEMONS
+        traffics = self._traffics
+        connection = await self._open(
+            address,
+            call.deadline,
+            traffics.peers if between else traffics.backend,
+        )
         if isinstance(connection, outcomes.NotRun):
             return connection
         if not keep:
@@ -234,13 +248,13 @@
         )
 
     async def _open(
-        self, address: str, deadline: float
+        self, address: str, deadline: float, traffic: traffics_.Traffic
     ) -> connections.Connection | outcomes.NotRun:
         """Opens a connection, or tells why there is none: nothing was sent."""
         left_s = deadline - self._loop.time()
         try:
             async with asyncio.timeout(min(_CONNECT_S, left_s)):
-                return await self._pool.open(address)
+                return await self._pool.open(address, traffic)
         except TimeoutError:
             return _UNREACHABLE if left_s > _CONNECT_S else _TOO_LATE
         except OSError:
--- a/merlintrestle/requests/transport/pool.py
+++ b/merlintrestle/requests/transport/pool.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from merlintrestle.requests.reports import traffic as traffics
+
 # Shorter than servers keep idle connections: one closed by the other side just
 # as a call is written to it would leave that call with an unknown outcome.
 KEEPALIVE_S = 15.0
@@ -47,15 +49,19 @@
             connection.close()
         return None
 
-    async def open(self, address: str) -> connections.Connection:
-        """Opens a connection.
+    async def open(
+        self, address: str, traffic: traffics.Traffic | None = None
+    ) -> connections.Connection:
+        """Opens a connection, whose bytes are counted in `traffic`.
 
         Raises:
             OSError: It could not be opened; nothing was sent.
         """
         host, _, port = address.rpartition(":")
         transport, connection = await self._loop.create_connection(
-            lambda: connections.Connection(self._loop, address, self._heard),
+            lambda: connections.Connection(
+                self._loop, address, self._heard, traffic
+            ),
             host,
             int(port),
         )
--- a/merlintrestle/requests/transport/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -11,6 +11,7 @@
 
 from merlintrestle import events as event_logs
 from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.reports import traffic as traffics
 from merlintrestle.requests.transport import bodies
 
 if TYPE_CHECKING:
@@ -39,12 +40,15 @@
 
     Attributes:
         port: The bound port.
+        traffic: Bytes over its connections.
     """
 
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        traffic: traffics.Traffic | None = None,
     ):
+        """Sets what answers, and where the bytes of the port are counted."""
         options: dict[str, Any] = {
             "access_log": None,
             "keepalive_timeout": _KEEPALIVE_S,
@@ -62,6 +66,7 @@
             **options,
         )
         self.port = 0
+        self.traffic = traffic or traffics.Traffic()
         self._options = options
         self._listener: asyncio.Server | None = None
 
@@ -84,11 +89,11 @@
         end of a long download to a slow caller with it. Callers that take
         nothing at all for `bodies.STALL_S` are not waited for.
         """
-        held_back = self._get_held_back()
+        held_back = self.get_held_back()
         moved_at = self._loop.time()
         while held_back and self._loop.time() - moved_at < bodies.STALL_S:
             await asyncio.sleep(_FLUSH_S)
-            now_held_back = self._get_held_back()
+            now_held_back = self.get_held_back()
             if now_held_back != held_back:
                 moved_at = self._loop.time()
             held_back = now_held_back
@@ -100,7 +105,7 @@
         self.pre_shutdown()
         await self.shutdown(_CUT_S)
 
-    def _get_held_back(self) -> int:
+    def get_held_back(self) -> int:
         """Returns the bytes of answers that wait to be sent."""
         return sum(
             connection.transport.get_write_buffer_size()
@@ -112,7 +117,11 @@
 class _Connection(web.RequestHandler):
     """One connection; answers that the library makes state an outcome too."""
 
-    __slots__ = ("_first_request",)
+    __slots__ = ("_first_request", "_traffic")
+
+    def __init__(self, server: Server, **options: Any):
+        super().__init__(server, **options)
+        self._traffic = server.traffic
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -131,6 +140,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Reads on; fails the body of a call that turns out malformed."""
+        self._traffic.received += len(data)
         super().data_received(data)
         request = self._current_request
         if request is None or not self._messages:
@@ -143,6 +153,18 @@
                 web.RequestPayloadError("the body is malformed")
             )
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Writes what is left of an answer, and counts its bytes."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self._traffic.sent += request.writer.output_size
+
     def handle_error(
         self,
         request: web.BaseRequest,
