Give a call up by proof alone; send it to another upstream as well

Cause: that a peer answers no question within 0.3 s, that it says it does not know the call, or that a first try takes ten times its usual time, ended the try: its connection was closed. None of them proves that nobody is at work on the call. On a full link the question is late, and so are the call and its answer. Where no other try could follow (one upstream, budget spent, a second try already) the caller got 504 while its backend server worked; otherwise the work was thrown away.

Ruled out: longer limits for questions. How late a full link is depends on the link; any limit that is long enough would leave callers of a frozen daemon waiting.

Change: each try is a task. What was found is a doubt (calls/doubts.py): the try goes on, its upstream counts a failure at once (as before), and the call is sent to another upstream as well where budget, attempts, time and body allow. The first answer that counts wins and the others are cancelled; a refusal of one does not end another. A caller that leaves ends all. If only the connection is doubtful, the call goes to the same peer over a new one: free if the peer never saw it, else paid from the budget. Peers remember calls that have ended, and bytes of an answer that comes piece by piece are a sign of life.

The plays of load give each try a call of its own, as the wire does, and free the slot of a try that is cancelled.

--- a/merlintrestle/requests/load/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -146,6 +146,18 @@
     ) -> None:
         """Notes a failure; some prove more than one."""
         self.note_cancellation(work_s)
+        self._count_failures(now, failures)
+
+    def note_doubt(self, now: float) -> None:
+        """Notes that a call gets no answer in reasonable time.
+
+        The call goes on. Were that noted at its end alone, a frozen upstream
+        would be sent calls until the deadline of the first.
+        """
+        self.probing = False
+        self._count_failures(now, 1)
+
+    def _count_failures(self, now: float, failures: int) -> None:
         self.failures += failures
         if self.failures < _MAX_FAILURES and not self.ejected_until:
             return
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -1,4 +1,9 @@
-"""The way of a call from its caller to an upstream, tried again if safe."""
+"""The way of a call from its caller to an upstream, tried again if safe.
+
+A call that may be at work somewhere is given up only by proof: its answer, a
+refusal, a broken connection, or the end of its time. Whatever else makes a try
+doubtful is only a reason to try another upstream as well.
+"""
 
 from __future__ import annotations
 
@@ -6,24 +11,19 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from merlintrestle.requests.calls import doubts
 from merlintrestle.requests.calls import outcomes
-from merlintrestle.requests.calls import plans
-from merlintrestle.requests.load import budgets as budgets_
 from merlintrestle.requests.load import joining
-from merlintrestle.requests.load import loads
-from merlintrestle.requests.load import observations
 from merlintrestle.requests.load import retries
-from merlintrestle.requests.reports import stories
-from merlintrestle.requests.transport import headers
+from merlintrestle.requests.serving import sending
+from merlintrestle.requests.serving import tries as tries_
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    import multidict
-
-    from merlintrestle.members import table as tables
     from merlintrestle.requests import parts
     from merlintrestle.requests.calls import call as calls
+    from merlintrestle.requests.load import budgets as budgets_
     from merlintrestle.requests.load import picking
     from merlintrestle.requests.serving import beside as besides
     from merlintrestle.requests.transport import forwarding
@@ -41,12 +41,18 @@
     """How far a call has come.
 
     Attributes:
+        call: The call.
+        budget: What bounds the retries of its service.
+        tries: Its tries that run.
         tried: Ids of the upstreams that it was sent to.
-        reached: Backend servers that were sent it.
+        reached: Backend servers that were sent it by tries that have ended.
         refusals: Upstreams that had no room for it.
-        outcome: What is true of it so far; None: it was not tried.
+        outcome: What is true of it so far; None: no try has ended.
     """
 
+    call: calls.Call
+    budget: budgets_.Budget
+    tries: tries_.Tries
     tried: set[str] = dataclasses.field(default_factory=set)
     reached: int = 0
     refusals: int = 0
@@ -58,14 +64,49 @@
         self.reached += _reached_backend(latest)
         self.refusals += _is_refusal(latest)
 
-    def is_over(self, call: calls.Call, count: int) -> bool:
-        """Returns whether the last try was made, of `count` upstreams."""
+    def may_try(self, count: int) -> bool:
+        """Returns whether another of `count` upstreams may be tried.
+
+        A try that runs may have reached a backend server already.
+        """
+        limit = self.call.plan.max_attempts
+        return (
+            len(self.tried) < min(_MAX_TRIES, count)
+            and self.refusals < _MAX_REFUSALS
+            and (not limit or self.reached + self.tries.count < limit)
+            and self.tries.in_doubt
+            and self._has_time()
+        )
+
+    def may_send_as_well(self) -> bool:
+        """Returns whether the call may be sent while a try of it goes on."""
+        call = self.call
         return (
-            len(self.tried) == min(_MAX_TRIES, count)
-            or self.refusals == _MAX_REFUSALS
-            or 0 < call.plan.max_attempts <= self.reached
+            call.plan.repeatable
+            and call.body.held is not None
+            and self.tries.in_doubt
+            and self._has_time()
         )
 
+    def spend(self) -> bool:
+        """Pays for a second run; False: there is to be none."""
+        if self.call.attempt or not self.budget.spend():
+            return False
+        self.call.attempt += 1
+        return True
+
+    def discard(self) -> None:
+        """Drops an answer that is not passed on, as another is hoped for."""
+        if isinstance(self.outcome, outcomes.Answered):
+            self.outcome.release()
+            self.outcome = outcomes.Ran(
+                "the backend server is shedding load", 503, 1.0
+            )
+
+    def _has_time(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self.call.deadline - now > self.call.plan.work_s
+
 
 class Dispatch:
     """Sends calls to upstreams of their service.
@@ -85,78 +126,120 @@
         budgets: budgets_.Budgets,
     ):
         """Sets the parts; `member_id` gives the id of this daemon."""
-        self._member_id = member_id
         self._table = table
         self._picker = picker
-        self._beside = beside
-        self._forwarder = forwarder
-        self._get_time = get_time
         self._budgets = budgets
+        self._sending = sending.Sending(
+            member_id, table, picker, beside, forwarder, get_time
+        )
         self.joining = joining.Joining(table, get_time)
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
-        """Returns the answer of an upstream, or the failure to state."""
+        """Returns the answer of an upstream, or the failure to state.
+
+        The first answer that counts wins; tries that still run are cancelled
+        then, and all of them at once when the caller leaves.
+        """
         budget = self._budgets.get(call.service)
         budget.earn()
-        progress = _Progress()
         if not await self.joining.wait(call):
             return self._refuse(call)
+        tries = tries_.Tries()
+        try:
+            return await self._run(_Progress(call, budget, tries))
+        finally:
+            tries.close()
+
+    async def _run(self, progress: _Progress) -> outcomes.Outcome:
+        if not self._try_another(progress):
+            return self._refuse(progress.call)
         while True:
-            upstreams = self._table.get_upstreams(call.service)
-            upstream = self._picker.pick(
-                call.service,
-                upstreams,
-                progress.tried,
-                call.plan.repeatable,
+            news = await progress.tries.wait()
+            if isinstance(news, tries_.Doubtful):
+                self._answer_doubt(news, progress)
+                continue
+            outcome = self._answer_end(news.outcome, progress)
+            if outcome is not None:
+                return outcome
+
+    def _answer_end(
+        self, latest: outcomes.Outcome, progress: _Progress
+    ) -> outcomes.Outcome | None:
+        """Returns what the caller gets; None: another try may yet count."""
+        progress.note(latest)
+        if _counts(latest):
+            return latest
+        if self._retry(latest, progress):
+            return None
+        if progress.tries.count:
+            progress.discard()
+            return None
+        if not isinstance(latest, outcomes.Answered):
+            progress.call.story.add(
+                "given up",
+                tries=len(progress.tried),
+                reached=progress.reached,
+                budget=round(progress.budget.left, 1),
             )
-            if upstream is None:
-                return progress.outcome or self._refuse(call)
-            progress.tried.add(upstream.member_id)
-            call.story.add(
-                "picked", **self._picker.describe(upstream, len(upstreams))
-            )
-            several = len(upstreams) > 1 and budget.left >= 1
-            latest = await self._try_and_tell(upstream, call, several)
-            progress.note(latest)
-            assert progress.outcome is not None
-            over = progress.is_over(call, len(upstreams))
-            if over or not _may_retry(latest, call, budget):
-                if not isinstance(latest, outcomes.Answered):
-                    call.story.add(
-                        "given up",
-                        tries=len(progress.tried),
-                        reached=progress.reached,
-                        budget=round(budget.left, 1),
-                    )
-                return progress.outcome
-            call.story.add("sent again", budget=round(budget.left, 1))
-            if isinstance(latest, (outcomes.Ran, outcomes.Unknown)):
-                call.suspect |= latest.broken
-            progress.outcome = _discard(progress.outcome)
-
-    async def _try_and_tell(
-        self, upstream: tables.Upstream, call: calls.Call, several: bool
-    ) -> outcomes.Outcome:
-        """Sends a call to an upstream and adds to its story.
-
-        Args:
-            upstream: Where it is sent.
-            call: The call.
-            several: Another upstream could be tried after this one.
-        """
-        deadline = call.deadline
-        if several:
-            call.deadline = retries.limit_first_try(call, self._get_time())
-        began = self._get_time()
-        latest = await self._try(upstream, call)
-        call.deadline = deadline
+        return progress.outcome
+
+    def _retry(self, latest: outcomes.Outcome, progress: _Progress) -> bool:
+        """Tries another upstream after one that failed, if that is safe."""
+        call = progress.call
+        count = len(self._table.get_upstreams(call.service))
+        if not progress.may_try(count) or not call.body.repeatable:
+            return False
+        retry = retries.classify(latest, call)
+        if retry is retries.Retry.NO:
+            return False
+        if retry is retries.Retry.BUDGETED and not progress.spend():
+            return False
+        if isinstance(latest, (outcomes.Ran, outcomes.Unknown)):
+            call.suspect |= latest.broken
+        progress.discard()
+        return self._try_another(progress)
+
+    def _answer_doubt(
+        self, doubtful: tries_.Doubtful, progress: _Progress
+    ) -> None:
+        """Sends a call as well whose try is in doubt, if that is safe."""
+        call = progress.call
+        one, doubt = doubtful
         call.story.add(
-            "tried",
-            upstream=upstream.member_id,
-            took_ms=round((self._get_time() - began) * 1000),
-            **stories.describe(latest),
+            "in doubt", upstream=one.upstream.member_id, why=doubt.name.lower()
+        )
+        if not progress.may_send_as_well():
+            return
+        if doubt.of_connection:
+            if doubt is doubts.Doubt.NOT_ARRIVED or progress.spend():
+                self._start(tries_.Try(one.upstream, anew=True), progress)
+            return
+        count = len(self._table.get_upstreams(call.service))
+        if progress.may_try(count) and progress.spend():
+            self._try_another(progress)
+
+    def _try_another(self, progress: _Progress) -> bool:
+        """Sends a call to an upstream not tried yet; False: there is none."""
+        call = progress.call
+        upstreams = self._table.get_upstreams(call.service)
+        upstream = self._picker.pick(
+            call.service, upstreams, progress.tried, call.plan.repeatable
         )
-        return latest
+        if upstream is None:
+            return False
+        if progress.tried:
+            left = round(progress.budget.left, 1)
+            call.story.add("sent again", budget=left)
+        progress.tried.add(upstream.member_id)
+        call.story.add(
+            "picked", **self._picker.describe(upstream, len(upstreams))
+        )
+        self._start(tries_.Try(upstream), progress)
+        return True
+
+    def _start(self, one: tries_.Try, progress: _Progress) -> None:
+        tries = progress.tries
+        tries.start(one, self._sending.run(one, progress.call, tries))
 
     def _refuse(self, call: calls.Call) -> outcomes.NotRun:
         return outcomes.NotRun(
@@ -164,71 +247,12 @@
             retry_after_s=self.joining.retry_after_s,
         )
 
-    async def _try(
-        self, upstream: tables.Upstream, call: calls.Call
-    ) -> outcomes.Outcome:
-        observation = self._picker.observe(upstream.member_id)
-        work_s = call.plan.work_s
-        began = self._get_time()
-        observation.begin(began, work_s)
-        try:
-            if upstream.member_id == self._member_id():
-                outcome = await self._beside.run(call)
-            else:
-                outcome = await self._send(upstream, call)
-        except BaseException:
-            observation.note_cancellation(work_s)
-            observation.end()
-            raise
-        now = self._get_time()
-        observations.note(outcome, observation, now, began, work_s)
-        if isinstance(outcome, outcomes.Answered):
-            outcome.hold(observation.end)
-        else:
-            observation.end()
-        return outcome
-
-    async def _send(
-        self, upstream: tables.Upstream, call: calls.Call
-    ) -> outcomes.Outcome:
-        outcome = await self._forwarder.send_to_peer(
-            f"{upstream.address}:{upstream.peer_port}",
-            f"/{call.service}{call.target}",
-            call,
-            self._build_headers(call),
-        )
-        if not isinstance(outcome, outcomes.Answered):
-            return outcome
-        reported = outcome.response.headers.get(headers.LOAD)
-        load = loads.decode_load(reported) if reported else None
-        if load is not None:
-            observation = self._picker.observe(upstream.member_id)
-            observation.note_load(self._get_time(), load)
-        if headers.OUTCOME in outcome.response.headers:
-            return outcomes.read_failure(outcome)
-        return outcome
-
-    def _build_headers(self, call: calls.Call) -> multidict.CIMultiDict[str]:
-        now = asyncio.get_running_loop().time()
-        left_s = call.deadline - now
-        waited_s = now - (call.due - call.plan.latency_s)
-        sent = call.headers.copy()
-        sent[headers.PLAN] = plans.encode_plan(call.plan)
-        if call.request_id:
-            sent[headers.REQUEST] = call.request_id
-        if call.origin:
-            sent[headers.ORIGIN] = call.origin
-        sent[headers.DEADLINE] = str(max(1, int(left_s * 1000)))
-        sent[headers.WAITED] = str(max(0, int(waited_s * 1000)))
-        sent[headers.DEPTH] = str(call.depth)
-        # Where this daemon can try another upstream, the other daemon must not
-        # start the call anew by itself: together they would run it 3 times.
-        others = len(self._table.get_upstreams(call.service)) > 1
-        again = call.attempt or (others and call.plan.repeatable)
-        sent[headers.ATTEMPT] = str(int(again))
-        if call.suspect:
-            sent[headers.SUSPECT] = "1"
-        return sent
+
+def _counts(outcome: outcomes.Outcome) -> bool:
+    """Returns whether an answer goes to the caller, whatever else runs."""
+    if isinstance(outcome, outcomes.Answered):
+        return outcome.response.status != outcomes.SHEDDING
+    return isinstance(outcome, outcomes.Replayed)
 
 
 def _reached_backend(outcome: outcomes.Outcome) -> bool:
@@ -239,24 +263,3 @@
 def _is_refusal(outcome: outcomes.Outcome) -> bool:
     """Returns whether an upstream had no room for the call."""
     return isinstance(outcome, outcomes.NotRun) and outcome.overloaded
-
-
-def _may_retry(
-    outcome: outcomes.Outcome, call: calls.Call, budget: budgets_.Budget
-) -> bool:
-    left_s = call.deadline - asyncio.get_running_loop().time()
-    if left_s <= call.plan.work_s or not call.body.repeatable:
-        return False
-    retry = retries.classify(outcome, call)
-    if retry is retries.Retry.BUDGETED:
-        if not budget.spend():
-            return False
-        call.attempt += 1
-    return retry is not retries.Retry.NO
-
-
-def _discard(outcome: outcomes.Outcome) -> outcomes.Outcome:
-    if not isinstance(outcome, outcomes.Answered):
-        return outcome
-    outcome.release()
-    return outcomes.Ran("the backend server is shedding load", 503, 1.0)
--- /dev/null
+++ b/merlintrestle/requests/serving/sending.py
@@ -0,0 +1,179 @@
+"""Sending: one try of a call at one upstream, and what it shows of that."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from merlintrestle.requests.calls import doubts
+from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import plans
+from merlintrestle.requests.load import loads
+from merlintrestle.requests.load import observations
+from merlintrestle.requests.load import retries
+from merlintrestle.requests.reports import stories
+from merlintrestle.requests.transport import headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import multidict
+
+    from merlintrestle.requests import parts
+    from merlintrestle.requests.calls import call as calls
+    from merlintrestle.requests.load import picking
+    from merlintrestle.requests.serving import beside as besides
+    from merlintrestle.requests.serving import tries as tries_
+    from merlintrestle.requests.transport import forwarding
+
+
+class Sending:
+    """Sends calls to the upstreams that were picked for them."""
+
+    def __init__(
+        self,
+        member_id: Callable[[], str],
+        table: parts.MemberTable,
+        picker: picking.Picker,
+        beside: besides.Beside,
+        forwarder: forwarding.Forwarder,
+        get_time: Callable[[], float],
+    ):
+        """Sets the parts; `member_id` gives the id of this daemon."""
+        self._member_id = member_id
+        self._table = table
+        self._picker = picker
+        self._beside = beside
+        self._forwarder = forwarder
+        self._get_time = get_time
+
+    async def run(
+        self, one: tries_.Try, call: calls.Call, tries: tries_.Tries
+    ) -> outcomes.Outcome:
+        """Sends a call to an upstream and adds to its story.
+
+        Args:
+            one: Where it is sent, and how.
+            call: The call.
+            tries: Hears if the try is in doubt.
+        """
+        member_id = one.upstream.member_id
+        observation = self._picker.observe(member_id)
+        work_s = call.plan.work_s
+        # Whether the upstream had a failure noted while the call went on.
+        blamed = False
+
+        def report(doubt: doubts.Doubt) -> None:
+            nonlocal blamed
+            if not doubt.of_connection and not blamed:
+                blamed = True
+                observation.note_doubt(self._get_time())
+            tries.report(one, doubt)
+
+        began = self._get_time()
+        observation.begin(began, work_s)
+        timer = self._limit(one, call, report)
+        try:
+            outcome = await self._run(one, call, report)
+        except BaseException:
+            observation.note_cancellation(work_s)
+            if blamed:
+                observation.note_result(False)
+            observation.end()
+            raise
+        finally:
+            if timer is not None:
+                timer.cancel()
+        now = self._get_time()
+        if blamed and isinstance(outcome, (outcomes.Ran, outcomes.Unknown)):
+            observation.note_cancellation(work_s)
+            observation.note_result(False)
+        else:
+            observations.note(outcome, observation, now, began, work_s)
+        if isinstance(outcome, outcomes.Answered):
+            outcome.hold(observation.end)
+        else:
+            observation.end()
+        call.story.add(
+            "tried",
+            upstream=member_id,
+            took_ms=round((now - began) * 1000),
+            **stories.describe(outcome),
+        )
+        return outcome
+
+    async def _run(
+        self,
+        one: tries_.Try,
+        call: calls.Call,
+        report: Callable[[doubts.Doubt], None],
+    ) -> outcomes.Outcome:
+        if one.upstream.member_id == self._member_id():
+            return await self._beside.run(call)
+        return await self._send(one, call, report)
+
+    def _limit(
+        self,
+        one: tries_.Try,
+        call: calls.Call,
+        report: Callable[[doubts.Doubt], None],
+    ) -> asyncio.TimerHandle | None:
+        """Has a first try that takes too long reported."""
+        if one.anew or not self._has_others(call):
+            return None
+        limit = retries.limit_first_try(call, self._get_time())
+        if limit >= call.deadline:
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.call_at(limit, report, doubts.Doubt.LATE)
+
+    def _has_others(self, call: calls.Call) -> bool:
+        return len(self._table.get_upstreams(call.service)) > 1
+
+    async def _send(
+        self,
+        one: tries_.Try,
+        call: calls.Call,
+        report: Callable[[doubts.Doubt], None],
+    ) -> outcomes.Outcome:
+        upstream = one.upstream
+        outcome = await self._forwarder.send_to_peer(
+            f"{upstream.address}:{upstream.peer_port}",
+            f"/{call.service}{call.target}",
+            call,
+            self._build_headers(call),
+            report,
+            one.anew,
+        )
+        if not isinstance(outcome, outcomes.Answered):
+            return outcome
+        reported = outcome.response.headers.get(headers.LOAD)
+        load = loads.decode_load(reported) if reported else None
+        if load is not None:
+            observation = self._picker.observe(upstream.member_id)
+            observation.note_load(self._get_time(), load)
+        if headers.OUTCOME in outcome.response.headers:
+            return outcomes.read_failure(outcome)
+        return outcome
+
+    def _build_headers(self, call: calls.Call) -> multidict.CIMultiDict[str]:
+        now = asyncio.get_running_loop().time()
+        left_s = call.deadline - now
+        waited_s = now - (call.due - call.plan.latency_s)
+        sent = call.headers.copy()
+        sent[headers.PLAN] = plans.encode_plan(call.plan)
+        if call.request_id:
+            sent[headers.REQUEST] = call.request_id
+        if call.origin:
+            sent[headers.ORIGIN] = call.origin
+        sent[headers.DEADLINE] = str(max(1, int(left_s * 1000)))
+        sent[headers.WAITED] = str(max(0, int(waited_s * 1000)))
+        sent[headers.DEPTH] = str(call.depth)
+        # Where this daemon can try another upstream, the other daemon must not
+        # start the call anew by itself: together they would run it 3 times.
+        others = self._has_others(call) and call.plan.repeatable
+        again = call.attempt or others
+        sent[headers.ATTEMPT] = str(int(again))
+        if call.suspect:
+            sent[headers.SUSPECT] = "1"
+        return sent
--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -41,6 +41,7 @@
         keep_alive_s: How long the other side said to keep it open while it is
             idle, in seconds; None: it did not say.
         get_time: Returns the time of the event loop, in seconds.
+        heard_at: When bytes came over it last; 0: none yet.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.get_time = loop.time
+        self.heard_at = 0.0
         self._upload: asyncio.Task[None] | None = None
         self._alarm_timer: asyncio.TimerHandle | None = None
         self._alarm_timer_at = 0.0
@@ -166,7 +168,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes that came; called by the event loop."""
-        self._heard[self.address] = self._loop.time()
+        self.heard_at = self._heard[self.address] = self._loop.time()
         super().data_received(data)
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -30,6 +30,7 @@
 
     from merlintrestle.requests import backend
     from merlintrestle.requests.calls import call as calls
+    from merlintrestle.requests.calls import doubts
     from merlintrestle.requests.load import budgets as budgets_
 
 events = event_logs.EventLog("requests")
@@ -168,49 +169,73 @@
         target: str,
         call: calls.Call,
         sent_headers: multidict.CIMultiDict[str],
+        report: Callable[[doubts.Doubt], None],
+        anew: bool = False,
     ) -> outcomes.Outcome:
-        """Sends a call to another daemon, again if its connection is silent.
+        """Sends a call to another daemon and waits for its answer.
+
+        Args:
+            address: Where the daemon takes calls.
+            target: Path and query.
+            call: The call.
+            sent_headers: Its headers.
+            report: Hears what makes it doubtful that an answer will come.
+            anew: Not over a connection that was used before.
 
         Raises:
             bodies.BodyError: The caller's body stopped half-way.
         """
         call_id = self._call_ids.take()
         sent_headers[headers.CALL] = call_id
-        if not call.plan.repeatable:
-            return await self._send_anew(address, target, call, sent_headers)
+        if anew or not call.plan.repeatable:
+            outcome = await self._send_anew(address, target, call, sent_headers)
+        else:
+            outcome = await self._send_watched(
+                address, target, call, sent_headers, report
+            )
+        if (
+            call.plan.repeatable
+            and isinstance(outcome, outcomes.Answered)
+            and outcome.body is None
+        ):
+            self._watch_transfer(address, call_id, outcome)
+        return outcome
+
+    async def _send_watched(
+        self,
+        address: str,
+        target: str,
+        call: calls.Call,
+        sent_headers: multidict.CIMultiDict[str],
+        report: Callable[[doubts.Doubt], None],
+    ) -> outcomes.Outcome:
+        """Sends a call over a kept connection and asks the daemon about it."""
         connection: connections.Connection | outcomes.NotRun | None
         connection = self._pool.take(address)
         if connection is None:
             connection = await self._open(address, call.deadline)
             if isinstance(connection, outcomes.NotRun):
                 return connection
-        work_s = call.plan.work_s
-        watch = watches.Watch(
+
+        def tell(doubt: doubts.Doubt) -> None:
+            if doubt.of_connection:
+                events.note("connection silent", address=address)
+                self._pool.drop(address)
+            report(doubt)
+
+        look = functools.partial(
+            watches.ask_peer,
+            self._probes,
             connection,
-            work_s,
-            call.deadline,
-            functools.partial(
-                watches.ask_peer,
-                self._probes,
-                address,
-                call_id,
-                work_s,
-                self._pool.has_heard,
-            ),
+            sent_headers[headers.CALL],
+            call.plan.work_s,
+            self._pool.has_heard,
+            tell,
         )
-        outcome = await self._exchange(
+        watch = watches.Watch(connection, call.plan.work_s, call.deadline, look)
+        return await self._exchange(
             connection, watch, target, call, sent_headers
         )
-        if isinstance(outcome, outcomes.Answered):
-            # It came just as its connection was held for silent.
-            watch.verdict = watches.Verdict.NONE
-        if self._is_silent(watch, address, call):
-            sent_headers[headers.CALL] = call_id = self._call_ids.take()
-            second = await self._send_anew(address, target, call, sent_headers)
-            outcome = results.combine(outcome, second)
-        if isinstance(outcome, outcomes.Answered) and outcome.body is None:
-            self._watch_transfer(address, call_id, outcome)
-        return outcome
 
     async def _send_anew(
         self,
--- a/merlintrestle/requests/transport/probes.py
+++ b/merlintrestle/requests/transport/probes.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -21,7 +22,12 @@
 # A daemon that lives answers in milliseconds; a busy one in some tens of them.
 _TIMEOUT_S = 0.3
 _IN_FLIGHT = 200
-_NOT_IN_FLIGHT = 404
+_NOT_KNOWN = 404
+_ENDED = 410
+# Ended calls that are remembered. At the 50 calls a second that one daemon
+# bears this is a minute and more; a call is asked about after a quarter of a
+# second, and again as often.
+_MAX_ENDED = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,19 +48,23 @@
     Attributes:
         answers: False if the peer did not answer over a new connection.
         in_flight: True if the call is in flight there.
+        ended: True if it was in flight there and its answer is sent off.
         written: Bytes of its answer's body that the peer has sent off.
     """
 
     answers: bool
     in_flight: bool = False
     written: int = 0
+    ended: bool = False
 
 
 class Registry:
-    """The calls of peers that are in flight here."""
+    """The calls of peers that are in flight here, or were just now."""
 
     def __init__(self) -> None:
         self._calls: dict[str, Progress] = {}
+        self._ended: collections.OrderedDict[str, Progress]
+        self._ended = collections.OrderedDict()
 
     def enter(self, call_id: str) -> Progress:
         """Adds a call."""
@@ -64,15 +74,24 @@
         return progress
 
     def leave(self, call_id: str) -> None:
-        """Removes a call."""
-        self._calls.pop(call_id, None)
+        """Takes a call for ended."""
+        progress = self._calls.pop(call_id, None)
+        if progress is None:
+            return
+        self._ended[call_id] = progress
+        if len(self._ended) > _MAX_ENDED:
+            self._ended.popitem(last=False)
 
     def answer(self, path: str) -> tuple[int, str]:
         """Returns status and text that answer a probe."""
-        progress = self._calls.get(path.removeprefix(PATH))
-        if progress is None:
-            return _NOT_IN_FLIGHT, ""
-        return _IN_FLIGHT, str(progress.written)
+        call_id = path.removeprefix(PATH)
+        progress = self._calls.get(call_id)
+        if progress is not None:
+            return _IN_FLIGHT, str(progress.written)
+        progress = self._ended.get(call_id)
+        if progress is not None:
+            return _ENDED, str(progress.written)
+        return _NOT_KNOWN, ""
 
 
 async def ask(
@@ -85,9 +104,11 @@
             session.get(f"http://{address}{PATH}{call_id}") as answer,
         ):
             text = await answer.text()
-            if answer.status != _IN_FLIGHT:
-                return View(True)
-            return View(True, True, int(text))
+            if answer.status == _IN_FLIGHT:
+                return View(True, True, int(text))
+            if answer.status == _ENDED:
+                return View(True, False, int(text), True)
+            return View(True)
     except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
         return View(False)
 
--- a/merlintrestle/requests/transport/results.py
+++ b/merlintrestle/requests/transport/results.py
@@ -6,7 +6,6 @@
 
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import outcomes
-from merlintrestle.requests.load import retries
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import watches
 
@@ -25,7 +24,6 @@
 _REASONS = {
     watches.Verdict.NONE: "no answer before the deadline",
     watches.Verdict.CONNECTION_SILENT: "the connection went silent",
-    watches.Verdict.PEER_SILENT: "the daemon does not answer",
 }
 
 
@@ -65,22 +63,6 @@
     return broke and idle_s >= _IDLE_S and took_s <= _GONE_S
 
 
-def combine(
-    first: outcomes.Outcome, second: outcomes.Outcome
-) -> outcomes.Outcome:
-    """Returns what is true of a call that was sent anew to a peer.
-
-    The first sending may have run and its answer been lost. A peer that
-    refuses the second one as not run says nothing of the first.
-    """
-    if isinstance(second, outcomes.Answered):
-        stated = second.response.headers.get(headers.OUTCOME)
-        if stated != "not-run":
-            return second
-        second = outcomes.read_failure(second)
-    return retries.combine(first, second)
-
-
 def fail(
     answer: answers.Answer | None,
     reason: str,
--- a/merlintrestle/requests/transport/watches.py
+++ b/merlintrestle/requests/transport/watches.py
@@ -8,6 +8,7 @@
 import secrets
 from typing import Any, TYPE_CHECKING
 
+from merlintrestle.requests.calls import doubts
 from merlintrestle.requests.transport import probes
 
 if TYPE_CHECKING:
@@ -23,7 +24,9 @@
 # work time, is asked about.
 FIRST_BYTE_S = 0.25
 _WORK_FACTOR = 4.0
-# What is on its way when the peer says that a call has ended arrives by then.
+# What is on its way when the peer says that a call has ended or has not come
+# arrives by then where links are free. On a full one it takes its time just as
+# the question and its answer did, which is waited for if it is longer.
 _GRACE_S = 0.05
 # Time between two looks at a transfer.
 TRANSFER_S = 5.0
@@ -33,10 +36,8 @@
     """What a watch found out."""
 
     NONE = enum.auto()
-    # The peer lives and knows nothing of the call: its connection is silent.
+    # The backend server takes new connections: that of the call is silent.
     CONNECTION_SILENT = enum.auto()
-    # The peer does not answer over a new connection either.
-    PEER_SILENT = enum.auto()
 
 
 def get_patience(work_s: float) -> float:
@@ -117,35 +118,45 @@
 
 async def ask_peer(
     session: aiohttp.ClientSession,
-    address: str,
+    connection: connections.Connection,
     call_id: str,
     work_s: float,
     has_heard: Callable[[str, float], bool],
+    report: Callable[[doubts.Doubt], None],
 ) -> Verdict:
-    """Asks a peer about a call until it is silent.
+    """Asks a peer about a call until it knows nothing of it any more.
 
-    On a full link a question is not answered in time. Held for silent then,
-    the peer's answers to calls that it runs would be lost. A peer of which
-    bytes came since the question, on whatever connection, is not silent; it
-    is asked again later.
+    No answer to a question, and none of the answers that it gives, proves that
+    nobody is at work on the call: on a full link the question is not answered
+    in time, and the call or its answer is still on its way. What is found is
+    reported as a doubt, and the wait goes on. A peer of which bytes came since
+    the question, on whatever connection, is not silent.
 
     Args:
         session: Where questions are sent.
-        address: Address of the peer.
+        connection: Where the answer is awaited.
         call_id: Name of the call.
         work_s: Expected work time, in seconds.
         has_heard: Returns whether bytes came from an address since a time.
+        report: Hears each doubt.
     """
     loop = asyncio.get_running_loop()
+    address = connection.address
     while True:
         began = loop.time()
         view = await probes.ask(session, address, call_id)
         if not view.answers:
             if not has_heard(address, began):
-                return Verdict.PEER_SILENT
+                report(doubts.Doubt.PEER_SILENT)
         elif not view.in_flight:
-            await asyncio.sleep(_GRACE_S)
-            return Verdict.CONNECTION_SILENT
+            await asyncio.sleep(max(_GRACE_S, loop.time() - began))
+            if connection.heard_at < began:
+                report(
+                    doubts.Doubt.ANSWER_MISSING
+                    if view.ended
+                    else doubts.Doubt.NOT_ARRIVED
+                )
+                return Verdict.NONE
         await asyncio.sleep(get_patience(work_s))
 
 
--- a/tests/requests/load/fleets.py
+++ b/tests/requests/load/fleets.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 from typing import Any, NamedTuple, TYPE_CHECKING
 
@@ -69,8 +70,10 @@
             return refusal
         self.calls += 1
         spread = self._chance.lognormvariate(-0.125, 0.5)
-        await asyncio.sleep(self._server.work_s * spread)
-        self.slots.leave(call)
+        try:
+            await asyncio.sleep(self._server.work_s * spread)
+        finally:
+            self.slots.leave(call)
         if self._chance.random() < self._server.broken:
             return outcomes.Unknown("the connection broke", broken=True)
         answer: Any = _Answer(loads.encode_load(self.slots.get_load()))
@@ -92,11 +95,11 @@
         self._daemons = daemons
 
     async def send_to_peer(
-        self, address: str, target: str, call: calls.Call, sent: Any
+        self, address: str, target: str, call: calls.Call, *others: Any
     ) -> outcomes.Outcome:
-        """Passes a call on as it is."""
-        del target, sent
-        return await self._daemons[address].run(call)
+        """Passes on what a daemon makes of the call that it gets."""
+        del target, others
+        return await self._daemons[address].run(dataclasses.replace(call))
 
 
 class FleetPlay:
--- a/tests/requests/load/test_picking.py
+++ b/tests/requests/load/test_picking.py
@@ -104,6 +104,22 @@
             self.note(1, outcomes.Unknown("broke"))
         self.assertNotIn(1, self.count())
 
+    def test_upstream_whose_calls_are_in_doubt_gets_no_work(self) -> None:
+        """New work moves away while three calls there still wait.
+
+        The upstream is frozen. Its calls are not given up before their time
+        ends, and until then no failure of theirs would be seen.
+        """
+        seen = self.picker.observe(self.upstreams[1].member_id)
+        for _ in range(3):
+            seen.begin(self.now, _WORK_S)
+            seen.note_doubt(self.now)
+        self.assertNotIn(1, self.count())
+        for _ in range(3):
+            seen.note_answer(self.now, _WORK_S, _WORK_S)
+            seen.end()
+        self.assertIn(1, self.count())
+
     def fail_every_other(self, number: int) -> None:
         """Has an upstream answer and break calls by turns."""
         for _ in range(10):
--- a/tests/requests/serving/test_doubt.py
+++ b/tests/requests/serving/test_doubt.py
@@ -9,8 +9,10 @@
 
 from aiohttp import web
 
+from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import watches
+from tests.requests import builders
 from tests.requests import relays
 
 
@@ -19,7 +21,9 @@
 
     def setUp(self) -> None:
         self.go_on = asyncio.Event()
+        self.began = False
         self.begun = asyncio.Semaphore(0)
+        self.cancelled = asyncio.Semaphore(0)
         self.asked = asyncio.Semaphore(0)
         patch = mock.patch.object(watches, "FIRST_BYTE_S", 0.02)
         patch.start()
@@ -36,9 +40,24 @@
     async def wait(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers when the test lets it."""
         self.begun.release()
-        await self.go_on.wait()
+        await request.read()
+        try:
+            await self.go_on.wait()
+        except asyncio.CancelledError:
+            self.cancelled.release()
+            raise
         return web.Response(body=b"whole")
 
+    async def wait_first(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Lets the call that comes first wait, and answers the others."""
+        first, self.began = not self.began, True
+        return await self.wait(request) if first else web.Response(body=b"2nd")
+
+    async def wait_for_questions(self, count: int) -> None:
+        """Waits until so many more questions were not answered."""
+        for _ in range(count):
+            await self.asked.acquire()
+
     async def test_call_is_run_while_no_question_is_answered(self) -> None:
         """The caller gets the backend server's answer, not a 504 of ours.
 
@@ -62,3 +81,136 @@
             self.assertEqual(answer.status, 200)
             self.assertEqual(await answer.read(), b"whole")
             self.assertEqual(len(nodes[1].served), 1)
+
+    async def test_second_answer_wins_and_the_first_try_is_cancelled(
+        self,
+    ) -> None:
+        """The caller gets the second upstream's answer; the first one stops.
+
+        The first upstream has the call and gives no sign. The call is sent to
+        another one as well, which answers. Nobody needs the first one's work
+        any more: its connection is closed.
+        """
+        async with relays.connect(self.wait_first, 3) as (nodes, _, client):
+            answer = await client.get(nodes[0].url + "/x")
+            self.assertEqual(await answer.read(), b"2nd")
+            await self.cancelled.acquire()
+        self.assertEqual(sum(len(node.served) for node in nodes), 2)
+
+    async def test_first_answer_wins_and_the_second_try_is_cancelled(
+        self,
+    ) -> None:
+        """The caller gets the first upstream's answer after all.
+
+        While the second upstream is at work on the call the first one answers,
+        which was slow and not dead. The second one stops.
+        """
+
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            if not self.began:
+                self.began = True
+                self.begun.release()
+                await first.wait()
+                return web.Response(body=b"1st")
+            return await self.wait(request)
+
+        first = asyncio.Event()
+        async with relays.connect(answer, 3) as (nodes, _, client):
+            call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+            for _ in range(2):
+                await self.begun.acquire()
+            first.set()
+            self.assertEqual(await (await call).read(), b"1st")
+            await self.cancelled.acquire()
+        self.assertEqual(sum(len(node.served) for node in nodes), 2)
+
+    async def test_refusal_of_the_second_does_not_end_the_first(self) -> None:
+        """The caller gets the first upstream's answer.
+
+        Its try is in doubt, and the other upstream refuses the call as not
+        run. That is true of the second try alone; the first one goes on.
+        """
+        async with relays.connect(self.wait, 3) as (nodes, _, client):
+            slow, closed = nodes[0].table.upstreams["kassa"]
+            closed = closed._replace(suspect=True)
+            nodes[0].table.upstreams["kassa"] = (slow, closed)
+            nodes[2].holder.running = None
+            picker = nodes[0].proxy._dispatch._picker
+            call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+            await self.begun.acquire()
+            while not picker.observe(closed.member_id).refused_until:
+                await asyncio.sleep(0)
+            self.go_on.set()
+            self.assertEqual(await (await call).read(), b"whole")
+        self.assertEqual([len(node.served) for node in nodes], [0, 1, 0])
+
+    async def test_second_try_keeps_to_the_most_attempts(self) -> None:
+        """The caller gets its answer; one upstream alone runs the call.
+
+        Its class of work allows one attempt. That the first try is in doubt
+        does not make it an attempt less.
+        """
+        plan = builders.build_plan(max_attempts=1)
+        async with relays.connect(
+            self.wait, 3, running=builders.build_snapshot({"/": plan})
+        ) as (nodes, _, client):
+            call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+            await self.wait_for_questions(3)
+            self.go_on.set()
+            self.assertEqual(await (await call).read(), b"whole")
+        self.assertEqual(sum(len(node.served) for node in nodes), 1)
+
+    async def test_second_try_is_paid_from_the_budget(self) -> None:
+        """Callers get their answers; the service sees each call once.
+
+        No upstream answers questions, and the budget for retries is used up.
+        """
+        async with relays.connect(self.wait, 3) as (nodes, _, client):
+            budget = nodes[0].proxy._budgets.get("kassa")
+            while budget.spend():
+                pass
+            call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+            await self.wait_for_questions(3)
+            self.go_on.set()
+            self.assertEqual(await (await call).read(), b"whole")
+        self.assertEqual(sum(len(node.served) for node in nodes), 1)
+
+    async def test_upload_is_not_sent_as_well(self) -> None:
+        """The caller gets its answer; its upload went to one upstream alone.
+
+        What is passed on in pieces cannot be sent a second time.
+        """
+        body = bytes(100_000)
+        async with relays.connect(self.wait, 3) as (nodes, _, client):
+            call = asyncio.create_task(
+                client.put(nodes[0].url + "/x", data=body)
+            )
+            await self.wait_for_questions(3)
+            self.go_on.set()
+            self.assertEqual(await (await call).read(), b"whole")
+        self.assertEqual(sum(len(node.served) for node in nodes), 1)
+
+    async def test_caller_that_leaves_ends_both_tries(self) -> None:
+        """Two upstreams work for a caller that leaves; both stop."""
+        async with relays.connect(self.wait, 3) as (nodes, _, client):
+            call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+            for _ in range(2):
+                await self.begun.acquire()
+            call.cancel()
+            for _ in range(2):
+                await self.cancelled.acquire()
+
+    async def test_end_of_its_time_ends_a_call(self) -> None:
+        """The caller hears "unknown" when its time ends, and not later.
+
+        Two upstreams have the call and neither answers.
+        """
+        async with relays.connect(self.wait, 3) as (nodes, _, client):
+            answer = await client.get(
+                nodes[0].url + "/x", headers={headers.DEADLINE: "300"}
+            )
+            self.assertEqual(answer.status, 504)
+            self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
+            for _ in range(2):
+                await self.cancelled.acquire()
+        self.assertEqual(sum(len(node.served) for node in nodes), 2)
--- a/tools/model.py
+++ b/tools/model.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 from typing import Any, NamedTuple, TYPE_CHECKING
 
@@ -228,16 +229,16 @@
         )
 
     async def send_to_peer(
-        self, address: str, target: str, call: calls.Call, sent: Any
+        self, address: str, target: str, call: calls.Call, *others: Any
     ) -> outcomes.Outcome:
         """Passes a call on to the daemon beside another backend server."""
-        del target, sent
+        del target, others
         peer = self._play.find(address)
         far = peer.server.zone != self.server.zone
         self._play.hops[far] += 1
         way_s = _FAR_S if far else _NEAR_S
         await asyncio.sleep(way_s)
-        outcome = await peer.run(call)
+        outcome = await peer.run(dataclasses.replace(call))
         await asyncio.sleep(way_s)
         return outcome
 
@@ -246,19 +247,24 @@
         refusal = await self._slots.enter(call)
         if refusal is not None:
             return refusal
+        try:
+            status = await self._work(call)
+        finally:
+            self._slots.leave(call)
+        answer: Any = _Answer(status, loads.encode_load(self._slots.get_load()))
+        return outcomes.Answered(answer, b"", [])
+
+    async def _work(self, call: calls.Call) -> int:
+        """Runs a call and those that it makes; returns the answer's status."""
         work = self._play.works[call.plan.name]
         chance = self._play.chance
         spread = chance.lognormvariate(-(_SPREAD**2) / 2, _SPREAD)
         await asyncio.sleep(work.work_s * self.slowness * spread)
-        status = _OK
         for name in work.makes:
             made = await self._play.make(self, name, call.deadline)
             if made is not None:
-                status = _FAILED
-                break
-        self._slots.leave(call)
-        answer: Any = _Answer(status, loads.encode_load(self._slots.get_load()))
-        return outcomes.Answered(answer, b"", [])
+                return _FAILED
+        return _OK
 
 
 class Play:
