--- a/merlintrestle/requests/transport/results.py
+++ b/merlintrestle/requests/transport/results.py
@@ -6,9 +6,7 @@
 
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import outcomes
-from merlintrestle.requests.load import retries
 from merlintrestle.requests.transport import headers
-from merlintrestle.requests.transport import watches
 
 if TYPE_CHECKING:
     import multidict
@@ -22,16 +20,9 @@
 # A reset of a connection that is gone comes within this time, in seconds: both
 # ends are on one instance.
 _GONE_S = 0.05
-_REASONS = {
-    watches.Verdict.NONE: "no answer before the deadline",
-    watches.Verdict.CONNECTION_SILENT: "the connection went silent",
-    watches.Verdict.PEER_SILENT: "the daemon does not answer",
-}
-
-
-def time_out(verdict: watches.Verdict) -> outcomes.Unknown:
-    """Returns the outcome of a call whose answer did not come."""
-    return outcomes.Unknown(_REASONS[verdict], outcomes.TIMED_OUT)
+NOT_IN_TIME = outcomes.Unknown(
+    "no answer before the deadline", outcomes.TIMED_OUT
+)
 
 
 def belongs(
@@ -65,22 +56,6 @@
     return broke and idle_s >= _IDLE_S and took_s <= _GONE_S
 
 
-def combine(
-    first: outcomes.Outcome, second: outcomes.Outcome
-) -> outcomes.Outcome:
-    """Returns what is true of a call that was sent anew to a peer.
-
-    The first sending may have run and its answer been lost. A peer that
-    refuses the second one as not run says nothing of the first.
-    """
-    if isinstance(second, outcomes.Answered):
-        stated = second.response.headers.get(headers.OUTCOME)
-        if stated != "not-run":
-            return second
-        second = outcomes.read_failure(second)
-    return retries.combine(first, second)
-
-
 def fail(
     answer: answers.Answer | None,
     reason: str,
--- a/merlintrestle/requests/transport/watches.py
+++ b/merlintrestle/requests/transport/watches.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import itertools
 import secrets
 from typing import Any, TYPE_CHECKING
 
+from merlintrestle.requests.calls import doubts
 from merlintrestle.requests.transport import probes
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Coroutine
+    from collections.abc import Callable, Coroutine
 
     import aiohttp
 
-    from merlintrestle.requests.load import budgets
     from merlintrestle.requests.transport import answers
     from merlintrestle.requests.transport import connections
 
@@ -23,22 +22,14 @@
 # work time, is asked about.
 FIRST_BYTE_S = 0.25
 _WORK_FACTOR = 4.0
-# What is on its way when the peer says that a call has ended arrives by then.
+# What is on its way when the peer says that a call has ended or has not come
+# arrives by then where links are free. On a full one it takes its time just as
+# the question and its answer did, which is waited for if it is longer.
 _GRACE_S = 0.05
 # Time between two looks at a transfer.
 TRANSFER_S = 5.0
 
 
-class Verdict(enum.Enum):
-    """What a watch found out."""
-
-    NONE = enum.auto()
-    # The peer lives and knows nothing of the call: its connection is silent.
-    CONNECTION_SILENT = enum.auto()
-    # The peer does not answer over a new connection either.
-    PEER_SILENT = enum.auto()
-
-
 def get_patience(work_s: float) -> float:
     """Returns how long a call waits before it is asked about, in seconds."""
     return max(FIRST_BYTE_S, _WORK_FACTOR * work_s)
@@ -57,22 +48,19 @@
 
 
 class Watch:
-    """Ends the wait for an answer that cannot come any more.
+    """Ends the wait for an answer at its deadline; has it looked into before.
 
     It costs a call that is answered soon no timer and no task of its own.
-
-    Attributes:
-        verdict: What it found out.
     """
 
-    __slots__ = ("_connection", "_deadline", "_look", "_task", "verdict")
+    __slots__ = ("_connection", "_deadline", "_look", "_task")
 
     def __init__(
         self,
         connection: connections.Connection,
         work_s: float,
         deadline: float,
-        look: Callable[[], Coroutine[Any, Any, Verdict]] | None,
+        look: Callable[[], Coroutine[Any, Any, None]] | None,
     ):
         """Starts the watch.
 
@@ -83,7 +71,6 @@
             look: Finds out what is wrong with a call that gives no sign;
                 None: nobody asks before the deadline.
         """
-        self.verdict = Verdict.NONE
         self._connection = connection
         self._deadline = deadline
         self._look = look
@@ -106,63 +93,54 @@
             connection.expire()
             return
         connection.set_alarm(self._deadline, connection.expire)
-        self._task = asyncio.create_task(self._watch())
-
-    async def _watch(self) -> None:
         assert self._look is not None
-        self.verdict = await self._look()
-        if self.verdict is not Verdict.NONE:
-            self._connection.expire()
+        self._task = asyncio.create_task(self._look())
 
 
 async def ask_peer(
     session: aiohttp.ClientSession,
-    address: str,
+    connection: connections.Connection,
     call_id: str,
     work_s: float,
     has_heard: Callable[[str, float], bool],
-) -> Verdict:
-    """Asks a peer about a call until it is silent.
+    report: Callable[[doubts.Doubt], None],
+) -> None:
+    """Asks a peer about a call until it knows nothing of it any more.
 
-    On a full link a question is not answered in time. Held for silent then,
-    the peer's answers to calls that it runs would be lost. A peer of which
-    bytes came since the question, on whatever connection, is not silent; it
-    is asked again later.
+    No answer to a question, and none of the answers that it gives, proves that
+    nobody is at work on the call: on a full link the question is not answered
+    in time, and the call or its answer is still on its way. What is found is
+    reported as a doubt, and the wait goes on. A peer of which bytes came since
+    the question, on whatever connection, is not silent.
 
     Args:
         session: Where questions are sent.
-        address: Address of the peer.
+        connection: Where the answer is awaited.
         call_id: Name of the call.
         work_s: Expected work time, in seconds.
         has_heard: Returns whether bytes came from an address since a time.
+        report: Hears each doubt.
     """
     loop = asyncio.get_running_loop()
+    address = connection.address
     while True:
         began = loop.time()
         view = await probes.ask(session, address, call_id)
         if not view.answers:
             if not has_heard(address, began):
-                return Verdict.PEER_SILENT
+                report(doubts.Doubt.PEER_SILENT)
         elif not view.in_flight:
-            await asyncio.sleep(_GRACE_S)
-            return Verdict.CONNECTION_SILENT
+            await asyncio.sleep(max(_GRACE_S, loop.time() - began))
+            if connection.heard_at < began:
+                report(
+                    doubts.Doubt.ANSWER_MISSING
+                    if view.ended
+                    else doubts.Doubt.NOT_ARRIVED
+                )
+                return
         await asyncio.sleep(get_patience(work_s))
 
 
-async def check_backend(
-    check: Callable[[], Awaitable[bool]], budget: budgets.Budget
-) -> Verdict:
-    """Finds out whether a pooled connection to a backend server is silent.
-
-    A backend server cannot be asked about a call. If it takes new connections
-    the pooled one is given up, within a budget: were the server merely slow,
-    starting calls anew would only add to its load.
-    """
-    if await check() and budget.spend():
-        return Verdict.CONNECTION_SILENT
-    return Verdict.NONE
-
-
 async def watch_transfer(
     session: aiohttp.ClientSession,
     address: str,
