Learn whether the configuration changed without reading it

Cause: each watcher read the whole configuration (some 200 KB as base64) every second or two, at the start of each watch and after each failure at once. On a link of 0.4 MB/s that alone is half of it; with anything else on the link the read missed its limit and was made again.

Ruled out: the watch alone (the store may tell it nothing for a second before it drops its history); a transaction of one expected revision (a write, and what an empty one does to the revision is not said).

Change: a range that begins after its only key tells the store's revision without a value. The value is read only when that moved and no watch brings the change within 0.3 s. A watch that starts again goes on from what is known; one that is late takes the newest value and leaves out those between, which else outgrow the link.

--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import Any, TYPE_CHECKING
 
@@ -24,27 +25,46 @@
 # The product's importance goes up from 1, the platform's rank down from 0.
 _MOST_IMPORTANT = 5
 _HEXADECIMAL = 16
+# A watch hears of a change as early as a read does, and carries it already.
+# Read at once, each change would travel twice over the same link. A watch that
+# hears nothing is made up for this much later, well within what a change has.
+_WATCH_LEAD_S = 0.3
 
 
 class ConfigurationSource:
     """The record that the operators write, as a `versions.source.Source`."""
 
     def __init__(self, store: stores.PlatformStore):
+        """Starts with no version known."""
         self._store = store
         self._latest: dict[int, client.Entry] = {}
         self._revision = 0
+        # The store's revision up to which the head is known.
+        self._known_at = 0
+        self._watches = 0
+        self._moved = asyncio.Event()
         self._head = document_pb2.Head()
         self._compiled: snapshots.Snapshot | None = None
 
     async def read_head(self) -> document_pb2.Head:
         """Reads the newest version; 0 where there is none.
 
+        The value is some hundred KB, which fills a thin link for half a
+        second. It is read only where the store's revision has moved and no
+        watch brings what moved it.
+
         Raises:
             errors.StoreError: The store did not answer.
             errors.SnapshotError: The record is malformed.
         """
-        entry = await self._store.get(stores.CONFIGURATION_KEY)
-        return self._take(entry) if entry else document_pb2.Head()
+        if self._known_at:
+            at = await self._store.read_revision(stores.CONFIGURATION_KEY)
+            if at <= self._known_at or await self._wait_for_watch(at):
+                return self._head
+        entry, at = await self._store.read_newest(stores.CONFIGURATION_KEY)
+        head = self._take(entry) if entry else document_pb2.Head()
+        self._note_known(at)
+        return head
 
     async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
         """Yields the newest version and each later one.
@@ -53,8 +73,18 @@
             errors.StoreUnavailableError: The watch ended.
             errors.SnapshotError: A record is malformed.
         """
-        async for entry in self._store.watch(stores.CONFIGURATION_KEY, 0):
-            yield self._take(entry)
+        self._watches += 1
+        try:
+            if self._revision:
+                yield self._head
+            async for entry in self._store.watch(
+                stores.CONFIGURATION_KEY, self._known_at
+            ):
+                head = self._take(entry)
+                self._note_known(entry.revision)
+                yield head
+        finally:
+            self._watches -= 1
 
     async def compile_head(self, head: document_pb2.Head) -> snapshots.Snapshot:
         """Compiles the version that a head names.
@@ -82,8 +112,24 @@
         """
         return await seeds_lib.write_seeds(self._store, zone, member_ids)
 
+    async def _wait_for_watch(self, at: int) -> bool:
+        """Waits a moment for a watch; returns whether the head is known."""
+        try:
+            async with asyncio.timeout(_WATCH_LEAD_S):
+                while self._watches and self._known_at < at:
+                    self._moved.clear()
+                    await self._moved.wait()
+        except TimeoutError:
+            pass
+        return self._known_at >= at
+
+    def _note_known(self, at: int) -> None:
+        self._known_at = max(self._known_at, at)
+        self._moved.set()
+
     def _take(self, entry: client.Entry) -> document_pb2.Head:
-        if entry.revision != self._revision:
+        """Returns the head of an entry, unless a newer one was taken."""
+        if entry.revision > self._revision:
             version = read_version(_parse(entry.value))
             self._latest = {version: entry}
             self._revision = entry.revision
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -9,7 +9,7 @@
 import asyncio
 import base64
 import json
-from typing import Any, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 import aiohttp
 import yarl
@@ -20,7 +20,7 @@
 from merlintrestle.store import client
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
 events = event_logs.EventLog("platform")
 
@@ -47,6 +47,18 @@
 _UNAVAILABLE = 503
 
 
+class Reading(NamedTuple):
+    """What one read of a key brought.
+
+    Attributes:
+        entry: The entry; None where the key is not there.
+        at: The store's revision at which that was so.
+    """
+
+    entry: client.Entry | None
+    at: int
+
+
 class PlatformStore:
     """Calls the platform's store.
 
@@ -95,34 +107,77 @@
                 return entries[:limit]
             query["after"] = _name(found[-1].key)
 
+    async def read_revision(self, key: str) -> int:
+        """Returns the store's revision, at the price of a read without a value.
+
+        A range that begins after its only key has no items. While the
+        revision stands still, nothing that was read before it has changed.
+        """
+        query = {"prefix": _name(key), "after": _name(key)}
+        _, answer = await self._read("range", query)
+        return _get(answer, "at", int)
+
+    async def read_newest(self, key: str) -> Reading:
+        """Reads one key and the store's revision at which it was read."""
+        # The range tells the store's revision also where the key is absent.
+        _, answer = await self._read("range", {"prefix": _name(key)})
+        at = _get(answer, "at", int)
+        for entry in read_items(_get(answer, "items", list)):
+            if entry.key == key:
+                return Reading(entry, at)
+        return Reading(None, at)
+
     async def watch(
         self, key: str, after_revision: int
     ) -> AsyncIterator[client.Entry]:
         """Yields the key's entries newer than a revision until the store fails.
 
+        Entries that were replaced while an earlier one travelled are left
+        out. With all of them, a link that carries one in the time of three
+        changes would fall behind further with each answer.
+
         Raises:
             errors.StoreUnavailableError: The store ended or broke the watch.
         """
-        # The range tells the store's revision also where the key is absent.
-        _, answer = await self._read("range", {"prefix": _name(key)})
-        for entry in read_items(_get(answer, "items", list)):
-            if entry.key == key and entry.revision > after_revision:
-                yield entry
-        at = _get(answer, "at", int)
+        at = known = after_revision
+        behind = True
         while True:
-            query = {"prefix": _name(key), "after": str(at)}
-            query["waitMs"] = str(_WATCH_MS)
-            status, answer = await self._read(
-                "watch", query, _WATCH_MS / 1000 + _TIMEOUT_S
+            if behind:
+                if at and await self.read_revision(key) == at:
+                    behind = False
+                    continue
+                newest, at = await self.read_newest(key)
+                # What moved may have been another key.
+                behind = newest is not None and newest.revision > known
+                if newest is not None and behind:
+                    known = newest.revision
+                    yield newest
+                continue
+            found, at = await self._wait_for_events(key, at)
+            behind = len(found) > 1
+            if found:
+                known = found[-1].revision
+                yield found[-1]
+
+    async def _wait_for_events(
+        self, key: str, after: int
+    ) -> tuple[Sequence[client.Entry], int]:
+        """Returns the key's entries after a revision, and how far they go."""
+        query = {"prefix": _name(key), "after": str(after)}
+        query["waitMs"] = str(_WATCH_MS)
+        status, answer = await self._read(
+            "watch", query, _WATCH_MS / 1000 + _TIMEOUT_S
+        )
+        if status == _GONE:
+            raise errors.StoreUnavailableError(
+                "store: the history is not there any more"
             )
-            if status == _GONE:
-                raise errors.StoreUnavailableError(
-                    "store: the history is not there any more"
-                )
-            for event in _get(answer, "events", list):
-                if not event.get("deleted") and event.get("key") == _name(key):
-                    yield _read_item(event)
-            at = _get(answer, "at", int)
+        found = [
+            _read_item(event)
+            for event in _get(answer, "events", list)
+            if not event.get("deleted") and event.get("key") == _name(key)
+        ]
+        return found, _get(answer, "at", int)
 
     async def put(
         self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -68,12 +68,14 @@
         port: Its port; known after `start`.
         faults: What it does wrong now.
         calls: Calls by kind.
+        sent: Bytes of the answers by kind.
     """
 
     def __init__(self) -> None:
         self.port = 0
         self.faults = Faults()
         self.calls: dict[str, int] = {}
+        self.sent: dict[str, int] = {}
         self._revision = 1
         self._items: dict[str, Item] = {}
         self._events: list[dict[str, Any]] = []
@@ -140,6 +142,7 @@
         if self.faults.status:
             return web.json_response({}, status=self.faults.status)
         answer = await handler(request)
+        self.sent[kind] = self.sent.get(kind, 0) + len(answer.body)
         if self.faults.cut:
             return web.Response(body=answer.body[: len(answer.body) // 2])
         if request.method == "POST" and self.faults.lose_answers:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
 
@@ -12,6 +13,7 @@
 from merlintrestle.versions import deltas
 from standins import platform_store
 from tests.platform import builders
+from tests.platform import fleets
 
 
 def _load(value: bytes):
@@ -112,6 +114,12 @@
         self.assertEqual(applied.hosts, after.hosts)
 
 
+def _build_large(version: int) -> bytes:
+    """Builds a configuration of a thousand routes."""
+    routes = [builders.build_route(f"r{number}") for number in range(1000)]
+    return builders.build_configuration(version, *routes)
+
+
 class SourceTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.standin = platform_store.PlatformStoreStandin()
@@ -137,6 +145,99 @@
             )
         self.assertEqual(versions, [5, 12])
 
+    async def read(self) -> int:
+        async with asyncio.timeout(fleets.GUARD_S):
+            return (await self.source.read_head()).version
+
+    def count_sent(self) -> int:
+        """Returns the bytes that the store has sent so far."""
+        return sum(self.standin.sent.values())
+
+    async def test_reads_cost_no_value_while_nothing_changed(self):
+        """Calls on a thin link do not wait behind reads that bring no news.
+
+        Watchers ask every second whether the configuration changed. Each read
+        brought the whole of it, half a second of a link of 0.4 MB/s, and the
+        calls on that link missed their deadlines.
+        """
+        value = _build_large(5)
+        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.read()
+        before = self.count_sent()
+        for _ in range(10):
+            self.assertEqual(await self.read(), 5)
+        self.assertLess(self.count_sent() - before, len(value) / 10)
+
+    async def test_the_write_of_another_key_costs_one_value(self):
+        """Another writer's keys move the store's revision as well.
+
+        Only the value shows that the configuration is not what moved it. It
+        is read once, not with each read from then on.
+        """
+        value = _build_large(5)
+        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.read()
+        await self.standin.write("foreign/key", b"x")
+        before = self.count_sent()
+        for _ in range(10):
+            self.assertEqual(await self.read(), 5)
+        self.assertLess(self.count_sent() - before, 2 * len(value))
+
+    async def test_a_watch_that_hears_nothing_is_made_up_for(self):
+        """A version is in force in time though the watch is deaf.
+
+        The store tells watches of no change for a while before it drops its
+        history. The read sees that the revision moved, waits for the watch
+        for a moment and then reads for itself.
+        """
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_configuration(5)
+        )
+        heads = self.source.watch_head()
+        self.assertEqual((await anext(heads)).version, 5)
+        waiting = asyncio.ensure_future(anext(heads))
+        self.addCleanup(waiting.cancel)
+        self.standin.faults.deaf = True
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_configuration(6)
+        )
+        self.assertEqual(await self.read(), 6)
+
+    async def test_what_a_watch_brings_is_not_read_as_well(self):
+        """A change travels once over the link of a watcher, not twice.
+
+        The read learns of the change while the watch is bringing it.
+        """
+        await self.standin.write(stores.CONFIGURATION_KEY, _build_large(5))
+        heads = self.source.watch_head()
+        await anext(heads)
+        waiting = asyncio.ensure_future(anext(heads))
+        while "watch" not in self.standin.calls:
+            await asyncio.sleep(0)
+        value = _build_large(6)
+        before = self.count_sent()
+        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        self.assertEqual(await self.read(), 6)
+        self.assertEqual((await waiting).version, 6)
+        self.assertLess(self.count_sent() - before, 2 * len(value))
+
+    async def test_a_watch_that_starts_again_reads_no_value(self):
+        """A watch that was cut costs no value while nothing changed.
+
+        With one, a link that is too full for a read in time stayed full: each
+        read that was given up was followed by the next at once.
+        """
+        await self.standin.write(stores.CONFIGURATION_KEY, _build_large(5))
+        await self.read()
+        before = self.standin.sent["range"]
+        heads = self.source.watch_head()
+        self.assertEqual((await anext(heads)).version, 5)
+        waiting = asyncio.ensure_future(anext(heads))
+        while "watch" not in self.standin.calls:
+            await asyncio.sleep(0)
+        waiting.cancel()
+        self.assertLess(self.standin.sent["range"] - before, 1000)
+
     async def test_a_malformed_record_is_an_error_and_not_a_version(self):
         await self.standin.write(stores.CONFIGURATION_KEY, b"{}")
         with self.assertRaises(errors.SnapshotError):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -117,6 +117,27 @@
         assert isinstance(again, AsyncGenerator)
         await again.aclose()
 
+    async def test_a_watch_that_falls_behind_takes_the_newest_alone(self):
+        """A storm of changes does not outgrow the link of a watcher.
+
+        Changes come faster than the link carries them. An answer brings all
+        that came while the one before it travelled, so each takes longer than
+        the last and the newest version comes later and later.
+        """
+        watch = self.store.watch("head", 0)
+        await self.store.put("head", b"0", 0)
+        self.assertEqual((await anext(watch)).value, b"0")
+        # The watch was under way with an earlier answer meanwhile.
+        for number in range(1, 6):
+            await self.standin.write(
+                stores.OWN_PREFIX + "head", str(number).encode()
+            )
+        async with asyncio.timeout(5):
+            self.assertEqual((await anext(watch)).value, b"5")
+        self.assertEqual(self.standin.calls.get("watch", 0), 0)
+        assert isinstance(watch, AsyncGenerator)
+        await watch.aclose()
+
 
 _FOREIGN = strategies.recursive(
     strategies.none()
