Judge an answer of the store by its progress, not by its whole time

Cause: one limit of 1 s covered the whole body.

Ruled out: a longer limit for the whole, which finds a silent store later.

Change: the limit is on the wait for the answer's head and on each pause within its body; 10 s bound the whole. A watch whose answer has begun to arrive is waited for to its end, not read beside it.

--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -113,14 +113,18 @@
         return await seeds_lib.write_seeds(self._store, zone, member_ids)
 
     async def _wait_for_watch(self, at: int) -> bool:
-        """Waits a moment for a watch; returns whether the head is known."""
-        try:
-            async with asyncio.timeout(_WATCH_LEAD_S):
-                while self._watches and self._known_at < at:
-                    self._moved.clear()
+        """Waits a moment for a watch; returns whether the head is known.
+
+        An answer that has begun to arrive is waited for to its end.
+        """
+        while self._watches and self._known_at < at:
+            self._moved.clear()
+            try:
+                async with asyncio.timeout(_WATCH_LEAD_S):
                     await self._moved.wait()
-        except TimeoutError:
-            pass
+            except TimeoutError:
+                if not self._store.is_delivering():
+                    break
         return self._known_at >= at
 
     def _note_known(self, at: int) -> None:
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -31,8 +31,14 @@
 _BASE = "/merlintrestle/kv-"
 # Longest wait of one watch, in ms: the most that the store allows.
 _WATCH_MS = 30_000
-# The store answers in milliseconds; one slowed sixtyfold does in this time.
+# The store answers in milliseconds; one slowed sixtyfold does in this time. It
+# is also the longest pause within an answer: over a thin link the value of a
+# large key takes longer than this in all, and given up it would be asked for
+# again at once, which keeps the link full for good.
 _TIMEOUT_S = 1.0
+# Longest time for one answer to arrive, so that a store that sends byte by
+# byte holds up no caller for ever. The largest page has some 1 MB.
+_ARRIVAL_S = 10.0
 # A watch that waits gives no sign of its own for 30 s. Keep-alive probes show
 # a connection that went silent within three seconds instead.
 _SILENCE = connectors.Silence(
@@ -71,6 +77,7 @@
         """Sets the store's "ip:port"."""
         self._address = address
         self._session: aiohttp.ClientSession | None = None
+        self._arriving: list[str] = []
 
     async def start(self) -> None:
         """Opens the pool of connections; the store need not be up."""
@@ -159,6 +166,10 @@
                 known = found[-1].revision
                 yield found[-1]
 
+    def is_delivering(self) -> bool:
+        """Returns whether the answer of a watch has begun to arrive."""
+        return "watch" in self._arriving
+
     async def _wait_for_events(
         self, key: str, after: int
     ) -> tuple[Sequence[client.Entry], int]:
@@ -256,12 +267,16 @@
         assert self._session is not None
         url = yarl.URL(f"http://{self._address}{_BASE}{call}")
         async with (
-            asyncio.timeout(timeout_s),
+            asyncio.timeout(timeout_s) as limit,
             self._session.request(
                 method, url.with_query(query), json=body
             ) as answer,
         ):
-            text = await answer.read()
+            self._arriving.append(call)
+            try:
+                text = await _read_body(answer, limit)
+            finally:
+                self._arriving.remove(call)
         if answer.status in (_TOO_MANY, _UNAVAILABLE, _FORBIDDEN):
             raise errors.StoreUnavailableError(
                 f"store: refused with {answer.status}"
@@ -269,6 +284,20 @@
         return answer.status, _parse(text, answer.status)
 
 
+async def _read_body(
+    answer: aiohttp.ClientResponse, limit: asyncio.Timeout
+) -> bytes:
+    """Reads a body for as long as its bytes keep coming."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + _ARRIVAL_S
+    limit.reschedule(min(loop.time() + _TIMEOUT_S, ends_at))
+    parts = []
+    async for part in answer.content.iter_any():
+        parts.append(part)
+        limit.reschedule(min(loop.time() + _TIMEOUT_S, ends_at))
+    return b"".join(parts)
+
+
 def _name(key: str) -> str:
     return key if key == CONFIGURATION_KEY else OWN_PREFIX + key
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -16,6 +16,7 @@
 _BASE = "/merlintrestle/kv-"
 _PAGE_ITEMS = 500
 _MAX_ENTRIES = 32
+_PART_BYTES = 16 * 1024
 _FORBIDDEN_PREFIXES = ("op/", "servers/")
 
 
@@ -52,6 +53,7 @@
         silent: Answers nothing at all.
         cut: Cuts off the answer in the middle.
         deaf: Tells watches of no change.
+        pause_s: Sends an answer in parts, so many seconds apart; 0: at once.
     """
 
     status: int = 0
@@ -59,6 +61,7 @@
     silent: bool = False
     cut: bool = False
     deaf: bool = False
+    pause_s: float = 0.0
 
 
 class PlatformStoreStandin:
@@ -149,8 +152,25 @@
             self.faults.lose_answers -= 1
             assert request.transport is not None
             request.transport.close()
+        if self.faults.pause_s:
+            return await self._dribble(request, answer)
         return answer
 
+    async def _dribble(
+        self, request: web.Request, answer: web.Response
+    ) -> web.StreamResponse:
+        """Sends an answer as a full link does, in parts with pauses."""
+        body = answer.body
+        assert isinstance(body, bytes)
+        slow = web.StreamResponse(status=answer.status)
+        slow.content_length = len(body)
+        await slow.prepare(request)
+        for start in range(0, len(body), _PART_BYTES):
+            await slow.write(body[start : start + _PART_BYTES])
+            if start + _PART_BYTES < len(body):
+                await asyncio.sleep(self.faults.pause_s)
+        return slow
+
     async def _handle_key(self, request: web.Request) -> web.Response:
         self._expire()
         item = self._items.get(request.query["key"])
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from merlintrestle import errors
 from merlintrestle.documents import loading
@@ -221,6 +222,27 @@
         self.assertEqual((await waiting).version, 6)
         self.assertLess(self.count_sent() - before, 2 * len(value))
 
+    async def test_what_a_watch_is_bringing_is_waited_for(self):
+        """A change travels once, however long its bytes take.
+
+        The link is thin, so the answer of the watch has begun to arrive and
+        has not ended when the read has waited its moment.
+        """
+        await self.standin.write(stores.CONFIGURATION_KEY, _build_large(5))
+        heads = self.source.watch_head()
+        await anext(heads)
+        waiting = asyncio.ensure_future(anext(heads))
+        while "watch" not in self.standin.calls:
+            await asyncio.sleep(0)
+        self.standin.faults.pause_s = 0.1
+        value = _build_large(6)
+        before = self.count_sent()
+        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        with mock.patch.object(configuration, "_WATCH_LEAD_S", 0.1):
+            self.assertEqual(await self.read(), 6)
+        self.assertEqual((await waiting).version, 6)
+        self.assertLess(self.count_sent() - before, 2 * len(value))
+
     async def test_a_watch_that_starts_again_reads_no_value(self):
         """A watch that was cut costs no value while nothing changed.
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,9 @@
 from merlintrestle.store import client
 from standins import platform_store
 
+# Six parts of an answer, as it travels over a full link.
+_LARGE = bytes(64 * 1024)
+
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     """The client against the stand-in."""
@@ -82,6 +85,37 @@
                 self.store._read("key", {"key": "a"}, 0.05), 5
             )
 
+    async def test_a_value_may_take_longer_than_a_pause_may(self):
+        """A watcher behind a thin link gets the version, if late.
+
+        The value takes longer to arrive than the store may take to answer.
+        Given up for its whole time it was asked for again at once, and the
+        link stayed full of values that nobody took in.
+        """
+        await self.store.put("a", _LARGE, 0)
+        self.standin.faults.pause_s = stores._TIMEOUT_S / 4
+        entry = await asyncio.wait_for(self.store.get("a"), 20)
+        assert entry is not None
+        self.assertEqual(len(entry.value), len(_LARGE))
+
+    async def test_a_value_that_does_not_end_is_given_up(self):
+        await self.store.put("a", _LARGE, 0)
+        self.standin.faults.pause_s = 0.1
+        with (
+            mock.patch.object(stores, "_ARRIVAL_S", 0.2),
+            self.assertRaises(errors.StoreUnavailableError),
+        ):
+            await asyncio.wait_for(self.store.get("a"), 20)
+
+    async def test_an_answer_that_stops_is_given_up(self):
+        await self.store.put("a", _LARGE, 0)
+        self.standin.faults.pause_s = 3600
+        with (
+            mock.patch.object(stores, "_TIMEOUT_S", 0.2),
+            self.assertRaises(errors.StoreUnavailableError),
+        ):
+            await asyncio.wait_for(self.store.get("a"), 20)
+
     async def test_a_cut_answer_is_an_error(self):
         """The daemon goes on with what it has, and says what came.
 
