Have members behind wide links watch the store for their zone

Cause: watchers were chosen without regard to what their links carry. Each takes in every configuration whole (some 200 KB); behind a link of 0.4 MB/s that is half a second in which calls to the backend server there wait, and a storm of changes is more than the link carries at all.

Ruled out: choosing neighbours by link as well (the few wide ones would carry the links of the whole zone); a list of hosts in the settings.

Change: the setting link-mbps (0: not known) goes into the member record; watchers and seeds of a zone are chosen by rendezvous hashing among members whose link is at least half of the widest there, and the others make up the number. Unknown and equal links choose as before (tested against plain rendezvous hashing, and the standing choice against choosing anew).

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -261,6 +261,7 @@
             control_port=settings.control_port,
             zone=settings.zone,
             region=settings.region,
+            link_mbps=settings.link_mbps,
         )
 
     def _describe_ports(self) -> dict[str, str | int]:
--- a/merlintrestle/members/validity.py
+++ b/merlintrestle/members/validity.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from merlintrestle import config
 from merlintrestle.schema import control_pb2
 
@@ -22,6 +24,8 @@
         return problem
     if not 0 < member.incarnation <= _MAX_INCARNATION:
         return f"incarnation {member.incarnation} is out of range."
+    if not 0 <= member.link_mbps < math.inf:
+        return f"a link of {member.link_mbps} Mbit/s is out of range."
     backend = member.backend
     if backend.state != control_pb2.READY:
         return ""
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -112,4 +112,5 @@
         retry_slack=settings.retry_slack,
         retry_window_s=settings.retry_window_s,
         farewell_s=farewell_s,
+        link_mbps=settings.link_mbps,
     )
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -56,6 +56,7 @@
         retry_ratio: Retries that a service may get for each of its requests.
         retry_slack: Retries that it may get beside these, in one window.
         retry_window_s: Length of that window, in seconds.
+        link_mbps: Capacity of the instance's link in Mbit/s; 0: not known.
     """
 
     address: str
@@ -76,6 +77,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    link_mbps: float
 
 
 def find_path() -> pathlib.Path:
@@ -134,6 +136,7 @@
         retry_ratio=reader.get("bounds.retryBudgetRatio", _parse_number, 0.0),
         retry_slack=reader.get("bounds.retrySlack", _parse_number, 0.0),
         retry_window_s=reader.get("bounds.budgetWindowS", _parse_number, 0.0),
+        link_mbps=reader.find("limits.linkMbps", _parse_number, 0.0),
     )
     if reader.findings:
         raise errors.InvalidInputError(reader.findings)
@@ -152,12 +155,16 @@
 
     def get(self, name: str, parse: Callable[[str], _T], lacking: _T) -> _T:
         """Returns a value; `lacking` where it is not there or malformed."""
-        text = self._values.get(name)
-        if text is None:
+        if name not in self._values:
             self.findings.append(errors.Finding(name, "is required."))
+        return self.find(name, parse, lacking)
+
+    def find(self, name: str, parse: Callable[[str], _T], lacking: _T) -> _T:
+        """Returns a value that may be left out."""
+        if name not in self._values:
             return lacking
         try:
-            return parse(text)
+            return parse(self._values[name])
         except ValueError as error:
             self.findings.append(errors.Finding(name, str(error)))
             return lacking
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -9,7 +9,6 @@
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.members import choice as choice_lib
-from merlintrestle.members import rendezvous
 from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.members import table as table_lib
 from merlintrestle.members import timing as timing_lib
@@ -84,15 +83,15 @@
     def list_other_watchers(self) -> list[str]:
         """Returns the ids of the watchers of all other zones."""
         table = self._membership.table
-        zones: dict[str, list[str]] = {}
+        zones: dict[str, list[control_pb2.Member]] = {}
         for member in table.members():
             if not table_lib.is_gone(member) and member.zone != table.own.zone:
-                zones.setdefault(member.zone, []).append(member.id)
+                zones.setdefault(member.zone, []).append(member)
         return [
             name
-            for zone, ids in sorted(zones.items())
-            for name in rendezvous.choose(
-                _name_key("watch", zone), ids, WATCHERS_PER_ZONE
+            for zone, members in sorted(zones.items())
+            for name in choice_lib.choose_by_link(
+                _name_key("watch", zone), members, WATCHERS_PER_ZONE
             )
         ]
 
@@ -311,7 +310,9 @@
         table = self._membership.table
         zone = table.own.zone
         key = _name_key(purpose, zone)
-        return choice_lib.Choice(table, key, count, zone, with_own=True)
+        return choice_lib.Choice(
+            table, key, count, zone, with_own=True, by_link=True
+        )
 
 
 def _name_key(purpose: str, zone: str) -> str:
--- a/tests/members/builders.py
+++ b/tests/members/builders.py
@@ -47,6 +47,7 @@
     state: control_pb2.MemberState = control_pb2.ALIVE,
     zone: str = "zone-a",
     service: str = "",
+    link_mbps: float = 0.0,
 ) -> control_pb2.Member:
     """Builds a member; with a service it has a READY backend server."""
     port = 9000 + number
@@ -59,6 +60,7 @@
         region="region",
         incarnation=incarnation,
         state=state,
+        link_mbps=link_mbps,
     )
     if service:
         member.backend.CopyFrom(build_backend(service))
--- a/tests/members/test_table.py
+++ b/tests/members/test_table.py
@@ -32,6 +32,7 @@
     state=strategies.sampled_from(STATES),
     zone=strategies.sampled_from(("zone-a", "zone-b")),
     service=strategies.sampled_from(("", "balie", "kassa")),
+    link_mbps=strategies.sampled_from((0.0, 3.25, 10.0, 50.0)),
 )
 histories = strategies.lists(records, max_size=12)
 
@@ -182,6 +183,51 @@
             wanted = rendezvous.choose("key", fitting, 2)
             self.assertEqual(standing.get(), wanted)
 
+    @hypothesis.given(histories)
+    def test_follows_the_links(self, history: list[control_pb2.Member]) -> None:
+        table = builders.build_table()
+        standing = choice.Choice(table, "key", 2, "zone-a", by_link=True)
+        for record in history:
+            table.merge(record)
+            fitting = [
+                member
+                for member in table.members()
+                if member.id != table.own_id
+                and member.zone == "zone-a"
+                and not table_lib.is_gone(member)
+            ]
+            wanted = choice.choose_by_link("key", fitting, 2)
+            self.assertEqual(standing.get(), wanted)
+
+    def test_wide_links_go_first_and_thin_ones_make_up_the_number(self) -> None:
+        """Calls behind thin links do not wait behind what watchers take in.
+
+        Two hosts of a zone have wide links. With the watch at a daemon behind
+        a thin one, each configuration fills that link for half a second.
+        """
+        thin = [builders.build_member(n, link_mbps=3.25) for n in range(2, 20)]
+        wide = [builders.build_member(n, link_mbps=50.0) for n in (20, 21)]
+        for key in ("watch/a", "watch/b", "watch/c"):
+            with self.subTest(key):
+                chosen = choice.choose_by_link(key, [*thin, *wide], 2)
+                self.assertEqual(set(chosen), {wide[0].id, wide[1].id})
+                # One of them fails, then both.
+                chosen = choice.choose_by_link(key, [*thin, wide[0]], 2)
+                self.assertEqual(chosen[0], wide[0].id)
+                ids = [member.id for member in thin]
+                self.assertEqual(
+                    choice.choose_by_link(key, thin, 2),
+                    rendezvous.choose(key, ids, 2),
+                )
+
+    def test_links_that_are_not_known_change_no_choice(self) -> None:
+        members = [builders.build_member(number) for number in range(2, 20)]
+        ids = [member.id for member in members]
+        self.assertEqual(
+            choice.choose_by_link("key", members, 3),
+            rendezvous.choose("key", ids, 3),
+        )
+
     def test_one_member_less_changes_few_choices(self) -> None:
         names = [f"daemon-{number}" for number in range(50)]
         moved = 0
--- a/tests/members/test_validity.py
+++ b/tests/members/test_validity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 from merlintrestle.schema import control_pb2
@@ -23,6 +24,8 @@
             "address",
             "incarnation",
             "no incarnation",
+            "link",
+            "no number",
         )
     }
     members["port"].id = "127.0.0.1:99999"
@@ -35,6 +38,8 @@
     members["address"].address = "x["
     members["incarnation"].incarnation = 2**64 - 1
     members["no incarnation"].incarnation = 0
+    members["link"].link_mbps = -1.0
+    members["no number"].link_mbps = math.nan
     return members
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,6 +36,13 @@
         self.assertIn("bounds.drainMs", places)
         self.assertIn("bounds.retrySlack", places)
 
+    def test_the_link_may_be_left_out(self):
+        found = settings.parse_settings(builders.build_text())
+        self.assertEqual(found.link_mbps, 0)
+        text = builders.build_text(**{"limits.linkMbps": "3.25"})
+        built = service.build_daemon_settings(settings.parse_settings(text))
+        self.assertEqual(built.link_mbps, 3.25)
+
     def test_a_short_grace_leaves_time_for_requests_in_flight(self):
         """A stop does not cut what is in flight where the kill comes soon.
 
