Open a link anew that ended while this daemon was late

Cause, one of two (hypothesis 4): gRPC raises InvalidStateError ("RPC already finished") from a write to a stream that has ended and whose end was not read yet. A late loop reads the end and writes the next heartbeat in one turn. The error is none of those that Membership._keep_link expects, so its task ended, unseen, and stays in _neighbours: that link is never opened again.

Change: Links turns it into PeerError, as for a dropped channel. The new test of test_links fails before (InvalidStateError).

--- a/merlintrestle/members/links.py
+++ b/merlintrestle/members/links.py
@@ -229,7 +229,7 @@
             accounting.count_sent(_KIND, message)
             link.writing = True
             async with asyncio.timeout(self._timing.silence):
-                await write(message)
+                await _write(link, message, write)
             link.writing = False
             await self._wait_for_work(link)
             self._check_silence(link)
@@ -278,5 +278,23 @@
             raise TimeoutError(f"{link.peer_id} is silent")
 
 
+async def _write(
+    link: Link,
+    message: control_pb2.LinkMessage,
+    write: Callable[[Any], Any],
+) -> None:
+    """Sends one message.
+
+    Raises:
+        peers.PeerError: The stream has ended. gRPC raises the error of a wrong
+            use, for the end was not read yet; let through, it would end the
+            task that keeps the link, and the neighbour would be lost for good.
+    """
+    try:
+        await write(message)
+    except asyncio.InvalidStateError as error:
+        raise peers.PeerError(f"link to {link.peer_id} has ended") from error
+
+
 def _has_work(link: Link) -> bool:
     return link.writing or link.box.filled.is_set()
--- a/tests/members/test_links.py
+++ b/tests/members/test_links.py
@@ -125,6 +125,23 @@
         with self.assertRaises(peers.PeerError):
             await self.links.run_link(link, read, pipe.write)
 
+    async def test_write_after_the_end_is_the_peers_error(self) -> None:
+        """The peer ended the stream, and this daemon was late to read that.
+
+        Its next heartbeat comes first, and gRPC raises the error of a wrong
+        use in it. Let through, it would end the task that opens links anew:
+        the neighbour would be lost for good, one after the other, until this
+        daemon hears nobody.
+        """
+        pipe = self.open("peer")
+
+        async def write(message: control_pb2.LinkMessage) -> None:
+            raise asyncio.InvalidStateError("RPC already finished.")
+
+        link = links_lib.Link("peer", outgoing=True)
+        with self.assertRaises(peers.PeerError):
+            await self.links.run_link(link, pipe.read, write)
+
     async def test_flush_ends_when_all_were_told(self) -> None:
         pipe = self.open("peer")
         await version_builders.wait_until(lambda: bool(pipe.sent))
