Admit and send long answers by what the link carries

Cause: a backend server has places, its machine a link, and only the places were counted. The camera archive's machines carry 0.4 MB/s each and are asked for more; every download was begun, all shared the link and came late, and the answers of checks stood behind them. Not in the daemon's write buffers: those held 0.1 MB at most, seldom.

`transport/transfers.py` sends, and looks at what has left 50 times a second while something is on its way. A slot comes free once the answer is read from the backend server, not when it has left. Daemons report the work of their link with the load, and of two drawn the one whose slot and link come free sooner is picked.

--- a/merlintrestle/requests/load/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -114,6 +114,15 @@
         others = max(0, load.calls - self.sent_at_load)
         return others + self.in_flight
 
+    def estimate_backlog_s(self, now: float) -> float:
+        """Returns the time for which its link has long answers to send.
+
+        What was reported gets less by itself.
+        """
+        if self.load is None:
+            return 0.0
+        return max(0.0, self.load.link_s - (now - self.load_at))
+
     def begin(self, now: float, work_s: float) -> None:
         """Counts a call that is being sent and takes `work_s` as expected."""
         self.in_flight += 1
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -248,8 +248,11 @@
         seen = self.observe(one.member_id)
         other_seen = self.observe(other.member_id)
         if seen.load and other_seen.load:
+            # Seconds until it would have a slot, and its answer the link.
             weight *= seen.load.hold_s
+            weight += seen.estimate_backlog_s(now)
             other_weight *= other_seen.load.hold_s
+            other_weight += other_seen.estimate_backlog_s(now)
         elif seen.slowness and other_seen.slowness:
             weight *= seen.slowness
             other_weight *= other_seen.slowness
--- a/merlintrestle/requests/reports/traffic.py
+++ b/merlintrestle/requests/reports/traffic.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from merlintrestle.requests.load import links
+
 events = event_logs.EventLog("requests")
 
 # Least time between two log lines of a daemon, in seconds.
@@ -59,7 +61,7 @@
 
 
 class TrafficReport:
-    """Tells of bytes and of the event loop.
+    """Tells of bytes, of the link and of the event loop.
 
     It is a collector for `prometheus_client`, and writes a line every few
     seconds while something waits.
@@ -68,6 +70,7 @@
     def __init__(
         self,
         traffics: Traffics,
+        link: links.Link,
         get_held_back: Callable[[], int],
         get_time: Callable[[], float],
     ):
@@ -75,10 +78,12 @@
 
         Args:
             traffics: The bytes.
+            link: The outgoing link to other daemons.
             get_held_back: Returns the bytes in write buffers of both ports.
             get_time: The clock, in seconds.
         """
         self._traffics = traffics
+        self._link = link
         self._get_held_back = get_held_back
         self._get_time = get_time
         self._before = _copy(traffics)
@@ -86,7 +91,7 @@
         self._told_at = self._looked_at
         self._lateness_s = 0.0
         self._most_lateness_s = 0.0
-        self._most_held_back = 0
+        self._most_waiting = 0
 
     def look(self, lateness_s: float) -> None:
         """Looks once; called at intervals by the event loop.
@@ -96,16 +101,17 @@
         """
         self._lateness_s = lateness_s
         self._most_lateness_s = max(self._most_lateness_s, lateness_s)
-        self._most_held_back = max(self._most_held_back, self._get_held_back())
+        waiting = self._get_held_back() + self._link.promised
+        self._most_waiting = max(self._most_waiting, waiting)
         now = self._get_time()
         if now - self._told_at < _LINE_S:
             return
-        if self._most_held_back or self._most_lateness_s >= _LATE_S:
+        if self._most_waiting or self._most_lateness_s >= _LATE_S:
             self._tell(now)
         self._told_at = now
         self._before = _copy(self._traffics)
         self._most_lateness_s = 0.0
-        self._most_held_back = 0
+        self._most_waiting = 0
 
     def collect(self) -> Iterator[metrics_core.Metric]:
         """Yields the metrics."""
@@ -122,7 +128,18 @@
             yield metrics_core.GaugeMetricFamily(name, text, value=value)
 
     def _list_gauges(self) -> tuple[tuple[str, str, float], ...]:
+        link = self._link
         return (
+            (
+                "merlintrestle_link_bytes_per_second",
+                "What the link to other daemons carries; 0: never full.",
+                link.rate,
+            ),
+            (
+                "merlintrestle_link_promised_bytes",
+                "Bytes of long answers to other daemons still to be sent.",
+                link.promised,
+            ),
             (
                 "merlintrestle_held_back_bytes",
                 "Bytes of answers that wait in write buffers.",
@@ -152,7 +169,9 @@
         }
         events.note(
             "bytes waited",
-            held_back=self._most_held_back,
+            waiting=self._most_waiting,
+            link_kb_s=round(self._link.rate / 1000, 1),
+            unsent=self._link.unsent,
             loop_late_ms=round(self._most_lateness_s * 1000),
             **rates,
         )
--- a/merlintrestle/requests/serving/answering.py
+++ b/merlintrestle/requests/serving/answering.py
@@ -44,6 +44,7 @@
     dialect: object,
     progress: probes.Progress | None = None,
     added: tuple[tuple[str, str], ...] = (),
+    send: streams.Sender | None = None,
 ) -> web.StreamResponse:
     """Answers a request by the outcome of its call.
 
@@ -53,9 +54,10 @@
         dialect: How its sender speaks.
         progress: Counts what is passed on of a long answer.
         added: Headers to add.
+        send: Sends the body of a long answer; None: as its pieces come.
     """
     if isinstance(outcome, outcomes.Answered):
-        return await _relay(request, outcome, progress, added)
+        return await _relay(request, outcome, progress, added, send)
     if isinstance(outcome, outcomes.Replayed):
         response = outcomes.render(outcome)
     else:
@@ -72,9 +74,10 @@
     answered: outcomes.Answered,
     progress: probes.Progress | None,
     added: tuple[tuple[str, str], ...],
+    send: streams.Sender | None,
 ) -> web.StreamResponse:
     try:
-        return await streams.relay(request, answered, progress, added)
+        return await streams.relay(request, answered, progress, added, send)
     except (aiohttp.ClientError, OSError) as error:
         answered.cut = isinstance(error, aiohttp.ClientError)
         raise ConnectionError("the answer was cut") from error
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -15,13 +16,19 @@
 from merlintrestle.requests.serving import answering
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
+from merlintrestle.requests.transport import transfers
 
 if TYPE_CHECKING:
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import admission
+    from merlintrestle.requests.load import links
     from merlintrestle.requests.serving import beside as besides
     from merlintrestle.requests.serving import standing as standings
 
+# How much of answers may wait here for the link, in bytes: the smallest
+# instances have some 200 MB. What is more waits in the backend server.
+_MAX_AHEAD_BYTES = 8 * 1024 * 1024
+
 _OWN_DIALECT = dialects.OwnDialect()
 
 
@@ -33,14 +40,21 @@
         standing: standings.Standing,
         beside: besides.Beside,
         slots: admission.Admission,
+        link: links.Link,
     ):
-        """Sets the parts."""
+        """Sets the parts; the link is that to other daemons."""
+        self._link = link
+        self._transfers = transfers.Transfers(link)
         self._standing = standing
         self._beside = beside
         self._slots = slots
         self._registry = probes.Registry()
         self._get_time = asyncio.get_running_loop().time
 
+    def close(self) -> None:
+        """Ends the looks at what is on its way."""
+        self._transfers.close()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers a request."""
         if probes.is_probe(request):
@@ -83,22 +97,66 @@
         progress: probes.Progress,
         call_id: str,
     ) -> web.StreamResponse:
+        transfer = self._link.admit(call)
+        if isinstance(transfer, outcomes.NotRun):
+            stories.end_story(call.story, transfer, self._get_time() - began)
+            return await answering.finish(
+                request,
+                transfer,
+                _OWN_DIALECT,
+                added=self._describe_answer(call_id),
+            )
         try:
-            outcome = await answering.catch_body_error(self._beside.run(call))
+            outcome = await self._run(call, transfer)
             response = await answering.finish(
                 request,
                 outcome,
                 _OWN_DIALECT,
                 progress,
                 self._describe_answer(call_id),
+                functools.partial(self._transfers.send, transfer=transfer),
             )
         except BaseException as error:
             stories.end_cut(call.story, error, self._get_time() - began)
             raise
+        finally:
+            if not transfer.unsent:
+                transfer.end()
         stories.end_story(call.story, outcome, self._get_time() - began)
         return response
 
+    async def _run(
+        self, call: calls.Call, transfer: links.Transfer
+    ) -> outcomes.Outcome:
+        """Runs a call; what it holds comes free once its answer is read.
+
+        A slot held while an answer waits for the link is a slot that checks
+        wait for, though the backend server has nothing left to do.
+        """
+        outcome = await answering.catch_body_error(self._beside.run(call))
+        if not isinstance(outcome, outcomes.Answered):
+            return outcome
+        response, held = outcome.response, outcome.body
+        size = response.content_length if held is None else len(held)
+        if size is not None:
+            transfer.set_size(size)
+        if held is None and self._link.promised <= _MAX_AHEAD_BYTES:
+            response.content.on_eof(functools.partial(_release_soon, outcome))
+        return outcome
+
     def _describe_answer(self, call_id: str) -> tuple[tuple[str, str], ...]:
         """Returns what tells a daemon which call is answered, and the load."""
-        load = loads.encode_load(self._slots.get_load())
-        return ((headers.CALL, call_id), (headers.LOAD, load))
+        load = self._slots.get_load()
+        load = load._replace(link_s=self._link.get_backlog_s())
+        return (
+            (headers.CALL, call_id),
+            (headers.LOAD, loads.encode_load(load)),
+        )
+
+
+def _release_soon(answered: outcomes.Answered) -> None:
+    """Frees what a call holds, after what is being read now.
+
+    At its end, the connection of an answer is still being read from.
+    """
+    asyncio.get_running_loop().call_soon(answered.release)
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -14,6 +14,7 @@
 from merlintrestle.requests.crashing import crashes
 from merlintrestle.requests.load import admission
 from merlintrestle.requests.load import budgets
+from merlintrestle.requests.load import links
 from merlintrestle.requests.load import picking
 from merlintrestle.requests.reports import latencies
 from merlintrestle.requests.reports import statistics
@@ -98,6 +99,7 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         self._traffics = traffic.build_traffics()
+        self._link = links.Link()
         self._forwarder = forwarding.Forwarder(
             self._beside_budgets,
             dialects.accepts_unframed(dialect),
@@ -158,14 +160,18 @@
             self.statistics,
             self.latencies,
         )
-        peer_side = peers.Peers(self._standing, self._beside, self._slots)
+        self._peer_side = peers.Peers(
+            self._standing, self._beside, self._slots, self._link
+        )
         traffics = self._traffics
         self._caller_server = server.Server(
             caller_side.handle, traffics.callers
         )
-        self._peer_server = server.Server(peer_side.handle, traffics.peers)
+        self._peer_server = server.Server(
+            self._peer_side.handle, traffics.peers
+        )
         self.traffic = traffic.TrafficReport(
-            traffics, self._get_held_back, loop.time
+            traffics, self._link, self._get_held_back, loop.time
         )
         await self._peer_server.start(address, self._settings.peer_port)
         self.peer_port = self._peer_server.port
@@ -183,6 +189,7 @@
         """Cuts what is still in flight; `drain` comes first."""
         await self._caller_server.close()
         await self._peer_server.close()
+        self._peer_side.close()
         self._beside.once.close()
         await self._forwarder.close()
         await self._recall_client.close()
--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -27,6 +27,9 @@
 
 _KEEP_ALIVE = re.compile(r"\btimeout\s*=\s*(\d{1,6})")
 _READ_BYTES = 64 * 1024
+# Of an answer of the own backend server, which is done with it sooner: a slot
+# that waits for a thin link would be one that other calls cannot have.
+AHEAD_BYTES = 512 * 1024
 _SWITCHING_PROTOCOLS = 101
 _LAST_INFORMATIONAL = 199
 # Methods that are sent without Content-Length if they have no body.
@@ -89,6 +92,7 @@
         target: str,
         headers: multidict.CIMultiDict[str],
         body: bodies.Body,
+        ahead: int = 0,
     ) -> answers.Answer:
         """Sends a request and waits for the headers of its answer.
 
@@ -97,6 +101,8 @@
             target: Path and query.
             headers: End-to-end headers; those of the connection are added.
             body: Its body; a long one is sent while the answer is awaited.
+            ahead: Bytes of the answer that are read ahead of its use, or twice
+                as many; the usual number if that is more.
 
         Raises:
             aiohttp.ClientError: The connection broke.
@@ -107,7 +113,7 @@
             skip_payload=method == "HEAD",
             read_until_eof=True,
             auto_decompress=False,
-            read_bufsize=_READ_BYTES,
+            read_bufsize=max(ahead, _READ_BYTES),
         )
         await self._send(method, target, headers, body)
         return await self.read_answer()
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -271,9 +271,10 @@
     ) -> outcomes.Outcome:
         """Sends a call once, whatever its method: retries are decided above."""
         answer = None
+        ahead = 0 if dialect is _BETWEEN_DAEMONS else connections.AHEAD_BYTES
         try:
             answer = await connection.call(
-                call.method, target, sent_headers, call.body
+                call.method, target, sent_headers, call.body, ahead
             )
             while not results.belongs(answer, call, sent_headers, dialect):
                 # A late answer to an earlier call of this connection.
--- a/merlintrestle/requests/transport/streams.py
+++ b/merlintrestle/requests/transport/streams.py
@@ -5,20 +5,19 @@
 import asyncio
 import socket
 import struct
-from typing import TYPE_CHECKING
+from typing import Protocol, TYPE_CHECKING
 
 from aiohttp import hdrs
 from aiohttp import http
 from aiohttp import web
 
+from merlintrestle.requests.load import links
 from merlintrestle.requests.transport import answers
 from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
 
 if TYPE_CHECKING:
-    import aiohttp
-
     from merlintrestle.requests.calls import outcomes
 
 # l_onoff and l_linger: close at once with a reset.
@@ -29,6 +28,19 @@
 _BODILESS = frozenset((204, 304))
 
 
+class Sender(Protocol):
+    """Sends the body of an answer whose head is sent."""
+
+    async def __call__(
+        self,
+        request: web.BaseRequest,
+        answer: web.StreamResponse,
+        answered: outcomes.Answered,
+        progress: probes.Progress,
+    ) -> None:
+        """Sends the whole body, and counts it."""
+
+
 async def read_answer(response: answers.Answer, method: str) -> bytes | None:
     """Reads a small answer whole; leaves another to be passed on.
 
@@ -69,19 +81,32 @@
     answered: outcomes.Answered,
     progress: probes.Progress | None = None,
     added: tuple[tuple[str, str], ...] = (),
+    send: Sender | None = None,
 ) -> web.StreamResponse:
     """Passes an answer on, and cuts the caller off if it is cut.
 
     A body that ends early must not look whole: the caller would file half a
     document. The connection is reset instead of closed, which shows with every
     HTTP version, also where only the close marks the end.
+
+    Args:
+        request: What is answered.
+        answered: The answer.
+        progress: Counts what is passed on of a long answer.
+        added: Headers to add.
+        send: Sends the body of a long answer; None: as its pieces come.
     """
     response = answered.response
     copied = headers.copy_end_to_end(response.headers)
     copied.extend(added)
     bodiless = request.method == "HEAD" or response.status in _BODILESS
-    if answered.body is not None and not bodiless:
-        return answers.build_held(request, response, copied, answered.body)
+    held = answered.body
+    if (
+        held is not None
+        and not bodiless
+        and (send is None or len(held) <= links.PIECE_BYTES)
+    ):
+        return answers.build_held(request, response, copied, held)
     framed = has_clear_end(response, request.method)
     answer = (web.StreamResponse if framed else _Unframed)(
         status=response.status, reason=response.reason, headers=copied
@@ -101,7 +126,7 @@
             _set_linger(request, _RESET)
         await answer.prepare(request)
         if not bodiless:
-            await _relay_pieces(response.content, answer, progress)
+            await (send or _send)(request, answer, answered, progress)
         await answer.write_eof()
         if unmarked:
             await _end_unmarked(request)
@@ -156,15 +181,16 @@
         self._timer = self._loop.call_later(bodies.STALL_S, self._look)
 
 
-async def _relay_pieces(
-    content: aiohttp.StreamReader,
+async def _send(
+    request: web.BaseRequest,
     answer: web.StreamResponse,
+    answered: outcomes.Answered,
     progress: probes.Progress,
 ) -> None:
-    while True:
-        piece = await content.readany()
-        if not piece:
-            return
+    """Sends a body in pieces, as it comes."""
+    del request
+    content = answered.response.content
+    while piece := await content.readany():
         progress.written += len(piece)
         await answer.write(piece)
 
--- /dev/null
+++ b/merlintrestle/requests/transport/transfers.py
@@ -0,0 +1,147 @@
+"""Transfers: long answers to other daemons, sent as the link takes them."""
+
+from __future__ import annotations
+
+import array
+import asyncio
+import dataclasses
+import fcntl
+import termios
+from typing import TYPE_CHECKING
+
+from merlintrestle.requests.load import links
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from merlintrestle.requests.calls import outcomes
+    from merlintrestle.requests.transport import probes
+
+# Time between two looks at what has left, in seconds: a fifth of what may be
+# on its way, so that the link is not idle in between.
+_LOOK_S = 0.02
+
+
+class Transfers:
+    """The long answers of a daemon that are on their way.
+
+    What an operating system has taken has not left: it takes a hundred
+    kilobytes and more of each connection at once. So it is asked, at intervals
+    and only while something is on its way.
+    """
+
+    def __init__(self, link: links.Link):
+        """Sets what decides when something is sent."""
+        self._link = link
+        self._loop = asyncio.get_running_loop()
+        self._sending: list[_Sending] = []
+        self._timer: asyncio.TimerHandle | None = None
+
+    def close(self) -> None:
+        """Ends the looks."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    async def send(
+        self,
+        request: web.BaseRequest,
+        answer: web.StreamResponse,
+        answered: outcomes.Answered,
+        progress: probes.Progress,
+        transfer: links.Transfer,
+    ) -> None:
+        """Sends a body in pieces, each as soon as the link has room for it.
+
+        Args:
+            request: What is answered.
+            answer: Its answer, the head of which is sent.
+            answered: What it has the body of.
+            progress: Counts what is handed over.
+            transfer: What the link has promised; ended once all has left.
+
+        Raises:
+            OSError: The connection broke.
+            aiohttp.ClientError: The backend server broke off.
+        """
+        transport = request.transport
+        if transport is None:
+            raise ConnectionResetError("the other daemon has left")
+        sending = _Sending(transport, transfer)
+        self._sending.append(sending)
+        try:
+            while piece := await _read(answered):
+                for start in range(0, len(piece), links.PIECE_BYTES):
+                    part = piece[start : start + links.PIECE_BYTES]
+                    await transfer.take_room()
+                    progress.written += len(part)
+                    transfer.hand_over(len(part))
+                    self._look_later()
+                    await answer.write(part)
+                if answered.body is not None:
+                    return
+        finally:
+            sending.written = True
+
+    def _look_later(self) -> None:
+        if self._timer is None:
+            self._timer = self._loop.call_later(_LOOK_S, self._look)
+
+    def _look(self) -> None:
+        """Notes what has left, and forgets what has left whole."""
+        self._timer = None
+        still = []
+        for sending in self._sending:
+            sending.look()
+            if sending.written and not sending.transfer.unsent:
+                sending.transfer.end()
+            else:
+                still.append(sending)
+        self._sending = still
+        self._link.note_look()
+        if self._link.unsent:
+            self._look_later()
+
+
+@dataclasses.dataclass(slots=True)
+class _Sending:
+    """One transfer and its connection.
+
+    Attributes:
+        transport: The connection.
+        transfer: The transfer.
+        written: True once nothing more is handed over.
+    """
+
+    transport: asyncio.Transport
+    transfer: links.Transfer
+    written: bool = False
+
+    def look(self) -> None:
+        """Tells the transfer what has not left yet."""
+        unsent = 0
+        if not self.transport.is_closing():
+            held_back = self.transport.get_write_buffer_size()
+            unsent = held_back + _get_queued(self.transport)
+        self.transfer.note_unsent(unsent)
+
+
+async def _read(answered: outcomes.Answered) -> bytes:
+    """Returns what there is of a body; nothing at its end."""
+    if answered.body is not None:
+        return answered.body
+    return await answered.response.content.readany()
+
+
+def _get_queued(transport: asyncio.Transport) -> int:
+    """Returns the bytes that the operating system has not got through yet.
+
+    Where it does not tell, what it has taken counts as gone.
+    """
+    sock = transport.get_extra_info("socket")
+    queued = array.array("i", [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued)
+    except (AttributeError, OSError):
+        return 0
+    return queued[0]
--- a/tests/requests/reports/test_traffic.py
+++ b/tests/requests/reports/test_traffic.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from merlintrestle.requests.load import links
 from merlintrestle.requests.reports import traffic
 from tests.requests import builders
 from tests.requests import fakes
@@ -15,7 +16,10 @@
         self.traffics = traffic.build_traffics()
         self.held_back = 0
         self.report = traffic.TrafficReport(
-            self.traffics, lambda: self.held_back, self.clock.get_time
+            self.traffics,
+            links.Link(self.clock.get_time),
+            lambda: self.held_back,
+            self.clock.get_time,
         )
 
     def look(self, seconds: float, lateness_s: float = 0.0) -> None:
@@ -46,7 +50,7 @@
             self.look(9.0)
         self.assertEqual(len(logs.records), 1)
         fields = vars(logs.records[0])["fields"]
-        self.assertEqual(fields["held_back"], 70_000)
+        self.assertEqual(fields["waiting"], 70_000)
         self.assertEqual(fields["peers_out_kb_s"], 400.0)
         self.assertEqual(fields["loop_late_ms"], 0)
 
@@ -55,7 +59,7 @@
         with self.assertLogs("merlintrestle.requests") as logs:
             self.look(5.0, lateness_s=0.3)
         fields = vars(logs.records[0])["fields"]
-        self.assertEqual(fields["held_back"], 0)
+        self.assertEqual(fields["waiting"], 0)
         self.assertEqual(fields["loop_late_ms"], 300)
 
     def test_nothing_waits(self) -> None:
--- /dev/null
+++ b/tests/requests/transport/test_transfers.py
@@ -0,0 +1,143 @@
+"""Long answers on their way, over real connections."""
+
+from __future__ import annotations
+
+import array
+import asyncio
+import fcntl
+import socket
+import termios
+import unittest
+
+from aiohttp import web
+
+from merlintrestle.requests.calls import plans
+from merlintrestle.requests.load import links
+from tests.requests import builders
+
+_DOWNLOADS = 4
+_BODY = bytes(range(256)) * 1024
+# A link so thin that nothing more is handed over while a test lasts.
+_RATE = 1000
+_CHECK = builders.build_plan("check", latency_s=0.3)
+_DOWNLOAD = builders.build_plan("download", latency_s=5.0, deadline_s=60.0)
+
+
+class TransfersTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon beside its backend server, and another that asks it."""
+
+    async def asyncSetUp(self) -> None:
+        self.all_came = asyncio.Event()
+        self.node = await builders.Node(self.answer).start()
+        self.addAsyncCleanup(self.node.aclose)
+        self.socks: list[socket.socket] = []
+        self.addCleanup(self.close_socks)
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers a check at once, downloads once all have come."""
+        if request.path == "/check":
+            return web.Response(body=b"well")
+        if len(self.node.served) == _DOWNLOADS:
+            self.all_came.set()
+        await self.all_came.wait()
+        return web.Response(body=_BODY)
+
+    def close_socks(self) -> None:
+        """Closes the connections of the test."""
+        for sock in self.socks:
+            sock.close()
+
+    async def ask(
+        self, path: str, keep: bool = False
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Asks the daemon as another daemon does; reads little ahead.
+
+        Args:
+            path: What it asks for.
+            keep: The connection stays open after the answer.
+        """
+        sock = socket.socket()
+        self.socks.append(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        port = self.node.proxy.peer_port
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
+        plan = _CHECK if path == "/check" else _DOWNLOAD
+        end = "keep-alive" if keep else "close"
+        writer.write(
+            f"GET /kassa{path} HTTP/1.1\r\nHost: a\r\nConnection: {end}\r\n"
+            f"Merlintrestle-Plan: {plans.encode_plan(plan)}\r\n\r\n".encode()
+        )
+        return reader, writer
+
+    def count_unsent(self) -> int:
+        """Returns what the daemon and its operating system have to send."""
+        count = 0
+        for connection in self.node.proxy._peer_server.connections:
+            transport = connection.transport
+            assert transport is not None
+            queued = array.array("i", [0])
+            sock = transport.get_extra_info("socket")
+            fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued)
+            count += transport.get_write_buffer_size() + queued[0]
+        return count
+
+    def learn_rate(self) -> None:
+        """Has the daemon know what its link carries."""
+        link = self.node.proxy._link
+        link._drain_rate.note(link.get_time(), 1.0, _RATE)
+        link.note_look()
+        link.rate = _RATE
+
+    async def test_check_is_not_behind_downloads(self) -> None:
+        """Its answer comes though downloads wait, and finds little before it.
+
+        Four downloads are asked for by daemons that take nothing of them for
+        now. Handed over whole, a megabyte waits in the buffers of the
+        operating system, and on a thin link a check that is answered then
+        comes seconds later.
+        """
+        self.learn_rate()
+        async with asyncio.timeout(builders.GUARD_S):
+            asked = [
+                await self.ask("/download", True) for _ in range(_DOWNLOADS)
+            ]
+            heads = [await reader.readline() for reader, _ in asked]
+            self.assertEqual(heads, [b"HTTP/1.1 200 OK\r\n"] * _DOWNLOADS)
+            while len(self.node.proxy._link._waiting) < _DOWNLOADS:
+                await asyncio.sleep(0)
+            reader, writer = await self.ask("/check")
+            self.assertTrue((await reader.read()).endswith(b"well"))
+            writer.close()
+            self.assertLess(self.count_unsent(), 4 * links.PIECE_BYTES)
+        for _, writer in asked:
+            writer.close()
+
+    async def test_downloads_come_whole(self) -> None:
+        """In turn, and the link has nothing promised to anybody after that."""
+        async with asyncio.timeout(builders.GUARD_S):
+            asked = [await self.ask("/download") for _ in range(_DOWNLOADS)]
+            read = [reader.read() for reader, _ in asked]
+            answers = await asyncio.gather(*read)
+            for answer in answers:
+                self.assertEqual(answer.partition(b"\r\n\r\n")[2], _BODY)
+            link = self.node.proxy._link
+            while link.promised or link.unsent:
+                await asyncio.sleep(0)
+        for _, writer in asked:
+            writer.close()
+
+    async def test_receivers_that_leave_give_back_their_part(self) -> None:
+        """What was promised to them is free, though it never left."""
+        self.learn_rate()
+        async with asyncio.timeout(builders.GUARD_S):
+            asked = [await self.ask("/download") for _ in range(_DOWNLOADS)]
+            for reader, _ in asked:
+                await reader.readline()
+            for _, writer in asked:
+                writer.transport.abort()
+            link = self.node.proxy._link
+            while link.promised or link.unsent:
+                await asyncio.sleep(0)
