Keep a receiver that takes nothing from holding the link

Cause: found by reading. What a connection has taken and cannot get rid of counted as work of the link. One caller that is gone without a word holds more than may be on its way at once, so that every other download of the same backend server got a piece only each time the whole backlog could have been sent, for 20 seconds until that receiver is given up.

Change: a transfer of which nothing leaves for half a second is left out of what the link has promised and has on its way, until something moves.

--- a/merlintrestle/requests/load/links.py
+++ b/merlintrestle/requests/load/links.py
@@ -34,6 +34,9 @@
 # Part of the latency target for which a late call may wait for the link: it
 # only fills what calls in time leave.
 _LATE_PART = 0.5
+# A transfer of which nothing leaves for so long has a receiver that takes
+# nothing, in seconds: several times what may be on its way before it.
+_STALLED_S = 5 * _AHEAD_S
 # No caller is told to come back sooner, in seconds.
 _LEAST_RETRY_S = 0.05
 
@@ -73,7 +76,16 @@
         unsent: Bytes that were handed over and have not left yet.
     """
 
-    __slots__ = ("_began", "_link", "_means", "_order", "left", "unsent")
+    __slots__ = (
+        "_began",
+        "_link",
+        "_means",
+        "_moved_at",
+        "_order",
+        "_stalled",
+        "left",
+        "unsent",
+    )
 
     def __init__(self, link: Link, means: _Means, call: calls.Call):
         """Promises an answer the mean size of its class."""
@@ -82,6 +94,8 @@
         self._link = link
         self._means = means
         self._began = link.get_time()
+        self._moved_at = self._began
+        self._stalled = False
         late = call.plan.large or call.due <= self._began
         self._order = (late, call.deadline if late else call.due)
         if means.size > PIECE_BYTES:
@@ -102,26 +116,50 @@
 
     def hand_over(self, count: int) -> None:
         """Notes that bytes were handed over to be sent."""
-        self.unsent += count
-        self._link.unsent += count
+        if not self.unsent:
+            self._moved_at = self._link.get_time()
+        self._set_unsent(self.unsent + count)
 
     def note_unsent(self, unsent: int) -> None:
-        """Notes how many of the bytes handed over have not left yet."""
+        """Notes how many of the bytes handed over have not left yet.
+
+        What waits for a receiver that takes nothing is not the link's work.
+        Counted as such, it would keep all others from the link, until that
+        receiver is given up.
+        """
+        now = self._link.get_time()
         sent = self.unsent - unsent
-        if sent <= 0:
-            return
-        self.unsent = unsent
-        self._link.note_sent(sent)
-        self._set_left(max(0, self.left - sent))
+        if sent > 0:
+            self._moved_at = now
+            self._set_stalled(False)
+            self._link.note_sent(sent)
+            self._set_unsent(unsent)
+            self._set_left(max(0, self.left - sent))
+        elif self.unsent and now - self._moved_at > _STALLED_S:
+            self._set_stalled(True)
 
     def end(self) -> None:
         """Gives back what is left of the promise."""
-        self._link.unsent -= self.unsent
-        self.unsent = 0
+        self._set_unsent(0)
         self._set_left(0)
 
+    def _set_stalled(self, stalled: bool) -> None:
+        """Takes its bytes from the link, or gives them back to it."""
+        if stalled == self._stalled:
+            return
+        self._stalled = stalled
+        sign = -1 if stalled else 1
+        self._link.unsent += sign * self.unsent
+        self._link.promised += sign * self.left
+
+    def _set_unsent(self, unsent: int) -> None:
+        if not self._stalled:
+            self._link.unsent += unsent - self.unsent
+        self.unsent = unsent
+
     def _set_left(self, left: int) -> None:
-        self._link.promised += left - self.left
+        if not self._stalled:
+            self._link.promised += left - self.left
         self.left = left
 
 
@@ -173,7 +211,6 @@
 
     def note_sent(self, count: int) -> None:
         """Notes that bytes have left."""
-        self.unsent -= count
         self._sent += count
 
     def note_look(self) -> None:
--- a/merlintrestle/requests/transport/transfers.py
+++ b/merlintrestle/requests/transport/transfers.py
@@ -99,7 +99,7 @@
                 still.append(sending)
         self._sending = still
         self._link.note_look()
-        if self._link.unsent:
+        if any(sending.transfer.unsent for sending in still):
             self._look_later()
 
 
--- a/tests/requests/load/test_links.py
+++ b/tests/requests/load/test_links.py
@@ -186,6 +186,35 @@
         await self.begin().take_room()
         self.assertEqual(self.link.promised, _SIZE)
 
+    async def test_receiver_that_takes_nothing(self) -> None:
+        """Other downloads go on, though its bytes stay where they are.
+
+        Its caller has gone without a word. What the connection has taken of
+        its download does not leave, as if the link were full; only after
+        `bodies.STALL_S` it is given up.
+        """
+        self.learn()
+        stuck = self.begin(5 * _SIZE, due_s=3.0)
+        stuck.hand_over(_SIZE)
+        self.link.note_look()
+        task = asyncio.create_task(self.begin(due_s=2.0).take_room())
+        await asyncio.sleep(0)
+        for _ in range(30):
+            self.assertFalse(task.done())
+            self.clock.now += 0.02
+            stuck.note_unsent(_SIZE)
+            self.link.note_look()
+            if not self.link.unsent:
+                break
+        await task
+        self.assertEqual(self.link.promised, _SIZE)
+        # It takes something after all, and leaves.
+        stuck.note_unsent(_SIZE // 2)
+        self.assertEqual(self.link.unsent, _SIZE // 2)
+        self.assertEqual(self.link.promised, _SIZE + 9 * _SIZE // 2)
+        stuck.end()
+        self.assertEqual((self.link.promised, self.link.unsent), (_SIZE, 0))
+
     async def test_link_that_carries_more_than_was_thought(self) -> None:
         """All has left at each look and transfers wait: it is quicker."""
         self.learn()
