Send late answers last; leave calls with a key to their claim

Cause: two found by reading. A call that cannot meet its target any more, though it is not over yet, went first in the order of targets, and made others late. And a call with a key that was sent again could be called "not run" by the link, although its first try had run; only its claim knows.

Change: late is who misses the target even on an idle link; calls that may be claimed are not refused by the link.

--- a/merlintrestle/requests/load/links.py
+++ b/merlintrestle/requests/load/links.py
@@ -87,8 +87,15 @@
         "unsent",
     )
 
-    def __init__(self, link: Link, means: _Means, call: calls.Call):
-        """Promises an answer the mean size of its class."""
+    def __init__(self, link: Link, means: _Means, call: calls.Call, late: bool):
+        """Promises an answer the mean size of its class.
+
+        Args:
+            link: The link.
+            means: What answers of the class are like.
+            call: What is answered.
+            late: It has no latency target, or misses it in any case.
+        """
         self.left = 0
         self.unsent = 0
         self._link = link
@@ -96,7 +103,6 @@
         self._began = link.get_time()
         self._moved_at = self._began
         self._stalled = False
-        late = call.plan.large or call.due <= self._began
         self._order = (late, call.deadline if late else call.due)
         if means.size > PIECE_BYTES:
             self._set_left(round(means.size))
@@ -199,15 +205,27 @@
         """
         key = (call.organisation, call.plan.name)
         means = self._means.setdefault(key, _Means())
-        long = means.size > PIECE_BYTES
-        if long and self.promised and not self._has_room(call, means):
+        own_s = self._get_seconds(means.size + means.spread)
+        least_s = means.head_s + own_s
+        queued_s = self.get_backlog_s() + own_s
+        # Judged by progress, a long transfer has no latency target to miss.
+        late = call.plan.large or self.get_time() + least_s > call.due
+        # Only its claim tells whether a call with a key has run before; by
+        # itself, the link must not call it "not run".
+        claimed = bool(call.key) and not call.plan.repeatable
+        if (
+            means.size > PIECE_BYTES
+            and self.promised
+            and not claimed
+            and not self._has_room(call, max(least_s, queued_s), late)
+        ):
             return outcomes.NotRun(
                 "no room on the link in time",
                 retry_after_s=max(_LEAST_RETRY_S, self.get_backlog_s()),
                 elsewhere=True,
                 overloaded=True,
             )
-        return Transfer(self, means, call)
+        return Transfer(self, means, call, late)
 
     def note_sent(self, count: int) -> None:
         """Notes that bytes have left."""
@@ -258,24 +276,28 @@
                 turn.set_result(None)
                 room -= PIECE_BYTES
 
-    def _has_room(self, call: calls.Call, means: _Means) -> bool:
-        """Returns whether an answer would be through in time."""
+    def _has_room(self, call: calls.Call, needed_s: float, late: bool) -> bool:
+        """Returns whether an answer would be through in time.
+
+        Args:
+            call: What is answered.
+            needed_s: Time until it would be through, in seconds.
+            late: It has no latency target, or misses it in any case.
+        """
         now = self.get_time()
-        own_s = self._get_seconds(means.size + means.spread)
-        backlog_s = self.get_backlog_s()
-        ends_at = now + max(means.head_s, backlog_s) + own_s
-        if call.plan.large:
-            # Judged by progress, it has no latency target to miss.
-            return ends_at <= call.deadline
-        if now + means.head_s + own_s <= call.due:
-            if ends_at <= call.due:
+        plan = call.plan
+        if not late:
+            if now + needed_s <= call.due:
                 return True
-            self._full_until = now + call.plan.latency_s
+            self._full_until = now + plan.latency_s
+            return False
+        if now + needed_s > call.deadline:
             return False
+        if plan.large:
+            return True
+        waits_s = self.get_backlog_s()
         return (
-            now >= self._full_until
-            and backlog_s <= call.plan.latency_s * _LATE_PART
-            and ends_at <= call.deadline
+            now >= self._full_until and waits_s <= plan.latency_s * _LATE_PART
         )
 
     def _may_hand_over(self) -> bool:
--- a/tests/requests/load/test_links.py
+++ b/tests/requests/load/test_links.py
@@ -124,6 +124,19 @@
         self.assertIsInstance(self.ask(_DOWNLOAD, 1.0), outcomes.NotRun)
         self.assertIsInstance(self.ask(_DOWNLOAD, -0.5), outcomes.NotRun)
 
+    def test_call_with_a_key_asks_its_claim(self) -> None:
+        """The link alone does not call a payout "not run".
+
+        It may have run, its answer lost on the full link; sent again, it finds
+        the claim of the first try and gets the kept answer.
+        """
+        self.learn()
+        payout = builders.build_plan("payout", repeatable=False, latency_s=1.0)
+        for _ in range(10):
+            transfer = self.ask(payout, 1.0)
+            assert isinstance(transfer, links.Transfer)
+            transfer.set_size(_SIZE)
+
     def test_idle_link_takes_any_call(self) -> None:
         """However large the answers of a class are, one at a time is tried."""
         self.learn()
@@ -171,6 +184,26 @@
         await asyncio.gather(first, second)
         self.assertEqual(turns, ["first", "second"])
 
+    async def test_late_ones_go_last(self) -> None:
+        """One that misses its target in any case makes no other late."""
+        self.learn()
+        running = self.begin()
+        await running.take_room()
+        running.hand_over(_SIZE)
+        turns: list[str] = []
+
+        async def send(name: str, transfer: links.Transfer) -> None:
+            await transfer.take_room()
+            turns.append(name)
+
+        late = asyncio.create_task(send("late", self.begin(due_s=0.1)))
+        in_time = asyncio.create_task(send("in time", self.begin()))
+        await asyncio.sleep(0)
+        running.note_unsent(0)
+        self.link.note_look()
+        await asyncio.gather(late, in_time)
+        self.assertEqual(turns, ["in time", "late"])
+
     async def test_transfer_that_is_given_up_while_it_waits(self) -> None:
         self.learn()
         running = self.begin()
