--- a/tests/requests/transport/test_transfers.py
+++ b/tests/requests/transport/test_transfers.py
@@ -28,6 +28,7 @@
 
     async def asyncSetUp(self) -> None:
         self.all_came = asyncio.Event()
+        self.wanted = _DOWNLOADS
         self.node = await builders.Node(self.answer).start()
         self.addAsyncCleanup(self.node.aclose)
         self.socks: list[socket.socket] = []
@@ -37,7 +38,7 @@
         """Answers a check at once, downloads once all have come."""
         if request.path == "/check":
             return web.Response(body=b"well")
-        if len(self.node.served) == _DOWNLOADS:
+        if len(self.node.served) == self.wanted:
             self.all_came.set()
         await self.all_came.wait()
         return web.Response(body=_BODY)
@@ -115,6 +116,28 @@
         for _, writer in asked:
             writer.close()
 
+    async def test_slot_is_free_while_an_answer_waits(self) -> None:
+        """A check gets the only slot though a download is far from sent.
+
+        The backend server has long been done with the download, and takes the
+        check over the same connection. Were the slot held until the link has
+        carried the answer, checks would be refused beside an idle server.
+        """
+        self.learn_rate()
+        self.wanted = 1
+        self.node.proxy.backend.slots = 1
+        async with asyncio.timeout(builders.GUARD_S):
+            reader, writer = await self.ask("/download", True)
+            while not self.node.proxy._link._waiting:
+                await asyncio.sleep(0)
+            check_reader, check_writer = await self.ask("/check")
+            self.assertTrue((await check_reader.read()).endswith(b"well"))
+            self.node.proxy._link.rate = 1e9
+            await reader.readuntil(b"\r\n\r\n")
+            self.assertEqual(await reader.readexactly(len(_BODY)), _BODY)
+        check_writer.close()
+        writer.close()
+
     async def test_downloads_come_whole(self) -> None:
         """In turn, and the link has nothing promised to anybody after that."""
         async with asyncio.timeout(builders.GUARD_S):
