--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -364,7 +364,7 @@
     ) -> outcomes.Outcome:
         """Sends a call once, whatever its method: retries are decided above."""
         answer = None
-        ahead = 0 if dialect is _BETWEEN_DAEMONS else connections.AHEAD_BYTES
+        ahead = 0 if side is _PEER else connections.AHEAD_BYTES
         try:
             answer = await connection.call(
                 call.method, target, sent_headers, call.body, ahead
