Suspect no member that a link brings messages of

Members that are heard on up to two links were suspected (110 and 161 times) as one call to them and three by others were late; each refutes with a higher incarnation, which everybody passes on, and marks with it count as those of a process that is gone. So marks are lost faster than they are made. Nobody is held for dead for good; it does not end while the load lasts.

Change: a check ends where a link brought a message of the member since the check began.

--- a/merlintrestle/members/links.py
+++ b/merlintrestle/members/links.py
@@ -81,6 +81,13 @@
         """Returns the links whose peer has been heard."""
         return [link for link in self._links if link.peer_id]
 
+    def is_heard(self, peer_id: str, since: float) -> bool:
+        """Tells whether a peer was heard after a monotonic time in seconds."""
+        return any(
+            link.peer_id == peer_id and link.heard_at > since
+            for link in self._links
+        )
+
     def send_member(
         self, member: control_pb2.Member, besides: Link | None = None
     ) -> None:
--- a/merlintrestle/members/suspicion.py
+++ b/merlintrestle/members/suspicion.py
@@ -77,13 +77,25 @@
         return await self._probe(member_id, request, self._timing.call)
 
     async def _check(self, member_id: str) -> None:
-        if await self.reach(member_id):
+        began = time.monotonic()
+        if await self.reach(member_id) or self._is_heard(member_id, began):
             return
         if await self._reach_by_others(member_id):
             return
+        if self._is_heard(member_id, began):
+            return
         if await self._may_judge(member_id):
             self._judge(member_id)
 
+    def _is_heard(self, member_id: str, since: float) -> bool:
+        """Tells whether a link brought a message of a member meanwhile.
+
+        A busy member answers a call too late and is alive all the same. To
+        suspect it makes it refute, the whole fleet pass that on, and everyone
+        mark with it anew; that work makes it, and others, busier still.
+        """
+        return self._links.is_heard(member_id, since)
+
     def _judge(self, member_id: str) -> None:
         """Takes an unreachable member one state further."""
         member = self._table.get(member_id)
--- a/tests/members/test_suspicion.py
+++ b/tests/members/test_suspicion.py
@@ -100,6 +100,25 @@
         self.links.heard_at = time.monotonic() - 60
         self.assertEqual(await self.check(self.suspect), control_pb2.ALIVE)
 
+    async def test_busy_member_that_is_heard_is_no_suspect(self) -> None:
+        """A member is so busy that it answers each call too late.
+
+        Its heartbeats arrive meanwhile. Suspected, it would refute again and
+        again, the fleet would pass that on, and all would be busier still.
+        """
+        self.network.silent.add(self.suspect)
+        link = links.Link(self.suspect, outgoing=True)
+        link.heard_at = time.monotonic() + 60
+        self.links._links.append(link)
+        self.assertEqual(await self.check(self.suspect), control_pb2.ALIVE)
+
+    async def test_link_heard_before_the_check_is_no_proof(self) -> None:
+        self.network.silent.add(self.suspect)
+        link = links.Link(self.suspect, outgoing=True)
+        link.heard_at = time.monotonic()
+        self.links._links.append(link)
+        self.assertEqual(await self.check(self.suspect), control_pb2.SUSPECT)
+
     async def test_refused_connection_is_proof_when_alone(self) -> None:
         """Of two daemons one dies; the other now hears nobody.
 
