--- a/merlintrestle/members/peers.py
+++ b/merlintrestle/members/peers.py
@@ -6,7 +6,7 @@
 import collections
 import contextlib
 import time
-from typing import Any, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 import grpc
 import grpc.aio
@@ -47,6 +47,19 @@
 ]
 
 
+class Loan(NamedTuple):
+    """A channel that a link lends to calls.
+
+    Attributes:
+        channel: The channel.
+        get_heard_at: Returns the monotonic time of the last message on the
+            link, in seconds.
+    """
+
+    channel: grpc.aio.Channel
+    get_heard_at: Callable[[], float]
+
+
 class PeerError(errors.MerlintrestleError):
     """A peer did not answer a control call."""
 
@@ -85,19 +98,31 @@
         self._channels: collections.OrderedDict[str, grpc.aio.Channel] = (
             collections.OrderedDict()
         )
-        self._lent: dict[str, grpc.aio.Channel] = {}
+        self._lent: dict[str, Loan] = {}
 
-    def lend(self, address: str, channel: grpc.aio.Channel) -> None:
+    def lend(
+        self,
+        address: str,
+        channel: grpc.aio.Channel,
+        get_heard_at: Callable[[], float],
+    ) -> None:
         """Lets calls to a peer use the channel of its link.
 
         A connection of their own costs some 560 bytes to open, more than the
         call itself.
+
+        Args:
+            address: The peer.
+            channel: The channel of the link.
+            get_heard_at: Returns the monotonic time of the last message on
+                that link, in seconds.
         """
-        self._lent[address] = channel
+        self._lent[address] = Loan(channel, get_heard_at)
 
     def take_back(self, address: str, channel: grpc.aio.Channel) -> None:
         """Ends the use of a link's channel."""
-        if self._lent.get(address) is channel:
+        loan = self._lent.get(address)
+        if loan is not None and loan.channel is channel:
             del self._lent[address]
 
     async def call(
@@ -164,11 +189,16 @@
     async def _guard(
         self, address: str, method: str, channel: grpc.aio.Channel
     ) -> AsyncIterator[None]:
-        """Turns what ends a call into `PeerError` and drops its channel."""
+        """Turns what ends a call into `PeerError` and drops its channel.
+
+        The channel of a link that was heard meanwhile is left alone.
+        """
+        began = time.monotonic()
         try:
             yield
         except (grpc.aio.AioRpcError, TimeoutError) as error:
-            await self._drop(address, channel)
+            if not self._is_heard(address, channel, began):
+                await self._drop(address, channel)
             reason = "silent"
             if isinstance(error, grpc.aio.AioRpcError):
                 reason = error.code().name.lower()
@@ -205,9 +235,9 @@
         return False
 
     def _get_channel(self, address: str) -> grpc.aio.Channel:
-        lent = self._lent.get(address)
-        if lent is not None:
-            return lent
+        loan = self._lent.get(address)
+        if loan is not None:
+            return loan.channel
         channel = self._channels.get(address)
         if channel is None:
             channel = open_channel(address)
@@ -221,6 +251,20 @@
             _, channel = self._channels.popitem(last=False)
             await channel.close(grace=1.0)
 
+    def _is_heard(
+        self, address: str, channel: grpc.aio.Channel, since: float
+    ) -> bool:
+        """Tells whether the link that lent a channel was heard since a time.
+
+        Its connection is not silent then, the peer is only slow. To drop the
+        channel would end the link and all other calls on it, which are being
+        answered, and what it costs to open both anew makes the peer slower.
+        """
+        loan = self._lent.get(address)
+        if loan is None or loan.channel is not channel:
+            return False
+        return loan.get_heard_at() > since
+
     async def _drop(self, address: str, channel: grpc.aio.Channel) -> None:
         """Closes a channel; if it was lent, its link ends and starts anew."""
         self.take_back(address, channel)
