--- a/merlintrestle/connectors.py
+++ b/merlintrestle/connectors.py
@@ -86,3 +86,32 @@
     """Has the operating system break a connection that takes nothing more."""
     opened = transport.get_extra_info("socket")
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+
+async def read_body(
+    answer: aiohttp.ClientResponse,
+    limit: asyncio.Timeout,
+    pause_s: float,
+    total_s: float,
+) -> bytes:
+    """Reads a body for as long as its bytes keep coming.
+
+    A limit on the whole alone cannot tell a thin link from a silent server.
+
+    Args:
+        answer: The answer, its head read.
+        limit: The limit under which the call runs; it is set anew.
+        pause_s: Longest wait for the next bytes, in seconds.
+        total_s: Longest time for the whole body, in seconds.
+
+    Raises:
+        aiohttp.ClientError: The connection broke.
+    """
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + total_s
+    limit.reschedule(min(loop.time() + pause_s, ends_at))
+    parts = []
+    async for part in answer.content.iter_any():
+        parts.append(part)
+        limit.reschedule(min(loop.time() + pause_s, ends_at))
+    return b"".join(parts)
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -9,7 +9,7 @@
 import asyncio
 import base64
 import json
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 import aiohttp
 import yarl
@@ -53,18 +53,6 @@
 _UNAVAILABLE = 503
 
 
-class Reading(NamedTuple):
-    """What one read of a key brought.
-
-    Attributes:
-        entry: The entry; None where the key is not there.
-        at: The store's revision at which that was so.
-    """
-
-    entry: client.Entry | None
-    at: int
-
-
 class PlatformStore:
     """Calls the platform's store.
 
@@ -124,15 +112,15 @@
         _, answer = await self._read("range", query)
         return _get(answer, "at", int)
 
-    async def read_newest(self, key: str) -> Reading:
+    async def read_newest(self, key: str) -> client.Reading:
         """Reads one key and the store's revision at which it was read."""
         # The range tells the store's revision also where the key is absent.
         _, answer = await self._read("range", {"prefix": _name(key)})
         at = _get(answer, "at", int)
         for entry in read_items(_get(answer, "items", list)):
             if entry.key == key:
-                return Reading(entry, at)
-        return Reading(None, at)
+                return client.Reading(entry, at)
+        return client.Reading(None, at)
 
     async def watch(
         self, key: str, after_revision: int
@@ -274,7 +262,9 @@
         ):
             self._arriving.append(call)
             try:
-                text = await _read_body(answer, limit)
+                text = await connectors.read_body(
+                    answer, limit, _TIMEOUT_S, _ARRIVAL_S
+                )
             finally:
                 self._arriving.remove(call)
         if answer.status in (_TOO_MANY, _UNAVAILABLE, _FORBIDDEN):
@@ -284,20 +274,6 @@
         return answer.status, _parse(text, answer.status)
 
 
-async def _read_body(
-    answer: aiohttp.ClientResponse, limit: asyncio.Timeout
-) -> bytes:
-    """Reads a body for as long as its bytes keep coming."""
-    loop = asyncio.get_running_loop()
-    ends_at = loop.time() + _ARRIVAL_S
-    limit.reschedule(min(loop.time() + _TIMEOUT_S, ends_at))
-    parts = []
-    async for part in answer.content.iter_any():
-        parts.append(part)
-        limit.reschedule(min(loop.time() + _TIMEOUT_S, ends_at))
-    return b"".join(parts)
-
-
 def _name(key: str) -> str:
     return key if key == CONFIGURATION_KEY else OWN_PREFIX + key
 
--- a/merlintrestle/store/client.py
+++ b/merlintrestle/store/client.py
@@ -36,6 +36,18 @@
     revision: int
 
 
+class Reading(NamedTuple):
+    """What one read of a key brought.
+
+    Attributes:
+        entry: The entry; None where the key is not there.
+        at: The store's revision at which that was so.
+    """
+
+    entry: Entry | None
+    at: int
+
+
 class WriteReply(NamedTuple):
     """What became of a compare-and-swap.
 
