Keep a slow first receiver from closing the link to others

Cause: found by reading. All that is known of a link can be what one slow receiver took of it, a few kilobytes a second; by that, every further download of the backend server was refused until that one had ended.

Change: a link with one long answer to send, not only an idle one, takes another.

--- a/merlintrestle/requests/load/links.py
+++ b/merlintrestle/requests/load/links.py
@@ -154,9 +154,12 @@
         if stalled == self._stalled:
             return
         self._stalled = stalled
-        sign = -1 if stalled else 1
-        self._link.unsent += sign * self.unsent
-        self._link.promised += sign * self.left
+        if stalled:
+            self._link.unsent -= self.unsent
+            self._link.change_promise(self.left, 0)
+        else:
+            self._link.unsent += self.unsent
+            self._link.change_promise(0, self.left)
 
     def _set_unsent(self, unsent: int) -> None:
         if not self._stalled:
@@ -165,7 +168,7 @@
 
     def _set_left(self, left: int) -> None:
         if not self._stalled:
-            self._link.promised += left - self.left
+            self._link.change_promise(self.left, left)
         self.left = left
 
 
@@ -186,6 +189,7 @@
         self.rate = 0.0
         self.get_time = get_time
         self._drain_rate = rates.DrainRate()
+        self._promises = 0
         self._sent = 0
         self._busy_since: float | None = None
         self._means: dict[tuple[str, str], _Means] = {}
@@ -199,9 +203,10 @@
     def admit(self, call: calls.Call) -> Transfer | outcomes.NotRun:
         """Promises a call its part of the link, or refuses it.
 
-        An answer that would not be through in time only makes others late. An
-        idle link takes any call: so its rate is found out, and found out anew
-        when it was taken for less than it is.
+        An answer that would not be through in time only makes others late. A
+        link with one long answer to send, or none, takes any call: where that
+        one has a slow receiver, the link was taken for slow itself, and the
+        next one shows what it carries.
         """
         key = (call.organisation, call.plan.name)
         means = self._means.setdefault(key, _Means())
@@ -215,7 +220,7 @@
         claimed = bool(call.key) and not call.plan.repeatable
         if (
             means.size > PIECE_BYTES
-            and self.promised
+            and self._promises > 1
             and not claimed
             and not self._has_room(call, max(least_s, queued_s), late)
         ):
@@ -227,6 +232,11 @@
             )
         return Transfer(self, means, call, late)
 
+    def change_promise(self, before: int, after: int) -> None:
+        """Changes the bytes that are promised to one transfer."""
+        self.promised += after - before
+        self._promises += (after > 0) - (before > 0)
+
     def note_sent(self, count: int) -> None:
         """Notes that bytes have left."""
         self._sent += count
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -120,6 +120,7 @@
             stories.end_cut(call.story, error, self._get_time() - began)
             raise
         finally:
+            # What is still on its way is given back as it leaves.
             if not transfer.unsent:
                 transfer.end()
         stories.end_story(call.story, outcome, self._get_time() - began)
--- a/tests/requests/load/test_links.py
+++ b/tests/requests/load/test_links.py
@@ -141,7 +141,10 @@
         """However large the answers of a class are, one at a time is tried."""
         self.learn()
         self.begin(100 * _SIZE).end()
-        self.assertIsInstance(self.ask(_DOWNLOAD, 0.01), links.Transfer)
+        first = self.ask(_DOWNLOAD, 0.01)
+        assert isinstance(first, links.Transfer)
+        first.end()
+        self.assertEqual(self.link.promised, 0)
 
     def test_long_transfers_have_no_target_to_miss(self) -> None:
         self.learn()
@@ -219,6 +222,27 @@
         await self.begin().take_room()
         self.assertEqual(self.link.promised, _SIZE)
 
+    def test_first_receiver_is_slow(self) -> None:
+        """One caller behind a slow link of its own does not stop the others.
+
+        All that was ever seen of the link is what that caller takes, a few
+        kilobytes a second. The next download shows more at once.
+        """
+        slow = self.begin()
+        slow.hand_over(_SIZE)
+        self.link.note_look()
+        self.clock.now += 2.0
+        slow.note_unsent(_SIZE - 10_000)
+        self.link.note_look()
+        self.assertEqual(self.link.rate, 5000)
+        quick = self.begin()
+        quick.hand_over(_SIZE)
+        self.clock.now += 1.0
+        quick.note_unsent(0)
+        self.link.note_look()
+        self.assertGreaterEqual(self.link.rate, _SIZE)
+        self.begin()
+
     async def test_receiver_that_takes_nothing(self) -> None:
         """Other downloads go on, though its bytes stay where they are.
 
