Sharpen the tests of doubtful calls; note what a try shows in one place

Cause: taken out one by one on a copy, four safeguards made no test fail: a losing try that is not cancelled ended by its deadline of 5 s before the guard of 10 s; the kept connection's send was not ended by the second one's answer, likewise; the failure that a doubt counts was hidden by the calls in flight; and an upload that was sent as well broke before it reached a backend server.

Change: these tests give calls a deadline beyond the guard, give all upstreams as many calls, and look at the tries themselves. What a try shows of its upstream stands in a class of its own (serving/sending.py), so that `run` is short again.

--- a/merlintrestle/requests/load/retries.py
+++ b/merlintrestle/requests/load/retries.py
@@ -8,8 +8,9 @@
 from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.calls import outcomes
 
-# A first try ends after the greatest of these, if as much is left for another:
-# this time, and multiples of the latency target and of the expected work.
+# A first try is in doubt after the greatest of these, if as much is left for
+# another: this time, and multiples of the latency target and of the expected
+# work.
 _LEAST_TRY_S = 0.25
 _LATENCY_FACTOR = 3.0
 _WORK_FACTOR = 10.0
@@ -74,7 +75,7 @@
 
 
 def limit_first_try(call: calls.Call, now: float) -> float:
-    """Returns by when a try must be answered, so that another one is left.
+    """Returns when a first try is in doubt, so that another one is left.
 
     A frozen upstream would otherwise use up the whole deadline of each call
     that is sent to it before it is known to be frozen. The limit is far beyond
--- a/merlintrestle/requests/serving/sending.py
+++ b/merlintrestle/requests/serving/sending.py
@@ -27,6 +27,60 @@
     from merlintrestle.requests.transport import forwarding
 
 
+class _Record:
+    """What one try shows of its upstream.
+
+    Attributes:
+        began: When it began, in seconds.
+    """
+
+    __slots__ = ("_blamed", "_get_time", "_observation", "_work_s", "began")
+
+    def __init__(
+        self,
+        observation: observations.Observation,
+        work_s: float,
+        get_time: Callable[[], float],
+    ):
+        """Counts the try; `work_s` is its expected work in seconds."""
+        self._observation = observation
+        self._work_s = work_s
+        self._get_time = get_time
+        # Whether a failure was noted while the try went on: it counts once.
+        self._blamed = False
+        self.began = get_time()
+        observation.begin(self.began, work_s)
+
+    def note_doubt(self, doubt: doubts.Doubt) -> None:
+        """Notes that the answer may well not come."""
+        if doubt.of_connection or self._blamed:
+            return
+        self._blamed = True
+        self._observation.note_doubt(self._get_time())
+
+    def note_cancellation(self) -> None:
+        """Notes that nobody waits for the answer any more."""
+        self._observation.note_cancellation(self._work_s)
+        if self._blamed:
+            self._observation.note_result(False)
+        self._observation.end()
+
+    def note(self, outcome: outcomes.Outcome) -> None:
+        """Notes how the try has ended."""
+        failed = isinstance(outcome, (outcomes.Ran, outcomes.Unknown))
+        if failed and self._blamed:
+            self.note_cancellation()
+            return
+        observation = self._observation
+        observations.note(
+            outcome, observation, self._get_time(), self.began, self._work_s
+        )
+        if isinstance(outcome, outcomes.Answered):
+            outcome.hold(observation.end)
+        else:
+            observation.end()
+
+
 class Sending:
     """Sends calls to the upstreams that were picked for them."""
 
@@ -58,46 +112,28 @@
             tries: Hears if the try is in doubt.
         """
         member_id = one.upstream.member_id
-        observation = self._picker.observe(member_id)
-        work_s = call.plan.work_s
-        # Whether the upstream had a failure noted while the call went on.
-        blamed = False
+        record = _Record(
+            self._picker.observe(member_id), call.plan.work_s, self._get_time
+        )
 
         def report(doubt: doubts.Doubt) -> None:
-            nonlocal blamed
-            if not doubt.of_connection and not blamed:
-                blamed = True
-                observation.note_doubt(self._get_time())
+            record.note_doubt(doubt)
             tries.report(one, doubt)
 
-        began = self._get_time()
-        observation.begin(began, work_s)
         timer = self._limit(one, call, report)
         try:
             outcome = await self._run(one, call, report)
         except BaseException:
-            observation.note_cancellation(work_s)
-            if blamed:
-                observation.note_result(False)
-            observation.end()
+            record.note_cancellation()
             raise
         finally:
             if timer is not None:
                 timer.cancel()
-        now = self._get_time()
-        if blamed and isinstance(outcome, (outcomes.Ran, outcomes.Unknown)):
-            observation.note_cancellation(work_s)
-            observation.note_result(False)
-        else:
-            observations.note(outcome, observation, now, began, work_s)
-        if isinstance(outcome, outcomes.Answered):
-            outcome.hold(observation.end)
-        else:
-            observation.end()
+        record.note(outcome)
         call.story.add(
             "tried",
             upstream=member_id,
-            took_ms=round((now - began) * 1000),
+            took_ms=round((self._get_time() - record.began) * 1000),
             **stories.describe(outcome),
         )
         return outcome
--- a/tests/requests/load/test_picking.py
+++ b/tests/requests/load/test_picking.py
@@ -110,9 +110,13 @@
         The upstream is frozen. Its calls are not given up before their time
         ends, and until then no failure of theirs would be seen.
         """
+        for upstream in self.upstreams:
+            seen = self.picker.observe(upstream.member_id)
+            for _ in range(3):
+                seen.begin(self.now, _WORK_S)
+        self.assertIn(1, self.count())
         seen = self.picker.observe(self.upstreams[1].member_id)
         for _ in range(3):
-            seen.begin(self.now, _WORK_S)
             seen.note_doubt(self.now)
         self.assertNotIn(1, self.count())
         for _ in range(3):
--- a/tests/requests/serving/test_doubt.py
+++ b/tests/requests/serving/test_doubt.py
@@ -15,6 +15,11 @@
 from tests.requests import builders
 from tests.requests import relays
 
+# A try that is not cancelled would end by itself only after the test's guard.
+_PATIENT = builders.build_snapshot(
+    {"/": builders.build_plan(deadline_s=6 * builders.GUARD_S)}
+)
+
 
 class DoubtTest(unittest.IsolatedAsyncioTestCase):
     """A daemon asks the peer about its call and hears nothing."""
@@ -91,7 +96,11 @@
         another one as well, which answers. Nobody needs the first one's work
         any more: its connection is closed.
         """
-        async with relays.connect(self.wait_first, 3) as (nodes, _, client):
+        async with relays.connect(self.wait_first, 3, running=_PATIENT) as (
+            nodes,
+            _,
+            client,
+        ):
             answer = await client.get(nodes[0].url + "/x")
             self.assertEqual(await answer.read(), b"2nd")
             await self.cancelled.acquire()
@@ -115,7 +124,11 @@
             return await self.wait(request)
 
         first = asyncio.Event()
-        async with relays.connect(answer, 3) as (nodes, _, client):
+        async with relays.connect(answer, 3, running=_PATIENT) as (
+            nodes,
+            _,
+            client,
+        ):
             call = asyncio.create_task(client.get(nodes[0].url + "/x"))
             for _ in range(2):
                 await self.begun.acquire()
@@ -186,13 +199,20 @@
                 client.put(nodes[0].url + "/x", data=body)
             )
             await self.wait_for_questions(3)
+            picker = nodes[0].proxy._dispatch._picker
+            sent = [picker.observe(one.member_id).in_flight for one in nodes]
+            self.assertEqual(sum(sent), 1)
             self.go_on.set()
             self.assertEqual(await (await call).read(), b"whole")
         self.assertEqual(sum(len(node.served) for node in nodes), 1)
 
     async def test_caller_that_leaves_ends_both_tries(self) -> None:
         """Two upstreams work for a caller that leaves; both stop."""
-        async with relays.connect(self.wait, 3) as (nodes, _, client):
+        async with relays.connect(self.wait, 3, running=_PATIENT) as (
+            nodes,
+            _,
+            client,
+        ):
             call = asyncio.create_task(client.get(nodes[0].url + "/x"))
             for _ in range(2):
                 await self.begun.acquire()
--- a/tests/requests/transport/test_silence.py
+++ b/tests/requests/transport/test_silence.py
@@ -198,9 +198,13 @@
 
         As between daemons, but the backend server cannot be asked.
         """
+        plan = builders.build_plan(deadline_s=6 * builders.GUARD_S)
+        patient = builders.build_snapshot({"/": plan})
         self.go_on.set()
         async with (
-            builders.run_nodes(1, handler=self.wait) as (node,),
+            builders.run_nodes(1, handler=self.wait, running=patient) as (
+                node,
+            ),
             builders.open_client() as client,
         ):
             relay = relays.Relay(node.backend.port)
