--- a/merlintrestle/connectors.py
+++ b/merlintrestle/connectors.py
@@ -8,6 +8,10 @@
 
 import aiohttp
 
+# Longest time for one body to arrive, in seconds: one that comes byte by byte
+# holds up no caller for ever. A link of 0.4 MB/s carries 4 MB in it.
+_ARRIVAL_S = 10.0
+
 
 class Silence(NamedTuple):
     """When a connection that gives no sign is broken by the operating system.
@@ -86,3 +90,23 @@
     """Has the operating system break a connection that takes nothing more."""
     opened = transport.get_extra_info("socket")
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+
+async def read_body(
+    answer: aiohttp.ClientResponse, limit: asyncio.Timeout, pause_s: float
+) -> bytes:
+    """Reads a body for as long as its bytes keep coming.
+
+    Args:
+        answer: The answer.
+        limit: Bounds the call; put off with each part that comes.
+        pause_s: Longest wait for the next part, in seconds.
+    """
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + _ARRIVAL_S
+    limit.reschedule(min(loop.time() + pause_s, ends_at))
+    parts = []
+    async for part in answer.content.iter_any():
+        parts.append(part)
+        limit.reschedule(min(loop.time() + pause_s, ends_at))
+    return b"".join(parts)
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -36,9 +36,6 @@
 # large key takes longer than this in all, and given up it would be asked for
 # again at once, which keeps the link full for good.
 _TIMEOUT_S = 1.0
-# Longest time for one answer to arrive, so that a store that sends byte by
-# byte holds up no caller for ever. The largest page has some 1 MB.
-_ARRIVAL_S = 10.0
 # A watch that waits gives no sign of its own for 30 s. Keep-alive probes show
 # a connection that went silent within three seconds instead.
 _SILENCE = connectors.Silence(
@@ -274,7 +271,7 @@
         ):
             self._arriving.append(call)
             try:
-                text = await _read_body(answer, limit)
+                text = await connectors.read_body(answer, limit, _TIMEOUT_S)
             finally:
                 self._arriving.remove(call)
         if answer.status in (_TOO_MANY, _UNAVAILABLE, _FORBIDDEN):
@@ -284,20 +281,6 @@
         return answer.status, _parse(text, answer.status)
 
 
-async def _read_body(
-    answer: aiohttp.ClientResponse, limit: asyncio.Timeout
-) -> bytes:
-    """Reads a body for as long as its bytes keep coming."""
-    loop = asyncio.get_running_loop()
-    ends_at = loop.time() + _ARRIVAL_S
-    limit.reschedule(min(loop.time() + _TIMEOUT_S, ends_at))
-    parts = []
-    async for part in answer.content.iter_any():
-        parts.append(part)
-        limit.reschedule(min(loop.time() + _TIMEOUT_S, ends_at))
-    return b"".join(parts)
-
-
 def _name(key: str) -> str:
     return key if key == CONFIGURATION_KEY else OWN_PREFIX + key
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,6 +10,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from merlintrestle import connectors
 from merlintrestle import errors
 from merlintrestle.platform import store as stores
 from merlintrestle.store import client
@@ -102,7 +103,7 @@
         await self.store.put("a", _LARGE, 0)
         self.standin.faults.pause_s = 0.1
         with (
-            mock.patch.object(stores, "_ARRIVAL_S", 0.2),
+            mock.patch.object(connectors, "_ARRIVAL_S", 0.2),
             self.assertRaises(errors.StoreUnavailableError),
         ):
             await asyncio.wait_for(self.store.get("a"), 20)
