Send a call in doubt to another upstream first, and pay for it

Cause: a call whose connection was in doubt (not arrived, answer missing) was sent over a new connection to the same upstream. That try can never be in doubt, and a call has two runs at most, so an upstream that turned out slow held it until its deadline while another one was idle. And "the peer has not seen the call" was taken for "it will not run": where packets were only late, both sends arrived, unpaid and uncounted.

Ruled out: watching and limiting the second send as well. Its doubts could lead nowhere, as the second run is paid and a third is a retry of a retry; and leaving it unpaid makes three runs of one call. Closing the first connection before the second send: what is already under way still arrives, so it holds no number of runs.

Change: another upstream comes first; a new connection to the same one is left to calls that have no other. Either is paid from the budget and counts as an attempt. Nothing is paid where nothing can be sent.

--- a/merlintrestle/requests/calls/doubts.py
+++ b/merlintrestle/requests/calls/doubts.py
@@ -16,7 +16,7 @@
     # The peer does not answer a question about the call, and nothing else
     # comes from it.
     PEER_SILENT = enum.auto()
-    # The peer answers and has not seen the call.
+    # The peer answers and has not seen the call, which may be on its way yet.
     NOT_ARRIVED = enum.auto()
     # The peer answers and has sent off its answer; it has not come.
     ANSWER_MISSING = enum.auto()
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -11,7 +11,6 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from merlintrestle.requests.calls import doubts
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import joining
 from merlintrestle.requests.load import retries
@@ -69,11 +68,10 @@
 
         A try that runs may have reached a backend server already.
         """
-        limit = self.call.plan.max_attempts
         return (
             len(self.tried) < min(_MAX_TRIES, count)
             and self.refusals < _MAX_REFUSALS
-            and (not limit or self.reached + self.tries.count < limit)
+            and self._may_run_again()
             and self.tries.in_doubt
             and self._has_time()
         )
@@ -84,6 +82,7 @@
         return (
             call.plan.repeatable
             and call.body.held is not None
+            and self._may_run_again()
             and self.tries.in_doubt
             and self._has_time()
         )
@@ -103,6 +102,17 @@
                 "the backend server is shedding load", 503, 1.0
             )
 
+    def _may_run_again(self) -> bool:
+        """Returns whether one more run keeps to the most attempts.
+
+        A call that its peer has not seen counts as a run: what was sent may
+        still be on its way, or be sent again by the operating system, and
+        nothing takes back what is under way. Not counted and not paid for, it
+        ran twice where packets were merely late.
+        """
+        limit = self.call.plan.max_attempts
+        return not limit or self.reached + self.tries.count < limit
+
     def _has_time(self) -> bool:
         now = asyncio.get_running_loop().time()
         return self.call.deadline - now > self.call.plan.work_s
@@ -208,15 +218,29 @@
         call.story.add(
             "in doubt", upstream=one.upstream.member_id, why=doubt.name.lower()
         )
-        if not progress.may_send_as_well():
-            return
-        if doubt.of_connection:
-            if doubt is doubts.Doubt.NOT_ARRIVED or progress.spend():
-                self._start(tries_.Try(one.upstream, anew=True), progress)
-            return
         count = len(self._table.get_upstreams(call.service))
-        if progress.may_try(count) and progress.spend():
-            self._try_another(progress)
+        others = progress.may_try(count)
+        if (
+            (others or doubt.of_connection)
+            and progress.may_send_as_well()
+            and progress.spend()
+        ):
+            self._send_as_well(doubtful, others, progress)
+
+    def _send_as_well(
+        self, doubtful: tries_.Doubtful, others: bool, progress: _Progress
+    ) -> None:
+        """Sends a call a second time, which is paid for.
+
+        There is no third time, so another upstream comes first also where the
+        connection alone is in doubt: an upstream that turns out to be slow
+        after a second send to it would hold the call until its deadline.
+        """
+        if others and self._try_another(progress):
+            return
+        if doubtful.doubt.of_connection:
+            again = tries_.Try(doubtful.one.upstream, anew=True)
+            self._start(again, progress)
 
     def _try_another(self, progress: _Progress) -> bool:
         """Sends a call to an upstream not tried yet; False: there is none."""
--- a/merlintrestle/requests/serving/sending.py
+++ b/merlintrestle/requests/serving/sending.py
@@ -120,7 +120,7 @@
             record.note_doubt(doubt)
             tries.report(one, doubt)
 
-        timer = self._limit(one, call, report)
+        timer = self._limit(call, report)
         try:
             outcome = await self._run(one, call, report)
         except BaseException:
@@ -150,12 +150,11 @@
 
     def _limit(
         self,
-        one: tries_.Try,
         call: calls.Call,
         report: Callable[[doubts.Doubt], None],
     ) -> asyncio.TimerHandle | None:
         """Has a first try that takes too long reported."""
-        if one.anew or not self._has_others(call):
+        if not self._has_others(call):
             return None
         limit = retries.limit_first_try(call, self._get_time())
         if limit >= call.deadline:
--- a/tests/requests/serving/test_doubt.py
+++ b/tests/requests/serving/test_doubt.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, TYPE_CHECKING
 import unittest
 from unittest import mock
 
 from aiohttp import web
 
+from merlintrestle.requests.serving import dispatch
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import watches
 from tests.requests import builders
 from tests.requests import relays
 
+if TYPE_CHECKING:
+    from merlintrestle.documents import snapshot
+
 # A try that is not cancelled would end by itself only after the test's guard.
 _PATIENT = builders.build_snapshot(
     {"/": builders.build_plan(deadline_s=6 * builders.GUARD_S)}
@@ -234,3 +238,131 @@
             for _ in range(2):
                 await self.cancelled.acquire()
         self.assertEqual(sum(len(node.served) for node in nodes), 2)
+
+
+class ConnectionDoubtTest(unittest.IsolatedAsyncioTestCase):
+    """A peer answers questions, and its connection is in doubt."""
+
+    def setUp(self) -> None:
+        self.go_on = asyncio.Event()
+        self.first: int | None = None
+        self.asked = asyncio.Event()
+        patch = mock.patch.object(watches, "FIRST_BYTE_S", 0.02)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def answer_questions(self, view: probes.View) -> None:
+        """Has each question about a call answered so."""
+
+        async def ask(*arguments: Any) -> probes.View:
+            self.asked.set()
+            return view
+
+        patch = mock.patch.object(probes, "ask", ask)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def wait(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers when the test lets it."""
+        await self.go_on.wait()
+        return web.Response(body=b"whole")
+
+    async def answer_second(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answers, but for the backend server that is asked first."""
+        assert request.transport is not None
+        port = request.transport.get_extra_info("sockname")[1]
+        if self.first is None:
+            self.first = port
+        if port == self.first:
+            await asyncio.Event().wait()
+        return web.Response(body=b"2nd")
+
+    async def check_slow_upstream(self, view: probes.View) -> None:
+        """The caller gets the other upstream's answer."""
+        self.answer_questions(view)
+        async with relays.connect(self.answer_second, 3, running=_PATIENT) as (
+            nodes,
+            _,
+            client,
+        ):
+            answer = await client.get(nodes[0].url + "/x")
+            self.assertEqual(await answer.read(), b"2nd")
+        self.assertEqual(sum(len(node.served) for node in nodes), 2)
+
+    async def test_call_that_came_late_to_a_slow_upstream(self) -> None:
+        """The caller gets the other upstream's answer, not a 504.
+
+        The upstream says that it has not seen the call, which arrives right
+        after; the backend server there takes its time. Sent anew to the same
+        upstream, the call would have no run left for the other one.
+        """
+        await self.check_slow_upstream(probes.View(True))
+
+    async def test_missing_answer_of_a_slow_upstream(self) -> None:
+        """The caller gets the other upstream's answer, not a 504.
+
+        The answer of the first upstream is lost, and its backend server would
+        take its time over a second run.
+        """
+        await self.check_slow_upstream(probes.View(True, ended=True))
+
+    async def check_single_run(
+        self, plan: snapshot.ClassPlan, paid: bool
+    ) -> None:
+        """The caller gets its answer of the one run."""
+        self.answer_questions(probes.View(True))
+        running = builders.build_snapshot({"/": plan})
+        async with relays.connect(self.wait, running=running) as (
+            nodes,
+            _,
+            client,
+        ):
+            budget = nodes[0].proxy._budgets.get("kassa")
+            while not paid and budget.spend():
+                pass
+            with mock.patch.object(
+                dispatch.Dispatch,
+                "_answer_doubt",
+                autospec=True,
+                side_effect=dispatch.Dispatch._answer_doubt,
+            ) as doubted:
+                call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+                while not doubted.called:
+                    await asyncio.sleep(0)
+                self.go_on.set()
+                self.assertEqual(await (await call).read(), b"whole")
+        self.assertEqual(len(nodes[1].served), 1)
+
+    async def test_late_packets_cost_no_run_without_budget(self) -> None:
+        """The caller gets its answer; the service sees the call once.
+
+        Packets are late, and the upstream says that it has not seen the call.
+        Sent anew at once, it would run twice, and with the budget used up all
+        calls over such a link would.
+        """
+        await self.check_single_run(builders.build_plan(), paid=False)
+
+    async def test_late_packets_cost_no_attempt(self) -> None:
+        """The caller gets its answer; of one attempt allowed, one is made."""
+        plan = builders.build_plan(max_attempts=1)
+        await self.check_single_run(plan, paid=True)
+
+    async def test_silent_upstream_that_is_the_only_one_is_free(self) -> None:
+        """The retry budget is whole for those that can use it.
+
+        A call is in doubt as its peer is silent, and there is no other
+        upstream: nothing is sent, and nothing is paid.
+        """
+        self.answer_questions(probes.View(False))
+        async with relays.connect(self.wait) as (nodes, _, client):
+            budget = nodes[0].proxy._budgets.get("kassa")
+            before = budget.left
+            call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+            for _ in range(3):
+                self.asked.clear()
+                await self.asked.wait()
+            self.assertGreaterEqual(budget.left, before)
+            self.go_on.set()
+            self.assertEqual(await (await call).read(), b"whole")
