Tell a load that is greater than what is read

Cause: encode_load wrote any figure, decode_load takes none above 1,000,000. A link with more than 1000 s of work (seen: 1988 s) made the whole load header unreadable, and other daemons kept the last one that they could read.

Change: each figure is capped as it is written. What is read is unchanged, so that daemons of earlier releases (3 or 4 figures) are read and read this.

--- a/merlintrestle/requests/load/loads.py
+++ b/merlintrestle/requests/load/loads.py
@@ -9,6 +9,8 @@
 
 from typing import NamedTuple
 
+# A greater figure is told as this one. Read as malformed instead, the load of the
+# busiest upstream would be the one that nobody knows.
 _MAX_FIGURE = 1_000_000
 # A daemon of the version before does not tell of its link.
 _FIELDS = (3, 4)
@@ -33,8 +35,9 @@
 
 def encode_load(load: Load) -> str:
     """Returns a load as the text of a header."""
-    hold_ms, link_ms = round(load.hold_s * 1000), round(load.link_s * 1000)
-    return f"{load.calls},{load.slots},{hold_ms},{link_ms}"
+    times_ms = (round(load.hold_s * 1000), round(load.link_s * 1000))
+    figures = (load.calls, load.slots, *times_ms)
+    return ",".join(str(min(figure, _MAX_FIGURE)) for figure in figures)
 
 
 def decode_load(text: str) -> Load | None:
--- /dev/null
+++ b/tests/requests/load/test_loads.py
@@ -0,0 +1,35 @@
+"""The load of a backend server in the text of a header."""
+
+from __future__ import annotations
+
+import unittest
+
+from merlintrestle.requests.load import loads
+
+
+class LoadTest(unittest.TestCase):
+    def test_comes_as_it_was_sent(self) -> None:
+        load = loads.Load(3, 10, 0.25, 1.5)
+        self.assertEqual(loads.decode_load(loads.encode_load(load)), load)
+
+    def test_figures_beyond_what_is_read(self) -> None:
+        """The load of an overloaded upstream is known, if not exactly.
+
+        Its link has half an hour of work. Others that could not read this
+        would keep the last load they had read and go on choosing it.
+        """
+        load = loads.Load(2_000_000, 10, 5000.0, 1988.0)
+        decoded = loads.decode_load(loads.encode_load(load))
+        self.assertEqual(decoded, loads.Load(1_000_000, 10, 1000.0, 1000.0))
+
+    def test_daemon_of_an_earlier_release(self) -> None:
+        """It tells three figures, or four of any size it can read."""
+        self.assertEqual(loads.decode_load("3,10,250"), loads.Load(3, 10, 0.25))
+        self.assertEqual(
+            loads.decode_load("3,10,250,1500"), loads.Load(3, 10, 0.25, 1.5)
+        )
+
+    def test_malformed(self) -> None:
+        for text in ("", "3,10", "3,10,250,1,1", "3,10,-1", "3,10,1000001"):
+            with self.subTest(text=text):
+                self.assertIsNone(loads.decode_load(text))
