--- a/merlintrestle/requests/load/loads.py
+++ b/merlintrestle/requests/load/loads.py
@@ -9,8 +9,8 @@
 
 from typing import NamedTuple
 
-# A greater figure is told as this one. Read as malformed instead, the load of the
-# busiest upstream would be the one that nobody knows.
+# A greater figure is told as this one. Read as malformed instead, the load of
+# the busiest upstream would be the one that nobody knows.
 _MAX_FIGURE = 1_000_000
 # A daemon of the version before does not tell of its link.
 _FIELDS = (3, 4)
