Count only what goes before a call when the link admits it

Cause: admit counted all that is promised, late and large transfers too, though these are sent after all calls in time. A large transfer of 8 MB was admitted (400 kB/s), and each download of 100 kB after it refused, to come back after 20 s. The same where one answer of a class in time is much larger than its mean.

Change: what is before a call in the sending order counts, with what was handed over of the others; the time to come back and the load told to other daemons follow from that. An answer that is found to miss its target by its size goes with the late ones. take_room still waits by all that is promised.

A test changed: a long transfer with 3 s beside two with a minute was refused; it goes first and ends after 2 s, so it is taken, and the next like it refused.

--- a/merlintrestle/requests/load/links.py
+++ b/merlintrestle/requests/load/links.py
@@ -71,19 +71,26 @@
 class Transfer:
     """One answer on its way through the link.
 
+    Bytes are `left` from the promise until they have left, and besides `unsent`
+    from when they were handed over; `Link.promised` is the sum of `left`, and
+    `Link.unsent` that of `unsent`, but for receivers that take nothing.
+
     Attributes:
         left: Bytes that are promised to it and have not left yet.
-        unsent: Bytes that were handed over and have not left yet.
+        unsent: Those of them that were handed over.
+        order: Smaller goes first: calls in time by the end of their targets,
+            after them late ones by their deadlines, in seconds.
     """
 
     __slots__ = (
         "_began",
+        "_call",
         "_link",
         "_means",
         "_moved_at",
-        "_order",
         "_stalled",
         "left",
+        "order",
         "unsent",
     )
 
@@ -98,22 +105,28 @@
         """
         self.left = 0
         self.unsent = 0
+        self.order = _get_order(call, late)
         self._link = link
+        self._call = call
         self._means = means
         self._began = link.get_time()
         self._moved_at = self._began
         self._stalled = False
-        self._order = (late, call.deadline if late else call.due)
         if means.size > PIECE_BYTES:
             self._set_left(round(means.size))
 
     def __lt__(self, other: Transfer) -> bool:
         """Returns whether it goes before another: late calls go last."""
-        return self._order < other._order
+        return self.order < other.order
 
     def set_size(self, size: int) -> None:
         """Sets the bytes of the answer, once its head has come."""
-        self._means.note(size, self._link.get_time() - self._began)
+        now = self._link.get_time()
+        self._means.note(size, now - self._began)
+        if now + self._link.get_seconds(size) > self._call.due:
+            # Larger than others of its class, it misses its target in any
+            # case; going first, it would have all others miss theirs.
+            self.order = _get_order(self._call, True)
         self._set_left(size if size > PIECE_BYTES else 0)
 
     async def take_room(self) -> None:
@@ -156,10 +169,10 @@
         self._stalled = stalled
         if stalled:
             self._link.unsent -= self.unsent
-            self._link.change_promise(self.left, 0)
+            self._link.change_promise(self, self.left, 0)
         else:
             self._link.unsent += self.unsent
-            self._link.change_promise(0, self.left)
+            self._link.change_promise(self, 0, self.left)
 
     def _set_unsent(self, unsent: int) -> None:
         if not self._stalled:
@@ -168,7 +181,7 @@
 
     def _set_left(self, left: int) -> None:
         if not self._stalled:
-            self._link.change_promise(self.left, left)
+            self._link.change_promise(self, self.left, left)
         self.left = left
 
 
@@ -189,7 +202,7 @@
         self.rate = 0.0
         self.get_time = get_time
         self._drain_rate = rates.DrainRate()
-        self._promises = 0
+        self._promises: set[Transfer] = set()
         self._sent = 0
         self._busy_since: float | None = None
         self._means: dict[tuple[str, str], _Means] = {}
@@ -197,8 +210,12 @@
         self._waiting: list[tuple[Transfer, asyncio.Future[None]]] = []
 
     def get_backlog_s(self) -> float:
-        """Returns how long the link needs for what is promised, in seconds."""
-        return self._get_seconds(self.promised)
+        """Returns how long calls in time keep the link busy, in seconds."""
+        return self.get_seconds(self._count_before((False, math.inf)))
+
+    def get_seconds(self, size: float) -> float:
+        """Returns how long the link needs for some bytes, in seconds."""
+        return size / self.rate if self.rate else 0.0
 
     def admit(self, call: calls.Call) -> Transfer | outcomes.NotRun:
         """Promises a call its part of the link, or refuses it.
@@ -210,32 +227,40 @@
         """
         key = (call.organisation, call.plan.name)
         means = self._means.setdefault(key, _Means())
-        own_s = self._get_seconds(means.size + means.spread)
+        own_s = self.get_seconds(means.size + means.spread)
         least_s = means.head_s + own_s
-        queued_s = self.get_backlog_s() + own_s
         # Judged by progress, a long transfer has no latency target to miss.
         late = call.plan.large or self.get_time() + least_s > call.due
+        before = self._count_before(_get_order(call, late))
+        before_s = self.get_seconds(before)
         # Only its claim tells whether a call with a key has run before; by
         # itself, the link must not call it "not run".
         claimed = bool(call.key) and not call.plan.repeatable
         if (
             means.size > PIECE_BYTES
-            and self._promises > 1
+            and len(self._promises) > 1
             and not claimed
-            and not self._has_room(call, max(least_s, queued_s), late)
+            and not self._has_room(
+                call, before_s, max(least_s, before_s + own_s), late
+            )
         ):
             return outcomes.NotRun(
                 "no room on the link in time",
-                retry_after_s=max(_LEAST_RETRY_S, self.get_backlog_s()),
+                retry_after_s=max(_LEAST_RETRY_S, before_s),
                 elsewhere=True,
                 overloaded=True,
             )
         return Transfer(self, means, call, late)
 
-    def change_promise(self, before: int, after: int) -> None:
-        """Changes the bytes that are promised to one transfer."""
+    def change_promise(
+        self, transfer: Transfer, before: int, after: int
+    ) -> None:
+        """Changes the bytes that are promised to a transfer."""
         self.promised += after - before
-        self._promises += (after > 0) - (before > 0)
+        if after:
+            self._promises.add(transfer)
+        else:
+            self._promises.discard(transfer)
 
     def note_sent(self, count: int) -> None:
         """Notes that bytes have left."""
@@ -260,18 +285,18 @@
     async def take_room(self, transfer: Transfer) -> None:
         """Waits until it is a transfer's turn to hand over a piece.
 
-        It waits no longer than the link needs for all that is promised.
-        Receivers slower than the link hold what is on its way, and nothing
-        would be sent to the others.
+        It waits no longer than the link needs for all that is promised, late
+        ones too. Receivers slower than the link hold what is on its way, and
+        nothing would be sent to the others.
         """
-        if not self._waiting and self._may_hand_over():
+        if not self._waiting and self._get_room() > 0:
             return
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         waiting = (transfer, turn)
         bisect.insort(self._waiting, waiting, key=lambda one: one[0])
         try:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self.get_backlog_s()):
+                async with asyncio.timeout(self.get_seconds(self.promised)):
                     await turn
         finally:
             if waiting in self._waiting:
@@ -286,11 +311,24 @@
                 turn.set_result(None)
                 room -= PIECE_BYTES
 
-    def _has_room(self, call: calls.Call, needed_s: float, late: bool) -> bool:
+    def _count_before(self, order: tuple[bool, float]) -> int:
+        """Returns the bytes that leave before those of one with an order.
+
+        Of transfers that go after it, only what was handed over does.
+        """
+        return sum(
+            one.left if one.order <= order else one.unsent
+            for one in self._promises
+        )
+
+    def _has_room(
+        self, call: calls.Call, before_s: float, needed_s: float, late: bool
+    ) -> bool:
         """Returns whether an answer would be through in time.
 
         Args:
             call: What is answered.
+            before_s: Work of the link that goes before it, in seconds.
             needed_s: Time until it would be through, in seconds.
             late: It has no latency target, or misses it in any case.
         """
@@ -305,20 +343,17 @@
             return False
         if plan.large:
             return True
-        waits_s = self.get_backlog_s()
         return (
-            now >= self._full_until and waits_s <= plan.latency_s * _LATE_PART
+            now >= self._full_until and before_s <= plan.latency_s * _LATE_PART
         )
 
-    def _may_hand_over(self) -> bool:
-        return self._get_room() > 0
-
     def _get_room(self) -> float:
         """Returns the bytes that may be handed over now."""
         if not self.rate:
             return math.inf
         return max(2 * PIECE_BYTES, self.rate * _AHEAD_S) - self.unsent
 
-    def _get_seconds(self, size: float) -> float:
-        """Returns how long the link needs for some bytes, in seconds."""
-        return size / self.rate if self.rate else 0.0
+
+def _get_order(call: calls.Call, late: bool) -> tuple[bool, float]:
+    """Returns when the answer of a call goes, as `Transfer.order`."""
+    return late, call.deadline if late else call.due
--- a/tests/requests/load/test_links.py
+++ b/tests/requests/load/test_links.py
@@ -152,7 +152,44 @@
         assert isinstance(first, links.Transfer)
         first.set_size(8 * _SIZE)
         self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 60.0), links.Transfer)
+        # It takes 2 s, and goes before those that have a minute.
+        self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 3.0), links.Transfer)
+        # It would end after 4 s.
         self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 3.0), outcomes.NotRun)
+        self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 5.0), links.Transfer)
+
+    def test_large_transfer_does_not_shut_the_link(self) -> None:
+        """Downloads come in time beside an archive that takes 20 s.
+
+        The archive has a minute, and goes after all calls in time. Counted as
+        work that goes before them, it had every download refused until it was
+        through.
+        """
+        self.learn()
+        archive = self.ask(_ARCHIVE, 1.0, 60.0)
+        assert isinstance(archive, links.Transfer)
+        archive.set_size(80 * _SIZE)
+        archive.hand_over(_SIZE // 4)
+        for _ in range(3):
+            self.begin()
+        self.assertEqual(self.link.get_backlog_s(), 0.0625 + 0.75)
+        refusal = self.ask(_DOWNLOAD, 1.0)
+        assert isinstance(refusal, outcomes.NotRun)
+        # What it had handed over, and the downloads.
+        self.assertEqual(refusal.retry_after_s, 0.0625 + 0.75)
+        self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 20.0), outcomes.NotRun)
+
+    def test_answer_larger_than_others_of_its_class(self) -> None:
+        """Once it is known to miss its target, others don't wait for it.
+
+        A download of 8 MB was promised the mean of its class, 100 kB. Going
+        first by its target, it would have all others refused for 20 s.
+        """
+        self.learn()
+        self.begin(80 * _SIZE, due_s=0.9)
+        self.begin()
+        self.assertIsInstance(self.ask(_CHECK, 0.3), links.Transfer)
+        self.assertLess(self.link.get_backlog_s(), 1.0)
 
     def test_bytes_are_given_back_as_they_leave(self) -> None:
         """What a connection has taken is promised until it has left."""
