Keep slow receivers from setting the rate of the link

Cause: whatever left while something waited was a sample of the link. A receiver that takes 5 kB/s of a long download on an idle link never counts as stalled: the rate became 5000, the backlog 988 s, and other downloads were refused to come back then. What waited for it also filled the room of all others. A look after a standstill of the loop gave a low sample as well: the link was idle for most.

Change: a sample counts if more than one receiver is sent to or waits, or if it is more than what is known; until then, what one takes sets the pace only. A receiver for which bytes wait five times as long as all that may be on its way has no more than a piece of the room, and is not counted at admission. Looks that come later than all on its way takes to leave are not counted.

Ruled out: at most half of the room for each connection.

--- a/merlintrestle/requests/load/links.py
+++ b/merlintrestle/requests/load/links.py
@@ -37,6 +37,9 @@
 # A transfer of which nothing leaves for so long has a receiver that takes
 # nothing, in seconds: several times what may be on its way before it.
 _STALLED_S = 5 * _AHEAD_S
+# A receiver is slow if bytes on their way to it take as many times as long as
+# the link needs for all that may be on its way.
+_SLOW_TIMES = 5
 # No caller is told to come back sooner, in seconds.
 _LEAST_RETRY_S = 0.05
 
@@ -80,6 +83,7 @@
         unsent: Those of them that were handed over.
         order: Smaller goes first: calls in time by the end of their targets,
             after them late ones by their deadlines, in seconds.
+        slow: Its receiver takes less than the link brings.
     """
 
     __slots__ = (
@@ -91,7 +95,10 @@
         "_stalled",
         "left",
         "order",
+        "slow",
         "unsent",
+        "_old",
+        "_old_at",
     )
 
     def __init__(self, link: Link, means: _Means, call: calls.Call, late: bool):
@@ -105,6 +112,7 @@
         """
         self.left = 0
         self.unsent = 0
+        self.slow = False
         self.order = _get_order(call, late)
         self._link = link
         self._call = call
@@ -112,6 +120,8 @@
         self._began = link.get_time()
         self._moved_at = self._began
         self._stalled = False
+        self._old = 0
+        self._old_at = self._began
         if means.size > PIECE_BYTES:
             self._set_left(round(means.size))
 
@@ -136,7 +146,8 @@
     def hand_over(self, count: int) -> None:
         """Notes that bytes were handed over to be sent."""
         if not self.unsent:
-            self._moved_at = self._link.get_time()
+            self._moved_at = self._old_at = self._link.get_time()
+            self._old = count
         self._set_unsent(self.unsent + count)
 
     def note_unsent(self, unsent: int) -> None:
@@ -154,9 +165,28 @@
             self._link.note_sent(sent)
             self._set_unsent(unsent)
             self._set_left(max(0, self.left - sent))
+            self._note_pace(now, sent)
         elif self.unsent and now - self._moved_at > _STALLED_S:
             self._set_stalled(True)
 
+    def count_ahead(self) -> int:
+        """Returns the bytes on their way that others wait for.
+
+        More than a piece before a slow receiver waits for that one, not for
+        the link, and takes nothing from others.
+        """
+        return min(self.unsent, PIECE_BYTES) if self.slow else self.unsent
+
+    def _note_pace(self, now: float, sent: int) -> None:
+        """Notes whether what was on its way has left in good time."""
+        took_s = now - self._old_at
+        self._old -= sent
+        if self._old <= 0 or took_s > self._link.get_slow_s():
+            self.slow = took_s > self._link.get_slow_s()
+        if self._old <= 0:
+            self._old = self.unsent
+            self._old_at = now
+
     def end(self) -> None:
         """Gives back what is left of the promise."""
         self._set_unsent(0)
@@ -217,13 +247,19 @@
         """Returns how long the link needs for some bytes, in seconds."""
         return size / self.rate if self.rate else 0.0
 
+    def get_slow_s(self) -> float:
+        """Returns after what time what was handed over is slow, in seconds."""
+        least = self._drain_rate.get_least()
+        ahead_s = self._get_ahead() / least if least else _AHEAD_S
+        return _SLOW_TIMES * ahead_s
+
     def admit(self, call: calls.Call) -> Transfer | outcomes.NotRun:
         """Promises a call its part of the link, or refuses it.
 
         An answer that would not be through in time only makes others late. A
-        link with one long answer to send, or none, takes any call: where that
-        one has a slow receiver, the link was taken for slow itself, and the
-        next one shows what it carries.
+        link with one long answer to send at most, but for slow receivers,
+        takes any call: where these had it taken for slow itself, the next one
+        shows what it carries.
         """
         key = (call.organisation, call.plan.name)
         means = self._means.setdefault(key, _Means())
@@ -238,7 +274,7 @@
         claimed = bool(call.key) and not call.plan.repeatable
         if (
             means.size > PIECE_BYTES
-            and len(self._promises) > 1
+            and sum(not one.slow for one in self._promises) > 1
             and not claimed
             and not self._has_room(
                 call, before_s, max(least_s, before_s + own_s), late
@@ -270,18 +306,24 @@
         """Notes that all transfers have told what has left by now.
 
         A time at whose end nothing waits says nothing of the rate: the link
-        was idle for some of it. Where all has left and transfers wait for
-        room, it carries more than was thought.
+        was idle for some of it. So it was where the loop stood still, and a
+        look comes so late that all on its way may have left long before. Where
+        all has left and transfers wait for room, it carries more than was
+        thought.
         """
         now = self.get_time()
         busy = bool(self.unsent or self._waiting)
         if busy and self._busy_since is not None:
-            self._drain_rate.note(now, now - self._busy_since, self._sent)
-            self.rate = self._drain_rate.get()
+            self._note_drain(now, now - self._busy_since)
         self._sent = 0
         self._busy_since = now if busy else None
         self._wake()
 
+    def _note_drain(self, now: float, since_s: float) -> None:
+        if since_s <= _AHEAD_S:
+            self._drain_rate.note(now, since_s, self._sent, self._is_shared())
+            self.rate = self._drain_rate.get()
+
     async def take_room(self, transfer: Transfer) -> None:
         """Waits until it is a transfer's turn to hand over a piece.
 
@@ -289,35 +331,62 @@
         ones too. Receivers slower than the link hold what is on its way, and
         nothing would be sent to the others.
         """
-        if not self._waiting and self._get_room() > 0:
+        if not self._waiting and self._may_hand_over(
+            transfer, self._get_room()
+        ):
             return
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         waiting = (transfer, turn)
         bisect.insort(self._waiting, waiting, key=lambda one: one[0])
         try:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self.get_seconds(self.promised)):
+                async with asyncio.timeout(self._get_patience_s()):
                     await turn
         finally:
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
 
+    def _get_patience_s(self) -> float:
+        """Returns how long one waits for room at most, in seconds."""
+        least = self._drain_rate.get_least()
+        return max(_STALLED_S, self.promised / least if least else 0.0)
+
     def _wake(self) -> None:
         """Has transfers go on that wait, as far as there is room."""
         room = self._get_room()
-        while self._waiting and room > 0:
-            _, turn = self._waiting.pop(0)
-            if not turn.done():
-                turn.set_result(None)
-                room -= PIECE_BYTES
+        for waiting in list(self._waiting):
+            transfer, turn = waiting
+            if turn.done() or not self._may_hand_over(transfer, room):
+                continue
+            self._waiting.remove(waiting)
+            turn.set_result(None)
+            room -= PIECE_BYTES
+
+    def _may_hand_over(self, transfer: Transfer, room: float) -> bool:
+        """Returns whether the link has room, and the receiver takes more."""
+        return room > 0 and not (
+            transfer.slow and transfer.unsent >= PIECE_BYTES
+        )
+
+    def _is_shared(self) -> bool:
+        """Returns whether more than one receiver is being sent to, or waits.
+
+        What one alone takes may be the receiver's limit, not the link's.
+        """
+        receivers = {one for one in self._promises if one.unsent}
+        receivers.update(one for one, _ in self._waiting)
+        return len(receivers) > 1
 
     def _count_before(self, order: tuple[bool, float]) -> int:
         """Returns the bytes that leave before those of one with an order.
 
-        Of transfers that go after it, only what was handed over does.
+        Of transfers that go after it, only what was handed over does, and of
+        one with a slow receiver no more than that has of the link.
         """
         return sum(
-            one.left if one.order <= order else one.unsent
+            one.left
+            if one.order <= order and not one.slow
+            else one.count_ahead()
             for one in self._promises
         )
 
@@ -349,9 +418,20 @@
 
     def _get_room(self) -> float:
         """Returns the bytes that may be handed over now."""
-        if not self.rate:
+        return self._get_ahead() - sum(
+            one.count_ahead() for one in self._promises
+        )
+
+    def _get_ahead(self) -> float:
+        """Returns the bytes that may be on their way at once.
+
+        Where one receiver is all that was seen, it is by what that one takes:
+        it loses nothing by that, and others have their part besides.
+        """
+        least = self._drain_rate.get_least()
+        if not least:
             return math.inf
-        return max(2 * PIECE_BYTES, self.rate * _AHEAD_S) - self.unsent
+        return max(2 * PIECE_BYTES, least * _AHEAD_S)
 
 
 def _get_order(call: calls.Call, late: bool) -> tuple[bool, float]:
