Ask the history whether the head moved while others write

Cause: any write to any key moves the store's revision, and each refresh after one read the whole configuration, also beside an open watch.

Ruled out: a transaction of expected revisions alone (a write; what an empty one does to the revision is not said), the history alone (blind in the second before it is dropped), a second question for each change.

Change: the first move still gives the watch its 0.3 s and then reads the value. If that was no news, moves are asked about in the history for 5 s, from the last value on; a history that was dropped refuses and the value is read. What decides stands in versions/progress.py. The test that waits for a watch sets the same constant where it stands now.

Not as before: beside writes of others, a change in a blind second is known with the first question after it (docs/design/0012-platform.md).

--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from typing import Any, TYPE_CHECKING
 
@@ -13,6 +12,7 @@
 from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.platform import store as stores
 from merlintrestle.schema import document_pb2
+from merlintrestle.versions import progress
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
@@ -25,10 +25,8 @@
 # The product's importance goes up from 1, the platform's rank down from 0.
 _MOST_IMPORTANT = 5
 _HEXADECIMAL = 16
-# A watch hears of a change as early as a read does, and carries it already.
-# Read at once, each change would travel twice over the same link. A watch that
-# hears nothing is made up for this much later, well within what a change has.
-_WATCH_LEAD_S = 0.3
+# Shortest wait of a watch that asks what is in the history already.
+_ASK_MS = 1
 
 
 class ConfigurationSource:
@@ -39,10 +37,7 @@
         self._store = store
         self._latest: dict[int, client.Entry] = {}
         self._revision = 0
-        # The store's revision up to which the head is known.
-        self._known_at = 0
-        self._watches = 0
-        self._moved = asyncio.Event()
+        self._known = progress.Progress()
         self._head = document_pb2.Head()
         self._compiled: snapshots.Snapshot | None = None
 
@@ -57,13 +52,15 @@
             errors.StoreError: The store did not answer.
             errors.SnapshotError: The record is malformed.
         """
-        if self._known_at:
+        if self._known.at:
             at = await self._store.read_revision(stores.CONFIGURATION_KEY)
-            if at <= self._known_at or await self._wait_for_watch(at):
+            if at <= self._known.at or await self._learn_without_value(at):
                 return self._head
+        revision = self._revision
         entry, at = await self._store.read_newest(stores.CONFIGURATION_KEY)
         head = self._take(entry) if entry else document_pb2.Head()
-        self._note_known(at)
+        self._known.note_read(self._revision != revision)
+        self._known.note(at)
         return head
 
     async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
@@ -73,18 +70,18 @@
             errors.StoreUnavailableError: The watch ended.
             errors.SnapshotError: A record is malformed.
         """
-        self._watches += 1
+        self._known.watches += 1
         try:
             if self._revision:
                 yield self._head
             async for entry in self._store.watch(
-                stores.CONFIGURATION_KEY, self._known_at
+                stores.CONFIGURATION_KEY, self._known.at
             ):
                 head = self._take(entry)
-                self._note_known(entry.revision)
+                self._known.note(entry.revision)
                 yield head
         finally:
-            self._watches -= 1
+            self._known.watches -= 1
 
     async def compile_head(self, head: document_pb2.Head) -> snapshots.Snapshot:
         """Compiles the version that a head names.
@@ -112,24 +109,26 @@
         """
         return await seeds_lib.write_seeds(self._store, zone, member_ids)
 
-    async def _wait_for_watch(self, at: int) -> bool:
-        """Waits a moment for a watch; returns whether the head is known.
+    async def _learn_without_value(self, at: int) -> bool:
+        """Returns whether the head is known without a read of its value.
 
-        An answer that has begun to arrive is waited for to its end.
+        The history is always asked from the last value on, so that one that
+        was dropped since then refuses and hides no change.
         """
-        while self._watches and self._known_at < at:
-            self._moved.clear()
-            try:
-                async with asyncio.timeout(_WATCH_LEAD_S):
-                    await self._moved.wait()
-            except TimeoutError:
-                if not self._store.is_delivering():
-                    break
-        return self._known_at >= at
-
-    def _note_known(self, at: int) -> None:
-        self._known_at = max(self._known_at, at)
-        self._moved.set()
+        delivering = self._store.is_delivering
+        if delivering() or not self._known.may_ask():
+            return await self._known.wait_for_watch(at, delivering)
+        try:
+            found, _ = await self._store.read_events(
+                stores.CONFIGURATION_KEY, self._known.at, _ASK_MS
+            )
+        except errors.StoreUnavailableError:
+            return False
+        for entry in found[-1:]:
+            self._take(entry)
+            self._known.note_read(news=True)
+            self._known.note(entry.revision)
+        return True
 
     def _take(self, entry: client.Entry) -> document_pb2.Head:
         """Returns the head of an entry, unless a newer one was taken."""
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -145,7 +145,7 @@
                     known = newest.revision
                     yield newest
                 continue
-            found, at = await self._wait_for_events(key, at)
+            found, at = await self.read_events(key, at)
             behind = len(found) > 1
             if found:
                 known = found[-1].revision
@@ -155,14 +155,18 @@
         """Returns whether the answer of a watch has begun to arrive."""
         return "watch" in self._arriving
 
-    async def _wait_for_events(
-        self, key: str, after: int
+    async def read_events(
+        self, key: str, after: int, wait_ms: int = _WATCH_MS
     ) -> tuple[Sequence[client.Entry], int]:
-        """Returns the key's entries after a revision, and how far they go."""
+        """Returns the key's entries after a revision, and how far they go.
+
+        Raises:
+            errors.StoreUnavailableError: The history is gone, or the store.
+        """
         query = {"prefix": _name(key), "after": str(after)}
-        query["waitMs"] = str(_WATCH_MS)
+        query["waitMs"] = str(wait_ms)
         status, answer = await self._read(
-            "watch", query, _WATCH_MS / 1000 + _TIMEOUT_S
+            "watch", query, wait_ms / 1000 + _TIMEOUT_S
         )
         if status == _GONE:
             raise errors.StoreUnavailableError(
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -12,6 +12,7 @@
 from merlintrestle.platform import configuration
 from merlintrestle.platform import store as stores
 from merlintrestle.versions import deltas
+from merlintrestle.versions import progress
 from standins import platform_store
 from tests.platform import builders
 from tests.platform import fleets
@@ -184,6 +185,92 @@
             self.assertEqual(await self.read(), 5)
         self.assertLess(self.count_sent() - before, 2 * len(value))
 
+    async def test_ten_writes_of_other_keys_cost_one_value(self):
+        """Another writer does not fill the links of the watchers.
+
+        It writes between any two reads, so each finds the revision moved.
+        With a value for each, calls on a thin link waited behind them for
+        good, also where a watch was open and would have brought a change.
+        """
+        value = _build_large(5)
+        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.read()
+        for watched in (False, True):
+            with self.subTest(watched=watched):
+                if watched:
+                    await self.open_watch()
+                before = self.count_sent()
+                await self.write_others(10)
+                self.assertLess(self.count_sent() - before, 2 * len(value))
+
+    async def open_watch(self) -> None:
+        heads = self.source.watch_head()
+        await anext(heads)
+        waiting = asyncio.ensure_future(anext(heads))
+        self.addCleanup(waiting.cancel)
+        while "watch" not in self.standin.calls:
+            await asyncio.sleep(0)
+
+    async def write_others(self, count: int) -> None:
+        """Writes another key and reads the head, again and again."""
+        for number in range(count):
+            await self.standin.write(f"foreign/{number}", b"x")
+            self.assertEqual(await self.read(), 5)
+
+    async def test_a_change_among_writes_of_other_keys_is_read(self):
+        """A version is in force although others write beside the operators.
+
+        The reads before found other keys moved alone, so this one asks the
+        history first. It names the change.
+        """
+        await self.standin.write(stores.CONFIGURATION_KEY, _build_large(5))
+        await self.read()
+        await self.write_others(2)
+        value = _build_large(6)
+        before = self.count_sent()
+        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.standin.write("foreign/key", b"x")
+        self.assertEqual(await self.read(), 6)
+        self.assertLess(self.count_sent() - before, 2 * len(value))
+
+    async def test_a_change_that_the_history_dropped_is_read(self):
+        """A version is in force although nothing ever told of it.
+
+        Others write, so the history is asked. It hears nothing, and then is
+        dropped together with the change: the next question is refused.
+        """
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_configuration(5)
+        )
+        await self.read()
+        await self.write_others(2)
+        self.standin.faults.deaf = True
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_configuration(6)
+        )
+        await self.read()
+        await self.standin.compact()
+        self.standin.faults.deaf = False
+        self.assertEqual(await self.read(), 6)
+
+    async def test_a_history_that_stays_deaf_is_made_up_for(self):
+        """A version is in force although the history is never dropped.
+
+        Others write, so the history is asked, and names no change for good.
+        What rests on it ends a while after the last read of the value.
+        """
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_configuration(5)
+        )
+        await self.read()
+        await self.write_others(2)
+        self.standin.faults.deaf = True
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_configuration(6)
+        )
+        with mock.patch.object(progress, "_QUESTIONS_S", 0.0):
+            self.assertEqual(await self.read(), 6)
+
     async def test_a_watch_that_hears_nothing_is_made_up_for(self):
         """A version is in force in time though the watch is deaf.
 
@@ -238,7 +325,7 @@
         value = _build_large(6)
         before = self.count_sent()
         await self.standin.write(stores.CONFIGURATION_KEY, value)
-        with mock.patch.object(configuration, "_WATCH_LEAD_S", 0.1):
+        with mock.patch.object(progress, "_WATCH_LEAD_S", 0.1):
             self.assertEqual(await self.read(), 6)
         self.assertEqual((await waiting).version, 6)
         self.assertLess(self.count_sent() - before, 2 * len(value))
