Leave out reading on where nothing was paused

Cause: the library's bodies call resume_reading at each read; the client side then has its parser look through no bytes, which noted the peer as heard, too, though nothing had come: one more data_received for every answer. Ruled out: a paused parser with bytes left: pauses go through the protocol, which remembers them. Change: only what was paused is resumed.

--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -169,6 +169,15 @@
         self._heard[self.address] = self._loop.time()
         super().data_received(data)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Reads on; called by a body as it is read and as it ends.
+
+        The library reads on also where nothing was paused, and has its parser
+        look through no bytes at all for every body.
+        """
+        if self._reading_paused or self._buffer_paused:
+            super().resume_reading(resume_parser)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails what is under way; called by the event loop."""
         content = self._payload
