--- a/merlintrestle/requests/reports/stories.py
+++ b/merlintrestle/requests/reports/stories.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import time
 from typing import Any
@@ -63,7 +64,7 @@
         worth_telling = not good or self.is_long
         bucket = _bad if worth_telling else _good
         if not bucket.take(time.monotonic()):
-            _left_out.labels(end).inc()
+            _get_left_out(end).inc()
             return
         if worth_telling:
             for at, event, line in self._lines:
@@ -81,6 +82,12 @@
         )
 
 
+@functools.cache
+def _get_left_out(end: str) -> prometheus_client.Counter:
+    """Returns the counter of one end; the library looks it up under a lock."""
+    return _left_out.labels(end)
+
+
 # Decisions that make the story of a request that went well worth its lines.
 _REMARKABLE = frozenset(("sent again", "given up"))
 
