Choose the headers that are not passed on once for each set of names

Cause: each header of each request and answer was looked up by its name, in Python, four times a call of two daemons. Change: the names to leave out are remembered by the tuple of all names, and the copy is made in one go. What callers make up stays bounded in number, in names and in length.

--- a/merlintrestle/requests/transport/headers.py
+++ b/merlintrestle/requests/transport/headers.py
@@ -37,9 +37,14 @@
 KEY = multidict.istr("Idempotency-Key")
 
 _PREFIX = "merlintrestle-"
-# Which header names are passed on, for the names seen so far.
-_known: dict[str, bool] = {}
+# Which headers are not passed on, for the names of requests and answers seen so
+# far; the same sender mostly sends the same names in the same order.
+_known: dict[tuple[str, ...], tuple[str, ...]] = {}
+# Callers make up names; what is remembered of them must stay bounded: some
+# 4 MB with these figures.
 _MAX_KNOWN = 1000
+_MAX_NAMES = 32
+_MAX_NAME_CHARACTERS = 64
 # Headers that describe one connection (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
     (
@@ -70,14 +75,13 @@
     A key stays whatever the caller's "Connection" names: without it the next
     daemon would run the call without a claim, and again at each retry.
     """
-    copied = []
-    for pair in headers.items():
-        keep = _known.get(pair[0])
-        if keep is None:
-            keep = _classify(pair[0])
-        if keep:
-            copied.append(pair)
-    result: multidict.CIMultiDict[str] = multidict.CIMultiDict(copied)
+    names = tuple(headers)
+    left_out = _known.get(names)
+    if left_out is None:
+        left_out = _choose_left_out(names)
+    result: multidict.CIMultiDict[str] = multidict.CIMultiDict(headers)
+    for name in left_out:
+        result.popall(name, None)
     connection = headers.get(hdrs.CONNECTION)
     if connection is not None:
         for name in connection.lower().split(","):
@@ -86,14 +90,21 @@
     return result
 
 
-def _classify(name: str) -> bool:
-    """Returns whether a header is passed on, and remembers it."""
+def _choose_left_out(names: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the headers that are not passed on, and remembers them."""
+    left_out = tuple(name for name in names if not _is_end_to_end(name))
+    if (
+        len(_known) < _MAX_KNOWN
+        and len(names) <= _MAX_NAMES
+        and max(map(len, names), default=0) <= _MAX_NAME_CHARACTERS
+    ):
+        _known[names] = left_out
+    return left_out
+
+
+def _is_end_to_end(name: str) -> bool:
     lower = name.lower()
-    keep = lower not in _HOP_BY_HOP and not lower.startswith(_PREFIX)
-    # Callers make up names; what is remembered of them must stay bounded.
-    if len(_known) < _MAX_KNOWN:
-        _known[name] = keep
-    return keep
+    return lower not in _HOP_BY_HOP and not lower.startswith(_PREFIX)
 
 
 def read_number(headers: Mapping[str, str], name: str) -> int | None:
