Look up the implementations of generic functions once

Cause: functools.singledispatch goes by a dictionary of weak references at each call, eight times a call of two daemons. Used on the way of a call: dialects, outcomes in statistics and observations.

--- a/merlintrestle/requests/calls/dialect.py
+++ b/merlintrestle/requests/calls/dialect.py
@@ -10,6 +10,7 @@
 import functools
 from typing import TYPE_CHECKING
 
+from merlintrestle import generics
 from merlintrestle.requests.calls import intake
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.transport import headers
@@ -30,6 +31,7 @@
     """Paths that begin with a service, and `Merlintrestle-` headers."""
 
 
+@generics.remember_choices
 @functools.singledispatch
 def match_caller(
     dialect: object, running: snapshot.Snapshot, request: web.BaseRequest
@@ -38,12 +40,14 @@
     raise TypeError(f"not a dialect: {dialect!r}")
 
 
+@generics.remember_choices
 @functools.singledispatch
 def read_asked(dialect: object, request: web.BaseRequest) -> intake.Asked:
     """Returns what a caller's headers ask for."""
     raise TypeError(f"not a dialect: {dialect!r}")
 
 
+@generics.remember_choices
 @functools.singledispatch
 def render(
     dialect: object, outcome: outcomes.Failure, request: web.BaseRequest
@@ -52,6 +56,7 @@
     raise TypeError(f"not a dialect: {dialect!r}")
 
 
+@generics.remember_choices
 @functools.singledispatch
 def build_backend_headers(
     dialect: object, call: calls.Call, own: backends.OwnBackend
@@ -60,6 +65,7 @@
     raise TypeError(f"not a dialect: {dialect!r}")
 
 
+@generics.remember_choices
 @functools.singledispatch
 def is_answer_to(
     dialect: object, answer: answers.Answer, call: calls.Call
@@ -68,6 +74,7 @@
     raise TypeError(f"not a dialect: {dialect!r}")
 
 
+@generics.remember_choices
 @functools.singledispatch
 def judge_answer(
     dialect: object, answer: answers.Answer
@@ -80,6 +87,7 @@
     raise TypeError(f"not a dialect: {dialect!r}")
 
 
+@generics.remember_choices
 @functools.singledispatch
 def accepts_unframed(dialect: object) -> bool:
     """Returns whether an answer may end with its connection alone."""
--- a/merlintrestle/requests/load/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -8,6 +8,7 @@
 import functools
 from typing import TYPE_CHECKING
 
+from merlintrestle import generics
 from merlintrestle.requests.calls import outcomes
 
 if TYPE_CHECKING:
@@ -193,6 +194,7 @@
         self.quiet_since = now
 
 
+@generics.remember_choices
 @functools.singledispatch
 def note(
     outcome: object,
--- a/merlintrestle/requests/reports/statistics.py
+++ b/merlintrestle/requests/reports/statistics.py
@@ -8,6 +8,7 @@
 
 from prometheus_client import metrics_core
 
+from merlintrestle import generics
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.schema import control_pb2
 
@@ -151,6 +152,7 @@
         return totals
 
 
+@generics.remember_choices
 @functools.singledispatch
 def count(outcome: object, counts: Counts, in_time: bool) -> None:
     """Adds an outcome to the counts of its class."""
