--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -9,7 +9,7 @@
 import asyncio
 import base64
 import json
-from typing import Any, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 import aiohttp
 import yarl
@@ -20,7 +20,7 @@
 from merlintrestle.store import client
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
 events = event_logs.EventLog("platform")
 
@@ -31,8 +31,14 @@
 _BASE = "/merlintrestle/kv-"
 # Longest wait of one watch, in ms: the most that the store allows.
 _WATCH_MS = 30_000
-# The store answers in milliseconds; one slowed sixtyfold does in this time.
+# The store answers in milliseconds; one slowed sixtyfold does in this time. It
+# is also the longest pause within an answer: over a thin link the value of a
+# large key takes longer than this in all, and given up it would be asked for
+# again at once, which keeps the link full for good.
 _TIMEOUT_S = 1.0
+# Longest time for one answer to arrive, so that a store that sends byte by
+# byte holds up no caller for ever. The largest page has some 1 MB.
+_ARRIVAL_S = 10.0
 # A watch that waits gives no sign of its own for 30 s. Keep-alive probes show
 # a connection that went silent within three seconds instead.
 _SILENCE = connectors.Silence(
@@ -47,6 +53,18 @@
 _UNAVAILABLE = 503
 
 
+class Reading(NamedTuple):
+    """What one read of a key brought.
+
+    Attributes:
+        entry: The entry; None where the key is not there.
+        at: The store's revision at which that was so.
+    """
+
+    entry: client.Entry | None
+    at: int
+
+
 class PlatformStore:
     """Calls the platform's store.
 
@@ -59,6 +77,7 @@
         """Sets the store's "ip:port"."""
         self._address = address
         self._session: aiohttp.ClientSession | None = None
+        self._arriving: list[str] = []
 
     async def start(self) -> None:
         """Opens the pool of connections; the store need not be up."""
@@ -95,34 +114,81 @@
                 return entries[:limit]
             query["after"] = _name(found[-1].key)
 
+    async def read_revision(self, key: str) -> int:
+        """Returns the store's revision, at the price of a read without a value.
+
+        A range that begins after its only key has no items. While the
+        revision stands still, nothing that was read before it has changed.
+        """
+        query = {"prefix": _name(key), "after": _name(key)}
+        _, answer = await self._read("range", query)
+        return _get(answer, "at", int)
+
+    async def read_newest(self, key: str) -> Reading:
+        """Reads one key and the store's revision at which it was read."""
+        # The range tells the store's revision also where the key is absent.
+        _, answer = await self._read("range", {"prefix": _name(key)})
+        at = _get(answer, "at", int)
+        for entry in read_items(_get(answer, "items", list)):
+            if entry.key == key:
+                return Reading(entry, at)
+        return Reading(None, at)
+
     async def watch(
         self, key: str, after_revision: int
     ) -> AsyncIterator[client.Entry]:
         """Yields the key's entries newer than a revision until the store fails.
 
+        Entries that were replaced while an earlier one travelled are left
+        out. With all of them, a link that carries one in the time of three
+        changes would fall behind further with each answer.
+
         Raises:
             errors.StoreUnavailableError: The store ended or broke the watch.
         """
-        # The range tells the store's revision also where the key is absent.
-        _, answer = await self._read("range", {"prefix": _name(key)})
-        for entry in read_items(_get(answer, "items", list)):
-            if entry.key == key and entry.revision > after_revision:
-                yield entry
-        at = _get(answer, "at", int)
+        at = known = after_revision
+        behind = True
         while True:
-            query = {"prefix": _name(key), "after": str(at)}
-            query["waitMs"] = str(_WATCH_MS)
-            status, answer = await self._read(
-                "watch", query, _WATCH_MS / 1000 + _TIMEOUT_S
+            if behind:
+                if at and await self.read_revision(key) == at:
+                    behind = False
+                    continue
+                newest, at = await self.read_newest(key)
+                # What moved may have been another key.
+                behind = newest is not None and newest.revision > known
+                if newest is not None and behind:
+                    known = newest.revision
+                    yield newest
+                continue
+            found, at = await self._wait_for_events(key, at)
+            behind = len(found) > 1
+            if found:
+                known = found[-1].revision
+                yield found[-1]
+
+    def is_delivering(self) -> bool:
+        """Returns whether the answer of a watch has begun to arrive."""
+        return "watch" in self._arriving
+
+    async def _wait_for_events(
+        self, key: str, after: int
+    ) -> tuple[Sequence[client.Entry], int]:
+        """Returns the key's entries after a revision, and how far they go."""
+        query = {"prefix": _name(key), "after": str(after)}
+        query["waitMs"] = str(_WATCH_MS)
+        status, answer = await self._read(
+            "watch", query, _WATCH_MS / 1000 + _TIMEOUT_S
+        )
+        if status == _GONE:
+            raise errors.StoreUnavailableError(
+                "store: the history is not there any more"
             )
-            if status == _GONE:
-                raise errors.StoreUnavailableError(
-                    "store: the history is not there any more"
-                )
-            for event in _get(answer, "events", list):
-                if not event.get("deleted") and event.get("key") == _name(key):
-                    yield _read_item(event)
-            at = _get(answer, "at", int)
+        found = [
+            _read_item(event)
+            for event in _get(answer, "events", list)
+            if not event.get("deleted") and event.get("key") == _name(key)
+        ]
+        return found, _get(answer, "at", int)
 
     async def put(
         self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
@@ -201,12 +267,16 @@
         assert self._session is not None
         url = yarl.URL(f"http://{self._address}{_BASE}{call}")
         async with (
-            asyncio.timeout(timeout_s),
+            asyncio.timeout(timeout_s) as limit,
             self._session.request(
                 method, url.with_query(query), json=body
             ) as answer,
         ):
-            text = await answer.read()
+            self._arriving.append(call)
+            try:
+                text = await _read_body(answer, limit)
+            finally:
+                self._arriving.remove(call)
         if answer.status in (_TOO_MANY, _UNAVAILABLE, _FORBIDDEN):
             raise errors.StoreUnavailableError(
                 f"store: refused with {answer.status}"
@@ -214,6 +284,20 @@
         return answer.status, _parse(text, answer.status)
 
 
+async def _read_body(
+    answer: aiohttp.ClientResponse, limit: asyncio.Timeout
+) -> bytes:
+    """Reads a body for as long as its bytes keep coming."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + _ARRIVAL_S
+    limit.reschedule(min(loop.time() + _TIMEOUT_S, ends_at))
+    parts = []
+    async for part in answer.content.iter_any():
+        parts.append(part)
+        limit.reschedule(min(loop.time() + _TIMEOUT_S, ends_at))
+    return b"".join(parts)
+
+
 def _name(key: str) -> str:
     return key if key == CONFIGURATION_KEY else OWN_PREFIX + key
 
--- a/merlintrestle/requests/load/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -115,6 +115,15 @@
         others = max(0, load.calls - self.sent_at_load)
         return others + self.in_flight
 
+    def estimate_backlog_s(self, now: float) -> float:
+        """Returns the time for which its link has long answers to send.
+
+        What was reported gets less by itself.
+        """
+        if self.load is None:
+            return 0.0
+        return max(0.0, self.load.link_s - (now - self.load_at))
+
     def begin(self, now: float, work_s: float) -> None:
         """Counts a call that is being sent and takes `work_s` as expected."""
         self.in_flight += 1
@@ -147,6 +156,18 @@
     ) -> None:
         """Notes a failure; some prove more than one."""
         self.note_cancellation(work_s)
+        self._count_failures(now, failures)
+
+    def note_doubt(self, now: float) -> None:
+        """Notes that a call gets no answer in reasonable time.
+
+        The call goes on. Were that noted at its end alone, a frozen upstream
+        would be sent calls until the deadline of the first.
+        """
+        self.probing = False
+        self._count_failures(now, 1)
+
+    def _count_failures(self, now: float, failures: int) -> None:
         self.failures += failures
         if self.failures < _MAX_FAILURES and not self.ejected_until:
             return
--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -14,6 +14,7 @@
 from aiohttp import hdrs
 from aiohttp import http
 
+from merlintrestle.requests.reports import traffic as traffics
 from merlintrestle.requests.transport import answers
 
 if TYPE_CHECKING:
@@ -26,6 +27,9 @@
 
 _KEEP_ALIVE = re.compile(r"\btimeout\s*=\s*(\d{1,6})")
 _READ_BYTES = 64 * 1024
+# Of an answer of the own backend server, which is done with it sooner: a slot
+# that waits for a thin link would be one that other calls cannot have.
+AHEAD_BYTES = 512 * 1024
 _SWITCHING_PROTOCOLS = 101
 _LAST_INFORMATIONAL = 199
 # Methods that are sent without Content-Length if they have no body.
@@ -41,6 +45,7 @@
         keep_alive_s: How long the other side said to keep it open while it is
             idle, in seconds; None: it did not say.
         get_time: Returns the time of the event loop, in seconds.
+        heard_at: When bytes came over it last; 0: none yet.
     """
 
     def __init__(
@@ -48,6 +53,7 @@
         loop: asyncio.AbstractEventLoop,
         address: str,
         heard: dict[str, float] | None = None,
+        traffic: traffics.Traffic | None = None,
     ):
         """Sets its other end.
 
@@ -56,13 +62,16 @@
             address: Its other end, "ip:port".
             heard: Where it notes by address when bytes came last, in seconds
                 of the event loop.
+            traffic: Where its bytes are counted.
         """
         super().__init__(loop)
+        self._traffic = traffic or traffics.Traffic()
         self.address = address
         self._heard = {} if heard is None else heard
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.get_time = loop.time
+        self.heard_at = 0.0
         self._upload: asyncio.Task[None] | None = None
         self._alarm_timer: asyncio.TimerHandle | None = None
         self._alarm_timer_at = 0.0
@@ -85,6 +94,7 @@
         target: str,
         headers: multidict.CIMultiDict[str],
         body: bodies.Body,
+        ahead: int = 0,
     ) -> answers.Answer:
         """Sends a request and waits for the headers of its answer.
 
@@ -93,6 +103,8 @@
             target: Path and query.
             headers: End-to-end headers; those of the connection are added.
             body: Its body; a long one is sent while the answer is awaited.
+            ahead: Bytes of the answer that are read ahead of its use, or twice
+                as many; the usual number if that is more.
 
         Raises:
             aiohttp.ClientError: The connection broke.
@@ -103,7 +115,7 @@
             skip_payload=method == "HEAD",
             read_until_eof=True,
             auto_decompress=False,
-            read_bufsize=_READ_BYTES,
+            read_bufsize=max(ahead, _READ_BYTES),
         )
         await self._send(method, target, headers, body)
         return await self.read_answer()
@@ -166,7 +178,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes that came; called by the event loop."""
-        self._heard[self.address] = self._loop.time()
+        self.heard_at = self._heard[self.address] = self._loop.time()
+        self._traffic.received += len(data)
         super().data_received(data)
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -235,6 +248,7 @@
             # would otherwise hold back its own answer.
             await writer.write(payload, drain=False)
         writer.set_eof()
+        self._traffic.sent += writer.output_size
 
     async def _send_pieces(
         self, writer: http.StreamWriter, pieces: AsyncIterator[bytes]
@@ -247,6 +261,8 @@
             # The body stopped half-way. Cut off, it cannot look whole to the
             # server, and the wait for the answer ends.
             self.abort()
+        finally:
+            self._traffic.sent += writer.output_size
 
 
 def _read_keep_alive(headers: Mapping[str, str]) -> float | None:
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -9,7 +9,6 @@
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.members import choice as choice_lib
-from merlintrestle.members import rendezvous
 from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.members import table as table_lib
 from merlintrestle.members import timing as timing_lib
@@ -84,15 +83,15 @@
     def list_other_watchers(self) -> list[str]:
         """Returns the ids of the watchers of all other zones."""
         table = self._membership.table
-        zones: dict[str, list[str]] = {}
+        zones: dict[str, list[control_pb2.Member]] = {}
         for member in table.members():
             if not table_lib.is_gone(member) and member.zone != table.own.zone:
-                zones.setdefault(member.zone, []).append(member.id)
+                zones.setdefault(member.zone, []).append(member)
         return [
             name
-            for zone, ids in sorted(zones.items())
-            for name in rendezvous.choose(
-                _name_key("watch", zone), ids, WATCHERS_PER_ZONE
+            for zone, members in sorted(zones.items())
+            for name in choice_lib.choose_by_link(
+                _name_key("watch", zone), members, WATCHERS_PER_ZONE
             )
         ]
 
@@ -118,7 +117,7 @@
         """Watches while chosen, for ever."""
         backoff = timing_lib.Backoff(0.1, self._timing.watch_retry_max)
         if self._directly:
-            await self._read_first(backoff)
+            await self._read_first()
         await self._membership.wait_for_contact(self._timing.join)
         while True:
             if not self.is_chosen():
@@ -134,14 +133,23 @@
                     backoff.reset()
                 await asyncio.sleep(backoff.get_wait())
 
-    async def _read_first(self, backoff: timing_lib.Backoff) -> None:
-        """Reads the head until it is known, here or from a peer."""
+    async def _read_first(self) -> None:
+        """Reads the head until it is known, here or from a peer.
+
+        A store that has no version yet answers at once, so success needs a
+        pause as well: without one each daemon of a fleet that starts asked a
+        hundred times a second. One that has met a peer need not ask at all.
+        """
+        backoff = timing_lib.Backoff(
+            self._timing.first_read, self._timing.watch_retry_max
+        )
         while not self._handled and not self._membership.links.get_links():
             try:
-                await self.refresh()
+                if await self.refresh():
+                    return
             except errors.MerlintrestleError as error:
                 events.warn("store silent", error=str(error))
-                await asyncio.sleep(backoff.get_wait())
+            await asyncio.sleep(backoff.get_wait())
 
     def get_refresh_s(self) -> float:
         """Returns the mean time between two reads of the head, in seconds.
@@ -302,7 +310,9 @@
         table = self._membership.table
         zone = table.own.zone
         key = _name_key(purpose, zone)
-        return choice_lib.Choice(table, key, count, zone, with_own=True)
+        return choice_lib.Choice(
+            table, key, count, zone, with_own=True, by_link=True
+        )
 
 
 def _name_key(purpose: str, zone: str) -> str:
