Ask peers about calls without the library's session

Cause: with slow backend servers every call is asked about, after a quarter of a second and again; each question went through aiohttp.ClientSession (URL, cookies, redirects, timers) and cost as much as a whole call of two daemons. Ruled out: asking less often or over kept connections: a connection may be what is silent, so the question needs a new one. Change: probes.ask takes the pool, which opens a new connection of the data path for each question. Bytes that come in answer count as heard from the peer, as has_heard says: on whatever connection. Tests unchanged.

--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -10,7 +10,6 @@
 from aiohttp import hdrs
 from aiohttp import http
 
-from merlintrestle import connectors
 from merlintrestle import events as event_logs
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import outcomes
@@ -97,12 +96,10 @@
         """Opens the pool."""
         self._loop = asyncio.get_running_loop()
         self._pool = pools.Pool(self._loop)
-        self._probes = _open_probes()
 
     async def close(self) -> None:
         """Closes the connections that are idle."""
         self._pool.close()
-        await self._probes.close()
 
     def drop_idle(self, address: str) -> None:
         """Closes the idle connections to an address."""
@@ -302,7 +299,7 @@
 
         look = functools.partial(
             watches.ask_peer,
-            self._probes,
+            self._pool,
             connection,
             sent_headers[headers.CALL],
             call.plan.work_s,
@@ -431,7 +428,7 @@
     ) -> None:
         task = asyncio.create_task(
             watches.watch_transfer(
-                self._probes, address, call_id, answered.response
+                self._pool, address, call_id, answered.response
             )
         )
         answered.hold(lambda: _cancel(task))
@@ -439,11 +436,3 @@
 
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
-
-
-def _open_probes() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=connectors.Connector(force_close=True),
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
-    )
--- a/merlintrestle/requests/transport/probes.py
+++ b/merlintrestle/requests/transport/probes.py
@@ -14,10 +14,17 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+from aiohttp import hdrs
+from aiohttp import http
+import multidict
+
+from merlintrestle.requests.transport import bodies
 
 if TYPE_CHECKING:
     from aiohttp import web
 
+    from merlintrestle.requests.transport import pool as pools
+
 PATH = "/-/calls/"
 # A daemon that lives answers in milliseconds; a busy one in some tens of them.
 _TIMEOUT_S = 0.3
@@ -94,25 +101,44 @@
         return _NOT_KNOWN, ""
 
 
-async def ask(
-    session: aiohttp.ClientSession, address: str, call_id: str
-) -> View:
-    """Asks a peer about a call; the session makes a new connection."""
+async def ask(pool: pools.Pool, address: str, call_id: str) -> View:
+    """Asks a peer about a call over a new connection."""
     try:
-        async with (
-            asyncio.timeout(_TIMEOUT_S),
-            session.get(f"http://{address}{PATH}{call_id}") as answer,
-        ):
-            text = await answer.text()
-            if answer.status == _IN_FLIGHT:
-                return View(True, True, int(text))
-            if answer.status == _ENDED:
-                return View(True, False, int(text), True)
-            return View(True)
-    except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+        async with asyncio.timeout(_TIMEOUT_S):
+            status, text = await _fetch(pool, address, f"{PATH}{call_id}")
+        if status == _IN_FLIGHT:
+            return View(True, True, int(text))
+        if status == _ENDED:
+            return View(True, False, int(text), True)
+        return View(True)
+    except (
+        aiohttp.ClientError,
+        http.HttpProcessingError,
+        OSError,
+        TimeoutError,
+        ValueError,
+    ):
         return View(False)
 
 
+async def _fetch(
+    pool: pools.Pool, address: str, path: str
+) -> tuple[int, bytes]:
+    """Returns status and body of an answer.
+
+    Without the library's session, which costs more than a whole call. With
+    slow backend servers every call is asked about several times.
+    """
+    connection = await pool.open(address)
+    try:
+        sent = multidict.CIMultiDict({hdrs.CONNECTION: "close"})
+        nothing = bodies.Body(b"", 0)
+        answer = await connection.call("GET", path, sent, nothing)
+        return answer.status, await answer.content.read()
+    finally:
+        connection.close()
+
+
 def is_probe(request: web.BaseRequest) -> bool:
     """Returns whether a peer asks about a call."""
     return request.raw_path.startswith(PATH)
--- a/merlintrestle/requests/transport/watches.py
+++ b/merlintrestle/requests/transport/watches.py
@@ -13,10 +13,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    import aiohttp
-
     from merlintrestle.requests.transport import answers
     from merlintrestle.requests.transport import connections
+    from merlintrestle.requests.transport import pool as pools
 
 # A call without a first byte for so long, or for a multiple of its expected
 # work time, is asked about.
@@ -98,7 +97,7 @@
 
 
 async def ask_peer(
-    session: aiohttp.ClientSession,
+    pool: pools.Pool,
     connection: connections.Connection,
     call_id: str,
     work_s: float,
@@ -114,7 +113,7 @@
     the question, on whatever connection, is not silent.
 
     Args:
-        session: Where questions are sent.
+        pool: Opens the connections of questions.
         connection: Where the answer is awaited.
         call_id: Name of the call.
         work_s: Expected work time, in seconds.
@@ -125,7 +124,7 @@
     address = connection.address
     while True:
         began = loop.time()
-        view = await probes.ask(session, address, call_id)
+        view = await probes.ask(pool, address, call_id)
         if not view.answers:
             if not has_heard(address, began):
                 report(doubts.Doubt.PEER_SILENT)
@@ -142,7 +141,7 @@
 
 
 async def watch_transfer(
-    session: aiohttp.ClientSession,
+    pool: pools.Pool,
     address: str,
     call_id: str,
     response: answers.Answer,
@@ -162,7 +161,7 @@
         if content.total_bytes != received:
             missing = False
             continue
-        view = await probes.ask(session, address, call_id)
+        view = await probes.ask(pool, address, call_id)
         sent_more = view.written > content.total_bytes
         late = view.answers and (sent_more or not view.in_flight)
         if missing and late and content.total_bytes == received:
