Have a herd meet by its seeds before it watches the store

Cause: where all daemons start at once each finds the records of seeds empty, is the only watcher it knows, and makes nine calls in its first second: the value three times (first read, refresh, start of the watch, for the others' records move the revision), revisions, records, the watch.

Change: one that knows nobody names itself in the records first, meets the others by them, and watches if it is still chosen. A store that refuses this holds back no watch. A watcher reads the head before it opens the watch, and the watch goes on from that read without a read of its own.

Open: half of the herd is still chosen for a moment; the records' reads of the join and of the writing are two calls.

--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -126,18 +126,16 @@
 
         Entries that were replaced while an earlier one travelled are left
         out. With all of them, a link that carries one in the time of three
-        changes would fall behind further with each answer.
+        changes would fall behind further with each answer. The revision, if
+        there is one, is of a read just made.
 
         Raises:
             errors.StoreUnavailableError: The store ended or broke the watch.
         """
         at = known = after_revision
-        behind = True
+        behind = not after_revision
         while True:
             if behind:
-                if at and await self.read_revision(key) == at:
-                    behind = False
-                    continue
                 newest, at = await self.read_newest(key)
                 # What moved may have been another key.
                 behind = newest is not None and newest.revision > known
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -119,6 +119,7 @@
         if self._directly:
             await self._read_first()
         await self._membership.wait_for_contact(self._timing.join)
+        await self._meet_herd()
         while True:
             if not self.is_chosen():
                 await asyncio.sleep(timing_lib.jitter(self._timing.settle))
@@ -151,6 +152,23 @@
                 events.warn("store silent", error=str(error))
             await asyncio.sleep(backoff.get_wait())
 
+    async def _meet_herd(self) -> None:
+        """Meets others that started at the same time, before it watches.
+
+        Where a whole fleet starts, each daemon finds the records of seeds
+        empty and is the only watcher that it knows: all of them read the value
+        once more for themselves and again for their watch. Named in the
+        records first they meet, and few stay chosen. A store that fails here
+        holds back no watch: the watcher names itself again later.
+        """
+        own_id = self._membership.table.own_id
+        if any(one.id != own_id for one in self._membership.table.members()):
+            return
+        try:
+            await self._write_seeds()
+        except errors.MerlintrestleError as error:
+            events.warn("no seeds written", error=str(error))
+
     def get_refresh_s(self) -> float:
         """Returns the mean time between two reads of the head, in seconds.
 
@@ -227,10 +245,13 @@
         A watch whose connection went silent delivers nothing and does not
         end, and neither does one that the store has stopped to tell of changes
         before it drops its history. The read has a deadline and finds that out.
+        A read comes first: begun beside it, the watch would read the same.
         """
+        await self.refresh()
         watching = asyncio.create_task(self._follow())
-        refresh_at = self._clock()
+        refresh_at = self._clock() + timing_lib.jitter(self.get_refresh_s())
         try:
+            await self._write_seeds()
             while self.is_chosen():
                 if self._clock() >= refresh_at:
                     await self.refresh()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -152,6 +152,26 @@
         assert isinstance(again, AsyncGenerator)
         await again.aclose()
 
+    async def test_a_watch_of_what_was_just_read_reads_nothing(self):
+        """The watchers of a fleet that starts read the value once.
+
+        Others write their records meanwhile and move the revision. The watch
+        goes on from the read, and the history names no change of the key.
+        """
+        await self.store.put("head", b"1", 0)
+        _, at = await self.store.read_newest("head")
+        await self.standin.write("other", b"")
+        before = dict(self.standin.calls)
+        watch = self.store.watch("head", at)
+        waiting = asyncio.ensure_future(anext(watch))
+        while "watch" not in self.standin.calls:
+            await asyncio.sleep(0)
+        await self.standin.write(stores.OWN_PREFIX + "head", b"2")
+        self.assertEqual((await asyncio.wait_for(waiting, 5)).value, b"2")
+        self.assertEqual(self.standin.calls["range"], before["range"])
+        assert isinstance(watch, AsyncGenerator)
+        await watch.aclose()
+
     async def test_a_watch_that_falls_behind_takes_the_newest_alone(self):
         """A storm of changes does not outgrow the link of a watcher.
 
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -74,6 +74,50 @@
         self.fleet.now += member_builders.FAST.settle
         self.assertTrue(watcher.is_chosen())
 
+    async def test_herd_meets_before_it_watches(self) -> None:
+        """The store is not asked by a whole fleet as if all were watchers.
+
+        All daemons start at once and find the records of seeds empty, so each
+        is the first of its zone. It names itself, and by the records written
+        meanwhile it meets those that are chosen before it.
+        """
+        fleet = models.Fleet(1)
+        model, store = fleet.models[1], fleet.configuration
+        self.watcher = model.watcher
+        met = asyncio.Event()
+
+        async def meet(addresses: list[str]) -> None:
+            for number in (11, 12):
+                model.table.merge(
+                    member_builders.build_member(number, link_mbps=50.0)
+                )
+            met.set()
+
+        with mock.patch.object(model.contact, "contact_unknown", meet):
+            await self.run_watcher()
+            await asyncio.wait_for(met.wait(), builders.GUARD_S)
+            for _ in range(50):
+                await asyncio.sleep(0)
+        self.assertEqual(store.seed_writes, 1)
+        self.assertEqual(store.reads, 0)
+        self.assertEqual(store.watches, 0)
+
+    async def test_seeds_that_cannot_be_written_hold_back_no_watch(
+        self,
+    ) -> None:
+        """Versions come although the store takes no writes.
+
+        The only daemon of its zone names itself in vain before it watches.
+        """
+        fleet = models.Fleet(1)
+        model, store = fleet.models[1], fleet.configuration
+        self.watcher = model.watcher
+        await store.accept(1, ["balie"])
+        refused = errors.StoreUnavailableError("store: refused")
+        with mock.patch.object(store, "write_seeds", side_effect=refused):
+            await self.run_watcher()
+            await builders.wait_until(lambda: model.archive.version == 1)
+
     async def test_slow_store_holds_up_no_floor(self) -> None:
         """A watcher is asked for the head while the store does not answer.
 
