Note what answers really had, and pace those of unknown length

The next answer on a kept connection counted in the last one's unsent bytes as well (52,000 for 32,000). Errors, 304 and HEAD told what a class is like. Answers without a stated length never did, and were not paced: what waited for room waited no longer than for what was promised, which was nothing.

The new tests of transfers fail without the change of transfers.py (1 call of note_sent, 52000, mean size 0).

--- a/merlintrestle/requests/load/links.py
+++ b/merlintrestle/requests/load/links.py
@@ -75,8 +75,9 @@
     """One answer on its way through the link.
 
     Bytes are `left` from the promise until they have left, and besides `unsent`
-    from when they were handed over; `Link.promised` is the sum of `left`, and
-    `Link.unsent` that of `unsent`, but for receivers that take nothing.
+    from when they were handed over, so that `left` is never less.
+    `Link.promised` is the sum of `left`, and `Link.unsent` that of `unsent`,
+    but for receivers that take nothing.
 
     Attributes:
         left: Bytes that are promised to it and have not left yet.
@@ -89,6 +90,8 @@
     __slots__ = (
         "_began",
         "_call",
+        "_head_s",
+        "_open",
         "_link",
         "_means",
         "_moved_at",
@@ -119,6 +122,8 @@
         self._means = means
         self._began = link.get_time()
         self._moved_at = self._began
+        self._head_s = 0.0
+        self._open = False
         self._stalled = False
         self._old = 0
         self._old_at = self._began
@@ -129,11 +134,34 @@
         """Returns whether it goes before another: late calls go last."""
         return self.order < other.order
 
-    def set_size(self, size: int) -> None:
-        """Sets the bytes of the answer, once its head has come."""
-        now = self._link.get_time()
-        self._means.note(size, now - self._began)
-        if now + self._link.get_seconds(size) > self._call.due:
+    def note_head(self, typical: bool = True) -> None:
+        """Notes that an answer begins whose size only its end shows.
+
+        Args:
+            typical: It is one that its class is known by; not so an error.
+        """
+        self._head_s = self._link.get_time() - self._began
+        self._open = typical
+
+    def note_whole(self, size: int) -> None:
+        """Notes how many bytes an answer had, unless it said so before."""
+        if self._open:
+            self._open = False
+            self._means.note(size, self._head_s)
+
+    def set_size(self, size: int, typical: bool = True) -> None:
+        """Sets the bytes of the answer, once its head has come.
+
+        Args:
+            size: The bytes.
+            typical: As for `note_head`.
+        """
+        self.note_head(typical)
+        self.note_whole(size)
+        if (
+            self._link.get_time() + self._link.get_seconds(size)
+            > self._call.due
+        ):
             # Larger than others of its class, it misses its target in any
             # case; going first, it would have all others miss theirs.
             self.order = _get_order(self._call, True)
@@ -149,6 +177,9 @@
             self._moved_at = self._old_at = self._link.get_time()
             self._old = count
         self._set_unsent(self.unsent + count)
+        if self.left < self.unsent:
+            # An answer without a stated length is longer than its class.
+            self._set_left(self.unsent)
 
     def note_unsent(self, unsent: int) -> None:
         """Notes how many of the bytes handed over have not left yet.
@@ -164,7 +195,7 @@
             self._set_stalled(False)
             self._link.note_sent(sent)
             self._set_unsent(unsent)
-            self._set_left(max(0, self.left - sent))
+            self._set_left(max(unsent, self.left - sent))
             self._note_pace(now, sent)
         elif self.unsent and now - self._moved_at > _STALLED_S:
             self._set_stalled(True)
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -29,6 +29,10 @@
 # instances have some 200 MB. What is more waits in the backend server.
 _MAX_AHEAD_BYTES = 8 * 1024 * 1024
 
+# Status codes of answers that have no body, and of those that succeeded.
+_BODILESS = (204, 304)
+_SUCCESSFUL = range(200, 300)
+
 _OWN_DIALECT = dialects.OwnDialect()
 
 
@@ -107,7 +111,7 @@
                 added=self._describe_answer(call_id),
             )
         try:
-            outcome = await self._run(call, transfer)
+            outcome = await self._run(call, transfer, request.method)
             response = await answering.finish(
                 request,
                 outcome,
@@ -127,7 +131,7 @@
         return response
 
     async def _run(
-        self, call: calls.Call, transfer: links.Transfer
+        self, call: calls.Call, transfer: links.Transfer, method: str
     ) -> outcomes.Outcome:
         """Runs a call; what it holds comes free once its answer is read.
 
@@ -138,9 +142,7 @@
         if not isinstance(outcome, outcomes.Answered):
             return outcome
         response, held = outcome.response, outcome.body
-        size = response.content_length if held is None else len(held)
-        if size is not None:
-            transfer.set_size(size)
+        _note_answer(outcome, transfer, method)
         if held is None and self._link.promised <= _MAX_AHEAD_BYTES:
             response.content.on_eof(functools.partial(_release_soon, outcome))
         return outcome
@@ -155,6 +157,27 @@
         )
 
 
+def _note_answer(
+    answered: outcomes.Answered, transfer: links.Transfer, method: str
+) -> None:
+    """Tells a transfer what is known of its answer once that begins.
+
+    Errors and answers without a body don't tell what its class is like. Taken
+    for that, a burst of them would have downloads begun that the link can't
+    carry.
+    """
+    response, held = answered.response, answered.body
+    if method == "HEAD" or response.status in _BODILESS:
+        transfer.set_size(0, typical=False)
+        return
+    size = response.content_length if held is None else len(held)
+    typical = response.status in _SUCCESSFUL
+    if size is None:
+        transfer.note_head(typical)
+    else:
+        transfer.set_size(size, typical)
+
+
 def _release_soon(answered: outcomes.Answered) -> None:
     """Frees what a call holds, after what is being read now.
 
--- a/merlintrestle/requests/transport/transfers.py
+++ b/merlintrestle/requests/transport/transfers.py
@@ -67,8 +67,10 @@
         transport = request.transport
         if transport is None:
             raise ConnectionResetError("the other daemon has left")
+        self._end_earlier(transport)
         sending = _Sending(transport, transfer)
         self._sending.append(sending)
+        began_at = progress.written
         try:
             while piece := await _read(answered):
                 for start in range(0, len(piece), links.PIECE_BYTES):
@@ -80,9 +82,22 @@
                     await answer.write(part)
                 if answered.body is not None:
                     return
+            transfer.note_whole(progress.written - began_at)
         finally:
             sending.written = True
 
+    def _end_earlier(self, transport: asyncio.Transport) -> None:
+        """Ends the last transfer of a connection.
+
+        The other daemon asks anew once it has read the last answer. Looked at
+        later, what is sent from now on would count for both.
+        """
+        for sending in self._sending:
+            if sending.transport is transport:
+                sending.transfer.note_unsent(0)
+                sending.transfer.end()
+                sending.written = True
+
     def _look_later(self) -> None:
         if self._timer is None:
             self._timer = self._loop.call_later(_LOOK_S, self._look)
@@ -118,12 +133,17 @@
     written: bool = False
 
     def look(self) -> None:
-        """Tells the transfer what has not left yet."""
-        unsent = 0
-        if not self.transport.is_closing():
-            held_back = self.transport.get_write_buffer_size()
-            unsent = held_back + _get_queued(self.transport)
-        self.transfer.note_unsent(unsent)
+        """Tells the transfer what has not left yet.
+
+        Of a connection that closes nobody tells how much has left. Counted as
+        carried, megabytes of a receiver that went away would show the link
+        to be many times as quick as it is.
+        """
+        if self.transport.is_closing():
+            self.transfer.end()
+            return
+        held_back = self.transport.get_write_buffer_size()
+        self.transfer.note_unsent(held_back + _get_queued(self.transport))
 
 
 async def _read(answered: outcomes.Answered) -> bytes:
--- a/tests/requests/load/test_links.py
+++ b/tests/requests/load/test_links.py
@@ -215,6 +215,40 @@
         self.assertIsInstance(self.ask(_CHECK, 0.3), links.Transfer)
         self.assertLess(self.link.get_backlog_s(), 1.0)
 
+    def test_errors_do_not_tell_what_a_class_is_like(self) -> None:
+        """After a burst of errors no more downloads are begun than before."""
+        self.learn()
+        for _ in range(40):
+            failed = self.ask(_DOWNLOAD, 1.0)
+            assert isinstance(failed, links.Transfer)
+            failed.set_size(200, typical=False)
+            failed.note_whole(200)
+            failed.end()
+        for _ in range(3):
+            self.begin()
+        self.assertIsInstance(self.ask(_DOWNLOAD, 1.0), outcomes.NotRun)
+
+    def test_answers_without_a_stated_length(self) -> None:
+        """Their class is known by what they had at their end.
+
+        Until then what is handed over counts, if it is more than was promised.
+        """
+        self.learn()
+        report = builders.build_plan("report", latency_s=1.0, work_s=0.0)
+        first = self.ask(report, 1.0)
+        assert isinstance(first, links.Transfer)
+        first.note_head()
+        first.hand_over(_SIZE)
+        self.assertEqual(self.link.promised, _SIZE)
+        first.note_unsent(0)
+        first.note_whole(_SIZE)
+        first.end()
+        # The fourth ends just when its second is over.
+        for _ in range(4):
+            self.assertIsInstance(self.ask(report, 1.0), links.Transfer)
+        self.assertEqual(self.link.promised, 4 * _SIZE)
+        self.assertIsInstance(self.ask(report, 1.0), outcomes.NotRun)
+
     def test_bytes_are_given_back_as_they_leave(self) -> None:
         """What a connection has taken is promised until it has left."""
         transfer = self.begin()
--- a/tests/requests/transport/test_transfers.py
+++ b/tests/requests/transport/test_transfers.py
@@ -7,13 +7,19 @@
 import fcntl
 import socket
 import termios
+from typing import Any
 import unittest
+from unittest import mock
 
 from aiohttp import web
 
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import plans
 from merlintrestle.requests.load import links
+from merlintrestle.requests.transport import probes
+from merlintrestle.requests.transport import transfers
 from tests.requests import builders
+from tests.requests import fakes
 
 _DOWNLOADS = 4
 _BODY = bytes(range(256)) * 1024
@@ -23,12 +29,21 @@
 _DOWNLOAD = builders.build_plan("download", latency_s=5.0, deadline_s=60.0)
 
 
+async def _answer_in_chunks(request: web.BaseRequest) -> web.StreamResponse:
+    answer = web.StreamResponse()
+    await answer.prepare(request)
+    await answer.write(_BODY)
+    await answer.write_eof()
+    return answer
+
+
 class TransfersTest(unittest.IsolatedAsyncioTestCase):
     """A daemon beside its backend server, and another that asks it."""
 
     async def asyncSetUp(self) -> None:
         self.all_came = asyncio.Event()
         self.wanted = _DOWNLOADS
+        self.chunked = False
         self.node = await builders.Node(self.answer).start()
         self.addAsyncCleanup(self.node.aclose)
         self.socks: list[socket.socket] = []
@@ -41,6 +56,8 @@
         if len(self.node.served) == self.wanted:
             self.all_came.set()
         await self.all_came.wait()
+        if self.chunked:
+            return await _answer_in_chunks(request)
         return web.Response(body=_BODY)
 
     def close_socks(self) -> None:
@@ -164,3 +181,83 @@
             link = self.node.proxy._link
             while link.promised or link.unsent:
                 await asyncio.sleep(0)
+
+    async def test_answers_without_a_stated_length_wait_too(self) -> None:
+        """Their pieces are handed over as the link takes them.
+
+        Nothing was promised to the first ones of a class. With no promise to
+        wait for, all of them went into the buffers at once.
+        """
+        self.learn_rate()
+        self.chunked = True
+        async with asyncio.timeout(builders.GUARD_S):
+            asked = [
+                await self.ask("/download", True) for _ in range(_DOWNLOADS)
+            ]
+            link = self.node.proxy._link
+            while len(link._waiting) < _DOWNLOADS:
+                await asyncio.sleep(0)
+            self.assertLess(self.count_unsent(), 4 * links.PIECE_BYTES)
+            self.assertGreaterEqual(link.promised, link.unsent)
+        for _, writer in asked:
+            writer.close()
+
+    async def test_size_of_answers_without_a_stated_length(self) -> None:
+        self.chunked = True
+        self.wanted = 1
+        async with asyncio.timeout(builders.GUARD_S):
+            reader, writer = await self.ask("/download")
+            await reader.read()
+            link = self.node.proxy._link
+            (means,) = link._means.values()
+            self.assertEqual(means.size, len(_BODY))
+        writer.close()
+
+
+class SendingTest(unittest.IsolatedAsyncioTestCase):
+    """What is told of one connection; its transport is a stand-in."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = fakes.Clock()
+        self.link = links.Link(self.clock.get_time)
+        self.transfers = transfers.Transfers(self.link)
+        self.addCleanup(self.transfers.close)
+        self.transport = mock.Mock()
+        self.transport.is_closing.return_value = False
+        self.transport.get_extra_info.return_value = None
+        self.request: Any = mock.Mock(transport=self.transport)
+        self.answer: Any = mock.Mock(write=mock.AsyncMock())
+
+    async def send(self, size: int) -> links.Transfer:
+        """Sends an answer of that size, which stays in the write buffer."""
+        now = self.clock.now
+        call = builders.build_call(
+            plan=_DOWNLOAD, due=now + 5.0, deadline=now + 60.0
+        )
+        transfer = self.link.admit(call)
+        assert isinstance(transfer, links.Transfer)
+        transfer.set_size(size)
+        self.transport.get_write_buffer_size.return_value = size
+        nobody: Any = None
+        answered = outcomes.Answered(nobody, bytes(size), [])
+        await self.transfers.send(
+            self.request, self.answer, answered, probes.Progress(), transfer
+        )
+        return transfer
+
+    async def test_next_answer_on_a_connection(self) -> None:
+        """It begins before the look at the last one, which has left whole."""
+        await self.send(20_000)
+        await self.send(32_000)
+        self.transfers._look()
+        self.assertEqual(self.link.unsent, 32_000)
+        self.assertEqual(self.link.promised, 32_000)
+
+    async def test_connection_that_was_aborted(self) -> None:
+        """What it had taken is given back, but did not leave."""
+        with mock.patch.object(self.link, "note_sent") as note_sent:
+            await self.send(200_000)
+            self.transport.is_closing.return_value = True
+            self.transfers._look()
+        note_sent.assert_not_called()
+        self.assertEqual((self.link.promised, self.link.unsent), (0, 0))
