Hand no more at once to a receiver that takes nothing

Cause: found by the scratch test of answers without a stated length. A receiver that takes nothing leaves all the room to others, itself among them: it was handed pieces until the write buffer was full.

Change: it counts as slow, and has no more than a piece on its way. Also tested now that HEAD and errors don't tell the size of a class.

--- a/merlintrestle/requests/load/links.py
+++ b/merlintrestle/requests/load/links.py
@@ -198,6 +198,8 @@
             self._set_left(max(unsent, self.left - sent))
             self._note_pace(now, sent)
         elif self.unsent and now - self._moved_at > _STALLED_S:
+            # It is handed no more either, though it leaves all the room.
+            self.slow = True
             self._set_stalled(True)
 
     def count_ahead(self) -> int:
--- a/tests/requests/load/test_links.py
+++ b/tests/requests/load/test_links.py
@@ -430,6 +430,12 @@
                 break
         await task
         self.assertEqual(self.link.promised, _SIZE)
+        # Nothing more is handed to it at once.
+        more = asyncio.create_task(stuck.take_room())
+        await asyncio.sleep(0)
+        self.assertFalse(more.done())
+        more.cancel()
+        await asyncio.gather(more, return_exceptions=True)
         # It takes something after all, and leaves.
         stuck.note_unsent(_SIZE // 2)
         self.assertEqual(self.link.unsent, _SIZE // 2)
--- a/tests/requests/transport/test_transfers.py
+++ b/tests/requests/transport/test_transfers.py
@@ -44,6 +44,7 @@
         self.all_came = asyncio.Event()
         self.wanted = _DOWNLOADS
         self.chunked = False
+        self.status = 200
         self.node = await builders.Node(self.answer).start()
         self.addAsyncCleanup(self.node.aclose)
         self.socks: list[socket.socket] = []
@@ -58,7 +59,7 @@
         await self.all_came.wait()
         if self.chunked:
             return await _answer_in_chunks(request)
-        return web.Response(body=_BODY)
+        return web.Response(body=_BODY, status=self.status)
 
     def close_socks(self) -> None:
         """Closes the connections of the test."""
@@ -66,13 +67,14 @@
             sock.close()
 
     async def ask(
-        self, path: str, keep: bool = False
+        self, path: str, keep: bool = False, method: str = "GET"
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Asks the daemon as another daemon does; reads little ahead.
 
         Args:
             path: What it asks for.
             keep: The connection stays open after the answer.
+            method: How it asks.
         """
         sock = socket.socket()
         self.socks.append(sock)
@@ -85,7 +87,8 @@
         plan = _CHECK if path == "/check" else _DOWNLOAD
         end = "keep-alive" if keep else "close"
         writer.write(
-            f"GET /kassa{path} HTTP/1.1\r\nHost: a\r\nConnection: {end}\r\n"
+            f"{method} /kassa{path} HTTP/1.1\r\nHost: a\r\n"
+            f"Connection: {end}\r\n"
             f"Merlintrestle-Plan: {plans.encode_plan(plan)}\r\n\r\n".encode()
         )
         return reader, writer
@@ -202,6 +205,20 @@
         for _, writer in asked:
             writer.close()
 
+    async def test_answers_that_do_not_tell_what_a_class_is_like(self) -> None:
+        """An error, and one that states the size of a body it doesn't have."""
+        self.wanted = 1
+        for method, status in (("HEAD", 200), ("GET", 404)):
+            with self.subTest(method=method, status=status):
+                self.status = status
+                async with asyncio.timeout(builders.GUARD_S):
+                    reader, writer = await self.ask("/download", method=method)
+                    await reader.read()
+                link = self.node.proxy._link
+                (means,) = link._means.values()
+                self.assertEqual(means.size, 0)
+                writer.close()
+
     async def test_size_of_answers_without_a_stated_length(self) -> None:
         self.chunked = True
         self.wanted = 1
