Set no limit on acknowledgement while a body is passed on in pieces

Cause: the operating system breaks a connection to the own backend server if what was sent stays unacknowledged for 0.6 s. That counts a closed window, too: an upload to a server that pauses its reading got our 502 and counted as a crash. The comment said that a slow server acknowledges all the same.

Ruled out: keep-alive probes, which are not sent while data is unacknowledged, so a silent kept connection would wait for its deadline; a limit by the size of a held body: the longest one (64 KiB), also with 14 KB of headers, is taken by the buffers of a server that reads nothing.

Change: the limit holds for calls whose body is held. Others go over a new connection, as no limit would show that a kept one is silent, and it is not kept: a server may answer before it has read the body, and the next call would wait behind that. The server is not told to close, as one that closes with a part of a body unread may have its answer lost.

--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -66,9 +66,11 @@
 # peer is silent shows when it is asked about the call.
 _PEER = _Side(dialects.OwnDialect(), 0)
 # Three times the least time after which a lost packet is sent again (200 ms).
-# A call over a connection that has gone silent would wait for its deadline; a
-# backend server that is merely slow acknowledges all the same, as there is no
-# link between: both ends are on one instance.
+# A call over a connection that has gone silent would wait for its deadline. A
+# server that is merely slow acknowledges what its buffers have room for, and
+# there is no link between, as both ends are on one instance. What they have no
+# room for stays unacknowledged for as long as it does not read, so the limit is
+# for calls alone whose body is held, which buffers have room for.
 _UNACKNOWLEDGED_MS = 600
 
 
@@ -118,16 +120,18 @@
 
         A small answer is waited for whole. Work that may not be repeated gets
         a new connection: a pooled one that the other side is closing, or that
-        has gone silent, would leave it unknown whether the work ran.
+        has gone silent, would leave it unknown whether the work ran. So does a
+        body passed on in pieces, for which no limit shows such silence.
 
         Raises:
             bodies.BodyError: The caller's body stopped half-way.
         """
         address = own.address
         sent_headers = dialects.build_backend_headers(dialect, call, own)
-        side = _Side(dialect, _UNACKNOWLEDGED_MS)
+        held = call.body.held is not None
+        side = _Side(dialect, _UNACKNOWLEDGED_MS if held else 0)
         pooled = None
-        if call.plan.repeatable:
+        if call.plan.repeatable and held:
             pooled = self._pool.take(address)
         call.story.add(
             "sent to the backend server",
@@ -330,6 +334,11 @@
         if not keep:
             sent_headers[hdrs.CONNECTION] = "close"
             connection.force_close()
+        elif call.body.held is None:
+            # The server may answer before it has read the body: what is sent
+            # next would wait behind that. It is not told so: one that closes
+            # with a part of a body unread may have its answer lost.
+            connection.force_close()
         watch = watches.Watch(connection, 0.0, call.deadline, None)
         return await self._exchange(
             connection, watch, target, call, sent_headers, side
