Tell of a doubt once, and pass doubts on under one name

Cause: a peer that stays silent is reported at each question, and each time the story of the call said so. The way of a doubt from the watch to the tries went through two closures under two names, and `Sending.run` was long for it.

Change: a try keeps its doubts and a repeated one is told as such: another upstream is still looked for, the story stays as it is. `report` is the one name on the way; `run` is split.

Test: "in doubt" was told 4 times in the story, now once.

--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -214,10 +214,13 @@
     ) -> None:
         """Sends a call as well whose try is in doubt, if that is safe."""
         call = progress.call
-        one, doubt = doubtful
-        call.story.add(
-            "in doubt", upstream=one.upstream.member_id, why=doubt.name.lower()
-        )
+        one, doubt, again = doubtful
+        if not again:
+            call.story.add(
+                "in doubt",
+                upstream=one.upstream.member_id,
+                why=doubt.name.lower(),
+            )
         count = len(self._table.get_upstreams(call.service))
         others = progress.may_try(count)
         if (
--- a/merlintrestle/requests/serving/sending.py
+++ b/merlintrestle/requests/serving/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.calls import doubts
@@ -111,15 +112,28 @@
             call: The call.
             tries: Hears if the try is in doubt.
         """
-        member_id = one.upstream.member_id
         record = _Record(
-            self._picker.observe(member_id), call.plan.work_s, self._get_time
+            self._picker.observe(one.upstream.member_id),
+            call.plan.work_s,
+            self._get_time,
         )
+        report = functools.partial(_report, one, record, tries)
+        outcome = await self._run_recorded(one, call, record, report)
+        call.story.add(
+            "tried",
+            upstream=one.upstream.member_id,
+            took_ms=round((self._get_time() - record.began) * 1000),
+            **stories.describe(outcome),
+        )
+        return outcome
 
-        def report(doubt: doubts.Doubt) -> None:
-            record.note_doubt(doubt)
-            tries.report(one, doubt)
-
+    async def _run_recorded(
+        self,
+        one: tries_.Try,
+        call: calls.Call,
+        record: _Record,
+        report: Callable[[doubts.Doubt], None],
+    ) -> outcomes.Outcome:
         timer = self._limit(call, report)
         try:
             outcome = await self._run(one, call, report)
@@ -130,12 +144,6 @@
             if timer is not None:
                 timer.cancel()
         record.note(outcome)
-        call.story.add(
-            "tried",
-            upstream=member_id,
-            took_ms=round((self._get_time() - record.began) * 1000),
-            **stories.describe(outcome),
-        )
         return outcome
 
     async def _run(
@@ -212,3 +220,11 @@
         if call.suspect:
             sent[headers.SUSPECT] = "1"
         return sent
+
+
+def _report(
+    one: tries_.Try, record: _Record, tries: tries_.Tries, doubt: doubts.Doubt
+) -> None:
+    """Passes on that a try is in doubt."""
+    record.note_doubt(doubt)
+    tries.report(one, doubt)
--- a/merlintrestle/requests/serving/tries.py
+++ b/merlintrestle/requests/serving/tries.py
@@ -14,7 +14,7 @@
     from typing import Any
 
     from merlintrestle.members import table as tables
-    from merlintrestle.requests.calls import doubts
+    from merlintrestle.requests.calls import doubts as doubts_
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -25,12 +25,17 @@
         upstream: Where it is sent.
         anew: True if it goes over a new connection, as the one of an earlier
             try at the same upstream is silent.
-        doubtful: True once its answer may well not come.
+        doubts: Why its answer may well not come, as far as that was found.
     """
 
     upstream: tables.Upstream
     anew: bool = False
-    doubtful: bool = False
+    doubts: set[doubts_.Doubt] = dataclasses.field(default_factory=set)
+
+    @property
+    def doubtful(self) -> bool:
+        """True once its answer may well not come."""
+        return bool(self.doubts)
 
 
 class Ended(NamedTuple):
@@ -51,10 +56,12 @@
     Attributes:
         one: The try.
         doubt: Why.
+        again: True if it was in doubt for that before.
     """
 
     one: Try
-    doubt: doubts.Doubt
+    doubt: doubts_.Doubt
+    again: bool
 
 
 class Tries:
@@ -85,10 +92,10 @@
         self._running[task] = one
         task.add_done_callback(self._note_end)
 
-    def report(self, one: Try, doubt: doubts.Doubt) -> None:
+    def report(self, one: Try, doubt: doubts_.Doubt) -> None:
         """Takes in that a try is in doubt."""
-        one.doubtful = True
-        self._doubtful.append(Doubtful(one, doubt))
+        self._doubtful.append(Doubtful(one, doubt, doubt in one.doubts))
+        one.doubts.add(doubt)
         self._wake()
 
     async def wait(self) -> Ended | Doubtful:
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -297,13 +297,6 @@
             connection = await self._open(address, call.deadline, _PEER)
             if isinstance(connection, outcomes.NotRun):
                 return connection
-
-        def tell(doubt: doubts.Doubt) -> None:
-            if doubt.of_connection:
-                events.note("connection silent", address=address)
-                self._pool.drop(address)
-            report(doubt)
-
         look = functools.partial(
             watches.ask_peer,
             self._probes,
@@ -311,13 +304,25 @@
             sent_headers[headers.CALL],
             call.plan.work_s,
             self._pool.has_heard,
-            tell,
+            functools.partial(self._report, address, report),
         )
         watch = watches.Watch(connection, call.plan.work_s, call.deadline, look)
         return await self._exchange(
             connection, watch, target, call, sent_headers
         )
 
+    def _report(
+        self,
+        address: str,
+        report: Callable[[doubts.Doubt], None],
+        doubt: doubts.Doubt,
+    ) -> None:
+        """Passes on a doubt; idle connections as old may be silent as well."""
+        if doubt.of_connection:
+            events.note("connection silent", address=address)
+            self._pool.drop(address)
+        report(doubt)
+
     async def _send_anew(
         self,
         address: str,
--- a/tests/requests/serving/test_doubt.py
+++ b/tests/requests/serving/test_doubt.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from merlintrestle.requests.reports import stories
 from merlintrestle.requests.serving import dispatch
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
@@ -91,6 +92,26 @@
             self.assertEqual(await answer.read(), b"whole")
             self.assertEqual(len(nodes[1].served), 1)
 
+    async def test_story_tells_of_a_silent_peer_once(self) -> None:
+        """Whoever reads the story of a slow call sees what was decided.
+
+        Question after question goes without an answer. Told of each time, the
+        one doubt would hide the rest.
+        """
+        async with relays.connect(self.wait) as (nodes, _, client):
+            with mock.patch.object(
+                stories.Story,
+                "add",
+                autospec=True,
+                side_effect=stories.Story.add,
+            ) as add:
+                call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+                await self.wait_for_questions(4)
+                self.go_on.set()
+                self.assertEqual((await call).status, 200)
+        told = [one.args[1] for one in add.call_args_list]
+        self.assertEqual(told.count("in doubt"), 1)
+
     async def test_second_answer_wins_and_the_first_try_is_cancelled(
         self,
     ) -> None:
