--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -22,6 +22,7 @@
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import admission
     from merlintrestle.requests.load import links
+    from merlintrestle.requests.load import promises
     from merlintrestle.requests.serving import beside as besides
     from merlintrestle.requests.serving import standing as standings
 
@@ -131,7 +132,7 @@
         return response
 
     async def _run(
-        self, call: calls.Call, transfer: links.Transfer, method: str
+        self, call: calls.Call, transfer: promises.Transfer, method: str
     ) -> outcomes.Outcome:
         """Runs a call; what it holds comes free once its answer is read.
 
@@ -158,7 +159,7 @@
 
 
 def _note_answer(
-    answered: outcomes.Answered, transfer: links.Transfer, method: str
+    answered: outcomes.Answered, transfer: promises.Transfer, method: str
 ) -> None:
     """Tells a transfer what is known of its answer once that begins.
 
--- a/merlintrestle/requests/transport/transfers.py
+++ b/merlintrestle/requests/transport/transfers.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.load import links
+from merlintrestle.requests.load import promises
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -49,7 +50,7 @@
         answer: web.StreamResponse,
         answered: outcomes.Answered,
         progress: probes.Progress,
-        transfer: links.Transfer,
+        transfer: promises.Transfer,
     ) -> None:
         """Sends a body in pieces, each as soon as the link has room for it.
 
@@ -73,8 +74,8 @@
         began_at = progress.written
         try:
             while piece := await _read(answered):
-                for start in range(0, len(piece), links.PIECE_BYTES):
-                    part = piece[start : start + links.PIECE_BYTES]
+                for start in range(0, len(piece), promises.PIECE_BYTES):
+                    part = piece[start : start + promises.PIECE_BYTES]
                     await transfer.take_room()
                     progress.written += len(part)
                     transfer.hand_over(len(part))
@@ -129,7 +130,7 @@
     """
 
     transport: asyncio.Transport
-    transfer: links.Transfer
+    transfer: promises.Transfer
     written: bool = False
 
     def look(self) -> None:
--- a/tests/requests/load/test_links.py
+++ b/tests/requests/load/test_links.py
@@ -8,6 +8,7 @@
 
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import links
+from merlintrestle.requests.load import promises
 from merlintrestle.requests.load import rates
 from tests.requests import builders
 from tests.requests import fakes
@@ -68,7 +69,7 @@
 
     def ask(
         self, plan: snapshot.ClassPlan, due_s: float, limit_s: float = 3.0
-    ) -> links.Transfer | outcomes.NotRun:
+    ) -> promises.Transfer | outcomes.NotRun:
         """Asks for a call whose target is over in `due_s`."""
         now = self.clock.now
         call = builders.build_call(
@@ -76,15 +77,15 @@
         )
         return self.link.admit(call)
 
-    def begin(self, size: int = _SIZE, due_s: float = 1.0) -> links.Transfer:
+    def begin(self, size: int = _SIZE, due_s: float = 1.0) -> promises.Transfer:
         """Has a download admitted whose size is known."""
         transfer = self.ask(_DOWNLOAD, due_s)
-        assert isinstance(transfer, links.Transfer)
+        assert isinstance(transfer, promises.Transfer)
         transfer.set_size(size)
         return transfer
 
     def drain(
-        self, running: list[links.Transfer], length_s: float, rate: float
+        self, running: list[promises.Transfer], length_s: float, rate: float
     ) -> None:
         """Has what was handed over leave in equal parts, with looks at it."""
         self.link.note_look()
@@ -129,7 +130,7 @@
         for _ in range(3):
             self.begin()
         check = self.ask(_CHECK, 0.3)
-        assert isinstance(check, links.Transfer)
+        assert isinstance(check, promises.Transfer)
         check.set_size(1000)
         self.assertEqual(self.link.promised, 3 * _SIZE)
 
@@ -141,7 +142,7 @@
         self.learn()
         self.begin()
         late = self.ask(_DOWNLOAD, -0.5, 1.0)
-        assert isinstance(late, links.Transfer)
+        assert isinstance(late, promises.Transfer)
         late.end()
         self.begin()
         self.begin()
@@ -158,7 +159,7 @@
         payout = builders.build_plan("payout", repeatable=False, latency_s=1.0)
         for _ in range(10):
             transfer = self.ask(payout, 1.0)
-            assert isinstance(transfer, links.Transfer)
+            assert isinstance(transfer, promises.Transfer)
             transfer.set_size(_SIZE)
 
     def test_idle_link_takes_any_call(self) -> None:
@@ -166,21 +167,21 @@
         self.learn()
         self.begin(100 * _SIZE).end()
         first = self.ask(_DOWNLOAD, 0.01)
-        assert isinstance(first, links.Transfer)
+        assert isinstance(first, promises.Transfer)
         first.end()
         self.assertEqual(self.link.promised, 0)
 
     def test_long_transfers_have_no_target_to_miss(self) -> None:
         self.learn()
         first = self.ask(_ARCHIVE, 1.0, 60.0)
-        assert isinstance(first, links.Transfer)
+        assert isinstance(first, promises.Transfer)
         first.set_size(8 * _SIZE)
-        self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 60.0), links.Transfer)
+        self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 60.0), promises.Transfer)
         # It takes 2 s, and goes before those that have a minute.
-        self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 3.0), links.Transfer)
+        self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 3.0), promises.Transfer)
         # It would end after 4 s.
         self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 3.0), outcomes.NotRun)
-        self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 5.0), links.Transfer)
+        self.assertIsInstance(self.ask(_ARCHIVE, 1.0, 5.0), promises.Transfer)
 
     def test_large_transfer_does_not_shut_the_link(self) -> None:
         """Downloads come in time beside an archive that takes 20 s.
@@ -191,7 +192,7 @@
         """
         self.learn()
         archive = self.ask(_ARCHIVE, 1.0, 60.0)
-        assert isinstance(archive, links.Transfer)
+        assert isinstance(archive, promises.Transfer)
         archive.set_size(80 * _SIZE)
         archive.hand_over(_SIZE // 4)
         for _ in range(3):
@@ -212,7 +213,7 @@
         self.learn()
         self.begin(80 * _SIZE, due_s=0.9)
         self.begin()
-        self.assertIsInstance(self.ask(_CHECK, 0.3), links.Transfer)
+        self.assertIsInstance(self.ask(_CHECK, 0.3), promises.Transfer)
         self.assertLess(self.link.get_backlog_s(), 1.0)
 
     def test_errors_do_not_tell_what_a_class_is_like(self) -> None:
@@ -220,7 +221,7 @@
         self.learn()
         for _ in range(40):
             failed = self.ask(_DOWNLOAD, 1.0)
-            assert isinstance(failed, links.Transfer)
+            assert isinstance(failed, promises.Transfer)
             failed.set_size(200, typical=False)
             failed.note_whole(200)
             failed.end()
@@ -236,7 +237,7 @@
         self.learn()
         report = builders.build_plan("report", latency_s=1.0, work_s=0.0)
         first = self.ask(report, 1.0)
-        assert isinstance(first, links.Transfer)
+        assert isinstance(first, promises.Transfer)
         first.note_head()
         first.hand_over(_SIZE)
         self.assertEqual(self.link.promised, _SIZE)
@@ -245,7 +246,7 @@
         first.end()
         # The fourth ends just when its second is over.
         for _ in range(4):
-            self.assertIsInstance(self.ask(report, 1.0), links.Transfer)
+            self.assertIsInstance(self.ask(report, 1.0), promises.Transfer)
         self.assertEqual(self.link.promised, 4 * _SIZE)
         self.assertIsInstance(self.ask(report, 1.0), outcomes.NotRun)
 
@@ -267,7 +268,7 @@
         running.hand_over(_SIZE)
         turns: list[str] = []
 
-        async def send(name: str, transfer: links.Transfer) -> None:
+        async def send(name: str, transfer: promises.Transfer) -> None:
             await transfer.take_room()
             turns.append(name)
 
@@ -290,7 +291,7 @@
         running.hand_over(_SIZE)
         turns: list[str] = []
 
-        async def send(name: str, transfer: links.Transfer) -> None:
+        async def send(name: str, transfer: promises.Transfer) -> None:
             await transfer.take_room()
             turns.append(name)
 
@@ -342,7 +343,7 @@
         """
         self.learn()
         slow = self.ask(_ARCHIVE, 1.0, 3600.0)
-        assert isinstance(slow, links.Transfer)
+        assert isinstance(slow, promises.Transfer)
         slow.set_size(50 * _SIZE)
         slow.hand_over(2 * _SIZE)
         self.drain([slow], 12.0, 6400)
@@ -380,7 +381,7 @@
         slow = self.begin(5 * _SIZE, due_s=2.0)
         while slow.unsent < _RATE // 10:
             await slow.take_room()
-            slow.hand_over(links.PIECE_BYTES)
+            slow.hand_over(promises.PIECE_BYTES)
         waiting = asyncio.create_task(slow.take_room())
         quick = asyncio.create_task(self.begin(due_s=2.5).take_room())
         await asyncio.sleep(0)
--- a/tests/requests/load/thinlinks.py
+++ b/tests/requests/load/thinlinks.py
@@ -14,6 +14,7 @@
 
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import links
+from merlintrestle.requests.load import promises
 from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import transfers
 from tests.requests import builders
@@ -169,15 +170,15 @@
         self._note(call, self._loop.time() - began)
 
     async def _send(
-        self, connection: Connection, size: int, transfer: links.Transfer
+        self, connection: Connection, size: int, transfer: promises.Transfer
     ) -> None:
         if not self._decides:
-            piece = links.PIECE_BYTES
+            piece = promises.PIECE_BYTES
             for start in range(0, size, piece):
                 await connection.write(bytes(min(size - start, piece)))
             return
         transfer.set_size(size)
-        if size <= links.PIECE_BYTES:
+        if size <= promises.PIECE_BYTES:
             await connection.write(bytes(size))
             transfer.end()
             return
--- a/tests/requests/transport/test_transfers.py
+++ b/tests/requests/transport/test_transfers.py
@@ -16,6 +16,7 @@
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import plans
 from merlintrestle.requests.load import links
+from merlintrestle.requests.load import promises
 from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import transfers
 from tests.requests import builders
@@ -132,7 +133,7 @@
             reader, writer = await self.ask("/check")
             self.assertTrue((await reader.read()).endswith(b"well"))
             writer.close()
-            self.assertLess(self.count_unsent(), 4 * links.PIECE_BYTES)
+            self.assertLess(self.count_unsent(), 4 * promises.PIECE_BYTES)
         for _, writer in asked:
             writer.close()
 
@@ -200,7 +201,7 @@
             link = self.node.proxy._link
             while len(link._waiting) < _DOWNLOADS:
                 await asyncio.sleep(0)
-            self.assertLess(self.count_unsent(), 4 * links.PIECE_BYTES)
+            self.assertLess(self.count_unsent(), 4 * promises.PIECE_BYTES)
             self.assertGreaterEqual(link.promised, link.unsent)
         for _, writer in asked:
             writer.close()
@@ -245,14 +246,14 @@
         self.request: Any = mock.Mock(transport=self.transport)
         self.answer: Any = mock.Mock(write=mock.AsyncMock())
 
-    async def send(self, size: int) -> links.Transfer:
+    async def send(self, size: int) -> promises.Transfer:
         """Sends an answer of that size, which stays in the write buffer."""
         now = self.clock.now
         call = builders.build_call(
             plan=_DOWNLOAD, due=now + 5.0, deadline=now + 60.0
         )
         transfer = self.link.admit(call)
-        assert isinstance(transfer, links.Transfer)
+        assert isinstance(transfer, promises.Transfer)
         transfer.set_size(size)
         self.transport.get_write_buffer_size.return_value = size
         nobody: Any = None
