Tell a witness that refuted from one that was restarted

Cause, the last part of a fleet that does not open on a busy machine: a mark counted for one incarnation of its witness, and a witness that was only late raises its incarnation to refute that it is dead. Each refutation voided the marks with it, which were lost faster than made.

Change: the record names the process by the incarnation with which it started; daemons of an earlier release, which do not, are told by their incarnation.

The platform's daemons keep no marks: there nothing changes but the record's length.

--- a/merlintrestle/members/table.py
+++ b/merlintrestle/members/table.py
@@ -88,6 +88,7 @@
         first = control_pb2.Member()
         first.CopyFrom(own)
         first.incarnation = own.incarnation or time.time_ns() // 1_000_000
+        first.process = own.process or first.incarnation
         first.state = control_pb2.ALIVE
         self._put(first)
 
--- a/merlintrestle/versions/marks.py
+++ b/merlintrestle/versions/marks.py
@@ -186,9 +186,17 @@
         return self._marked.get(self._get_process(witness), 0) >= version
 
     def _get_process(self, witness: str) -> tuple[str, int]:
-        """Names a witness and its incarnation: a restarted one forgot."""
+        """Names a witness and its process: a restarted one forgot.
+
+        Its incarnation does not tell: it also rises when a witness that was
+        only late refutes that it is dead. Counted as a restart, that voided
+        marks faster than a busy fleet could make them, and no daemon opened.
+        One of an earlier release tells no more than its incarnation.
+        """
         member = self._table.get(witness)
-        return witness, member.incarnation if member is not None else 0
+        if member is None:
+            return witness, 0
+        return witness, member.process or member.incarnation
 
     def _start_sending(self, witness: str, version: int) -> asyncio.Task[bool]:
         running = self._sending.get(witness)
--- a/tests/versions/test_never_back.py
+++ b/tests/versions/test_never_back.py
@@ -293,6 +293,27 @@
         ]
         self.assertGreaterEqual(held.count(3), marks.QUORUM)
 
+    async def test_witness_that_was_only_late_keeps_its_mark(self) -> None:
+        """A busy daemon opens, though its witnesses are held for dead at times.
+
+        Each refutes that with a higher incarnation, which everybody passes on.
+        Counted as a restart, it voids a mark that is there. On a busy machine
+        marks were lost so faster than they were made: all eight daemons of a
+        fleet held the version, and three lacked two marks for good.
+        """
+        fleet = await self.build_running(4, 1)
+        model = fleet.models[1]
+        for number in (2, 3, 4):
+            late = fleet.models[number].table
+            told = control_pb2.Member()
+            told.CopyFrom(late.own)
+            told.state = control_pb2.DEAD
+            late.merge(told)
+            self.assertTrue(model.table.merge(late.own))
+        fleet.network.calls.clear()
+        await fleet.step(1)
+        self.assertEqual(fleet.network.calls, [])
+
     async def test_frozen_watcher_is_harmless(self) -> None:
         """A watcher is frozen with an old head in hand, then thawed.
 
