Run the first try of a call in the call's own task

Cause: each call made a task for its one try, and two more turns of the event loop to end it: one of the layers on the way of a call.

Ruled out: eager tasks (Python 3.12 alone); moving a running coroutine into a task once it is in doubt (asyncio cannot). The first try is interrupted as asyncio.timeout does it.

--- a/merlintrestle/requests/calls/outcomes.py
+++ b/merlintrestle/requests/calls/outcomes.py
@@ -136,7 +136,7 @@
 NAMES: dict[type, str] = {NotRun: "refused", Ran: "failed", Unknown: "unknown"}
 
 
-def drop(task: asyncio.Task[Outcome]) -> None:
+def drop(task: asyncio.Future[Outcome]) -> None:
     """Frees what the answer of a send that has ended unneeded holds."""
     if task.cancelled() or task.exception() is not None:
         return
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import functools
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.calls import outcomes
@@ -161,8 +162,16 @@
             tries.close()
 
     async def _run(self, progress: _Progress) -> outcomes.Outcome:
-        if not self._try_another(progress):
+        first = self._choose(progress)
+        if first is None:
             return self._refuse(progress.call)
+        tries = progress.tries
+        send = self._sending.run(first, progress.call, tries)
+        oversee = functools.partial(self._oversee, progress)
+        return await tries.run(first, send, oversee)
+
+    async def _oversee(self, progress: _Progress) -> outcomes.Outcome:
+        """Decides by what its tries come to until the call has its outcome."""
         while True:
             news = await progress.tries.wait()
             if isinstance(news, tries_.Doubtful):
@@ -247,13 +256,20 @@
 
     def _try_another(self, progress: _Progress) -> bool:
         """Sends a call to an upstream not tried yet; False: there is none."""
+        one = self._choose(progress)
+        if one is not None:
+            self._start(one, progress)
+        return one is not None
+
+    def _choose(self, progress: _Progress) -> tries_.Try | None:
+        """Returns a try at an upstream not tried yet; None: there is none."""
         call = progress.call
         upstreams = self._table.get_upstreams(call.service)
         upstream = self._picker.pick(
             call.service, upstreams, progress.tried, call.plan.repeatable
         )
         if upstream is None:
-            return False
+            return None
         if progress.tried:
             left = round(progress.budget.left, 1)
             call.story.add("sent again", budget=left)
@@ -261,8 +277,7 @@
         call.story.add(
             "picked", **self._picker.describe(upstream, len(upstreams))
         )
-        self._start(tries_.Try(upstream), progress)
-        return True
+        return tries_.Try(upstream)
 
     def _start(self, one: tries_.Try, progress: _Progress) -> None:
         tries = progress.tries
--- a/merlintrestle/requests/serving/tries.py
+++ b/merlintrestle/requests/serving/tries.py
@@ -10,7 +10,7 @@
 from merlintrestle.requests.calls import outcomes
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
     from typing import Any
 
     from merlintrestle.members import table as tables
@@ -65,14 +65,22 @@
 
 
 class Tries:
-    """Runs the tries of a call side by side until one of them counts."""
+    """Runs the tries of a call side by side until one of them counts.
+
+    Most calls need one try alone, so the first one runs in the task of the
+    call itself: a task of its own would cost every call two more turns of the
+    event loop. What decides about further tries runs beside it once the first
+    one is in doubt, and ends it when it has an outcome.
+    """
 
     def __init__(self) -> None:
-        self._running: dict[asyncio.Task[outcomes.Outcome], Try] = {}
-        self._ended: collections.deque[asyncio.Task[outcomes.Outcome]]
+        self._running: dict[asyncio.Future[outcomes.Outcome], Try] = {}
+        self._ended: collections.deque[asyncio.Future[outcomes.Outcome]]
         self._ended = collections.deque()
         self._doubtful: collections.deque[Doubtful] = collections.deque()
         self._news: asyncio.Future[None] | None = None
+        self._first: _First | None = None
+        self._overseer: asyncio.Task[outcomes.Outcome] | None = None
 
     @property
     def count(self) -> int:
@@ -84,10 +92,40 @@
         """True if each try that runs is in doubt."""
         return all(one.doubtful for one in self._running.values())
 
+    async def run(
+        self,
+        one: Try,
+        send: Coroutine[Any, Any, outcomes.Outcome],
+        oversee: Callable[[], Coroutine[Any, Any, outcomes.Outcome]],
+    ) -> outcomes.Outcome:
+        """Runs the first try, and then others as far as they are needed.
+
+        Args:
+            one: The first try.
+            send: What sends the call there.
+            oversee: Decides about the others by `wait`; what it returns is the
+                outcome of the call.
+
+        Raises:
+            bodies.BodyError: The caller's body stopped half-way.
+        """
+        first = self._first = _First(oversee)
+        self._running[first.ended] = one
+        try:
+            first.ended.set_result(await send)
+        except asyncio.CancelledError:
+            if self._overseer is None or not first.was_interrupted():
+                raise
+            return await self._overseer
+        finally:
+            self._first = None
+        self._note_end(first.ended)
+        return await (self._overseer or oversee())
+
     def start(
         self, one: Try, send: Coroutine[Any, Any, outcomes.Outcome]
     ) -> None:
-        """Begins a try."""
+        """Begins a further try."""
         task = asyncio.create_task(send)
         self._running[task] = one
         task.add_done_callback(self._note_end)
@@ -96,6 +134,9 @@
         """Takes in that a try is in doubt."""
         self._doubtful.append(Doubtful(one, doubt, doubt in one.doubts))
         one.doubts.add(doubt)
+        if self._first is not None and self._overseer is None:
+            self._overseer = asyncio.create_task(self._first.oversee())
+            self._overseer.add_done_callback(self._end_first)
         self._wake()
 
     async def wait(self) -> Ended | Doubtful:
@@ -106,8 +147,8 @@
         """
         while True:
             if self._ended:
-                task = self._ended.popleft()
-                return Ended(self._running.pop(task), task.result())
+                ended = self._ended.popleft()
+                return Ended(self._running.pop(ended), ended.result())
             if self._doubtful:
                 doubtful = self._doubtful.popleft()
                 if doubtful.one in self._running.values():
@@ -122,16 +163,58 @@
         Left running, they would be work for a caller that has its answer or
         has left.
         """
-        for task in self._running:
-            task.remove_done_callback(self._note_end)
-            task.add_done_callback(outcomes.drop)
-            task.cancel()
+        if self._overseer is not None:
+            self._overseer.add_done_callback(outcomes.drop)
+            self._overseer.cancel()
+        for one in self._running:
+            one.remove_done_callback(self._note_end)
+            one.add_done_callback(outcomes.drop)
+            one.cancel()
         self._running.clear()
 
-    def _note_end(self, task: asyncio.Task[outcomes.Outcome]) -> None:
-        self._ended.append(task)
+    def _note_end(self, ended: asyncio.Future[outcomes.Outcome]) -> None:
+        self._ended.append(ended)
         self._wake()
 
+    def _end_first(self, overseer: asyncio.Task[outcomes.Outcome]) -> None:
+        del overseer
+        if self._first is not None:
+            self._first.interrupt()
+
     def _wake(self) -> None:
         if self._news is not None and not self._news.done():
             self._news.set_result(None)
+
+
+class _First:
+    """The first try of a call while the task of the call awaits it.
+
+    Attributes:
+        ended: Its outcome, once there is one.
+        oversee: Decides about further tries.
+    """
+
+    __slots__ = ("_cancelling", "_interrupted", "_task", "ended", "oversee")
+
+    def __init__(
+        self, oversee: Callable[[], Coroutine[Any, Any, outcomes.Outcome]]
+    ):
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        self.ended: asyncio.Future[outcomes.Outcome] = loop.create_future()
+        self.oversee = oversee
+        self._task = task
+        self._cancelling = task.cancelling()
+        self._interrupted = False
+
+    def interrupt(self) -> None:
+        """Ends the wait for it, as the call has its outcome."""
+        self._interrupted = True
+        self._task.cancel()
+
+    def was_interrupted(self) -> bool:
+        """Takes the interruption back; False if the caller left as well."""
+        if not self._interrupted:
+            return False
+        return self._task.uncancel() <= self._cancelling
