Ask for a free slot where the load of upstreams is not known

Cause: a daemon knows the load of an upstream by the answers of its own calls. On the large site some 1,500 calls a second go from 210 daemons to 93 backend servers, one call in 13 s for each pair, and a load counts for one second: the better of two drawn is one of two at random, and calls wait at full backend servers beside idle ones.

Change: such a call is refused unless a slot is free, goes to four upstreams at most, then waits where that takes the shortest. After two tries in the own availability zone all are as good.

The play that the test keeps: in time 0.950 -> 0.993, refused 0.016 -> 0.

--- a/merlintrestle/requests/calls/call.py
+++ b/merlintrestle/requests/calls/call.py
@@ -37,6 +37,7 @@
         key: Idempotency-Key; empty: none.
         suspect: True if it broke a connection before and may be what crashed
             the backend server.
+        may_wait: True if it may wait for a slot of the backend server.
         admitted_at: When it took its slot of the backend server, in seconds.
         request_id: Id that the caller gave it; empty: none.
         origin: Service of the instance at which it began; empty: not known.
@@ -56,6 +57,7 @@
     depth: int
     attempt: int
     key: str
+    may_wait: bool = True
     admitted_at: float = 0.0
     suspect: bool = False
     request_id: str = ""
--- a/merlintrestle/requests/calls/intake.py
+++ b/merlintrestle/requests/calls/intake.py
@@ -129,6 +129,7 @@
         depth=asked.depth,
         attempt=asked.attempt,
         key=request.headers.get(headers.KEY, ""),
+        may_wait=not (from_peer and headers.NO_WAIT in request.headers),
         suspect=from_peer and headers.SUSPECT in request.headers,
         request_id=asked.request_id,
         origin=asked.origin,
--- a/merlintrestle/requests/calls/outcomes.py
+++ b/merlintrestle/requests/calls/outcomes.py
@@ -69,6 +69,8 @@
         overloaded: True if it was refused for lack of capacity.
         unreachable: True if no connection could be made.
         reached: True if it was the backend server that refused it.
+        unqueued: True if it was refused as it was not to wait for a slot; the
+            wait would have lasted for `retry_after_s`.
     """
 
     reason: str
@@ -78,6 +80,7 @@
     overloaded: bool = False
     unreachable: bool = False
     reached: bool = False
+    unqueued: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,14 +197,12 @@
     fields["status"] = response.status
     name = response.headers[headers.OUTCOME]
     if name == "not-run":
-        elsewhere = bool(stated.get("elsewhere"))
-        overloaded = bool(stated.get("overloaded"))
-        reached = bool(stated.get("reached"))
         return NotRun(
             **fields,
-            elsewhere=elsewhere,
-            overloaded=overloaded,
-            reached=reached,
+            elsewhere=bool(stated.get("elsewhere")),
+            overloaded=bool(stated.get("overloaded")),
+            reached=bool(stated.get("reached")),
+            unqueued=bool(stated.get("unqueued")),
         )
     broken = bool(stated.get("broken"))
     if name == "ran":
--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import bisect
+import dataclasses
 import time
 from typing import TYPE_CHECKING
 
@@ -98,6 +99,8 @@
         # Calls of other classes may wait: those that had room were woken.
         if not queue.waiting and self._has_room(queue):
             self._take(queue)
+        elif not call.may_wait and self._slots:
+            return self._refuse_unqueued(queue, call)
         else:
             began = self._get_time()
             waiting = self._waiting
@@ -194,6 +197,21 @@
         expected_s = self._estimate_wait(queue, waiter)
         return self._refuse_full(queue, waiter, expected_s, loop.time())
 
+    def _refuse_unqueued(
+        self, queue: queues.ClassQueue, call: calls.Call
+    ) -> outcomes.NotRun:
+        """Tells a call that is not to wait how long it would have waited."""
+        loop = asyncio.get_running_loop()
+        waiter = queues.Waiter(
+            queue.is_late(call.due - loop.time()),
+            call.due,
+            loop.create_future(),
+        )
+        refusal = _refuse(
+            "no free slot just now", self._estimate_wait(queue, waiter)
+        )
+        return dataclasses.replace(refusal, unqueued=True)
+
     def _limit_wait(
         self,
         queue: queues.ClassQueue,
--- a/merlintrestle/requests/load/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -107,10 +107,14 @@
         self.load_at = now
         self.sent_at_load = self.in_flight
 
+    def knows_load(self, now: float) -> bool:
+        """Returns whether its load was reported lately."""
+        return self.load is not None and now - self.load_at <= LOAD_AGE_S
+
     def estimate_calls(self, now: float) -> int:
         """Returns the calls that the upstream has, those of others too."""
         load = self.load
-        if load is None or now - self.load_at > LOAD_AGE_S:
+        if load is None or not self.knows_load(now):
             return self.in_flight
         others = max(0, load.calls - self.sent_at_load)
         return others + self.in_flight
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -19,6 +19,9 @@
 # The own backend server comes first while so many calls end well there; a hop
 # to another daemon costs a millisecond or two, a failure the call.
 _SOUND = 0.8
+# Tries in the own availability zone before the others are as good: one zone may
+# have far more to do than the rest.
+_NEAR_TRIES = 2
 # Pairs drawn at random before all upstreams are looked through.
 _DRAWS = 3
 
@@ -134,7 +137,8 @@
             due = self._find_probe(pool, tried, now)
             if due is not None:
                 return due
-        for among in (pool.near, pool.upstreams):
+        near = pool.near if len(tried) < _NEAR_TRIES else ()
+        for among in (near, pool.upstreams):
             picked = self._draw(among, tried, now)
             if picked is not None:
                 return picked
--- /dev/null
+++ b/merlintrestle/requests/load/polls.py
@@ -0,0 +1,56 @@
+"""Polls: upstreams asked for a free slot before a call waits at one of them.
+
+In a small fleet every answer tells of the load at its upstream, and the next
+call is placed by that. In a large one a daemon sends each upstream a call now
+and then, and knows nothing of most. Left to chance, calls wait at some while
+others have free slots: where 7 in 10 slots are taken, nearly every second
+backend server of four slots is full.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from merlintrestle.members import table as tables
+    from merlintrestle.requests.load import observations
+
+# Upstreams that are asked for one call. Where every second is full, one of four
+# has a free slot for 15 of 16 calls; each more is a hop that most calls that
+# need it make in vain.
+_MOST = 4
+
+
+class Polls:
+    """The upstreams that one call has asked."""
+
+    __slots__ = ("_expected_s",)
+
+    def __init__(self) -> None:
+        self._expected_s: list[tuple[float, tables.Upstream]] = []
+
+    def may_wait(
+        self, seen: observations.Observation, count: int, now: float
+    ) -> bool:
+        """Returns whether a call is to wait if an upstream is full.
+
+        Args:
+            seen: What is known of the upstream.
+            count: Upstreams of the service.
+            now: Time of the event loop, in seconds.
+        """
+        return count == 1 or seen.knows_load(now)
+
+    def note(self, upstream: tables.Upstream, expected_s: float) -> None:
+        """Notes that an upstream is full, and how long a call would wait."""
+        self._expected_s.append((expected_s, upstream))
+
+    def is_over(self, count: int) -> bool:
+        """Returns whether enough of `count` upstreams were asked."""
+        return len(self._expected_s) >= min(_MOST, count)
+
+    def take_best(self) -> tables.Upstream:
+        """Returns where the call would wait the shortest; forgets all."""
+        _, best = min(self._expected_s, key=lambda asked: asked[0])
+        self._expected_s.clear()
+        return best
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -14,6 +14,7 @@
 
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import joining
+from merlintrestle.requests.load import polls as polls_
 from merlintrestle.requests.load import retries
 from merlintrestle.requests.serving import sending
 from merlintrestle.requests.serving import tries as tries_
@@ -48,6 +49,7 @@
         reached: Backend servers that were sent it by tries that have ended.
         refusals: Upstreams that had no room for it.
         outcome: What is true of it so far; None: no try has ended.
+        polls: Upstreams that it has asked for a free slot.
     """
 
     call: calls.Call
@@ -57,6 +59,7 @@
     reached: int = 0
     refusals: int = 0
     outcome: outcomes.Outcome | None = None
+    polls: polls_.Polls = dataclasses.field(default_factory=polls_.Polls)
 
     def note(self, latest: outcomes.Outcome) -> None:
         """Takes in what became of a try."""
@@ -69,9 +72,12 @@
 
         A try that runs may have reached a backend server already.
         """
+        return len(self.tried) < min(_MAX_TRIES, count) and self.may_go_on()
+
+    def may_go_on(self) -> bool:
+        """Returns whether the call may be sent once more, wherever that is."""
         return (
-            len(self.tried) < min(_MAX_TRIES, count)
-            and self.refusals < _MAX_REFUSALS
+            self.refusals < _MAX_REFUSALS
             and self._may_run_again()
             and self.tries.in_doubt
             and self._has_time()
@@ -139,6 +145,7 @@
         """Sets the parts; `member_id` gives the id of this daemon."""
         self._table = table
         self._picker = picker
+        self._get_time = get_time
         self._budgets = budgets
         self._sending = sending.Sending(
             member_id, table, picker, beside, forwarder, get_time
@@ -177,15 +184,20 @@
             if isinstance(news, tries_.Doubtful):
                 self._answer_doubt(news, progress)
                 continue
-            outcome = self._answer_end(news.outcome, progress)
+            outcome = self._answer_end(news, progress)
             if outcome is not None:
                 return outcome
 
     def _answer_end(
-        self, latest: outcomes.Outcome, progress: _Progress
+        self, ended: tries_.Ended, progress: _Progress
     ) -> outcomes.Outcome | None:
         """Returns what the caller gets; None: another try may yet count."""
+        latest = ended.outcome
         progress.note(latest)
+        if isinstance(latest, outcomes.NotRun) and latest.unqueued:
+            progress.polls.note(ended.one.upstream, latest.retry_after_s or 0.0)
+            if self._poll_on(progress):
+                return None
         if _counts(latest):
             return latest
         if self._retry(latest, progress):
@@ -218,6 +230,29 @@
         progress.discard()
         return self._try_another(progress)
 
+    def _poll_on(self, progress: _Progress) -> bool:
+        """Asks one more upstream for a free slot, or has the call wait.
+
+        All that were asked count as one that refused: the call waits where
+        that takes the shortest, and if it is refused there, others that are
+        as good as these would do so too.
+        """
+        call = progress.call
+        if not progress.may_go_on() or not call.body.repeatable:
+            return False
+        count = len(self._table.get_upstreams(call.service))
+        if (
+            not progress.polls.is_over(count)
+            and progress.may_try(count)
+            and self._try_another(progress)
+        ):
+            return True
+        progress.refusals += 1
+        best = progress.polls.take_best()
+        call.story.add("all full", waits_at=best.member_id)
+        self._start(tries_.Try(best), progress)
+        return True
+
     def _answer_doubt(
         self, doubtful: tries_.Doubtful, progress: _Progress
     ) -> None:
@@ -277,7 +312,13 @@
         call.story.add(
             "picked", **self._picker.describe(upstream, len(upstreams))
         )
-        return tries_.Try(upstream)
+        # A body that is passed on in pieces cannot be offered to others.
+        may_wait = call.body.held is None or progress.polls.may_wait(
+            self._picker.observe(upstream.member_id),
+            len(upstreams),
+            self._get_time(),
+        )
+        return tries_.Try(upstream, may_wait=may_wait)
 
     def _start(self, one: tries_.Try, progress: _Progress) -> None:
         tries = progress.tries
@@ -303,5 +344,9 @@
 
 
 def _is_refusal(outcome: outcomes.Outcome) -> bool:
-    """Returns whether an upstream had no room for the call."""
-    return isinstance(outcome, outcomes.NotRun) and outcome.overloaded
+    """Returns whether an upstream had no room for the call, nor a wait."""
+    return (
+        isinstance(outcome, outcomes.NotRun)
+        and outcome.overloaded
+        and not outcome.unqueued
+    )
--- a/merlintrestle/requests/serving/sending.py
+++ b/merlintrestle/requests/serving/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import functools
 from typing import TYPE_CHECKING
 
@@ -153,7 +154,11 @@
         report: Callable[[doubts.Doubt], None],
     ) -> outcomes.Outcome:
         if one.upstream.member_id == self._member_id():
-            return await self._beside.run(call)
+            return await self._beside.run(
+                call
+                if one.may_wait
+                else dataclasses.replace(call, may_wait=False)
+            )
         return await self._send(one, call, report)
 
     def _limit(
@@ -184,7 +189,7 @@
             f"{upstream.address}:{upstream.peer_port}",
             f"/{call.service}{call.target}",
             call,
-            self._build_headers(call),
+            self._build_headers(one, call),
             report,
             one.anew,
         )
@@ -199,7 +204,9 @@
             return outcomes.read_failure(outcome)
         return outcome
 
-    def _build_headers(self, call: calls.Call) -> multidict.CIMultiDict[str]:
+    def _build_headers(
+        self, one: tries_.Try, call: calls.Call
+    ) -> multidict.CIMultiDict[str]:
         now = asyncio.get_running_loop().time()
         left_s = call.deadline - now
         waited_s = now - (call.due - call.plan.latency_s)
@@ -219,6 +226,8 @@
         sent[headers.ATTEMPT] = str(int(again))
         if call.suspect:
             sent[headers.SUSPECT] = "1"
+        if not one.may_wait:
+            sent[headers.NO_WAIT] = "1"
         return sent
 
 
--- a/merlintrestle/requests/serving/tries.py
+++ b/merlintrestle/requests/serving/tries.py
@@ -25,11 +25,13 @@
         upstream: Where it is sent.
         anew: True if it goes over a new connection, as the one of an earlier
             try at the same upstream is silent.
+        may_wait: False if it is to be refused where no slot is free.
         doubts: Why its answer may well not come, as far as that was found.
     """
 
     upstream: tables.Upstream
     anew: bool = False
+    may_wait: bool = True
     doubts: set[doubts_.Doubt] = dataclasses.field(default_factory=set)
 
     @property
--- a/merlintrestle/requests/transport/headers.py
+++ b/merlintrestle/requests/transport/headers.py
@@ -32,6 +32,8 @@
 SUSPECT = multidict.istr("Merlintrestle-Suspect")
 # Load of the backend server beside the daemon that answers, see `loads`.
 LOAD = multidict.istr("Merlintrestle-Load")
+# Present where the call is refused rather than queued; believed likewise.
+NO_WAIT = multidict.istr("Merlintrestle-No-Wait")
 # Names one attempt at a call between two daemons.
 CALL = multidict.istr("Merlintrestle-Call")
 KEY = multidict.istr("Idempotency-Key")
--- a/tests/requests/load/fleets.py
+++ b/tests/requests/load/fleets.py
@@ -31,8 +31,6 @@
     from merlintrestle.requests.calls import call as calls
     from tests.requests.load import plays
 
-_SLOTS = 12
-
 
 class Server(NamedTuple):
     """A backend server of the play.
@@ -49,13 +47,15 @@
 class _Beside:
     """The daemon beside one backend server, as other daemons see it."""
 
-    def __init__(self, server: Server, table: fakes.Table, chance: Any):
+    def __init__(
+        self, server: Server, slots: int, table: fakes.Table, chance: Any
+    ):
         self._server = server
         self._chance = chance
         self._loop = asyncio.get_running_loop()
         self.calls = 0
         own = backend.OwnBackend()
-        own.announce("kassa", "127.0.0.1:1", _SLOTS, control_pb2.READY)
+        own.announce("kassa", "127.0.0.1:1", slots, control_pb2.READY)
         self.slots = admission.Admission(
             own,
             fakes.Holder(builders.build_snapshot({})),
@@ -95,11 +95,18 @@
         self._daemons = daemons
 
     async def send_to_peer(
-        self, address: str, target: str, call: calls.Call, *others: Any
+        self,
+        address: str,
+        target: str,
+        call: calls.Call,
+        sent: multidict.CIMultiDict[str],
+        *others: Any,
     ) -> outcomes.Outcome:
         """Passes on what a daemon makes of the call that it gets."""
         del target, others
-        return await self._daemons[address].run(dataclasses.replace(call))
+        passed = dataclasses.replace(call)
+        passed.may_wait = headers.NO_WAIT not in sent
+        return await self._daemons[address].run(passed)
 
 
 class FleetPlay:
@@ -110,18 +117,19 @@
             "failed".
     """
 
-    def __init__(self, servers: list[Server], daemons: int):
+    def __init__(self, servers: list[Server], daemons: int, slots: int):
         self.counts: collections.Counter[str] = collections.Counter()
         self._chance = random.Random(1)
         self._loop = asyncio.get_running_loop()
         table = fakes.Table()
         upstreams = [
-            builders.build_upstream(number) for number in range(len(servers))
+            builders.build_upstream(number, slots=slots)
+            for number in range(len(servers))
         ]
         table.upstreams["kassa"] = tuple(upstreams)
         self._besides = {
             f"{upstream.address}:{upstream.peer_port}": _Beside(
-                server, table, self._chance
+                server, slots, table, self._chance
             )
             for upstream, server in zip(upstreams, servers, strict=True)
         }
@@ -196,12 +204,24 @@
 
 
 def play(
-    servers: list[Server], callers: plays.Callers, length_s: float
+    servers: list[Server],
+    callers: plays.Callers,
+    length_s: float,
+    daemons: int = 11,
+    slots: int = 12,
 ) -> FleetPlay:
-    """Plays the load of some callers over eleven daemons."""
+    """Plays the load of some callers over some daemons.
+
+    Args:
+        servers: The backend servers.
+        callers: The callers.
+        length_s: How long they go on to call, in seconds.
+        daemons: How many there are; each knows its own calls alone.
+        slots: Slots of each backend server.
+    """
 
     async def run() -> FleetPlay:
-        played = FleetPlay(servers, 11)
+        played = FleetPlay(servers, daemons, slots)
         await played.run(callers, length_s)
         return played
 
--- a/tests/requests/load/test_fleets.py
+++ b/tests/requests/load/test_fleets.py
@@ -52,6 +52,23 @@
         self.assertGreater(played.get_part("in time"), 0.7)
         self.assertLess(played.get_part("refused"), 0.2)
 
+    def test_many_daemons_that_know_little_of_each_upstream(self) -> None:
+        """At 0.9 of the capacity nobody is refused (0.993 in time).
+
+        Each of 120 daemons sends each of 60 backend servers a call every ten
+        seconds, so what it knows of most is too old to say where a slot is
+        free. Placed by chance, most calls meet a full backend server and wait
+        there, though others are idle: 0.950 were in time and 0.016 refused.
+        One slot of four is left to more important calls.
+        """
+        servers = [fleets.Server(work_s) for work_s in (0.2, 0.3, 0.4)] * 20
+        capacity = sum(3 / server.work_s for server in servers)
+        lookup = _LOOKUP._replace(latency_s=1.0)
+        callers = plays.Callers(lookup, 0.9 * capacity, 0.3, 3.0, 1)
+        played = fleets.play(servers, callers, _LENGTH_S, 120, 4)
+        self.assertGreater(played.get_part("in time"), 0.98)
+        self.assertEqual(played.get_part("refused"), 0.0)
+
     def test_backend_servers_that_break_some_calls(self) -> None:
         """Two of five break two calls in five; few callers notice (0.03).
 
--- a/tools/model.py
+++ b/tools/model.py
@@ -229,16 +229,23 @@
         )
 
     async def send_to_peer(
-        self, address: str, target: str, call: calls.Call, *others: Any
+        self,
+        address: str,
+        target: str,
+        call: calls.Call,
+        sent: multidict.CIMultiDict[str],
+        *others: Any,
     ) -> outcomes.Outcome:
         """Passes a call on to the daemon beside another backend server."""
         del target, others
+        passed = dataclasses.replace(call)
+        passed.may_wait = headers.NO_WAIT not in sent
         peer = self._play.find(address)
         far = peer.server.zone != self.server.zone
         self._play.hops[far] += 1
         way_s = _FAR_S if far else _NEAR_S
         await asyncio.sleep(way_s)
-        outcome = await peer.run(dataclasses.replace(call))
+        outcome = await peer.run(passed)
         await asyncio.sleep(way_s)
         return outcome
 
