Have the daemon beside a backend server that sheds say so

Cause: on the large site backend servers of one service turn away 45 in 100 calls though they have room. A daemon sends one of them a call in 13 s, and learns nothing while the fault lasts; the daemon beside sees 16 calls a second of it and kept that to itself.

Change: it keeps the part of the calls taken lately, refuses calls that may go elsewhere, does not keep its own, and tells the part with the load. A fifth figure in the load's header: the text of five figures, malformed before in a test, is read now, and one of six takes its place there.

--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.load import acceptance
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import queues
 from merlintrestle.requests.load import shares
@@ -29,8 +30,7 @@
 _NEWEST = 0.1
 # A backend server with a dozen slots has one free every few hundredths of a
 # second. Callers that come back so soon may still be answered within the
-# target: of 19,351 lookups 10,176 were in time and 5,799 late; sent away for
-# at least the latency target (0.4 s), 9,499 and 6,393 (one run each).
+# target.
 _LEAST_RETRY_S = 0.05
 
 
@@ -57,6 +57,7 @@
         self._get_time = get_time
         self.in_flight = 0
         self._backend = backend
+        self._acceptance = acceptance.Acceptance(get_time)
         self._holder = holder
         self._table = table
         self._queues: dict[tuple[str, str], queues.ClassQueue] = {}
@@ -75,6 +76,7 @@
         return (
             self.in_flight < backend.slots
             and backend.state == control_pb2.READY
+            and self._acceptance.is_sound()
         )
 
     def get_load(self) -> loads.Load:
@@ -83,6 +85,7 @@
             self.in_flight + self._waiting,
             self._backend.slots,
             self._mean_hold(),
+            accepted=self._acceptance.get(),
         )
 
     async def enter(self, call: calls.Call) -> outcomes.NotRun | None:
@@ -97,10 +100,11 @@
         queue = self._get_queue(call)
         self._update_shares()
         # Calls of other classes may wait: those that had room were woken.
-        if not queue.waiting and self._has_room(queue):
-            self._take(queue)
-        elif not call.may_wait and self._slots:
+        room = not queue.waiting and self._has_room(queue)
+        if not call.may_wait and not (room and self._acceptance.is_sound()):
             return self._refuse_unqueued(queue, call)
+        if room:
+            self._take(queue)
         else:
             began = self._get_time()
             waiting = self._waiting
@@ -124,6 +128,10 @@
         queue.hold_s += _NEWEST * (held_s - queue.hold_s)
         self._give_back(queue)
 
+    def note_given(self, taken: bool) -> None:
+        """Notes whether the backend server took a call that had a slot."""
+        self._acceptance.note(taken)
+
     def estimate_turnover(self, call: calls.Call) -> float:
         """Returns when it is worth asking the backend server again, in s.
 
@@ -200,16 +208,22 @@
     def _refuse_unqueued(
         self, queue: queues.ClassQueue, call: calls.Call
     ) -> outcomes.NotRun:
-        """Tells a call that is not to wait how long it would have waited."""
+        """Tells a call that is not to wait how long it would have waited.
+
+        Calls that the backend server turns away are made again, there or
+        elsewhere; it takes that much longer until one has been taken.
+        """
+        if not self._slots:
+            return _refuse("the backend server has no slots", 1.0)
         loop = asyncio.get_running_loop()
         waiter = queues.Waiter(
             queue.is_late(call.due - loop.time()),
             call.due,
             loop.create_future(),
         )
-        refusal = _refuse(
-            "no free slot just now", self._estimate_wait(queue, waiter)
-        )
+        expected_s = self._estimate_wait(queue, waiter)
+        expected_s += queue.hold_s * (1 / self._acceptance.get() - 1)
+        refusal = _refuse("no free slot just now", expected_s)
         return dataclasses.replace(refusal, unqueued=True)
 
     def _limit_wait(
--- a/merlintrestle/requests/load/loads.py
+++ b/merlintrestle/requests/load/loads.py
@@ -12,8 +12,10 @@
 # A greater figure is told as this one. Read as malformed instead, the load of
 # the busiest upstream would be the one that nobody knows.
 _MAX_FIGURE = 1_000_000
-# A daemon of the version before does not tell of its link.
-_FIELDS = (3, 4)
+# Daemons of versions before do not tell of their link, nor of what is taken.
+_FIELDS = (3, 4, 5)
+_WHOLE = 100
+_UNTOLD = [0, 0, 0, 0, _WHOLE]
 
 
 class Load(NamedTuple):
@@ -25,19 +27,24 @@
         hold_s: How long a call holds a slot on the average, in seconds.
         link_s: How long the link needs for the long answers that are promised
             to other daemons, in seconds.
+        accepted: Part of the calls that the backend server took lately.
     """
 
     calls: int
     slots: int
     hold_s: float
     link_s: float = 0.0
+    accepted: float = 1.0
 
 
 def encode_load(load: Load) -> str:
     """Returns a load as the text of a header."""
-    times_ms = (round(load.hold_s * 1000), round(load.link_s * 1000))
-    figures = (load.calls, load.slots, *times_ms)
-    return ",".join(str(min(figure, _MAX_FIGURE)) for figure in figures)
+    hold_ms = min(round(load.hold_s * 1000), _MAX_FIGURE)
+    link_ms = min(round(load.link_s * 1000), _MAX_FIGURE)
+    calls = min(load.calls, _MAX_FIGURE)
+    slots = min(load.slots, _MAX_FIGURE)
+    accepted = round(load.accepted * _WHOLE)
+    return f"{calls},{slots},{hold_ms},{link_ms},{accepted}"
 
 
 def decode_load(text: str) -> Load | None:
@@ -45,7 +52,14 @@
     figures = text.split(",")
     if len(figures) not in _FIELDS or not all(map(str.isdecimal, figures)):
         return None
-    calls, slots, *times_ms = (int(figure) for figure in figures)
-    if max(calls, slots, *times_ms) > _MAX_FIGURE:
+    stated = [int(figure) for figure in figures]
+    if max(stated) > _MAX_FIGURE:
         return None
-    return Load(calls, slots, *(time_ms / 1000 for time_ms in times_ms))
+    calls, slots, hold_ms, link_ms, accepted = stated + _UNTOLD[len(stated) :]
+    return Load(
+        calls,
+        slots,
+        hold_ms / 1000,
+        link_ms / 1000,
+        min(accepted, _WHOLE) / _WHOLE,
+    )
--- a/merlintrestle/requests/load/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -119,6 +119,16 @@
         others = max(0, load.calls - self.sent_at_load)
         return others + self.in_flight
 
+    def estimate_soundness(self, now: float) -> float:
+        """Returns the part of the calls lately that ended well there.
+
+        What its daemon tells is of all calls, those of others too.
+        """
+        load = self.load
+        if load is None or not self.knows_load(now):
+            return self.soundness
+        return max(_LEAST_SOUNDNESS, min(self.soundness, load.accepted))
+
     def estimate_backlog_s(self, now: float) -> float:
         """Returns the time for which its link has long answers to send.
 
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -271,7 +271,8 @@
         less than half of that of the others.
         """
         seen = self.observe(upstream.member_id)
-        room = upstream.slots * _get_share(upstream) * seen.soundness**2
+        soundness = seen.estimate_soundness(now)
+        room = upstream.slots * _get_share(upstream) * soundness**2
         return (seen.estimate_calls(now) + 1) / room
 
 
--- a/merlintrestle/requests/serving/beside.py
+++ b/merlintrestle/requests/serving/beside.py
@@ -71,6 +71,8 @@
         except BaseException:
             self._admission.leave(call)
             raise
+        shed = isinstance(outcome, outcomes.NotRun) and outcome.reached
+        self._admission.note_given(not shed)
         if isinstance(outcome, outcomes.NotRun) and outcome.reached:
             turnover_s = self._admission.estimate_turnover(call)
             outcome = dataclasses.replace(outcome, retry_after_s=turnover_s)
--- a/tests/requests/load/test_loads.py
+++ b/tests/requests/load/test_loads.py
@@ -9,7 +9,7 @@
 
 class LoadTest(unittest.TestCase):
     def test_comes_as_it_was_sent(self) -> None:
-        load = loads.Load(3, 10, 0.25, 1.5)
+        load = loads.Load(3, 10, 0.25, 1.5, 0.55)
         self.assertEqual(loads.decode_load(loads.encode_load(load)), load)
 
     def test_figures_beyond_what_is_read(self) -> None:
@@ -23,13 +23,13 @@
         self.assertEqual(decoded, loads.Load(1_000_000, 10, 1000.0, 1000.0))
 
     def test_daemon_of_an_earlier_release(self) -> None:
-        """It tells three figures, or four of any size it can read."""
+        """It tells three figures, or four, of any size it can read."""
         self.assertEqual(loads.decode_load("3,10,250"), loads.Load(3, 10, 0.25))
         self.assertEqual(
             loads.decode_load("3,10,250,1500"), loads.Load(3, 10, 0.25, 1.5)
         )
 
     def test_malformed(self) -> None:
-        for text in ("", "3,10", "3,10,250,1,1", "3,10,-1", "3,10,1000001"):
+        for text in ("", "3,10", "3,10,250,1,1,1", "3,10,-1", "3,10,1000001"):
             with self.subTest(text=text):
                 self.assertIsNone(loads.decode_load(text))
--- a/tests/tools/test_model.py
+++ b/tests/tools/test_model.py
@@ -11,14 +11,19 @@
 _LENGTH_S = 3.0
 
 
-def _play(load: str, seed: int = 1, least_limit: float = 0.83) -> model.Result:
+def _play(
+    load: str,
+    seed: int = 1,
+    least_limit: float = 0.83,
+    play_seed: int | None = None,
+) -> model.Result:
     chance = random.Random(seed)
     servers = policies.build_servers(chance)
     works = [
         work._replace(least_limit=least_limit)
         for work in policies.build_works(policies.LOADS[load].factor)
     ]
-    return model.play(servers, works, _LENGTH_S, seed)
+    return model.play(servers, works, _LENGTH_S, play_seed or seed)
 
 
 class ModelTest(unittest.TestCase):
@@ -44,6 +49,17 @@
         self.assertGreater(result.get_part("grant", "in time"), 0.95)
         self.assertLess(result.get_part("grant", "refused again"), 0.02)
 
+    def test_backend_servers_that_turn_calls_away(self) -> None:
+        """Most callers get what they ask for (0.93 of the worth).
+
+        Four in ten of 32 backend servers turn away nearly every other call and
+        report that they are well. Only the daemons beside them know: each
+        other daemon sends one of them a call in some seconds. Calls that meet
+        one without having asked use up the budget of retries (0.89).
+        """
+        result = policies.play_load("shedding", 1, 4.0)
+        self.assertGreater(result.earned, 0.91)
+
     def test_a_change_of_a_constant_is_played(self) -> None:
         usual = policies.play("calm", 1, policies.Variant("usual", {}))
         self.assertGreater(usual["earned"], 0.98)
--- a/tools/model.py
+++ b/tools/model.py
@@ -99,12 +99,14 @@
         zone: Availability zone.
         slots: Calls it runs at once.
         slowness: Time that it needs, as a multiple of the usual.
+        turns_away: Part of the calls that it does not take, with room or not.
     """
 
     service: str
     zone: str
     slots: int = 18
     slowness: float = 1.0
+    turns_away: float = 0.0
 
 
 class Change(NamedTuple):
@@ -254,6 +256,17 @@
         refusal = await self._slots.enter(call)
         if refusal is not None:
             return refusal
+        shed = self._play.chance.random() < self.server.turns_away
+        self._slots.note_given(not shed)
+        if shed:
+            self._slots.leave(call)
+            return outcomes.NotRun(
+                "the backend server sheds",
+                elsewhere=True,
+                overloaded=True,
+                reached=True,
+                retry_after_s=self._slots.estimate_turnover(call),
+            )
         try:
             status = await self._work(call)
         finally:
--- a/tools/policies.py
+++ b/tools/policies.py
@@ -26,6 +26,14 @@
 # Spread of the speeds of backend servers: the logarithm's standard deviation.
 _SPEEDS = 0.3
 _SERVICES = ("board",) * 6 + ("desk",) * 4 + ("store",) * 4
+_SLOTS = 18
+# In a wide fleet: times as many backend servers, and slots of each.
+_WIDE = 8
+_WIDE_SLOTS = 4
+# Part of the backend servers of a service that shed, and of their calls that
+# they turn away.
+_SHEDDING = 0.4
+_TURNED_AWAY = 0.45
 # While they are cold, backend servers need so many times the usual time.
 _COLD = 2.2
 _FIGURES = ("earned", "served", "worst", "far")
@@ -38,11 +46,15 @@
         factor: Rate of all callers, as a multiple of a calm day's.
         leaves: One backend server leaves, two are slow for a while.
         cold: All are slow for three seconds, as after a restart.
+        wide: Eight times as many backend servers, of few slots each.
+        shedding: Most of those of one service turn away every other call.
     """
 
     factor: float
     leaves: bool = False
     cold: bool = False
+    wide: bool = False
+    shedding: bool = False
 
 
 class Variant(NamedTuple):
@@ -63,22 +75,36 @@
     "full": Load(2.2),
     "leaving": Load(1.7, leaves=True),
     "cold": Load(1.6, cold=True),
+    "wide": Load(1.6, wide=True),
+    "shedding": Load(1.0, wide=True, shedding=True),
 }
 
 
-def build_servers(chance: random.Random) -> list[model.Server]:
-    """Builds fourteen backend servers of three services, of uneven speed."""
+def build_servers(
+    chance: random.Random, load: Load = LOADS["calm"]
+) -> list[model.Server]:
+    """Builds backend servers of three services, of uneven speed."""
+    services = _SERVICES * _WIDE if load.wide else _SERVICES
     return [
         model.Server(
             name,
             _ZONES[number % len(_ZONES)],
-            18,
+            _WIDE_SLOTS if load.wide else _SLOTS,
             chance.lognormvariate(0.0, _SPEEDS),
+            _choose_turned_away(name, load, chance),
         )
-        for number, name in enumerate(_SERVICES)
+        for number, name in enumerate(services)
     ]
 
 
+def _choose_turned_away(
+    service: str, load: Load, chance: random.Random
+) -> float:
+    """Returns the part of the calls that a backend server turns away."""
+    sheds = load.shedding and service == "desk"
+    return _TURNED_AWAY if sheds and chance.random() < _SHEDDING else 0.0
+
+
 def build_works(factor: float) -> list[model.Work]:
     """Builds lookups, grants, downloads and the checks that they make."""
     check = _build_plan("desk", "check", 0.12, 0.4, 4)
@@ -126,6 +152,19 @@
     return changes
 
 
+def play_load(
+    name: str, seed: int, length_s: float = _LENGTH_S
+) -> model.Result:
+    """Plays one load with the code as it stands."""
+    load = LOADS[name]
+    chance = random.Random(seed)
+    servers = build_servers(chance, load)
+    changes = build_changes(load, servers, chance)
+    slots = sum(server.slots for server in servers)
+    works = build_works(load.factor * slots / (_SLOTS * len(_SERVICES)))
+    return model.play(servers, works, length_s, seed, changes)
+
+
 def play(name: str, seed: int, variant: Variant) -> dict[str, float]:
     """Plays one load with some constants changed; returns its figures."""
     for place, value in variant.changed.items():
@@ -134,12 +173,7 @@
         if not hasattr(found, constant):
             raise click.UsageError(f"{module} has no {constant}")
         setattr(found, constant, value)
-    load = LOADS[name]
-    chance = random.Random(seed)
-    servers = build_servers(chance)
-    changes = build_changes(load, servers, chance)
-    works = build_works(load.factor)
-    result = model.play(servers, works, _LENGTH_S, seed, changes)
+    result = play_load(name, seed)
     figures = {name: float(getattr(result, name)) for name in _FIGURES}
     again = sum(n for key, n in result.counts.items() if "again" in key[1])
     figures["again"] = again / result.counts.total()
