Give calls between daemons the time that their own loop is late

A call needs some twenty turns of the loop at both ends; where each is late, its answer waits for its turn beyond the limit of the call.

Change: the usual lateness of three looks, times the turns of a call, is added to the limit.

--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -154,7 +154,9 @@
         while not self.should_stop:
             before = time.monotonic()
             await self.sleep(tick)
-            self._judge.tick(time.monotonic() - before, tick)
+            elapsed = time.monotonic() - before
+            self.peers.note_lateness(max(0.0, elapsed - tick))
+            self._judge.tick(elapsed, tick)
 
     @mode.Service.task
     async def _join(self) -> None:
--- a/merlintrestle/members/peers.py
+++ b/merlintrestle/members/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import statistics
 import time
 from typing import Any, NamedTuple, TYPE_CHECKING
 
@@ -32,6 +33,11 @@
 _CONNECT_MS = 1000
 _RECONNECT_MS = 100
 
+# Turns of the event loop that a call takes at both ends together.
+_TURNS = 20
+# Looks at the lateness of the event loop that are remembered.
+_LOOKS = 3
+
 _OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -99,6 +105,7 @@
             collections.OrderedDict()
         )
         self._lent: dict[str, Loan] = {}
+        self._lateness = collections.deque([0.0] * _LOOKS, maxlen=_LOOKS)
 
     def lend(
         self,
@@ -138,7 +145,9 @@
         stub = control_pb2_grpc.ControlStub(channel)
         accounting.count_sent(method, request, accounting.CALL_OVERHEAD_BYTES)
         async with self._guard(address, method, channel):
-            reply = await getattr(stub, method)(request, timeout=timeout_s)
+            reply = await getattr(stub, method)(
+                request, timeout=self._extend(timeout_s)
+            )
         self.heard_at = time.monotonic()
         accounting.count_received(method, reply, accounting.CALL_OVERHEAD_BYTES)
         return reply
@@ -168,9 +177,9 @@
         try:
             async with (
                 self._guard(address, _FETCH, channel),
-                asyncio.timeout(_ARRIVAL_S),
+                asyncio.timeout(self._extend(_ARRIVAL_S)),
             ):
-                while part := await _read_part(call, pause_s):
+                while part := await _read_part(call, self._extend(pause_s)):
                     came.append(part)
                     self.heard_at = time.monotonic()
                     accounting.count_received(_FETCH, part)
@@ -211,6 +220,20 @@
                 raise
             raise PeerError(f"{address}: {method}: channel dropped") from None
 
+    def note_lateness(self, late_s: float) -> None:
+        """Notes by how much the event loop was late at a look, in seconds."""
+        self._lateness.append(late_s)
+
+    def _extend(self, timeout_s: float) -> float:
+        """Returns a time limit that allows for the lateness of this daemon.
+
+        An answer that has arrived waits for its turns of the loop. By the clock
+        alone, a daemon on a busy machine would hear none of its peers, ask
+        them all again, and be later still. What counts is the usual lateness
+        of the last looks: a daemon that was frozen once is not late any more.
+        """
+        return timeout_s + _TURNS * statistics.median(self._lateness)
+
     async def close(self) -> None:
         """Closes all channels."""
         while self._channels:
--- a/tests/members/test_peers.py
+++ b/tests/members/test_peers.py
@@ -164,6 +164,40 @@
         await self.daemon.server.close(0)
         self.assertTrue(await self.peers.is_refused(self.daemon.id, 5.0))
 
+    async def test_late_daemon_takes_the_answer_that_has_come(self) -> None:
+        """A daemon on a busy machine hears its peers though it is late.
+
+        Its loop turns seldom, so the answer waits for its turn beyond the time
+        limit. Taken for silence, every call would be made again, and that work
+        makes it later still.
+        """
+
+        async def answer_late(member_id: str) -> bool:
+            del member_id
+            await asyncio.sleep(0.3)
+            return True
+
+        self.daemon.membership.probe = answer_late  # type: ignore[method-assign]
+        for _ in range(3):
+            self.peers.note_lateness(1.0)
+        reply = await self.peers.call(
+            self.daemon.id,
+            "Probe",
+            control_pb2.ProbeRequest(member_id="127.0.0.1:1"),
+            0.05,
+        )
+        self.assertTrue(reply.reached)
+
+    async def test_daemon_that_was_frozen_once_is_not_late(self) -> None:
+        """Its calls to a silent peer end as soon as they usually do."""
+        proxy = SilentFirst(self.daemon.server.port)
+        address = await proxy.start()
+        self.addAsyncCleanup(proxy.close)
+        self.peers.note_lateness(10_000.0)
+        async with asyncio.timeout(builders.GUARD_S):
+            with self.assertRaises(peers_lib.PeerError):
+                await self.peers.call(address, "Probe", self.request, 0.01)
+
 
 if __name__ == "__main__":
     unittest.main()
