Pass on what is told of a call in one header; describe picks only when written

Cause: of the layers on the way of a call, seven headers between two daemons are each written, parsed, looked up and left out again; what decided a pick is made into fields of a log line that is dropped for nearly all calls.

Ruled out: the plan in the same header (its text is remembered as it is).

--- a/merlintrestle/requests/calls/dialect.py
+++ b/merlintrestle/requests/calls/dialect.py
@@ -103,8 +103,7 @@
 
 @read_asked.register(OwnDialect)
 def _read_asked(dialect: OwnDialect, request: web.BaseRequest) -> intake.Asked:
-    # That a caller has come before is believed of other daemons alone.
-    return intake.read_asked(request)._replace(waited_ms=0)
+    return intake.read_asked(request)
 
 
 @render.register(OwnDialect)
--- a/merlintrestle/requests/calls/intake.py
+++ b/merlintrestle/requests/calls/intake.py
@@ -49,6 +49,8 @@
         waited_ms: Milliseconds since the caller's first attempt.
         comes_back: True if a caller that comes back says nothing of its first
             attempt, and states the end of its wait as before.
+        suspect: True if the call broke a connection before.
+        may_wait: False if it is to be refused where no slot is free.
     """
 
     limit_ms: int | None
@@ -58,6 +60,8 @@
     attempt: int = 0
     waited_ms: int = 0
     comes_back: bool = False
+    suspect: bool = False
+    may_wait: bool = True
 
 
 def match_peer(request: web.BaseRequest) -> routing.Match | outcomes.NotRun:
@@ -76,11 +80,8 @@
     sent = request.headers
     return Asked(
         headers.read_number(sent, headers.DEADLINE),
-        sent.get(headers.REQUEST, ""),
-        sent.get(headers.ORIGIN, ""),
-        get_depth(request),
-        headers.read_number(sent, headers.ATTEMPT) or 0,
-        headers.read_number(sent, headers.WAITED) or 0,
+        depth=get_depth(request),
+        attempt=headers.read_number(sent, headers.ATTEMPT) or 0,
     )
 
 
@@ -94,7 +95,6 @@
     match: routing.Match,
     asked: Asked,
     began: float,
-    from_peer: bool,
 ) -> calls.Call | outcomes.NotRun:
     """Reads a request, its body too if it is small.
 
@@ -103,7 +103,6 @@
         match: Where it goes.
         asked: What its headers ask for.
         began: Time of the event loop at which it came, in seconds.
-        from_peer: It comes from another daemon.
     """
     plan = match.plan
     limit_s = plan.deadline_s
@@ -129,8 +128,8 @@
         depth=asked.depth,
         attempt=asked.attempt,
         key=request.headers.get(headers.KEY, ""),
-        may_wait=not (from_peer and headers.NO_WAIT in request.headers),
-        suspect=from_peer and headers.SUSPECT in request.headers,
+        may_wait=asked.may_wait,
+        suspect=asked.suspect,
         request_id=asked.request_id,
         origin=asked.origin,
         route=match.route,
--- /dev/null
+++ b/merlintrestle/requests/calls/passing.py
@@ -0,0 +1,55 @@
+"""Passing: what a daemon tells another of a call, in one header.
+
+Each header costs both daemons its writing, its parsing and a look whether it
+goes on to the backend server.
+"""
+
+from __future__ import annotations
+
+from merlintrestle.requests.calls import intake
+
+_SEPARATOR = " "
+# Blanks at the end of a header are no part of it, and an id may be empty.
+_END = ";"
+_SUSPECT = "s"
+_MAY_NOT_WAIT = "n"
+# Figures, flags and the origin; the rest is the id, whatever it contains.
+_PLACES = 6
+
+
+def encode_asked(asked: intake.Asked) -> str:
+    """Returns the text of the header; a time limit must be stated."""
+    flags = _SUSPECT if asked.suspect else ""
+    if not asked.may_wait:
+        flags += _MAY_NOT_WAIT
+    return (
+        f"{asked.limit_ms} {asked.waited_ms} {asked.depth} {asked.attempt}"
+        f" {flags} {asked.origin} {asked.request_id}{_END}"
+    )
+
+
+def decode_asked(text: str | None) -> intake.Asked | None:
+    """Returns what a header asks for; None: it is malformed.
+
+    Args:
+        text: Its text; None: there is no such header, so nothing is asked.
+    """
+    if text is None:
+        return intake.Asked(None)
+    parts = text.removesuffix(_END).split(_SEPARATOR, _PLACES)
+    if len(parts) <= _PLACES:
+        return None
+    limit, waited, depth, attempt, flags, origin, request_id = parts
+    try:
+        return intake.Asked(
+            int(limit),
+            request_id,
+            origin,
+            int(depth),
+            int(attempt),
+            int(waited),
+            suspect=_SUSPECT in flags,
+            may_wait=_MAY_NOT_WAIT not in flags,
+        )
+    except ValueError:
+        return None
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from typing import Any, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 from merlintrestle.requests import backend
 from merlintrestle.requests.load import loads
@@ -48,6 +48,51 @@
                 self.own = upstream
 
 
+class View(NamedTuple):
+    """What decided that an upstream was picked; times are in seconds.
+
+    Attributes:
+        upstream: The one that was picked.
+        among: How many there are.
+        in_flight: Calls sent to it from here whose answers have not ended.
+        failures: Failures in a row.
+        soundness: Part of the calls lately that ended well.
+        load: What its daemon reported last; None: nothing yet.
+        load_at: When that came.
+        answered_at: When it last answered; 0: never.
+        now: When it was picked.
+    """
+
+    upstream: tables.Upstream
+    among: int
+    in_flight: int
+    failures: int
+    soundness: float
+    load: loads.Load | None
+    load_at: float
+    answered_at: float
+    now: float
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the fields of its log line."""
+        return {
+            "upstream": self.upstream.member_id,
+            "zone": self.upstream.zone,
+            "among": self.among,
+            "in_flight": self.in_flight,
+            "suspect": self.upstream.suspect,
+            "failures": self.failures,
+            "soundness": round(self.soundness, 2),
+            "load": self.load and loads.encode_load(self.load),
+            "load_age_ms": round((self.now - self.load_at) * 1000)
+            if self.load
+            else None,
+            "answer_age_ms": round((self.now - self.answered_at) * 1000)
+            if self.answered_at
+            else None,
+        }
+
+
 class Picker:
     """Picks upstreams by what this daemon saw of them itself.
 
@@ -80,30 +125,25 @@
             self._observations[member_id] = observation
         return observation
 
-    def describe(self, upstream: tables.Upstream, count: int) -> dict[str, Any]:
-        """Returns what decided that an upstream was picked, for its log line.
+    def view(self, upstream: tables.Upstream, count: int) -> View:
+        """Returns what decided that an upstream was picked.
 
         Args:
             upstream: The one that was picked.
             count: How many there are.
         """
         seen = self.observe(upstream.member_id)
-        return {
-            "upstream": upstream.member_id,
-            "zone": upstream.zone,
-            "among": count,
-            "in_flight": seen.in_flight,
-            "suspect": upstream.suspect,
-            "failures": seen.failures,
-            "soundness": round(seen.soundness, 2),
-            "load": seen.load and loads.encode_load(seen.load),
-            "load_age_ms": round((self._get_time() - seen.load_at) * 1000)
-            if seen.load
-            else None,
-            "answer_age_ms": round((self._get_time() - seen.answered_at) * 1000)
-            if seen.answered_at
-            else None,
-        }
+        return View(
+            upstream,
+            count,
+            seen.in_flight,
+            seen.failures,
+            seen.soundness,
+            seen.load,
+            seen.load_at,
+            seen.answered_at,
+            self._get_time(),
+        )
 
     def pick(
         self,
--- a/merlintrestle/requests/reports/stories.py
+++ b/merlintrestle/requests/reports/stories.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import functools
 import logging
 import time
@@ -24,6 +25,8 @@
 # Lines per second about requests that went well.
 GOOD_PER_S = 1.0
 
+_Fields = dict[str, Any] | Callable[[], dict[str, Any]]
+
 events = event_logs.EventLog("requests")
 _left_out = prometheus_client.Counter(
     "merlintrestle_stories_left_out",
@@ -42,12 +45,23 @@
     def __init__(self, request_id: str):
         """Sets the id, the same at each daemon on the way."""
         self.request_id = request_id
-        self._lines: list[tuple[float, str, dict[str, Any]]] = []
+        self._lines: list[tuple[float, str, _Fields]] = []
 
     def add(self, event: str, **fields: Any) -> None:
         """Notes a decision, what decided it and how old that was."""
         self._lines.append((time.time(), event, fields))
 
+    def add_later(
+        self, event: str, describe: Callable[[], dict[str, Any]]
+    ) -> None:
+        """Notes a decision whose fields are made only if they are written.
+
+        Args:
+            event: What was decided.
+            describe: Returns the fields, of values as they are now.
+        """
+        self._lines.append((time.time(), event, describe))
+
     @property
     def is_long(self) -> bool:
         """True if the request was sent more than once or had to wait."""
@@ -68,7 +82,8 @@
             return
         if worth_telling:
             for at, event, line in self._lines:
-                self._write(event, line, at)
+                described = line() if callable(line) else line
+                self._write(event, described, at)
         if bucket.left_out:
             fields["left_out"] = bucket.left_out
             bucket.left_out = 0
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -59,7 +59,7 @@
         self._standing.enter()
         try:
             asked = self._read_asked(request, match, began)
-            call = await intake.read_call(request, match, asked, began, False)
+            call = await intake.read_call(request, match, asked, began)
             if isinstance(call, outcomes.NotRun):
                 return self._refuse(call, request)
             call.story.add(
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -309,9 +309,8 @@
             left = round(progress.budget.left, 1)
             call.story.add("sent again", budget=left)
         progress.tried.add(upstream.member_id)
-        call.story.add(
-            "picked", **self._picker.describe(upstream, len(upstreams))
-        )
+        view = self._picker.view(upstream, len(upstreams))
+        call.story.add_later("picked", view.describe)
         # A body that is passed on in pieces cannot be offered to others.
         may_wait = call.body.held is None or progress.polls.may_wait(
             self._picker.observe(upstream.member_id),
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -11,6 +11,7 @@
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import intake
 from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import passing
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.reports import stories
 from merlintrestle.requests.serving import answering
@@ -35,6 +36,7 @@
 _SUCCESSFUL = range(200, 300)
 
 _OWN_DIALECT = dialects.OwnDialect()
+_MALFORMED = outcomes.NotRun("what is passed on is malformed", 400, None)
 
 
 class Peers:
@@ -81,11 +83,13 @@
         match = intake.match_peer(request)
         if isinstance(match, outcomes.NotRun):
             return outcomes.render(match)
+        asked = passing.decode_asked(request.headers.get(headers.PASSED))
+        if asked is None:
+            return outcomes.render(_MALFORMED)
         progress = self._registry.enter(call_id)
         self._standing.enter()
         try:
-            asked = intake.read_asked(request)
-            call = await intake.read_call(request, match, asked, began, True)
+            call = await intake.read_call(request, match, asked, began)
             if isinstance(call, outcomes.NotRun):
                 return outcomes.render(call)
             call.story.add("passed on", left_ms=asked.limit_ms)
--- a/merlintrestle/requests/serving/sending.py
+++ b/merlintrestle/requests/serving/sending.py
@@ -8,7 +8,9 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.calls import doubts
+from merlintrestle.requests.calls import intake
 from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import passing
 from merlintrestle.requests.calls import plans
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import observations
@@ -210,24 +212,22 @@
         now = asyncio.get_running_loop().time()
         left_s = call.deadline - now
         waited_s = now - (call.due - call.plan.latency_s)
-        sent = call.headers.copy()
-        sent[headers.PLAN] = plans.encode_plan(call.plan)
-        if call.request_id:
-            sent[headers.REQUEST] = call.request_id
-        if call.origin:
-            sent[headers.ORIGIN] = call.origin
-        sent[headers.DEADLINE] = str(max(1, int(left_s * 1000)))
-        sent[headers.WAITED] = str(max(0, int(waited_s * 1000)))
-        sent[headers.DEPTH] = str(call.depth)
         # Where this daemon can try another upstream, the other daemon must not
         # start the call anew by itself: together they would run it 3 times.
         others = self._has_others(call) and call.plan.repeatable
-        again = call.attempt or others
-        sent[headers.ATTEMPT] = str(int(again))
-        if call.suspect:
-            sent[headers.SUSPECT] = "1"
-        if not one.may_wait:
-            sent[headers.NO_WAIT] = "1"
+        asked = intake.Asked(
+            max(1, int(left_s * 1000)),
+            call.request_id,
+            call.origin,
+            call.depth,
+            int(call.attempt > 0 or others),
+            max(0, int(waited_s * 1000)),
+            suspect=call.suspect,
+            may_wait=one.may_wait,
+        )
+        sent = call.headers.copy()
+        sent[headers.PLAN] = plans.encode_plan(call.plan)
+        sent[headers.PASSED] = passing.encode_asked(asked)
         return sent
 
 
--- a/merlintrestle/requests/transport/headers.py
+++ b/merlintrestle/requests/transport/headers.py
@@ -16,24 +16,16 @@
 OUTCOME = multidict.istr("Merlintrestle-Outcome")
 # Milliseconds that are left to the caller's deadline.
 DEADLINE = multidict.istr("Merlintrestle-Deadline-Ms")
-# Milliseconds since the caller's first attempt; believed on the peer port only.
-WAITED = multidict.istr("Merlintrestle-Waited-Ms")
 # Calls above this one: 0 for a call that comes from outside the mesh.
 DEPTH = multidict.istr("Merlintrestle-Depth")
 # 0 where nobody above this call runs it again; else it is not tried again.
 ATTEMPT = multidict.istr("Merlintrestle-Attempt")
 # Class of work with its targets; believed on the peer port only.
 PLAN = multidict.istr("Merlintrestle-Plan")
-# Id that the caller gave its request; believed likewise.
-REQUEST = multidict.istr("Merlintrestle-Request")
-# Service of the instance at which the request began; believed likewise.
-ORIGIN = multidict.istr("Merlintrestle-Origin")
-# Present where the call broke a connection before; believed likewise.
-SUSPECT = multidict.istr("Merlintrestle-Suspect")
 # Load of the backend server beside the daemon that answers, see `loads`.
 LOAD = multidict.istr("Merlintrestle-Load")
-# Present where the call is refused rather than queued; believed likewise.
-NO_WAIT = multidict.istr("Merlintrestle-No-Wait")
+# What else a daemon tells of a call, see `passing`; believed likewise.
+PASSED = multidict.istr("Merlintrestle-Passed")
 # Names one attempt at a call between two daemons.
 CALL = multidict.istr("Merlintrestle-Call")
 KEY = multidict.istr("Idempotency-Key")
--- a/tests/requests/load/fleets.py
+++ b/tests/requests/load/fleets.py
@@ -16,6 +16,7 @@
 
 from merlintrestle.requests import backend
 from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import passing
 from merlintrestle.requests.load import admission
 from merlintrestle.requests.load import budgets
 from merlintrestle.requests.load import loads
@@ -105,7 +106,9 @@
         """Passes on what a daemon makes of the call that it gets."""
         del target, others
         passed = dataclasses.replace(call)
-        passed.may_wait = headers.NO_WAIT not in sent
+        asked = passing.decode_asked(sent[headers.PASSED])
+        assert asked is not None
+        passed.may_wait = asked.may_wait
         return await self._daemons[address].run(passed)
 
 
--- a/tools/model.py
+++ b/tools/model.py
@@ -21,6 +21,7 @@
 from merlintrestle.requests import backend as backends
 from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import passing
 from merlintrestle.requests.load import admission
 from merlintrestle.requests.load import budgets
 from merlintrestle.requests.load import loads
@@ -241,7 +242,9 @@
         """Passes a call on to the daemon beside another backend server."""
         del target, others
         passed = dataclasses.replace(call)
-        passed.may_wait = headers.NO_WAIT not in sent
+        asked = passing.decode_asked(sent[headers.PASSED])
+        assert asked is not None
+        passed.may_wait = asked.may_wait
         peer = self._play.find(address)
         far = peer.server.zone != self.server.zone
         self._play.hops[far] += 1
