--- a/merlintrestle/application.py
+++ b/merlintrestle/application.py
@@ -82,8 +82,7 @@
     """Has the garbage collector wait until the start is over.
 
     What is imported stays. Looked through again and again while it grows, it
-    took 0.05 of 0.64 s of processor time until the ports were open (best of
-    eight starts each), a time for which callers find the daemon closed.
+    would take a part of the time for which callers find the daemon closed.
     """
     gc.disable()
 
@@ -94,8 +93,7 @@
     Nearly all garbage of a call is freed by its reference counts. Collections
     find only the cycles, such as tracebacks, yet each stops every call in
     flight, the longest while it looks through all that start-up imported.
-    That is left out even once: it stopped the first calls for 0.05 s and found
-    1,800 of 58,000 objects.
+    That is left out even once: it would stop the first calls, and finds little.
     """
     gc.freeze()
     gc.set_threshold(*_GC_THRESHOLDS)
--- a/merlintrestle/documents/loading.py
+++ b/merlintrestle/documents/loading.py
@@ -27,8 +27,8 @@
     Args:
         version: Number of the version.
         resources: Its resources.
-        base: What it has in common with this one is not read again: at 740
-            services reading all of it held the event loop for 58 ms a change.
+        base: What it has in common with this one is not read again: reading
+            all of it would hold up the event loop at each change.
         digest: The digest that it must have; compared before anything is
             read, for a lost or corrupted part would otherwise run as a
             version that nobody accepted. None: resources of this process.
--- a/merlintrestle/documents/snapshot.py
+++ b/merlintrestle/documents/snapshot.py
@@ -199,8 +199,8 @@
         """Returns the route with the longest prefix of a path, or None.
 
         It looks once for each length that a prefix of the host has. Looked at
-        one after the other, 360 routes took 39 µs a call; this takes 1 µs
-        (best of five runs of 4,000 calls).
+        one after the other, hundreds of routes would cost each call more than
+        all else that is decided about it.
         """
         found = self._prefixes.get(host)
         if found is None:
--- a/merlintrestle/requests/load/joining.py
+++ b/merlintrestle/requests/load/joining.py
@@ -12,8 +12,7 @@
     from merlintrestle.requests.calls import call as calls
 
 # Time after its start in which a daemon still hears of upstreams that have
-# long been there, in seconds. After the restart of a whole fleet the first
-# ones were known 0.1 to 0.4 s after the port for callers had opened.
+# long been there, in seconds.
 JOIN_S = 2.0
 # Part of the latency target for which a call may wait: what is left is enough
 # for a call that takes no longer than usual.
--- a/merlintrestle/requests/load/rates.py
+++ b/merlintrestle/requests/load/rates.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 # Time over which the drain of a link is averaged, in seconds. The greatest of
-# shorter samples is the luckiest one: with 0.25 s, a link of 406 kB/s was taken
-# to carry 577 kB/s, and most answers promised by that came late.
+# shorter samples is the luckiest one, and most answers promised by that would
+# come late.
 _SAMPLE_S = 1.0
 # The same as long as there is no sample: better a rough figure at once than
 # seconds in which everything is begun.
--- a/merlintrestle/requests/load/urgency.py
+++ b/merlintrestle/requests/load/urgency.py
@@ -13,8 +13,7 @@
     from collections.abc import Callable
 
 # How far the end of a caller's wait may seem to move between two requests, in
-# seconds: what it states is rounded to milliseconds and travels some. Of 433
-# that came back to a busy daemon the farthest had moved by 6 ms.
+# seconds: what it states is rounded to milliseconds and travels some.
 _TOLERANCE_S = 0.02
 # Callers that are remembered at most; a daemon that answers 300 calls a second
 # and refuses every second one has some 300 that still wait.
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -7,15 +7,13 @@
 
 from __future__ import annotations
 
-import asyncio
-import dataclasses
 import functools
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import joining
-from merlintrestle.requests.load import polls as polls_
 from merlintrestle.requests.load import retries
+from merlintrestle.requests.serving import progress as progress_
 from merlintrestle.requests.serving import sending
 from merlintrestle.requests.serving import tries as tries_
 
@@ -29,102 +27,6 @@
     from merlintrestle.requests.serving import beside as besides
     from merlintrestle.requests.transport import forwarding
 
-# Each further one is free (it did not run) or paid from the budget.
-_MAX_TRIES = 5
-# Daemons that may refuse a call for want of room before its caller is told.
-# When two that looked best have none, the service is full; asking all of them
-# would spend processor time on refusals just when there is none to spare.
-_MAX_REFUSALS = 2
-
-
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """How far a call has come.
-
-    Attributes:
-        call: The call.
-        budget: What bounds the retries of its service.
-        tries: Its tries that run.
-        tried: Ids of the upstreams that it was sent to.
-        reached: Backend servers that were sent it by tries that have ended.
-        refusals: Upstreams that had no room for it.
-        outcome: What is true of it so far; None: no try has ended.
-        polls: Upstreams that it has asked for a free slot.
-    """
-
-    call: calls.Call
-    budget: budgets_.Budget
-    tries: tries_.Tries
-    tried: set[str] = dataclasses.field(default_factory=set)
-    reached: int = 0
-    refusals: int = 0
-    outcome: outcomes.Outcome | None = None
-    polls: polls_.Polls = dataclasses.field(default_factory=polls_.Polls)
-
-    def note(self, latest: outcomes.Outcome) -> None:
-        """Takes in what became of a try."""
-        self.outcome = retries.combine(self.outcome, latest)
-        self.reached += _reached_backend(latest)
-        self.refusals += _is_refusal(latest)
-
-    def may_try(self, count: int) -> bool:
-        """Returns whether another of `count` upstreams may be tried.
-
-        A try that runs may have reached a backend server already.
-        """
-        return len(self.tried) < min(_MAX_TRIES, count) and self.may_go_on()
-
-    def may_go_on(self) -> bool:
-        """Returns whether the call may be sent once more, wherever that is."""
-        return (
-            self.refusals < _MAX_REFUSALS
-            and self._may_run_again()
-            and self.tries.in_doubt
-            and self._has_time()
-        )
-
-    def may_send_as_well(self) -> bool:
-        """Returns whether the call may be sent while a try of it goes on."""
-        call = self.call
-        return (
-            call.plan.repeatable
-            and call.body.held is not None
-            and self._may_run_again()
-            and self.tries.in_doubt
-            and self._has_time()
-        )
-
-    def spend(self) -> bool:
-        """Pays for a second run; False: there is to be none."""
-        if self.call.attempt or not self.budget.spend():
-            return False
-        self.call.attempt += 1
-        self.call.repeat = True
-        return True
-
-    def discard(self) -> None:
-        """Drops an answer that is not passed on, as another is hoped for."""
-        if isinstance(self.outcome, outcomes.Answered):
-            self.outcome.release()
-            self.outcome = outcomes.Ran(
-                "the backend server is shedding load", 503, 1.0
-            )
-
-    def _may_run_again(self) -> bool:
-        """Returns whether one more run keeps to the most attempts.
-
-        A call that its peer has not seen counts as a run: what was sent may
-        still be on its way, or be sent again by the operating system, and
-        nothing takes back what is under way. Not counted and not paid for, it
-        ran twice where packets were merely late.
-        """
-        limit = self.call.plan.max_attempts
-        return not limit or self.reached + self.tries.count < limit
-
-    def _has_time(self) -> bool:
-        now = asyncio.get_running_loop().time()
-        return self.call.deadline - now > self.call.plan.work_s
-
 
 class Dispatch:
     """Sends calls to upstreams of their service.
@@ -167,11 +69,11 @@
             return self._refuse(call)
         tries = tries_.Tries()
         try:
-            return await self._run(_Progress(call, budget, tries))
+            return await self._run(progress_.Progress(call, budget, tries))
         finally:
             tries.close()
 
-    async def _run(self, progress: _Progress) -> outcomes.Outcome:
+    async def _run(self, progress: progress_.Progress) -> outcomes.Outcome:
         first = self._choose(progress)
         if first is None:
             return self._refuse(progress.call)
@@ -180,7 +82,7 @@
         oversee = functools.partial(self._oversee, progress)
         return await tries.run(first, send, oversee)
 
-    async def _oversee(self, progress: _Progress) -> outcomes.Outcome:
+    async def _oversee(self, progress: progress_.Progress) -> outcomes.Outcome:
         """Decides by what its tries come to until the call has its outcome."""
         while True:
             news = await progress.tries.wait()
@@ -192,7 +94,7 @@
                 return outcome
 
     def _answer_end(
-        self, ended: tries_.Ended, progress: _Progress
+        self, ended: tries_.Ended, progress: progress_.Progress
     ) -> outcomes.Outcome | None:
         """Returns what the caller gets; None: another try may yet count."""
         latest = ended.outcome
@@ -217,7 +119,9 @@
             )
         return progress.outcome
 
-    def _retry(self, latest: outcomes.Outcome, progress: _Progress) -> bool:
+    def _retry(
+        self, latest: outcomes.Outcome, progress: progress_.Progress
+    ) -> bool:
         """Tries another upstream after one that failed, if that is safe."""
         call = progress.call
         count = len(self._table.get_upstreams(call.service))
@@ -233,7 +137,7 @@
         progress.discard()
         return self._try_another(progress)
 
-    def _poll_on(self, progress: _Progress) -> bool:
+    def _poll_on(self, progress: progress_.Progress) -> bool:
         """Asks one more upstream for a free slot, or has the call wait.
 
         All that were asked count as one that refused: the call waits where
@@ -257,7 +161,7 @@
         return True
 
     def _answer_doubt(
-        self, doubtful: tries_.Doubtful, progress: _Progress
+        self, doubtful: tries_.Doubtful, progress: progress_.Progress
     ) -> None:
         """Sends a call as well whose try is in doubt, if that is safe."""
         call = progress.call
@@ -278,7 +182,10 @@
             self._send_as_well(doubtful, others, progress)
 
     def _send_as_well(
-        self, doubtful: tries_.Doubtful, others: bool, progress: _Progress
+        self,
+        doubtful: tries_.Doubtful,
+        others: bool,
+        progress: progress_.Progress,
     ) -> None:
         """Sends a call a second time, which is paid for.
 
@@ -292,14 +199,14 @@
             again = tries_.Try(doubtful.one.upstream, anew=True)
             self._start(again, progress)
 
-    def _try_another(self, progress: _Progress) -> bool:
+    def _try_another(self, progress: progress_.Progress) -> bool:
         """Sends a call to an upstream not tried yet; False: there is none."""
         one = self._choose(progress)
         if one is not None:
             self._start(one, progress)
         return one is not None
 
-    def _choose(self, progress: _Progress) -> tries_.Try | None:
+    def _choose(self, progress: progress_.Progress) -> tries_.Try | None:
         """Returns a try at an upstream not tried yet; None: there is none."""
         call = progress.call
         upstreams = self._table.get_upstreams(call.service)
@@ -322,7 +229,7 @@
         )
         return tries_.Try(upstream, may_wait=may_wait)
 
-    def _start(self, one: tries_.Try, progress: _Progress) -> None:
+    def _start(self, one: tries_.Try, progress: progress_.Progress) -> None:
         tries = progress.tries
         tries.start(one, self._sending.run(one, progress.call, tries))
 
@@ -338,17 +245,3 @@
     if isinstance(outcome, outcomes.Answered):
         return outcome.response.status != outcomes.SHEDDING
     return isinstance(outcome, outcomes.Replayed)
-
-
-def _reached_backend(outcome: outcomes.Outcome) -> bool:
-    """Returns whether a backend server was sent the call."""
-    return not isinstance(outcome, outcomes.NotRun) or outcome.reached
-
-
-def _is_refusal(outcome: outcomes.Outcome) -> bool:
-    """Returns whether an upstream had no room for the call, nor a wait."""
-    return (
-        isinstance(outcome, outcomes.NotRun)
-        and outcome.overloaded
-        and not outcome.unqueued
-    )
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -4,23 +4,20 @@
 
 import asyncio
 import functools
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
-import aiohttp
 from aiohttp import hdrs
-from aiohttp import http
 
 from merlintrestle import events as event_logs
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.reports import traffic as traffics_
-from merlintrestle.requests.transport import answers
 from merlintrestle.requests.transport import connections
+from merlintrestle.requests.transport import exchanges
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import pool as pools
 from merlintrestle.requests.transport import results
 from merlintrestle.requests.transport import seconds
-from merlintrestle.requests.transport import streams
 from merlintrestle.requests.transport import watches
 
 if TYPE_CHECKING:
@@ -35,35 +32,6 @@
 
 events = event_logs.EventLog("requests")
 
-# Longest wait for a connection, in seconds: regions are some 35 ms apart, and
-# one lost packet is sent again only after a second; another upstream is there
-# before that. With 0.3 s on a host at twice its processors, calls to a backend
-# server that took them were given up (3 of 6 runs; none of 8 with 0.5 s).
-_CONNECT_S = 0.5
-_UNREACHABLE = outcomes.NotRun(
-    "could not connect", elsewhere=True, unreachable=True
-)
-_TOO_LATE = outcomes.NotRun("the deadline has passed", 504, None)
-
-
-class _Side(NamedTuple):
-    """What holds for the connections to one kind of server.
-
-    Attributes:
-        dialect: How it speaks.
-        unacknowledged_ms: Longest time for which what was sent may stay
-            unacknowledged; 0: none.
-    """
-
-    dialect: object
-    unacknowledged_ms: int
-
-
-# Daemons pass on whole answers only, and each for its own call. Over a full
-# link what was sent is acknowledged late; a connection broken for that looks
-# like a crash, and its call is lost while the backend server runs it. That the
-# peer is silent shows when it is asked about the call.
-_PEER = _Side(dialects.OwnDialect(), 0)
 # Three times the least time after which a lost packet is sent again (200 ms).
 # A call over a connection that has gone silent would wait for its deadline. A
 # server that is merely slow acknowledges what its buffers have room for, and
@@ -98,6 +66,9 @@
         """Opens the pool."""
         self._loop = asyncio.get_running_loop()
         self._pool = pools.Pool(self._loop)
+        self._exchanges = exchanges.Exchanges(
+            self._pool, self._traffics, self._accepts_unframed
+        )
 
     async def close(self) -> None:
         """Closes the connections that are idle."""
@@ -126,7 +97,7 @@
         address = own.address
         sent_headers = dialects.build_backend_headers(dialect, call, own)
         held = call.body.held is not None
-        side = _Side(dialect, _UNACKNOWLEDGED_MS if held else 0)
+        side = exchanges.Side(dialect, _UNACKNOWLEDGED_MS if held else 0)
         pooled = None
         if call.plan.repeatable and held:
             pooled = self._pool.take(address)
@@ -154,7 +125,7 @@
         pooled: connections.Connection,
         call: calls.Call,
         sent_headers: multidict.CIMultiDict[str],
-        side: _Side,
+        side: exchanges.Side,
     ) -> outcomes.Outcome:
         """Sends a call over a kept connection, and anew if that is doubtful."""
         budget = self._budgets.get(call.service)
@@ -171,7 +142,7 @@
         began = self._loop.time()
         idle_s = began - pooled.idle_since
         try:
-            outcome = await self._exchange(
+            outcome = await self._exchanges.run(
                 pooled, watch, call.target, call, sent_headers, side
             )
             broke = results.broke_while_idle(
@@ -188,7 +159,7 @@
             second.close()
 
     async def _send_second(
-        self, own: backend.OwnBackend, call: calls.Call, side: _Side
+        self, own: backend.OwnBackend, call: calls.Call, side: exchanges.Side
     ) -> outcomes.Outcome:
         return await self._send_anew(
             own.address,
@@ -292,7 +263,9 @@
         connection: connections.Connection | outcomes.NotRun | None
         connection = self._pool.take(address)
         if connection is None:
-            connection = await self._open(address, call.deadline, _PEER)
+            connection = await self._exchanges.open(
+                address, call.deadline, exchanges.PEER
+            )
             if isinstance(connection, outcomes.NotRun):
                 return connection
         look = functools.partial(
@@ -305,7 +278,7 @@
             functools.partial(self._report, address, report),
         )
         watch = watches.Watch(connection, call.plan.work_s, call.deadline, look)
-        return await self._exchange(
+        return await self._exchanges.run(
             connection, watch, target, call, sent_headers
         )
 
@@ -328,10 +301,10 @@
         call: calls.Call,
         sent_headers: multidict.CIMultiDict[str],
         keep: bool = False,
-        side: _Side = _PEER,
+        side: exchanges.Side = exchanges.PEER,
     ) -> outcomes.Outcome:
         """Sends a call over a new connection; `keep` it for other calls."""
-        connection = await self._open(address, call.deadline, side)
+        connection = await self._exchanges.open(address, call.deadline, side)
         if isinstance(connection, outcomes.NotRun):
             return connection
         if not keep:
@@ -343,101 +316,10 @@
             # with a part of a body unread may have its answer lost.
             connection.force_close()
         watch = watches.Watch(connection, 0.0, call.deadline, None)
-        return await self._exchange(
+        return await self._exchanges.run(
             connection, watch, target, call, sent_headers, side
         )
 
-    async def _open(
-        self, address: str, deadline: float, side: _Side
-    ) -> connections.Connection | outcomes.NotRun:
-        """Opens a connection, or tells why there is none: nothing was sent."""
-        left_s = deadline - self._loop.time()
-        try:
-            async with asyncio.timeout(min(_CONNECT_S, left_s)):
-                traffics = self._traffics
-                return await self._pool.open(
-                    address,
-                    side.unacknowledged_ms,
-                    traffics.peers if side is _PEER else traffics.backend,
-                )
-        except TimeoutError:
-            return _UNREACHABLE if left_s > _CONNECT_S else _TOO_LATE
-        except OSError:
-            return _UNREACHABLE
-
-    async def _exchange(
-        self,
-        connection: connections.Connection,
-        watch: watches.Watch,
-        target: str,
-        call: calls.Call,
-        sent_headers: multidict.CIMultiDict[str],
-        side: _Side = _PEER,
-    ) -> outcomes.Outcome:
-        """Sends a call once, whatever its method: retries are decided above."""
-        answer = None
-        ahead = 0 if side is _PEER else connections.AHEAD_BYTES
-        try:
-            answer = await connection.call(
-                call.method, target, sent_headers, call.body, ahead
-            )
-            while not results.belongs(answer, call, sent_headers, side.dialect):
-                # A late answer to an earlier call of this connection.
-                events.warn(
-                    "foreign answer",
-                    request=call.request_id,
-                    address=connection.address,
-                    status=answer.status,
-                )
-                await answer.content.read()
-                answer = None
-                answer = await connection.read_answer()
-            failure = self._judge(connection, answer, call, side.dialect)
-            if failure is not None:
-                return failure
-            body = await streams.read_answer(answer, call.method)
-        except TimeoutError:
-            connection.abort()
-            return results.NOT_IN_TIME
-        except (
-            aiohttp.ClientError,
-            http.HttpProcessingError,
-            OSError,
-        ) as error:
-            connection.abort()
-            if call.body.error is not None:
-                raise call.body.error from error
-            return results.fail(
-                answer, "the connection broke", 502, broken=True
-            )
-        except BaseException:
-            connection.abort()
-            raise
-        finally:
-            watch.close()
-        release = functools.partial(self._pool.give_back, connection)
-        return outcomes.Answered(answer, body, [release])
-
-    def _judge(
-        self,
-        connection: connections.Connection,
-        answer: answers.Answer,
-        call: calls.Call,
-        dialect: object,
-    ) -> outcomes.Failure | None:
-        """Returns why an answer is not passed on; None: it is."""
-        failure = dialects.judge_answer(dialect, answer)
-        if failure is None:
-            clear = streams.has_clear_end(answer, call.method)
-            if clear or self._accepts_unframed:
-                return None
-            failure = outcomes.Ran("the answer does not say where it ends")
-        if answer.content.is_eof():
-            self._pool.give_back(connection)
-        else:
-            connection.abort()
-        return failure
-
     def _watch_transfer(
         self, address: str, call_id: str, answered: outcomes.Answered
     ) -> None:
