Use an upstream whose clock is ahead after its cold seconds

Cause: how cold an upstream is was told by its daemon's time of day alone. After a jump of 40 minutes ahead it seemed not to have begun, and was given a tenth of its slots for as long. Found by reading; the test fails on the code before.

Ruled out: the time since it became ready in place of the moment (a record that is passed on late would make it look colder). A clock that is behind makes it look warm for its few cold seconds, as before.

Also: one log line when a backend server begins or ceases to turn calls away.

--- a/merlintrestle/requests/load/acceptance.py
+++ b/merlintrestle/requests/load/acceptance.py
@@ -10,9 +10,13 @@
 import math
 from typing import TYPE_CHECKING
 
+from merlintrestle import events as event_logs
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+events = event_logs.EventLog("requests")
+
 # Weight of the newest call: some ten calls tell a backend server that turns
 # every third one away from the others.
 _NEWEST = 0.1
@@ -48,6 +52,16 @@
         """Notes a call that was given to the backend server."""
         if taken and not self._refused:
             return
+        was_sound = self.is_sound()
         refused = 1.0 - self.get()
         self._noted_at = self._get_time()
         self._refused = refused + _NEWEST * ((not taken) - refused)
+        if self.is_sound() != was_sound:
+            self._tell_change()
+
+    def _tell_change(self) -> None:
+        accepted = round(self.get(), 2)
+        if self.is_sound():
+            events.note("backend server takes its calls", accepted=accepted)
+        else:
+            events.note("backend server sheds", accepted=accepted)
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -116,6 +116,8 @@
         self._chance = chance or random.Random()
         self._observations: dict[str, observations.Observation] = {}
         self._pools: dict[str, Pool] = {}
+        # When each upstream was first known as ready, in seconds.
+        self._ready_at: dict[str, float] = {}
 
     def observe(self, member_id: str) -> observations.Observation:
         """Returns what was seen of an upstream."""
@@ -190,6 +192,9 @@
         before = self._pools.get(service)
         pool = Pool(upstreams, self._zone, self._own_id())
         self._pools[service] = pool
+        now = self._get_time()
+        for upstream in upstreams:
+            self._ready_at.setdefault(upstream.member_id, now)
         if before is not None:
             left = {one.member_id: one.ready_since_ms for one in upstreams}
             for known in before.upstreams:
@@ -197,9 +202,11 @@
                     self._forget(known.member_id)
                 elif known.ready_since_ms != left[known.member_id]:
                     self.observe(known.member_id).renew()
+                    self._ready_at[known.member_id] = now
         return pool
 
     def _forget(self, member_id: str) -> None:
+        self._ready_at.pop(member_id, None)
         observation = self._observations.get(member_id)
         if observation is None or observation.in_flight:
             return
@@ -312,13 +319,19 @@
         """
         seen = self.observe(upstream.member_id)
         soundness = seen.estimate_soundness(now)
-        room = upstream.slots * _get_share(upstream) * soundness**2
+        room = upstream.slots * self._get_share(upstream, now) * soundness**2
         return (seen.estimate_calls(now) + 1) / room
 
+    def _get_share(self, upstream: tables.Upstream, now: float) -> float:
+        """Returns the part of its slots that a cold upstream is given.
 
-def _get_share(upstream: tables.Upstream) -> float:
-    """Returns the part of its slots that a cold upstream is given."""
-    age_s = time.time() - upstream.ready_since_ms / 1000
-    if age_s >= backend.COLD_S:
-        return 1.0
-    return max(_LEAST_SHARE, age_s / backend.COLD_S)
+        It is as old as its daemon's clock says, or as it has been known here:
+        one whose daemon's clock is ahead would else seem not to have begun,
+        and get next to nothing until the clocks agree.
+        """
+        age_s = time.time() - upstream.ready_since_ms / 1000
+        if age_s < 0:
+            age_s = now - self._ready_at.get(upstream.member_id, now)
+        if age_s >= backend.COLD_S:
+            return 1.0
+        return max(_LEAST_SHARE, age_s / backend.COLD_S)
--- a/tests/requests/load/test_picking.py
+++ b/tests/requests/load/test_picking.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 import unittest
 
+from merlintrestle.requests import backend
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import observations
 from merlintrestle.requests.load import picking
@@ -78,6 +79,21 @@
         self.own_has_room = False
         self.assertGreater(len(self.count()), 1)
 
+    def test_upstream_whose_clock_is_ahead_gets_its_share(self) -> None:
+        """The clock of one instance has jumped; its backend server is used.
+
+        It became ready after the jump, so that to all others it seems to begin
+        in forty minutes. It is cold for as long as others are, no longer.
+        """
+        ahead = int((time.time() + 2400) * 1000)
+        self.upstreams = (
+            *self.upstreams[:3],
+            self.upstreams[3]._replace(ready_since_ms=ahead),
+        )
+        self.assertLess(self.count()[3], 20)
+        self.now += backend.COLD_S
+        self.assertGreater(self.count()[3], 50)
+
     def test_own_zone_comes_first_until_it_is_full(self) -> None:
         near, far = (
             builders.build_upstream(1),
