Send calls on that backend servers turn away unrun

Cause: a call was sent a second time and no third, and two refusals ended it as if the service were full. Where backend servers shed every other call, one check in ten so failed, and with it the lookup that had held its slot for a second.

Change: nothing has run of such a call, so it goes on while budget, most attempts and tries allow. Below a call that is tried again itself it does not, as before.

--- a/merlintrestle/requests/load/retries.py
+++ b/merlintrestle/requests/load/retries.py
@@ -36,7 +36,10 @@
 def _classify_not_run(outcome: outcomes.NotRun, call: calls.Call) -> Retry:
     if not outcome.elsewhere:
         return Retry.NO
-    return _limit(call) if outcome.reached else Retry.FREE
+    if not outcome.reached:
+        return Retry.FREE
+    # What was sent from here alone and turned away has not run anywhere.
+    return Retry.BUDGETED if call.repeat else _limit(call)
 
 
 @classify.register
--- a/merlintrestle/requests/serving/progress.py
+++ b/merlintrestle/requests/serving/progress.py
@@ -81,8 +81,14 @@
         )
 
     def spend(self) -> bool:
-        """Pays for a second run; False: there is to be none."""
-        if self.call.attempt or not self.budget.spend():
+        """Pays for a further send; False: there is to be none.
+
+        A call that was sent before is sent no third time, unless backend
+        servers have turned it away each time: nothing has run of it, and
+        nothing was called on its behalf.
+        """
+        again = self.call.attempt and not self._was_turned_away()
+        if again or not self.budget.spend():
             return False
         self.call.attempt += 1
         self.call.repeat = True
@@ -96,6 +102,11 @@
                 "the backend server is shedding load", 503, 1.0
             )
 
+    def _was_turned_away(self) -> bool:
+        """Returns whether all sends from here were refused unrun."""
+        refused = isinstance(self.outcome, outcomes.NotRun)
+        return self.call.repeat and refused and not self.tries.count
+
     def _may_run_again(self) -> bool:
         """Returns whether one more run keeps to the most attempts.
 
@@ -118,9 +129,10 @@
 
 
 def _is_refusal(outcome: outcomes.Outcome) -> bool:
-    """Returns whether an upstream had no room for the call, nor a wait."""
+    """Returns whether a daemon had no room for the call, nor a wait."""
     return (
         isinstance(outcome, outcomes.NotRun)
         and outcome.overloaded
         and not outcome.unqueued
+        and not outcome.reached
     )
