--- a/merlintrestle/requests/load/polls.py
+++ b/merlintrestle/requests/load/polls.py
@@ -24,10 +24,10 @@
 class Polls:
     """The upstreams that one call has asked."""
 
-    __slots__ = ("_expected_s",)
+    __slots__ = ("_asked",)
 
     def __init__(self) -> None:
-        self._expected_s: list[tuple[float, tables.Upstream]] = []
+        self._asked: list[tuple[float, tables.Upstream]] = []
 
     def may_wait(
         self, seen: observations.Observation, count: int, now: float
@@ -43,14 +43,14 @@
 
     def note(self, upstream: tables.Upstream, expected_s: float) -> None:
         """Notes that an upstream is full, and how long a call would wait."""
-        self._expected_s.append((expected_s, upstream))
+        self._asked.append((expected_s, upstream))
 
     def is_over(self, count: int) -> bool:
         """Returns whether enough of `count` upstreams were asked."""
-        return len(self._expected_s) >= min(_MOST, count)
+        return len(self._asked) >= min(_MOST, count)
 
     def take_best(self) -> tables.Upstream:
         """Returns where the call would wait the shortest; forgets all."""
-        _, best = min(self._expected_s, key=lambda asked: asked[0])
-        self._expected_s.clear()
+        _, best = min(self._asked, key=lambda asked: asked[0])
+        self._asked.clear()
         return best
--- a/merlintrestle/requests/serving/beside.py
+++ b/merlintrestle/requests/serving/beside.py
@@ -74,8 +74,6 @@
         except BaseException:
             self._admission.leave(call)
             raise
-        shed = isinstance(outcome, outcomes.NotRun) and outcome.reached
-        self._admission.note_given(not shed)
         if isinstance(outcome, outcomes.NotRun) and outcome.reached:
             turnover_s = self._admission.estimate_turnover(call)
             outcome = dataclasses.replace(outcome, retry_after_s=turnover_s)
@@ -103,6 +101,7 @@
             self._crashes.end(call, False)
             self.repeats.end(repeat)
             raise
+        self._note_given(outcome)
         self._note(call, outcome)
         if isinstance(outcome, outcomes.Answered):
             outcome.hold(lambda: self.repeats.end(repeat))
@@ -110,6 +109,13 @@
             self.repeats.end(repeat)
         return outcome
 
+    def _note_given(self, outcome: outcomes.Outcome) -> None:
+        """Notes whether the backend server took a call that reached it."""
+        if not isinstance(outcome, outcomes.NotRun):
+            self._admission.note_given(taken=True)
+        elif outcome.reached:
+            self._admission.note_given(taken=False)
+
     def _note(self, call: calls.Call, outcome: outcomes.Outcome) -> None:
         crashes = self._crashes
         if isinstance(outcome, outcomes.Answered):
