Read a store without a version once, then wait

All start seconds before the first version is written; each read its absence after 0.1, 0.2, 0.4 s, until it had met a peer.

Ruled out: no read before the first contact (a daemon that restarts beside a version would open later by the time of the contact); one watcher a zone in place of two (a zone whose only watcher is killed hears nothing until the next is chosen).

Change: after a read that found no version the pause is that of a watcher's longest.

--- a/merlintrestle/members/timing.py
+++ b/merlintrestle/members/timing.py
@@ -31,8 +31,9 @@
         watch_retry_max: Longest wait between two tries of a watcher. They are
             few, and a change that is accepted before they are back, with the
             store failing again at once, would reach nobody.
-        first_read: First wait between two reads of a store that has no version
-            yet; it grows to `watch_retry_max`.
+        first_read: First wait before a starting daemon asks a store anew that
+            failed; it grows to `watch_retry_max`, which is the wait where the
+            store has no version yet.
         seeds_write: Least time between two writes of a zone's seeds.
         seeds_check: The records of seeds are looked at again after so long,
             for parts of the fleet that this one does not know; sooner, from
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -138,19 +138,23 @@
         """Reads the head until it is known, here or from a peer.
 
         A store that has no version yet answers at once, so success needs a
-        pause as well: without one each daemon of a fleet that starts asked a
-        hundred times a second. One that has met a peer need not ask at all.
+        pause as well, and a long one: nothing can be served before a version
+        is there, and by then most have met a peer and need not ask at all.
+        With short ones, a fleet of hundreds that starts as a whole would put
+        most of its calls to the store in its first second.
         """
         backoff = timing_lib.Backoff(
             self._timing.first_read, self._timing.watch_retry_max
         )
         while not self._handled and not self._membership.links.get_links():
+            wait_s = timing_lib.jitter(self._timing.watch_retry_max)
             try:
                 if await self.refresh():
                     return
             except errors.MerlintrestleError as error:
                 events.warn("store silent", error=str(error))
-            await asyncio.sleep(backoff.get_wait())
+                wait_s = backoff.get_wait()
+            await asyncio.sleep(wait_s)
 
     async def _meet_herd(self) -> None:
         """Meets others that started at the same time, before it watches.
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -219,6 +219,19 @@
             await asyncio.sleep(0)
         self.assertEqual(self.configuration.reads, 1)
 
+    async def test_fleet_that_starts_asks_once_each(self) -> None:
+        """Hundreds of daemons do not read again and again what is not there.
+
+        The first version is written seconds after they started. Read after
+        0.1 s, 0.2 s and so on until a peer was met, its absence cost each of
+        them four calls of the store.
+        """
+        await self.start_directly(first_read=0.0, watch_retry_max=3600.0)
+        await builders.wait_until(lambda: self.configuration.reads > 0)
+        for _ in range(50):
+            await asyncio.sleep(0)
+        self.assertEqual(self.configuration.reads, 1)
+
     async def test_first_version_is_taken_after_a_pause(self) -> None:
         await self.start_directly()
         await builders.wait_until(lambda: self.configuration.reads > 0)
