Let calls wait shortly in the own zone before other zones are asked

Change: calls to a near upstream of unknown load may wait for an eighth of their patience, three of the four polls stay in the zone, and the own backend server is not waited at if it is full. The model counts answers now where it counted calls, as they carry the bytes.

--- a/merlintrestle/requests/calls/call.py
+++ b/merlintrestle/requests/calls/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import hashlib
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,17 @@
     from merlintrestle.requests.transport import bodies
 
 
+class Wait(enum.Enum):
+    """How long a call may wait for a slot where the caller's daemon sent it."""
+
+    # As long as its latency target allows.
+    USUAL = enum.auto()
+    # A part of that; it is to go elsewhere then.
+    SHORT = enum.auto()
+    # Not at all.
+    NONE = enum.auto()
+
+
 @dataclasses.dataclass(slots=True)
 class Call:
     """A caller's request, its class of work known.
@@ -38,7 +50,7 @@
         suspect: True if it broke a connection before and may be what crashed
             the backend server.
         repeat: True if a backend server may have been sent it before.
-        may_wait: True if it may wait for a slot of the backend server.
+        wait: How long it may wait for a slot of the backend server.
         admitted_at: When it took its slot of the backend server, in seconds.
         request_id: Id that the caller gave it; empty: none.
         origin: Service of the instance at which it began; empty: not known.
@@ -59,7 +71,7 @@
     attempt: int
     key: str
     repeat: bool = False
-    may_wait: bool = True
+    wait: Wait = Wait.USUAL
     admitted_at: float = 0.0
     suspect: bool = False
     request_id: str = ""
--- a/merlintrestle/requests/calls/intake.py
+++ b/merlintrestle/requests/calls/intake.py
@@ -50,7 +50,7 @@
         comes_back: True if a caller that comes back says nothing of its first
             attempt, and states the end of its wait as before.
         suspect: True if the call broke a connection before.
-        may_wait: False if it is to be refused where no slot is free.
+        wait: How long it may wait for a slot of the backend server.
         repeat: True if a backend server may have been sent it before.
     """
 
@@ -62,7 +62,7 @@
     waited_ms: int = 0
     comes_back: bool = False
     suspect: bool = False
-    may_wait: bool = True
+    wait: calls.Wait = calls.Wait.USUAL
     repeat: bool = False
 
 
@@ -131,7 +131,7 @@
         attempt=asked.attempt,
         key=request.headers.get(headers.KEY, ""),
         repeat=asked.repeat,
-        may_wait=asked.may_wait,
+        wait=asked.wait,
         suspect=asked.suspect,
         request_id=asked.request_id,
         origin=asked.origin,
--- a/merlintrestle/requests/calls/passing.py
+++ b/merlintrestle/requests/calls/passing.py
@@ -6,14 +6,15 @@
 
 from __future__ import annotations
 
+from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.calls import intake
 
 _SEPARATOR = " "
 # Blanks at the end of a header are no part of it, and an id may be empty.
 _END = ";"
 _SUSPECT = "s"
-_MAY_NOT_WAIT = "n"
 _REPEAT = "r"
+_WAITS = {calls.Wait.SHORT: "w", calls.Wait.NONE: "n"}
 # Figures, flags and the origin; the rest is the id, whatever it contains.
 _PLACES = 6
 
@@ -21,8 +22,7 @@
 def encode_asked(asked: intake.Asked) -> str:
     """Returns the text of the header; a time limit must be stated."""
     flags = _SUSPECT if asked.suspect else ""
-    if not asked.may_wait:
-        flags += _MAY_NOT_WAIT
+    flags += _WAITS.get(asked.wait, "")
     if asked.repeat:
         flags += _REPEAT
     return (
@@ -52,8 +52,15 @@
             int(attempt),
             int(waited),
             suspect=_SUSPECT in flags,
-            may_wait=_MAY_NOT_WAIT not in flags,
+            wait=_read_wait(flags),
             repeat=_REPEAT in flags,
         )
     except ValueError:
         return None
+
+
+def _read_wait(flags: str) -> calls.Wait:
+    for wait, flag in _WAITS.items():
+        if flag in flags:
+            return wait
+    return calls.Wait.USUAL
--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import acceptance
 from merlintrestle.requests.load import loads
@@ -21,12 +22,14 @@
     from merlintrestle.members import table as tables
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests import parts
-    from merlintrestle.requests.calls import call as calls
 
 # Waiting calls per slot, of all classes together.
 WAITING_PER_SLOT = 4
 # Weight of the newest call in the mean time that a slot is held.
 _NEWEST = 0.1
+# Part of the usual wait that is short. What is expected is rough, as more
+# important calls may come meanwhile, and a longer wait would be in vain.
+_SHORT_PART = 0.125
 # A backend server with a dozen slots has one free every few hundredths of a
 # second. Callers that come back so soon may still be answered within the
 # target.
@@ -100,8 +103,10 @@
         self._update_shares()
         # Calls of other classes may wait: those that had room were woken.
         room = not queue.waiting and self._has_room(queue)
-        if not call.may_wait and not (room and self._acceptance.is_sound()):
-            return self._refuse_unqueued(queue, call)
+        if call.wait is not calls.Wait.USUAL:
+            refusal = self._check_wait(queue, call, room)
+            if refusal is not None:
+                return refusal
         if room:
             self._take(queue)
         else:
@@ -204,23 +209,29 @@
         expected_s = self._estimate_wait(queue, waiter)
         return self._refuse_full(queue, waiter, expected_s, loop.time())
 
-    def _refuse_unqueued(
-        self, queue: queues.ClassQueue, call: calls.Call
-    ) -> outcomes.NotRun:
-        """Tells a call that is not to wait how long it would have waited.
+    def _check_wait(
+        self, queue: queues.ClassQueue, call: calls.Call, room: bool
+    ) -> outcomes.NotRun | None:
+        """Refuses a call that may go elsewhere if it would wait too long here.
 
-        Calls that the backend server turns away are made again, there or
-        elsewhere; it takes that much longer until one has been taken.
+        It is told how long. Calls that the backend server turns away are made
+        again, there or elsewhere; it takes that much longer until one has been
+        taken.
         """
+        sound = self._acceptance.is_sound()
+        if room and sound:
+            return None
         if not self._slots:
             return _refuse("the backend server has no slots", 1.0)
         loop = asyncio.get_running_loop()
+        left_s = call.due - loop.time()
         waiter = queues.Waiter(
-            queue.is_late(call.due - loop.time()),
-            call.due,
-            loop.create_future(),
+            queue.is_late(left_s), call.due, loop.create_future()
         )
         expected_s = self._estimate_wait(queue, waiter)
+        short = expected_s <= _SHORT_PART * queue.get_patience(left_s)
+        if sound and short and call.wait is calls.Wait.SHORT:
+            return None
         expected_s += queue.hold_s * (1 / self._acceptance.get() - 1)
         return _refuse("no free slot just now", expected_s, unqueued=True)
 
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -21,7 +21,7 @@
 _SOUND = 0.8
 # Tries in the own availability zone before the others are as good: one zone may
 # have far more to do than the rest.
-_NEAR_TRIES = 2
+_NEAR_TRIES = 3
 # Pairs drawn at random before all upstreams are looked through.
 _DRAWS = 3
 
@@ -127,6 +127,12 @@
             self._observations[member_id] = observation
         return observation
 
+    def is_near(self, upstream: tables.Upstream) -> bool:
+        """Returns whether an upstream is another one in the own zone."""
+        return (
+            upstream.zone == self._zone and upstream.member_id != self._own_id()
+        )
+
     def view(self, upstream: tables.Upstream, count: int) -> View:
         """Returns what decided that an upstream was picked.
 
--- a/merlintrestle/requests/load/polls.py
+++ b/merlintrestle/requests/load/polls.py
@@ -11,12 +11,13 @@
 
 from typing import TYPE_CHECKING
 
+from merlintrestle.requests.calls import call as calls
+
 if TYPE_CHECKING:
     from merlintrestle.members import table as tables
-    from merlintrestle.requests.load import observations
 
-# Upstreams that are asked for one call. Where every second is full, one of four
-# has a free slot for 15 of 16 calls; each more is a hop that most calls that
+# Upstreams that are asked for one call. If every second is full, one of four
+# has a free slot for 15 of 16 calls; each more is a hop that most calls which
 # need it make in vain.
 _MOST = 4
 
@@ -29,18 +30,6 @@
     def __init__(self) -> None:
         self._asked: list[tuple[float, tables.Upstream]] = []
 
-    def may_wait(
-        self, seen: observations.Observation, count: int, now: float
-    ) -> bool:
-        """Returns whether a call is to wait if an upstream is full.
-
-        Args:
-            seen: What is known of the upstream.
-            count: Upstreams of the service.
-            now: Time of the event loop, in seconds.
-        """
-        return count == 1 or seen.knows_load(now)
-
     def note(self, upstream: tables.Upstream, expected_s: float) -> None:
         """Notes that an upstream is full, and how long a call would wait."""
         self._asked.append((expected_s, upstream))
@@ -54,3 +43,18 @@
         _, best = min(self._asked, key=lambda asked: asked[0])
         self._asked.clear()
         return best
+
+
+def choose_wait(known: bool, near: bool) -> calls.Wait:
+    """Returns how long a call may wait at an upstream before others are asked.
+
+    A short wait in the own availability zone costs a caller less than a hop to
+    another one, and its answer crosses no zone.
+
+    Args:
+        known: The load of the upstream is known, or there is no other.
+        near: It is in the own availability zone.
+    """
+    if known:
+        return calls.Wait.USUAL
+    return calls.Wait.SHORT if near else calls.Wait.NONE
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -10,8 +10,10 @@
 import functools
 from typing import TYPE_CHECKING
 
+from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import joining
+from merlintrestle.requests.load import polls
 from merlintrestle.requests.load import retries
 from merlintrestle.requests.serving import progress as progress_
 from merlintrestle.requests.serving import sending
@@ -21,7 +23,6 @@
     from collections.abc import Callable
 
     from merlintrestle.requests import parts
-    from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import budgets as budgets_
     from merlintrestle.requests.load import picking
     from merlintrestle.requests.serving import beside as besides
@@ -222,12 +223,12 @@
         view = self._picker.view(upstream, len(upstreams))
         call.story.add_later("picked", view.describe)
         # A body that is passed on in pieces cannot be offered to others.
-        may_wait = call.body.held is None or progress.polls.may_wait(
-            self._picker.observe(upstream.member_id),
-            len(upstreams),
-            self._get_time(),
-        )
-        return tries_.Try(upstream, may_wait=may_wait)
+        wait = calls.Wait.USUAL
+        if call.body.held is not None:
+            seen = self._picker.observe(upstream.member_id)
+            known = len(upstreams) == 1 or seen.knows_load(self._get_time())
+            wait = polls.choose_wait(known, self._picker.is_near(upstream))
+        return tries_.Try(upstream, wait=wait)
 
     def _start(self, one: tries_.Try, progress: progress_.Progress) -> None:
         tries = progress.tries
--- a/merlintrestle/requests/serving/sending.py
+++ b/merlintrestle/requests/serving/sending.py
@@ -156,11 +156,9 @@
         report: Callable[[doubts.Doubt], None],
     ) -> outcomes.Outcome:
         if one.upstream.member_id == self._member_id():
-            return await self._beside.run(
-                call
-                if one.may_wait
-                else dataclasses.replace(call, may_wait=False)
-            )
+            if one.wait is not call.wait:
+                call = dataclasses.replace(call, wait=one.wait)
+            return await self._beside.run(call)
         return await self._send(one, call, report)
 
     def _limit(
@@ -223,7 +221,7 @@
             int(call.attempt > 0 or others),
             max(0, int(waited_s * 1000)),
             suspect=call.suspect,
-            may_wait=one.may_wait,
+            wait=one.wait,
             repeat=call.repeat,
         )
         sent = call.headers.copy()
--- a/merlintrestle/requests/serving/tries.py
+++ b/merlintrestle/requests/serving/tries.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import NamedTuple, TYPE_CHECKING
 
+from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.calls import outcomes
 
 if TYPE_CHECKING:
@@ -25,13 +26,13 @@
         upstream: Where it is sent.
         anew: True if it goes over a new connection, as the one of an earlier
             try at the same upstream is silent.
-        may_wait: False if it is to be refused where no slot is free.
+        wait: How long it may wait for a slot there.
         doubts: Why its answer may well not come, as far as that was found.
     """
 
     upstream: tables.Upstream
     anew: bool = False
-    may_wait: bool = True
+    wait: calls.Wait = calls.Wait.USUAL
     doubts: set[doubts_.Doubt] = dataclasses.field(default_factory=set)
 
     @property
--- a/tools/model.py
+++ b/tools/model.py
@@ -138,7 +138,7 @@
         earned: Worth that was earned, as a part of what was asked for.
         served: Part of the calls that were answered.
         worst: The part earned in the two worst windows.
-        far: Part of the calls between daemons that left their zone.
+        far: Part of the answers between daemons that left their zone.
         repeated: Repeats that came to backend servers, as a part of the calls,
             by service.
     """
@@ -253,14 +253,15 @@
         passed = dataclasses.replace(call)
         asked = passing.decode_asked(sent[headers.PASSED])
         assert asked is not None
-        passed.may_wait = asked.may_wait
+        passed.wait = asked.wait
         passed.repeat = asked.repeat
         peer = self._play.find(address)
         far = peer.server.zone != self.server.zone
-        self._play.hops[far] += 1
         way_s = _FAR_S if far else _NEAR_S
         await asyncio.sleep(way_s)
         outcome = await peer.run(passed)
+        if isinstance(outcome, outcomes.Answered):
+            self._play.hops[far] += 1
         await asyncio.sleep(way_s)
         return outcome
 
@@ -313,7 +314,7 @@
         works: The classes of work by name.
         chance: The source of chance.
         table: The upstreams that daemons know.
-        hops: Calls between daemons, by whether they left their zone.
+        hops: Answers between daemons, by whether they left their zone.
         requests: Calls by service, each attempt of a caller for itself.
         repeats: Those of them that came to a backend server after a first
             send, or on behalf of a call that had.
