--- a/merlintrestle/daemon/admin.py
+++ b/merlintrestle/daemon/admin.py
@@ -41,12 +41,14 @@
         address: Its own "ip:port".
         slots: Calls it runs at once.
         state: Whether it takes new work.
+        version: Version of its software; empty: not stated.
     """
 
     service: str
     address: str
     slots: int
     state: control_pb2.BackendState
+    version: str = ""
 
 
 class AdminServer(mode.Service):
--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -25,6 +25,7 @@
         cold_s: Seconds for which it will still be slow after its start.
         sequence: Greater in each later heartbeat of one process.
         born_ms: When the process started, in ms since 1970; 0: not stated.
+        version: Version of its software; empty: not stated.
     """
 
     instance_id: str
@@ -35,6 +36,7 @@
     cold_s: float
     sequence: float
     born_ms: int = 0
+    version: str = ""
 
 
 class Heartbeats:
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -18,6 +18,10 @@
 from merlintrestle.members import timing as timings
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.serving import proxy as proxies
+from merlintrestle.rollouts import book as books
+from merlintrestle.rollouts import keeper as keepers
+from merlintrestle.rollouts import register as registers
+from merlintrestle.rollouts import spreading
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import request_pb2_grpc
 from merlintrestle.schema import settings_pb2
@@ -52,6 +56,7 @@
         witnessed: Whether other daemons record each version before it runs,
             so that this daemon never goes back over a restart.
         watch_directly: Whether it asks the store before it met a peer.
+        rollout_form: How the store keeps the records of roll-outs.
     """
 
     store: Any
@@ -60,6 +65,7 @@
     timing: timings.Timing
     witnessed: bool = True
     watch_directly: bool = False
+    rollout_form: registers.Form = registers.OwnForm()
 
 
 def build_surroundings(store_address: str) -> Surroundings:
@@ -106,12 +112,14 @@
         )
         settings.control_port = self._control.port
         self._table = tables.MemberTable(self._build_member())
+        self._book = books.Book(self._table.get_upstreams)
         self._proxy = proxies.Proxy(
             settings,
             self._holder,
             self._table,
             self._store,
             self._surroundings.dialect,
+            self._book,
         )
         self._proxy.hold_callers = True
         await self.add_runtime_dependency(self._proxy)
@@ -171,6 +179,7 @@
             heartbeat.instance_id,
             heartbeat.cold_s,
             heartbeat.born_ms,
+            heartbeat.version,
         )
 
     def retire_backend(self, instance_id: str, born_ms: int = 0) -> None:
@@ -237,8 +246,32 @@
         crashes = self._proxy.crashes
         crashes.send_strike = membership.links.send_strike
         membership.links.on_strike.append(crashes.strikes.add)
+        self._start_rollouts(membership, distribution)
         await self.add_runtime_dependency(membership)
         await self.add_runtime_dependency(distribution)
+        await self.add_runtime_dependency(self._keeper)
+
+    def _start_rollouts(
+        self,
+        membership: memberships.Membership,
+        distribution: distributions.Distribution,
+    ) -> None:
+        """Connects what is known of roll-outs with links and store."""
+        self._spreading = spreading.Spreading(self._book, membership)
+        register = registers.Register(
+            self._store, self._surroundings.rollout_form
+        )
+        self._keeper = keepers.Keeper(
+            self._book,
+            self._proxy.observer,
+            register,
+            distribution.watcher.get_turn,
+        )
+        distribution.watcher.on_orders.append(
+            lambda entries: self._keeper.take_orders(
+                register.parse_orders(entries)
+            )
+        )
 
     async def _wait_until_ready(self) -> None:
         """Waits until a version runs, but not for long.
@@ -275,7 +308,13 @@
         }
 
     def _announce(self, announcement: admin.Announcement) -> None:
-        self._proxy.backend.announce(*announcement)
+        self._proxy.backend.announce(
+            announcement.service,
+            announcement.address,
+            announcement.slots,
+            announcement.state,
+            version=announcement.version,
+        )
 
     def _spread_backend(self) -> None:
         self._table.set_backend(self._proxy.backend.build_record())
--- a/merlintrestle/members/exchange.py
+++ b/merlintrestle/members/exchange.py
@@ -15,7 +15,7 @@
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from merlintrestle.store import client
 
@@ -29,7 +29,12 @@
 
 
 class Exchange:
-    """Compares the table with other daemons, bucket by bucket."""
+    """Compares the table with other daemons, bucket by bucket.
+
+    Attributes:
+        on_reply: Called with each reply before it is sent, to add to it.
+        on_news: Called with each reply that came.
+    """
 
     def __init__(
         self,
@@ -39,6 +44,8 @@
         seeds: Sequence[str],
         timing: timing_lib.Timing,
     ):
+        self.on_reply: list[Callable[[control_pb2.MembersReply], None]] = []
+        self.on_news: list[Callable[[control_pb2.MembersReply], None]] = []
         self._table = table
         self._peers = peers
         self._store = store
@@ -144,10 +151,13 @@
         buckets = list(request.buckets) or self._find_differing(
             request.bucket_digests
         )
-        return control_pb2.MembersReply(
+        reply = control_pb2.MembersReply(
             bucket_digests=self._table.bucket_digests,
             members=self._select(buckets, request.members),
         )
+        for add in self.on_reply:
+            add(reply)
+        return reply
 
     async def _contact_any(self, addresses: Sequence[str]) -> bool:
         """Asks daemons in random order until one answers."""
@@ -235,9 +245,12 @@
     async def _call(
         self, peer_id: str, request: control_pb2.MembersRequest
     ) -> control_pb2.MembersReply:
-        return await self._peers.call(
+        reply: control_pb2.MembersReply = await self._peers.call(
             peer_id, "Members", request, self._timing.fetch
         )
+        for notify in self.on_news:
+            notify(reply)
+        return reply
 
     def _merge(self, members: Sequence[control_pb2.Member]) -> None:
         for member in members:
--- a/merlintrestle/members/links.py
+++ b/merlintrestle/members/links.py
@@ -97,6 +97,22 @@
         """Tells the fleet of a strike; each daemon passes it on once."""
         self._spread_strike(strike, None)
 
+    def send_rollout(
+        self, rollout: control_pb2.Rollout, besides: Link | None = None
+    ) -> None:
+        """Tells every neighbour of a roll-out, but the one it came from."""
+        for link in self._links:
+            if link is not besides:
+                link.box.add_rollout(rollout)
+
+    def send_trial(
+        self, trial: control_pb2.Trial, besides: Link | None = None
+    ) -> None:
+        """Tells every neighbour what was seen, but the one it came from."""
+        for link in self._links:
+            if link is not besides:
+                link.box.add_trial(trial)
+
     def send_offer(
         self,
         offer: control_pb2.Offer,
--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -40,6 +40,7 @@
         table: All members known.
         links: The links to neighbours, and those that others opened.
         peers: Channels for single calls.
+        exchange: Compares the table with other daemons.
         timing: Intervals.
     """
 
@@ -63,7 +64,7 @@
         self.timing = timing or timing_lib.Timing()
         self.links = links_lib.Links(table, self.timing)
         self.peers = peers_lib.Peers()
-        self._exchange = exchange.Exchange(
+        self.exchange = exchange.Exchange(
             table, self.peers, store, seeds, self.timing
         )
         self._judge = suspicion.Judge(
@@ -91,7 +92,7 @@
 
     async def wait_for_contact(self, timeout_s: float) -> bool:
         """Waits for the first answer of another daemon; False: none came."""
-        return await self._exchange.wait_for_contact(timeout_s)
+        return await self.exchange.wait_for_contact(timeout_s)
 
     def is_cut_off(self) -> bool:
         """Tells whether no peer has said anything for a while.
@@ -105,11 +106,11 @@
 
     async def contact_unknown(self, addresses: Sequence[str]) -> None:
         """Contacts daemons that the table does not have yet."""
-        await self._exchange.contact_unknown(addresses)
+        await self.exchange.contact_unknown(addresses)
 
     async def find_others(self) -> None:
         """Contacts daemons that the store names and the table does not."""
-        await self._exchange.find_others()
+        await self.exchange.find_others()
 
     async def serve_link(self, stream: grpc.aio.ServicerContext) -> None:
         """Serves a link that a peer opened, until it ends."""
@@ -131,7 +132,7 @@
         self, request: control_pb2.MembersRequest
     ) -> control_pb2.MembersReply:
         """Takes in and gives members by bucket."""
-        return self._exchange.answer(request)
+        return self.exchange.answer(request)
 
     @mode.Service.task
     async def _choose_neighbours(self) -> None:
@@ -160,13 +161,13 @@
 
     @mode.Service.task
     async def _join(self) -> None:
-        await self._exchange.join()
+        await self.exchange.join()
 
     @mode.Service.task
     async def _exchange_members(self) -> None:
         while not self.should_stop:
             await self.sleep(timing_lib.jitter(self.timing.exchange))
-            member_id = await self._exchange.run_round()
+            member_id = await self.exchange.run_round()
             if member_id is not None:
                 self._judge.check_soon(member_id)
             self.table.forget_gone()
@@ -230,7 +231,7 @@
         finally:
             self._source = None
         if message.members_digest != self.table.digest:
-            self._exchange.note_difference(link.peer_id)
+            self.exchange.note_difference(link.peer_id)
 
     def _spread(self, member: control_pb2.Member) -> None:
         """Passes a record on to the neighbours, and chooses them anew."""
--- a/merlintrestle/members/outbox.py
+++ b/merlintrestle/members/outbox.py
@@ -32,6 +32,8 @@
         self.filled = asyncio.Event()
         self._members: dict[str, control_pb2.Member] = {}
         self._strikes: dict[tuple[bytes, str], control_pb2.Strike] = {}
+        self._rollouts: dict[str, control_pb2.Rollout] = {}
+        self._trials: dict[tuple[str, str], control_pb2.Trial] = {}
         self._delta: document_pb2.Delta | None = None
 
     def add_member(self, member: control_pb2.Member) -> None:
@@ -54,6 +56,23 @@
             self._strikes[key] = strike
         self._wake()
 
+    def add_rollout(self, rollout: control_pb2.Rollout) -> None:
+        """Adds the newest record of a roll-out, sent at once."""
+        self._rollouts[rollout.service] = rollout
+        self._wake()
+
+    def add_trial(self, trial: control_pb2.Trial) -> None:
+        """Adds what was seen of a backend server in place of an older record.
+
+        What makes it suspect is sent at once: until all daemons have heard it,
+        callers get its bad answers.
+        """
+        self._trials[trial.service, trial.member_id] = trial
+        if trial.suspect:
+            self._wake()
+        else:
+            self.filled.set()
+
     def set_delta(self, delta: document_pb2.Delta | None) -> None:
         """Replaces the delta that waits; the offer itself is in any message.
 
@@ -71,8 +90,12 @@
         for member_id in list(self._members)[:MAX_MEMBERS]:
             message.members.append(self._members.pop(member_id))
         message.strikes.extend(self._strikes.values())
+        message.rollouts.extend(self._rollouts.values())
+        message.trials.extend(self._trials.values())
         self._delta = None
         self._strikes.clear()
+        self._rollouts.clear()
+        self._trials.clear()
         self.urgent.clear()
         if not self._members:
             self.filled.clear()
--- a/merlintrestle/members/table.py
+++ b/merlintrestle/members/table.py
@@ -37,6 +37,7 @@
         slots: Calls it runs at once.
         ready_since_ms: When it became ready, in ms since 1970.
         suspect: True while the daemon is suspected to have failed.
+        version: Version of the backend server's software; empty: not stated.
     """
 
     member_id: str
@@ -47,6 +48,7 @@
     slots: int
     ready_since_ms: int
     suspect: bool
+    version: str = ""
 
 
 class MemberTable:
@@ -269,6 +271,7 @@
             backend.slots,
             backend.ready_since_ms,
             member.state == control_pb2.SUSPECT,
+            backend.version,
         )
         self._upstreams.pop(backend.service, None)
 
--- a/merlintrestle/members/validity.py
+++ b/merlintrestle/members/validity.py
@@ -10,6 +10,7 @@
 # A member raises its incarnation by one above what others hold; the largest
 # numbers would leave it no room.
 _MAX_INCARNATION = 2**62
+_MAX_VERSION_CHARACTERS = 200
 
 
 def find_fault(member: control_pb2.Member) -> str:
@@ -27,6 +28,8 @@
     if not 0 <= member.link_mbps < math.inf:
         return f"a link of {member.link_mbps} Mbit/s is out of range."
     backend = member.backend
+    if len(backend.version) > _MAX_VERSION_CHARACTERS:
+        return "the version of its backend server is too long."
     if backend.state != control_pb2.READY:
         return ""
     if not backend.slots:
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -2,20 +2,21 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, TYPE_CHECKING
 
 from merlintrestle import errors
+from merlintrestle import rows
 from merlintrestle.documents import compiler
 from merlintrestle.documents import loading
 from merlintrestle.documents import snapshot as snapshots
 from merlintrestle.members import seeds as seeds_lib
+from merlintrestle.platform import rollouts
 from merlintrestle.platform import store as stores
 from merlintrestle.schema import document_pb2
 from merlintrestle.versions import progress
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping
+    from collections.abc import AsyncIterator, Mapping, Sequence
 
     from merlintrestle.store import client
 
@@ -24,6 +25,8 @@
 _REPEATABLE = {"idempotent": True, "download": True, "non_idempotent": False}
 # The product's importance goes up from 1, the platform's rank down from 0.
 _MOST_IMPORTANT = 5
+# All that operators write; roll-outs stand behind the configuration.
+_OPERATORS_PREFIX = "op/"
 _HEXADECIMAL = 16
 # Shortest wait of a watch that asks what is in the history already.
 _ASK_MS = 1
@@ -37,6 +40,7 @@
         self._store = store
         self._latest: dict[int, client.Entry] = {}
         self._revision = 0
+        self._orders: Sequence[client.Entry] = ()
         self._known = progress.Progress()
         self._head = document_pb2.Head()
         self._compiled: snapshots.Snapshot | None = None
@@ -53,12 +57,20 @@
             errors.SnapshotError: The record is malformed.
         """
         if self._known.at:
-            at = await self._store.read_revision(stores.CONFIGURATION_KEY)
+            self._orders, at = await self._store.read_after(
+                _OPERATORS_PREFIX, stores.CONFIGURATION_KEY
+            )
             if at <= self._known.at or await self._learn_without_value(at):
                 return self._head
         revision = self._revision
-        entry, at = await self._store.read_newest(stores.CONFIGURATION_KEY)
-        head = self._take(entry) if entry else document_pb2.Head()
+        entries, at = await self._store.read_all(_OPERATORS_PREFIX)
+        head = self._head
+        for entry in entries:
+            if entry.key == stores.CONFIGURATION_KEY:
+                head = self._take(entry)
+        self._orders = [
+            entry for entry in entries if entry.key != stores.CONFIGURATION_KEY
+        ]
         self._known.note_read(self._revision != revision)
         self._known.note(at)
         return head
@@ -94,13 +106,27 @@
             raise errors.SnapshotError(
                 f"version {head.version} was replaced by a later one"
             )
-        resources = build_resources(_parse(entry.value))
+        resources = build_resources(
+            rows.parse_object(entry.value, "configuration")
+        )
         snapshot = loading.load_snapshot(
             head.version, resources, self._compiled
         )
         self._compiled = snapshot
         return snapshot
 
+    async def read_orders(self) -> list[client.Entry]:
+        """Returns the orders of roll-outs, as the last read of the head saw.
+
+        They lie behind the configuration, so that no call of its own is made
+        for them.
+        """
+        return [
+            entry
+            for entry in self._orders
+            if entry.key.startswith(rollouts.OPERATORS_FORM.order_prefix)
+        ]
+
     async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
         """Names members of a zone; returns those named before.
 
@@ -133,7 +159,9 @@
     def _take(self, entry: client.Entry) -> document_pb2.Head:
         """Returns the head of an entry, unless a newer one was taken."""
         if entry.revision > self._revision:
-            version = read_version(_parse(entry.value))
+            version = read_version(
+                rows.parse_object(entry.value, "configuration")
+            )
             self._latest = {version: entry}
             self._revision = entry.revision
             self._head = document_pb2.Head(version=version)
@@ -163,82 +191,17 @@
         errors.SnapshotError: Something in it is malformed.
     """
     resources: dict[str, bytes] = {}
-    for row in _read_table(configuration, "services"):
-        _add_service(resources, _Row("services", row))
-    for row in _read_table(configuration, "routes"):
-        _add_route(resources, _Row("routes", row))
+    for row in rows.read_table(configuration, "services"):
+        _add_service(resources, rows.Row("services", row))
+    for row in rows.read_table(configuration, "routes"):
+        _add_route(resources, rows.Row("routes", row))
     limits = configuration.get("limits")
     if limits is not None:
-        _add_limits(resources, _Row("limits", limits))
+        _add_limits(resources, rows.Row("limits", limits))
     return resources
 
 
-class _Row:
-    """One row of the configuration; its values are checked as they are read."""
-
-    def __init__(self, table: str, fields: Any):
-        if not isinstance(fields, dict):
-            raise errors.SnapshotError(f"{table}: {fields!r} is not an object")
-        self._table = table
-        self._fields = fields
-
-    def get_text(self, name: str) -> str:
-        """Returns a text that is not empty."""
-        value = self._fields.get(name)
-        if not isinstance(value, str) or not value:
-            raise self._fail(name)
-        return value
-
-    def get_number(self, name: str) -> int:
-        """Returns a whole number, not negative."""
-        value = self._fields.get(name)
-        if type(value) is not int or value < 0:
-            raise self._fail(name)
-        return value
-
-    def get_list(self, name: str) -> list[Any] | None:
-        """Returns a list; None: it is left out."""
-        value = self._fields.get(name)
-        if value is not None and not isinstance(value, list):
-            raise self._fail(name)
-        return value
-
-    def _fail(self, name: str) -> errors.SnapshotError:
-        row = self._fields.get("name", "")
-        value = self._fields.get(name)
-        return errors.SnapshotError(f"{self._table} {row}: {name} is {value!r}")
-
-
-def _parse(value: bytes) -> dict[str, Any]:
-    try:
-        configuration = json.loads(value)
-    except ValueError as error:
-        raise errors.SnapshotError(f"configuration: {error}") from error
-    if not isinstance(configuration, dict):
-        raise errors.SnapshotError("configuration: it is not an object")
-    return configuration
-
-
-def _read_table(
-    configuration: Mapping[str, Any], name: str
-) -> list[dict[str, Any]]:
-    """Returns the rows of a table; a value that is null is left out."""
-    table = configuration.get(name)
-    if not isinstance(table, dict):
-        raise errors.SnapshotError(f"configuration: {name} is not an object")
-    columns, rows = table.get("columns"), table.get("rows")
-    if not isinstance(columns, list) or not isinstance(rows, list):
-        raise errors.SnapshotError(f"{name}: columns and rows are not lists")
-    found = []
-    for row in rows:
-        if not isinstance(row, list) or len(row) != len(columns):
-            raise errors.SnapshotError(f"{name}: {row!r} does not fit")
-        pairs = zip(columns, row, strict=True)
-        found.append({key: value for key, value in pairs if value is not None})
-    return found
-
-
-def _add_service(resources: dict[str, bytes], row: _Row) -> None:
+def _add_service(resources: dict[str, bytes], row: rows.Row) -> None:
     name = row.get_text("name")
     resources[snapshots.name_service(name)] = compiler.serialize_message(
         document_pb2.ServiceResource(
@@ -247,7 +210,7 @@
     )
 
 
-def _add_route(resources: dict[str, bytes], row: _Row) -> None:
+def _add_route(resources: dict[str, bytes], row: rows.Row) -> None:
     name = row.get_text("name")
     resources[snapshots.name_host_route(name)] = compiler.serialize_message(
         document_pb2.HostRouteResource(
@@ -261,12 +224,12 @@
     )
 
 
-def _read_parts(row: _Row) -> list[document_pb2.RoutePart]:
+def _read_parts(row: rows.Row) -> list[document_pb2.RoutePart]:
     split = row.get_list("split")
     if not split:
         service = row.get_text("service")
         return [document_pb2.RoutePart(service=service, weight=1)]
-    parts = [_Row("split", part) for part in split]
+    parts = [rows.Row("split", part) for part in split]
     return [
         document_pb2.RoutePart(
             service=part.get_text("service"), weight=part.get_number("weight")
@@ -275,7 +238,7 @@
     ]
 
 
-def _read_target(row: _Row) -> document_pb2.ClassTarget:
+def _read_target(row: rows.Row) -> document_pb2.ClassTarget:
     kind = row.get_text("kind")
     if kind not in _REPEATABLE:
         raise errors.SnapshotError(f"routes: kind is {kind!r}")
@@ -293,7 +256,7 @@
     )
 
 
-def _add_limits(resources: dict[str, bytes], row: _Row) -> None:
+def _add_limits(resources: dict[str, bytes], row: rows.Row) -> None:
     resources[snapshots.LIMITS] = compiler.serialize_message(
         document_pb2.LimitsResource(
             max_header_bytes=row.get_number("maxHeaderBytes"),
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import json
-import math
-import re
 from typing import Any, TYPE_CHECKING
 
 from aiohttp import web
 import mode
 import prometheus_client
 
-from merlintrestle import config
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.daemon import heartbeats
+from merlintrestle.daemon import validity
 from merlintrestle.platform import settings as settings_lib
 from merlintrestle.schema import control_pb2
 
@@ -29,8 +27,6 @@
 # deploy/system.toml tells the platform the same.
 METRICS_PORT = 9464
 _MAX_BODY_BYTES = 16 * 1024
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-_MAX_SLOTS = 100_000
 _STATES = {"ready": control_pb2.READY, "draining": control_pb2.DRAINING}
 
 
@@ -171,13 +167,14 @@
     findings = [
         errors.Finding(name, f"{fields.get(name)!r} is not allowed.")
         for name, fits in (
-            ("service", _is_name),
-            ("address", _is_address),
-            ("slots", _is_slots),
+            ("service", validity.is_name),
+            ("address", validity.is_address),
+            ("slots", validity.is_slots),
             ("state", _is_state),
-            ("coldRemainingMs", _is_number),
-            ("seq", _is_number),
-            ("born", _is_born),
+            ("coldRemainingMs", validity.is_number),
+            ("seq", validity.is_number),
+            ("born", validity.is_born),
+            ("version", validity.is_version),
         )
         if not fits(fields.get(name))
     ]
@@ -192,6 +189,7 @@
         fields["coldRemainingMs"] / 1000,
         fields["seq"],
         fields.get("born") or 0,
+        fields.get("version") or "",
     )
 
 
@@ -207,35 +205,12 @@
     """
     fields = json.loads(body) if body else {}
     born_ms = fields.get("born") if isinstance(fields, dict) else fields
-    if not _is_born(born_ms):
+    if not validity.is_born(born_ms):
         raise errors.InvalidInputError(
             [errors.Finding("born", f"{born_ms!r} is not allowed.")]
         )
     return born_ms or 0
 
 
-def _is_name(value: Any) -> bool:
-    return isinstance(value, str) and _NAME.fullmatch(value) is not None
-
-
-def _is_address(value: Any) -> bool:
-    return isinstance(value, str) and not config.check_address(value)
-
-
-def _is_slots(value: Any) -> bool:
-    return type(value) is int and 0 < value <= _MAX_SLOTS
-
-
 def _is_state(value: Any) -> bool:
     return isinstance(value, str) and value in _STATES
-
-
-def _is_number(value: Any) -> bool:
-    if type(value) not in (int, float):
-        return False
-    return math.isfinite(value) and value >= 0
-
-
-def _is_born(value: Any) -> bool:
-    """Returns whether a start in ms since 1970 is one, or left out."""
-    return value is None or (type(value) is int and value > 0)
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -11,6 +11,7 @@
 from merlintrestle.platform import endpoints
 from merlintrestle.platform import health
 from merlintrestle.platform import requests
+from merlintrestle.platform import rollouts
 from merlintrestle.platform import settings as settings_lib
 from merlintrestle.platform import store as stores
 from merlintrestle.schema import settings_pb2
@@ -22,6 +23,9 @@
 _FAREWELL_S = 2.6
 # What a stop needs after the requests in flight have ended, in seconds.
 _STOP_S = 0.8
+# Part of what a bad version may get in all that its trial uses. What is left is
+# for the seconds in which one shows itself only after the trial.
+_TRIAL_PART = 0.6
 
 
 class PlatformDaemon(service.Daemon):
@@ -40,6 +44,7 @@
                 timing=timings.QUICK,
                 witnessed=False,
                 watch_directly=True,
+                rollout_form=rollouts.OPERATORS_FORM,
             ),
         )
 
@@ -113,4 +118,5 @@
         retry_window_s=settings.retry_window_s,
         farewell_s=farewell_s,
         link_mbps=settings.link_mbps,
+        trial_share=settings.expose_share * _TRIAL_PART,
     )
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -4,16 +4,13 @@
 
 import os
 import pathlib
-from typing import NamedTuple, TYPE_CHECKING, TypeVar
+from typing import NamedTuple
 
 from merlintrestle import config
 from merlintrestle import errors
-
-if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+from merlintrestle import readings
 
 PATH_VARIABLE = "MERLINTRESTLE_CONFIG"
-_T = TypeVar("_T")
 _MS = 1000
 _MAX_PORT = 65535
 
@@ -56,6 +53,8 @@
         retry_ratio: Retries that a service may get for each of its requests.
         retry_slack: Retries that it may get beside these, in one window.
         retry_window_s: Length of that window, in seconds.
+        expose_share: Part of a service's calls that a bad version may get; 0:
+            not stated.
         link_mbps: Capacity of the instance's link in Mbit/s; 0: not known.
     """
 
@@ -77,6 +76,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    expose_share: float
     link_mbps: float
 
 
@@ -115,10 +115,10 @@
     Raises:
         errors.InvalidInputError: With every finding about it.
     """
-    reader = _Reader(_split(text))
+    reader = readings.Reader(_split(text))
     ports = reader.get("internalPorts", _parse_ports, (0, 0))
     settings = Settings(
-        address=reader.get("ip", _parse_ip, ""),
+        address=reader.get("ip", readings.parse_ip, ""),
         zone=reader.get("zone", str, ""),
         region=reader.get("region", str, ""),
         service=reader.get("service", str, ""),
@@ -130,13 +130,20 @@
         first_port=ports[0],
         last_port=ports[1],
         store=reader.get("platform.address", _parse_address, _NOWHERE),
-        heartbeat_s=reader.get("heartbeatMs", _parse_number, 0.0) / _MS,
-        drain_s=reader.get("bounds.drainMs", _parse_number, 0.0) / _MS,
-        grace_s=reader.get("bounds.graceS", _parse_number, 0.0),
-        retry_ratio=reader.get("bounds.retryBudgetRatio", _parse_number, 0.0),
-        retry_slack=reader.get("bounds.retrySlack", _parse_number, 0.0),
-        retry_window_s=reader.get("bounds.budgetWindowS", _parse_number, 0.0),
-        link_mbps=reader.find("limits.linkMbps", _parse_number, 0.0),
+        heartbeat_s=reader.get("heartbeatMs", readings.parse_number, 0.0) / _MS,
+        drain_s=reader.get("bounds.drainMs", readings.parse_number, 0.0) / _MS,
+        grace_s=reader.get("bounds.graceS", readings.parse_number, 0.0),
+        retry_ratio=reader.get(
+            "bounds.retryBudgetRatio", readings.parse_number, 0.0
+        ),
+        retry_slack=reader.get("bounds.retrySlack", readings.parse_number, 0.0),
+        retry_window_s=reader.get(
+            "bounds.budgetWindowS", readings.parse_number, 0.0
+        ),
+        expose_share=reader.find(
+            "bounds.exposeShare", readings.parse_number, 0.0
+        ),
+        link_mbps=reader.find("limits.linkMbps", readings.parse_number, 0.0),
     )
     if reader.findings:
         raise errors.InvalidInputError(reader.findings)
@@ -146,30 +153,6 @@
 _NOWHERE = Address("", 0)
 
 
-class _Reader:
-    """Takes values out of the file and collects what is wrong with them."""
-
-    def __init__(self, values: Mapping[str, str]):
-        self.findings: list[errors.Finding] = []
-        self._values = values
-
-    def get(self, name: str, parse: Callable[[str], _T], lacking: _T) -> _T:
-        """Returns a value; `lacking` where it is not there or malformed."""
-        if name not in self._values:
-            self.findings.append(errors.Finding(name, "is required."))
-        return self.find(name, parse, lacking)
-
-    def find(self, name: str, parse: Callable[[str], _T], lacking: _T) -> _T:
-        """Returns a value that may be left out."""
-        if name not in self._values:
-            return lacking
-        try:
-            return parse(self._values[name])
-        except ValueError as error:
-            self.findings.append(errors.Finding(name, str(error)))
-            return lacking
-
-
 def _split(text: str) -> dict[str, str]:
     """Returns the values by name; `bounds` holds names of its own."""
     values: dict[str, str] = {}
@@ -184,12 +167,6 @@
     return values
 
 
-def _parse_ip(text: str) -> str:
-    if problem := config.check_address(f"{text}:1"):
-        raise ValueError(problem)
-    return text
-
-
 def _parse_address(text: str) -> Address:
     if problem := config.check_address(text):
         raise ValueError(problem)
@@ -203,10 +180,3 @@
     if not 0 < ports[0] <= ports[1] <= _MAX_PORT:
         raise ValueError(f"{text!r} is not a range of ports.")
     return ports
-
-
-def _parse_number(text: str) -> float:
-    number = float(text)
-    if not 0 <= number < float("inf"):
-        raise ValueError(f"{text!r} is out of range.")
-    return number
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -28,6 +28,8 @@
 OWN_PREFIX = "merlintrestle/"
 # Key of the newest configuration, which operators write.
 CONFIGURATION_KEY = "op/config"
+# What operators write, and where they read how it ended.
+_OPERATORS_PREFIXES = ("op/", "status/")
 _BASE = "/merlintrestle/kv-"
 # Longest wait of one watch, in ms: the most that the store allows.
 _WATCH_MS = 30_000
@@ -99,25 +101,33 @@
                 return entries[:limit]
             query["after"] = _name(found[-1].key)
 
-    async def read_revision(self, key: str) -> int:
-        """Returns the store's revision, at the price of a read without a value.
+    async def read_after(
+        self, prefix: str, key: str
+    ) -> tuple[Sequence[client.Entry], int]:
+        """Reads the keys after one, and the store's revision.
 
-        A range that begins after its only key has no items. While the
+        It does without the value of that key, which may be large. While the
         revision stands still, nothing that was read before it has changed.
         """
-        query = {"prefix": _name(key), "after": _name(key)}
+        query = {"prefix": _name(prefix), "after": _name(key)}
         _, answer = await self._read("range", query)
-        return _get(answer, "at", int)
+        entries = read_items(_get(answer, "items", list))
+        return entries, _get(answer, "at", int)
 
     async def read_newest(self, key: str) -> client.Reading:
         """Reads one key and the store's revision at which it was read."""
-        # The range tells the store's revision also where the key is absent.
-        _, answer = await self._read("range", {"prefix": _name(key)})
-        at = _get(answer, "at", int)
-        for entry in read_items(_get(answer, "items", list)):
-            if entry.key == key:
-                return client.Reading(entry, at)
-        return client.Reading(None, at)
+        entries, at = await self.read_all(key)
+        found = [entry for entry in entries if entry.key == key]
+        return client.Reading(found[0] if found else None, at)
+
+    async def read_all(self, prefix: str) -> tuple[Sequence[client.Entry], int]:
+        """Reads keys with a prefix, a page at most, and the store's revision.
+
+        The range tells the revision also where no key is there.
+        """
+        _, answer = await self._read("range", {"prefix": _name(prefix)})
+        entries = read_items(_get(answer, "items", list))
+        return entries, _get(answer, "at", int)
 
     async def watch(
         self, key: str, after_revision: int
@@ -272,7 +282,7 @@
 
 
 def _name(key: str) -> str:
-    return key if key == CONFIGURATION_KEY else OWN_PREFIX + key
+    return key if key.startswith(_OPERATORS_PREFIXES) else OWN_PREFIX + key
 
 
 def read_items(items: list[Any]) -> list[client.Entry]:
--- a/merlintrestle/requests/backend.py
+++ b/merlintrestle/requests/backend.py
@@ -26,6 +26,8 @@
         service: Service it serves; empty before it announced itself.
         address: Its "ip:port".
         slots: Calls it runs at once.
+        version: Version of its software; empty: it gave none.
+        warm_at: Monotonic time until which it is slow after its start, in s.
         instance_id: Id of its process; empty: it gave none.
         state: As announced, or DOWN where it refuses connections.
         born_ms: When its process started, in ms since 1970; 0: not stated.
@@ -41,6 +43,8 @@
         self.service = ""
         self.address = ""
         self.slots = 0
+        self.version = ""
+        self.warm_at = 0.0
         self.instance_id = ""
         self.born_ms = 0
         self.state = control_pb2.BACKEND_STATE_UNSPECIFIED
@@ -62,6 +66,7 @@
         instance_id: str = "",
         cold_s: float = COLD_S,
         born_ms: int = 0,
+        version: str = "",
     ) -> None:
         """Takes over what the backend server says about itself.
 
@@ -75,9 +80,11 @@
                 A daemon that restarts beside a warm backend server would
                 otherwise take it for a cold one.
             born_ms: When its process started, in ms since 1970; 0: not stated.
+            version: Version of its software; empty: it gave none.
         """
         before = self.build_record()
         self._cold_s = min(cold_s, COLD_S)
+        self.warm_at = time.monotonic() + self._cold_s
         if self._is_another(instance_id, born_ms):
             # What is known is of the process before: that it is warm, and
             # connections that nobody answers on any more.
@@ -85,6 +92,7 @@
             self.on_restart(self.address)
         self.instance_id = instance_id
         self.born_ms = born_ms
+        self.version = version
         self.service = service
         self.address = address
         self.slots = slots
@@ -136,6 +144,7 @@
             slots=self.slots,
             state=self.state,
             ready_since_ms=self.ready_since_ms,
+            version=self.version,
         )
 
     def _is_another(self, instance_id: str, born_ms: int) -> bool:
@@ -160,6 +169,7 @@
             instance=self.instance_id,
             address=self.address,
             slots=self.slots,
+            version=self.version,
             state=control_pb2.BackendState.Name(self.state).lower(),
         )
         self.on_change()
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -78,6 +78,7 @@
         return {
             "upstream": self.upstream.member_id,
             "zone": self.upstream.zone,
+            "version": self.upstream.version,
             "among": self.among,
             "in_flight": self.in_flight,
             "suspect": self.upstream.suspect,
--- a/merlintrestle/requests/parts.py
+++ b/merlintrestle/requests/parts.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
     from merlintrestle.members import table
+    from merlintrestle.rollouts import lanes
     from merlintrestle.store import client
 
 
@@ -32,6 +33,25 @@
         """Returns the number of daemons that are not gone."""
 
 
+class Observer(Protocol):
+    """Hears what the own backend server answers while versions change."""
+
+    def may_run(self) -> bool:
+        """Returns whether the own backend server is to get calls."""
+
+    def note(self, name: str, failed: bool, took_s: float) -> None:
+        """Takes in an answer: its class, whether it failed, its seconds."""
+
+
+class Lanes(Protocol):
+    """Chooses the upstreams of a send while versions change."""
+
+    def choose(
+        self, service: str, upstreams: tuple[table.Upstream, ...]
+    ) -> lanes.Lane:
+        """Returns where the next send of a call may go."""
+
+
 class Store(Protocol):
     """What claims use of `store.client.StoreClient`."""
 
--- a/merlintrestle/requests/serving/beside.py
+++ b/merlintrestle/requests/serving/beside.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from merlintrestle.requests import backend as backends
+    from merlintrestle.requests import parts
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.crashing import crashes as crashes_
     from merlintrestle.requests.load import admission as admissions
@@ -19,6 +20,13 @@
     from merlintrestle.requests.unrepeatable import claims as claims_
 
 
+_ANOTHER_VERSION = outcomes.NotRun(
+    "another version of the service gets its calls",
+    retry_after_s=0.1,
+    elsewhere=True,
+)
+
+
 class Beside:
     """Runs calls on the own backend server.
 
@@ -35,8 +43,10 @@
         claims: claims_.Claims,
         crashes: crashes_.Crashes,
         dialect: object,
+        observer: parts.Observer,
     ):
         """Sets the parts; the dialect is that of the backend server."""
+        self._observer = observer
         self._dialect = dialect
         self._backend = backend
         self._admission = admission
@@ -47,6 +57,8 @@
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Admits a call and forwards it, or refuses it as not run."""
+        if not self._observer.may_run():
+            return _ANOTHER_VERSION
         turn = await self._crashes.enter_suspect(call)
         if isinstance(turn, outcomes.NotRun):
             return turn
@@ -93,6 +105,7 @@
             return refusal
         self._crashes.begin(call)
         repeat = self.repeats.begin(call)
+        began = time.monotonic()
         try:
             outcome = await self._forwarder.send_to_backend(
                 self._backend, call, self._dialect
@@ -103,6 +116,10 @@
             raise
         self._note_given(outcome)
         self._note(call, outcome)
+        if not isinstance(outcome, outcomes.NotRun):
+            self._observer.note(
+                call.plan.name, _is_failure(outcome), time.monotonic() - began
+            )
         if isinstance(outcome, outcomes.Answered):
             outcome.hold(lambda: self.repeats.end(repeat))
         else:
@@ -131,6 +148,13 @@
         self._crashes.end(call, not answered.cut)
 
 
+def _is_failure(outcome: outcomes.Outcome) -> bool:
+    """Returns whether the backend server failed a call that it took."""
+    if isinstance(outcome, outcomes.Answered):
+        return outcome.response.status >= outcomes.SERVER_ERROR
+    return True
+
+
 def _shows_crash(outcome: outcomes.Outcome) -> bool:
     if isinstance(outcome, outcomes.NotRun):
         return outcome.unreachable
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -45,9 +45,11 @@
         forwarder: forwarding.Forwarder,
         get_time: Callable[[], float],
         budgets: budgets_.Budgets,
+        lanes: parts.Lanes,
     ):
         """Sets the parts; `member_id` gives the id of this daemon."""
         self._table = table
+        self._lanes = lanes
         self._picker = picker
         self._get_time = get_time
         self._budgets = budgets
@@ -210,9 +212,12 @@
     def _choose(self, progress: progress_.Progress) -> tries_.Try | None:
         """Returns a try at an upstream not tried yet; None: there is none."""
         call = progress.call
-        upstreams = self._table.get_upstreams(call.service)
+        lane = self._lanes.choose(
+            call.service, self._table.get_upstreams(call.service)
+        )
+        upstreams = lane.upstreams
         upstream = self._picker.pick(
-            call.service, upstreams, progress.tried, call.plan.repeatable
+            lane.name, upstreams, progress.tried, call.plan.repeatable
         )
         if upstream is None:
             return None
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -29,6 +29,9 @@
 from merlintrestle.requests.unrepeatable import claims as claims_
 from merlintrestle.requests.unrepeatable import leases
 from merlintrestle.requests.unrepeatable import recall
+from merlintrestle.rollouts import book as books
+from merlintrestle.rollouts import lanes
+from merlintrestle.rollouts import observer as observers
 
 if TYPE_CHECKING:
     from merlintrestle.requests import parts
@@ -64,6 +67,7 @@
             `start` where the setting is 0.
         crashes: Takes strikes of other daemons (`crashes.strikes.add`) and
             sends own ones (`crashes.send_strike`).
+        observer: What is seen of the own backend server in a roll-out.
         recalls: gRPC servicer to be added to the control server.
     """
 
@@ -74,6 +78,7 @@
         table: parts.MemberTable,
         store: parts.Store,
         dialect: object = _OWN_DIALECT,
+        book: books.Book | None = None,
     ):
         """Sets the parts; nothing is opened before `start`.
 
@@ -83,8 +88,10 @@
             table: The upstreams of each service.
             store: Keeps claims.
             dialect: How callers and backend servers speak.
+            book: The roll-outs; None: there are none.
         """
         super().__init__()
+        book = book or books.Book(table.get_upstreams)
         self._dialect = dialect
         self.backend = backend.OwnBackend()
         self.caller_port = 0
@@ -118,8 +125,17 @@
         self.recalls = recall.Recalls(claims)
         self._slots = slots = admission.Admission(self.backend, holder, table)
         self.crashes = crashes.Crashes(self.backend)
+        self.observer = observers.Observer(
+            book, self.backend, self._get_member_id, lambda: slots.in_flight
+        )
         self._beside = beside.Beside(
-            self.backend, slots, self._forwarder, claims, self.crashes, dialect
+            self.backend,
+            slots,
+            self._forwarder,
+            claims,
+            self.crashes,
+            dialect,
+            self.observer,
         )
         self._dispatch = dispatch.Dispatch(
             self._get_member_id,
@@ -134,6 +150,7 @@
             self._forwarder,
             time.monotonic,
             self._budgets,
+            lanes.Lanes(book, settings.trial_share),
         )
 
     def bound_retries(
--- /dev/null
+++ b/merlintrestle/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs: moving a service to another version of its software."""
--- a/merlintrestle/versions/distribution.py
+++ b/merlintrestle/versions/distribution.py
@@ -43,6 +43,7 @@
         holder: What the proxy runs.
         archive: The newest versions held.
         witness: Marks of other daemons.
+        watcher: Reads the store while this daemon is chosen to.
     """
 
     def __init__(
@@ -76,10 +77,10 @@
         self._marker = marks_lib.Marker(
             membership.table, membership.peers, self._timing
         )
-        self._watcher = watcher_lib.Watcher(
+        self.watcher = watcher_lib.Watcher(
             membership, source, self.hold, directly=watch_directly
         )
-        self._floor = floor_lib.Floor(membership, self._marker, self._watcher)
+        self._floor = floor_lib.Floor(membership, self._marker, self.watcher)
         self._fetcher = fetcher_lib.Fetcher(
             self.archive, membership.peers, self._timing, self.hold
         )
@@ -91,7 +92,7 @@
     @property
     def store_reachable(self) -> bool:
         """Whether the last call to the store by this daemon succeeded."""
-        return self._watcher.store_reachable
+        return self.watcher.store_reachable
 
     def hold(self, snapshot: snapshot_lib.Snapshot) -> None:
         """Keeps a checked snapshot, passes it on and prepares to run it."""
@@ -130,7 +131,7 @@
             self.witness.get_highest(),
         )
         reply = self.witness.answer(request, known)
-        await self._watcher.add_head(reply, request.uptime_ms)
+        await self.watcher.add_head(reply, request.uptime_ms)
         return reply
 
     async def on_stop(self) -> None:
@@ -139,7 +140,7 @@
 
     @mode.Service.task
     async def _watch(self) -> None:
-        await self._watcher.run()
+        await self.watcher.run()
 
     @mode.Service.task
     async def _run_versions(self) -> None:
@@ -196,7 +197,7 @@
             self._timing.head_refresh
         )
         try:
-            await self._watcher.refresh()
+            await self.watcher.refresh()
         except errors.MerlintrestleError as error:
             events.note("store gave nothing", error=str(error))
 
--- a/merlintrestle/versions/source.py
+++ b/merlintrestle/versions/source.py
@@ -7,6 +7,7 @@
 from merlintrestle import errors
 from merlintrestle.documents import compiler
 from merlintrestle.members import seeds as seeds_lib
+from merlintrestle.rollouts import register
 from merlintrestle.store import records
 
 if TYPE_CHECKING:
@@ -31,6 +32,9 @@
     ) -> snapshot_lib.Snapshot:
         """Compiles the snapshot that a head accepts."""
 
+    async def read_orders(self) -> list[client.Entry]:
+        """Reads the orders of roll-outs, or gives those read with the head."""
+
     async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
         """Names members of a zone; returns those named before."""
 
@@ -95,6 +99,14 @@
         self._compiled = snapshot
         return snapshot
 
+    async def read_orders(self) -> list[client.Entry]:
+        """Reads the orders of roll-outs.
+
+        Raises:
+            errors.StoreUnavailableError: The store did not answer.
+        """
+        return await self._store.list(register.ORDER_PREFIX)
+
     async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
         """Names members of a zone; returns those named before.
 
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -14,12 +14,13 @@
 from merlintrestle.members import timing as timing_lib
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable, Sequence
 
     from merlintrestle.documents import snapshot as snapshot_lib
     from merlintrestle.members import membership as membership_lib
     from merlintrestle.schema import control_pb2
     from merlintrestle.schema import document_pb2
+    from merlintrestle.store import client
     from merlintrestle.versions import source as source_lib
 
 events = event_logs.EventLog("versions")
@@ -38,6 +39,7 @@
 
     Attributes:
         store_reachable: Whether the last call to the store succeeded.
+        on_orders: Called with the orders of roll-outs that the store has.
     """
 
     def __init__(
@@ -58,6 +60,9 @@
             directly: Whether to read the head before a peer was met.
         """
         self._directly = directly
+        self.on_orders: list[
+            Callable[[Sequence[client.Entry]], Awaitable[None]]
+        ] = []
         self.store_reachable = False
         self._lost_at: float | None = None
         self._membership = membership
@@ -80,6 +85,14 @@
         """Returns the ids of the watchers of this daemon's zone."""
         return self._watchers.get()
 
+    def get_turn(self) -> int | None:
+        """Returns how many watchers come before this one; None: it is none."""
+        if not self.is_chosen():
+            return None
+        watchers = sorted([*self.get_watchers(), *self.list_other_watchers()])
+        own_id = self._membership.table.own_id
+        return watchers.index(own_id) if own_id in watchers else len(watchers)
+
     def list_other_watchers(self) -> list[str]:
         """Returns the ids of the watchers of all other zones."""
         table = self._membership.table
@@ -199,6 +212,9 @@
         began = self._clock()
         try:
             head = await self._source.read_head()
+            orders = await self._source.read_orders()
+            for take in self.on_orders:
+                await take(orders)
         except errors.StoreError:
             self._note_store(False)
             raise
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -27,12 +27,20 @@
         seen: Headers of the requests that it got, in order.
         handler: Answers what it runs; the test may replace it.
         full: Refuses every request as not run.
+        version: Version of its software.
     """
 
-    def __init__(self, service: str, zone: str = "noord", slots: int = 12):
+    def __init__(
+        self,
+        service: str,
+        zone: str = "noord",
+        slots: int = 12,
+        version: str = "v1",
+    ):
         self.instance_id = f"i-{next(_ids):08x}"
         self.service = service
         self.zone = zone
+        self.version = version
         self.slots = slots
         self.port = 0
         self.ran: list[str] = []
@@ -69,7 +77,7 @@
             "service": self.service,
             "address": f"{process.HOST}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "coldRemainingMs": 0,
--- a/tests/platform/fleets.py
+++ b/tests/platform/fleets.py
@@ -57,8 +57,11 @@
         daemons: The daemons.
         backends: Their backend servers, in the same order.
         client: Sends requests, each over a new connection.
+        expose_share: Part of the calls that a bad version may get.
     """
 
+    expose_share = 0.5
+
     def __init__(self) -> None:
         super().__init__()
         self.store = platform_store.PlatformStoreStandin()
@@ -74,6 +77,10 @@
             stores.CONFIGURATION_KEY,
             configuration or builders.build_configuration(5),
         )
+        await self.start_daemons(*services)
+
+    async def start_daemons(self, *services: str) -> None:
+        """Starts the daemons alone; the store runs already."""
         self.client = await self.enter_async_context(
             aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(force_close=True)
@@ -83,15 +90,18 @@
             await self.add(name)
         await self.meet(services)
 
-    async def add(self, name: str, announced: bool = True) -> None:
+    async def add(
+        self, name: str, announced: bool = True, version: str = "v1"
+    ) -> None:
         """Adds a daemon with a backend server, which may announce itself."""
         host, _, port = self.store.address.rpartition(":")
-        backend = platform_backend.PlatformBackendStandin(name)
+        backend = platform_backend.PlatformBackendStandin(name, version=version)
         await backend.start()
         self.push_async_callback(backend.close)
         daemon = Daemon(
             builders.build_settings(
                 service=name,
+                expose_share=self.expose_share,
                 backend=builders.settings_lib.Address(host, backend.port),
                 store=builders.settings_lib.Address(host, int(port)),
             )
--- /dev/null
+++ b/tests/platform/test_rollouts.py
@@ -0,0 +1,132 @@
+"""Tests of roll-outs on the platform, over real daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+import unittest
+
+from aiohttp import web
+
+from merlintrestle.platform import store as stores
+from tests.platform import builders
+from tests.platform import fleets
+
+_ORDER = "op/rollout/balie"
+_STATUS = "status/rollout/balie"
+_CALLERS = 6
+
+
+class RolloutTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet = fleets.Fleet()
+        self.addAsyncCleanup(self.fleet.aclose)
+        self.statuses: collections.Counter[int] = collections.Counter()
+
+    async def start(self, within_s: float = 6) -> None:
+        """Starts a fleet, orders a roll-out and starts the new version."""
+        await self.fleet.start("kassa", "balie", "balie")
+        order = {
+            "service": "balie",
+            "targetVersion": "v2",
+            "durationS": within_s,
+        }
+        await self.fleet.store.write(_ORDER, json.dumps(order).encode())
+        for _ in range(2):
+            await self.fleet.add("balie", version="v2")
+        await self.fleet.meet(("balie",) * 4)
+
+    def count(self, version: str) -> int:
+        """Returns how many requests the servers of a version were sent."""
+        return sum(
+            len(one.seen)
+            for one in self.fleet.backends
+            if one.version == version
+        )
+
+    async def load(self, until: str) -> str:
+        """Sends requests until the roll-out has a state; returns it."""
+        async with asyncio.timeout(fleets.GUARD_S):
+            state = ""
+            while state not in until.split():
+                sends = [self.fleet.send() for _ in range(_CALLERS)]
+                for status, _, _ in await asyncio.gather(*sends):
+                    self.statuses[status] += 1
+                state = await self.read_state()
+        return state
+
+    async def read_state(self) -> str:
+        """Returns the state as operators read it; empty: there is none."""
+        store = stores.PlatformStore(self.fleet.store.address)
+        await store.start()
+        entry = await store.get(_STATUS)
+        await store.close()
+        if entry is None:
+            return ""
+        fields = json.loads(entry.value)
+        self.assertEqual(fields["targetVersion"], "v2")
+        return fields["state"]
+
+    async def test_a_good_version_is_completed(self):
+        """Guards against a version that never serves."""
+        await self.start()
+        ends = "complete rolled_back"
+        self.assertEqual(await self.load(until=ends), "complete")
+        self.assertEqual(set(self.statuses), {200})
+        before = self.count("v1")
+        await asyncio.gather(*[self.fleet.send() for _ in range(20)])
+        self.assertEqual(self.count("v1"), before)
+
+    async def test_a_bad_version_is_rolled_back(self):
+        """Guards against a version that goes on failing its callers."""
+        await self.start()
+        for backend in self.fleet.backends:
+            if backend.version == "v2":
+                backend.handler = _fail
+        ends = "complete rolled_back"
+        self.assertEqual(await self.load(until=ends), "rolled_back")
+        seen = self.count("v2")
+        self.assertLess(seen, 40)
+        await asyncio.gather(*[self.fleet.send() for _ in range(50)])
+        self.assertEqual(self.count("v2"), seen)
+
+    async def test_a_version_without_calls_goes_back(self):
+        """Guards against a roll-out that nobody can judge and never ends."""
+        await self.start(within_s=2)
+        async with asyncio.timeout(fleets.GUARD_S):
+            while await self.read_state() != "rolled_back":
+                await asyncio.sleep(0.1)
+
+    async def test_an_ended_roll_out_does_not_begin_anew(self):
+        """Guards against a bad version on trial again after a herd restart."""
+        await self.fleet.store.start()
+        self.fleet.push_async_callback(self.fleet.store.close)
+        order = b'{"service":"balie","targetVersion":"v2","durationS":60}'
+        await self.fleet.store.write(_ORDER, order)
+        await self.fleet.store.write(
+            _STATUS, b'{"state":"rolled_back","targetVersion":"v2"}'
+        )
+        await self.fleet.store.write(
+            stores.CONFIGURATION_KEY, builders.build_configuration(5)
+        )
+        await self.fleet.start_daemons("kassa", "balie")
+        await self.fleet.add("balie", version="v2")
+        await self.fleet.meet(("balie",) * 2)
+        for _ in range(60):
+            await self.fleet.send()
+        self.assertEqual(self.count("v2"), 0)
+
+
+async def _fail(request: web.Request) -> web.StreamResponse:
+    """Fails two answers of three."""
+    number = int(request.headers["X-Attempt-Id"].removeprefix("a"))
+    status = 500 if number % 3 else 200
+    return web.Response(
+        status=status,
+        body=b"whole",
+        headers={
+            "X-Attempt-Id": request.headers["X-Attempt-Id"],
+            "X-Response-Signature": "sig",
+        },
+    )
--- a/tests/requests/load/fleets.py
+++ b/tests/requests/load/fleets.py
@@ -24,6 +24,8 @@
 from merlintrestle.requests.load import repeats
 from merlintrestle.requests.serving import dispatch
 from merlintrestle.requests.transport import headers
+from merlintrestle.rollouts import book as books
+from merlintrestle.rollouts import lanes
 from merlintrestle.schema import control_pb2
 from tests.requests import builders
 from tests.requests import fakes
@@ -181,6 +183,7 @@
             wire,
             self._loop.time,
             bounds,
+            lanes.Lanes(books.Book(table.get_upstreams)),
         )
 
     async def _make_call(self, callers: plays.Callers) -> None:
--- /dev/null
+++ b/tests/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of roll-outs."""
--- a/tests/versions/builders.py
+++ b/tests/versions/builders.py
@@ -12,6 +12,7 @@
 from merlintrestle.members import table as table_lib
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
+from merlintrestle.store import client
 from merlintrestle.store import records
 from merlintrestle.versions import distribution as distribution_lib
 from merlintrestle.versions import holder as holder_lib
@@ -116,6 +117,10 @@
         self.down = True
         await self._notify()
 
+    async def read_orders(self) -> list[client.Entry]:
+        """Reads orders of roll-outs: there are none."""
+        return []
+
     async def read_head(self) -> document_pb2.Head:
         """Reads the head."""
         # No store answers before other tasks have had their turn.
--- a/tools/model.py
+++ b/tools/model.py
@@ -31,6 +31,8 @@
 from merlintrestle.requests.serving import dispatch as dispatches
 from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import headers
+from merlintrestle.rollouts import book as books
+from merlintrestle.rollouts import lanes
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
@@ -238,6 +240,7 @@
             side,
             loop.time,
             bounds,
+            lanes.Lanes(books.Book(play.table.get_upstreams)),
         )
 
     async def send_to_peer(
