--- a/merlintrestle/rollouts/keeper.py
+++ b/merlintrestle/rollouts/keeper.py
@@ -81,16 +81,7 @@
                 self._book.merge_rollout(order)
             self._handled.add(key)
 
-    @mode.Service.task
-    async def _look(self) -> None:
-        while not self.should_stop:
-            await self.sleep(_LOOK_S)
-            self._observer.look()
-            for progress in self._book.list_open():
-                self._book.update(progress.rollout.service)
-                await self._write(progress)
-
-    async def _write(self, progress: books.Progress) -> None:
+    async def write(self, progress: books.Progress) -> None:
         """Writes the state that a roll-out has come to, when it is time."""
         state = self._choose_state(progress)
         turn = self._get_turn()
@@ -118,6 +109,15 @@
         told.state = written
         self._book.merge_rollout(told)
 
+    @mode.Service.task
+    async def _look(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_LOOK_S)
+            self._observer.look()
+            for progress in self._book.list_open():
+                self._book.update(progress.rollout.service)
+                await self.write(progress)
+
     def _choose_state(
         self, progress: books.Progress
     ) -> control_pb2.RolloutState | None:
--- a/tests/rollouts/builders.py
+++ b/tests/rollouts/builders.py
@@ -56,6 +56,11 @@
     )
 
 
+def copy(rollout: control_pb2.Rollout) -> control_pb2.Rollout:
+    """Returns a roll-out as it comes over a link."""
+    return control_pb2.Rollout.FromString(rollout.SerializeToString())
+
+
 class Clock:
     """A clock that the test sets, in seconds."""
 
