Order, watch and end roll-outs by the operators' program

rollout start, status, wait, abort, history; attempts are written to an audit trail before they are tried, refusals too. An order for an unknown service, an empty version, a time too short to judge in, or beside one that runs changes nothing. Abort writes the state first (the first end stays) and then the order anew, as daemons read orders.

--- a/merlintrestle/operators/command.py
+++ b/merlintrestle/operators/command.py
@@ -7,6 +7,7 @@
 from merlintrestle import config
 from merlintrestle.operators import changing
 from merlintrestle.operators import explaining
+from merlintrestle.operators import rollouts
 from merlintrestle.operators import viewing
 from merlintrestle.schema import settings_pb2
 
@@ -54,6 +55,7 @@
     viewing.status,
     viewing.watch,
     explaining.explain,
+    rollouts.rollout,
 ):
     main.add_command(_command)
 
--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -72,6 +72,62 @@
     documents: dict[str, str]
 
 
+class RolloutShown(NamedTuple):
+    """How far a roll-out has come.
+
+    Attributes:
+        service: Its service.
+        version: Version that it is to.
+        state: "ordered", "running", "complete" or "rolled back".
+        number: Its number; a later one is greater.
+    """
+
+    service: str
+    version: str
+    state: str
+    number: int
+
+
+class RolloutRace(NamedTuple):
+    """Another operator ordered a roll-out at the same time.
+
+    Attributes:
+        service: Its service.
+    """
+
+    service: str
+
+
+class RolloutAttempt(NamedTuple):
+    """What an operator tried with a roll-out.
+
+    Attributes:
+        at: When (ISO 8601, UTC).
+        operator: Who.
+        action: "start" or "abort".
+        version: Version that it is to.
+        refusals: Why it was refused.
+    """
+
+    at: str
+    operator: str
+    action: str
+    version: str
+    refusals: tuple[str, ...]
+
+
+class RolloutHistory(NamedTuple):
+    """What operators tried with roll-outs of a service.
+
+    Attributes:
+        service: The service.
+        attempts: Newest last.
+    """
+
+    service: str
+    attempts: tuple[RolloutAttempt, ...]
+
+
 class Watched(NamedTuple):
     """One round of watching.
 
--- a/merlintrestle/operators/texts.py
+++ b/merlintrestle/operators/texts.py
@@ -182,6 +182,33 @@
     return lines
 
 
+@format_text.register
+def _(result: results.RolloutShown) -> list[str]:
+    return [f"{result.service} to {result.version}: {result.state}."]
+
+
+@format_text.register
+def _(result: results.RolloutRace) -> list[str]:
+    return [
+        "Lost a race; nothing was changed. Another operator was first: look"
+        f" with `merlintrestle rollout status {result.service}`."
+    ]
+
+
+@format_text.register
+def _(result: results.RolloutHistory) -> list[str]:
+    if not result.attempts:
+        return [f"{result.service}: no roll-outs."]
+    lines = format_table(
+        ["AT", "OPERATOR", "ACTION", "VERSION"],
+        [one[:4] for one in result.attempts],
+    )
+    shown = [lines[0]]
+    for line, one in zip(lines[1:], result.attempts, strict=True):
+        shown += [line, *_indent(one.refusals)]
+    return shown
+
+
 @format_text.register
 def _(result: results.Watched) -> list[str]:
     accepted = [
--- a/merlintrestle/rollouts/records.py
+++ b/merlintrestle/rollouts/records.py
@@ -12,17 +12,22 @@
 
 def find_fault(rollout: control_pb2.Rollout) -> str:
     """Returns why an order cannot be carried out; empty: it can."""
-    for name, text in (
-        ("service", rollout.service),
-        ("version", rollout.version),
-    ):
-        if not text or len(text) > _MAX_NAME:
-            return f"{name} {text[:_MAX_NAME]!r} is not allowed."
+    if not rollout.service or len(rollout.service) > _MAX_NAME:
+        return f"service {rollout.service[:_MAX_NAME]!r} is not allowed."
+    if fault := find_version_fault(rollout.version):
+        return fault
     if not rollout.number:
         return "it has no number."
     return "" if rollout.within_ms else "it has no time."
 
 
+def find_version_fault(version: str) -> str:
+    """Returns why a version cannot be moved to; empty: it can."""
+    if not version or len(version) > _MAX_NAME:
+        return f"version {version[:_MAX_NAME]!r} is not allowed."
+    return ""
+
+
 def choose_rollout(
     held: control_pb2.Rollout | None, told: control_pb2.Rollout
 ) -> control_pb2.Rollout | None:
--- a/merlintrestle/rollouts/register.py
+++ b/merlintrestle/rollouts/register.py
@@ -86,11 +86,15 @@
     order_prefix = ORDER_PREFIX
 
     def read_order(self, entry: client.Entry) -> control_pb2.Rollout:
-        """Returns an order; its number is the revision of its record."""
+        """Returns an order; its number is the revision of its record.
+
+        An operator who ends one writes it anew as rolled back.
+        """
         order = _parse(entry.value)
         order.service = entry.key.removeprefix(ORDER_PREFIX)
         order.number = entry.revision
-        order.state = control_pb2.ROLLOUT_STATE_UNSPECIFIED
+        if order.state != control_pb2.ROLLED_BACK:
+            order.state = control_pb2.ROLLOUT_STATE_UNSPECIFIED
         return order
 
     def name_state(self, service: str) -> str:
@@ -198,6 +202,8 @@
 
         A record from before the order is that of an earlier one.
         """
+        if rollout.state in records.ENDED:
+            return rollout.state
         if entry is None or entry.revision < rollout.number:
             return control_pb2.ROLLOUT_STATE_UNSPECIFIED
         try:
