--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -30,6 +30,9 @@
 # Part of the usual wait that is short. What is expected is rough, as more
 # important calls may come meanwhile, and a longer wait would be in vain.
 _SHORT_PART = 0.125
+# Part of the mean time that a slot is held which a call must have left. Work
+# times are skewed: within half the mean a quarter or less of the calls end.
+_LEAST_HOLD_PART = 0.5
 # A backend server with a dozen slots has one free every few hundredths of a
 # second. Callers that come back so soon may still be answered within the
 # target.
@@ -101,6 +104,8 @@
             return refusal
         queue = self._get_queue(call)
         self._update_shares()
+        if self._is_too_late(queue, call):
+            return _refuse_late()
         # Calls of other classes may wait: those that had room were woken.
         room = not queue.waiting and self._has_room(queue)
         if call.wait is not calls.Wait.USUAL:
@@ -176,6 +181,15 @@
             )
         return None
 
+    def _is_too_late(self, queue: queues.ClassQueue, call: calls.Call) -> bool:
+        """Returns whether a call has no chance to end before its deadline.
+
+        It would hold a slot until then, and its caller could not tell what
+        became of it.
+        """
+        left_s = call.deadline - asyncio.get_running_loop().time()
+        return left_s < _LEAST_HOLD_PART * queue.hold_s
+
     async def _wait(
         self, queue: queues.ClassQueue, call: calls.Call
     ) -> outcomes.NotRun | None:
@@ -397,6 +411,13 @@
         waiter.granted.set_result(False)
 
 
+def _refuse_late() -> outcomes.NotRun:
+    """Refuses a call whose time is too short; it may come back with more."""
+    return outcomes.NotRun(
+        "too little time is left for an answer", retry_after_s=_LEAST_RETRY_S
+    )
+
+
 def _refuse(
     reason: str, retry_after_s: float, unqueued: bool = False
 ) -> outcomes.NotRun:
--- a/merlintrestle/requests/load/loads.py
+++ b/merlintrestle/requests/load/loads.py
@@ -13,9 +13,9 @@
 # the busiest upstream would be the one that nobody knows.
 _MAX_FIGURE = 1_000_000
 # Daemons of versions before do not tell of their link, nor of what is taken.
-_FIELDS = (3, 4, 5)
+_FIELDS = (3, 4, 5, 6)
 _WHOLE = 100
-_UNTOLD = [0, 0, 0, 0, _WHOLE]
+_UNTOLD = [0, 0, 0, 0, _WHOLE, 0]
 
 
 class Load(NamedTuple):
@@ -28,6 +28,8 @@
         link_s: How long the link needs for the long answers that are promised
             to other daemons, in seconds.
         accepted: Part of the calls that the backend server took lately.
+        spent_s: How long the call that is answered was there, in seconds; None:
+            not told. The rest of its time it was on its way.
     """
 
     calls: int
@@ -35,6 +37,7 @@
     hold_s: float
     link_s: float = 0.0
     accepted: float = 1.0
+    spent_s: float | None = None
 
 
 def encode_load(load: Load) -> str:
@@ -44,7 +47,10 @@
     calls = min(load.calls, _MAX_FIGURE)
     slots = min(load.slots, _MAX_FIGURE)
     accepted = round(load.accepted * _WHOLE)
-    return f"{calls},{slots},{hold_ms},{link_ms},{accepted}"
+    text = f"{calls},{slots},{hold_ms},{link_ms},{accepted}"
+    if load.spent_s is None:
+        return text
+    return f"{text},{min(round(load.spent_s * 1000), _MAX_FIGURE)}"
 
 
 def decode_load(text: str) -> Load | None:
@@ -55,11 +61,13 @@
     stated = [int(figure) for figure in figures]
     if max(stated) > _MAX_FIGURE:
         return None
-    calls, slots, hold_ms, link_ms, accepted = stated + _UNTOLD[len(stated) :]
+    told = stated + _UNTOLD[len(stated) :]
+    calls, slots, hold_ms, link_ms, accepted, spent_ms = told
     return Load(
         calls,
         slots,
         hold_ms / 1000,
         link_ms / 1000,
         min(accepted, _WHOLE) / _WHOLE,
+        spent_ms / 1000 if len(stated) == _FIELDS[-1] else None,
     )
--- a/merlintrestle/requests/load/polls.py
+++ b/merlintrestle/requests/load/polls.py
@@ -16,6 +16,9 @@
 if TYPE_CHECKING:
     from merlintrestle.members import table as tables
 
+# Part of the latency target that asking may take. A caller's daemon whose link
+# is full spends a hop's time on each; waiting at one of them is sooner done.
+_MOST_PART = 0.1
 # Upstreams that are asked for one call. If every second is full, one of four
 # has a free slot for 15 of 16 calls; each more is a hop that most calls which
 # need it make in vain.
@@ -25,17 +28,27 @@
 class Polls:
     """The upstreams that one call has asked."""
 
-    __slots__ = ("_asked",)
+    __slots__ = ("_asked", "_began")
 
-    def __init__(self) -> None:
+    def __init__(self, began: float = 0.0):
+        """Begins with none asked; times are in seconds."""
         self._asked: list[tuple[float, tables.Upstream]] = []
+        self._began = began
 
     def note(self, upstream: tables.Upstream, expected_s: float) -> None:
         """Notes that an upstream is full, and how long a call would wait."""
         self._asked.append((expected_s, upstream))
 
-    def is_over(self, count: int) -> bool:
-        """Returns whether enough of `count` upstreams were asked."""
+    def is_over(self, count: int, now: float, latency_s: float) -> bool:
+        """Returns whether enough upstreams were asked.
+
+        Args:
+            count: How many there are.
+            now: The time, in seconds.
+            latency_s: Latency target of the call, in seconds.
+        """
+        if now - self._began > _MOST_PART * latency_s:
+            return True
         return len(self._asked) >= min(_MOST, count)
 
     def take_best(self) -> tables.Upstream:
@@ -45,6 +58,16 @@
         return best
 
 
+def is_worth(way_s: float, latency_s: float) -> bool:
+    """Returns whether another daemon may be asked before a call waits there.
+
+    Args:
+        way_s: What a hop takes, in seconds.
+        latency_s: Latency target of the call, in seconds.
+    """
+    return way_s <= _MOST_PART * latency_s
+
+
 def choose_wait(known: bool, near: bool) -> calls.Wait:
     """Returns how long a call may wait at an upstream before others are asked.
 
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -15,6 +15,7 @@
 from merlintrestle.requests.load import joining
 from merlintrestle.requests.load import polls
 from merlintrestle.requests.load import retries
+from merlintrestle.requests.load import ways
 from merlintrestle.requests.serving import progress as progress_
 from merlintrestle.requests.serving import sending
 from merlintrestle.requests.serving import tries as tries_
@@ -54,8 +55,9 @@
         self._get_time = get_time
         self._budgets = budgets
         self._beside = beside
+        self._way = ways.Way(get_time)
         self._sending = sending.Sending(
-            member_id, table, picker, beside, forwarder, get_time
+            member_id, table, picker, beside, forwarder, get_time, self._way
         )
         self.joining = joining.Joining(table, get_time)
 
@@ -72,7 +74,8 @@
             return self._refuse(call)
         tries = tries_.Tries()
         try:
-            return await self._run(progress_.Progress(call, budget, tries))
+            progress = progress_.Progress(call, budget, tries, self._way)
+            return await self._run(progress)
         finally:
             tries.close()
 
@@ -152,7 +155,9 @@
             return False
         count = len(self._table.get_upstreams(call.service))
         if (
-            not progress.polls.is_over(count)
+            not progress.polls.is_over(
+                count, self._get_time(), call.plan.latency_s
+            )
             and progress.may_try(count)
             and self._try_another(progress)
         ):
@@ -229,7 +234,10 @@
         call.story.add_later("picked", view.describe)
         # A body that is passed on in pieces cannot be offered to others.
         wait = calls.Wait.USUAL
-        if call.body.held is not None:
+        way_s = self._way.get()
+        if call.body.held is not None and polls.is_worth(
+            way_s, call.plan.latency_s
+        ):
             seen = self._picker.observe(upstream.member_id)
             known = len(upstreams) == 1 or seen.knows_load(self._get_time())
             wait = polls.choose_wait(known, self._picker.is_near(upstream))
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -113,7 +113,7 @@
                 request,
                 transfer,
                 _OWN_DIALECT,
-                added=self._describe_answer(call_id),
+                added=self._describe_answer(call_id, began),
             )
         try:
             outcome = await self._run(call, transfer, request.method)
@@ -122,7 +122,7 @@
                 outcome,
                 _OWN_DIALECT,
                 progress,
-                self._describe_answer(call_id),
+                self._describe_answer(call_id, began),
                 functools.partial(self._transfers.send, transfer=transfer),
             )
         except BaseException as error:
@@ -152,10 +152,14 @@
             response.content.on_eof(functools.partial(_release_soon, outcome))
         return outcome
 
-    def _describe_answer(self, call_id: str) -> tuple[tuple[str, str], ...]:
+    def _describe_answer(
+        self, call_id: str, began: float
+    ) -> tuple[tuple[str, str], ...]:
         """Returns what tells a daemon which call is answered, and the load."""
-        load = self._slots.get_load()
-        load = load._replace(link_s=self._link.get_backlog_s())
+        load = self._slots.get_load()._replace(
+            link_s=self._link.get_backlog_s(),
+            spent_s=self._get_time() - began,
+        )
         return (
             (headers.CALL, call_id),
             (headers.LOAD, loads.encode_load(load)),
--- a/merlintrestle/requests/serving/progress.py
+++ b/merlintrestle/requests/serving/progress.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import budgets as budgets_
+    from merlintrestle.requests.load import ways
     from merlintrestle.requests.serving import tries as tries_
 
 # Each further one is free (it did not run) or paid from the budget.
@@ -35,17 +36,23 @@
         reached: Backend servers that were sent it by tries that have ended.
         refusals: Upstreams that had no room for it.
         outcome: What is true of it so far; None: no try has ended.
+        way: What hops to other daemons take.
         polls: Upstreams that it has asked for a free slot.
     """
 
     call: calls.Call
     budget: budgets_.Budget
     tries: tries_.Tries
+    way: ways.Way
     tried: set[str] = dataclasses.field(default_factory=set)
     reached: int = 0
     refusals: int = 0
     outcome: outcomes.Outcome | None = None
-    polls: polls_.Polls = dataclasses.field(default_factory=polls_.Polls)
+    polls: polls_.Polls = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begins to ask now."""
+        self.polls = polls_.Polls(asyncio.get_running_loop().time())
 
     def note(self, latest: outcomes.Outcome) -> None:
         """Takes in what became of a try."""
@@ -120,7 +127,8 @@
 
     def _has_time(self) -> bool:
         now = asyncio.get_running_loop().time()
-        return self.call.deadline - now > self.call.plan.work_s
+        left_s = self.call.deadline - now
+        return left_s > self.call.plan.work_s and self.way.has_time(left_s)
 
 
 def _reached_backend(outcome: outcomes.Outcome) -> bool:
--- a/merlintrestle/requests/serving/sending.py
+++ b/merlintrestle/requests/serving/sending.py
@@ -23,9 +23,11 @@
 
     import multidict
 
+    from merlintrestle.members import table as tables
     from merlintrestle.requests import parts
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import picking
+    from merlintrestle.requests.load import ways
     from merlintrestle.requests.serving import beside as besides
     from merlintrestle.requests.serving import tries as tries_
     from merlintrestle.requests.transport import forwarding
@@ -96,8 +98,10 @@
         beside: besides.Beside,
         forwarder: forwarding.Forwarder,
         get_time: Callable[[], float],
+        way: ways.Way,
     ):
         """Sets the parts; `member_id` gives the id of this daemon."""
+        self._way = way
         self._member_id = member_id
         self._table = table
         self._picker = picker
@@ -185,6 +189,7 @@
         report: Callable[[doubts.Doubt], None],
     ) -> outcomes.Outcome:
         upstream = one.upstream
+        began = self._get_time()
         outcome = await self._forwarder.send_to_peer(
             f"{upstream.address}:{upstream.peer_port}",
             f"/{call.service}{call.target}",
@@ -198,17 +203,25 @@
         reported = outcome.response.headers.get(headers.LOAD)
         load = loads.decode_load(reported) if reported else None
         if load is not None:
-            observation = self._picker.observe(upstream.member_id)
-            observation.note_load(self._get_time(), load)
+            self._note_load(upstream, load, began)
         if headers.OUTCOME in outcome.response.headers:
             return outcomes.read_failure(outcome)
         return outcome
 
+    def _note_load(
+        self, upstream: tables.Upstream, load: loads.Load, began: float
+    ) -> None:
+        """Notes what a daemon reported with its answer to a call."""
+        now = self._get_time()
+        self._picker.observe(upstream.member_id).note_load(now, load)
+        if load.spent_s is not None:
+            self._way.note(max(0.0, now - began - load.spent_s))
+
     def _build_headers(
         self, one: tries_.Try, call: calls.Call
     ) -> multidict.CIMultiDict[str]:
         now = asyncio.get_running_loop().time()
-        left_s = call.deadline - now
+        left_s = self._way.limit(call.deadline - now)
         waited_s = now - (call.due - call.plan.latency_s)
         # Where this daemon can try another upstream, the other daemon must not
         # start the call anew by itself: together they would run it 3 times.
--- a/tests/requests/load/fleets.py
+++ b/tests/requests/load/fleets.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 import random
 from typing import Any, NamedTuple, TYPE_CHECKING
 
@@ -24,6 +25,7 @@
 from merlintrestle.requests.load import repeats
 from merlintrestle.requests.serving import dispatch
 from merlintrestle.requests.transport import headers
+from merlintrestle.requests.transport import results
 from merlintrestle.rollouts import book as books
 from merlintrestle.rollouts import lanes
 from merlintrestle.schema import control_pb2
@@ -58,6 +60,7 @@
         self._chance = chance
         self._loop = asyncio.get_running_loop()
         self.calls = 0
+        self.offered: set[str] = set()
         own = backend.OwnBackend()
         own.announce("kassa", "127.0.0.1:1", slots, control_pb2.READY)
         self.slots = admission.Admission(
@@ -69,10 +72,12 @@
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Admits a call and runs it, or refuses it."""
+        began = self._loop.time()
         refusal = await self.slots.enter(call)
         if refusal is not None:
             return refusal
         self.calls += 1
+        self.offered.add(call.request_id)
         spread = self._chance.lognormvariate(-0.125, 0.5)
         try:
             await asyncio.sleep(self._server.work_s * spread)
@@ -80,7 +85,8 @@
             self.slots.leave(call)
         if self._chance.random() < self._server.broken:
             return outcomes.Unknown("the connection broke", broken=True)
-        answer: Any = _Answer(loads.encode_load(self.slots.get_load()))
+        load = self.slots.get_load()._replace(spent_s=self._loop.time() - began)
+        answer: Any = _Answer(loads.encode_load(load))
         return outcomes.Answered(answer, b"", [])
 
 
@@ -95,8 +101,9 @@
 class _Wire:
     """Takes calls to the daemons beside the backend servers."""
 
-    def __init__(self, daemons: dict[str, _Beside]):
+    def __init__(self, daemons: dict[str, _Beside], way_s: float):
         self._daemons = daemons
+        self._way_s = way_s
 
     async def send_to_peer(
         self,
@@ -112,7 +119,26 @@
         asked = passing.decode_asked(sent[headers.PASSED])
         assert asked is not None
         passed.wait = asked.wait
-        return await self._daemons[address].run(passed)
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                await asyncio.sleep(self._way_s / 2)
+                assert asked.limit_ms is not None
+                now = asyncio.get_running_loop().time()
+                passed.deadline = now + asked.limit_ms / 1000
+                outcome = await self._daemons[address].run(passed)
+                await asyncio.sleep(self._way_s / 2)
+        except TimeoutError:
+            return results.NOT_IN_TIME
+        if not isinstance(outcome, outcomes.NotRun):
+            return outcome
+        answer = outcomes.render(outcome)
+        load = self._daemons[address].slots.get_load()
+        spent_s = asyncio.get_running_loop().time() - now - self._way_s / 2
+        read: Any = _Answer(loads.encode_load(load._replace(spent_s=spent_s)))
+        read.status = answer.status
+        read.headers.update(answer.headers)
+        body: Any = answer.body
+        return outcomes.Answered(read, body, [])
 
 
 class _Nobody:
@@ -126,11 +152,20 @@
     """Daemons without a backend server of their own, and some upstreams.
 
     Attributes:
-        counts: Calls by what became of them: "in time", "late", "refused" or
-            "failed".
+        counts: Calls by what became of them: "in time", "late", "refused",
+            "failed", or "in doubt" if they failed and none was offered to a
+            backend server.
     """
 
-    def __init__(self, servers: list[Server], daemons: int, slots: int):
+    def __init__(
+        self,
+        servers: list[Server],
+        daemons: int,
+        slots: int,
+        way_s: float = 0.0,
+    ):
+        self._way_s = way_s
+        self._numbers = itertools.count()
         self.counts: collections.Counter[str] = collections.Counter()
         self._chance = random.Random(1)
         self._loop = asyncio.get_running_loop()
@@ -165,7 +200,7 @@
                 group.create_task(self._make_call(callers))
 
     def _build_daemon(self, table: fakes.Table) -> dispatch.Dispatch:
-        wire: Any = _Wire(self._besides)
+        wire: Any = _Wire(self._besides, self._way_s)
         nobody: Any = _Nobody()
         bounds = budgets.Budgets(lambda: 11, self._loop.time)
         bounds.set_bounds(0.2, 58.0, 10.0)
@@ -190,28 +225,41 @@
         began = self._loop.time()
         daemon = self._chance.choice(self._daemons)
         for _ in range(callers.retries + 1):
-            outcome = await daemon.run(self._build_call(callers, began))
+            call = self._build_call(callers, began)
+            outcome = await daemon.run(call)
             if not isinstance(outcome, outcomes.NotRun):
                 break
             left_s = began + callers.limit_s - self._loop.time()
             wait_s = min(outcome.retry_after_s or 1.0, left_s / 3)
             await asyncio.sleep(wait_s)
-        self.counts[self._judge(outcome, callers, began)] += 1
+        self.counts[self._judge(call, outcome, callers, began)] += 1
 
     def _build_call(self, callers: plays.Callers, began: float) -> calls.Call:
-        return builders.build_call(
+        limit = self._loop.time() + callers.plan.deadline_s
+        call = builders.build_call(
             plan=callers.plan,
-            deadline=began + callers.limit_s,
+            deadline=min(began + callers.limit_s, limit),
             due=began + callers.plan.latency_s,
         )
+        call.request_id = str(next(self._numbers))
+        return call
+
+    def _is_offered(self, call: calls.Call) -> bool:
+        return any(
+            call.request_id in one.offered for one in self._besides.values()
+        )
 
     def _judge(
-        self, outcome: outcomes.Outcome, callers: plays.Callers, began: float
+        self,
+        call: calls.Call,
+        outcome: outcomes.Outcome,
+        callers: plays.Callers,
+        began: float,
     ) -> str:
         if isinstance(outcome, outcomes.NotRun):
             return "refused"
         if not isinstance(outcome, outcomes.Answered):
-            return "failed"
+            return "failed" if self._is_offered(call) else "in doubt"
         outcome.release()
         took_s = self._loop.time() - began
         return "in time" if took_s <= callers.plan.latency_s else "late"
@@ -223,6 +271,7 @@
     length_s: float,
     daemons: int = 11,
     slots: int = 12,
+    way_s: float = 0.0,
 ) -> FleetPlay:
     """Plays the load of some callers over some daemons.
 
@@ -232,10 +281,11 @@
         length_s: How long they go on to call, in seconds.
         daemons: How many there are; each knows its own calls alone.
         slots: Slots of each backend server.
+        way_s: What a hop to another daemon and back takes, in seconds.
     """
 
     async def run() -> FleetPlay:
-        played = FleetPlay(servers, daemons, slots)
+        played = FleetPlay(servers, daemons, slots, way_s)
         await played.run(callers, length_s)
         return played
 
--- a/tests/requests/load/test_loads.py
+++ b/tests/requests/load/test_loads.py
@@ -30,6 +30,6 @@
         )
 
     def test_malformed(self) -> None:
-        for text in ("", "3,10", "3,10,250,1,1,1", "3,10,-1", "3,10,1000001"):
+        for text in ("", "3,10", "3,10,250,1,1,1,1", "3,10,-1", "3,10,1000001"):
             with self.subTest(text=text):
                 self.assertIsNone(loads.decode_load(text))
--- a/tests/requests/serving/test_progress.py
+++ b/tests/requests/serving/test_progress.py
@@ -7,6 +7,7 @@
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import budgets
 from merlintrestle.requests.load import retries
+from merlintrestle.requests.load import ways
 from merlintrestle.requests.serving import progress
 from merlintrestle.requests.serving import tries
 from tests.requests import builders
@@ -18,15 +19,18 @@
 _BROKE = outcomes.Unknown("the connection broke", broken=True)
 
 
-class ProgressTest(unittest.TestCase):
+class ProgressTest(unittest.IsolatedAsyncioTestCase):
     """A call and a budget of five repeats."""
 
-    def setUp(self) -> None:
+    async def asyncSetUp(self) -> None:
         self.budget = budgets.Budget(
             budgets.Bounds(0.0, 5.0, 10.0), fakes.Clock().get_time
         )
         self.call = builders.build_call(plan=builders.build_plan())
-        self.progress = progress.Progress(self.call, self.budget, tries.Tries())
+        self.way = ways.Way(fakes.Clock().get_time)
+        self.progress = progress.Progress(
+            self.call, self.budget, tries.Tries(), self.way
+        )
 
     def send_again(self, outcome: outcomes.Outcome) -> bool:
         """Notes how a try has ended; returns whether another is paid."""
