--- a/merlintrestle/requests/load/polls.py
+++ b/merlintrestle/requests/load/polls.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from merlintrestle.members import table as tables
 
-# Part of the latency target that asking may take. A caller's daemon whose link
-# is full spends a hop's time on each; waiting at one of them is sooner done.
+# Part of the latency target that a hop may take for upstreams to be asked. Over
+# a full link each question takes longer than the wait that it could spare.
 _MOST_PART = 0.1
 # Upstreams that are asked for one call. If every second is full, one of four
 # has a free slot for 15 of 16 calls; each more is a hop that most calls which
@@ -28,27 +28,17 @@
 class Polls:
     """The upstreams that one call has asked."""
 
-    __slots__ = ("_asked", "_began")
+    __slots__ = ("_asked",)
 
-    def __init__(self, began: float = 0.0):
-        """Begins with none asked; times are in seconds."""
+    def __init__(self) -> None:
         self._asked: list[tuple[float, tables.Upstream]] = []
-        self._began = began
 
     def note(self, upstream: tables.Upstream, expected_s: float) -> None:
         """Notes that an upstream is full, and how long a call would wait."""
         self._asked.append((expected_s, upstream))
 
-    def is_over(self, count: int, now: float, latency_s: float) -> bool:
-        """Returns whether enough upstreams were asked.
-
-        Args:
-            count: How many there are.
-            now: The time, in seconds.
-            latency_s: Latency target of the call, in seconds.
-        """
-        if now - self._began > _MOST_PART * latency_s:
-            return True
+    def is_over(self, count: int) -> bool:
+        """Returns whether enough of `count` upstreams were asked."""
         return len(self._asked) >= min(_MOST, count)
 
     def take_best(self) -> tables.Upstream:
--- a/merlintrestle/requests/load/promises.py
+++ b/merlintrestle/requests/load/promises.py
@@ -16,7 +16,7 @@
 _NEWEST = 0.1
 # What may wait on its way at once, in seconds of the link: a check finds it
 # before it, and it keeps the link busy between two looks.
-AHEAD_S = 0.05
+AHEAD_S = 0.06
 # A transfer of which nothing leaves for so long has a receiver that takes
 # nothing, in seconds: several times what may be on its way before it.
 STALLED_S = 5 * AHEAD_S
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -155,9 +155,7 @@
             return False
         count = len(self._table.get_upstreams(call.service))
         if (
-            not progress.polls.is_over(
-                count, self._get_time(), call.plan.latency_s
-            )
+            not progress.polls.is_over(count)
             and progress.may_try(count)
             and self._try_another(progress)
         ):
--- a/merlintrestle/requests/serving/progress.py
+++ b/merlintrestle/requests/serving/progress.py
@@ -48,11 +48,7 @@
     reached: int = 0
     refusals: int = 0
     outcome: outcomes.Outcome | None = None
-    polls: polls_.Polls = dataclasses.field(init=False)
-
-    def __post_init__(self) -> None:
-        """Begins to ask now."""
-        self.polls = polls_.Polls(asyncio.get_running_loop().time())
+    polls: polls_.Polls = dataclasses.field(default_factory=polls_.Polls)
 
     def note(self, latest: outcomes.Outcome) -> None:
         """Takes in what became of a try."""
--- a/merlintrestle/requests/transport/transfers.py
+++ b/merlintrestle/requests/transport/transfers.py
@@ -20,7 +20,7 @@
 
 # Time between two looks at what has left, in seconds: a fifth of what may be
 # on its way, so that the link is not idle in between.
-_LOOK_S = 0.01
+_LOOK_S = 0.012
 
 
 class Transfers:
