--- a/merlintrestle/rollouts/book.py
+++ b/merlintrestle/rollouts/book.py
@@ -12,7 +12,7 @@
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from merlintrestle.members import table as tables
 
@@ -38,6 +38,7 @@
         serving: Daemons beside backend servers of the new version.
         new: These, and those that are gone.
         before: Those beside the others that serve now.
+        old_versions: Versions of the others, as seen until the end.
     """
 
     def __init__(self, rollout: control_pb2.Rollout, now: float):
@@ -49,16 +50,20 @@
         self.serving: frozenset[str] = frozenset()
         self.new: frozenset[str] = frozenset()
         self.before: frozenset[str] = frozenset()
+        self.old_versions: frozenset[str] = frozenset()
 
     @property
     def ended(self) -> bool:
         """True once its end is written."""
         return self.rollout.state in records.ENDED
 
-    def sort(self, upstreams: Iterable[tables.Upstream]) -> None:
+    def sort(self, upstreams: Sequence[tables.Upstream]) -> None:
         """Takes in which version each upstream has now."""
         target = self.rollout.version
         new = {one.member_id for one in upstreams if one.version == target}
+        if not self.ended:
+            versions = {one.version for one in upstreams if one.version}
+            self.old_versions |= versions - {target}
         self.serving = frozenset(new)
         self.new |= new
         known = {one.member_id for one in upstreams}
--- a/merlintrestle/rollouts/lanes.py
+++ b/merlintrestle/rollouts/lanes.py
@@ -43,6 +43,7 @@
         new: Those of the new one that are not suspect.
         trial: Those of the new one that are on trial.
         shared: Those of the new one that get calls after the trial.
+        after: Those of no version that is to end with the roll-out.
     """
 
     upstreams: tuple[tables.Upstream, ...]
@@ -51,6 +52,7 @@
     new: tuple[tables.Upstream, ...]
     trial: tuple[tables.Upstream, ...]
     shared: tuple[tables.Upstream, ...]
+    after: tuple[tables.Upstream, ...]
 
 
 class Lanes:
@@ -102,8 +104,10 @@
     def _choose_new(
         self, service: str, split: _Split, progress: books.Progress
     ) -> Lane:
-        if split.new or progress.ended:
-            return Lane(f"{service} new", split.new or split.upstreams)
+        if progress.ended:
+            return Lane(f"{service} after", split.after or split.upstreams)
+        if split.new:
+            return Lane(f"{service} new", split.new)
         return Lane(f"{service} before", split.before)
 
     def _spend(
@@ -132,9 +136,7 @@
             or split.upstreams is not upstreams
             or split.suspects != suspects
         ):
-            split = _divide(
-                upstreams, suspects, progress.rollout.version, self._share
-            )
+            split = _divide(upstreams, suspects, progress, self._share)
             self._splits[service] = split
         return split
 
@@ -142,7 +144,7 @@
 def _divide(
     upstreams: tuple[tables.Upstream, ...],
     suspects: frozenset[str],
-    version: str,
+    progress: books.Progress,
     share: float,
 ) -> _Split:
     """Divides upstreams by version.
@@ -150,6 +152,8 @@
     Only as many of the new ones get calls as their part of the calls keeps
     busy: a version that fails under load shows it there, before it gets all.
     """
+    version = progress.rollout.version
+    old_versions = progress.old_versions
     before = tuple(one for one in upstreams if one.version not in ("", version))
     new = tuple(
         one
@@ -158,4 +162,5 @@
     )
     trial = new[: max(1, int(len(before) * share))]
     shared = new[: max(1, int(len(before) * _SHARED_SHARE))]
-    return _Split(upstreams, suspects, before, new, trial, shared)
+    after = tuple(one for one in upstreams if one.version not in old_versions)
+    return _Split(upstreams, suspects, before, new, trial, shared, after)
--- a/tests/rollouts/test_lanes.py
+++ b/tests/rollouts/test_lanes.py
@@ -81,6 +81,7 @@
 
     def test_a_complete_version_gets_all(self):
         """Guards against calls for backend servers that were stopped."""
+        self.site.book.merge_rollout(builders.build_rollout())
         rollout = builders.build_rollout(state=control_pb2.COMPLETE)
         self.site.book.merge_rollout(rollout)
         self.assertEqual(self.count(100), {"v2": 100})
@@ -88,6 +89,16 @@
         self.site.upstreams = self.site.upstreams[:20]
         self.assertEqual(self.count(100), {"v1": 100})
 
+    def test_a_later_version_serves_as_well(self):
+        """Guards against upstreams that nobody calls after a roll-out."""
+        self.site.book.merge_rollout(builders.build_rollout())
+        rollout = builders.build_rollout(state=control_pb2.COMPLETE)
+        self.site.book.merge_rollout(rollout)
+        later = builders.build_upstream("10.0.2.1:7600", "v3")
+        unknown = builders.build_upstream("10.0.2.2:7600", "")
+        self.site.upstreams = (*self.site.upstreams, later, unknown)
+        self.assertEqual(self.count(10), {" v2 v3": 10})
+
     def test_one_that_says_no_version_is_of_neither(self):
         """Guards against a bad version that serves as its daemon restarts."""
         unknown = self.site.upstreams[20]._replace(version="")
