Keep the answer that a call in doubt returns

Then its answer begins, the overseer returns it, and the tries are closed: closing drops the outcome of the overseer, which is the answer just returned. Its connection is aborted; the caller's is reset in the middle. Held answers are whole by then and nobody saw it; a download was always cut.

Ruled out: the stop of a daemon (neither of the two was stopped), a new version (connections know none), receivers that take nothing (20 s), the look at silent transfers (5 s).

The overseer's outcome is dropped unless it was returned. A test over real daemons cut the answer before (209,920 of 262,144 bytes) and passes.

--- a/merlintrestle/requests/serving/tries.py
+++ b/merlintrestle/requests/serving/tries.py
@@ -84,6 +84,7 @@
         self._news: asyncio.Future[None] | None = None
         self._first: _First | None = None
         self._overseer: asyncio.Task[outcomes.Outcome] | None = None
+        self._returned = False
 
     @property
     def count(self) -> int:
@@ -112,18 +113,9 @@
         Raises:
             bodies.BodyError: The caller's body stopped half-way.
         """
-        first = self._first = _First(oversee)
-        self._running[first.ended] = one
-        try:
-            first.ended.set_result(await send)
-        except asyncio.CancelledError:
-            if self._overseer is None or not first.was_interrupted():
-                raise
-            return await self._overseer
-        finally:
-            self._first = None
-        self._note_end(first.ended)
-        return await (self._overseer or oversee())
+        outcome = await self._run(one, send, oversee)
+        self._returned = True
+        return outcome
 
     def start(
         self, one: Try, send: Coroutine[Any, Any, outcomes.Outcome]
@@ -164,9 +156,10 @@
         """Cancels the tries that still run, and drops their answers.
 
         Left running, they would be work for a caller that has its answer or
-        has left.
+        has left. The answer that was returned is kept: it may be long, and only
+        its beginning has come.
         """
-        if self._overseer is not None:
+        if self._overseer is not None and not self._returned:
             self._overseer.add_done_callback(outcomes.drop)
             self._overseer.cancel()
         for one in self._running:
@@ -175,6 +168,25 @@
             one.cancel()
         self._running.clear()
 
+    async def _run(
+        self,
+        one: Try,
+        send: Coroutine[Any, Any, outcomes.Outcome],
+        oversee: Callable[[], Coroutine[Any, Any, outcomes.Outcome]],
+    ) -> outcomes.Outcome:
+        first = self._first = _First(oversee)
+        self._running[first.ended] = one
+        try:
+            first.ended.set_result(await send)
+        except asyncio.CancelledError:
+            if self._overseer is None or not first.was_interrupted():
+                raise
+            return await self._overseer
+        finally:
+            self._first = None
+        self._note_end(first.ended)
+        return await (self._overseer or oversee())
+
     def _note_end(self, ended: asyncio.Future[outcomes.Outcome]) -> None:
         self._ended.append(ended)
         self._wake()
--- a/tests/requests/serving/test_doubt.py
+++ b/tests/requests/serving/test_doubt.py
@@ -11,6 +11,7 @@
 
 from merlintrestle.requests.reports import stories
 from merlintrestle.requests.serving import dispatch
+from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import watches
@@ -97,6 +98,23 @@
             self.assertEqual(await answer.read(), b"whole")
             self.assertEqual(len(nodes[1].served), 1)
 
+    async def test_long_answer_of_a_call_that_was_in_doubt_is_whole(
+        self,
+    ) -> None:
+        """Guards against long answers cut off as the call ends its doubt."""
+        long = b"x" * 4 * bodies.MAX_HELD_BYTES
+
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            await self.wait(request)
+            return web.Response(body=long)
+
+        async with relays.connect(answer) as (nodes, _, client):
+            call = asyncio.create_task(client.get(nodes[0].url + "/x"))
+            await self.begun.acquire()
+            await self.wait_for_questions(2)
+            self.go_on.set()
+            self.assertEqual(await (await call).read(), long)
+
     async def test_story_tells_of_a_silent_peer_once(self) -> None:
         """Whoever reads the story of a slow call sees what was decided.
 
