--- a/merlintrestle/operators/changing.py
+++ b/merlintrestle/operators/changing.py
@@ -48,7 +48,7 @@
     is_flag=True,
     help="Wait until it is in force on every daemon (needs --daemon).",
 )
-_wait_timeout_option = click.option(
+wait_timeout_option = click.option(
     "--wait-timeout",
     type=click.FloatRange(min=0),
     default=_DEFAULT_WAIT_S,
@@ -126,7 +126,7 @@
 @click.argument("file", type=_FILE)
 @_base_option
 @_wait_option
-@_wait_timeout_option
+@wait_timeout_option
 @session.run_command
 async def apply(
     run: session.Session,
@@ -149,7 +149,7 @@
 @click.argument("organisation")
 @_base_option
 @_wait_option
-@_wait_timeout_option
+@wait_timeout_option
 @session.run_command
 async def withdraw(
     run: session.Session,
--- a/merlintrestle/operators/rollouts.py
+++ b/merlintrestle/operators/rollouts.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
 
 import click
 
 from merlintrestle import errors
+from merlintrestle.operators import changing
 from merlintrestle.operators import exits
 from merlintrestle.operators import results
 from merlintrestle.operators import session
@@ -19,15 +19,11 @@
 from merlintrestle.schema import control_pb2
 from merlintrestle.store import records as store_records
 
-if TYPE_CHECKING:
-    from merlintrestle.store import records as store_lib
-
 # A version is judged in a third of the time, by answers of some tenths of a
 # second; then calls in flight have to end.
 LEAST_WITHIN_S = 5.0
 _MOST_WITHIN_S = 604_800.0
 _POLL_S = 0.2
-_DEFAULT_WAIT_S = 600.0
 _NAMES = {
     control_pb2.ROLLOUT_STATE_UNSPECIFIED: "ordered",
     control_pb2.RUNNING: "running",
@@ -110,14 +106,7 @@
     )
 )
 @click.argument("service")
-@click.option(
-    "--wait-timeout",
-    type=click.FloatRange(min=0),
-    default=_DEFAULT_WAIT_S,
-    show_default=True,
-    metavar="SECONDS",
-    help="Longest wait.",
-)
+@changing.wait_timeout_option
 @session.run_command
 async def wait(run: session.Session, service: str, wait_timeout: float) -> int:
     """Waits for the end of a roll-out; fails unless it is complete."""
@@ -195,7 +184,7 @@
 
 
 async def _check_service(
-    store: store_lib.Store, service: str
+    store: store_records.Store, service: str
 ) -> list[errors.Finding]:
     head, _ = await store_records.read_head(store)
     documents = await store_records.read_documents(store, head)
@@ -209,7 +198,7 @@
 
 
 async def _read_state(
-    store: store_lib.Store, service: str
+    store: store_records.Store, service: str
 ) -> control_pb2.Rollout | None:
     """Returns the last order of a service with its state; None: none was."""
     register = registers.Register(store, registers.OwnForm())
@@ -221,7 +210,7 @@
 
 
 async def _require_state(
-    store: store_lib.Store, service: str
+    store: store_records.Store, service: str
 ) -> control_pb2.Rollout:
     found = await _read_state(store, service)
     if found is None:
--- a/merlintrestle/rollouts/keeper.py
+++ b/merlintrestle/rollouts/keeper.py
@@ -17,6 +17,7 @@
 
     from merlintrestle.rollouts import book as books
     from merlintrestle.rollouts import observer as observers
+    from merlintrestle.rollouts import progress as progresses
     from merlintrestle.rollouts import register as registers
 
 events = event_logs.EventLog("rollouts")
@@ -81,7 +82,7 @@
                 self._book.merge_rollout(order)
             self._handled.add(key)
 
-    async def write(self, progress: books.Progress) -> None:
+    async def write(self, progress: progresses.Progress) -> None:
         """Writes the state that a roll-out has come to, when it is time."""
         state = self._choose_state(progress)
         turn = self._get_turn()
@@ -119,7 +120,7 @@
                 await self.write(progress)
 
     def _choose_state(
-        self, progress: books.Progress
+        self, progress: progresses.Progress
     ) -> control_pb2.RolloutState | None:
         """Returns the state to write; None: the one written still holds."""
         if progress.phase is judgement.Phase.BACK:
@@ -130,7 +131,7 @@
             return control_pb2.RUNNING
         return None
 
-    def _is_drained(self, progress: books.Progress) -> bool:
+    def _is_drained(self, progress: progresses.Progress) -> bool:
         """Returns whether the version before may be stopped.
 
         It stops at once: a call that is still on its way there is lost.
--- a/merlintrestle/rollouts/lanes.py
+++ b/merlintrestle/rollouts/lanes.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from merlintrestle.members import table as tables
     from merlintrestle.rollouts import book as books
+    from merlintrestle.rollouts import progress as progresses
 
 # Part of a service's calls that a new version gets where nothing is set.
 TRIAL_SHARE = 0.05
@@ -102,7 +103,7 @@
         return Lane(f"{service} before", split.before)
 
     def _choose_new(
-        self, service: str, split: _Split, progress: books.Progress
+        self, service: str, split: _Split, progress: progresses.Progress
     ) -> Lane:
         if progress.ended:
             return Lane(f"{service} after", split.after or split.upstreams)
@@ -125,7 +126,7 @@
         self,
         service: str,
         upstreams: tuple[tables.Upstream, ...],
-        progress: books.Progress,
+        progress: progresses.Progress,
     ) -> _Split:
         suspects = frozenset(
             name for name in progress.new if progress.is_suspect(name)
@@ -144,7 +145,7 @@
 def _divide(
     upstreams: tuple[tables.Upstream, ...],
     suspects: frozenset[str],
-    progress: books.Progress,
+    progress: progresses.Progress,
     share: float,
 ) -> _Split:
     """Divides upstreams by version.
--- a/merlintrestle/rollouts/observer.py
+++ b/merlintrestle/rollouts/observer.py
@@ -17,6 +17,7 @@
 
     from merlintrestle.requests import backend as backends
     from merlintrestle.rollouts import book as books
+    from merlintrestle.rollouts import progress as progresses
 
 events = event_logs.EventLog("rollouts")
 
@@ -129,7 +130,7 @@
         elif self._classes:
             self._report()
 
-    def _follow(self, progress: books.Progress) -> None:
+    def _follow(self, progress: progresses.Progress) -> None:
         """Begins to count anew for another roll-out."""
         rollout = progress.rollout
         if self._trial.number == rollout.number:
@@ -143,17 +144,17 @@
         self._tests.clear()
         self._began = 0.0
 
-    def _is_new(self, progress: books.Progress) -> bool:
+    def _is_new(self, progress: progresses.Progress) -> bool:
         return self._backend.version == progress.rollout.version
 
-    def _is_closed(self, progress: books.Progress) -> bool:
+    def _is_closed(self, progress: progresses.Progress) -> bool:
         """Returns whether the version before gets no calls any more."""
         if progress.phase is not judgement.Phase.NEW or not progress.new:
             return False
         return self._get_time() - progress.phase_at >= _CLOSE_S
 
     def _is_slow(
-        self, progress: books.Progress, name: str, took_s: float
+        self, progress: progresses.Progress, name: str, took_s: float
     ) -> bool:
         if self._get_time() < self._backend.warm_at:
             return False
@@ -178,7 +179,9 @@
             "bad" if bad else "good",
         ).inc()
 
-    def _test(self, progress: books.Progress, name: str, bad: bool) -> None:
+    def _test(
+        self, progress: progresses.Progress, name: str, bad: bool
+    ) -> None:
         test = self._tests.setdefault(name, sequential.SequentialTest())
         failed = progress.get_failed().get(name, 0.0)
         allowed = judgement.get_allowed_bad(failed)
@@ -210,5 +213,5 @@
         trial.classes.extend(self._classes.values())
         self._book.merge_trial(trial)
 
-    def _tells_baseline(self, progress: books.Progress) -> bool:
+    def _tells_baseline(self, progress: progresses.Progress) -> bool:
         return self._get_own_id() in progress.list_baseline(_BASELINE_SERVERS)
--- /dev/null
+++ b/merlintrestle/rollouts/progress.py
@@ -0,0 +1,131 @@
+"""Progress: how far the roll-out of one service has come."""
+
+from __future__ import annotations
+
+import statistics
+from typing import TYPE_CHECKING
+
+from merlintrestle.rollouts import judgement
+from merlintrestle.rollouts import records
+from merlintrestle.schema import control_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from merlintrestle.members import table as tables
+
+# Calls of a class after which a backend server tells what part of them fails.
+_LEAST_BASELINE_CALLS = 10
+_MS = 1000
+
+
+class Progress:
+    """How far the roll-out of one service has come, as known here.
+
+    Attributes:
+        rollout: The order, and how it ended.
+        phase: Which version gets the calls.
+        heard_at: When the order became known here, in seconds.
+        phase_at: When the phase began, in seconds.
+        trials: What was seen beside each backend server, by daemon.
+        serving: Daemons beside backend servers of the new version.
+        new: These, and those that are gone.
+        before: Those beside the others that serve now.
+        old_versions: Versions of the others, as seen until the end.
+    """
+
+    def __init__(self, rollout: control_pb2.Rollout, now: float):
+        self.rollout = rollout
+        self.phase = judgement.Phase.TRIAL
+        self.heard_at = now
+        self.phase_at = now
+        self.trials: dict[str, control_pb2.Trial] = {}
+        self.serving: frozenset[str] = frozenset()
+        self.new: frozenset[str] = frozenset()
+        self.before: frozenset[str] = frozenset()
+        self.old_versions: frozenset[str] = frozenset()
+
+    @property
+    def ended(self) -> bool:
+        """True once its end is written."""
+        return self.rollout.state in records.ENDED
+
+    def sort(self, upstreams: Sequence[tables.Upstream]) -> None:
+        """Takes in which version each upstream has now."""
+        target = self.rollout.version
+        new = {one.member_id for one in upstreams if one.version == target}
+        if not self.ended:
+            versions = {one.version for one in upstreams if one.version}
+            self.old_versions |= versions - {target}
+        self.serving = frozenset(new)
+        self.new |= new
+        known = {one.member_id for one in upstreams}
+        self.before = frozenset(known - self.new)
+
+    def is_suspect(self, member_id: str) -> bool:
+        """Returns whether a backend server showed bad answers."""
+        trial = self.trials.get(member_id)
+        return trial is not None and trial.suspect
+
+    def is_drained(self, member_id: str) -> bool:
+        """Returns whether a backend server takes and runs no calls any more."""
+        trial = self.trials.get(member_id)
+        return trial is not None and trial.drained
+
+    def list_baseline(self, count: int) -> list[str]:
+        """Returns the daemons that tell of the version before."""
+        return sorted(self.before)[:count]
+
+    def get_baseline(self) -> dict[str, control_pb2.ClassRecord]:
+        """Returns what the version before did, by class of work."""
+        sums: dict[str, control_pb2.ClassRecord] = {}
+        for member_id, trial in self.trials.items():
+            if member_id in self.new:
+                continue
+            for one in trial.classes:
+                total = sums.setdefault(
+                    one.name, control_pb2.ClassRecord(name=one.name)
+                )
+                total.calls += one.calls
+                total.bad += one.bad
+                total.took_ms += one.took_ms
+        return sums
+
+    def get_failed(self) -> dict[str, float]:
+        """Returns the part that fails of the version before, by class.
+
+        Of what several of its backend servers show the middle one counts: one
+        that is sick by itself would make failures of the new version look
+        usual.
+        """
+        parts: dict[str, list[float]] = {}
+        for member_id, trial in self.trials.items():
+            if member_id in self.new:
+                continue
+            for one in trial.classes:
+                if one.calls >= _LEAST_BASELINE_CALLS:
+                    part = one.bad / one.calls
+                    parts.setdefault(one.name, []).append(part)
+        return {name: statistics.median(some) for name, some in parts.items()}
+
+    def list_evidence(self) -> list[judgement.Evidence]:
+        """Returns what was seen of the new version.
+
+        Those of which nothing was seen yet are among it: what one of several
+        shows does not count alone.
+        """
+        seen = {name for name in self.trials if name in self.new}
+        return [
+            self._get_evidence(name) for name in sorted(seen | self.serving)
+        ]
+
+    def _get_evidence(self, member_id: str) -> judgement.Evidence:
+        trial = self.trials.get(member_id, control_pb2.Trial())
+        return judgement.Evidence(
+            tuple(
+                judgement.ClassEvidence(one.name, one.calls, one.bad)
+                for one in trial.classes
+            ),
+            trial.watched_ms / _MS,
+            trial.suspect,
+        )
--- a/merlintrestle/rollouts/register.py
+++ b/merlintrestle/rollouts/register.py
@@ -15,6 +15,7 @@
     from collections.abc import Sequence
 
     from merlintrestle.store import client
+    from merlintrestle.store import records as store_records
 
 events = event_logs.EventLog("rollouts")
 
@@ -63,23 +64,6 @@
         """
 
 
-class Store(Protocol):
-    """What the register uses of a client of the store."""
-
-    async def get(self, key: str) -> client.Entry | None:
-        """Reads one key."""
-
-    async def put(
-        self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
-    ) -> client.WriteReply:
-        """Writes a key if it still has the expected revision."""
-
-    async def list(
-        self, prefix: str, after: str = "", limit: int = 1000
-    ) -> list[client.Entry]:
-        """Reads keys with a prefix in order."""
-
-
 class OwnForm:
     """The product's own records."""
 
@@ -119,7 +103,7 @@
 class Register:
     """Reads orders, and writes the state of each; the first end stays."""
 
-    def __init__(self, store: Store, form: Form):
+    def __init__(self, store: store_records.Store, form: Form):
         """Sets the store and how its records look."""
         self._store = store
         self._form = form
--- a/tests/rollouts/builders.py
+++ b/tests/rollouts/builders.py
@@ -7,6 +7,7 @@
 from merlintrestle import errors
 from merlintrestle.members import table as tables
 from merlintrestle.rollouts import book as books
+from merlintrestle.rollouts import progress as progresses
 from merlintrestle.schema import control_pb2
 from merlintrestle.store import client
 
@@ -87,7 +88,7 @@
         self.book = books.Book(lambda service: self.upstreams, self.clock)
 
     @property
-    def progress(self) -> books.Progress:
+    def progress(self) -> progresses.Progress:
         """The roll-out of balie."""
         progress = self.book.get(SERVICE)
         assert progress is not None
