--- a/merlintrestle/rollouts/observer.py
+++ b/merlintrestle/rollouts/observer.py
@@ -28,7 +28,7 @@
 # Answers of the version before that tell its mean time.
 _LEAST_BASELINE = 10
 # Time between two reports, in seconds.
-_REPORT_S = 0.25
+_REPORT_S = 0.5
 # Backend servers of the version before that report: those with the least ids.
 _BASELINE_SERVERS = 6
 # Other daemons have heard by then that the other version gets all calls.
--- a/merlintrestle/rollouts/records.py
+++ b/merlintrestle/rollouts/records.py
@@ -56,7 +56,7 @@
     """
     if held is None or told.number > held.number:
         return _trim(told)
-    if told.number < held.number:
+    if told.number < held.number or told == held:
         return None
     merged = control_pb2.Trial()
     merged.CopyFrom(held)
--- /dev/null
+++ b/tests/rollouts/test_observer.py
@@ -0,0 +1,120 @@
+"""Tests of what the daemon beside a backend server sees in a roll-out."""
+
+from __future__ import annotations
+
+import unittest
+
+from merlintrestle.requests import backend as backends
+from merlintrestle.rollouts import judgement
+from merlintrestle.rollouts import observer as observers
+from merlintrestle.schema import control_pb2
+from tests.rollouts import builders
+
+_OLD = "10.0.0.1:7600"
+_NEW = "10.0.1.1:7600"
+
+
+class ObserverTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.site = builders.Site()
+        self.backend = backends.OwnBackend()
+        self.backend.service = builders.SERVICE
+        self.running = 0
+
+    def observe(self, member_id: str, version: str) -> observers.Observer:
+        """Builds the observer beside one backend server, and orders."""
+        self.backend.version = version
+        self.site.book.merge_rollout(builders.build_rollout())
+        return observers.Observer(
+            self.site.book,
+            self.backend,
+            lambda: member_id,
+            lambda: self.running,
+            self.site.clock,
+        )
+
+    def note(
+        self,
+        observer: observers.Observer,
+        calls: int,
+        failed: bool = False,
+        took_s: float = 0.1,
+    ) -> None:
+        """Notes calls, twenty a second."""
+        for _ in range(calls):
+            self.site.clock.now += 0.05
+            observer.note("lookup", failed, took_s)
+
+    def tell_baseline(self, calls: int = 100, bad: int = 0) -> None:
+        """Tells what the version before did, in 0.1 s a call."""
+        trial = builders.build_trial(_OLD, calls, bad)
+        self.site.book.merge_trial(trial)
+
+    def test_a_version_that_fails_is_suspect(self) -> None:
+        observer = self.observe(_NEW, "v2")
+        self.note(observer, 30, failed=True)
+        self.assertTrue(self.site.progress.is_suspect(_NEW))
+
+    def test_a_slow_version_is_suspect(self) -> None:
+        """Guards against a version that answers well and far too late."""
+        observer = self.observe(_NEW, "v2")
+        self.tell_baseline()
+        self.note(observer, 30, took_s=0.5)
+        self.assertTrue(self.site.progress.is_suspect(_NEW))
+
+    def test_a_cold_start_is_not_slow(self) -> None:
+        """Guards against going back from a version that has just started."""
+        observer = self.observe(_NEW, "v2")
+        self.tell_baseline()
+        self.backend.warm_at = self.site.clock.now + 10.0
+        self.note(observer, 30, took_s=0.5)
+        self.assertFalse(self.site.progress.is_suspect(_NEW))
+
+    def test_without_a_baseline_nothing_is_slow(self) -> None:
+        """Guards against a slowness that nothing is compared with."""
+        observer = self.observe(_NEW, "v2")
+        self.tell_baseline(calls=3)
+        self.note(observer, 30, took_s=0.5)
+        self.assertFalse(self.site.progress.is_suspect(_NEW))
+
+    def test_what_fails_anyway_is_not_the_version(self) -> None:
+        """Guards against going back for a disturbance of both versions."""
+        observer = self.observe(_NEW, "v2")
+        self.tell_baseline(bad=30)
+        for _ in range(20):
+            self.note(observer, 1, failed=True)
+            self.note(observer, 2)
+        self.assertFalse(self.site.progress.is_suspect(_NEW))
+
+    def test_the_version_before_is_closed_and_drained(self) -> None:
+        """Guards against calls that run where all is about to be stopped."""
+        observer = self.observe(_OLD, "v1")
+        good = builders.build_trial(_NEW, 500, 0, watched_ms=9_000)
+        self.site.book.merge_trial(good)
+        self.assertIs(self.site.progress.phase, judgement.Phase.NEW)
+        self.assertTrue(observer.may_run())
+        self.running = 1
+        self.site.clock.now += 1.0
+        self.assertFalse(observer.may_run())
+        observer.look()
+        self.assertFalse(self.site.progress.is_drained(_OLD))
+        self.running = 0
+        observer.look()
+        self.assertTrue(self.site.progress.is_drained(_OLD))
+
+    def test_a_version_that_went_back_runs_nothing(self) -> None:
+        """Guards against senders that have not heard of the end."""
+        observer = self.observe(_NEW, "v2")
+        self.assertTrue(observer.may_run())
+        end = builders.build_rollout(state=control_pb2.ROLLED_BACK)
+        self.site.book.merge_rollout(end)
+        self.assertFalse(observer.may_run())
+
+    def test_a_service_without_a_roll_out_is_left_alone(self) -> None:
+        observer = observers.Observer(
+            self.site.book, self.backend, lambda: _OLD, lambda: 0
+        )
+        observer.note("lookup", True, 1.0)
+        observer.look()
+        self.assertTrue(observer.may_run())
+        self.assertEqual(self.site.book.list_trials(), [])
