Run a version before the orders of roll-outs are looked at

Found on reading the change: a state that could not be read ended the refresh of a watcher before the version that it had just read was compiled.

--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -30,8 +30,8 @@
 # Part of the usual wait that is short. What is expected is rough, as more
 # important calls may come meanwhile, and a longer wait would be in vain.
 _SHORT_PART = 0.125
-# Part of the mean time that a slot is held which a call must have left. Work
-# times are skewed: within half the mean a quarter or less of the calls end.
+# Part of the mean time that a slot is held which a call must have left. Within
+# half of it a third of the calls end at most, as work times are skewed.
 _LEAST_HOLD_PART = 0.5
 # A backend server with a dozen slots has one free every few hundredths of a
 # second. Callers that come back so soon may still be answered within the
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -212,9 +212,6 @@
         began = self._clock()
         try:
             head = await self._source.read_head()
-            orders = await self._source.read_orders()
-            for take in self.on_orders:
-                await take(orders)
         except errors.StoreError:
             self._note_store(False)
             raise
@@ -222,8 +219,19 @@
         self._head = head.version
         self._head_at = began
         await self._compile(head)
+        await self._take_orders()
         return head.version
 
+    async def _take_orders(self) -> None:
+        """Takes in the orders of roll-outs; the version waits for none.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+        """
+        orders = await self._source.read_orders()
+        for take in self.on_orders:
+            await take(orders)
+
     async def add_head(
         self, reply: control_pb2.FloorReply, uptime_ms: int
     ) -> None:
