Tell whose limit ends a call, and what was left of its time when it was given up

A call that another daemon gave up before its time looked like one whose time was over: both read 'no answer before the deadline', and whether the limit was the caller's or the route's had to be reckoned from several lines, of which the rate of stories leaves some out. 'routed' has whose limit it is, 'tried' and 'given up' what was left.

No logic changed.

--- a/merlintrestle/requests/calls/call.py
+++ b/merlintrestle/requests/calls/call.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import enum
 import hashlib
+import math
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.reports import stories
@@ -82,6 +84,11 @@
     )
     _identity: bytes = b""
 
+    def get_left_ms(self) -> int:
+        """Returns the milliseconds until its deadline; below 0: it is over."""
+        left_s = self.deadline - asyncio.get_running_loop().time()
+        return math.floor(left_s * 1000)
+
     def get_identity(self) -> bytes:
         """Returns a digest of what the request is, whoever sends it.
 
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -68,6 +68,7 @@
                 service=match.service,
                 work=match.plan.name,
                 left_ms=round((call.deadline - began) * 1000),
+                limit=_name_limit(call, asked),
                 waited_ms=asked.waited_ms,
             )
             return await self._serve(request, call, began, asked)
@@ -133,3 +134,11 @@
         self, refusal: outcomes.NotRun, request: web.BaseRequest
     ) -> web.Response:
         return dialects.render(self._dialect, refusal, request)
+
+
+def _name_limit(call: calls.Call, asked: intake.Asked) -> str:
+    """Returns whose limit ends the time of a call."""
+    limit_ms = asked.limit_ms
+    if limit_ms is not None and limit_ms / 1000 < call.plan.deadline_s:
+        return "caller"
+    return "class of work"
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -122,6 +122,7 @@
                 tries=len(progress.tried),
                 reached=progress.reached,
                 budget=round(progress.budget.left, 1),
+                left_ms=progress.call.get_left_ms(),
             )
         return progress.outcome
 
--- a/merlintrestle/requests/serving/sending.py
+++ b/merlintrestle/requests/serving/sending.py
@@ -130,6 +130,7 @@
             "tried",
             upstream=one.upstream.member_id,
             took_ms=round((self._get_time() - record.began) * 1000),
+            left_ms=call.get_left_ms(),
             **stories.describe(outcome),
         )
         return outcome
--- /dev/null
+++ b/tests/requests/serving/test_deadlines.py
@@ -0,0 +1,67 @@
+"""Calls at work are ended when their time is over, and not before."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, TYPE_CHECKING
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from merlintrestle.requests.reports import stories
+from merlintrestle.requests.transport import headers
+from tests.requests import builders
+from tests.requests import relays
+
+if TYPE_CHECKING:
+    from merlintrestle.documents import snapshot
+
+_DEADLINE_S = 1.0
+_SHORT = builders.build_snapshot(
+    {"/": builders.build_plan(deadline_s=_DEADLINE_S)}
+)
+
+
+class DeadlineTest(unittest.IsolatedAsyncioTestCase):
+    """A backend server behind another daemon works on a call."""
+
+    running: snapshot.Snapshot = _SHORT
+
+    def setUp(self) -> None:
+        self.cancelled_at: asyncio.Future[float] | None = None
+
+    async def work(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers quick calls, and works on others until it is cut off."""
+        if request.raw_path == "/quick":
+            return web.Response(body=b"whole")
+        loop = asyncio.get_running_loop()
+        assert self.cancelled_at is not None
+        try:
+            await asyncio.sleep(builders.GUARD_S)
+        except asyncio.CancelledError:
+            self.cancelled_at.set_result(loop.time())
+            raise
+        return web.Response()
+
+    async def test_story_tells_whose_limit_ended_a_call_and_when(self) -> None:
+        """Guards against calls given up early that look like late ones."""
+        loop = asyncio.get_running_loop()
+        self.cancelled_at = loop.create_future()
+        told: dict[str, dict[str, Any]] = {}
+
+        def note(story: stories.Story, event: str, **fields: Any) -> None:
+            told.setdefault(event, fields)
+
+        patch = mock.patch.object(stories.Story, "add", note)
+        async with relays.connect(self.work, running=self.running) as (
+            nodes,
+            _,
+            client,
+        ):
+            sent = {headers.DEADLINE: "500"}
+            with patch:
+                await client.get(nodes[0].url + "/slow", headers=sent)
+        self.assertEqual(told["routed"]["limit"], "caller")
+        self.assertLessEqual(told["tried"]["left_ms"], 0)
+        self.assertLessEqual(told["given up"]["left_ms"], 0)
