--- a/tests/requests/relays.py
+++ b/tests/requests/relays.py
@@ -20,12 +20,14 @@
     Attributes:
         port: Where it listens.
         passed: Bytes that it passed on, both ways.
+        delay_s: How late it passes bytes on, in seconds.
     """
 
     def __init__(self, target_port: int):
         """Sets the port that is relayed to."""
         self.port = 0
         self.passed = 0
+        self.delay_s = 0.0
         self._target_port = target_port
         self._silent_from: asyncio.Event = asyncio.Event()
         self._deaf = False
@@ -81,6 +83,8 @@
             if not piece:
                 sink.close()
                 return
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
             self.passed += len(piece)
             sink.write(piece)
 
