End no work for the time that its way back may take

What callers see: a call whose backend server is at work is answered 504 though up to a quarter of its time is left; when its daemon has got SIGTERM, that is a request lost.

Cause: a daemon told another the call's time less what hops had taken lately, so that refusals come back in time. The other daemon ended by it whatever it had, work that ran too, and told its backend server the shorter time as well.

Change: the whole time is passed on, and beside it what a refusal needs to come back. That one bounds waits for a slot, room on the link and connections that are not open yet (Call.refuse_by); answers, watches and what the backend server is told go by Call.deadline. It stands among the flags of the header, where daemons of the version before pass over it. What is passed on is rounded up: a daemon that is told less than there is ends work before its time.

Ruled out: keeping the time only while links are full (an estimate all the same); extending the time at the other daemon by a question (a hop more).

--- a/merlintrestle/requests/calls/call.py
+++ b/merlintrestle/requests/calls/call.py
@@ -45,6 +45,8 @@
             final answer, in seconds.
         due: Time of the event loop at which its latency target is over, in
             seconds, counted from the caller's first attempt.
+        way_back_s: What a refusal needs to reach the caller's daemon, in
+            seconds. It is an estimate, so it never ends work that runs.
         depth: Calls above this one.
         attempt: More than 0 if this call is a retry, or if a call above it
             may be tried again.
@@ -72,6 +74,7 @@
     depth: int
     attempt: int
     key: str
+    way_back_s: float = 0.0
     repeat: bool = False
     wait: Wait = Wait.USUAL
     admitted_at: float = 0.0
@@ -84,6 +87,11 @@
     )
     _identity: bytes = b""
 
+    @property
+    def refuse_by(self) -> float:
+        """Time of the event loop by which it begins, or is refused."""
+        return self.deadline - self.way_back_s
+
     def get_left_ms(self) -> int:
         """Returns the milliseconds until its deadline; below 0: it is over."""
         left_s = self.deadline - asyncio.get_running_loop().time()
--- a/merlintrestle/requests/calls/intake.py
+++ b/merlintrestle/requests/calls/intake.py
@@ -52,6 +52,8 @@
         suspect: True if the call broke a connection before.
         wait: How long it may wait for a slot of the backend server.
         repeat: True if a backend server may have been sent it before.
+        way_back_ms: Milliseconds of the limit that a refusal needs to be back
+            in time.
     """
 
     limit_ms: int | None
@@ -64,6 +66,7 @@
     suspect: bool = False
     wait: calls.Wait = calls.Wait.USUAL
     repeat: bool = False
+    way_back_ms: int = 0
 
 
 def match_peer(request: web.BaseRequest) -> routing.Match | outcomes.NotRun:
@@ -126,6 +129,7 @@
         headers=headers.copy_end_to_end(request.headers),
         body=body,
         deadline=deadline,
+        way_back_s=asked.way_back_ms / 1000,
         due=began - asked.waited_ms / 1000 + plan.latency_s,
         depth=asked.depth,
         attempt=asked.attempt,
--- a/merlintrestle/requests/calls/passing.py
+++ b/merlintrestle/requests/calls/passing.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import re
+
 from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.calls import intake
 
@@ -14,6 +16,8 @@
 _END = ";"
 _SUSPECT = "s"
 _REPEAT = "r"
+# Among the flags, where daemons of versions before pass over it.
+_WAY_BACK = re.compile(r"\d+")
 _WAITS = {calls.Wait.SHORT: "w", calls.Wait.NONE: "n"}
 # Figures, flags and the origin; the rest is the id, whatever it contains.
 _PLACES = 6
@@ -25,6 +29,8 @@
     flags += _WAITS.get(asked.wait, "")
     if asked.repeat:
         flags += _REPEAT
+    if asked.way_back_ms:
+        flags += str(asked.way_back_ms)
     return (
         f"{asked.limit_ms} {asked.waited_ms} {asked.depth} {asked.attempt}"
         f" {flags} {asked.origin} {asked.request_id}{_END}"
@@ -54,6 +60,7 @@
             suspect=_SUSPECT in flags,
             wait=_read_wait(flags),
             repeat=_REPEAT in flags,
+            way_back_ms=_read_way_back(flags),
         )
     except ValueError:
         return None
@@ -64,3 +71,8 @@
         if flag in flags:
             return wait
     return calls.Wait.USUAL
+
+
+def _read_way_back(flags: str) -> int:
+    found = _WAY_BACK.search(flags)
+    return int(found[0]) if found else 0
--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -187,7 +187,7 @@
         It would hold a slot until then, and its caller could not tell what
         became of it.
         """
-        left_s = call.deadline - asyncio.get_running_loop().time()
+        left_s = call.refuse_by - asyncio.get_running_loop().time()
         return left_s < _LEAST_HOLD_PART * queue.hold_s
 
     async def _wait(
@@ -257,7 +257,7 @@
         now: float,
     ) -> float:
         """Returns how long a call may wait for a slot, in seconds."""
-        left_s = call.deadline - now - queue.hold_s
+        left_s = call.refuse_by - now - queue.hold_s
         if not late:
             return min(queue.get_patience(call.due - now), left_s)
         if now < self._full_until:
--- a/merlintrestle/requests/load/links.py
+++ b/merlintrestle/requests/load/links.py
@@ -227,7 +227,7 @@
                 return True
             self._full_until = now + plan.latency_s
             return False
-        if now + needed_s > call.deadline:
+        if now + needed_s > call.refuse_by:
             return False
         if plan.large:
             return True
--- a/merlintrestle/requests/load/ways.py
+++ b/merlintrestle/requests/load/ways.py
@@ -45,15 +45,13 @@
         self._noted_at = self._get_time()
         self._mean_s = mean_s + _NEWEST * (took_s - mean_s)
 
-    def limit(self, left_s: float) -> float:
-        """Returns what another daemon has of the time of a call, in seconds.
-
-        What it refuses at the end of that still comes back in time.
+    def keep(self, left_s: float) -> float:
+        """Returns what a refusal needs to come back in time, in seconds.
 
         Args:
-            left_s: Time that is left here.
+            left_s: Time that is left of the call.
         """
-        return left_s - min(self.get(), _MOST_PART * left_s)
+        return min(self.get(), _MOST_PART * left_s)
 
     def has_time(self, left_s: float) -> bool:
         """Returns whether an answer could come back in the time left."""
--- a/merlintrestle/requests/serving/beside.py
+++ b/merlintrestle/requests/serving/beside.py
@@ -98,7 +98,7 @@
     async def _forward(self, call: calls.Call) -> outcomes.Outcome:
         # Not the time of the event loop: that is as old as the loop's turn, so
         # a daemon that thaws in the middle of one would not see the pause.
-        if time.monotonic() >= call.deadline:
+        if time.monotonic() >= call.refuse_by:
             return outcomes.NotRun("the deadline has passed", 504, None)
         refusal = self._crashes.check(call)
         if refusal is not None:
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -92,7 +92,11 @@
             call = await intake.read_call(request, match, asked, began)
             if isinstance(call, outcomes.NotRun):
                 return outcomes.render(call)
-            call.story.add("passed on", left_ms=asked.limit_ms)
+            call.story.add(
+                "passed on",
+                left_ms=asked.limit_ms,
+                way_back_ms=asked.way_back_ms,
+            )
             return await self._serve(request, call, began, progress, call_id)
         finally:
             self._standing.leave()
--- a/merlintrestle/requests/serving/sending.py
+++ b/merlintrestle/requests/serving/sending.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import functools
+import math
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.calls import doubts
@@ -222,13 +223,13 @@
         self, one: tries_.Try, call: calls.Call
     ) -> multidict.CIMultiDict[str]:
         now = asyncio.get_running_loop().time()
-        left_s = self._way.limit(call.deadline - now)
+        left_s = call.deadline - now
         waited_s = now - (call.due - call.plan.latency_s)
         # Where this daemon can try another upstream, the other daemon must not
         # start the call anew by itself: together they would run it 3 times.
         others = self._has_others(call) and call.plan.repeatable
         asked = intake.Asked(
-            max(1, int(left_s * 1000)),
+            max(1, math.ceil(left_s * 1000)),
             call.request_id,
             call.origin,
             call.depth,
@@ -237,6 +238,7 @@
             suspect=call.suspect,
             wait=one.wait,
             repeat=call.repeat,
+            way_back_ms=round(self._way.keep(left_s) * 1000),
         )
         sent = call.headers.copy()
         sent[headers.PLAN] = plans.encode_plan(call.plan)
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -264,7 +264,7 @@
         connection = self._pool.take(address)
         if connection is None:
             connection = await self._exchanges.open(
-                address, call.deadline, exchanges.PEER
+                address, call.refuse_by, exchanges.PEER
             )
             if isinstance(connection, outcomes.NotRun):
                 return connection
@@ -304,7 +304,7 @@
         side: exchanges.Side = exchanges.PEER,
     ) -> outcomes.Outcome:
         """Sends a call over a new connection; `keep` it for other calls."""
-        connection = await self._exchanges.open(address, call.deadline, side)
+        connection = await self._exchanges.open(address, call.refuse_by, side)
         if isinstance(connection, outcomes.NotRun):
             return connection
         if not keep:
--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -182,7 +182,7 @@
         has long been told "unknown", and after a day its claim has expired
         and the same key may have run elsewhere.
         """
-        if self._get_time() >= call.deadline:
+        if self._get_time() >= call.refuse_by:
             return outcomes.NotRun("the deadline has passed", 504, None)
         age_s = self._get_boot_time() - held.written_at
         if age_s > leases.SAFE_S:
--- a/tests/requests/calls/test_passing.py
+++ b/tests/requests/calls/test_passing.py
@@ -16,6 +16,7 @@
             intake.Asked(1, "", "", suspect=True),
             intake.Asked(1, "x", "", wait=calls.Wait.NONE, suspect=True),
             intake.Asked(1, "x", "", repeat=True, wait=calls.Wait.SHORT),
+            intake.Asked(9, "x", "", repeat=True, way_back_ms=250),
         ):
             with self.subTest(asked=asked):
                 text = passing.encode_asked(asked)
--- a/tests/requests/load/fleets.py
+++ b/tests/requests/load/fleets.py
@@ -125,6 +125,7 @@
                 assert asked.limit_ms is not None
                 now = asyncio.get_running_loop().time()
                 passed.deadline = now + asked.limit_ms / 1000
+                passed.way_back_s = asked.way_back_ms / 1000
                 outcome = await self._daemons[address].run(passed)
                 await asyncio.sleep(self._way_s / 2)
         except TimeoutError:
--- a/tests/requests/load/test_ways.py
+++ b/tests/requests/load/test_ways.py
@@ -28,14 +28,14 @@
         self.way = ways.Way(self.clock.get_time)
 
     def test_nothing_is_kept_where_nothing_was_seen(self) -> None:
-        self.assertEqual(self.way.limit(0.5), 0.5)
+        self.assertEqual(self.way.keep(0.5), 0.0)
         self.assertTrue(self.way.has_time(0.001))
 
-    def test_other_daemons_get_what_the_way_leaves(self) -> None:
+    def test_what_the_way_takes_is_kept_for_refusals(self) -> None:
         """Guards against refusals that come back when the time is over."""
         self.way.note(0.1)
-        self.assertAlmostEqual(self.way.limit(1.0), 0.9)
-        self.assertAlmostEqual(self.way.limit(0.2), 0.15)
+        self.assertAlmostEqual(self.way.keep(1.0), 0.1)
+        self.assertAlmostEqual(self.way.keep(0.2), 0.05)
         self.assertFalse(self.way.has_time(0.05))
 
     def test_what_was_seen_is_soon_forgotten(self) -> None:
