Count a version that was not heard for neither side of a roll-out

Seen: a daemon that starts beside a running backend server knows its service from the status check, and its version only from the next heartbeat. Till then Progress.before had it among the version before (all that is not new), so that it reported as baseline and was waited for before "complete" for up to 3.5 s, and Observer.may_run let it run although the version had gone back. Senders that know of the roll-out leave it out (Lanes), others do not.

Cause: "not the new one" stood for "the one before" in four places: Progress.before (and with it list_baseline and the keeper's wait), Progress.get_baseline and get_failed (also for a trial whose daemon is not in the table of members yet), Observer.may_run, and Observer.look (drained). Progress.is_old says now that a version is a stated one before; Progress.old keeps those daemons, gone ones too, as Progress.new does.

What the daemon beside does with an unknown version: without a roll-out it runs calls. While one is open it refuses, as Lanes sends it nothing. Once complete it runs: Lanes sends there, and a daemon that restarts later must not refuse till the next heartbeat. The code before refused then, for good if the backend server never says a version. After a roll-back it refuses for 10 s from when this daemon knew of it, a start included (heartbeats come every second or two), then runs.

Ruled out in the package: Lanes (splits "" from both; after an end it is let in on purpose), old_versions ("" was left out), the register and records (an order without a version is refused, so "" never equals the target), judgement (has no versions), keeper (asks only Progress.before).

--- a/merlintrestle/rollouts/book.py
+++ b/merlintrestle/rollouts/book.py
@@ -22,6 +22,10 @@
 # version that got too few calls to be judged is not held for good. What is left
 # is for the end to be written, also where the store answers late.
 _DECIDED_PART = 0.8
+# Time after which a backend server that has not said its version is taken for
+# one that never does, in seconds. The others say it a few seconds after their
+# daemon has started.
+_SILENT_S = 10.0
 _MS = 1000
 
 
@@ -141,6 +145,18 @@
         age_s = self._get_time() - progress.heard_at
         return age_s >= _DECIDED_PART * within_s
 
+    def serves_unknown(self, progress: progress_lib.Progress) -> bool:
+        """Returns whether a backend server that says no version may run calls.
+
+        It may be of the version that went back, beside a daemon that has just
+        started. One that never says its version is not closed for good.
+        """
+        if not progress.ended:
+            return False
+        if progress.phase is judgement.Phase.NEW:
+            return True
+        return self.get_phase_age(progress) >= _SILENT_S
+
     def _choose_phase(self, progress: progress_lib.Progress) -> judgement.Phase:
         state = progress.rollout.state
         if state == control_pb2.ROLLED_BACK:
--- a/merlintrestle/rollouts/observer.py
+++ b/merlintrestle/rollouts/observer.py
@@ -86,9 +86,12 @@
         progress = self._book.get(self._backend.service)
         if progress is None:
             return True
-        if self._is_new(progress):
+        version = self._backend.version
+        if progress.is_new(version):
             return progress.phase is not judgement.Phase.BACK
-        return not self._is_closed(progress)
+        if progress.is_old(version):
+            return not self._is_closed(progress)
+        return self._book.serves_unknown(progress)
 
     def note(self, name: str, failed: bool, took_s: float) -> None:
         """Takes in an answer of the own backend server, or that none came.
@@ -102,7 +105,7 @@
         if progress is None or progress.ended:
             return
         self._follow(progress)
-        if self._is_new(progress):
+        if progress.is_new(self._backend.version):
             bad = failed or self._is_slow(progress, name, took_s)
             self._count(name, bad, took_s)
             self._test(progress, name, bad)
@@ -120,7 +123,7 @@
         self._book.update(self._backend.service)
         self._follow(progress)
         drained = (
-            not self._is_new(progress)
+            progress.is_old(self._backend.version)
             and self._is_closed(progress)
             and not self._count_running()
         )
@@ -144,9 +147,6 @@
         self._tests.clear()
         self._began = 0.0
 
-    def _is_new(self, progress: progresses.Progress) -> bool:
-        return self._backend.version == progress.rollout.version
-
     def _is_closed(self, progress: progresses.Progress) -> bool:
         """Returns whether the version before gets no calls any more."""
         if progress.phase is not judgement.Phase.NEW or not progress.new:
@@ -214,4 +214,6 @@
         self._book.merge_trial(trial)
 
     def _tells_baseline(self, progress: progresses.Progress) -> bool:
+        if not progress.is_old(self._backend.version):
+            return False
         return self._get_own_id() in progress.list_baseline(_BASELINE_SERVERS)
--- a/merlintrestle/rollouts/progress.py
+++ b/merlintrestle/rollouts/progress.py
@@ -30,7 +30,9 @@
         trials: What was seen beside each backend server, by daemon.
         serving: Daemons beside backend servers of the new version.
         new: These, and those that are gone.
-        before: Those beside the others that serve now.
+        before: Daemons beside backend servers of another version that serve
+            now. One whose version was not heard yet is in neither.
+        old: These, and those that are gone.
         old_versions: Versions of the others, as seen until the end.
     """
 
@@ -43,6 +45,7 @@
         self.serving: frozenset[str] = frozenset()
         self.new: frozenset[str] = frozenset()
         self.before: frozenset[str] = frozenset()
+        self.old: frozenset[str] = frozenset()
         self.old_versions: frozenset[str] = frozenset()
 
     @property
@@ -52,15 +55,23 @@
 
     def sort(self, upstreams: Sequence[tables.Upstream]) -> None:
         """Takes in which version each upstream has now."""
-        target = self.rollout.version
-        new = {one.member_id for one in upstreams if one.version == target}
+        new = {one.member_id for one in upstreams if self.is_new(one.version)}
         if not self.ended:
-            versions = {one.version for one in upstreams if one.version}
-            self.old_versions |= versions - {target}
+            versions = {one.version for one in upstreams}
+            self.old_versions |= set(filter(self.is_old, versions))
         self.serving = frozenset(new)
         self.new |= new
-        known = {one.member_id for one in upstreams}
-        self.before = frozenset(known - self.new)
+        old = {one.member_id for one in upstreams if self.is_old(one.version)}
+        self.before = frozenset(old - self.new)
+        self.old = (self.old | old) - self.new
+
+    def is_new(self, version: str) -> bool:
+        """Returns whether a version is the new one; empty: not heard."""
+        return version == self.rollout.version
+
+    def is_old(self, version: str) -> bool:
+        """Returns whether a version is one before; empty: not heard."""
+        return bool(version) and not self.is_new(version)
 
     def is_suspect(self, member_id: str) -> bool:
         """Returns whether a backend server showed bad answers."""
@@ -80,7 +91,7 @@
         """Returns what the version before did, by class of work."""
         sums: dict[str, control_pb2.ClassRecord] = {}
         for member_id, trial in self.trials.items():
-            if member_id in self.new:
+            if member_id not in self.old:
                 continue
             for one in trial.classes:
                 total = sums.setdefault(
@@ -100,7 +111,7 @@
         """
         parts: dict[str, list[float]] = {}
         for member_id, trial in self.trials.items():
-            if member_id in self.new:
+            if member_id not in self.old:
                 continue
             for one in trial.classes:
                 if one.calls >= _LEAST_BASELINE_CALLS:
--- a/tests/rollouts/test_observer.py
+++ b/tests/rollouts/test_observer.py
@@ -110,6 +110,72 @@
         self.site.book.merge_rollout(end)
         self.assertFalse(observer.may_run())
 
+    def hide_version(self) -> observers.Observer:
+        """Has the own backend server say no version, and orders."""
+        unknown = self.site.upstreams[0]._replace(version="")
+        self.site.upstreams = (unknown, *self.site.upstreams[1:])
+        return self.observe(_OLD, "")
+
+    def end(self, state: control_pb2.RolloutState) -> None:
+        """Ends the roll-out."""
+        self.site.book.merge_rollout(builders.build_rollout(state=state))
+
+    def test_one_that_says_no_version_tells_nothing(self) -> None:
+        """Guards against answers of a new version in the baseline."""
+        observer = self.hide_version()
+        self.note(observer, 30, failed=True)
+        observer.look()
+        self.assertEqual(self.site.book.list_trials(), [])
+
+    def test_one_that_just_lost_its_version_tells_nothing(self) -> None:
+        """Guards against a restart that the table of members shows later."""
+        observer = self.observe(_OLD, "v1")
+        self.backend.version = ""
+        self.note(observer, 30, failed=True)
+        self.assertEqual(self.site.book.list_trials(), [])
+
+    def test_one_that_says_no_version_runs_nothing_meanwhile(self) -> None:
+        """Guards against senders that have not heard of a bad version."""
+        observer = self.hide_version()
+        self.assertFalse(observer.may_run())
+        self.site.clock.now += 7.9
+        self.assertFalse(observer.may_run())
+        self.site.clock.now += 0.2
+        self.site.book.update(builders.SERVICE)
+        self.assertIs(self.site.progress.phase, judgement.Phase.BACK)
+        self.assertFalse(observer.may_run())
+        self.end(control_pb2.ROLLED_BACK)
+        self.assertFalse(observer.may_run())
+        self.backend.version = "v1"
+        self.assertTrue(observer.may_run())
+
+    def test_one_that_says_no_version_is_not_said_to_be_drained(self) -> None:
+        """Guards against a new version that is counted as ended."""
+        observer = self.hide_version()
+        good = builders.build_trial(_NEW, 500, 0, watched_ms=9_000)
+        self.site.book.merge_trial(good)
+        self.assertIs(self.site.progress.phase, judgement.Phase.NEW)
+        self.site.clock.now += 1.0
+        self.assertFalse(observer.may_run())
+        observer.look()
+        self.assertFalse(self.site.progress.is_drained(_OLD))
+
+    def test_one_that_says_no_version_runs_once_it_is_complete(self) -> None:
+        """Guards against refusals after each restart of a daemon."""
+        observer = self.hide_version()
+        self.end(control_pb2.COMPLETE)
+        self.site.clock.now += 1.0
+        self.assertTrue(observer.may_run())
+
+    def test_one_that_never_says_a_version_is_not_closed_for_good(self) -> None:
+        """Guards against a roll-out that ends what it does not concern."""
+        observer = self.hide_version()
+        self.end(control_pb2.ROLLED_BACK)
+        self.site.clock.now += 5.0
+        self.assertFalse(observer.may_run())
+        self.site.clock.now += 10.0
+        self.assertTrue(observer.may_run())
+
     def test_a_service_without_a_roll_out_is_left_alone(self) -> None:
         observer = observers.Observer(
             self.site.book, self.backend, lambda: _OLD, lambda: 0
