Divide upstreams anew for another order, and when a version before is heard

Found on the look for versions not heard of that are taken for another. Lanes keeps the upstreams divided by version until their tuple or the suspects change. Two more things decide it: the order, and the versions known to be before.

An order back to v1 after "complete" of v2, while the upstreams are the same: v1, which is on trial, got the calls of the version before. A daemon that starts during a roll-out hears the order, then the members, and sends before the next look sorts them: the version before is unknown then, and what was divided stays. At "complete" it went on sending to v1, which may be stopped. The test before: 16 of 16 calls could go to v1 and v2.

The daemons beside v1 refuse such calls, so the second cost a send; nothing stopped the first.

What was divided names the roll-out and these versions now.

--- a/merlintrestle/rollouts/lanes.py
+++ b/merlintrestle/rollouts/lanes.py
@@ -37,6 +37,8 @@
     """The upstreams of a service by their version.
 
     Attributes:
+        progress: The roll-out that they are divided for.
+        old_versions: What it knew of the versions before.
         upstreams: All of them, as the table of members gave them.
         suspects: Daemons beside backend servers that showed bad answers.
         before: Those of the version before. One that has not said its version
@@ -47,6 +49,8 @@
         after: Those of no version that is to end with the roll-out.
     """
 
+    progress: progresses.Progress
+    old_versions: frozenset[str]
     upstreams: tuple[tables.Upstream, ...]
     suspects: frozenset[str]
     before: tuple[tables.Upstream, ...]
@@ -134,6 +138,8 @@
         split = self._splits.get(service)
         if (
             split is None
+            or split.progress is not progress
+            or split.old_versions != progress.old_versions
             or split.upstreams is not upstreams
             or split.suspects != suspects
         ):
@@ -164,4 +170,14 @@
     trial = new[: max(1, int(len(before) * share))]
     shared = new[: max(1, int(len(before) * _SHARED_SHARE))]
     after = tuple(one for one in upstreams if one.version not in old_versions)
-    return _Split(upstreams, suspects, before, new, trial, shared, after)
+    return _Split(
+        progress,
+        old_versions,
+        upstreams,
+        suspects,
+        before,
+        new,
+        trial,
+        shared,
+        after,
+    )
--- a/tests/rollouts/test_lanes.py
+++ b/tests/rollouts/test_lanes.py
@@ -106,6 +106,27 @@
         self.site.book.merge_rollout(builders.build_rollout())
         self.assertEqual(self.count(100), {"v1": 100})
 
+    def test_another_order_divides_anew(self):
+        """Guards against an order back that gets all calls while on trial."""
+        self.site.book.merge_rollout(builders.build_rollout())
+        rollout = builders.build_rollout(state=control_pb2.COMPLETE)
+        self.site.book.merge_rollout(rollout)
+        self.assertEqual(self.count(16), {"v2": 16})
+        rollout = builders.build_rollout(number=8, version="v1")
+        self.site.book.merge_rollout(rollout)
+        self.assertEqual(self.count(16), {"v2": 16})
+
+    def test_a_version_heard_after_the_first_send_gets_nothing(self):
+        """Guards against calls for the version before at a daemon's start."""
+        upstreams, self.site.upstreams = self.site.upstreams, ()
+        self.site.book.merge_rollout(builders.build_rollout())
+        self.site.upstreams = upstreams
+        self.choose()
+        self.site.book.update(builders.SERVICE)
+        rollout = builders.build_rollout(state=control_pb2.COMPLETE)
+        self.site.book.merge_rollout(rollout)
+        self.assertEqual(self.count(16), {"v2": 16})
+
     def test_the_same_lane_is_the_same_tuple(self):
         """Guards against work for each call that is owed for each change."""
         self.site.book.merge_rollout(builders.build_rollout())
