Send to those that never say a version, if a roll-out went back and no others serve

Cause: after a roll-back Lanes sends to stated versions before alone, for as long as the record of that roll-out stands. A service whose backend servers name no version (they need not) had no upstreams any more: the test before, 15 s and longer after the roll-back, found an empty lane.

They get calls again 10 s after this daemon knew of the roll-back, by the same rule as the daemons beside them run calls (Book.serves_unknown), and only where no version before serves. Weighed: to send to them beside stated versions too. Then each restart of a daemon beside a version that went back would draw sends to it, which it must refuse. While a roll-out is open they still get nothing, as docs/use/rollouts.md says.

--- a/merlintrestle/rollouts/lanes.py
+++ b/merlintrestle/rollouts/lanes.py
@@ -43,6 +43,7 @@
         suspects: Daemons beside backend servers that showed bad answers.
         before: Those of the version before. One that has not said its version
             yet, as its daemon has just started, may be of either.
+        unknown: Those that have not said their version.
         new: Those of the new one that are not suspect.
         trial: Those of the new one that are on trial.
         shared: Those of the new one that get calls after the trial.
@@ -54,6 +55,7 @@
     upstreams: tuple[tables.Upstream, ...]
     suspects: frozenset[str]
     before: tuple[tables.Upstream, ...]
+    unknown: tuple[tables.Upstream, ...]
     new: tuple[tables.Upstream, ...]
     trial: tuple[tables.Upstream, ...]
     shared: tuple[tables.Upstream, ...]
@@ -104,6 +106,8 @@
             share, some = 0.0, ()
         if self._spend(service, share, some):
             return Lane(f"{service} {phase.name.lower()}", some)
+        if not split.before and self._book.serves_unknown(progress):
+            return Lane(f"{service} unknown", split.unknown)
         return Lane(f"{service} before", split.before)
 
     def _choose_new(
@@ -159,13 +163,13 @@
     Only as many of the new ones get calls as their part of the calls keeps
     busy: a version that fails under load shows it there, before it gets all.
     """
-    version = progress.rollout.version
     old_versions = progress.old_versions
-    before = tuple(one for one in upstreams if one.version not in ("", version))
+    before = tuple(one for one in upstreams if progress.is_old(one.version))
+    unknown = tuple(one for one in upstreams if not one.version)
     new = tuple(
         one
         for one in upstreams
-        if one.version == version and one.member_id not in suspects
+        if progress.is_new(one.version) and one.member_id not in suspects
     )
     trial = new[: max(1, int(len(before) * share))]
     shared = new[: max(1, int(len(before) * _SHARED_SHARE))]
@@ -176,6 +180,7 @@
         upstreams,
         suspects,
         before,
+        unknown,
         new,
         trial,
         shared,
--- a/tests/rollouts/test_lanes.py
+++ b/tests/rollouts/test_lanes.py
@@ -127,6 +127,29 @@
         self.site.book.merge_rollout(rollout)
         self.assertEqual(self.count(16), {"v2": 16})
 
+    def test_those_that_never_say_a_version_are_not_left_out_for_good(self):
+        """Guards against a service without upstreams after a roll-out."""
+        unknown = self.site.upstreams[0]._replace(version="")
+        new = self.site.upstreams[20:]
+        self.site.upstreams = (unknown, *new)
+        rollout = builders.build_rollout(state=control_pb2.ROLLED_BACK)
+        self.site.book.merge_rollout(rollout)
+        self.assertEqual(self.choose(), ())
+        self.site.clock.now += 15.0
+        self.assertEqual(self.choose(), (unknown,))
+        stated = self.site.upstreams[0]._replace(version="v1")
+        self.site.upstreams = (stated, *new)
+        self.assertEqual(self.choose(), (stated,))
+
+    def test_one_that_says_no_version_is_left_out_where_others_serve(self):
+        """Guards against a bad version that serves as its daemon restarts."""
+        unknown = self.site.upstreams[20]._replace(version="")
+        self.site.upstreams = (*self.site.upstreams[:20], unknown)
+        rollout = builders.build_rollout(state=control_pb2.ROLLED_BACK)
+        self.site.book.merge_rollout(rollout)
+        self.site.clock.now += 15.0
+        self.assertEqual(self.count(100), {"v1": 100})
+
     def test_the_same_lane_is_the_same_tuple(self):
         """Guards against work for each call that is owed for each change."""
         self.site.book.merge_rollout(builders.build_rollout())
