Add up what the version before did once for each news, not for each answer

Progress.get_baseline and get_failed walked the same trials, and the observer had both built for each answer of a version on trial. One loop gives both now, in sort, which runs after each change of what they hang on (a trial that is news, the versions of the upstreams). The tests of them read Progress.baseline; what they check is the same.

--- a/merlintrestle/rollouts/observer.py
+++ b/merlintrestle/rollouts/observer.py
@@ -9,6 +9,7 @@
 
 from merlintrestle import events as event_logs
 from merlintrestle.rollouts import judgement
+from merlintrestle.rollouts import progress as progresses
 from merlintrestle.rollouts import sequential
 from merlintrestle.schema import control_pb2
 
@@ -17,7 +18,6 @@
 
     from merlintrestle.requests import backend as backends
     from merlintrestle.rollouts import book as books
-    from merlintrestle.rollouts import progress as progresses
 
 events = event_logs.EventLog("rollouts")
 
@@ -34,6 +34,7 @@
 # Other daemons have heard by then that the other version gets all calls.
 _CLOSE_S = 0.5
 _MS = 1000
+_NO_BASELINE = progresses.Baseline()
 
 _ANSWERS = prometheus_client.Counter(
     "merlintrestle_rollout_calls_total",
@@ -106,9 +107,10 @@
             return
         self._follow(progress)
         if progress.is_new(self._backend.version):
-            bad = failed or self._is_slow(progress, name, took_s)
+            baseline = progress.baseline.get(name, _NO_BASELINE)
+            bad = failed or self._is_slow(baseline, took_s)
             self._count(name, bad, took_s)
-            self._test(progress, name, bad)
+            self._test(baseline, name, bad)
         elif self._tells_baseline(progress):
             self._count(name, failed, took_s)
         else:
@@ -153,13 +155,10 @@
             return False
         return self._get_time() - progress.phase_at >= _CLOSE_S
 
-    def _is_slow(
-        self, progress: progresses.Progress, name: str, took_s: float
-    ) -> bool:
+    def _is_slow(self, baseline: progresses.Baseline, took_s: float) -> bool:
         if self._get_time() < self._backend.warm_at:
             return False
-        baseline = progress.get_baseline().get(name)
-        if baseline is None or baseline.calls < _LEAST_BASELINE:
+        if baseline.calls < _LEAST_BASELINE:
             return False
         mean_s = baseline.took_ms / baseline.calls / _MS
         return took_s > _SLOW_FACTOR * mean_s
@@ -180,11 +179,10 @@
         ).inc()
 
     def _test(
-        self, progress: progresses.Progress, name: str, bad: bool
+        self, baseline: progresses.Baseline, name: str, bad: bool
     ) -> None:
         test = self._tests.setdefault(name, sequential.SequentialTest())
-        failed = progress.get_failed().get(name, 0.0)
-        allowed = judgement.get_allowed_bad(failed)
+        allowed = judgement.get_allowed_bad(baseline.failed or 0.0)
         test.note(bad, allowed)
         if not test.passed or self._trial.suspect:
             return
--- a/merlintrestle/rollouts/progress.py
+++ b/merlintrestle/rollouts/progress.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import statistics
-from typing import TYPE_CHECKING
+from typing import NamedTuple, TYPE_CHECKING
 
 from merlintrestle.rollouts import judgement
 from merlintrestle.rollouts import records
@@ -19,6 +19,22 @@
 _MS = 1000
 
 
+class Baseline(NamedTuple):
+    """What the version before did, of one class of work.
+
+    Attributes:
+        calls: Calls that it was given.
+        took_ms: Time that they took in all, in ms.
+        failed: Part of them that failed; None: too few to tell. Of what several
+            of its backend servers show the middle one counts: one that is sick
+            by itself would make failures of the new version look usual.
+    """
+
+    calls: int = 0
+    took_ms: int = 0
+    failed: float | None = None
+
+
 class Progress:
     """How far the roll-out of one service has come, as known here.
 
@@ -34,6 +50,7 @@
             now. One whose version was not heard yet is in neither.
         old: These, and those that are gone.
         old_versions: Versions of the others, as seen until the end.
+        baseline: What the version before did, by class of work.
     """
 
     def __init__(self, rollout: control_pb2.Rollout, now: float):
@@ -47,6 +64,7 @@
         self.before: frozenset[str] = frozenset()
         self.old: frozenset[str] = frozenset()
         self.old_versions: frozenset[str] = frozenset()
+        self.baseline: dict[str, Baseline] = {}
 
     @property
     def ended(self) -> bool:
@@ -54,7 +72,7 @@
         return self.rollout.state in records.ENDED
 
     def sort(self, upstreams: Sequence[tables.Upstream]) -> None:
-        """Takes in which version each upstream has now."""
+        """Takes in which version each upstream has now, and what was seen."""
         new = {one.member_id for one in upstreams if self.is_new(one.version)}
         if not self.ended:
             versions = {one.version for one in upstreams}
@@ -64,6 +82,7 @@
         old = {one.member_id for one in upstreams if self.is_old(one.version)}
         self.before = frozenset(old - self.new)
         self.old = (self.old | old) - self.new
+        self.baseline = self._add_up_baseline()
 
     def is_new(self, version: str) -> bool:
         """Returns whether a version is the new one; empty: not heard."""
@@ -87,37 +106,13 @@
         """Returns the daemons that tell of the version before."""
         return sorted(self.before)[:count]
 
-    def get_baseline(self) -> dict[str, control_pb2.ClassRecord]:
-        """Returns what the version before did, by class of work."""
-        sums: dict[str, control_pb2.ClassRecord] = {}
-        for member_id, trial in self.trials.items():
-            if member_id not in self.old:
-                continue
-            for one in trial.classes:
-                total = sums.setdefault(
-                    one.name, control_pb2.ClassRecord(name=one.name)
-                )
-                total.calls += one.calls
-                total.bad += one.bad
-                total.took_ms += one.took_ms
-        return sums
-
     def get_failed(self) -> dict[str, float]:
-        """Returns the part that fails of the version before, by class.
-
-        Of what several of its backend servers show the middle one counts: one
-        that is sick by itself would make failures of the new version look
-        usual.
-        """
-        parts: dict[str, list[float]] = {}
-        for member_id, trial in self.trials.items():
-            if member_id not in self.old:
-                continue
-            for one in trial.classes:
-                if one.calls >= _LEAST_BASELINE_CALLS:
-                    part = one.bad / one.calls
-                    parts.setdefault(one.name, []).append(part)
-        return {name: statistics.median(some) for name, some in parts.items()}
+        """Returns the part that fails of the version before, by class."""
+        return {
+            name: one.failed
+            for name, one in self.baseline.items()
+            if one.failed is not None
+        }
 
     def list_evidence(self) -> list[judgement.Evidence]:
         """Returns what was seen of the new version.
@@ -130,6 +125,14 @@
             self._get_evidence(name) for name in sorted(seen | self.serving)
         ]
 
+    def _add_up_baseline(self) -> dict[str, Baseline]:
+        seen: dict[str, list[control_pb2.ClassRecord]] = {}
+        for member_id, trial in self.trials.items():
+            if member_id in self.old:
+                for one in trial.classes:
+                    seen.setdefault(one.name, []).append(one)
+        return {name: _add_up(some) for name, some in seen.items()}
+
     def _get_evidence(self, member_id: str) -> judgement.Evidence:
         trial = self.trials.get(member_id, control_pb2.Trial())
         return judgement.Evidence(
@@ -140,3 +143,17 @@
             trial.watched_ms / _MS,
             trial.suspect,
         )
+
+
+def _add_up(seen: Sequence[control_pb2.ClassRecord]) -> Baseline:
+    """Returns what several backend servers did, of one class of work."""
+    parts = [
+        one.bad / one.calls
+        for one in seen
+        if one.calls >= _LEAST_BASELINE_CALLS
+    ]
+    return Baseline(
+        sum(one.calls for one in seen),
+        sum(one.took_ms for one in seen),
+        statistics.median(parts) if parts else None,
+    )
--- a/tests/rollouts/test_progress.py
+++ b/tests/rollouts/test_progress.py
@@ -41,10 +41,10 @@
         for member_id in (_UNKNOWN, "10.0.9.9:7600"):
             trial = builders.build_trial(member_id, 100, 60)
             self.site.book.merge_trial(trial)
-        self.assertEqual(progress.get_baseline(), {})
+        self.assertEqual(progress.baseline, {})
         self.assertEqual(progress.get_failed(), {})
         self.say("v1")
-        self.assertEqual(progress.get_baseline()["lookup"].calls, 100)
+        self.assertEqual(progress.baseline["lookup"].calls, 100)
         self.assertEqual(progress.get_failed(), {"lookup": 0.6})
 
     def test_one_that_is_gone_still_tells_the_baseline(self) -> None:
@@ -55,5 +55,5 @@
         self.site.upstreams = self.site.upstreams[1:]
         self.site.book.update(builders.SERVICE)
         progress = self.site.progress
-        self.assertEqual(progress.get_baseline()["lookup"].calls, 100)
+        self.assertEqual(progress.baseline["lookup"].calls, 100)
         self.assertEqual(progress.get_failed(), {"lookup": 0.05})
