Judge each open roll-out once a look

The observer's look judged the own service's roll-out and the keeper's look judged it again a moment later, with all others; what Book.update returned nobody used. The keeper judges all first, then has the observer look, then writes. The plays of tools.rollouts judge once a look in place of once for each of 44 daemons.

One difference: where several services are moved at once and the store is slow, the write for a later one goes by a judgement as old as the writes before it took; what it misses by that comes with the next look. News from others is judged as it comes, as before.

--- a/merlintrestle/rollouts/book.py
+++ b/merlintrestle/rollouts/book.py
@@ -122,18 +122,17 @@
         for notify in self.on_trial:
             notify(merged)
 
-    def update(self, service: str) -> judgement.Phase | None:
-        """Judges the roll-out of a service anew; None: there is none."""
+    def update(self, service: str) -> None:
+        """Judges the roll-out of a service anew, if there is one."""
         progress = self._services.get(service)
         if progress is None:
-            return None
+            return
         progress.sort(self._get_upstreams(service))
         phase = self._choose_phase(progress)
         if phase is not progress.phase:
             self._note_phase(progress, phase)
             progress.phase = phase
             progress.phase_at = self._get_time()
-        return phase
 
     def get_phase_age(self, progress: progress_lib.Progress) -> float:
         """Returns the seconds since the phase of a roll-out began."""
--- a/merlintrestle/rollouts/keeper.py
+++ b/merlintrestle/rollouts/keeper.py
@@ -114,9 +114,10 @@
     async def _look(self) -> None:
         while not self.should_stop:
             await self.sleep(_LOOK_S)
-            self._observer.look()
             for progress in self._book.list_open():
                 self._book.update(progress.rollout.service)
+            self._observer.look()
+            for progress in self._book.list_open():
                 await self.write(progress)
 
     def _choose_state(
--- a/merlintrestle/rollouts/observer.py
+++ b/merlintrestle/rollouts/observer.py
@@ -122,7 +122,6 @@
         progress = self._book.get(self._backend.service)
         if progress is None or progress.ended:
             return
-        self._book.update(self._backend.service)
         self._follow(progress)
         drained = (
             progress.is_old(self._backend.version)
--- a/tools/rollouts.py
+++ b/tools/rollouts.py
@@ -182,6 +182,7 @@
             self._end_calls()
             if self.now >= look_at:
                 look_at = self.now + _LOOK_S
+                self.book.update(_SERVICE)
                 for server in self.servers.values():
                     server.observer.look()
             if progress.phase is judgement.Phase.BACK:
