Close the version before only while the new one serves, and no later version

Found on the look for versions not heard of that are taken for the one before. After "complete" the daemon beside a backend server refused calls unless its version was the target: for good, as Progress.new keeps those that are gone. So a version that came without an order (v3) was refused by its own daemon, though Lanes sends there on purpose, also when it served alone; likewise the version before when only that was left, which Lanes sends to then as well.

A daemon refuses now, after the end, while the new version serves, and only for a version that it heard of as one before, if it heard of any.

Ruled out: to let every version run that was not heard of as one before. After a restart of all daemons between "complete" and the stop of the version before, none has heard of it, and it would run calls as it is stopped. Left open by that: a daemon that starts after "complete" beside v3 refuses while v2 still serves. The order would have to name the version before.

--- a/merlintrestle/rollouts/observer.py
+++ b/merlintrestle/rollouts/observer.py
@@ -120,7 +120,11 @@
     def look(self) -> None:
         """Reports what has changed without a call."""
         progress = self._book.get(self._backend.service)
-        if progress is None or progress.ended:
+        if progress is None:
+            return
+        if progress.ended:
+            # The keeper judges open ones; who serves still changes.
+            self._book.update(self._backend.service)
             return
         self._follow(progress)
         drained = (
@@ -152,6 +156,8 @@
         """Returns whether the version before gets no calls any more."""
         if progress.phase is not judgement.Phase.NEW or not progress.new:
             return False
+        if progress.ended and not progress.is_replaced(self._backend.version):
+            return False
         return self._get_time() - progress.phase_at >= _CLOSE_S
 
     def _is_slow(self, baseline: progresses.Baseline, took_s: float) -> bool:
--- a/merlintrestle/rollouts/progress.py
+++ b/merlintrestle/rollouts/progress.py
@@ -92,6 +92,15 @@
         """Returns whether a version is one before; empty: not heard."""
         return bool(version) and not self.is_new(version)
 
+    def is_replaced(self, version: str) -> bool:
+        """Returns whether the new version serves in place of another one.
+
+        A version that came later is not replaced. A daemon that never heard of
+        the version before cannot tell the two apart.
+        """
+        heard = self.old_versions
+        return bool(self.serving) and (not heard or version in heard)
+
     def is_suspect(self, member_id: str) -> bool:
         """Returns whether a backend server showed bad answers."""
         trial = self.trials.get(member_id)
--- a/tests/rollouts/test_observer.py
+++ b/tests/rollouts/test_observer.py
@@ -176,6 +176,41 @@
         self.site.clock.now += 10.0
         self.assertTrue(observer.may_run())
 
+    def complete(self, version: str) -> observers.Observer:
+        """Completes a roll-out as the daemon beside a version sees it."""
+        observer = self.observe("10.0.2.1:7600", version)
+        self.end(control_pb2.COMPLETE)
+        self.site.clock.now += 1.0
+        observer.look()
+        return observer
+
+    def test_the_version_before_stays_closed_where_the_new_one_serves(
+        self,
+    ) -> None:
+        """Guards against calls that are lost as their server is stopped."""
+        self.assertFalse(self.complete("v1").may_run())
+
+    def test_the_version_before_serves_again_if_only_it_does(self) -> None:
+        """Guards against a service that refuses all after the new one left."""
+        observer = self.complete("v1")
+        self.site.upstreams = self.site.upstreams[:3]
+        observer.look()
+        self.assertTrue(observer.may_run())
+
+    def test_a_later_version_is_not_closed(self) -> None:
+        """Guards against a later version taken for the one before."""
+        self.assertTrue(self.complete("v3").may_run())
+
+    def test_a_later_version_serves_once_the_new_one_left(self) -> None:
+        """Guards against a daemon that never heard of the version before."""
+        self.site.upstreams = self.site.upstreams[3:]
+        observer = self.complete("v3")
+        self.assertFalse(observer.may_run())
+        later = builders.build_upstream("10.0.2.1:7600", "v3")
+        self.site.upstreams = (later,)
+        observer.look()
+        self.assertTrue(observer.may_run())
+
     def test_a_service_without_a_roll_out_is_left_alone(self) -> None:
         observer = observers.Observer(
             self.site.book, self.backend, lambda: _OLD, lambda: 0
