--- a/merlintrestle/rollouts/book.py
+++ b/merlintrestle/rollouts/book.py
@@ -22,6 +22,10 @@
 # version that got too few calls to be judged is not held for good. What is left
 # is for the end to be written, also where the store answers late.
 _DECIDED_PART = 0.8
+# Time after which a backend server that has not said its version is taken for
+# one that never does, in seconds. The others say it a few seconds after their
+# daemon has started.
+_SILENT_S = 10.0
 _MS = 1000
 
 
@@ -118,18 +122,17 @@
         for notify in self.on_trial:
             notify(merged)
 
-    def update(self, service: str) -> judgement.Phase | None:
-        """Judges the roll-out of a service anew; None: there is none."""
+    def update(self, service: str) -> None:
+        """Judges the roll-out of a service anew, if there is one."""
         progress = self._services.get(service)
         if progress is None:
-            return None
+            return
         progress.sort(self._get_upstreams(service))
         phase = self._choose_phase(progress)
         if phase is not progress.phase:
             self._note_phase(progress, phase)
             progress.phase = phase
             progress.phase_at = self._get_time()
-        return phase
 
     def get_phase_age(self, progress: progress_lib.Progress) -> float:
         """Returns the seconds since the phase of a roll-out began."""
@@ -141,6 +144,18 @@
         age_s = self._get_time() - progress.heard_at
         return age_s >= _DECIDED_PART * within_s
 
+    def serves_unknown(self, progress: progress_lib.Progress) -> bool:
+        """Returns whether a backend server that says no version may run calls.
+
+        It may be of the version that went back, beside a daemon that has just
+        started. One that never says its version is not closed for good.
+        """
+        if not progress.ended:
+            return False
+        if progress.phase is judgement.Phase.NEW:
+            return True
+        return self.get_phase_age(progress) >= _SILENT_S
+
     def _choose_phase(self, progress: progress_lib.Progress) -> judgement.Phase:
         state = progress.rollout.state
         if state == control_pb2.ROLLED_BACK:
--- a/merlintrestle/rollouts/lanes.py
+++ b/merlintrestle/rollouts/lanes.py
@@ -37,19 +37,25 @@
     """The upstreams of a service by their version.
 
     Attributes:
+        progress: The roll-out that they are divided for.
+        old_versions: What it knew of the versions before.
         upstreams: All of them, as the table of members gave them.
         suspects: Daemons beside backend servers that showed bad answers.
         before: Those of the version before. One that has not said its version
             yet, as its daemon has just started, may be of either.
+        unknown: Those that have not said their version.
         new: Those of the new one that are not suspect.
         trial: Those of the new one that are on trial.
         shared: Those of the new one that get calls after the trial.
         after: Those of no version that is to end with the roll-out.
     """
 
+    progress: progresses.Progress
+    old_versions: frozenset[str]
     upstreams: tuple[tables.Upstream, ...]
     suspects: frozenset[str]
     before: tuple[tables.Upstream, ...]
+    unknown: tuple[tables.Upstream, ...]
     new: tuple[tables.Upstream, ...]
     trial: tuple[tables.Upstream, ...]
     shared: tuple[tables.Upstream, ...]
@@ -100,6 +106,8 @@
             share, some = 0.0, ()
         if self._spend(service, share, some):
             return Lane(f"{service} {phase.name.lower()}", some)
+        if not split.before and self._book.serves_unknown(progress):
+            return Lane(f"{service} unknown", split.unknown)
         return Lane(f"{service} before", split.before)
 
     def _choose_new(
@@ -134,6 +142,8 @@
         split = self._splits.get(service)
         if (
             split is None
+            or split.progress is not progress
+            or split.old_versions != progress.old_versions
             or split.upstreams is not upstreams
             or split.suspects != suspects
         ):
@@ -153,15 +163,26 @@
     Only as many of the new ones get calls as their part of the calls keeps
     busy: a version that fails under load shows it there, before it gets all.
     """
-    version = progress.rollout.version
     old_versions = progress.old_versions
-    before = tuple(one for one in upstreams if one.version not in ("", version))
+    before = tuple(one for one in upstreams if progress.is_old(one.version))
+    unknown = tuple(one for one in upstreams if not one.version)
     new = tuple(
         one
         for one in upstreams
-        if one.version == version and one.member_id not in suspects
+        if progress.is_new(one.version) and one.member_id not in suspects
     )
     trial = new[: max(1, int(len(before) * share))]
     shared = new[: max(1, int(len(before) * _SHARED_SHARE))]
     after = tuple(one for one in upstreams if one.version not in old_versions)
-    return _Split(upstreams, suspects, before, new, trial, shared, after)
+    return _Split(
+        progress,
+        old_versions,
+        upstreams,
+        suspects,
+        before,
+        unknown,
+        new,
+        trial,
+        shared,
+        after,
+    )
--- a/merlintrestle/rollouts/observer.py
+++ b/merlintrestle/rollouts/observer.py
@@ -9,6 +9,7 @@
 
 from merlintrestle import events as event_logs
 from merlintrestle.rollouts import judgement
+from merlintrestle.rollouts import progress as progresses
 from merlintrestle.rollouts import sequential
 from merlintrestle.schema import control_pb2
 
@@ -17,7 +18,6 @@
 
     from merlintrestle.requests import backend as backends
     from merlintrestle.rollouts import book as books
-    from merlintrestle.rollouts import progress as progresses
 
 events = event_logs.EventLog("rollouts")
 
@@ -34,6 +34,7 @@
 # Other daemons have heard by then that the other version gets all calls.
 _CLOSE_S = 0.5
 _MS = 1000
+_NO_BASELINE = progresses.Baseline()
 
 _ANSWERS = prometheus_client.Counter(
     "merlintrestle_rollout_calls_total",
@@ -86,9 +87,12 @@
         progress = self._book.get(self._backend.service)
         if progress is None:
             return True
-        if self._is_new(progress):
+        version = self._backend.version
+        if progress.is_new(version):
             return progress.phase is not judgement.Phase.BACK
-        return not self._is_closed(progress)
+        if progress.is_old(version):
+            return not self._is_closed(progress)
+        return self._book.serves_unknown(progress)
 
     def note(self, name: str, failed: bool, took_s: float) -> None:
         """Takes in an answer of the own backend server, or that none came.
@@ -102,10 +106,11 @@
         if progress is None or progress.ended:
             return
         self._follow(progress)
-        if self._is_new(progress):
-            bad = failed or self._is_slow(progress, name, took_s)
+        if progress.is_new(self._backend.version):
+            baseline = progress.baseline.get(name, _NO_BASELINE)
+            bad = failed or self._is_slow(baseline, took_s)
             self._count(name, bad, took_s)
-            self._test(progress, name, bad)
+            self._test(baseline, name, bad)
         elif self._tells_baseline(progress):
             self._count(name, failed, took_s)
         else:
@@ -115,12 +120,15 @@
     def look(self) -> None:
         """Reports what has changed without a call."""
         progress = self._book.get(self._backend.service)
-        if progress is None or progress.ended:
+        if progress is None:
+            return
+        if progress.ended:
+            # The keeper judges open ones; who serves still changes.
+            self._book.update(self._backend.service)
             return
-        self._book.update(self._backend.service)
         self._follow(progress)
         drained = (
-            not self._is_new(progress)
+            progress.is_old(self._backend.version)
             and self._is_closed(progress)
             and not self._count_running()
         )
@@ -144,22 +152,18 @@
         self._tests.clear()
         self._began = 0.0
 
-    def _is_new(self, progress: progresses.Progress) -> bool:
-        return self._backend.version == progress.rollout.version
-
     def _is_closed(self, progress: progresses.Progress) -> bool:
         """Returns whether the version before gets no calls any more."""
         if progress.phase is not judgement.Phase.NEW or not progress.new:
             return False
+        if progress.ended and not progress.is_replaced(self._backend.version):
+            return False
         return self._get_time() - progress.phase_at >= _CLOSE_S
 
-    def _is_slow(
-        self, progress: progresses.Progress, name: str, took_s: float
-    ) -> bool:
+    def _is_slow(self, baseline: progresses.Baseline, took_s: float) -> bool:
         if self._get_time() < self._backend.warm_at:
             return False
-        baseline = progress.get_baseline().get(name)
-        if baseline is None or baseline.calls < _LEAST_BASELINE:
+        if baseline.calls < _LEAST_BASELINE:
             return False
         mean_s = baseline.took_ms / baseline.calls / _MS
         return took_s > _SLOW_FACTOR * mean_s
@@ -180,11 +184,10 @@
         ).inc()
 
     def _test(
-        self, progress: progresses.Progress, name: str, bad: bool
+        self, baseline: progresses.Baseline, name: str, bad: bool
     ) -> None:
         test = self._tests.setdefault(name, sequential.SequentialTest())
-        failed = progress.get_failed().get(name, 0.0)
-        allowed = judgement.get_allowed_bad(failed)
+        allowed = judgement.get_allowed_bad(baseline.failed or 0.0)
         test.note(bad, allowed)
         if not test.passed or self._trial.suspect:
             return
@@ -214,4 +217,6 @@
         self._book.merge_trial(trial)
 
     def _tells_baseline(self, progress: progresses.Progress) -> bool:
+        if not progress.is_old(self._backend.version):
+            return False
         return self._get_own_id() in progress.list_baseline(_BASELINE_SERVERS)
