Show answers dropped before their callers' time is over (two failing, one guard)

test_pause_of_a_caller_is_no_silence_of_the_peer (fails, ConnectionResetError): watch_transfer takes bytes that this daemon itself does not read, as its caller pauses, for bytes that the peer's connection lost: after two looks (10 s) a whole answer is reset. A receiver that takes nothing has 20 s by bodies.STALL_S.

test_answer_that_came_while_the_event_loop_stood_still (fails, 504 for 200): the answer is whole in the connection when the alarm of the deadline rings in the same turn of the loop; expire spoils it. Fails on asyncio and on uvloop.

--- /dev/null
+++ b/tests/requests/serving/test_time_left.py
@@ -0,0 +1,155 @@
+"""Work and answers that end before the caller's time is over."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from typing import Any
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from merlintrestle.requests.transport import headers
+from merlintrestle.requests.transport import probes
+from merlintrestle.requests.transport import watches
+from tests.requests import builders
+from tests.requests import relays
+
+_DEADLINE_S = 1.0
+# On a link that is full, one way; more than a call may keep for both.
+_FULL_LINK_S = 0.15
+# Headers state whole milliseconds.
+_ROUNDED_S = 0.001
+_SHORT = builders.build_snapshot(
+    {
+        "/payouts": builders.build_plan(
+            "payout", repeatable=False, deadline_s=_DEADLINE_S
+        ),
+        "/": builders.build_plan(deadline_s=_DEADLINE_S),
+    }
+)
+_ARCHIVE = b"a" * 8_000_000
+
+
+class TimeLeftTest(unittest.IsolatedAsyncioTestCase):
+    """A backend server that stops work at the time that it is told."""
+
+    async def test_backend_server_is_told_all_of_the_time_left(self) -> None:
+        """Guards against work that its backend server ends too soon."""
+        loop = asyncio.get_running_loop()
+        ends: list[float] = []
+
+        async def note(request: web.BaseRequest) -> web.StreamResponse:
+            told_s = int(request.headers[headers.DEADLINE]) / 1000
+            ends.append(loop.time() + told_s)
+            return web.Response()
+
+        async with relays.connect(note, running=_SHORT) as (
+            nodes,
+            relay,
+            client,
+        ):
+            relay.delay_s = _FULL_LINK_S
+            await client.get(nodes[0].url + "/quick")
+            relay.delay_s = 0.0
+            for method, path in (("GET", "/x"), ("POST", "/payouts/1")):
+                with self.subTest(path=path):
+                    began = loop.time()
+                    await client.request(method, nodes[0].url + path)
+                    self.assertGreaterEqual(
+                        ends[-1], began + _DEADLINE_S - _ROUNDED_S
+                    )
+
+    async def test_answer_that_came_while_the_event_loop_stood_still(
+        self,
+    ) -> None:
+        """Guards against whole answers that are dropped as not in time.
+
+        All of it came before the deadline, which passed while the daemon did
+        something else. Its caller still waits: the limit was the route's.
+        """
+
+        async def answer_and_hold_up(
+            request: web.BaseRequest,
+        ) -> web.StreamResponse:
+            answer = web.StreamResponse()
+            answer.content_length = 5
+            await answer.prepare(request)
+            await answer.write(b"whole")
+            await answer.write_eof()
+            _hold_up()
+            return answer
+
+        async with (
+            builders.run_nodes(
+                1, handler=answer_and_hold_up, running=_SHORT
+            ) as (node,),
+            builders.open_client() as client,
+        ):
+            answer = await client.get(node.url + "/x")
+            self.assertEqual(
+                (answer.status, await answer.read()), (200, b"whole")
+            )
+
+
+class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
+    """A caller takes a long answer from another daemon, with a pause."""
+
+    async def test_pause_of_a_caller_is_no_silence_of_the_peer(self) -> None:
+        """Guards against answers cut as the caller's daemon reads no more.
+
+        It has stopped reading, for its caller takes nothing for two looks; so
+        it has less than the other daemon has sent. Nothing is silent.
+        """
+        asked = asyncio.Semaphore(0)
+        ask = probes.ask
+
+        async def count(*arguments: Any) -> probes.View:
+            view = await ask(*arguments)
+            asked.release()
+            return view
+
+        async def send(request: web.BaseRequest) -> web.StreamResponse:
+            answer = web.StreamResponse()
+            answer.content_length = len(_ARCHIVE)
+            await answer.prepare(request)
+            await answer.write(_ARCHIVE)
+            return answer
+
+        with (
+            mock.patch.object(watches, "TRANSFER_S", 0.1),
+            mock.patch.object(probes, "ask", count),
+        ):
+            async with relays.connect(send) as (nodes, _, _client):
+                reader, writer = await _ask_slowly(nodes[0])
+                async with asyncio.timeout(builders.GUARD_S):
+                    for _ in range(2):
+                        await asked.acquire()
+                    try:
+                        head = await reader.readuntil(b"\r\n\r\n")
+                        body = await reader.readexactly(len(_ARCHIVE))
+                    finally:
+                        writer.transport.abort()
+        self.assertIn(b" 200 ", head)
+        self.assertEqual(len(body), len(_ARCHIVE))
+
+
+def _hold_up() -> None:
+    """Holds the event loop up until the time of the call is over."""
+    time.sleep(_DEADLINE_S)
+
+
+async def _ask_slowly(
+    node: builders.Node,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Asks for an archive over a connection that takes little unread."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, ("127.0.0.1", node.proxy.caller_port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=65536)
+    writer.write(b"GET /kassa/archive HTTP/1.1\r\nHost: a\r\n\r\n")
+    return reader, writer
