Show refusals that come back too late, as no wait is bounded by refuse_by (failing)

Waits beside the backend server that Call.refuse_by does not bound: a suspect's turn (crashes.enter_suspect, 1 s) and the store's answer to a claim (claims.acquire, 1 s). A call that never reached a backend server is answered 504 'unknown' by its caller's daemon.

--- /dev/null
+++ b/tests/requests/serving/test_refusals_in_time.py
@@ -0,0 +1,77 @@
+"""Refusals of another daemon that come back while their caller still waits."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from merlintrestle.requests.crashing import crashes
+from merlintrestle.requests.transport import headers
+from tests.requests import builders
+from tests.requests import fakes
+from tests.requests import relays
+
+_DEADLINE_S = 1.0
+# On a link that was full, one way.
+_FULL_LINK_S = 0.15
+_SHORT = builders.build_snapshot(
+    {
+        "/payouts": builders.build_plan(
+            "payout", repeatable=False, deadline_s=_DEADLINE_S
+        ),
+        "/": builders.build_plan(deadline_s=_DEADLINE_S),
+    }
+)
+
+
+class _SlowStore(fakes.Store):
+    """Answers no write for longer than any call waits."""
+
+    async def put(self, *arguments: Any) -> Any:
+        await asyncio.sleep(builders.GUARD_S)
+        return await super().put(*arguments)
+
+
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    """What never reached a backend server is not left in doubt."""
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers at once."""
+        del request
+        return web.Response()
+
+    async def test_suspect_that_does_not_get_its_turn(self) -> None:
+        """Guards against a 504 for a call that waited for other suspects."""
+        async with relays.connect(self.answer, running=_SHORT) as (
+            nodes,
+            relay,
+            client,
+        ):
+            relay.delay_s = _FULL_LINK_S
+            await client.get(nodes[0].url + "/quick")
+            relay.delay_s = 0.0
+            slot = nodes[1].proxy.crashes._suspect_slot
+            await slot.acquire()
+            with mock.patch.object(
+                crashes.Crashes, "_is_suspect", lambda *_: True
+            ):
+                answer = await client.get(nodes[0].url + "/x")
+            slot.release()
+        self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+
+    async def test_payout_whose_claim_the_store_does_not_take(self) -> None:
+        """Guards against a 504 for a payout that was never claimed."""
+        async with relays.connect(
+            self.answer, running=_SHORT, store=_SlowStore()
+        ) as (nodes, relay, client):
+            relay.delay_s = _FULL_LINK_S
+            await client.get(nodes[0].url + "/quick")
+            relay.delay_s = 0.0
+            answer = await client.post(
+                nodes[0].url + "/payouts/1", headers={headers.KEY: "k"}
+            )
+        self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
