Show a 500 of a second send that ends a first one at work (failing)

The first send is late, so the call is sent as well; the second backend server answers 500 and that counts, while the first one is at work and answers 0.1 s later. 500 for 200. Whether a server error should count while another try is at work is for the design to say (0006: the first answer that counts wins).

--- /dev/null
+++ b/tests/requests/serving/test_side_by_side.py
@@ -0,0 +1,47 @@
+"""Tries that run side by side, one of which fails."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from tests.requests import builders
+from tests.requests import relays
+
+_LATENCY_S = 0.02
+
+
+class SideBySideTest(unittest.IsolatedAsyncioTestCase):
+    async def test_failure_of_a_second_send_does_not_end_the_first(
+        self,
+    ) -> None:
+        """Guards against work in time that another backend server's 500 ends.
+
+        The first send is slow, so the call is sent to another upstream as
+        well. That one fails; the first one is at work and answers in time.
+        """
+        go_on = asyncio.Event()
+        served: list[str] = []
+
+        async def work(request: web.BaseRequest) -> web.StreamResponse:
+            served.append(request.raw_path)
+            if len(served) == 1:
+                await go_on.wait()
+                return web.Response(body=b"whole")
+            asyncio.get_running_loop().call_later(0.1, go_on.set)
+            return web.Response(status=500)
+
+        running = builders.build_snapshot(
+            {"/": builders.build_plan(latency_s=_LATENCY_S, work_s=0.001)}
+        )
+        async with relays.connect(work, count=3, running=running) as (
+            nodes,
+            _,
+            client,
+        ):
+            answer = await client.get(nodes[0].url + "/x")
+            body = await answer.read()
+        self.assertEqual(len(served), 2)
+        self.assertEqual((answer.status, body), (200, b"whole"))
