Keep an answer that came while the event loop stood still

What callers see: 504 although their answer had come whole before the deadline: a daemon that was held up looks at its timers before its sockets, and the alarm of the deadline spoiled the body of an answer that was whole.

An alarm that rings waits until what came meanwhile is read, two turns of the loop, and an answer that has come whole is left alone. Which answer that is is noted as its head comes: the body that the library keeps may be an earlier answer's, or that of a 1xx.

--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -77,6 +77,8 @@
         self._alarm_timer_at = 0.0
         self._alarm: Callable[[], None] | None = None
         self._alarm_at = 0.0
+        # The body of the answer that is awaited, once its head has come.
+        self._answer: aiohttp.StreamReader | None = None
 
     @property
     def reusable(self) -> bool:
@@ -117,8 +119,9 @@
             auto_decompress=False,
             read_bufsize=max(ahead, _READ_BYTES),
         )
+        self._answer = None
         await self._send(method, target, headers, body)
-        return await self.read_answer()
+        return await self._read_answer()
 
     async def read_answer(self) -> answers.Answer:
         """Waits for the headers of the next answer.
@@ -128,6 +131,21 @@
             http.HttpProcessingError: The answer is not HTTP.
             TimeoutError: `expire` was called.
         """
+        self._answer = None
+        return await self._read_answer()
+
+    def feed_data(
+        self,
+        data: tuple[http.RawResponseMessage, aiohttp.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Takes the head of an answer; called by the library."""
+        message, content = data
+        if message.code > _LAST_INFORMATIONAL:
+            self._answer = content
+        super().feed_data(data, size)
+
+    async def _read_answer(self) -> answers.Answer:
         while True:
             message, content = await self.read()
             if message.code > _LAST_INFORMATIONAL:
@@ -137,7 +155,12 @@
                 raise aiohttp.ClientPayloadError("nobody asked to upgrade")
 
     def expire(self) -> None:
-        """Ends the wait for an answer, or for its body, as timed out."""
+        """Ends the wait for an answer, or for its body, as timed out.
+
+        An answer that has come whole is kept.
+        """
+        if self._answer is not None and self._answer.is_eof():
+            return
         error = TimeoutError("no answer before the deadline")
         content = self._payload
         self.set_exception(error)
@@ -218,6 +241,13 @@
         if self._loop.time() < self._alarm_at:
             self._set_timer(self._alarm_at)
             return
+        # Where the loop stood still, timers ring before what has come meanwhile
+        # is read. It is read before the second of these calls.
+        self._loop.call_soon(self._loop.call_soon, self._ring_now, alarm)
+
+    def _ring_now(self, alarm: Callable[[], None]) -> None:
+        if self._alarm is not alarm:
+            return
         self._alarm = None
         alarm()
 
