Guard the wait for a claimed payout against the time of its way back (passes)

On, and with once.py waiting until refuse_by only, it fails: the caller is told 'it is still running' before its time is over. No other test of 13 modules noticed that change.

--- a/tests/requests/serving/test_time_left.py
+++ b/tests/requests/serving/test_time_left.py
@@ -62,6 +62,32 @@
                         ends[-1], began + _DEADLINE_S - _ROUNDED_S
                     )
 
+    async def test_claimed_payout_is_waited_for_all_of_the_time_left(
+        self,
+    ) -> None:
+        """Guards against claimed work called "still running" too soon."""
+        loop = asyncio.get_running_loop()
+
+        async def work(request: web.BaseRequest) -> web.StreamResponse:
+            if request.raw_path != "/quick":
+                await asyncio.sleep(1.5 * _DEADLINE_S)
+            return web.Response()
+
+        async with relays.connect(work, running=_SHORT) as (
+            nodes,
+            relay,
+            client,
+        ):
+            relay.delay_s = _FULL_LINK_S
+            await client.get(nodes[0].url + "/quick")
+            relay.delay_s = 0.0
+            began = loop.time()
+            answer = await client.post(
+                nodes[0].url + "/payouts/1", headers={headers.KEY: "k"}
+            )
+            self.assertGreaterEqual(loop.time() - began, _DEADLINE_S)
+        self.assertEqual(answer.status, 504)
+
     async def test_answer_that_came_while_the_event_loop_stood_still(
         self,
     ) -> None:
