Give out slots in a module of its own

Cause: admission.py had grown to 430 lines with two jobs, whom a slot is given to and whether a call waits or is refused. The first is slots.py now; behaviour is unchanged. tests.requests.load passed.

--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 import time
 from typing import TYPE_CHECKING
 
@@ -12,19 +11,15 @@
 from merlintrestle.requests.load import acceptance
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import queues
-from merlintrestle.requests.load import shares
+from merlintrestle.requests.load import slots as slots_lib
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from merlintrestle.documents import snapshot
-    from merlintrestle.members import table as tables
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests import parts
 
-# Waiting calls per slot, of all classes together.
-WAITING_PER_SLOT = 4
 # Weight of the newest call in the mean time that a slot is held.
 _NEWEST = 0.1
 # Part of the usual wait that is short. What is expected is rough, as more
@@ -40,16 +35,7 @@
 
 
 class Admission:
-    """Gives out the slots of the own backend server.
-
-    A class of work gets the slots promised to it whenever it needs them and
-    borrows what others leave unused. Borrowed slots are not taken back: they
-    come free after one call. That is soon enough but for long transfers, which
-    therefore borrow only what is promised to nobody.
-
-    Attributes:
-        in_flight: Calls that hold a slot.
-    """
+    """Lets calls in to the own backend server, or refuses them."""
 
     def __init__(
         self,
@@ -60,26 +46,22 @@
     ):
         """Sets what is known of slots, targets and others, and the clock."""
         self._get_time = get_time
-        self.in_flight = 0
         self._backend = backend
         self._acceptance = acceptance.Acceptance(get_time)
-        self._holder = holder
-        self._table = table
-        self._queues: dict[tuple[str, str], queues.ClassQueue] = {}
-        self._large_in_flight = 0
-        self._large_slots = 1
-        self._waiting = 0
+        self._slots = slots_lib.Slots(backend, holder, table)
         # Calls in time were refused shortly before: late ones have no chance.
         self._full_until = 0.0
-        self._slots = 0
-        self._plan: snapshot.ServicePlan | None = None
-        self._upstreams: tuple[tables.Upstream, ...] = ()
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that hold a slot."""
+        return self._slots.in_flight
 
     def has_room(self) -> bool:
         """Returns whether some slot is free, so that work may stay here."""
         backend = self._backend
         return (
-            self.in_flight < backend.slots
+            self._slots.in_flight < backend.slots
             and backend.state == control_pb2.READY
             and self._acceptance.is_sound()
         )
@@ -87,9 +69,9 @@
     def get_load(self) -> loads.Load:
         """Returns what other daemons are told of the own backend server."""
         return loads.Load(
-            self.in_flight + self._waiting,
+            self._slots.in_flight + self._slots.waiting,
             self._backend.slots,
-            self._mean_hold(),
+            self._slots.get_mean_hold(),
             accepted=self._acceptance.get(),
         )
 
@@ -102,28 +84,28 @@
         refusal = self._check_backend(call)
         if refusal is not None:
             return refusal
-        queue = self._get_queue(call)
-        self._update_shares()
+        queue = self._slots.get_queue(call)
+        self._slots.update_shares()
         if self._is_too_late(queue, call):
             return _refuse_late()
         # Calls of other classes may wait: those that had room were woken.
-        room = not queue.waiting and self._has_room(queue)
+        room = not queue.waiting and self._slots.has_room(queue)
         if call.wait is not calls.Wait.USUAL:
             refusal = self._check_wait(queue, call, room)
             if refusal is not None:
                 return refusal
         if room:
-            self._take(queue)
+            self._slots.take(queue)
         else:
             began = self._get_time()
-            waiting = self._waiting
+            waiting = self._slots.waiting
             refusal = await self._wait(queue, call)
             call.story.add(
                 "waited for a slot",
                 outcome="refused" if refusal else "admitted",
                 waiting=waiting,
-                in_flight=self.in_flight,
-                slots=self._slots,
+                in_flight=self._slots.in_flight,
+                slots=self._slots.count,
                 hold_ms=round(queue.hold_s * 1000),
                 took_ms=round((self._get_time() - began) * 1000),
             )
@@ -132,10 +114,10 @@
 
     def leave(self, call: calls.Call) -> None:
         """Gives a slot back."""
-        queue = self._get_queue(call)
+        queue = self._slots.get_queue(call)
         held_s = self._get_time() - call.admitted_at
         queue.hold_s += _NEWEST * (held_s - queue.hold_s)
-        self._give_back(queue)
+        self._slots.give_back(queue)
 
     def note_given(self, taken: bool) -> None:
         """Notes whether the backend server took a call that had a slot."""
@@ -149,25 +131,7 @@
         came back late; a backend server that turns away every second call
         takes the next one as soon as any.
         """
-        return max(_LEAST_RETRY_S, self._get_queue(call).hold_s)
-
-    def wake(self) -> None:
-        """Gives free slots to calls that wait."""
-        while self._waiting:
-            ready = [
-                queue
-                for queue in self._queues.values()
-                if queue.waiting and self._has_room(queue)
-            ]
-            if not ready:
-                return
-            queue = max(ready, key=queues.ClassQueue.rank)
-            granted = queue.waiting.pop(0).granted
-            self._waiting -= 1
-            # One that was cancelled has not left the queue yet.
-            if not granted.done():
-                self._take(queue)
-                granted.set_result(True)
+        return max(_LEAST_RETRY_S, self._slots.get_queue(call).hold_s)
 
     def _check_backend(self, call: calls.Call) -> outcomes.NotRun | None:
         backend = self._backend
@@ -194,33 +158,30 @@
         self, queue: queues.ClassQueue, call: calls.Call
     ) -> outcomes.NotRun | None:
         loop = asyncio.get_running_loop()
-        if not self._slots:
+        if not self._slots.count:
             return _refuse("the backend server has no slots", 1.0)
         now = loop.time()
         waiter = queues.Waiter(
             queue.is_late(call.due - now), call.due, loop.create_future()
         )
         limit_s = self._limit_wait(queue, call, waiter.late, now)
-        expected_s = self._estimate_wait(queue, waiter)
-        if expected_s > limit_s or not self._make_room(queue):
+        expected_s = self._slots.estimate_wait(queue, waiter)
+        if expected_s > limit_s or not self._slots.make_room(queue):
             return self._refuse_full(queue, waiter, expected_s, now)
-        queue.add(waiter)
-        self._waiting += 1
-        timer = loop.call_later(limit_s, _give_up, waiter)
+        self._slots.add(queue, waiter)
+        timer = loop.call_later(limit_s, waiter.give_up)
         try:
             if await waiter.granted:
                 return self._check_again(queue, call)
         except asyncio.CancelledError:
             granted = waiter.granted
             if granted.done() and not granted.cancelled() and granted.result():
-                self._give_back(queue)
+                self._slots.give_back(queue)
             raise
         finally:
             timer.cancel()
-            if waiter in queue.waiting:
-                queue.waiting.remove(waiter)
-                self._waiting -= 1
-        expected_s = self._estimate_wait(queue, waiter)
+            self._slots.remove(queue, waiter)
+        expected_s = self._slots.estimate_wait(queue, waiter)
         return self._refuse_full(queue, waiter, expected_s, loop.time())
 
     def _check_wait(
@@ -235,14 +196,14 @@
         sound = self._acceptance.is_sound()
         if room and sound:
             return None
-        if not self._slots:
+        if not self._slots.count:
             return _refuse("the backend server has no slots", 1.0)
         loop = asyncio.get_running_loop()
         left_s = call.due - loop.time()
         waiter = queues.Waiter(
             queue.is_late(left_s), call.due, loop.create_future()
         )
-        expected_s = self._estimate_wait(queue, waiter)
+        expected_s = self._slots.estimate_wait(queue, waiter)
         short = expected_s <= _SHORT_PART * queue.get_patience(left_s)
         if sound and short and call.wait is calls.Wait.SHORT:
             return None
@@ -290,126 +251,9 @@
     ) -> outcomes.NotRun | None:
         refusal = self._check_backend(call)
         if refusal is not None:
-            self._give_back(queue)
+            self._slots.give_back(queue)
         return refusal
 
-    def _estimate_wait(
-        self, queue: queues.ClassQueue, waiter: queues.Waiter
-    ) -> float:
-        """Returns the time until a call that comes now would get a slot.
-
-        The class gets what is promised to it and what the others leave, or
-        its turn when the slots come free one after the other, whichever is
-        sooner.
-        """
-        ahead = bisect.bisect_right(queue.waiting, waiter) + 1
-        left = self._slots - (self.in_flight - queue.in_flight)
-        if queue.share.large:
-            left = min(left, self._large_slots)
-        slots = max(1.0, queue.share.guarantee, left)
-        promised_s = ahead * queue.hold_s / slots
-        if queue.share.large:
-            return promised_s
-        key = queue.order(not waiter.late)
-        before = sum(
-            other.count_before(key)
-            for other in self._queues.values()
-            if other is not queue
-        )
-        in_turn_s = (before + ahead) * self._mean_hold() / self._slots
-        return min(promised_s, in_turn_s)
-
-    def _mean_hold(self) -> float:
-        """Returns how long the calls in flight hold their slots, in seconds."""
-        busy = [queue for queue in self._queues.values() if queue.in_flight]
-        if not busy:
-            return 0.0
-        held_s = sum(queue.in_flight * queue.hold_s for queue in busy)
-        return held_s / self.in_flight
-
-    def _make_room(self, queue: queues.ClassQueue) -> bool:
-        """Sheds a waiting call of the least important class if it must."""
-        if self._waiting < self._slots * WAITING_PER_SLOT:
-            return True
-        waiting = [other for other in self._queues.values() if other.waiting]
-        least = min(waiting, key=lambda other: other.share.importance)
-        if least.share.importance >= queue.share.importance:
-            return False
-        waiter = least.waiting.pop()
-        self._waiting -= 1
-        _give_up(waiter)
-        return True
-
-    def _has_room(self, queue: queues.ClassQueue) -> bool:
-        share = queue.share
-        free = self._slots - self.in_flight
-        if free <= 0:
-            return False
-        if share.large and self._large_in_flight >= self._large_slots:
-            return False
-        return queue.under_guarantee or free > share.reserve
-
-    def _take(self, queue: queues.ClassQueue) -> None:
-        queue.in_flight += 1
-        self.in_flight += 1
-        if queue.share.large:
-            self._large_in_flight += 1
-
-    def _give_back(self, queue: queues.ClassQueue) -> None:
-        queue.in_flight -= 1
-        self.in_flight -= 1
-        if queue.share.large:
-            self._large_in_flight -= 1
-        if self._waiting:
-            self.wake()
-
-    def _get_queue(self, call: calls.Call) -> queues.ClassQueue:
-        key = (call.organisation, call.plan.name)
-        queue = self._queues.get(key)
-        if queue is None:
-            queue = self._queues[key] = queues.ClassQueue(call.plan)
-            self._plan = None
-        return queue
-
-    def _update_shares(self) -> None:
-        """Derives the shares again where targets or upstreams changed."""
-        running = self._holder.running
-        service = self._backend.service
-        plan = running.services.get(service) if running else None
-        upstreams = self._table.get_upstreams(service)
-        slots = self._backend.slots
-        if (
-            self._plan is not None
-            and plan is self._plan
-            and upstreams is self._upstreams
-            and slots == self._slots
-        ):
-            return
-        self._plan = plan
-        self._upstreams = upstreams
-        self._slots = slots
-        service_slots = sum(upstream.slots for upstream in upstreams)
-        for one in plan.classes if plan else ():
-            key = (one.organisation, one.name)
-            if key not in self._queues:
-                self._queues[key] = queues.ClassQueue(one)
-        # Classes of routes by host are known from their calls alone.
-        classes = [queue.plan for queue in self._queues.values()]
-        computed = shares.compute_shares(classes, slots, service_slots)
-        self._large_slots = computed.large_slots
-        for key, queue in self._queues.items():
-            queue.share = computed.classes[key]
-        self._large_in_flight = sum(
-            queue.in_flight
-            for queue in self._queues.values()
-            if queue.share.large
-        )
-
-
-def _give_up(waiter: queues.Waiter) -> None:
-    if not waiter.granted.done():
-        waiter.granted.set_result(False)
-
 
 def _refuse_late() -> outcomes.NotRun:
     """Refuses a call whose time is too short; it may come back with more."""
--- a/merlintrestle/requests/load/queues.py
+++ b/merlintrestle/requests/load/queues.py
@@ -44,6 +44,11 @@
     def __lt__(self, other: Waiter) -> bool:
         return (self.late, self.due) < (other.late, other.due)
 
+    def give_up(self) -> None:
+        """Has it wait no longer, unless it has got a slot already."""
+        if not self.granted.done():
+            self.granted.set_result(False)
+
 
 class ClassQueue:
     """Calls of one class of work at the own backend server.
--- a/tests/requests/load/test_admission.py
+++ b/tests/requests/load/test_admission.py
@@ -273,4 +273,4 @@
                 slots.leave(call)
         await asyncio.sleep(0)
         self.assertEqual(slots.in_flight, 0)
-        self.assertEqual(slots._waiting, 0)
+        self.assertEqual(slots._slots.waiting, 0)
--- a/tests/requests/load/test_queues.py
+++ b/tests/requests/load/test_queues.py
@@ -5,7 +5,7 @@
 import asyncio
 import unittest
 
-from merlintrestle.requests.load import admission
+from merlintrestle.requests.load import slots
 from tests.requests import builders
 from tests.requests.load import plays
 from tools import model
@@ -72,7 +72,7 @@
             turns: list[float] = []
             rivals = [
                 asyncio.create_task(played.wait(_LOOKUP, 0.4, turns))
-                for _ in range(admission.WAITING_PER_SLOT * 2)
+                for _ in range(slots.WAITING_PER_SLOT * 2)
             ]
             await asyncio.sleep(0)
             self.assertIsNotNone(await played.ask(_LOOKUP, 0.0))
