Move how daemons meet by records of seeds out of the watcher

Cause: watcher.py watched the head, chose the watchers and wrote seeds. The last is meeting.py now; the choice of members of the own zone stands beside Choice. Behaviour is unchanged.

--- a/merlintrestle/members/choice.py
+++ b/merlintrestle/members/choice.py
@@ -164,3 +164,17 @@
         if self._with_dead and table_lib.is_dead(member):
             return True
         return not table_lib.is_gone(member)
+
+
+def name_zone(purpose: str, zone: str) -> str:
+    """Returns the key of a choice that is made in an availability zone."""
+    return f"{purpose}/{zone}"
+
+
+def choose_in_own_zone(
+    table: table_lib.MemberTable, purpose: str, count: int
+) -> Choice:
+    """Returns the members of the own zone, this one too, for a purpose."""
+    zone = table.own.zone
+    key = name_zone(purpose, zone)
+    return Choice(table, key, count, zone, with_own=True, by_link=True)
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -9,9 +9,9 @@
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.members import choice as choice_lib
-from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.members import table as table_lib
 from merlintrestle.members import timing as timing_lib
+from merlintrestle.versions import meeting as meeting_lib
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
@@ -75,11 +75,10 @@
         self._head_at: float | None = None
         self._chosen_at: float | None = None
         self._reading = asyncio.Lock()
-        self._seeds: list[str] = []
-        self._seeds_at = 0.0
-        self._find_s = self._timing.seeds_write
-        self._watchers = self._choose("watch", WATCHERS_PER_ZONE)
-        self._seeding = self._choose("seeds", seeds_lib.SEEDS_PER_ZONE)
+        self._watchers = choice_lib.choose_in_own_zone(
+            membership.table, "watch", WATCHERS_PER_ZONE
+        )
+        self._meeting = meeting_lib.Meeting(membership, source, clock)
 
     def get_watchers(self) -> list[str]:
         """Returns the ids of the watchers of this daemon's zone."""
@@ -104,7 +103,7 @@
             name
             for zone, members in sorted(zones.items())
             for name in choice_lib.choose_by_link(
-                _name_key("watch", zone), members, WATCHERS_PER_ZONE
+                choice_lib.name_zone("watch", zone), members, WATCHERS_PER_ZONE
             )
         ]
 
@@ -132,7 +131,7 @@
         if self._directly:
             await self._read_first()
         await self._membership.wait_for_contact(self._timing.join)
-        await self._meet_herd()
+        await self._meeting.meet_herd()
         while True:
             if not self.is_chosen():
                 await asyncio.sleep(timing_lib.jitter(self._timing.settle))
@@ -169,23 +168,6 @@
                 wait_s = backoff.get_wait()
             await asyncio.sleep(wait_s)
 
-    async def _meet_herd(self) -> None:
-        """Meets others that started at the same time, before it watches.
-
-        Where a whole fleet starts, each daemon finds the records of seeds
-        empty and is the only watcher that it knows: all of them read the value
-        once more for themselves and again for their watch. Named in the
-        records first they meet, and few stay chosen. A store that fails here
-        holds back no watch: the watcher names itself again later.
-        """
-        own_id = self._membership.table.own_id
-        if any(one.id != own_id for one in self._membership.table.members()):
-            return
-        try:
-            await self._write_seeds()
-        except errors.MerlintrestleError as error:
-            events.warn("no seeds written", error=str(error))
-
     def get_refresh_s(self) -> float:
         """Returns the mean time between two reads of the head, in seconds.
 
@@ -279,11 +261,11 @@
         watching = asyncio.create_task(self._follow())
         refresh_at = self._clock() + timing_lib.jitter(self.get_refresh_s())
         try:
-            await self._write_seeds()
+            await self._meeting.name_seeds()
             while self.is_chosen():
                 if self._clock() >= refresh_at:
                     await self.refresh()
-                    await self._write_seeds()
+                    await self._meeting.name_seeds()
                     refresh_at = self._clock() + timing_lib.jitter(
                         self.get_refresh_s()
                     )
@@ -328,41 +310,3 @@
             return
         self._handled = max(self._handled, head.version)
         self._hold(snapshot)
-
-    async def _write_seeds(self) -> None:
-        """Names members of the zone in the store, for first contact."""
-        seeds = self._seeding.get()
-        age = self._clock() - self._seeds_at
-        changed = seeds != self._seeds and age >= self._timing.seeds_write
-        if self._seeds and not changed and age < self._timing.seeds_check:
-            await self._find_others(age)
-            return
-        zone = self._membership.table.own.zone
-        before = await self._source.write_seeds(zone, seeds)
-        self._seeds = seeds
-        self._seeds_at = self._clock()
-        await self._membership.contact_unknown(before)
-
-    async def _find_others(self, age_s: float) -> None:
-        """Looks for parts of the fleet, soon after the start and then rarely.
-
-        Where all start at once, a few may meet each other alone; their callers
-        would find no upstream for most services until the next check. What is
-        looked at after 1, 2, 4 and 8 s has been written by then.
-        """
-        if age_s < self._find_s or self._find_s >= self._timing.seeds_check:
-            return
-        self._find_s *= 2
-        await self._membership.find_others()
-
-    def _choose(self, purpose: str, count: int) -> choice_lib.Choice:
-        table = self._membership.table
-        zone = table.own.zone
-        key = _name_key(purpose, zone)
-        return choice_lib.Choice(
-            table, key, count, zone, with_own=True, by_link=True
-        )
-
-
-def _name_key(purpose: str, zone: str) -> str:
-    return f"{purpose}/{zone}"
