Keep whose turn it is to watch apart from the watch

Cause: the floor and roll-outs ask who watches and whether this daemon does, without use for the watch itself. Turns knows it; callers ask watcher.turns. The tests' calls and the one stand-in for is_chosen follow the name. Behaviour is unchanged.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -265,7 +265,7 @@
             self._book,
             self._proxy.observer,
             register,
-            distribution.watcher.get_turn,
+            distribution.watcher.turns.get_turn,
         )
         distribution.watcher.on_orders.append(
             lambda entries: self._keeper.take_orders(
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -8,10 +8,10 @@
 
 from merlintrestle import errors
 from merlintrestle import events as event_logs
-from merlintrestle.members import choice as choice_lib
 from merlintrestle.members import table as table_lib
 from merlintrestle.members import timing as timing_lib
 from merlintrestle.versions import meeting as meeting_lib
+from merlintrestle.versions import turns as turns_lib
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
@@ -25,7 +25,6 @@
 
 events = event_logs.EventLog("versions")
 
-WATCHERS_PER_ZONE = 2
 # Watchers whose reads of the head are enough for a whole fleet: what one reads
 # is everywhere within some tenths of a second, and the store counts each call.
 _READERS = 3
@@ -38,6 +37,7 @@
     frozen and does not know it compiles versions which are no news.
 
     Attributes:
+        turns: Which daemons watch, and whether this one does.
         store_reachable: Whether the last call to the store succeeded.
         on_orders: Called with the orders of roll-outs that the store has.
     """
@@ -73,58 +73,10 @@
         self._handled = 0
         self._head = 0
         self._head_at: float | None = None
-        self._chosen_at: float | None = None
         self._reading = asyncio.Lock()
-        self._watchers = choice_lib.choose_in_own_zone(
-            membership.table, "watch", WATCHERS_PER_ZONE
-        )
+        self.turns = turns_lib.Turns(membership, clock)
         self._meeting = meeting_lib.Meeting(membership, source, clock)
 
-    def get_watchers(self) -> list[str]:
-        """Returns the ids of the watchers of this daemon's zone."""
-        return self._watchers.get()
-
-    def get_turn(self) -> int | None:
-        """Returns how many watchers come before this one; None: it is none."""
-        if not self.is_chosen():
-            return None
-        watchers = sorted([*self.get_watchers(), *self.list_other_watchers()])
-        own_id = self._membership.table.own_id
-        return watchers.index(own_id) if own_id in watchers else len(watchers)
-
-    def list_other_watchers(self) -> list[str]:
-        """Returns the ids of the watchers of all other zones."""
-        table = self._membership.table
-        zones: dict[str, list[control_pb2.Member]] = {}
-        for member in table.members():
-            if not table_lib.is_gone(member) and member.zone != table.own.zone:
-                zones.setdefault(member.zone, []).append(member)
-        return [
-            name
-            for zone, members in sorted(zones.items())
-            for name in choice_lib.choose_by_link(
-                choice_lib.name_zone("watch", zone), members, WATCHERS_PER_ZONE
-            )
-        ]
-
-    def is_chosen(self) -> bool:
-        """Tells whether this daemon has been a watcher of its zone for a while.
-
-        In a herd each table begins with its own daemon, which then is the
-        watcher of its zone. If that counted, all would read the store.
-        """
-        now = self._clock()
-        own_id = self._membership.table.own_id
-        if (
-            own_id not in self.get_watchers()
-            and not self._membership.is_cut_off()
-        ):
-            self._chosen_at = None
-            return False
-        if self._chosen_at is None:
-            self._chosen_at = now
-        return now - self._chosen_at >= self._timing.settle
-
     async def run(self) -> None:
         """Watches while chosen, for ever."""
         backoff = timing_lib.Backoff(0.1, self._timing.watch_retry_max)
@@ -133,7 +85,7 @@
         await self._membership.wait_for_contact(self._timing.join)
         await self._meeting.meet_herd()
         while True:
-            if not self.is_chosen():
+            if not self.turns.is_chosen():
                 await asyncio.sleep(timing_lib.jitter(self._timing.settle))
                 continue
             began = self._clock()
@@ -183,7 +135,9 @@
             for member in self._membership.table.members()
             if not table_lib.is_gone(member)
         }
-        return refresh_s * max(1.0, len(zones) * WATCHERS_PER_ZONE / _READERS)
+        return refresh_s * max(
+            1.0, len(zones) * turns_lib.WATCHERS_PER_ZONE / _READERS
+        )
 
     async def refresh(self) -> int:
         """Reads the head and compiles it if it is news; returns its version.
@@ -222,7 +176,7 @@
         One read serves all daemons that began before it, so a herd that
         restarts costs the store no more reads than its watchers allow.
         """
-        if not self.is_chosen():
+        if not self.turns.is_chosen():
             return
         try:
             async with asyncio.timeout(self._timing.call / 2):
@@ -262,7 +216,7 @@
         refresh_at = self._clock() + timing_lib.jitter(self.get_refresh_s())
         try:
             await self._meeting.name_seeds()
-            while self.is_chosen():
+            while self.turns.is_chosen():
                 if self._clock() >= refresh_at:
                     await self.refresh()
                     await self._meeting.name_seeds()
--- a/tests/versions/test_never_back.py
+++ b/tests/versions/test_never_back.py
@@ -161,7 +161,7 @@
         """
         fleet = models.Fleet(3)
         model = fleet.models[1]
-        model.watcher.is_chosen = lambda: False  # type: ignore[method-assign]
+        model.watcher.turns.is_chosen = lambda: False  # type: ignore[method-assign]
         with mock.patch.object(floor, "READ_BUDGET", 0.1):
             with mock.patch("random.random", return_value=0.0):
                 first = [model.floor._may_read(number) for number in range(6)]
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -69,10 +69,10 @@
             self.model.hold,
             self.fleet.get_time,
         )
-        self.assertIn(table.own_id, watcher.get_watchers())
-        self.assertFalse(watcher.is_chosen())
+        self.assertIn(table.own_id, watcher.turns.get_watchers())
+        self.assertFalse(watcher.turns.is_chosen())
         self.fleet.now += member_builders.FAST.settle
-        self.assertTrue(watcher.is_chosen())
+        self.assertTrue(watcher.turns.is_chosen())
 
     async def test_herd_meets_before_it_watches(self) -> None:
         """The store is not asked by a whole fleet as if all were watchers.
