--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -285,6 +285,10 @@
     return key if key.startswith(_OPERATORS_PREFIXES) else OWN_PREFIX + key
 
 
+def _strip(name: str) -> str:
+    return name.removeprefix(OWN_PREFIX)
+
+
 def read_items(items: list[Any]) -> list[client.Entry]:
     """Returns entries; one that is malformed does not hide the others.
 
@@ -309,13 +313,13 @@
     key, revision = fields.get("key"), fields.get("revision")
     if not isinstance(key, str) or type(revision) is not int:
         return "", 0
-    return key.removeprefix(OWN_PREFIX), revision
+    return _strip(key), revision
 
 
 def _read_item(item: Any) -> client.Entry:
     if not isinstance(item, dict):
         raise errors.CorruptRecordError(f"store: an item is {item!r}")
-    key = _get(item, "key", str).removeprefix(OWN_PREFIX)
+    key = _strip(_get(item, "key", str))
     try:
         value = base64.b64decode(_get(item, "value", str), validate=True)
     except ValueError as error:
