Weigh upstreams apart from picking one

Cause: picking.py drew upstreams and also knew what was seen of each and how two compare; the latter is weighing.py now, and the draw of a pair has a function of its own.

--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -3,19 +3,16 @@
 from __future__ import annotations
 
 import random
-import time
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import TYPE_CHECKING
 
-from merlintrestle.requests import backend
-from merlintrestle.requests.load import loads
-from merlintrestle.requests.load import observations
+from merlintrestle.requests.load import weighing
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
 
     from merlintrestle.members import table as tables
+    from merlintrestle.requests.load import observations
 
-_LEAST_SHARE = 0.1
 # The own backend server comes first while so many calls end well there; a hop
 # to another daemon costs a millisecond or two, a failure the call.
 _SOUND = 0.8
@@ -48,52 +45,6 @@
                 self.own = upstream
 
 
-class View(NamedTuple):
-    """What decided that an upstream was picked; times are in seconds.
-
-    Attributes:
-        upstream: The one that was picked.
-        among: How many there are.
-        in_flight: Calls sent to it from here whose answers have not ended.
-        failures: Failures in a row.
-        soundness: Part of the calls lately that ended well.
-        load: What its daemon reported last; None: nothing yet.
-        load_at: When that came.
-        answered_at: When it last answered; 0: never.
-        now: When it was picked.
-    """
-
-    upstream: tables.Upstream
-    among: int
-    in_flight: int
-    failures: int
-    soundness: float
-    load: loads.Load | None
-    load_at: float
-    answered_at: float
-    now: float
-
-    def describe(self) -> dict[str, Any]:
-        """Returns the fields of its log line."""
-        return {
-            "upstream": self.upstream.member_id,
-            "zone": self.upstream.zone,
-            "version": self.upstream.version,
-            "among": self.among,
-            "in_flight": self.in_flight,
-            "suspect": self.upstream.suspect,
-            "failures": self.failures,
-            "soundness": round(self.soundness, 2),
-            "load": self.load and loads.encode_load(self.load),
-            "load_age_ms": round((self.now - self.load_at) * 1000)
-            if self.load
-            else None,
-            "answer_age_ms": round((self.now - self.answered_at) * 1000)
-            if self.answered_at
-            else None,
-        }
-
-
 class Picker:
     """Picks upstreams by what this daemon saw of them itself.
 
@@ -115,43 +66,26 @@
         self._own_has_room = own_has_room
         self._get_time = get_time
         self._chance = chance or random.Random()
-        self._observations: dict[str, observations.Observation] = {}
+        self._scales = weighing.Scales()
         self._pools: dict[str, Pool] = {}
-        # When each upstream was first known as ready, in seconds.
-        self._ready_at: dict[str, float] = {}
 
     def observe(self, member_id: str) -> observations.Observation:
         """Returns what was seen of an upstream."""
-        observation = self._observations.get(member_id)
-        if observation is None:
-            observation = observations.Observation()
-            self._observations[member_id] = observation
-        return observation
-
-    def is_near(self, upstream: tables.Upstream) -> bool:
-        """Returns whether an upstream is another one in the own zone."""
-        return (
-            upstream.zone == self._zone and upstream.member_id != self._own_id()
-        )
+        return self._scales.observe(member_id)
 
-    def view(self, upstream: tables.Upstream, count: int) -> View:
+    def view(self, upstream: tables.Upstream, count: int) -> weighing.View:
         """Returns what decided that an upstream was picked.
 
         Args:
             upstream: The one that was picked.
             count: How many there are.
         """
-        seen = self.observe(upstream.member_id)
-        return View(
-            upstream,
-            count,
-            seen.in_flight,
-            seen.failures,
-            seen.soundness,
-            seen.load,
-            seen.load_at,
-            seen.answered_at,
-            self._get_time(),
+        return self._scales.view(upstream, count, self._get_time())
+
+    def is_near(self, upstream: tables.Upstream) -> bool:
+        """Returns whether an upstream is another one in the own zone."""
+        return (
+            upstream.zone == self._zone and upstream.member_id != self._own_id()
         )
 
     def pick(
@@ -178,8 +112,8 @@
             own is not None
             and own.member_id not in tried
             and self._own_has_room()
-            and self._may_take(own, now)
-            and self.observe(own.member_id).soundness >= _SOUND
+            and self._scales.may_take(own, now)
+            and self._scales.observe(own.member_id).soundness >= _SOUND
         ):
             return own
         if probe:
@@ -201,33 +135,23 @@
         self._pools[service] = pool
         now = self._get_time()
         for upstream in upstreams:
-            self._ready_at.setdefault(upstream.member_id, now)
+            self._scales.add(upstream, now)
         if before is not None:
             left = {one.member_id: one.ready_since_ms for one in upstreams}
             for known in before.upstreams:
                 if known.member_id not in left:
-                    self._forget(known.member_id)
+                    self._scales.forget(known.member_id)
                 elif known.ready_since_ms != left[known.member_id]:
-                    self.observe(known.member_id).renew()
-                    self._ready_at[known.member_id] = now
+                    self._scales.renew(known.member_id, now)
         return pool
 
-    def _forget(self, member_id: str) -> None:
-        self._ready_at.pop(member_id, None)
-        observation = self._observations.get(member_id)
-        if observation is None or observation.in_flight:
-            return
-        del self._observations[member_id]
-
     def _find_probe(
         self, pool: Pool, tried: Collection[str], now: float
     ) -> tables.Upstream | None:
         index = int(self._chance.random() * len(pool.upstreams))
         for upstream in pool.upstreams[index : index + 1]:
-            observation = self._observations.get(upstream.member_id)
             if (
-                observation is not None
-                and observation.may_probe(now)
+                self._scales.may_probe(upstream, now)
                 and upstream.member_id not in tried
             ):
                 return upstream
@@ -243,25 +167,30 @@
         count = len(among)
         if not count:
             return None
+        scales = self._scales
         best: tables.Upstream | None = None
-        chance = self._chance.random
         for _ in range(_DRAWS):
-            first = int(chance() * count)
-            second = int(chance() * (count - 1)) if count > 1 else first
-            second += second >= first and count > 1
-            for index in (first, second):
+            for index in self._draw_pair(count):
                 upstream = among[index]
-                if upstream.member_id in tried or not self._may_take(
-                    upstream, now
-                ):
+                if upstream.member_id in tried:
                     continue
-                if best is None or self._is_better(upstream, best, now):
+                if not scales.may_take(upstream, now):
+                    continue
+                if best is None or scales.is_better(upstream, best, now):
                     best = upstream
             if best is not None:
-                calls = self.observe(best.member_id).estimate_calls(now)
-                return None if calls >= best.slots else best
+                return None if scales.is_full(best, now) else best
         return None
 
+    def _draw_pair(self, count: int) -> tuple[int, int]:
+        """Returns two numbers below a count, other ones if there are two."""
+        chance = self._chance.random
+        first = int(chance() * count)
+        if count == 1:
+            return first, first
+        second = int(chance() * (count - 1))
+        return first, second + (second >= first)
+
     def _search(
         self,
         upstreams: Sequence[tables.Upstream],
@@ -278,67 +207,13 @@
         for upstream in upstreams:
             if upstream.member_id in tried:
                 continue
-            observation = self.observe(upstream.member_id)
+            observation = self._scales.observe(upstream.member_id)
             rank = (
-                self._may_take(upstream, now),
+                self._scales.may_take(upstream, now),
                 not observation.ejected_until,
-                -self._weigh(upstream, now) * (1 + self._chance.random() / 8),
+                -self._scales.weigh(upstream, now)
+                * (1 + self._chance.random() / 8),
             )
             if best is None or rank > best_rank:
                 best, best_rank = upstream, rank
         return best
-
-    def _may_take(self, upstream: tables.Upstream, now: float) -> bool:
-        observation = self._observations.get(upstream.member_id)
-        if observation is None:
-            return not upstream.suspect
-        if not observation.may_take(now):
-            return False
-        # An answer seen just now goes before a reported suspicion.
-        fresh = now - observation.answered_at < observations.STALL_S
-        return fresh or not upstream.suspect
-
-    def _is_better(
-        self, one: tables.Upstream, other: tables.Upstream, now: float
-    ) -> bool:
-        weight = self._weigh(one, now)
-        other_weight = self._weigh(other, now)
-        seen = self.observe(one.member_id)
-        other_seen = self.observe(other.member_id)
-        if seen.load and other_seen.load:
-            # Seconds until it would have a slot, and its answer the link.
-            weight *= seen.load.hold_s
-            weight += seen.estimate_backlog_s(now)
-            other_weight *= other_seen.load.hold_s
-            other_weight += other_seen.estimate_backlog_s(now)
-        elif seen.slowness and other_seen.slowness:
-            weight *= seen.slowness
-            other_weight *= other_seen.slowness
-        return weight < other_weight
-
-    def _weigh(self, upstream: tables.Upstream, now: float) -> float:
-        """Returns the load that one more call would make.
-
-        An upstream that fails some of its calls counts as fuller than it is:
-        its status may well be good, and with its quick failures it looks idle.
-        Squared, one that fails every third call is chosen when its load is
-        less than half of that of the others.
-        """
-        seen = self.observe(upstream.member_id)
-        soundness = seen.estimate_soundness(now)
-        room = upstream.slots * self._get_share(upstream, now) * soundness**2
-        return (seen.estimate_calls(now) + 1) / room
-
-    def _get_share(self, upstream: tables.Upstream, now: float) -> float:
-        """Returns the part of its slots that a cold upstream is given.
-
-        It is as old as its daemon's clock says, or as it has been known here:
-        one whose daemon's clock is ahead would else seem not to have begun,
-        and get next to nothing until the clocks agree.
-        """
-        age_s = time.time() - upstream.ready_since_ms / 1000
-        if age_s < 0:
-            age_s = now - self._ready_at.get(upstream.member_id, now)
-        if age_s >= backend.COLD_S:
-            return 1.0
-        return max(_LEAST_SHARE, age_s / backend.COLD_S)
