--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import Any, TYPE_CHECKING
 
 from merlintrestle.platform import settings as settings_lib
+from merlintrestle.platform import store as stores
+from standins import platform_store
+
+if TYPE_CHECKING:
+    import unittest
 
 SETTINGS = {
     "node": "sidecar-noord-1",
@@ -89,6 +94,25 @@
     return json.dumps({**configuration, **changes}).encode()
 
 
+def build_large_configuration(version: int) -> bytes:
+    """Builds a configuration of a thousand routes."""
+    routes = [build_route(f"r{number}") for number in range(1000)]
+    return build_configuration(version, *routes)
+
+
+async def start_store(
+    case: unittest.IsolatedAsyncioTestCase,
+) -> tuple[platform_store.PlatformStoreStandin, stores.PlatformStore]:
+    """Starts a store and a client of it that are closed after the test."""
+    standin = platform_store.PlatformStoreStandin()
+    await standin.start()
+    case.addAsyncCleanup(standin.close)
+    store = stores.PlatformStore(standin.address)
+    await store.start()
+    case.addAsyncCleanup(store.close)
+    return standin, store
+
+
 def _tabulate(rows: Any) -> dict[str, Any]:
     columns = list(dict.fromkeys(name for row in rows for name in row))
     return {
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -13,7 +13,6 @@
 from merlintrestle.platform import store as stores
 from merlintrestle.versions import deltas
 from merlintrestle.versions import progress
-from standins import platform_store
 from tests.platform import builders
 from tests.platform import fleets
 
@@ -116,20 +115,9 @@
         self.assertEqual(applied.hosts, after.hosts)
 
 
-def _build_large(version: int) -> bytes:
-    """Builds a configuration of a thousand routes."""
-    routes = [builders.build_route(f"r{number}") for number in range(1000)]
-    return builders.build_configuration(version, *routes)
-
-
 class SourceTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.standin = platform_store.PlatformStoreStandin()
-        await self.standin.start()
-        self.addAsyncCleanup(self.standin.close)
-        self.store = stores.PlatformStore(self.standin.address)
-        await self.store.start()
-        self.addAsyncCleanup(self.store.close)
+        self.standin, self.store = await builders.start_store(self)
         self.source = configuration.ConfigurationSource(self.store)
 
     async def test_versions_come_in_uneven_steps(self):
@@ -162,7 +150,7 @@
         brought the whole of it, half a second of a link of 0.4 MB/s, and the
         calls on that link missed their deadlines.
         """
-        value = _build_large(5)
+        value = builders.build_large_configuration(5)
         await self.standin.write(stores.CONFIGURATION_KEY, value)
         await self.read()
         before = self.count_sent()
@@ -176,7 +164,7 @@
         Only the value shows that the configuration is not what moved it. It
         is read once, not with each read from then on.
         """
-        value = _build_large(5)
+        value = builders.build_large_configuration(5)
         await self.standin.write(stores.CONFIGURATION_KEY, value)
         await self.read()
         await self.standin.write("foreign/key", b"x")
@@ -192,7 +180,7 @@
         With a value for each, calls on a thin link waited behind them for
         good, also where a watch was open and would have brought a change.
         """
-        value = _build_large(5)
+        value = builders.build_large_configuration(5)
         await self.standin.write(stores.CONFIGURATION_KEY, value)
         await self.read()
         for watched in (False, True):
@@ -223,10 +211,12 @@
         The reads before found other keys moved alone, so this one asks the
         history first. It names the change.
         """
-        await self.standin.write(stores.CONFIGURATION_KEY, _build_large(5))
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_large_configuration(5)
+        )
         await self.read()
         await self.write_others(2)
-        value = _build_large(6)
+        value = builders.build_large_configuration(6)
         before = self.count_sent()
         await self.standin.write(stores.CONFIGURATION_KEY, value)
         await self.standin.write("foreign/key", b"x")
@@ -296,13 +286,15 @@
 
         The read learns of the change while the watch is bringing it.
         """
-        await self.standin.write(stores.CONFIGURATION_KEY, _build_large(5))
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_large_configuration(5)
+        )
         heads = self.source.watch_head()
         await anext(heads)
         waiting = asyncio.ensure_future(anext(heads))
         while "watch" not in self.standin.calls:
             await asyncio.sleep(0)
-        value = _build_large(6)
+        value = builders.build_large_configuration(6)
         before = self.count_sent()
         await self.standin.write(stores.CONFIGURATION_KEY, value)
         self.assertEqual(await self.read(), 6)
@@ -315,14 +307,16 @@
         The link is thin, so the answer of the watch has begun to arrive and
         has not ended when the read has waited its moment.
         """
-        await self.standin.write(stores.CONFIGURATION_KEY, _build_large(5))
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_large_configuration(5)
+        )
         heads = self.source.watch_head()
         await anext(heads)
         waiting = asyncio.ensure_future(anext(heads))
         while "watch" not in self.standin.calls:
             await asyncio.sleep(0)
         self.standin.faults.pause_s = 0.1
-        value = _build_large(6)
+        value = builders.build_large_configuration(6)
         before = self.count_sent()
         await self.standin.write(stores.CONFIGURATION_KEY, value)
         with mock.patch.object(progress, "_WATCH_LEAD_S", 0.1):
@@ -336,7 +330,9 @@
         With one, a link that is too full for a read in time stayed full: each
         read that was given up was followed by the next at once.
         """
-        await self.standin.write(stores.CONFIGURATION_KEY, _build_large(5))
+        await self.standin.write(
+            stores.CONFIGURATION_KEY, builders.build_large_configuration(5)
+        )
         await self.read()
         before = self.standin.sent["range"]
         heads = self.source.watch_head()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,7 @@
 from merlintrestle.platform import store as stores
 from merlintrestle.store import client
 from standins import platform_store
+from tests.platform import builders
 
 # Six parts of an answer, as it travels over a full link.
 _LARGE = bytes(64 * 1024)
@@ -24,12 +25,7 @@
     """The client against the stand-in."""
 
     async def asyncSetUp(self) -> None:
-        self.standin = platform_store.PlatformStoreStandin()
-        await self.standin.start()
-        self.addAsyncCleanup(self.standin.close)
-        self.store = stores.PlatformStore(self.standin.address)
-        await self.store.start()
-        self.addAsyncCleanup(self.store.close)
+        self.standin, self.store = await builders.start_store(self)
 
     async def test_a_write_needs_the_expected_revision(self):
         written = await self.store.put("a", b"1", 0)
--- a/tests/store/test_contract.py
+++ b/tests/store/test_contract.py
@@ -7,9 +7,8 @@
 import unittest
 
 from merlintrestle import errors
-from merlintrestle.platform import store as stores
 from standins import faults
-from standins import platform_store
+from tests.platform import builders as platform_builders
 from tests.standins import builders as standins
 
 _GUARD_S = 30.0
@@ -122,12 +121,7 @@
     """The store of the users' platform."""
 
     async def asyncSetUp(self) -> None:
-        self.standin = platform_store.PlatformStoreStandin()
-        await self.standin.start()
-        self.addAsyncCleanup(self.standin.close)
-        self.store = stores.PlatformStore(self.standin.address)
-        await self.store.start()
-        self.addAsyncCleanup(self.store.close)
+        self.standin, self.store = await platform_builders.start_store(self)
 
     async def lose_answer(self) -> None:
         self.standin.faults.lose_answers = 1
