--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -5,6 +5,8 @@
 import json
 from typing import Any, TYPE_CHECKING
 
+from merlintrestle.documents import loading
+from merlintrestle.platform import configuration as configuration_lib
 from merlintrestle.platform import settings as settings_lib
 from merlintrestle.platform import store as stores
 from standins import platform_store
@@ -12,6 +14,8 @@
 if TYPE_CHECKING:
     import unittest
 
+    from merlintrestle.documents import snapshot as snapshots
+
 SETTINGS = {
     "node": "sidecar-noord-1",
     "ip": "127.0.0.1",
@@ -100,6 +104,16 @@
     return build_configuration(version, *routes)
 
 
+def load_configuration(
+    value: bytes,
+    version: int = 1,
+    before: snapshots.Snapshot | None = None,
+) -> snapshots.Snapshot:
+    """Loads a configuration as a version, after the one before if given."""
+    resources = configuration_lib.build_resources(json.loads(value))
+    return loading.load_snapshot(version, resources, before)
+
+
 async def start_store(
     case: unittest.IsolatedAsyncioTestCase,
 ) -> tuple[platform_store.PlatformStoreStandin, stores.PlatformStore]:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
+from typing import TYPE_CHECKING
 import unittest
 from unittest import mock
 
 from merlintrestle import errors
-from merlintrestle.documents import loading
 from merlintrestle.platform import configuration
 from merlintrestle.platform import store as stores
 from merlintrestle.versions import deltas
@@ -16,15 +15,15 @@
 from tests.platform import builders
 from tests.platform import fleets
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
 
-def _load(value: bytes):
-    resources = configuration.build_resources(json.loads(value))
-    return loading.load_snapshot(1, resources)
+    from merlintrestle.schema import document_pb2
 
 
 class ResourcesTest(unittest.TestCase):
     def test_the_longest_prefix_comes_first(self):
-        snapshot = _load(
+        snapshot = builders.load_configuration(
             builders.build_configuration(
                 1,
                 builders.build_route("a", prefix="/x/"),
@@ -43,7 +42,9 @@
         for kind, repeatable in expected.items():
             with self.subTest(kind=kind):
                 route = builders.build_route("a", kind=kind, priority=0)
-                snapshot = _load(builders.build_configuration(1, route))
+                snapshot = builders.load_configuration(
+                    builders.build_configuration(1, route)
+                )
                 plan = snapshot.hosts["desk.example"][0].plan
                 self.assertEqual(plan.repeatable, repeatable)
                 # Each has a latency target, so none is judged by progress.
@@ -57,7 +58,9 @@
             {"service": "kassa", "weight": 10},
         ]
         route = builders.build_route("a", service=None, split=parts)
-        snapshot = _load(builders.build_configuration(1, route))
+        snapshot = builders.load_configuration(
+            builders.build_configuration(1, route)
+        )
         found = snapshot.hosts["desk.example"][0].parts
         self.assertEqual(
             [tuple(part) for part in found], [("balie", 90), ("kassa", 10)]
@@ -74,7 +77,7 @@
             1, builders.build_route("a", service="gone")
         )
         with self.assertRaises(errors.SnapshotError):
-            _load(value)
+            builders.load_configuration(value)
 
     def test_malformed_values_are_named(self):
         for change in (
@@ -87,26 +90,22 @@
                 route = builders.build_route("a", **change)
                 value = builders.build_configuration(1, route)
                 with self.assertRaises(errors.SnapshotError) as caught:
-                    _load(value)
+                    builders.load_configuration(value)
                 self.assertIn(next(iter(change)), str(caught.exception))
 
     def test_a_delta_carries_one_changed_route(self):
-        before = _load(
+        before = builders.load_configuration(
             builders.build_configuration(
                 1, builders.build_route("a"), builders.build_route("b")
             )
         )
-        after = loading.load_snapshot(
-            2,
-            configuration.build_resources(
-                json.loads(
-                    builders.build_configuration(
-                        2,
-                        builders.build_route("a"),
-                        builders.build_route("b", timeoutMs=500),
-                    )
-                )
+        after = builders.load_configuration(
+            builders.build_configuration(
+                2,
+                builders.build_route("a"),
+                builders.build_route("b", timeoutMs=500),
             ),
+            2,
             before,
         )
         delta = deltas.make_delta(before, after)
@@ -121,20 +120,20 @@
         self.source = configuration.ConfigurationSource(self.store)
 
     async def test_versions_come_in_uneven_steps(self):
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_configuration(5)
-        )
+        await self.write(builders.build_configuration(5))
         versions = []
         async for head in self.source.watch_head():
             snapshot = await self.source.compile_head(head)
             versions.append(snapshot.version)
             if len(versions) == 2:
                 break
-            await self.standin.write(
-                stores.CONFIGURATION_KEY, builders.build_configuration(12)
-            )
+            await self.write(builders.build_configuration(12))
         self.assertEqual(versions, [5, 12])
 
+    async def write(self, value: bytes) -> None:
+        """Writes a configuration as the operators do."""
+        await self.standin.write(stores.CONFIGURATION_KEY, value)
+
     async def read(self) -> int:
         async with asyncio.timeout(fleets.GUARD_S):
             return (await self.source.read_head()).version
@@ -151,7 +150,7 @@
         calls on that link missed their deadlines.
         """
         value = builders.build_large_configuration(5)
-        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.write(value)
         await self.read()
         before = self.count_sent()
         for _ in range(10):
@@ -165,7 +164,7 @@
         is read once, not with each read from then on.
         """
         value = builders.build_large_configuration(5)
-        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.write(value)
         await self.read()
         await self.standin.write("foreign/key", b"x")
         before = self.count_sent()
@@ -181,7 +180,7 @@
         good, also where a watch was open and would have brought a change.
         """
         value = builders.build_large_configuration(5)
-        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.write(value)
         await self.read()
         for watched in (False, True):
             with self.subTest(watched=watched):
@@ -191,13 +190,22 @@
                 await self.write_others(10)
                 self.assertLess(self.count_sent() - before, 2 * len(value))
 
-    async def open_watch(self) -> None:
-        heads = self.source.watch_head()
-        await anext(heads)
+    async def open_watch(self) -> asyncio.Future[document_pb2.Head]:
+        """Opens a watch; returns what it brings after what stands there."""
+        # Forgotten, it would end as soon as it has brought a version.
+        self.heads = self.source.watch_head()
+        await anext(self.heads)
+        return await self.wait_for_watch(self.heads)
+
+    async def wait_for_watch(
+        self, heads: AsyncIterator[document_pb2.Head]
+    ) -> asyncio.Future[document_pb2.Head]:
+        """Asks for the next version until the store has the watch."""
         waiting = asyncio.ensure_future(anext(heads))
         self.addCleanup(waiting.cancel)
         while "watch" not in self.standin.calls:
             await asyncio.sleep(0)
+        return waiting
 
     async def write_others(self, count: int) -> None:
         """Writes another key and reads the head, again and again."""
@@ -205,20 +213,26 @@
             await self.standin.write(f"foreign/{number}", b"x")
             self.assertEqual(await self.read(), 5)
 
+    async def write_unheard(self) -> None:
+        """Writes version 6, of which no history tells, as others write too."""
+        await self.write(builders.build_configuration(5))
+        await self.read()
+        await self.write_others(2)
+        self.standin.faults.deaf = True
+        await self.write(builders.build_configuration(6))
+
     async def test_a_change_among_writes_of_other_keys_is_read(self):
         """A version is in force although others write beside the operators.
 
         The reads before found other keys moved alone, so this one asks the
         history first. It names the change.
         """
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_large_configuration(5)
-        )
+        await self.write(builders.build_large_configuration(5))
         await self.read()
         await self.write_others(2)
         value = builders.build_large_configuration(6)
         before = self.count_sent()
-        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.write(value)
         await self.standin.write("foreign/key", b"x")
         self.assertEqual(await self.read(), 6)
         self.assertLess(self.count_sent() - before, 2 * len(value))
@@ -229,15 +243,7 @@
         Others write, so the history is asked. It hears nothing, and then is
         dropped together with the change: the next question is refused.
         """
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_configuration(5)
-        )
-        await self.read()
-        await self.write_others(2)
-        self.standin.faults.deaf = True
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_configuration(6)
-        )
+        await self.write_unheard()
         await self.read()
         await self.standin.compact()
         self.standin.faults.deaf = False
@@ -249,15 +255,7 @@
         Others write, so the history is asked, and names no change for good.
         What rests on it ends a while after the last read of the value.
         """
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_configuration(5)
-        )
-        await self.read()
-        await self.write_others(2)
-        self.standin.faults.deaf = True
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_configuration(6)
-        )
+        await self.write_unheard()
         with mock.patch.object(progress, "_QUESTIONS_S", 0.0):
             self.assertEqual(await self.read(), 6)
 
@@ -268,17 +266,13 @@
         history. The read sees that the revision moved, waits for the watch
         for a moment and then reads for itself.
         """
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_configuration(5)
-        )
+        await self.write(builders.build_configuration(5))
         heads = self.source.watch_head()
         self.assertEqual((await anext(heads)).version, 5)
         waiting = asyncio.ensure_future(anext(heads))
         self.addCleanup(waiting.cancel)
         self.standin.faults.deaf = True
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_configuration(6)
-        )
+        await self.write(builders.build_configuration(6))
         self.assertEqual(await self.read(), 6)
 
     async def test_what_a_watch_brings_is_not_read_as_well(self):
@@ -286,17 +280,11 @@
 
         The read learns of the change while the watch is bringing it.
         """
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_large_configuration(5)
-        )
-        heads = self.source.watch_head()
-        await anext(heads)
-        waiting = asyncio.ensure_future(anext(heads))
-        while "watch" not in self.standin.calls:
-            await asyncio.sleep(0)
+        await self.write(builders.build_large_configuration(5))
+        waiting = await self.open_watch()
         value = builders.build_large_configuration(6)
         before = self.count_sent()
-        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.write(value)
         self.assertEqual(await self.read(), 6)
         self.assertEqual((await waiting).version, 6)
         self.assertLess(self.count_sent() - before, 2 * len(value))
@@ -307,18 +295,12 @@
         The link is thin, so the answer of the watch has begun to arrive and
         has not ended when the read has waited its moment.
         """
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_large_configuration(5)
-        )
-        heads = self.source.watch_head()
-        await anext(heads)
-        waiting = asyncio.ensure_future(anext(heads))
-        while "watch" not in self.standin.calls:
-            await asyncio.sleep(0)
+        await self.write(builders.build_large_configuration(5))
+        waiting = await self.open_watch()
         self.standin.faults.pause_s = 0.1
         value = builders.build_large_configuration(6)
         before = self.count_sent()
-        await self.standin.write(stores.CONFIGURATION_KEY, value)
+        await self.write(value)
         with mock.patch.object(progress, "_WATCH_LEAD_S", 0.1):
             self.assertEqual(await self.read(), 6)
         self.assertEqual((await waiting).version, 6)
@@ -330,20 +312,16 @@
         With one, a link that is too full for a read in time stayed full: each
         read that was given up was followed by the next at once.
         """
-        await self.standin.write(
-            stores.CONFIGURATION_KEY, builders.build_large_configuration(5)
-        )
+        await self.write(builders.build_large_configuration(5))
         await self.read()
         before = self.standin.sent["range"]
         heads = self.source.watch_head()
         self.assertEqual((await anext(heads)).version, 5)
-        waiting = asyncio.ensure_future(anext(heads))
-        while "watch" not in self.standin.calls:
-            await asyncio.sleep(0)
+        waiting = await self.wait_for_watch(heads)
         waiting.cancel()
         self.assertLess(self.standin.sent["range"] - before, 1000)
 
     async def test_a_malformed_record_is_an_error_and_not_a_version(self):
-        await self.standin.write(stores.CONFIGURATION_KEY, b"{}")
+        await self.write(b"{}")
         with self.assertRaises(errors.SnapshotError):
             await self.source.read_head()
