Build the set-ups of calls in doubt once

Cause: the tests of calls in doubt and of silent connections each replaced the same waits and questions and read the same private parts of a daemon. The builders do it now; assertions, bounds and scenarios are as they were.

--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 from typing import Any, TYPE_CHECKING
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
@@ -17,7 +18,9 @@
 from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.serving import proxy as proxies
 from merlintrestle.requests.transport import bodies
+from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import server
+from merlintrestle.requests.transport import watches
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import request_pb2_grpc
 from merlintrestle.schema import settings_pb2
@@ -25,6 +28,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
+    import unittest
+
+    from merlintrestle.requests.load import budgets
+    from merlintrestle.requests.load import picking
 
 GUARD_S = 10.0
 
@@ -160,6 +167,22 @@
         """Where callers send requests for kassa."""
         return f"http://127.0.0.1:{self.proxy.caller_port}/kassa"
 
+    @property
+    def budget(self) -> budgets.Budget:
+        """The budget for further tries of calls of kassa."""
+        return self.proxy._budgets.get("kassa")
+
+    @property
+    def picker(self) -> picking.Picker:
+        """What picks the upstreams."""
+        return self.proxy._dispatch._picker
+
+    def use_up_budget(self) -> None:
+        """Leaves no budget for further tries."""
+        budget = self.budget
+        while budget.spend():
+            pass
+
     def know(self, other: Node) -> None:
         """Puts a node into this one's table of members."""
         known = self.table.upstreams.get("kassa", ())
@@ -346,3 +369,36 @@
         attempt=0,
         key=key,
     )
+
+
+def hasten_doubt(
+    case: unittest.TestCase, *waits: str, wait_s: float = 0.02
+) -> None:
+    """Has calls be in doubt soon, until the test ends.
+
+    Args:
+        case: The test.
+        *waits: Names of the waits; by default the one for the first byte.
+        wait_s: What they last, in seconds.
+    """
+    for name in waits or ("FIRST_BYTE_S",):
+        case.enterContext(mock.patch.object(watches, name, wait_s))
+
+
+def answer_questions(
+    case: unittest.TestCase, view: probes.View, note: Callable[[], Any]
+) -> None:
+    """Has each question about a call noted and answered so, in this test."""
+
+    async def ask(*arguments: Any) -> probes.View:
+        note()
+        return view
+
+    case.enterContext(mock.patch.object(probes, "ask", ask))
+
+
+def watch_method(owner: type, name: str) -> Any:
+    """Returns a patch by which a method's calls are recorded and still run."""
+    return mock.patch.object(
+        owner, name, autospec=True, side_effect=getattr(owner, name)
+    )
--- a/tests/requests/serving/test_doubt.py
+++ b/tests/requests/serving/test_doubt.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, TYPE_CHECKING
+from typing import TYPE_CHECKING
 import unittest
-from unittest import mock
 
 from aiohttp import web
 
@@ -14,7 +13,6 @@
 from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
-from merlintrestle.requests.transport import watches
 from tests.requests import builders
 from tests.requests import relays
 
@@ -36,17 +34,8 @@
         self.begun = asyncio.Semaphore(0)
         self.cancelled = asyncio.Semaphore(0)
         self.asked = asyncio.Semaphore(0)
-        patch = mock.patch.object(watches, "FIRST_BYTE_S", 0.02)
-        patch.start()
-        self.addCleanup(patch.stop)
-
-        async def ask(*arguments: Any) -> probes.View:
-            self.asked.release()
-            return probes.View(False)
-
-        patch_ask = mock.patch.object(probes, "ask", ask)
-        patch_ask.start()
-        self.addCleanup(patch_ask.stop)
+        builders.hasten_doubt(self)
+        builders.answer_questions(self, probes.View(False), self.asked.release)
 
     async def wait(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers when the test lets it."""
@@ -122,12 +111,7 @@
         one doubt would hide the rest.
         """
         async with relays.connect(self.wait) as (nodes, _, client):
-            with mock.patch.object(
-                stories.Story,
-                "add",
-                autospec=True,
-                side_effect=stories.Story.add,
-            ) as add:
+            with builders.watch_method(stories.Story, "add") as add:
                 call = asyncio.create_task(client.get(nodes[0].url + "/x"))
                 await self.wait_for_questions(4)
                 self.go_on.set()
@@ -196,10 +180,9 @@
             closed = closed._replace(suspect=True)
             nodes[0].table.upstreams["kassa"] = (slow, closed)
             nodes[2].holder.running = None
-            picker = nodes[0].proxy._dispatch._picker
             call = asyncio.create_task(client.get(nodes[0].url + "/x"))
             await self.begun.acquire()
-            while not picker.observe(closed.member_id).refused_until:
+            while not nodes[0].picker.observe(closed.member_id).refused_until:
                 await asyncio.sleep(0)
             self.go_on.set()
             self.assertEqual(await (await call).read(), b"whole")
@@ -227,9 +210,7 @@
         No upstream answers questions, and the budget for retries is used up.
         """
         async with relays.connect(self.wait, 3) as (nodes, _, client):
-            budget = nodes[0].proxy._budgets.get("kassa")
-            while budget.spend():
-                pass
+            nodes[0].use_up_budget()
             call = asyncio.create_task(client.get(nodes[0].url + "/x"))
             await self.wait_for_questions(3)
             self.go_on.set()
@@ -247,8 +228,10 @@
                 client.put(nodes[0].url + "/x", data=body)
             )
             await self.wait_for_questions(3)
-            picker = nodes[0].proxy._dispatch._picker
-            sent = [picker.observe(one.member_id).in_flight for one in nodes]
+            sent = [
+                nodes[0].picker.observe(one.member_id).in_flight
+                for one in nodes
+            ]
             self.assertEqual(sum(sent), 1)
             self.go_on.set()
             self.assertEqual(await (await call).read(), b"whole")
@@ -291,20 +274,7 @@
         self.go_on = asyncio.Event()
         self.first: int | None = None
         self.asked = asyncio.Event()
-        patch = mock.patch.object(watches, "FIRST_BYTE_S", 0.02)
-        patch.start()
-        self.addCleanup(patch.stop)
-
-    def answer_questions(self, view: probes.View) -> None:
-        """Has each question about a call answered so."""
-
-        async def ask(*arguments: Any) -> probes.View:
-            self.asked.set()
-            return view
-
-        patch = mock.patch.object(probes, "ask", ask)
-        patch.start()
-        self.addCleanup(patch.stop)
+        builders.hasten_doubt(self)
 
     async def wait(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers when the test lets it."""
@@ -325,7 +295,7 @@
 
     async def check_slow_upstream(self, view: probes.View) -> None:
         """The caller gets the other upstream's answer."""
-        self.answer_questions(view)
+        builders.answer_questions(self, view, self.asked.set)
         async with relays.connect(self.answer_second, 3, running=_PATIENT) as (
             nodes,
             _,
@@ -356,21 +326,17 @@
         self, plan: snapshot.ClassPlan, paid: bool
     ) -> None:
         """The caller gets its answer of the one run."""
-        self.answer_questions(probes.View(True))
+        builders.answer_questions(self, probes.View(True), self.asked.set)
         running = builders.build_snapshot({"/": plan})
         async with relays.connect(self.wait, running=running) as (
             nodes,
             _,
             client,
         ):
-            budget = nodes[0].proxy._budgets.get("kassa")
-            while not paid and budget.spend():
-                pass
-            with mock.patch.object(
-                dispatch.Dispatch,
-                "_answer_doubt",
-                autospec=True,
-                side_effect=dispatch.Dispatch._answer_doubt,
+            if not paid:
+                nodes[0].use_up_budget()
+            with builders.watch_method(
+                dispatch.Dispatch, "_answer_doubt"
             ) as doubted:
                 call = asyncio.create_task(client.get(nodes[0].url + "/x"))
                 while not doubted.called:
@@ -399,9 +365,9 @@
         A call is in doubt as its peer is silent, and there is no other
         upstream: nothing is sent, and nothing is paid.
         """
-        self.answer_questions(probes.View(False))
+        builders.answer_questions(self, probes.View(False), self.asked.set)
         async with relays.connect(self.wait) as (nodes, _, client):
-            budget = nodes[0].proxy._budgets.get("kassa")
+            budget = nodes[0].budget
             before = budget.left
             call = asyncio.create_task(client.get(nodes[0].url + "/x"))
             for _ in range(3):
--- a/tests/requests/transport/test_connections.py
+++ b/tests/requests/transport/test_connections.py
@@ -271,9 +271,7 @@
     """The one timer of a connection, which outlives its calls."""
 
     def setUp(self) -> None:
-        patch = mock.patch.object(watches, "FIRST_BYTE_S", 0.01)
-        patch.start()
-        self.addCleanup(patch.stop)
+        builders.hasten_doubt(self, wait_s=0.01)
 
     async def test_cleared_alarm_stays_silent(self) -> None:
         """A download is not cut at the deadline that its headers have kept."""
--- a/tests/requests/transport/test_silence.py
+++ b/tests/requests/transport/test_silence.py
@@ -27,10 +27,7 @@
         self.begun = asyncio.Event()
         self.go_on = asyncio.Event()
         self.asked = asyncio.Semaphore(0)
-        for name in ("FIRST_BYTE_S", "TRANSFER_S"):
-            patch = mock.patch.object(watches, name, 0.02)
-            patch.start()
-            self.addCleanup(patch.stop)
+        builders.hasten_doubt(self, "FIRST_BYTE_S", "TRANSFER_S")
         ask = probes.ask
 
         async def count(*arguments: Any) -> probes.View:
@@ -38,9 +35,7 @@
             self.asked.release()
             return view
 
-        patch_ask = mock.patch.object(probes, "ask", count)
-        patch_ask.start()
-        self.addCleanup(patch_ask.stop)
+        self.enterContext(mock.patch.object(probes, "ask", count))
 
     async def wait(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers when the test lets it."""
@@ -108,12 +103,7 @@
                 self.go_on.set()
                 await asyncio.gather(*calls)
             relay.silence()
-            with mock.patch.object(
-                pools.Pool,
-                "drop",
-                autospec=True,
-                side_effect=pools.Pool.drop,
-            ) as drop:
+            with builders.watch_method(pools.Pool, "drop") as drop:
                 for _ in range(3):
                     self.assertEqual((await client.get(url)).status, 200)
             self.assertEqual(drop.call_count, 1)
--- a/tests/requests/transport/test_watches.py
+++ b/tests/requests/transport/test_watches.py
@@ -20,9 +20,7 @@
     """A peer answers questions as the test says."""
 
     def setUp(self) -> None:
-        patch = mock.patch.object(watches, "FIRST_BYTE_S", 0.01)
-        patch.start()
-        self.addCleanup(patch.stop)
+        builders.hasten_doubt(self, wait_s=0.01)
         self.reported: asyncio.Queue[doubts.Doubt] = asyncio.Queue()
 
     async def ask(self, *views: probes.View, hears: int = 0) -> bool:
