--- a/tests/versions/test_fleet.py
+++ b/tests/versions/test_fleet.py
@@ -240,13 +240,7 @@
         lost = self.daemons.pop()
         await lost.close()
         await self.wait_for_state(lost.id, control_pb2.DEAD)
-        again = builders.Daemon(
-            self.configuration,
-            seeds=[self.daemons[0].id],
-            port=lost.server.port,
-        )
-        self.daemons.append(again)
-        await again.start()
+        await self.start_daemons(1, port=lost.server.port)
         await self.wait_for_state(lost.id, control_pb2.ALIVE)
         await self.wait_for_version(1)
 
@@ -358,13 +352,8 @@
         )
         lost = self.daemons.pop()
         await lost.close()
-        again = builders.Daemon(
-            self.configuration,
-            seeds=[self.daemons[0].id],
-            port=lost.server.port,
-        )
-        self.daemons.append(again)
-        await again.start()
+        await self.start_daemons(1, port=lost.server.port)
+        again = self.daemons[-1]
         await self.wait_for_version(1)
         self.assertEqual(again.holder.closed_reason, "")
 
