Take no pause of a caller for silence of a peer

What callers see: a long answer over another daemon is reset after ten seconds in which its caller took nothing, though all of it had been sent; a receiver that takes nothing has twenty.

Cause: the daemon stops reading for a caller that pauses, so it has fewer bytes than the other one sent, and two looks at that closed the answer. Its own pause was taken for the silence of another.

A look at which this daemon itself reads no more says nothing.

--- a/merlintrestle/requests/transport/answers.py
+++ b/merlintrestle/requests/transport/answers.py
@@ -28,21 +28,32 @@
         headers: Its headers.
         content: Its body, as it comes.
         close: Cuts what is still to come of it.
+        is_paused: Returns whether this daemon itself reads no more of it for
+            the time being.
     """
 
-    __slots__ = ("close", "content", "headers", "reason", "status")
+    __slots__ = (
+        "close",
+        "content",
+        "headers",
+        "is_paused",
+        "reason",
+        "status",
+    )
 
     def __init__(
         self,
         message: http.RawResponseMessage,
         content: aiohttp.StreamReader,
         close: Callable[[], None],
+        is_paused: Callable[[], bool],
     ):
         self.status = message.code
         self.reason = message.reason
         self.headers = message.headers
         self.content = content
         self.close = close
+        self.is_paused = is_paused
 
     @property
     def content_length(self) -> int | None:
--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -150,7 +150,9 @@
             message, content = await self.read()
             if message.code > _LAST_INFORMATIONAL:
                 self.keep_alive_s = _read_keep_alive(message.headers)
-                return answers.Answer(message, content, self.abort)
+                return answers.Answer(
+                    message, content, self.abort, self.is_paused
+                )
             if message.code == _SWITCHING_PROTOCOLS:
                 raise aiohttp.ClientPayloadError("nobody asked to upgrade")
 
@@ -205,13 +207,17 @@
         self._traffic.received += len(data)
         super().data_received(data)
 
+    def is_paused(self) -> bool:
+        """Returns whether no more is read, as what was read is not taken."""
+        return self._reading_paused or self._buffer_paused
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Reads on; called by a body as it is read and as it ends.
 
         The library reads on also where nothing was paused, and has its parser
         look through no bytes at all for every body.
         """
-        if self._reading_paused or self._buffer_paused:
+        if self.is_paused():
             super().resume_reading(resume_parser)
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/merlintrestle/requests/transport/watches.py
+++ b/merlintrestle/requests/transport/watches.py
@@ -151,7 +151,8 @@
     The signal is that the peer has sent off more than has come, or all there
     was, and that nothing came between two looks. A transfer that waits for its
     backend server has all that the peer sent, and is left alone however long
-    it takes.
+    it takes. So is one whose caller takes nothing, for which this daemon stops
+    reading.
     """
     content = response.content
     missing = False
@@ -164,6 +165,8 @@
         view = await probes.ask(pool, address, call_id)
         sent_more = view.written > content.total_bytes
         late = view.answers and (sent_more or not view.in_flight)
+        if response.is_paused():
+            late = False
         if missing and late and content.total_bytes == received:
             response.close()
             return
