Take calls of work in flight while a daemon drains on the platform

What callers see: a planned stop of the daemon beside a backend server has work in flight there fail with 500: the calls that it makes are refused with 503 as 'this daemon is stopping'.

Cause: such calls are let through by a header that tells their depth, and the platform's backend servers pass none on, so the guard never held there.

The dialect says whether a request may be made by work of this instance; the platform's says yes while the own backend server is at work.

--- a/merlintrestle/platform/requests.py
+++ b/merlintrestle/platform/requests.py
@@ -78,6 +78,14 @@
     )
 
 
+@dialects.may_be_nested.register(PlatformDialect)
+def _may_be_nested(
+    dialect: PlatformDialect, request: web.BaseRequest, working: bool
+) -> bool:
+    # Its backend servers don't tell; any request may be theirs while they work.
+    return working
+
+
 @dialects.render.register(PlatformDialect)
 def _render(
     dialect: PlatformDialect,
--- a/merlintrestle/requests/calls/dialect.py
+++ b/merlintrestle/requests/calls/dialect.py
@@ -47,6 +47,21 @@
     raise TypeError(f"not a dialect: {dialect!r}")
 
 
+@generics.remember_choices
+@functools.singledispatch
+def may_be_nested(
+    dialect: object, request: web.BaseRequest, working: bool
+) -> bool:
+    """Returns whether a request may be made by work of this instance.
+
+    Args:
+        dialect: How callers speak.
+        request: The request.
+        working: The own backend server is at work.
+    """
+    raise TypeError(f"not a dialect: {dialect!r}")
+
+
 @generics.remember_choices
 @functools.singledispatch
 def render(
@@ -106,6 +121,13 @@
     return intake.read_asked(request)
 
 
+@may_be_nested.register(OwnDialect)
+def _may_be_nested(
+    dialect: OwnDialect, request: web.BaseRequest, working: bool
+) -> bool:
+    return intake.get_depth(request) > 0
+
+
 @render.register(OwnDialect)
 def _render(
     dialect: OwnDialect, outcome: outcomes.Failure, request: web.BaseRequest
--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -51,6 +51,10 @@
         """Calls that hold a slot."""
         return self._slots.in_flight
 
+    def is_working(self) -> bool:
+        """Returns whether the own backend server is at work on some call."""
+        return self._slots.in_flight > 0
+
     def has_room(self) -> bool:
         """Returns whether some slot is free, so that work may stay here."""
         backend = self._backend
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -13,6 +13,8 @@
 from merlintrestle.requests.serving import answering
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aiohttp import web
 
     from merlintrestle.requests.calls import call as calls
@@ -33,8 +35,19 @@
         dispatch: dispatches.Dispatch,
         statistics: statistics_.Statistics,
         latencies: latencies_.Latencies,
+        is_working: Callable[[], bool],
     ):
-        """Sets the parts; the dialect is that of the callers."""
+        """Sets the parts.
+
+        Args:
+            standing: Whether requests are taken.
+            dialect: How the callers speak.
+            dispatch: Sends calls to upstreams.
+            statistics: What became of the calls of each class.
+            latencies: How long callers waited.
+            is_working: Returns whether the own backend server is at work.
+        """
+        self._is_working = is_working
         self._standing = standing
         self._dialect = dialect
         self._dispatch = dispatch
@@ -50,7 +63,9 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         began = self._get_time()
-        running = self._standing.get_running(intake.get_depth(request) > 0)
+        running = self._standing.get_running(
+            dialects.may_be_nested(self._dialect, request, self._is_working())
+        )
         if isinstance(running, outcomes.NotRun):
             return self._refuse(running, request)
         match = dialects.match_caller(self._dialect, running, request)
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -176,6 +176,7 @@
             self._dispatch,
             self.statistics,
             self.latencies,
+            self._slots.is_working,
         )
         self._peer_side = peers.Peers(
             self._standing, self._beside, self._slots, self._link
