Bound the waits for a suspect's turn and for a claim by when a call is to begin

What callers see: 504, 'may have run', for a call that no backend server was sent, when it waited at another daemon for other suspects or for the store's answer to its claim: these waits had a second, whatever time the call had.

A call whose time is over keeps nothing for its way back instead of less than nothing.

--- a/merlintrestle/requests/crashing/crashes.py
+++ b/merlintrestle/requests/crashing/crashes.py
@@ -73,7 +73,10 @@
         if not self._is_suspect(call):
             return None
         try:
-            async with asyncio.timeout(_SUSPECT_WAIT_S):
+            async with (
+                asyncio.timeout(_SUSPECT_WAIT_S),
+                asyncio.timeout_at(call.refuse_by),
+            ):
                 await self._suspect_slot.acquire()
         except TimeoutError:
             return outcomes.NotRun(
--- a/merlintrestle/requests/load/ways.py
+++ b/merlintrestle/requests/load/ways.py
@@ -51,7 +51,7 @@
         Args:
             left_s: Time that is left of the call.
         """
-        return min(self.get(), _MOST_PART * left_s)
+        return min(self.get(), _MOST_PART * max(0.0, left_s))
 
     def has_time(self, left_s: float) -> bool:
         """Returns whether an answer could come back in the time left."""
--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -149,7 +149,10 @@
         )
         written_at = self._get_boot_time()
         try:
-            async with asyncio.timeout(STORE_S):
+            async with (
+                asyncio.timeout(STORE_S),
+                asyncio.timeout_at(call.refuse_by),
+            ):
                 entry = await self._write(claim_key, claim, expected_revision)
         except (errors.StoreError, TimeoutError):
             # The write may still take effect later. It does no harm: under
@@ -190,7 +193,10 @@
         if age_s < _FRESH_S:
             return None
         try:
-            async with asyncio.timeout(STORE_S):
+            async with (
+                asyncio.timeout(STORE_S),
+                asyncio.timeout_at(call.refuse_by),
+            ):
                 entry = await self._store.get(held.record.claim_key)
         except (errors.StoreError, TimeoutError):
             return outcomes.NotRun("the store does not answer")
