Look at each upstream once a pick

Cause: where backend servers are full, most picks find no upstream that may take work: two draws of three pairs and the search through all asked the same few upstreams up to 17 times, and weighed each by two estimates that both ask how old its load is. Change: what takes no work is remembered for the pick; calls and soundness are estimated together. The random numbers are drawn as before. Ruled out: ending a draw early once all are known to take nothing: the numbers drawn would be others, and a pick could not be compared with that before.

--- a/merlintrestle/requests/load/observations.py
+++ b/merlintrestle/requests/load/observations.py
@@ -113,21 +113,27 @@
 
     def estimate_calls(self, now: float) -> int:
         """Returns the calls that the upstream has, those of others too."""
-        load = self.load
-        if load is None or not self.knows_load(now):
-            return self.in_flight
-        others = max(0, load.calls - self.sent_at_load)
-        return others + self.in_flight
+        return self.estimate(now)[0]
 
     def estimate_soundness(self, now: float) -> float:
         """Returns the part of the calls lately that ended well there.
 
         What its daemon tells is of all calls, those of others too.
         """
+        return self.estimate(now)[1]
+
+    def estimate(self, now: float) -> tuple[int, float]:
+        """Returns `estimate_calls` and `estimate_soundness`."""
         load = self.load
-        if load is None or not self.knows_load(now):
-            return self.soundness
-        return max(_LEAST_SOUNDNESS, min(self.soundness, load.accepted))
+        if load is None or now - self.load_at > LOAD_AGE_S:
+            return self.in_flight, self.soundness
+        calls = self.in_flight
+        if load.calls > self.sent_at_load:
+            calls += load.calls - self.sent_at_load
+        soundness = self.soundness
+        if load.accepted < soundness:
+            soundness = max(_LEAST_SOUNDNESS, load.accepted)
+        return calls, soundness
 
     def estimate_backlog_s(self, now: float) -> float:
         """Returns the time for which its link has long answers to send.
@@ -214,9 +220,9 @@
 
     def may_take(self, now: float) -> bool:
         """Returns whether it may be sent work before the others are tried."""
-        if self.ejected_until:
+        if self.ejected_until or now < self.refused_until:
             return False
-        return now >= self.refused_until and not self.is_stalled(now)
+        return not (self.awaiting and self.is_stalled(now))
 
     def may_probe(self, now: float) -> bool:
         """Returns whether it is time to try an ejected upstream by one call."""
--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -187,11 +187,13 @@
             if due is not None:
                 return due
         near = pool.near if len(tried) < _NEAR_TRIES else ()
+        # What was found to take no work is not looked at again for this call.
+        avoided = set(tried)
         for among in (near, pool.upstreams):
-            picked = self._draw(among, tried, now)
+            picked = self._draw(among, avoided, now)
             if picked is not None:
                 return picked
-        return self._search(pool.upstreams, tried, now)
+        return self._search(pool.upstreams, tried, avoided, now)
 
     def _prepare(
         self, service: str, upstreams: tuple[tables.Upstream, ...]
@@ -236,10 +238,13 @@
     def _draw(
         self,
         among: Sequence[tables.Upstream],
-        tried: Collection[str],
+        avoided: set[str],
         now: float,
     ) -> tables.Upstream | None:
-        """Returns the better of two drawn that may take work and have room."""
+        """Returns the better of two drawn that may take work and have room.
+
+        Those that may take none are added to `avoided`.
+        """
         count = len(among)
         if not count:
             return None
@@ -251,9 +256,10 @@
             second += second >= first and count > 1
             for index in (first, second):
                 upstream = among[index]
-                if upstream.member_id in tried or not self._may_take(
-                    upstream, now
-                ):
+                if upstream.member_id in avoided or upstream is best:
+                    continue
+                if not self._may_take(upstream, now):
+                    avoided.add(upstream.member_id)
                     continue
                 if best is None or self._is_better(upstream, best, now):
                     best = upstream
@@ -266,6 +272,7 @@
         self,
         upstreams: Sequence[tables.Upstream],
         tried: Collection[str],
+        avoided: set[str],
         now: float,
     ) -> tables.Upstream | None:
         """Returns the best of all, also of those that are better avoided.
@@ -278,11 +285,15 @@
         for upstream in upstreams:
             if upstream.member_id in tried:
                 continue
-            observation = self.observe(upstream.member_id)
+            seen = self.observe(upstream.member_id)
+            may_take = upstream.member_id not in avoided and self._may_take(
+                upstream, now
+            )
+            weight = self._weigh(upstream, seen, now)
             rank = (
-                self._may_take(upstream, now),
-                not observation.ejected_until,
-                -self._weigh(upstream, now) * (1 + self._chance.random() / 8),
+                may_take,
+                not seen.ejected_until,
+                -weight * (1 + self._chance.random() / 8),
             )
             if best is None or rank > best_rank:
                 best, best_rank = upstream, rank
@@ -301,10 +312,10 @@
     def _is_better(
         self, one: tables.Upstream, other: tables.Upstream, now: float
     ) -> bool:
-        weight = self._weigh(one, now)
-        other_weight = self._weigh(other, now)
         seen = self.observe(one.member_id)
         other_seen = self.observe(other.member_id)
+        weight = self._weigh(one, seen, now)
+        other_weight = self._weigh(other, other_seen, now)
         if seen.load and other_seen.load:
             # Seconds until it would have a slot, and its answer the link.
             weight *= seen.load.hold_s
@@ -316,7 +327,12 @@
             other_weight *= other_seen.slowness
         return weight < other_weight
 
-    def _weigh(self, upstream: tables.Upstream, now: float) -> float:
+    def _weigh(
+        self,
+        upstream: tables.Upstream,
+        seen: observations.Observation,
+        now: float,
+    ) -> float:
         """Returns the load that one more call would make.
 
         An upstream that fails some of its calls counts as fuller than it is:
@@ -324,10 +340,9 @@
         Squared, one that fails every third call is chosen when its load is
         less than half of that of the others.
         """
-        seen = self.observe(upstream.member_id)
-        soundness = seen.estimate_soundness(now)
+        calls, soundness = seen.estimate(now)
         room = upstream.slots * self._get_share(upstream, now) * soundness**2
-        return (seen.estimate_calls(now) + 1) / room
+        return (calls + 1) / room
 
     def _get_share(self, upstream: tables.Upstream, now: float) -> float:
         """Returns the part of its slots that a cold upstream is given.
