Write refusals in one go

Cause: under load most answers are refusals, to callers and to other daemons. `web.Response` prepares each as if it might have cookies, compression or chunks, and the generic functions on their way looked their implementations up by a dictionary of weak references each time. Change: answers.Short knows its length and type. To a sender that reads on over HTTP/1.1 it writes head and body at once, in all other cases it does as before. outcomes.render and retries.classify remember their choices as the others do. Ruled out: leaving out Server and the like: what callers see stays as it is.

--- a/merlintrestle/platform/requests.py
+++ b/merlintrestle/platform/requests.py
@@ -7,20 +7,21 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import hdrs
-from aiohttp import web
 import multidict
 
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import intake
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import routing
+from merlintrestle.requests.transport import answers
 from merlintrestle.requests.transport import headers
 
 if TYPE_CHECKING:
+    from aiohttp import web
+
     from merlintrestle.documents import snapshot
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests.calls import call as calls
-    from merlintrestle.requests.transport import answers
 
 # Id of one attempt of a caller; a retry of its own has another one.
 _ATTEMPT_ID = multidict.istr("X-Attempt-Id")
@@ -84,8 +85,8 @@
     outcome: outcomes.Failure,
     request: web.BaseRequest,
 ) -> web.Response:
-    response = web.Response(
-        status=_choose_status(outcome), text=outcome.reason + "\n"
+    response = answers.Short(
+        _choose_status(outcome), "text/plain", outcome.reason + "\n"
     )
     attempt_id = request.headers.get(_ATTEMPT_ID)
     if attempt_id is not None:
--- a/merlintrestle/requests/calls/outcomes.py
+++ b/merlintrestle/requests/calls/outcomes.py
@@ -11,14 +11,14 @@
 from aiohttp import web
 import multidict
 
+from merlintrestle import generics
+from merlintrestle.requests.transport import answers
 from merlintrestle.requests.transport import headers
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
 
-    from merlintrestle.requests.transport import answers
-
 
 # Status by which a backend server sheds load.
 SHEDDING = 503
@@ -148,6 +148,7 @@
         outcome.release()
 
 
+@generics.remember_choices
 @functools.singledispatch
 def render(outcome: object) -> web.Response:
     """Returns the answer to a caller that needs no body passed on."""
@@ -218,7 +219,9 @@
     fields: dict[str, object] = {"outcome": name}
     for field in outcome.__slots__:
         fields[field] = getattr(outcome, field)
-    response = web.json_response(fields, status=outcome.status)
+    response = answers.Short(
+        outcome.status, "application/json", json.dumps(fields)
+    )
     response.headers[headers.OUTCOME] = name
     if retry_after_s is not None:
         response.headers["Retry-After"] = str(max(1, math.ceil(retry_after_s)))
--- a/merlintrestle/requests/load/retries.py
+++ b/merlintrestle/requests/load/retries.py
@@ -5,6 +5,7 @@
 import enum
 import functools
 
+from merlintrestle import generics
 from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.calls import outcomes
 
@@ -26,6 +27,7 @@
     BUDGETED = enum.auto()
 
 
+@generics.remember_choices
 @functools.singledispatch
 def classify(outcome: object, call: calls.Call) -> Retry:
     """Returns whether a call with this outcome may be tried again."""
--- a/merlintrestle/requests/transport/answers.py
+++ b/merlintrestle/requests/transport/answers.py
@@ -1,4 +1,4 @@
-"""Answers whose headers are read, and how those held whole are written."""
+"""Answers whose headers are read, and how those known whole are written."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
 from aiohttp import helpers
 from aiohttp import http
 from aiohttp import web
+import multidict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     import aiohttp
     from aiohttp import abc
-    import multidict
 
 _UNKNOWN_TYPE = "application/octet-stream"
 
@@ -112,6 +112,49 @@
         """Does nothing: all is written."""
 
 
+class Short(web.Response):
+    """A short answer that the daemon makes itself, mostly a refusal.
+
+    Under load most answers are refusals. To a sender that reads on it is
+    written in one go; what goes over the connection is the same either way.
+    """
+
+    def __init__(self, status: int, content_type: str, text: str):
+        """Sets the answer; other headers may be added to it."""
+        headers = multidict.CIMultiDict(
+            {hdrs.CONTENT_TYPE: f"{content_type}; charset=utf-8"}
+        )
+        # `web.Response` would look through its arguments, which are known.
+        web.StreamResponse.__init__(self, status=status, _real_headers=headers)
+        self._body = text.encode()
+
+    async def prepare(
+        self, request: web.BaseRequest
+    ) -> abc.AbstractStreamWriter | None:
+        """Writes the whole answer, or its head where more is to be decided."""
+        body = self._body
+        if (
+            self.prepared
+            or self._keep_alive is not None
+            or not request.keep_alive
+            or request.version != http.HttpVersion11
+            or request.method == hdrs.METH_HEAD
+            or not isinstance(body, bytes)
+        ):
+            return await super().prepare(request)
+        self._keep_alive = True
+        headers = self._headers
+        headers[hdrs.CONTENT_LENGTH] = str(len(body))
+        headers[hdrs.DATE] = helpers.rfc822_formatted_time()
+        headers[hdrs.SERVER] = http.SERVER_SOFTWARE
+        writer = request.writer
+        line = f"HTTP/1.1 {self._status} {self._reason}"
+        await writer.write_headers(line, headers)
+        await writer.write_eof(body)
+        self._eof_sent = True
+        return writer
+
+
 def _complete(headers: multidict.CIMultiDict[str], body: bytes) -> None:
     """Adds what the headers of an answer lack, as `web.Response` would."""
     length = str(len(body))
