Leave it to the event loop to send small packets at once

Cause: the library turns Nagle's algorithm off for each connection at either end, by a socket object made for that: three system calls. Event loops do so themselves for what they open or accept. Change: protocols.Undelayed, behind the library's class in the bases of both protocols, only takes the transport. Ruled out: no keep-alive option on accepted connections, two system calls more: by the system's settings it may find a caller that is gone. Kept connections for questions or for work that may not be repeated: they may be what is silent.

--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -16,6 +16,7 @@
 
 from merlintrestle.requests.reports import traffic as traffics
 from merlintrestle.requests.transport import answers
+from merlintrestle.requests.transport import protocols
 
 if TYPE_CHECKING:
     import asyncio
@@ -36,7 +37,7 @@
 _BODILESS_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
 
 
-class Connection(client_proto.ResponseHandler):
+class Connection(client_proto.ResponseHandler, protocols.Undelayed):
     """One connection, which carries one call at a time.
 
     Attributes:
--- a/merlintrestle/requests/transport/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -13,6 +13,7 @@
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.reports import traffic as traffics
 from merlintrestle.requests.transport import bodies
+from merlintrestle.requests.transport import protocols
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
@@ -114,7 +115,7 @@
         )
 
 
-class _Connection(web.RequestHandler):
+class _Connection(web.RequestHandler, protocols.Undelayed):
     """One connection; answers that the library makes state an outcome too."""
 
     __slots__ = ("_first_request", "_traffic")
