Write log lines without what they do not show

Cause: under load each daemon writes some hundred lines a second, at the rates that bound them. For each record the library walked the stack for its place in the code and asked for thread and process; no line shows them. json.dumps with a default makes an encoder each time, and the second of each time was formatted anew. Change: the switches that the library has for this, one encoder, and the last seconds kept.

--- a/merlintrestle/logs.py
+++ b/merlintrestle/logs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import functools
 import json
 import logging
 import os
@@ -18,6 +19,8 @@
 _FLUSH_S = 0.05
 # What one write hands over at most, in bytes: a pipe usually holds as much.
 _WRITE_BYTES = 64 * 1024
+# `json.dumps` would make an encoder for each line.
+_encode = json.JSONEncoder(default=str).encode
 
 
 class TextFormatter(logging.Formatter):
@@ -54,7 +57,7 @@
         }
         if record.exc_info:
             fields["exception"] = self.formatException(record.exc_info)
-        return json.dumps(fields, default=str)
+        return _encode(fields)
 
 
 class LineHandler(logging.Handler):
@@ -151,6 +154,12 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
+    # What no line here shows, and each record would look for: threads,
+    # processes, and the place in the code by way of the stack.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    logging._srcfile = None
     # These log each connection and each start of a task at info level.
     for noisy in ("aiohttp", "mode", "asyncio"):
         logging.getLogger(noisy).setLevel(logging.WARNING)
@@ -158,5 +167,10 @@
 
 
 def _format_time(seconds: float) -> str:
-    whole = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
-    return f"{whole}.{int(seconds % 1 * 1000):03d}Z"
+    return f"{_format_second(int(seconds))}.{int(seconds % 1 * 1000):03d}Z"
+
+
+@functools.lru_cache(maxsize=4)
+def _format_second(second: int) -> str:
+    """Returns a time without its parts of a second; lines come in bursts."""
+    return time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
