Read a reported load with fewer looks at each figure

Cause: each answer of a daemon tells its load; each of six figures was looked at for being decimal and then converted one by one. Change: one look at all of them, one conversion. 300,000 texts, well and badly formed, give the same as before. One of more than 4,300 digits is malformed now; it raised an error of Python's limit on such numbers.

--- a/merlintrestle/requests/load/loads.py
+++ b/merlintrestle/requests/load/loads.py
@@ -56,12 +56,17 @@
 def decode_load(text: str) -> Load | None:
     """Returns the load in the text of a header; None: it is malformed."""
     figures = text.split(",")
-    if len(figures) not in _FIELDS or not all(map(str.isdecimal, figures)):
+    count = len(figures)
+    # Numbers of Python may have signs, blanks and underscores as well.
+    if count not in _FIELDS or not "".join(figures).isdecimal():
+        return None
+    try:
+        stated = list(map(int, figures))
+    except ValueError:
         return None
-    stated = [int(figure) for figure in figures]
     if max(stated) > _MAX_FIGURE:
         return None
-    told = stated + _UNTOLD[len(stated) :]
+    told = stated + _UNTOLD[count:]
     calls, slots, hold_ms, link_ms, accepted, spent_ms = told
     return Load(
         calls,
@@ -69,5 +74,5 @@
         hold_ms / 1000,
         link_ms / 1000,
         min(accepted, _WHOLE) / _WHOLE,
-        spent_ms / 1000 if len(stated) == _FIELDS[-1] else None,
+        spent_ms / 1000 if count == _FIELDS[-1] else None,
     )
