--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -121,11 +121,13 @@
             if due is not None:
                 return due
         near = pool.near if len(tried) < _NEAR_TRIES else ()
+        # What was found to take no work is not looked at again for this call.
+        avoided = set(tried)
         for among in (near, pool.upstreams):
-            picked = self._draw(among, tried, now)
+            picked = self._draw(among, avoided, now)
             if picked is not None:
                 return picked
-        return self._search(pool.upstreams, tried, now)
+        return self._search(pool.upstreams, tried, avoided, now)
 
     def _prepare(
         self, service: str, upstreams: tuple[tables.Upstream, ...]
@@ -160,10 +162,13 @@
     def _draw(
         self,
         among: Sequence[tables.Upstream],
-        tried: Collection[str],
+        avoided: set[str],
         now: float,
     ) -> tables.Upstream | None:
-        """Returns the better of two drawn that may take work and have room."""
+        """Returns the better of two drawn that may take work and have room.
+
+        Those that may take none are added to `avoided`.
+        """
         count = len(among)
         if not count:
             return None
@@ -172,9 +177,10 @@
         for _ in range(_DRAWS):
             for index in self._draw_pair(count):
                 upstream = among[index]
-                if upstream.member_id in tried:
+                if upstream.member_id in avoided or upstream is best:
                     continue
                 if not scales.may_take(upstream, now):
+                    avoided.add(upstream.member_id)
                     continue
                 if best is None or scales.is_better(upstream, best, now):
                     best = upstream
@@ -195,6 +201,7 @@
         self,
         upstreams: Sequence[tables.Upstream],
         tried: Collection[str],
+        avoided: set[str],
         now: float,
     ) -> tables.Upstream | None:
         """Returns the best of all, also of those that are better avoided.
@@ -207,12 +214,16 @@
         for upstream in upstreams:
             if upstream.member_id in tried:
                 continue
-            observation = self._scales.observe(upstream.member_id)
+            seen = self._scales.observe(upstream.member_id)
+            may_take = (
+                upstream.member_id not in avoided
+                and self._scales.may_take(upstream, now)
+            )
+            weight = self._scales.weigh(upstream, seen, now)
             rank = (
-                self._scales.may_take(upstream, now),
-                not observation.ejected_until,
-                -self._scales.weigh(upstream, now)
-                * (1 + self._chance.random() / 8),
+                may_take,
+                not seen.ejected_until,
+                -weight * (1 + self._chance.random() / 8),
             )
             if best is None or rank > best_rank:
                 best, best_rank = upstream, rank
--- a/merlintrestle/requests/load/weighing.py
+++ b/merlintrestle/requests/load/weighing.py
@@ -144,10 +144,10 @@
         self, one: tables.Upstream, other: tables.Upstream, now: float
     ) -> bool:
         """Returns whether one more call is better sent to one than another."""
-        weight = self.weigh(one, now)
-        other_weight = self.weigh(other, now)
         seen = self.observe(one.member_id)
         other_seen = self.observe(other.member_id)
+        weight = self.weigh(one, seen, now)
+        other_weight = self.weigh(other, other_seen, now)
         if seen.load and other_seen.load:
             # Seconds until it would have a slot, and its answer the link.
             weight *= seen.load.hold_s
@@ -159,7 +159,12 @@
             other_weight *= other_seen.slowness
         return weight < other_weight
 
-    def weigh(self, upstream: tables.Upstream, now: float) -> float:
+    def weigh(
+        self,
+        upstream: tables.Upstream,
+        seen: observations.Observation,
+        now: float,
+    ) -> float:
         """Returns the load that one more call would make.
 
         An upstream that fails some of its calls counts as fuller than it is:
@@ -167,10 +172,9 @@
         Squared, one that fails every third call is chosen when its load is
         less than half of that of the others.
         """
-        seen = self.observe(upstream.member_id)
-        soundness = seen.estimate_soundness(now)
+        calls, soundness = seen.estimate(now)
         room = upstream.slots * self._get_share(upstream, now) * soundness**2
-        return (seen.estimate_calls(now) + 1) / room
+        return (calls + 1) / room
 
     def _get_share(self, upstream: tables.Upstream, now: float) -> float:
         """Returns the part of its slots that a cold upstream is given.
