Build the full link of the tests of a call's time once

Three modules of tests set up the same two daemons, the same link that was full and the same classes of a second. Tests of failures tell theirs in one line.

--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -42,11 +42,7 @@
     async def test_call_that_work_in_flight_makes_while_its_daemon_drains(
         self,
     ) -> None:
-        """Guards against work in flight that fails by a stop of its daemon.
-
-        The platform's backend servers pass no depth on, so their calls look
-        like new work to the daemon that drains.
-        """
+        """Guards against work in flight that fails by a stop of its daemon."""
         await self.fleet.start(
             "balie",
             "kassa",
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -34,6 +34,8 @@
     from merlintrestle.requests.load import picking
 
 GUARD_S = 10.0
+# Time of a short call, in seconds.
+SHORT_S = 1.0
 
 
 def build_plan(name: str = "lookup", **fields: Any) -> snapshot.ClassPlan:
@@ -67,6 +69,14 @@
     }
 
 
+def build_short_plans() -> dict[str, snapshot.ClassPlan]:
+    """Builds classes of work that are over after `SHORT_S`."""
+    return {
+        "/payouts": build_plan("payout", repeatable=False, deadline_s=SHORT_S),
+        "/": build_plan(deadline_s=SHORT_S),
+    }
+
+
 def build_snapshot(
     plans: dict[str, snapshot.ClassPlan] | None = None, version: int = 1
 ) -> snapshot.Snapshot:
--- a/tests/requests/relays.py
+++ b/tests/requests/relays.py
@@ -13,6 +13,10 @@
 
     import aiohttp
 
+# One way over a link that is full, in seconds: both ways take more than any
+# call of a second keeps for its way back.
+_FULL_LINK_S = 0.15
+
 
 class Relay:
     """Passes bytes on to a port, until it is told to lose track.
@@ -114,3 +118,20 @@
             yield nodes, relay, client
         finally:
             await relay.close()
+
+
+@contextlib.asynccontextmanager
+async def connect_after_full_link(
+    handler: Any, **options: Any
+) -> AsyncIterator[tuple[list[builders.Node], aiohttp.ClientSession]]:
+    """Runs two daemons; the link between them was full, and is free now.
+
+    Args:
+        handler: Answers at every backend server, "/quick" at once.
+        **options: Passed to each node.
+    """
+    async with connect(handler, **options) as (nodes, relay, client):
+        relay.delay_s = _FULL_LINK_S
+        await client.get(nodes[0].url + "/quick")
+        relay.delay_s = 0.0
+        yield nodes, client
--- a/tests/requests/serving/test_deadlines.py
+++ b/tests/requests/serving/test_deadlines.py
@@ -17,12 +17,7 @@
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
 
-_DEADLINE_S = 1.0
-# On a link that is full, one way; more than a call may keep for both.
-_FULL_LINK_S = 0.15
-_SHORT = builders.build_snapshot(
-    {"/": builders.build_plan(deadline_s=_DEADLINE_S)}
-)
+_SHORT = builders.build_snapshot(builders.build_short_plans())
 
 
 class DeadlineTest(unittest.IsolatedAsyncioTestCase):
@@ -52,19 +47,14 @@
         """Guards against work given up for the time that a way back took."""
         loop = asyncio.get_running_loop()
         self.cancelled_at = loop.create_future()
-        async with relays.connect(self.work, running=self.running) as (
-            nodes,
-            relay,
-            client,
-        ):
-            relay.delay_s = _FULL_LINK_S
-            await client.get(nodes[0].url + "/quick")
-            relay.delay_s = 0.0
+        async with relays.connect_after_full_link(
+            self.work, running=self.running
+        ) as (nodes, client):
             began = loop.time()
             answer = await client.get(nodes[0].url + "/slow")
             self.assertEqual(answer.status, 504)
             ended = await self.cancelled_at
-        self.assertGreaterEqual(ended - began, _DEADLINE_S)
+        self.assertGreaterEqual(ended - began, builders.SHORT_S)
 
     async def test_story_tells_whose_limit_ended_a_call_and_when(self) -> None:
         """Guards against calls given up early that look like late ones."""
--- a/tests/requests/serving/test_refusals_in_time.py
+++ b/tests/requests/serving/test_refusals_in_time.py
@@ -15,17 +15,7 @@
 from tests.requests import fakes
 from tests.requests import relays
 
-_DEADLINE_S = 1.0
-# On a link that was full, one way.
-_FULL_LINK_S = 0.15
-_SHORT = builders.build_snapshot(
-    {
-        "/payouts": builders.build_plan(
-            "payout", repeatable=False, deadline_s=_DEADLINE_S
-        ),
-        "/": builders.build_plan(deadline_s=_DEADLINE_S),
-    }
-)
+_SHORT = builders.build_snapshot(builders.build_short_plans())
 
 
 class _SlowStore(fakes.Store):
@@ -46,14 +36,9 @@
 
     async def test_suspect_that_does_not_get_its_turn(self) -> None:
         """Guards against a 504 for a call that waited for other suspects."""
-        async with relays.connect(self.answer, running=_SHORT) as (
-            nodes,
-            relay,
-            client,
-        ):
-            relay.delay_s = _FULL_LINK_S
-            await client.get(nodes[0].url + "/quick")
-            relay.delay_s = 0.0
+        async with relays.connect_after_full_link(
+            self.answer, running=_SHORT
+        ) as (nodes, client):
             slot = nodes[1].proxy.crashes._suspect_slot
             await slot.acquire()
             with mock.patch.object(
@@ -65,12 +50,9 @@
 
     async def test_payout_whose_claim_the_store_does_not_take(self) -> None:
         """Guards against a 504 for a payout that was never claimed."""
-        async with relays.connect(
+        async with relays.connect_after_full_link(
             self.answer, running=_SHORT, store=_SlowStore()
-        ) as (nodes, relay, client):
-            relay.delay_s = _FULL_LINK_S
-            await client.get(nodes[0].url + "/quick")
-            relay.delay_s = 0.0
+        ) as (nodes, client):
             answer = await client.post(
                 nodes[0].url + "/payouts/1", headers={headers.KEY: "k"}
             )
--- a/tests/requests/serving/test_time_left.py
+++ b/tests/requests/serving/test_time_left.py
@@ -17,19 +17,9 @@
 from tests.requests import builders
 from tests.requests import relays
 
-_DEADLINE_S = 1.0
-# On a link that is full, one way; more than a call may keep for both.
-_FULL_LINK_S = 0.15
 # Headers state whole milliseconds.
 _ROUNDED_S = 0.001
-_SHORT = builders.build_snapshot(
-    {
-        "/payouts": builders.build_plan(
-            "payout", repeatable=False, deadline_s=_DEADLINE_S
-        ),
-        "/": builders.build_plan(deadline_s=_DEADLINE_S),
-    }
-)
+_SHORT = builders.build_snapshot(builders.build_short_plans())
 _ARCHIVE = b"a" * 8_000_000
 
 
@@ -46,20 +36,16 @@
             ends.append(loop.time() + told_s)
             return web.Response()
 
-        async with relays.connect(note, running=_SHORT) as (
+        async with relays.connect_after_full_link(note, running=_SHORT) as (
             nodes,
-            relay,
             client,
         ):
-            relay.delay_s = _FULL_LINK_S
-            await client.get(nodes[0].url + "/quick")
-            relay.delay_s = 0.0
             for method, path in (("GET", "/x"), ("POST", "/payouts/1")):
                 with self.subTest(path=path):
                     began = loop.time()
                     await client.request(method, nodes[0].url + path)
                     self.assertGreaterEqual(
-                        ends[-1], began + _DEADLINE_S - _ROUNDED_S
+                        ends[-1], began + builders.SHORT_S - _ROUNDED_S
                     )
 
     async def test_claimed_payout_is_waited_for_all_of_the_time_left(
@@ -70,32 +56,24 @@
 
         async def work(request: web.BaseRequest) -> web.StreamResponse:
             if request.raw_path != "/quick":
-                await asyncio.sleep(1.5 * _DEADLINE_S)
+                await asyncio.sleep(1.5 * builders.SHORT_S)
             return web.Response()
 
-        async with relays.connect(work, running=_SHORT) as (
+        async with relays.connect_after_full_link(work, running=_SHORT) as (
             nodes,
-            relay,
             client,
         ):
-            relay.delay_s = _FULL_LINK_S
-            await client.get(nodes[0].url + "/quick")
-            relay.delay_s = 0.0
             began = loop.time()
             answer = await client.post(
                 nodes[0].url + "/payouts/1", headers={headers.KEY: "k"}
             )
-            self.assertGreaterEqual(loop.time() - began, _DEADLINE_S)
+            self.assertGreaterEqual(loop.time() - began, builders.SHORT_S)
         self.assertEqual(answer.status, 504)
 
     async def test_answer_that_came_while_the_event_loop_stood_still(
         self,
     ) -> None:
-        """Guards against whole answers that are dropped as not in time.
-
-        All of it came before the deadline, which passed while the daemon did
-        something else. Its caller still waits: the limit was the route's.
-        """
+        """Guards against whole answers that are dropped as not in time."""
 
         async def answer_and_hold_up(
             request: web.BaseRequest,
@@ -124,11 +102,7 @@
     """A caller takes a long answer from another daemon, with a pause."""
 
     async def test_pause_of_a_caller_is_no_silence_of_the_peer(self) -> None:
-        """Guards against answers cut as the caller's daemon reads no more.
-
-        It has stopped reading, for its caller takes nothing for two looks; so
-        it has less than the other daemon has sent. Nothing is silent.
-        """
+        """Guards against answers cut as the caller's daemon reads no more."""
         asked = asyncio.Semaphore(0)
         ask = probes.ask
 
@@ -164,7 +138,7 @@
 
 def _hold_up() -> None:
     """Holds the event loop up until the time of the call is over."""
-    time.sleep(_DEADLINE_S)
+    time.sleep(builders.SHORT_S)
 
 
 async def _ask_slowly(
--- a/tests/requests/unrepeatable/test_late_holder.py
+++ b/tests/requests/unrepeatable/test_late_holder.py
@@ -19,12 +19,7 @@
 
 class LateHolderTest(unittest.IsolatedAsyncioTestCase):
     async def test_holder_that_answers_late_is_not_gone(self) -> None:
-        """Guards against payouts given up as their holder answers late.
-
-        A caller sends its payout again through another daemon while it runs.
-        Over a full link the holder's first answer comes later than a limit on
-        its silence; the caller's time is far from over.
-        """
+        """Guards against payouts given up as their holder answers late."""
         begun = asyncio.Event()
         go_on = asyncio.Event()
         runs: list[str] = []
