Reckon the time of a claim by the claims' own clock; no ring of the tests' loops

Five of test_interleaving: the bound on the store's answer to a claim went by the event loop's clock, while deadlines there go by the clock that Claims is given; and a claim was begun for a call whose time was over. Such a call is refused before anything is written now. The sixth: test_protocols made uvloop's loop without the variable that keeps it from opening rings, which test_application then found in the process.

--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -31,6 +31,7 @@
 _FRESH_S = 5.0
 _ASK_AGAIN_S = 1.0
 _RECALL_TURN_S = 1.0
+_TOO_LATE = outcomes.NotRun("the deadline has passed", 504, None)
 
 
 class Owner(NamedTuple):
@@ -136,6 +137,8 @@
         The ledger knows the claim before the store does, so that a recall
         never finds a claim of this daemon that the daemon knows nothing of.
         """
+        if self._get_time() >= call.refuse_by:
+            return _TOO_LATE
         owner = self._owner()
         digest = call.get_identity()
         record = self.ledger.open(claim_key, secrets.token_hex(8), digest)
@@ -149,10 +152,7 @@
         )
         written_at = self._get_boot_time()
         try:
-            async with (
-                asyncio.timeout(STORE_S),
-                asyncio.timeout_at(call.refuse_by),
-            ):
+            async with asyncio.timeout(self._limit_store(call)):
                 entry = await self._write(claim_key, claim, expected_revision)
         except (errors.StoreError, TimeoutError):
             # The write may still take effect later. It does no harm: under
@@ -186,17 +186,14 @@
         and the same key may have run elsewhere.
         """
         if self._get_time() >= call.refuse_by:
-            return outcomes.NotRun("the deadline has passed", 504, None)
+            return _TOO_LATE
         age_s = self._get_boot_time() - held.written_at
         if age_s > leases.SAFE_S:
             return outcomes.NotRun("the claim may have expired")
         if age_s < _FRESH_S:
             return None
         try:
-            async with (
-                asyncio.timeout(STORE_S),
-                asyncio.timeout_at(call.refuse_by),
-            ):
+            async with asyncio.timeout(self._limit_store(call)):
                 entry = await self._store.get(held.record.claim_key)
         except (errors.StoreError, TimeoutError):
             return outcomes.NotRun("the store does not answer")
@@ -204,6 +201,10 @@
             return outcomes.NotRun("the claim is not there any more")
         return None
 
+    def _limit_store(self, call: calls.Call) -> float:
+        """Returns how long the store may take to answer, in seconds."""
+        return min(STORE_S, call.refuse_by - self._get_time())
+
     async def settle(
         self, taken: Taken, claim_key: str, call: calls.Call
     ) -> Released | outcomes.Failure | outcomes.Replayed:
--- a/tests/requests/transport/test_protocols.py
+++ b/tests/requests/transport/test_protocols.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from typing import TYPE_CHECKING
 import unittest
+from unittest import mock
 
 from aiohttp import web
 import multidict
@@ -60,6 +62,7 @@
         for make_loop in loops:
             with (
                 self.subTest(make_loop.__module__),
+                mock.patch.dict(os.environ, {"UV_USE_IO_URING": "0"}),
                 asyncio.Runner(loop_factory=make_loop) as runner,
             ):
                 self.assertEqual(runner.run(_exchange()), (True, True))
