--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -25,18 +25,22 @@
     import signal
 
 GUARD_S = 60.0
+_INTERNAL_PORTS = range(20_000, 32_000, 10)
 _ROOT = pathlib.Path(__file__).parents[2]
 
 
 def _find_port() -> int:
     """Returns a port whose next one is free on the loopback address.
 
-    A daemon opens its own loopback port there, whatever its address is.
+    A daemon opens its own loopback port there, whatever its address is. It is
+    none that the operating system gives to connections: one of them could have
+    it while the daemon is restarted.
     """
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port: int = free.getsockname()[1]
-        return port - 1
+    while True:
+        port = secrets.choice(_INTERNAL_PORTS)
+        with socket.socket() as free, contextlib.suppress(OSError):
+            free.bind(("127.0.0.1", port + 1))
+            return port
 
 
 class DaemonProcess:
@@ -190,9 +194,11 @@
         while await self._ask_ready(daemon) != status:
             await asyncio.sleep(0.05)
 
-    async def wait_until_served(self, number: int) -> None:
+    async def wait_until_served(
+        self, number: int, path: str = "/tickets/1"
+    ) -> None:
         """Waits until a daemon serves a request, which callers may retry."""
-        while await self.send(number) != 200:
+        while await self.send(number, path) != 200:
             await asyncio.sleep(0.05)
 
     async def send(self, number: int, path: str = "/tickets/1") -> int:
