Open no io_uring in the test of connections

Change: the loop is made as the processes make theirs. Nothing of the test or of the check is less strict.

--- a/tests/requests/transport/test_protocols.py
+++ b/tests/requests/transport/test_protocols.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from typing import TYPE_CHECKING
 import unittest
+from unittest import mock
 
 from aiohttp import web
 import multidict
@@ -54,6 +56,9 @@
     acknowledge its beginning.
     """
 
+    # As the processes make their loops: a ring that uvloop opens otherwise
+    # stays open when the loop is closed.
+    @mock.patch.dict(os.environ, {"UV_USE_IO_URING": "0"})
     def test_both_ends_are_on_either_event_loop(self) -> None:
         loops: tuple[Callable[[], asyncio.AbstractEventLoop], ...]
         loops = (asyncio.new_event_loop, uvloop.new_event_loop)
