--- a/tests/requests/transport/test_protocols.py
+++ b/tests/requests/transport/test_protocols.py
@@ -65,7 +65,6 @@
         for make_loop in loops:
             with (
                 self.subTest(make_loop.__module__),
-                mock.patch.dict(os.environ, {"UV_USE_IO_URING": "0"}),
                 asyncio.Runner(loop_factory=make_loop) as runner,
             ):
                 self.assertEqual(runner.run(_exchange()), (True, True))
