--- a/merlintrestle/daemon/command.py
+++ b/merlintrestle/daemon/command.py
@@ -24,7 +24,7 @@
     waited for. A second SIGTERM ends the process at once.
 
     Example:
-    merlintrestle-daemon --zone weeghal-noord --store 10.0.0.5:2379
+    merlintrestle-daemon --zone zone-a --store 10.0.0.5:2379
     """
     application.pause_gc()
     try:
