--- a/tests/requests/serving/test_deadlines.py
+++ b/tests/requests/serving/test_deadlines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, TYPE_CHECKING
+from typing import Any
 import unittest
 from unittest import mock
 
@@ -14,17 +14,12 @@
 from tests.requests import builders
 from tests.requests import relays
 
-if TYPE_CHECKING:
-    from merlintrestle.documents import snapshot
-
 _SHORT = builders.build_snapshot(builders.build_short_plans())
 
 
 class DeadlineTest(unittest.IsolatedAsyncioTestCase):
     """A backend server behind another daemon works on a call."""
 
-    running: snapshot.Snapshot = _SHORT
-
     def setUp(self) -> None:
         self.cancelled_at: asyncio.Future[float] | None = None
 
@@ -48,7 +43,7 @@
         loop = asyncio.get_running_loop()
         self.cancelled_at = loop.create_future()
         async with relays.connect_after_full_link(
-            self.work, running=self.running
+            self.work, running=_SHORT
         ) as (nodes, client):
             began = loop.time()
             answer = await client.get(nodes[0].url + "/slow")
@@ -66,7 +61,7 @@
             told.setdefault(event, fields)
 
         patch = mock.patch.object(stories.Story, "add", note)
-        async with relays.connect(self.work, running=self.running) as (
+        async with relays.connect(self.work, running=_SHORT) as (
             nodes,
             _,
             client,
