Ask the holder of a claim for as long as its caller waits

Seen by callers: a payout with a key, sent again, was answered 502 "unknown" 0.7 s after its holder was asked, though the holder lived and the caller had time; the payout had run or was running, and nobody told.

Cause: recall had one limit for two things, how long a holder may take and how long it may be silent (wait + _SILENT_S); silence was taken for knowledge. The question was cancelled at that limit, so that a holder always 0.8 s late was never heard. Ruled out: the store, the claim, the caller's time (seconds left at the 502).

Change: unrepeatable/inquiries.py asks until the holder answers, its host refuses the connection, or the caller's time is over; silence starts a second question over a new connection at doubling pauses and ends none. A broken connection is asked again, it was "unknown" at once before. Why it is enough: each question stays open as long as the call, so any answer that comes in time is heard; a process that is gone refuses. Peers.is_refused's body is a function, used by both.

Holders of the tests of recalls stand in a module of their own; their checks are unchanged.

--- a/merlintrestle/members/peers.py
+++ b/merlintrestle/members/peers.py
@@ -75,6 +75,20 @@
     return grpc.aio.insecure_channel(address, options=_OPTIONS)
 
 
+async def refuses(address: str, timeout_s: float) -> bool:
+    """Tells whether the host of an address refuses the connection."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, ValueError):
+        return False
+    writer.close()
+    return False
+
+
 async def _read_part(call: Any, pause_s: float) -> Any:
     """Returns the next part; None: no more, or the peer knows of no parts.
 
@@ -246,16 +260,7 @@
         That is proof that the process is gone and that the way to its host
         works, which silence is not.
         """
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(timeout_s):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
-        except (OSError, ValueError):
-            return False
-        writer.close()
-        return False
+        return await refuses(address, timeout_s)
 
     def _get_channel(self, address: str) -> grpc.aio.Channel:
         loan = self._lent.get(address)
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -27,6 +27,7 @@
 from merlintrestle.requests.transport import forwarding
 from merlintrestle.requests.transport import server
 from merlintrestle.requests.unrepeatable import claims as claims_
+from merlintrestle.requests.unrepeatable import inquiries
 from merlintrestle.requests.unrepeatable import leases
 from merlintrestle.requests.unrepeatable import recall
 from merlintrestle.rollouts import book as books
@@ -118,7 +119,7 @@
             self._get_owner,
             store,
             leases.ClaimLease(store),
-            self._recall_client,
+            inquiries.Inquirer(self._recall_client),
             settings.claims,
             time.monotonic,
         )
--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -31,6 +31,12 @@
 _FRESH_S = 5.0
 _ASK_AGAIN_S = 1.0
 _RECALL_TURN_S = 1.0
+_UNSETTLED = outcomes.Unknown(
+    "an earlier sending has not ended", 504, _ASK_AGAIN_S
+)
+_GONE = outcomes.Unknown(
+    "the daemon that may have run it is gone", retry_after_s=_ASK_AGAIN_S
+)
 _TOO_LATE = outcomes.NotRun("the deadline has passed", 504, None)
 
 
@@ -93,7 +99,10 @@
     async def recall(
         self, claim: request_pb2.Claim, claim_key: str, wait_s: float
     ) -> request_pb2.RecallReply | None:
-        """Returns what became of a claim; None if its holder is silent."""
+        """Returns what became of a claim; None if its holder is gone.
+
+        A holder that gives no sign is awaited until the wait is cancelled.
+        """
 
 
 class Claims:
@@ -212,20 +221,23 @@
         claim = taken.claim
         if claim.request_digest != call.get_identity():
             return _refuse_other(call)
-        reply = await self._recall(claim, claim_key, 0.0)
-        # Asked in short turns: a holder that freezes meanwhile shows at once.
-        while reply is not None and reply.state == request_pb2.RUNNING:
+        wait_s = 0.0
+        while True:
             left_s = call.deadline - self._get_time()
             if left_s <= 0:
-                break
-            wait_s = min(left_s, _RECALL_TURN_S)
-            reply = await self._recall(claim, claim_key, wait_s)
-        if reply is None:
-            return outcomes.Unknown(
-                "the daemon that may have run it does not answer",
-                retry_after_s=_ASK_AGAIN_S,
-            )
-        return _read_reply(reply, taken)
+                return _UNSETTLED
+            # Asked in short turns: a holder that dies meanwhile shows at once.
+            turn_s = min(wait_s, left_s)
+            try:
+                async with asyncio.timeout(left_s):
+                    reply = await self._recall(claim, claim_key, turn_s)
+            except TimeoutError:
+                return _UNSETTLED
+            if reply is None:
+                return _GONE
+            if reply.state != request_pb2.RUNNING:
+                return _read_reply(reply, taken)
+            wait_s = _RECALL_TURN_S
 
     async def release(self, held: Held) -> None:
         """Deletes the claim of a request that did not run.
@@ -312,6 +324,4 @@
         if reply.body_kept:
             return read_answer(reply)
         return outcomes.Ran("it ran before; its answer was not kept", 409)
-    if reply.state == request_pb2.RUNNING:
-        return outcomes.Unknown("it is still running", 504, _ASK_AGAIN_S)
     return outcomes.Unknown("what became of an earlier sending is lost")
--- a/merlintrestle/requests/unrepeatable/recall.py
+++ b/merlintrestle/requests/unrepeatable/recall.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import time
 from typing import Any, TYPE_CHECKING
 
 import grpc
@@ -16,12 +17,22 @@
 if TYPE_CHECKING:
     from merlintrestle.requests.unrepeatable import claims as claims_
 
-# A holder that does not answer a recall for so long counts as silent.
+# A recall that is late by so much may have been lost on its connection.
 _SILENT_S = 0.7
 _MAX_CHANNELS = 32
 _MAX_WAIT_S = 60.0
 
 
+def get_address(claim: request_pb2.Claim) -> str:
+    """Returns where the holder of a claim answers."""
+    return f"{claim.address}:{claim.control_port}"
+
+
+def get_silence() -> float:
+    """Returns by how much a recall is late that may have been lost."""
+    return _SILENT_S
+
+
 class Recalls(request_pb2_grpc.RequestsServicer):
     """Answers other daemons about own claims; a gRPC servicer."""
 
@@ -43,17 +54,19 @@
 
     Attributes:
         channel: The gRPC channel.
+        opened_at: Monotonic time of its opening, in seconds.
         calls: Recalls under way on it.
         dropped: True if no further recall is to use it.
     """
 
     channel: Any
+    opened_at: float
     calls: int = 0
     dropped: bool = False
 
 
 class RecallClient:
-    """Asks the daemons that hold claims."""
+    """Asks the daemons that hold claims, one question a call."""
 
     def __init__(self) -> None:
         self._channels: collections.OrderedDict[str, _Channel] = (
@@ -63,8 +76,30 @@
     async def recall(
         self, claim: request_pb2.Claim, claim_key: str, wait_s: float
     ) -> request_pb2.RecallReply | None:
-        """Returns what became of a claim; None if its holder is silent."""
-        address = f"{claim.address}:{claim.control_port}"
+        """Returns what became of a claim; None if nothing is heard in time."""
+        limit_s = wait_s + _SILENT_S
+        return await self.ask(claim, claim_key, wait_s, limit_s)
+
+    async def ask(
+        self,
+        claim: request_pb2.Claim,
+        claim_key: str,
+        wait_s: float,
+        limit_s: float | None = None,
+    ) -> request_pb2.RecallReply | None:
+        """Asks once what became of a claim.
+
+        Args:
+            claim: The claim.
+            claim_key: Its key in the store.
+            wait_s: How long its holder may wait for the request to end.
+            limit_s: How long the question is left open; None: until its
+                connection breaks.
+
+        Returns:
+            What the holder says; None if nothing came, or the connection broke.
+        """
+        address = get_address(claim)
         request = request_pb2.RecallRequest(
             claim_key=claim_key,
             claim_id=claim.claim_id,
@@ -73,8 +108,10 @@
         held = self._take(address)
         try:
             stub = request_pb2_grpc.RequestsStub(held.channel)
-            return await stub.Recall(request, timeout=wait_s + _SILENT_S)
-        except grpc.aio.AioRpcError:
+            return await stub.Recall(request, timeout=limit_s)
+        except grpc.aio.AioRpcError as error:
+            if error.code() == grpc.StatusCode.UNIMPLEMENTED:
+                return request_pb2.RecallReply(state=request_pb2.LOST)
             # Its connection may have gone silent while new ones work.
             self._drop(address, held)
             return None
@@ -84,6 +121,12 @@
             if held.dropped and not held.calls:
                 await held.channel.close()
 
+    def renew(self, address: str, since: float) -> None:
+        """Has the next question go over a connection opened after a time."""
+        held = self._channels.get(address)
+        if held is not None and held.opened_at <= since:
+            self._drop(address, held)
+
     async def close(self) -> None:
         """Closes all channels."""
         channels = list(self._channels.values())
@@ -94,7 +137,7 @@
     def _take(self, address: str) -> _Channel:
         held = self._channels.get(address)
         if held is None:
-            held = _Channel(peers.open_channel(address))
+            held = _Channel(peers.open_channel(address), time.monotonic())
             self._channels[address] = held
         self._channels.move_to_end(address)
         held.calls += 1
--- a/tests/requests/relays.py
+++ b/tests/requests/relays.py
@@ -48,6 +48,10 @@
         self._server.close()
         for task in self._tasks:
             task.cancel()
+        self.cut()
+
+    def cut(self) -> None:
+        """Resets the connections that are open."""
         for writer in self._writers:
             writer.transport.abort()
 
--- /dev/null
+++ b/tests/requests/unrepeatable/holders.py
@@ -0,0 +1,56 @@
+"""Daemons that hold claims, for tests of recalls."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any, TYPE_CHECKING
+
+import grpc.aio
+
+from merlintrestle.schema import request_pb2
+from merlintrestle.schema import request_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+class Holder(request_pb2_grpc.RequestsServicer):
+    """A daemon that holds a claim.
+
+    Attributes:
+        asked: Set once it was asked.
+        go_on: It answers when this is set.
+    """
+
+    def __init__(self) -> None:
+        self.asked = asyncio.Event()
+        self.go_on = asyncio.Event()
+
+    async def Recall(  # noqa: N802
+        self, request: request_pb2.RecallRequest, context: Any
+    ) -> request_pb2.RecallReply:
+        """Answers that it will never run the request."""
+        del request, context
+        self.asked.set()
+        await self.go_on.wait()
+        return request_pb2.RecallReply(state=request_pb2.RELEASED)
+
+
+@contextlib.asynccontextmanager
+async def run_holder() -> AsyncIterator[tuple[Holder, request_pb2.Claim]]:
+    """Runs a holder; gives it and a claim of it."""
+    holder = Holder()
+    server = grpc.aio.server()
+    request_pb2_grpc.add_RequestsServicer_to_server(holder, server)
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    try:
+        yield (
+            holder,
+            request_pb2.Claim(
+                address="127.0.0.1", control_port=port, claim_id="a"
+            ),
+        )
+    finally:
+        await server.stop(0)
