--- a/merlintrestle/requests/calls/outcomes.py
+++ b/merlintrestle/requests/calls/outcomes.py
@@ -83,6 +83,9 @@
     unqueued: bool = False
 
 
+TOO_LATE = NotRun("the deadline has passed", 504, None)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ran:
     """The call ran, and its answer is not to be had.
--- a/merlintrestle/requests/serving/beside.py
+++ b/merlintrestle/requests/serving/beside.py
@@ -99,7 +99,7 @@
         # Not the time of the event loop: that is as old as the loop's turn, so
         # a daemon that thaws in the middle of one would not see the pause.
         if time.monotonic() >= call.refuse_by:
-            return outcomes.NotRun("the deadline has passed", 504, None)
+            return outcomes.TOO_LATE
         refusal = self._crashes.check(call)
         if refusal is not None:
             return refusal
--- a/merlintrestle/requests/transport/exchanges.py
+++ b/merlintrestle/requests/transport/exchanges.py
@@ -35,7 +35,6 @@
 _UNREACHABLE = outcomes.NotRun(
     "could not connect", elsewhere=True, unreachable=True
 )
-_TOO_LATE = outcomes.NotRun("the deadline has passed", 504, None)
 
 
 class Side(NamedTuple):
@@ -87,7 +86,7 @@
                     traffics.peers if side is PEER else traffics.backend,
                 )
         except TimeoutError:
-            return _UNREACHABLE if left_s > _CONNECT_S else _TOO_LATE
+            return _UNREACHABLE if left_s > _CONNECT_S else outcomes.TOO_LATE
         except OSError:
             return _UNREACHABLE
 
--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -37,7 +37,6 @@
 _GONE = outcomes.Unknown(
     "the daemon that may have run it is gone", retry_after_s=_ASK_AGAIN_S
 )
-_TOO_LATE = outcomes.NotRun("the deadline has passed", 504, None)
 
 
 class Owner(NamedTuple):
@@ -147,7 +146,7 @@
         never finds a claim of this daemon that the daemon knows nothing of.
         """
         if self._get_time() >= call.refuse_by:
-            return _TOO_LATE
+            return outcomes.TOO_LATE
         owner = self._owner()
         digest = call.get_identity()
         record = self.ledger.open(claim_key, secrets.token_hex(8), digest)
@@ -195,7 +194,7 @@
         and the same key may have run elsewhere.
         """
         if self._get_time() >= call.refuse_by:
-            return _TOO_LATE
+            return outcomes.TOO_LATE
         age_s = self._get_boot_time() - held.written_at
         if age_s > leases.SAFE_S:
             return outcomes.NotRun("the claim may have expired")
