Take no standstill of the own loop for an upstream that cannot be reached

Seen by callers: 503 "could not connect" of an upstream that is well; where it was a call's second send, 504 at the end of its time.

Cause: where the loop stood still, its timers ring before its sockets are read, so the 0.5 s of a connect were over although the connection had come about.

Change: transport/limits.bound ends the wait some turns of the loop later, in which what has come is read; a connection that comes after the deadline is dropped.

--- a/merlintrestle/requests/transport/exchanges.py
+++ b/merlintrestle/requests/transport/exchanges.py
@@ -14,6 +14,7 @@
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.transport import answers
 from merlintrestle.requests.transport import connections
+from merlintrestle.requests.transport import limits
 from merlintrestle.requests.transport import pool as pools
 from merlintrestle.requests.transport import results
 from merlintrestle.requests.transport import streams
@@ -78,9 +79,9 @@
         """Opens a connection, or tells why there is none: nothing was sent."""
         left_s = deadline - self._loop.time()
         try:
-            async with asyncio.timeout(min(_CONNECT_S, left_s)):
+            async with limits.bound(min(_CONNECT_S, left_s)):
                 traffics = self._traffics
-                return await self._pool.open(
+                connection = await self._pool.open(
                     address,
                     side.unacknowledged_ms,
                     traffics.peers if side is PEER else traffics.backend,
@@ -89,6 +90,10 @@
             return _UNREACHABLE if left_s > _CONNECT_S else outcomes.TOO_LATE
         except OSError:
             return _UNREACHABLE
+        if self._loop.time() >= deadline:
+            connection.abort()
+            return outcomes.TOO_LATE
+        return connection
 
     async def run(
         self,
