--- a/tests/requests/transport/test_limits.py
+++ b/tests/requests/transport/test_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from typing import Any
 import unittest
@@ -43,6 +44,8 @@
 
 
 class StallTest(unittest.TestCase):
+    # As the processes make their loops: uvloop would open a ring otherwise.
+    @mock.patch.dict(os.environ, {"UV_USE_IO_URING": "0"})
     def test_connection_made_while_the_event_loop_stood_still(self) -> None:
         """Guards against upstreams held for unreachable by the own pause."""
         for loop_factory in _LOOPS:
