--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -36,6 +37,10 @@
         rejects_requests: Whether it rejects every request as not executed and
             fails its health checks.
         handler: Answers the requests that it executes; tests may replace it.
+        rate_limit: Requests per second that it states to accept from all
+            daemons together, as text; empty: no limit.
+        leaving: Whether its answers state that it leaves.
+        arrivals: Monotonic times at which requests arrived, in seconds.
     """
 
     def __init__(
@@ -57,6 +62,9 @@
         self.handler: Callable[[web.Request], Awaitable[web.StreamResponse]] = (
             self.answer
         )
+        self.rate_limit = ""
+        self.leaving = False
+        self.arrivals: list[float] = []
         self._sequence = 0
         self._runner: web.AppRunner | None = None
 
@@ -64,6 +72,7 @@
         """Opens the port for calls."""
         application = web.Application()
         application.router.add_route("*", "/{path:.*}", self._handle)
+        application.on_response_prepare.append(self._add_notices)
         self._runner, self.port = await process.serve(
             application,
             self.port,
@@ -137,6 +146,7 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         if request.path == "/health":
             return self._answer_health_check()
+        self.arrivals.append(time.monotonic())
         self.received_headers.append(dict(request.headers))
         target_instance_id = request.headers.get(
             "X-Target-Instance", self.instance_id
@@ -148,6 +158,15 @@
         self.executed_attempts.append(request.headers["X-Attempt-Id"])
         return await self.handler(request)
 
+    async def _add_notices(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        del request
+        if self.rate_limit:
+            response.headers["Server-Limit"] = self.rate_limit
+        if self.leaving:
+            response.headers["Server-Leaving"] = "1"
+
     def _answer_health_check(self) -> web.Response:
         return web.Response(
             status=503 if self.rejects_requests else 200,
