--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -7,18 +7,14 @@
 from merlintrestle import errors
 from merlintrestle import rows
 from merlintrestle.documents import compiler
-from merlintrestle.documents import loader
 from merlintrestle.documents import snapshot as snapshots
-from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.platform import rollouts
 from merlintrestle.platform import store as stores
 from merlintrestle.schema import document_pb2
-from merlintrestle.versions import known_revision
+from merlintrestle.versions import record_source
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping, Sequence
-
-    from merlintrestle.store import client
+    from collections.abc import Mapping
 
 # Whether calls of a route may run more than once, by the kind of the route.
 _REPEATABILITY = {"idempotent": True, "download": True, "non_idempotent": False}
@@ -28,139 +24,27 @@
 # roll-out keys, which sort after it.
 _OPERATOR_PREFIX = "op/"
 _HEXADECIMAL_BASE = 16
-# Minimum wait of a watch, for a query of events that have already occurred.
-_MIN_WAIT_MS = 1
 
 
-class PlatformSource:
+class PlatformSource(record_source.RecordSource):
     """Source of versions that reads the operators' configuration record."""
 
     def __init__(self, store: stores.PlatformStore):
         """Starts without a known version."""
-        self._store = store
-        self._newest_entry_by_version: dict[int, client.Entry] = {}
-        self._head_revision = 0
-        self._other_entries: Sequence[client.Entry] = ()
-        self._tracker = known_revision.KnownRevision()
-        self._head = document_pb2.Head()
-        self._compiled: snapshots.Snapshot | None = None
-
-    async def read_head(self) -> document_pb2.Head:
-        """Reads the head of the newest version; version 0 if there is none.
-
-        The record of some hundred KB takes half a second over a slow link. It
-        is read only if neither a watch nor the history explains a new revision.
-
-        Raises:
-            errors.StoreError: The store did not answer.
-            errors.SnapshotError: The configuration is malformed.
-        """
-        if self._tracker.revision:
-            self._other_entries, revision = await self._store.read_after(
-                _OPERATOR_PREFIX, stores.CONFIGURATION_KEY
-            )
-            if revision <= self._tracker.revision or (
-                await self._update_without_read(revision)
-            ):
-                return self._head
-        previous_revision = self._head_revision
-        entries, revision = await self._store.read_first_page(_OPERATOR_PREFIX)
-        head = self._head
-        for entry in entries:
-            if entry.key == stores.CONFIGURATION_KEY:
-                head = self._apply_entry(entry)
-        self._other_entries = [
-            entry for entry in entries if entry.key != stores.CONFIGURATION_KEY
-        ]
-        self._tracker.record_read(self._head_revision != previous_revision)
-        self._tracker.advance(revision)
-        return head
-
-    async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
-        """Yields the heads of the newest version and of each later one.
-
-        Raises:
-            errors.StoreUnavailableError: The watch ended.
-            errors.SnapshotError: A configuration is malformed.
-        """
-        self._tracker.open_watches += 1
-        try:
-            if self._head_revision:
-                yield self._head
-            async for entry in self._store.watch(
-                stores.CONFIGURATION_KEY, self._tracker.revision
-            ):
-                head = self._apply_entry(entry)
-                self._tracker.advance(entry.revision)
-                yield head
-        finally:
-            self._tracker.open_watches -= 1
-
-    async def compile_head(self, head: document_pb2.Head) -> snapshots.Snapshot:
-        """Compiles the version of a head.
-
-        Raises:
-            errors.SnapshotError: The version is malformed or was replaced.
-        """
-        entry = self._newest_entry_by_version.get(head.version)
-        if entry is None:
-            raise errors.SnapshotError(
-                f"version {head.version} was replaced by a later one"
-            )
-        resources = build_resources(
-            rows.parse_object(entry.value, "configuration")
+        super().__init__(
+            store,
+            record_source.RecordFormat(
+                _OPERATOR_PREFIX,
+                stores.CONFIGURATION_KEY,
+                rollouts.PLATFORM_FORMAT.order_prefix,
+                lambda value: parse_version(_parse_configuration(value)),
+                lambda value: build_resources(_parse_configuration(value)),
+            ),
         )
-        snapshot = loader.load_snapshot(head.version, resources, self._compiled)
-        self._compiled = snapshot
-        return snapshot
-
-    async def read_orders(self) -> list[client.Entry]:
-        """Returns roll-out orders, which `read_head` reads in the same call."""
-        return [
-            entry
-            for entry in self._other_entries
-            if entry.key.startswith(rollouts.PLATFORM_FORMAT.order_prefix)
-        ]
-
-    async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
-        """Writes the seeds of a zone; returns the addresses of all others.
 
-        Raises:
-            errors.StoreError: The store did not answer.
-        """
-        return await seeds_lib.write_seeds(self._store, zone, member_ids)
 
-    async def _update_without_read(self, revision: int) -> bool:
-        """Returns whether a watch or the history brings the head up to date.
-
-        The history is queried from the last known revision, so the query fails,
-        and misses no change, if the store has dropped the history since then.
-        """
-        is_receiving = self._store.is_receiving
-        if is_receiving() or not self._tracker.may_query_history():
-            return await self._tracker.wait_for_watch(revision, is_receiving)
-        try:
-            entries, _ = await self._store.read_events(
-                stores.CONFIGURATION_KEY, self._tracker.revision, _MIN_WAIT_MS
-            )
-        except errors.StoreUnavailableError:
-            return False
-        for entry in entries[-1:]:
-            self._apply_entry(entry)
-            self._tracker.record_read(head_changed=True)
-            self._tracker.advance(entry.revision)
-        return True
-
-    def _apply_entry(self, entry: client.Entry) -> document_pb2.Head:
-        """Applies an entry unless a newer one is known; returns the head."""
-        if entry.revision > self._head_revision:
-            version = parse_version(
-                rows.parse_object(entry.value, "configuration")
-            )
-            self._newest_entry_by_version = {version: entry}
-            self._head_revision = entry.revision
-            self._head = document_pb2.Head(version=version)
-        return self._head
+def _parse_configuration(value: bytes) -> Mapping[str, Any]:
+    return rows.parse_object(value, "configuration")
 
 
 def parse_version(configuration: Mapping[str, Any]) -> int:
--- /dev/null
+++ b/merlintrestle/versions/record_source.py
@@ -0,0 +1,203 @@
+"""Source of versions whose newest version is a single record in the store."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol, TYPE_CHECKING
+
+from merlintrestle import errors
+from merlintrestle.documents import loader
+from merlintrestle.documents import snapshot as snapshots
+from merlintrestle.members import seeds as seeds_lib
+from merlintrestle.schema import document_pb2
+from merlintrestle.store import records
+from merlintrestle.versions import known_revision
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable, Sequence
+
+    from merlintrestle.store import client
+
+# Minimum wait of a watch, for a query of events that have already occurred.
+_MIN_WAIT_MS = 1
+
+
+class RecordFormat(NamedTuple):
+    """Keys and parsers of the record with the newest version.
+
+    Attributes:
+        prefix: Prefix of the keys that operators write.
+        head_key: Key of the record. The keys of the orders sort after it.
+        order_prefix: Prefix of the keys of roll-out orders.
+        parse_version: Returns the number of the version in a value of the
+            record. It raises `errors.SnapshotError` if there is none.
+        build_resources: Returns the resources of the version in a value of the
+            record. It raises `errors.SnapshotError` if the value is malformed.
+    """
+
+    prefix: str
+    head_key: str
+    order_prefix: str
+    parse_version: Callable[[bytes], int]
+    build_resources: Callable[[bytes], dict[str, bytes]]
+
+
+class RecordStore(records.Store, Protocol):
+    """Methods of a store that the source uses."""
+
+    async def read_after(
+        self, prefix: str, key: str
+    ) -> tuple[Sequence[client.Entry], int]:
+        """Reads keys with a prefix after a key, and the store's revision."""
+
+    async def read_first_page(
+        self, prefix: str
+    ) -> tuple[Sequence[client.Entry], int]:
+        """Reads keys with a prefix, and the store's revision."""
+
+    async def read_events(
+        self, key: str, after: int, wait_ms: int
+    ) -> tuple[Sequence[client.Entry], int]:
+        """Reads the key's entries after a revision, and the store's one."""
+
+    def watch(
+        self, key: str, after_revision: int
+    ) -> AsyncIterator[client.Entry]:
+        """Yields the key's entries newer than a revision."""
+
+    def is_receiving(self) -> bool:
+        """Returns whether the response of a watch has begun to arrive."""
+
+
+class RecordSource:
+    """Source of versions that reads the newest one from a single record."""
+
+    def __init__(self, store: RecordStore, record_format: RecordFormat):
+        """Starts without a known version.
+
+        Args:
+            store: The store.
+            record_format: Keys and parsers of the record.
+        """
+        self._store = store
+        self._format = record_format
+        self._newest_entry_by_version: dict[int, client.Entry] = {}
+        self._head_revision = 0
+        self._other_entries: Sequence[client.Entry] = ()
+        self._tracker = known_revision.KnownRevision()
+        self._head = document_pb2.Head()
+        self._compiled: snapshots.Snapshot | None = None
+
+    async def read_head(self) -> document_pb2.Head:
+        """Reads the head of the newest version; version 0 if there is none.
+
+        The record of some hundred KB takes half a second over a slow link. It
+        is read only if neither a watch nor the history explains a new revision.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+            errors.SnapshotError: The configuration is malformed.
+        """
+        if self._tracker.revision:
+            self._other_entries, revision = await self._store.read_after(
+                self._format.prefix, self._format.head_key
+            )
+            if revision <= self._tracker.revision or (
+                await self._update_without_read(revision)
+            ):
+                return self._head
+        previous_revision = self._head_revision
+        entries, revision = await self._store.read_first_page(
+            self._format.prefix
+        )
+        head = self._head
+        for entry in entries:
+            if entry.key == self._format.head_key:
+                head = self._apply_entry(entry)
+        self._other_entries = [
+            entry for entry in entries if entry.key != self._format.head_key
+        ]
+        self._tracker.record_read(self._head_revision != previous_revision)
+        self._tracker.advance(revision)
+        return head
+
+    async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
+        """Yields the heads of the newest version and of each later one.
+
+        Raises:
+            errors.StoreUnavailableError: The watch ended.
+            errors.SnapshotError: A configuration is malformed.
+        """
+        self._tracker.open_watches += 1
+        try:
+            if self._head_revision:
+                yield self._head
+            async for entry in self._store.watch(
+                self._format.head_key, self._tracker.revision
+            ):
+                head = self._apply_entry(entry)
+                self._tracker.advance(entry.revision)
+                yield head
+        finally:
+            self._tracker.open_watches -= 1
+
+    async def compile_head(self, head: document_pb2.Head) -> snapshots.Snapshot:
+        """Compiles the version of a head.
+
+        Raises:
+            errors.SnapshotError: The version is malformed or was replaced.
+        """
+        entry = self._newest_entry_by_version.get(head.version)
+        if entry is None:
+            raise errors.SnapshotError(
+                f"version {head.version} was replaced by a later one"
+            )
+        resources = self._format.build_resources(entry.value)
+        snapshot = loader.load_snapshot(head.version, resources, self._compiled)
+        self._compiled = snapshot
+        return snapshot
+
+    async def read_orders(self) -> list[client.Entry]:
+        """Returns roll-out orders, which `read_head` reads in the same call."""
+        return [
+            entry
+            for entry in self._other_entries
+            if entry.key.startswith(self._format.order_prefix)
+        ]
+
+    async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
+        """Writes the seeds of a zone; returns the addresses of all others.
+
+        Raises:
+            errors.StoreError: The store did not answer.
+        """
+        return await seeds_lib.write_seeds(self._store, zone, member_ids)
+
+    async def _update_without_read(self, revision: int) -> bool:
+        """Returns whether a watch or the history brings the head up to date.
+
+        The history is queried from the last known revision, so the query fails,
+        and misses no change, if the store has dropped the history since then.
+        """
+        is_receiving = self._store.is_receiving
+        if is_receiving() or not self._tracker.may_query_history():
+            return await self._tracker.wait_for_watch(revision, is_receiving)
+        try:
+            entries, _ = await self._store.read_events(
+                self._format.head_key, self._tracker.revision, _MIN_WAIT_MS
+            )
+        except errors.StoreUnavailableError:
+            return False
+        for entry in entries[-1:]:
+            self._apply_entry(entry)
+            self._tracker.record_read(head_changed=True)
+            self._tracker.advance(entry.revision)
+        return True
+
+    def _apply_entry(self, entry: client.Entry) -> document_pb2.Head:
+        """Applies an entry unless a newer one is known; returns the head."""
+        if entry.revision > self._head_revision:
+            version = self._format.parse_version(entry.value)
+            self._newest_entry_by_version = {version: entry}
+            self._head_revision = entry.revision
+            self._head = document_pb2.Head(version=version)
+        return self._head
