Show what backend servers state in their answers

Daemons now read its rate limit and that it leaves from each of its answers, also from refusals, log each change with the value before ("backend server states") and each malformed value ("notice malformed"), and show merlintrestle_backend_rate_limit and merlintrestle_backend_leaving. The native dialect has the headers Merlintrestle-Rate-Limit and Merlintrestle-Leaving; the platform's are named in its adapter alone. A malformed value keeps the one before.

--- a/merlintrestle/daemon/metrics.py
+++ b/merlintrestle/daemon/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from typing import TYPE_CHECKING
 
 import prometheus_client
@@ -33,7 +34,7 @@
         self._proxy = proxy
 
     def collect(self) -> Iterator[metrics_core.Metric]:
-        """Yields the version, closed state, calls in flight and members."""
+        """Yields the state of the version, calls, notices and members."""
         yield metrics_core.GaugeMetricFamily(
             "merlintrestle_running_version",
             "Number of the configuration version that runs; 0: none.",
@@ -49,6 +50,19 @@
             "Calls that are not yet answered whole.",
             value=self._proxy.in_flight,
         )
+        notices = self._proxy.backend_notices
+        yield metrics_core.GaugeMetricFamily(
+            "merlintrestle_backend_rate_limit",
+            "Calls per second that the backend server accepts; +Inf: no limit.",
+            value=math.inf
+            if notices.rate_limit is None
+            else notices.rate_limit,
+        )
+        yield metrics_core.GaugeMetricFamily(
+            "merlintrestle_backend_leaving",
+            "1 if an answer of the backend server stated that it leaves.",
+            value=int(notices.leaving),
+        )
         members = metrics_core.GaugeMetricFamily(
             "merlintrestle_members",
             "Members known, by state.",
--- a/merlintrestle/platform/requests.py
+++ b/merlintrestle/platform/requests.py
@@ -10,6 +10,7 @@
 import multidict
 
 from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.calls import notices
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import parsing
 from merlintrestle.requests.calls import routing
@@ -35,6 +36,10 @@
 _SIGNATURE = multidict.istr("X-Response-Signature")
 # Present in an answer to a request that the backend server did not run.
 _NOT_EXECUTED = multidict.istr("X-Not-Executed")
+# Requests per second that the backend server accepts from all daemons together.
+_RATE_LIMIT = multidict.istr("Server-Limit")
+# "1" in the answers of a backend server that leaves.
+_LEAVING = multidict.istr("Server-Leaving")
 _RETRY_AFTER = "Retry-After"
 _MISDIRECTED = 421
 _OVERLOAD_STATUSES = (429, 503)
@@ -173,3 +178,8 @@
 @dialects.accepts_unframed_answers.register(PlatformDialect)
 def _accepts_unframed_answers(dialect: PlatformDialect) -> bool:
     return True
+
+
+@dialects.get_notice_headers.register(PlatformDialect)
+def _get_notice_headers(dialect: PlatformDialect) -> notices.NoticeHeaders:
+    return notices.NoticeHeaders(_RATE_LIMIT, _LEAVING)
--- a/merlintrestle/requests/calls/dialect.py
+++ b/merlintrestle/requests/calls/dialect.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle import generics
+from merlintrestle.requests.calls import notices
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import parsing
 from merlintrestle.requests.transport import headers
@@ -127,6 +128,13 @@
     raise TypeError(f"not a dialect: {dialect!r}")
 
 
+@generics.cache_dispatch
+@functools.singledispatch
+def get_notice_headers(dialect: object) -> notices.NoticeHeaders:
+    """Returns the headers in which a backend server states its notices."""
+    raise TypeError(f"not a dialect: {dialect!r}")
+
+
 @match_caller_request.register(NativeDialect)
 def _match_caller_request(
     dialect: NativeDialect,
@@ -192,3 +200,8 @@
 @accepts_unframed_answers.register(NativeDialect)
 def _accepts_unframed_answers(dialect: NativeDialect) -> bool:
     return False
+
+
+@get_notice_headers.register(NativeDialect)
+def _get_notice_headers(dialect: NativeDialect) -> notices.NoticeHeaders:
+    return notices.NoticeHeaders(headers.RATE_LIMIT, headers.LEAVING)
--- a/merlintrestle/requests/serving/local_runner.py
+++ b/merlintrestle/requests/serving/local_runner.py
@@ -8,6 +8,7 @@
 
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import repeats
+from merlintrestle.requests.serving import backend_notices
 from merlintrestle.requests.unrepeatable import at_most_once
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
 
     Attributes:
         at_most_once: Runs the calls that must not be repeated.
+        notices: The notices of the backend server.
         repeats: Counts the calls that run at the backend server, and the
             repeats among them.
     """
@@ -64,6 +66,7 @@
         self._admission = admission
         self._forwarder = forwarder
         self._crashes = crashes
+        self.notices = backend_notices.BackendNotices(backend, dialect)
         self.repeats = repeats.Repeats()
         self.at_most_once = at_most_once.AtMostOnceRunner(
             claims, admission, self._forward
@@ -127,7 +130,7 @@
         started_at = time.monotonic()
         try:
             outcome = await self._forwarder.send_to_backend(
-                self._backend, call, self._dialect
+                self._backend, call, self._dialect, self.notices.build_reader()
             )
         except BaseException:
             self._crashes.end(call, False)
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -36,6 +36,7 @@
 
 if TYPE_CHECKING:
     from merlintrestle.requests import interfaces
+    from merlintrestle.requests.calls import notices
     from merlintrestle.schema import control_pb2
     from merlintrestle.schema import settings_pb2
 
@@ -319,6 +320,11 @@
         """Number of calls whose answers are not yet complete."""
         return self._state.in_flight
 
+    @property
+    def backend_notices(self) -> notices.Notices:
+        """The latest notices of the local backend server."""
+        return self._local_runner.notices.current
+
     @property
     def has_claimed_calls(self) -> bool:
         """True while claimed calls run, even without their callers."""
--- a/merlintrestle/requests/transport/exchanges.py
+++ b/merlintrestle/requests/transport/exchanges.py
@@ -21,6 +21,8 @@
 from merlintrestle.requests.transport import watchdogs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
     import multidict
 
     from merlintrestle.requests.calls import call as calls
@@ -38,6 +40,10 @@
 )
 
 
+def _ignore_headers(headers: Mapping[str, str]) -> None:
+    del headers
+
+
 class ConnectionOptions(NamedTuple):
     """Options of the connections to one kind of server.
 
@@ -46,10 +52,13 @@
         unacknowledged_timeout_ms: Time for which sent data may stay
             unacknowledged before the operating system closes the connection, in
             milliseconds; 0: the default of the operating system.
+        read_headers: Called with the headers of each answer to a call, also of
+            a refusal, before its body is read.
     """
 
     dialect: object
     unacknowledged_timeout_ms: int
+    read_headers: Callable[[Mapping[str, str]], None] = _ignore_headers
 
 
 # No timeout for unacknowledged data, because a congested link delays
@@ -145,6 +154,7 @@
                 await answer.content.read()
                 answer = None
                 answer = await connection.read_answer()
+            options.read_headers(answer.headers)
             failure = self._check_answer(
                 connection, answer, call, options.dialect
             )
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -21,7 +21,7 @@
 from merlintrestle.requests.transport import watchdogs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Mapping
 
     import multidict
 
@@ -86,6 +86,7 @@
         backend: backends.LocalBackend,
         call: calls.Call,
         dialect: object,
+        read_headers: Callable[[Mapping[str, str]], None],
     ) -> outcomes.Outcome:
         """Sends a call to the local backend server and waits for its answer.
 
@@ -95,6 +96,12 @@
         with a streamed body is sent over a new connection as well, as no
         timeout detects that a pooled connection has gone silent.
 
+        Args:
+            backend: The local backend server.
+            call: The call.
+            dialect: Dialect of the backend server.
+            read_headers: Called with the headers of each answer to the call.
+
         Raises:
             bodies.BodyError: The caller's body could not be read.
         """
@@ -102,7 +109,9 @@
         sent_headers = dialects.build_backend_headers(dialect, call, backend)
         buffered = call.body.buffered is not None
         options = exchanges.ConnectionOptions(
-            dialect, _UNACKNOWLEDGED_TIMEOUT_MS if buffered else 0
+            dialect,
+            _UNACKNOWLEDGED_TIMEOUT_MS if buffered else 0,
+            read_headers,
         )
         pooled = None
         if call.plan.repeatable and buffered:
--- a/merlintrestle/requests/transport/headers.py
+++ b/merlintrestle/requests/transport/headers.py
@@ -27,6 +27,10 @@
 PLAN = multidict.istr("Merlintrestle-Plan")
 # Load of the answering daemon's local backend server, see `loads`.
 LOAD = multidict.istr("Merlintrestle-Load")
+# Notices of a backend server in its answers, see `notices`: the calls per
+# second that it accepts from all daemons together, and "1" if it leaves.
+RATE_LIMIT = multidict.istr("Merlintrestle-Rate-Limit")
+LEAVING = multidict.istr("Merlintrestle-Leaving")
 # Further metadata of a call, see `metadata`; trusted on the peer port only.
 METADATA = multidict.istr("Merlintrestle-Passed")
 # Identifies one attempt of a call between two daemons.
