Keep the rate limit that a backend server names

Ruled out: a limit that each daemon keeps for itself, and calls past the admission (repeats of that service were some three a second).

All calls to a backend server, from whichever daemon, pass through the admission of the daemon beside it, so a token bucket there keeps the limit of the whole fleet without any share for each daemon. A call gets a slot only with a token; what doesn't fit waits as long as its latency target allows, is sent elsewhere, or is refused at once with the time until the limit allows it. Calls that were admitted and not sent give their token back; resends take one more.

--- a/merlintrestle/requests/calls/outcomes.py
+++ b/merlintrestle/requests/calls/outcomes.py
@@ -75,6 +75,8 @@
             refused it.
         unqueued: True if the call was refused because it was not allowed to
             wait for a slot; the wait would have taken `retry_after_s`.
+        rate_limited: True if the rate limit of the backend server allowed no
+            call at that time.
     """
 
     reason: str
@@ -85,6 +87,7 @@
     unreachable: bool = False
     reached: bool = False
     unqueued: bool = False
+    rate_limited: bool = False
 
 
 TOO_LATE = NotRun("the deadline has passed", 504, None)
@@ -152,6 +155,15 @@
 }
 
 
+def was_sent(outcome: Outcome) -> bool:
+    """Returns whether a call was, or may have been, sent to a backend server.
+
+    Args:
+        outcome: Outcome of the call at the daemon of that backend server.
+    """
+    return not isinstance(outcome, NotRun) or outcome.reached
+
+
 def release_unused(task: asyncio.Future[Outcome]) -> None:
     """Releases the answer of a task whose result is no longer needed.
 
@@ -224,6 +236,7 @@
             overloaded=bool(reported.get("overloaded")),
             reached=bool(reported.get("reached")),
             unqueued=bool(reported.get("unqueued")),
+            rate_limited=bool(reported.get("rate_limited")),
         )
     broken = bool(reported.get("broken"))
     if outcome_name == "ran":
--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -10,6 +10,7 @@
 from merlintrestle.requests.load import acceptance
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import queue_admission
+from merlintrestle.requests.load import rate_limits
 from merlintrestle.requests.load import refusals
 from merlintrestle.requests.load import slots as slots_lib
 from merlintrestle.schema import control_pb2
@@ -51,9 +52,12 @@
         self._get_time = get_time
         self._backend = backend
         self._acceptance = acceptance.AcceptanceRate(get_time)
-        self._slots = slots_lib.Slots(backend, active_version, table)
+        self._limiter = rate_limits.RateLimiter(get_time)
+        self._slots = slots_lib.Slots(
+            backend, active_version, table, self._limiter
+        )
         self._queue_admission = queue_admission.QueueAdmission(
-            self._slots, self._acceptance
+            self._slots, self._acceptance, self._limiter
         )
 
     @property
@@ -72,8 +76,23 @@
             self._slots.in_flight < backend.slots
             and backend.state == control_pb2.READY
             and self._acceptance.is_healthy()
+            and self._limiter.may_send()
         )
 
+    def set_rate_limit(self, rate: float | None) -> None:
+        """Sets the rate limit of the backend server.
+
+        Args:
+            rate: Calls per second that it accepts; None: no limit.
+        """
+        self._limiter.set_rate(rate)
+        # Waiting calls may be granted sooner under the new limit.
+        self._slots.grant_free_slots()
+
+    def record_resend(self) -> None:
+        """Counts a call that is sent to the backend server once more."""
+        self._limiter.record_send()
+
     def get_load(self) -> loads.Load:
         """Returns the load that is reported to other daemons."""
         return loads.Load(
@@ -99,26 +118,32 @@
             return refusals.refuse_too_late()
         # Only the queue of this class is checked: a waiting call of another
         # class that may use a free slot was granted it when it became free.
-        has_free_slot = not queue.waiting and self._slots.has_free_slot(queue)
+        if self._slots.waiting:
+            # The rate limit may have allowed a waiting call since.
+            self._slots.grant_free_slots()
+        may_start = not queue.waiting and self._slots.may_start(queue)
         if call.wait is not calls.Wait.NORMAL:
-            refusal = self._queue_admission.check_wait(
-                queue, call, has_free_slot
-            )
+            refusal = self._queue_admission.check_wait(queue, call, may_start)
             if refusal is not None:
                 return refusal
-        if has_free_slot:
+        if may_start:
             self._slots.acquire(queue)
         else:
             refusal = await self._wait_for_slot(queue, call)
         call.admitted_at = self._get_time()
         return refusal
 
-    def release(self, call: calls.Call) -> None:
-        """Releases the slot of a call."""
+    def release(self, call: calls.Call, sent: bool = True) -> None:
+        """Releases the slot of a call.
+
+        Args:
+            call: The call.
+            sent: Whether it was sent to the backend server.
+        """
         queue = self._slots.get_queue(call)
         held_s = self._get_time() - call.admitted_at
         queue.hold_s += _HOLD_EWMA_WEIGHT * (held_s - queue.hold_s)
-        self._slots.release(queue)
+        self._slots.release(queue, sent)
 
     def record_acceptance(self, accepted: bool) -> None:
         """Records whether the backend server accepted an admitted call.
@@ -183,5 +208,5 @@
     ) -> outcomes.NotRun | None:
         refusal = self._check_backend(call)
         if refusal is not None:
-            self._slots.release(queue)
+            self._slots.release(queue, sent=False)
         return refusal
--- a/merlintrestle/requests/load/queue_admission.py
+++ b/merlintrestle/requests/load/queue_admission.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from merlintrestle.requests.calls import outcomes
     from merlintrestle.requests.load import acceptance as acceptances
+    from merlintrestle.requests.load import rate_limits
     from merlintrestle.requests.load import slots as slots_lib
 
 # Maximum expected wait with `calls.Wait.SHORT`, as a fraction of the maximum
@@ -30,13 +31,16 @@
         self,
         slots: slots_lib.Slots,
         acceptance: acceptances.AcceptanceRate,
+        limiter: rate_limits.RateLimiter,
     ):
         """Initializes the queue admission.
 
         Args:
             slots: The slots of the local backend server.
             acceptance: The acceptance rate of the backend server.
+            limiter: Rate limit of the backend server.
         """
+        self._limiter = limiter
         self._slots = slots
         self._acceptance = acceptance
         # Until this time late calls are refused at once, because a call in time
@@ -44,7 +48,7 @@
         self._refuse_late_until = 0.0
 
     def check_wait(
-        self, queue: queues.ClassQueue, call: calls.Call, has_free_slot: bool
+        self, queue: queues.ClassQueue, call: calls.Call, may_start: bool
     ) -> outcomes.NotRun | None:
         """Refuses a call that has other upstreams if it would wait too long.
 
@@ -55,13 +59,13 @@
         Args:
             queue: The queue of the call's class.
             call: The call, whose `wait` is not NORMAL.
-            has_free_slot: Whether the call would get a slot at once.
+            may_start: Whether the call would be sent at once.
 
         Returns:
             The refusal; None if the call is admitted or may wait.
         """
         healthy = self._acceptance.is_healthy()
-        if has_free_slot and healthy:
+        if may_start and healthy:
             return None
         if not self._slots.count:
             return refusals.refuse_no_slots()
@@ -75,7 +79,9 @@
         if healthy and short and call.wait is calls.Wait.SHORT:
             return None
         expected_s += queue.hold_s * (1 / self._acceptance.get() - 1)
-        return refusals.refuse_without_waiting(expected_s)
+        return refusals.refuse_without_waiting(
+            expected_s, self._is_rate_limited()
+        )
 
     async def wait(
         self, queue: queues.ClassQueue, call: calls.Call
@@ -115,7 +121,7 @@
             return await granted
         except asyncio.CancelledError:
             if granted.done() and not granted.cancelled() and granted.result():
-                self._slots.release(queue)
+                self._slots.release(queue, sent=False)
             raise
         finally:
             timer.cancel()
@@ -160,7 +166,11 @@
             waiter.latency_deadline - now - retry_after_s
         ):
             retry_after_s = max(retry_after_s, queue.plan.latency_s)
-        return refusals.refuse_full(retry_after_s)
+        return refusals.refuse_full(retry_after_s, self._is_rate_limited())
+
+    def _is_rate_limited(self) -> bool:
+        """Returns whether the rate limit allows no call now."""
+        return not self._limiter.may_send()
 
 
 def _build_waiter(
--- a/merlintrestle/requests/load/refusals.py
+++ b/merlintrestle/requests/load/refusals.py
@@ -8,6 +8,7 @@
 # becomes free every few hundredths of a second. Callers that retry this soon
 # may still be answered within their latency target.
 MIN_RETRY_AFTER_S = 0.05
+_RATE_LIMITED = "the rate limit of the backend server is reached"
 
 
 def refuse_wrong_service() -> outcomes.NotRun:
@@ -36,23 +37,40 @@
     return _refuse("the backend server has no slots", 1.0)
 
 
-def refuse_full(retry_after_s: float) -> outcomes.NotRun:
-    """Refuses a call for which no slot becomes free in time."""
-    return _refuse("no free slot in time", retry_after_s)
+def refuse_full(
+    retry_after_s: float, rate_limited: bool = False
+) -> outcomes.NotRun:
+    """Refuses a call that can't be sent to the backend server in time.
+
+    Args:
+        retry_after_s: Retry delay, in seconds.
+        rate_limited: Whether the rate limit of the backend server is why.
+    """
+    reason = _RATE_LIMITED if rate_limited else "no free slot in time"
+    return _refuse(reason, retry_after_s, rate_limited=rate_limited)
 
 
-def refuse_without_waiting(retry_after_s: float) -> outcomes.NotRun:
+def refuse_without_waiting(
+    retry_after_s: float, rate_limited: bool = False
+) -> outcomes.NotRun:
     """Refuses a call that should try other upstreams instead of waiting here.
 
     Args:
         retry_after_s: How long the call would wait here, in seconds. The
             calling daemon compares it with the waits at other upstreams.
+        rate_limited: Whether the rate limit of the backend server is why.
     """
-    return _refuse("no free slot just now", retry_after_s, unqueued=True)
+    reason = _RATE_LIMITED if rate_limited else "no free slot just now"
+    return _refuse(
+        reason, retry_after_s, unqueued=True, rate_limited=rate_limited
+    )
 
 
 def _refuse(
-    reason: str, retry_after_s: float, unqueued: bool = False
+    reason: str,
+    retry_after_s: float,
+    unqueued: bool = False,
+    rate_limited: bool = False,
 ) -> outcomes.NotRun:
     return outcomes.NotRun(
         reason,
@@ -60,4 +78,5 @@
         elsewhere=True,
         overloaded=True,
         unqueued=unqueued,
+        rate_limited=rate_limited,
     )
--- a/merlintrestle/requests/load/slots.py
+++ b/merlintrestle/requests/load/slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import bisect
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests import interfaces
     from merlintrestle.requests.calls import call as calls
+    from merlintrestle.requests.load import rate_limits
 
 # Maximum number of waiting calls for each slot, of all classes together. With
 # longer queues a full backend server would not serve more calls, and the calls
@@ -30,6 +32,9 @@
     transfers, which therefore only borrow slots that are not guaranteed to any
     class.
 
+    If the backend server has a rate limit, a call gets a slot only when it may
+    also be sent under that limit.
+
     Attributes:
         count: Number of slots.
         in_flight: Number of calls that hold a slot.
@@ -41,6 +46,7 @@
         backend: backends.LocalBackend,
         active_version: interfaces.ActiveVersion,
         table: interfaces.MemberTable,
+        limiter: rate_limits.RateLimiter,
     ):
         """Initializes the slots.
 
@@ -48,7 +54,10 @@
             backend: The local backend server, with its number of slots.
             active_version: The active version, with the declared targets.
             table: Lists the upstreams of each service.
+            limiter: Rate limit of the backend server.
         """
+        self._limiter = limiter
+        self._limit_timer: asyncio.TimerHandle | None = None
         self._backend = backend
         self._active_version = active_version
         self._table = table
@@ -94,6 +103,14 @@
         self._add_queues(plan)
         self._compute_shares()
 
+    def may_start(self, queue: queues.ClassQueue) -> bool:
+        """Returns whether a call of a class may be sent now.
+
+        There must be a free slot that the class may use, and the rate limit
+        must allow the call.
+        """
+        return self.has_free_slot(queue) and self._limiter.may_send()
+
     def has_free_slot(self, queue: queues.ClassQueue) -> bool:
         """Returns whether there is a free slot that a class may use."""
         share = queue.share
@@ -106,13 +123,22 @@
 
     def acquire(self, queue: queues.ClassQueue) -> None:
         """Acquires a slot for a call of a class."""
+        self._limiter.record_send()
         queue.in_flight += 1
         self.in_flight += 1
         if queue.share.large:
             self._large_in_flight += 1
 
-    def release(self, queue: queues.ClassQueue) -> None:
-        """Releases the slot of a call and grants it to a waiting call."""
+    def release(self, queue: queues.ClassQueue, sent: bool = True) -> None:
+        """Releases the slot of a call and grants it to a waiting call.
+
+        Args:
+            queue: Queue of the call's class.
+            sent: Whether the call was sent to the backend server; if not, it
+                doesn't count against the rate limit.
+        """
+        if not sent:
+            self._limiter.cancel_send()
         queue.in_flight -= 1
         self.in_flight -= 1
         if queue.share.large:
@@ -121,8 +147,14 @@
             self.grant_free_slots()
 
     def grant_free_slots(self) -> None:
-        """Grants free slots to waiting calls."""
+        """Grants free slots to waiting calls, as far as the rate limit allows.
+
+        What it does not allow yet is granted later by a timer.
+        """
         while self.waiting:
+            if not self._limiter.may_send():
+                self._schedule_grant()
+                return
             ready = [
                 queue
                 for queue in self._queues.values()
@@ -142,6 +174,8 @@
         """Adds a waiting call to its queue."""
         queue.add(waiter)
         self.waiting += 1
+        if not self._limiter.may_send():
+            self._schedule_grant()
 
     def remove(self, queue: queues.ClassQueue, waiter: queues.Waiter) -> None:
         """Removes a call from its queue unless it was removed before."""
@@ -183,13 +217,31 @@
         It is the shorter of two estimates: the wait for one of the slots that
         the class can use (guaranteed, or left unused by other classes), and the
         wait until the call is the next in the order of all classes, as slots
-        become free one after the other.
+        become free one after the other. Under a rate limit, it is no shorter
+        than the time until the calls ahead and this one may be sent.
         """
         position = bisect.bisect_right(queue.waiting, waiter) + 1
+        ahead = self._count_ahead(queue, waiter)
+        limit_wait_s = self._limiter.get_delay(ahead + position)
+        if limit_wait_s and self.has_free_slot(queue):
+            return limit_wait_s
+        return max(
+            limit_wait_s, self._estimate_slot_wait(queue, position, ahead)
+        )
+
+    def _estimate_slot_wait(
+        self, queue: queues.ClassQueue, position: int, ahead: int
+    ) -> float:
+        """Returns the expected wait for a slot alone, in seconds.
+
+        Args:
+            queue: Queue of the call's class.
+            position: Place of the call in its queue, from 1.
+            ahead: Number of calls of other classes ahead of it.
+        """
         class_wait_s = position * queue.hold_s / self._count_usable_slots(queue)
         if queue.share.large:
             return class_wait_s
-        ahead = self._count_ahead(queue, waiter)
         in_turn_s = (ahead + position) * self.get_mean_hold() / self.count
         return min(class_wait_s, in_turn_s)
 
@@ -201,6 +253,17 @@
         held_s = sum(queue.in_flight * queue.hold_s for queue in busy)
         return held_s / self.in_flight
 
+    def _schedule_grant(self) -> None:
+        """Schedules the next grant for when the rate limit allows a call."""
+        if self._limit_timer is None:
+            self._limit_timer = asyncio.get_running_loop().call_later(
+                self._limiter.get_delay(), self._grant_after_delay
+            )
+
+    def _grant_after_delay(self) -> None:
+        self._limit_timer = None
+        self.grant_free_slots()
+
     def _count_usable_slots(self, queue: queues.ClassQueue) -> float:
         """Returns how many slots a class can use, guaranteed or unused."""
         available = self.count - (self.in_flight - queue.in_flight)
--- a/merlintrestle/requests/serving/backend_notices.py
+++ b/merlintrestle/requests/serving/backend_notices.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable, Mapping
 
     from merlintrestle.requests import backend as backends
+    from merlintrestle.requests.load import admission as admissions
 
 events = event_logs.EventLog("requests")
 
@@ -26,16 +27,19 @@
     def __init__(
         self,
         backend: backends.LocalBackend,
+        admission: admissions.Admission,
         dialect: object,
     ):
         """Initializes the notices of a backend server that has none.
 
         Args:
             backend: The local backend server.
+            admission: Keeps its rate limit.
             dialect: Its dialect.
         """
         self.current = notices_lib.NO_NOTICES
         self._backend = backend
+        self._admission = admission
         self._names = dialects.get_notice_headers(dialect)
         # Id and start of the process whose notices these are.
         self._process = ("", 0)
@@ -61,6 +65,7 @@
     def reset(self) -> None:
         """Discards the notices of a process that has ended."""
         self.current = notices_lib.NO_NOTICES
+        self._admission.set_rate_limit(None)
 
     def _follow_process(self) -> None:
         """Discards the notices if the backend server was restarted."""
@@ -84,3 +89,4 @@
             leaving=latest.leaving,
             previous_rate_limit=previous.rate_limit,
         )
+        self._admission.set_rate_limit(latest.rate_limit)
--- a/merlintrestle/requests/serving/local_runner.py
+++ b/merlintrestle/requests/serving/local_runner.py
@@ -9,6 +9,7 @@
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import repeats
 from merlintrestle.requests.serving import backend_notices
+from merlintrestle.requests.transport import forwarding
 from merlintrestle.requests.unrepeatable import at_most_once
 
 if TYPE_CHECKING:
@@ -17,7 +18,6 @@
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.crashing import crashes as crashes_
     from merlintrestle.requests.load import admission as admissions
-    from merlintrestle.requests.transport import forwarding
     from merlintrestle.requests.unrepeatable import claims as claims_
 
 
@@ -66,7 +66,9 @@
         self._admission = admission
         self._forwarder = forwarder
         self._crashes = crashes
-        self.notices = backend_notices.BackendNotices(backend, dialect)
+        self.notices = backend_notices.BackendNotices(
+            backend, admission, dialect
+        )
         self.repeats = repeats.Repeats()
         self.at_most_once = at_most_once.AtMostOnceRunner(
             claims, admission, self._forward
@@ -113,7 +115,7 @@
         if isinstance(outcome, outcomes.Answered):
             outcome.add_release_callback(lambda: self._admission.release(call))
         else:
-            self._admission.release(call)
+            self._admission.release(call, outcomes.was_sent(outcome))
         return outcome
 
     async def _forward(self, call: calls.Call) -> outcomes.Outcome:
@@ -130,7 +132,12 @@
         started_at = time.monotonic()
         try:
             outcome = await self._forwarder.send_to_backend(
-                self._backend, call, self._dialect, self.notices.build_reader()
+                self._backend,
+                call,
+                self._dialect,
+                forwarding.BackendObserver(
+                    self.notices.build_reader(), self._admission.record_resend
+                ),
             )
         except BaseException:
             self._crashes.end(call, False)
--- a/merlintrestle/requests/serving/retry_state.py
+++ b/merlintrestle/requests/serving/retry_state.py
@@ -58,7 +58,7 @@
     def record(self, latest: outcomes.Outcome) -> None:
         """Records the outcome of an attempt."""
         self.outcome = retries.combine(self.outcome, latest)
-        self.reached_count += _has_reached_backend(latest)
+        self.reached_count += outcomes.was_sent(latest)
         self.overload_refusal_count += _is_overload_refusal(latest)
 
     def may_attempt_another_upstream(self, upstream_count: int) -> bool:
@@ -158,11 +158,6 @@
         )
 
 
-def _has_reached_backend(outcome: outcomes.Outcome) -> bool:
-    """Returns whether the call was sent to a backend server."""
-    return not isinstance(outcome, outcomes.NotRun) or outcome.reached
-
-
 def _is_overload_refusal(outcome: outcomes.Outcome) -> bool:
     """Returns whether a daemon refused the call for lack of capacity.
 
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import functools
-from typing import Any, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 from aiohttp import hdrs
 
@@ -42,6 +42,19 @@
 _UNACKNOWLEDGED_TIMEOUT_MS = 600
 
 
+class BackendObserver(NamedTuple):
+    """Callbacks for a call to the local backend server.
+
+    Attributes:
+        read_headers: Called with the headers of each answer to the call, also
+            of a refusal.
+        record_resend: Called before the call is sent once more.
+    """
+
+    read_headers: Callable[[Mapping[str, str]], None]
+    record_resend: Callable[[], None]
+
+
 class Forwarder:
     """Sends calls over pooled or new connections."""
 
@@ -86,7 +99,7 @@
         backend: backends.LocalBackend,
         call: calls.Call,
         dialect: object,
-        read_headers: Callable[[Mapping[str, str]], None],
+        observer: BackendObserver,
     ) -> outcomes.Outcome:
         """Sends a call to the local backend server and waits for its answer.
 
@@ -100,7 +113,7 @@
             backend: The local backend server.
             call: The call.
             dialect: Dialect of the backend server.
-            read_headers: Called with the headers of each answer to the call.
+            observer: Told of answers and of resends.
 
         Raises:
             bodies.BodyError: The caller's body could not be read.
@@ -111,7 +124,7 @@
         options = exchanges.ConnectionOptions(
             dialect,
             _UNACKNOWLEDGED_TIMEOUT_MS if buffered else 0,
-            read_headers,
+            observer.read_headers,
         )
         pooled = None
         if call.plan.repeatable and buffered:
@@ -134,7 +147,7 @@
                 options,
             )
         return await self._send_over_pooled(
-            backend, pooled, call, sent_headers, options
+            backend, pooled, call, sent_headers, options, observer
         )
 
     async def _send_over_pooled(
@@ -144,6 +157,7 @@
         call: calls.Call,
         sent_headers: multidict.CIMultiDict[str],
         options: exchanges.ConnectionOptions,
+        observer: BackendObserver,
     ) -> outcomes.Outcome:
         """Sends a call over a pooled connection.
 
@@ -153,7 +167,7 @@
         budget = self._resend_budgets.get(call.service)
         budget.record_call()
         resend = resends.Resend(
-            pooled, lambda: self._resend(backend, call, options)
+            pooled, lambda: self._resend(backend, call, options, observer)
         )
         watchdog = watchdogs.Watchdog(
             pooled,
@@ -185,7 +199,9 @@
         backend: backends.LocalBackend,
         call: calls.Call,
         options: exchanges.ConnectionOptions,
+        observer: BackendObserver,
     ) -> outcomes.Outcome:
+        observer.record_resend()
         return await self._send_over_new(
             backend.address,
             call.target,
--- a/merlintrestle/requests/unrepeatable/at_most_once.py
+++ b/merlintrestle/requests/unrepeatable/at_most_once.py
@@ -76,11 +76,11 @@
             try:
                 result = await claims.acquire(call, claim_key, revision)
             except BaseException:
-                self._admission.release(call)
+                self._admission.release(call, sent=False)
                 raise
             if isinstance(result, claims_.HeldClaim):
                 return await self._run_claimed(call, result)
-            self._admission.release(call)
+            self._admission.release(call, sent=False)
             if isinstance(result, (outcomes.NotRun, outcomes.Unknown)):
                 return result
             resolved: object = result
@@ -132,7 +132,7 @@
                 answer = ledgers.copy_answer(outcome)
                 ledger.end(held.record, request_pb2.ANSWERED, answer)
                 return outcome
-            release()
+            release(outcomes.was_sent(outcome))
             if isinstance(outcome, outcomes.NotRun):
                 ledger.end(held.record, request_pb2.RELEASED)
                 # Deleted in a task, so that the caller does not wait for a
@@ -153,15 +153,18 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def _build_release(self, call: calls.Call) -> Callable[[], None]:
-        """Returns a callback that releases the slot of a call once."""
+    def _build_release(self, call: calls.Call) -> Callable[..., None]:
+        """Returns a callback that releases the slot of a call once.
+
+        Its argument tells whether the call was sent to the backend server.
+        """
         released = False
 
-        def release() -> None:
+        def release(sent: bool = True) -> None:
             nonlocal released
             if not released:
                 released = True
-                self._admission.release(call)
+                self._admission.release(call, sent)
 
         return release
 
--- a/tests/requests/interleaving.py
+++ b/tests/requests/interleaving.py
@@ -231,7 +231,7 @@
     async def acquire(self, call: calls.Call) -> None:
         return None
 
-    def release(self, call: calls.Call) -> None:
+    def release(self, call: calls.Call, sent: bool = True) -> None:
         pass
 
 
--- a/tests/requests/load/simulations.py
+++ b/tests/requests/load/simulations.py
@@ -53,12 +53,19 @@
     Attributes:
         counts: Number of calls by class and result: "in time", "late" or
             "refused".
+        started_at: Times at which calls were sent to the backend server, in
+            seconds.
+        retry_delays_s: Retry delays of the refusals, in seconds.
     """
 
-    def __init__(self, slots: int, seed: int = 1):
+    def __init__(
+        self, slots: int, seed: int = 1, rate_limit: float | None = None
+    ):
         self.counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self.started_at: list[float] = []
+        self.retry_delays_s: list[float] = []
         self._rng = random.Random(seed)
         self._loop = asyncio.get_running_loop()
         backend = backends.LocalBackend()
@@ -69,6 +76,11 @@
             fakes.FakeMemberTable(),
             self._loop.time,
         )
+        self._admission.set_rate_limit(rate_limit)
+
+    def set_rate_limit(self, rate_limit: float | None) -> None:
+        """Sets the rate limit of the backend server; None: no limit."""
+        self._admission.set_rate_limit(rate_limit)
 
     async def run(self, duration_s: float, *callers: Callers) -> None:
         """Simulates callers for `duration_s` seconds."""
@@ -181,7 +193,10 @@
         )
         refusal = await self._admission.acquire(call)
         if refusal is not None:
-            return refusal.retry_after_s or 1.0
+            retry_after_s = refusal.retry_after_s or 1.0
+            self.retry_delays_s.append(retry_after_s)
+            return retry_after_s
+        self.started_at.append(self._loop.time())
         factor = self._rng.lognormvariate(
             -(_WORK_TIME_SIGMA**2) / 2, _WORK_TIME_SIGMA
         )
@@ -191,12 +206,25 @@
 
 
 def simulate(
-    slots: int, duration_s: float, *callers: Callers, seed: int = 1
+    slots: int,
+    duration_s: float,
+    *callers: Callers,
+    seed: int = 1,
+    rate_limit: float | None = None,
 ) -> Simulation:
-    """Simulates callers of one backend server for `duration_s` seconds."""
+    """Simulates callers of one backend server for `duration_s` seconds.
+
+    Args:
+        slots: Number of slots of the backend server.
+        duration_s: How long callers begin new calls, in seconds.
+        *callers: The callers of each class.
+        seed: Seed of the random numbers.
+        rate_limit: Calls per second that the backend server accepts; None: no
+            limit.
+    """
 
     async def run() -> Simulation:
-        simulation = Simulation(slots, seed)
+        simulation = Simulation(slots, seed, rate_limit)
         await simulation.run(duration_s, *callers)
         return simulation
 
