Stop sending calls to a backend server whose answers say that it leaves

The daemon beside the server retires the process at the first such answer, as it does after a leave call: calls that wait are refused as not run and go elsewhere, the other daemons hear of it by membership, and later heartbeats of that process are dropped. The start of a process may become known after its id; its notices are kept then.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -202,6 +202,15 @@
         if self._heartbeat_filter.retire(instance_id, started_ms):
             self._proxy.backend.retire()
 
+    def _retire_leaving_backend(
+        self, instance_id: str, started_ms: int
+    ) -> None:
+        """Stops sending new calls to a backend server whose answers say so."""
+        if instance_id:
+            self.retire_backend(instance_id, started_ms)
+        else:
+            self._proxy.backend.retire()
+
     async def on_stop(self) -> None:
         """Serves callers until they have moved, leaves the fleet and drains.
 
@@ -260,6 +269,7 @@
         )
         await self._control.start(servicer)
         self._proxy.backend.on_change = self._publish_backend
+        self._proxy.set_on_leaving(self._retire_leaving_backend)
         crashes = self._proxy.crashes
         crashes.send_strike = membership.links.send_strike
         membership.links.on_strike.append(crashes.strikes.add)
--- a/merlintrestle/requests/serving/backend_notices.py
+++ b/merlintrestle/requests/serving/backend_notices.py
@@ -7,6 +7,7 @@
 from merlintrestle import events as event_logs
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import notices as notices_lib
+from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -22,6 +23,8 @@
 
     Attributes:
         current: The latest notices.
+        on_leaving: Called with the id and the start of the process, in ms since
+            1970 or 0, when it states that it leaves although it is used.
     """
 
     def __init__(
@@ -38,6 +41,7 @@
             dialect: Its dialect.
         """
         self.current = notices_lib.NO_NOTICES
+        self.on_leaving: Callable[[str, int], None] = _ignore_leaving
         self._backend = backend
         self._admission = admission
         self._names = dialects.get_notice_headers(dialect)
@@ -59,6 +63,7 @@
                 self._apply(
                     notices_lib.read_notices(headers, self._names, self.current)
                 )
+                self._leave()
 
         return read
 
@@ -73,7 +78,12 @@
         process = (backend.instance_id, backend.started_ms)
         if process == self._process:
             return
-        if self._process[0]:
+        instance_id, started_ms = self._process
+        # The start of a process may become known after its id.
+        if instance_id and (
+            instance_id != backend.instance_id
+            or 0 < started_ms != backend.started_ms > 0
+        ):
             self.reset()
         self._process = process
 
@@ -90,3 +100,16 @@
             previous_rate_limit=previous.rate_limit,
         )
         self._admission.set_rate_limit(latest.rate_limit)
+
+    def _leave(self) -> None:
+        """Stops new calls if the backend server is still used.
+
+        A backend server without an id announces only its state, and may have
+        announced again that it is ready.
+        """
+        if self.current.leaving and self._backend.state == control_pb2.READY:
+            self.on_leaving(*self._process)
+
+
+def _ignore_leaving(instance_id: str, started_ms: int) -> None:
+    del instance_id, started_ms
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -35,6 +35,8 @@
 from merlintrestle.rollouts import tracker as trackers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from merlintrestle.requests import interfaces
     from merlintrestle.requests.calls import notices
     from merlintrestle.schema import control_pb2
@@ -315,6 +317,15 @@
         servers = (self._caller_server, self._peer_server)
         return sum(port_server.get_buffered_bytes() for port_server in servers)
 
+    def set_on_leaving(self, on_leaving: Callable[[str, int], None]) -> None:
+        """Sets what is called when the backend server states that it leaves.
+
+        Args:
+            on_leaving: Called with the id and the start of its process, see
+                `backend_notices.BackendNotices`.
+        """
+        self._local_runner.notices.on_leaving = on_leaving
+
     @property
     def in_flight(self) -> int:
         """Number of calls whose answers are not yet complete."""
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -44,3 +44,27 @@
             )
             statuses += [status for status, _, _ in responses]
         return statuses
+
+
+class LeavingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet = fleets.Fleet()
+        self.addAsyncCleanup(self.fleet.aclose)
+
+    async def test_server_that_says_it_leaves_gets_no_further_requests(
+        self,
+    ) -> None:
+        """Guards against requests to a server that left by its answers alone.
+
+        Its heartbeats go on to report that it is ready.
+        """
+        await self.fleet.start("balie", "balie")
+        leaving = self.fleet.backends[0]
+        leaving.leaving = True
+        status, headers, _ = await self.fleet.send(0)
+        self.assertEqual((status, headers["Server-Leaving"]), (200, "1"))
+        await leaving.send_heartbeat(self.fleet.daemons[0].heartbeat_address)
+        for index in (0, 1) * 10:
+            status, _, _ = await self.fleet.send(index)
+            self.assertEqual(status, 200)
+        self.assertEqual(len(leaving.arrivals), 1)
