Keep a backend server's notices when the daemon beside it restarts

The restart excuses the daemon's own callers alone, not those of the others, which had been told.

A daemon states the notices with its answers to other daemons, and each passes on with its calls what it was told last; the restarted daemon applies it until it reads an answer of the same process.

The header is there only once there was a notice, so calls to other servers cost what they did.

--- a/merlintrestle/requests/load/picking.py
+++ b/merlintrestle/requests/load/picking.py
@@ -12,6 +12,7 @@
 
     from merlintrestle.members import table as tables
     from merlintrestle.requests.load import observations
+    from merlintrestle.requests.load import upstream_notices
 
 # Minimum success rate with which the local backend server is preferred. A hop
 # to another daemon only takes a millisecond or two, but a failure loses the
@@ -87,6 +88,11 @@
         """Returns the observation of an upstream."""
         return self._observations.get_observation(member_id)
 
+    @property
+    def notices(self) -> upstream_notices.UpstreamNotices:
+        """Notices of the backend servers of the upstreams."""
+        return self._observations.notices
+
     def get_details(
         self, upstream: tables.Upstream, count: int
     ) -> ranking.PickDetails:
--- a/merlintrestle/requests/load/ranking.py
+++ b/merlintrestle/requests/load/ranking.py
@@ -8,6 +8,7 @@
 from merlintrestle.requests import backend
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.load import observations
+from merlintrestle.requests.load import upstream_notices
 
 if TYPE_CHECKING:
     from merlintrestle.members import table as tables
@@ -74,10 +75,14 @@
     """Observations of all upstreams, and comparisons of upstreams by them.
 
     All times are in seconds.
+
+    Attributes:
+        notices: Notices of the backend servers of the upstreams.
     """
 
     def __init__(self) -> None:
         """Initializes an empty collection."""
+        self.notices = upstream_notices.UpstreamNotices()
         self._observations: dict[str, observations.Observation] = {}
         # Since when this daemon has known each upstream as ready, in seconds.
         self._known_since: dict[str, float] = {}
--- a/merlintrestle/requests/serving/attempt_runner.py
+++ b/merlintrestle/requests/serving/attempt_runner.py
@@ -250,6 +250,9 @@
         )
         if not isinstance(outcome, outcomes.Answered):
             return outcome
+        self._picker.notices.record(
+            upstream.member_id, outcome.response.headers.get(headers.NOTICES)
+        )
         encoded_load = outcome.response.headers.get(headers.LOAD)
         load = loads.decode_load(encoded_load) if encoded_load else None
         if load is not None:
@@ -298,6 +301,9 @@
         peer_headers = call.headers.copy()
         peer_headers[headers.PLAN] = plans.encode_plan(call.plan)
         peer_headers[headers.METADATA] = metadata.encode_metadata(call_metadata)
+        notices = self._picker.notices.get_header(attempt.upstream.member_id)
+        if notices is not None:
+            peer_headers[headers.NOTICES] = notices
         return peer_headers
 
 
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -100,6 +100,7 @@
         )
         if call_metadata is None:
             return outcomes.render(_MALFORMED)
+        self._local_runner.notices.adopt(request.headers.get(headers.NOTICES))
         progress = self._registry.add(call_id)
         self._state.begin_call()
         try:
@@ -193,15 +194,22 @@
     def _build_answer_headers(
         self, call_id: str, started_at: float
     ) -> tuple[tuple[str, str], ...]:
-        """Returns headers with the call id and the load of this daemon."""
+        """Returns headers with the call id, and the load of this daemon.
+
+        The notices of its backend server are added if there ever were any.
+        """
         load = self._admission.get_load()._replace(
             link_backlog_s=self._link.get_backlog_s(),
             server_time_s=self._get_time() - started_at,
         )
-        return (
+        answer_headers = (
             (headers.CALL_ID, call_id),
             (headers.LOAD, loads.encode_load(load)),
         )
+        notices = self._local_runner.notices.get_header()
+        if not notices:
+            return answer_headers
+        return (*answer_headers, (headers.NOTICES, notices))
 
 
 def _record_answer_size(
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -194,7 +194,7 @@
         loop = asyncio.get_running_loop()
         self.outcome_counts = outcome_counts.OutcomeCounts(loop.time)
         await self._forwarder.start()
-        self.backend.on_restart = self._forwarder.drop_idle
+        self.backend.on_restart = self._handle_backend_restart
         address = self._settings.address
         caller_handler = callers.CallerHandler(
             self._state,
@@ -290,6 +290,10 @@
             if tasks:
                 await asyncio.wait(tasks)
 
+    def _handle_backend_restart(self, previous_address: str) -> None:
+        self._forwarder.drop_idle(previous_address)
+        self._local_runner.notices.reset()
+
     @mode.Service.task
     async def _check_backend(self) -> None:
         while not self.should_stop:
--- a/merlintrestle/requests/transport/headers.py
+++ b/merlintrestle/requests/transport/headers.py
@@ -31,6 +31,9 @@
 # second that it accepts from all daemons together, and "1" if it leaves.
 RATE_LIMIT = multidict.istr("Merlintrestle-Rate-Limit")
 LEAVING = multidict.istr("Merlintrestle-Leaving")
+# Notices of an upstream's backend server between daemons, see `notices`;
+# trusted on the peer port only.
+NOTICES = multidict.istr("Merlintrestle-Notices")
 # Further metadata of a call, see `metadata`; trusted on the peer port only.
 METADATA = multidict.istr("Merlintrestle-Passed")
 # Identifies one attempt of a call between two daemons.
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -201,6 +201,7 @@
         self.push_async_callback(self.control.stop, 0)
         await self.proxy.start()
         self.push_async_callback(self.proxy.stop)
+        self.proxy.set_on_leaving(lambda *_: self.proxy.backend.retire())
         self.proxy.backend.announce(
             "kassa", f"127.0.0.1:{self.backend.port}", self._slots
         )
@@ -257,6 +258,10 @@
         """Replaces the handler of the backend server."""
         self._handler = handler
 
+    def forget_notices(self) -> None:
+        """Makes the daemon know as little of its server as after a start."""
+        self.proxy._local_runner.notices.reset()
+
     def list_transports(self) -> list[asyncio.Transport]:
         """Returns the transports of the open connections of callers."""
         return [
