Play rate limits on the thin model, and tell refused callers when to return

The model's backend servers state limits at set times, daemons learn of them from answers alone and may restart; the product decides.

Callers that a limit refuses were all told the same time, so of 40 at once on 10 a second 36 came back together and 32 were refused again (test failed before). They now return one after the other at the limit's rate, ten seconds at most, callers of more important classes first; a call that would be in time is told as before. Of several refusals the soonest return is told if one is for a limit.

Tried and taken back: calls to a limited upstream only poll it.

--- a/merlintrestle/requests/load/queue_admission.py
+++ b/merlintrestle/requests/load/queue_admission.py
@@ -155,6 +155,7 @@
         is then likely in time. Otherwise it may retry when the calls that wait
         now have been served or refused: an earlier retry would find the same
         queue and be refused again, until the caller has used up its retries.
+        Under a rate limit, such callers return one after the other.
 
         After the refusal of a call in time, late calls are refused for the time
         of its latency target.
@@ -165,7 +166,10 @@
         if not queue.is_likely_in_time(
             waiter.latency_deadline - now - retry_after_s
         ):
-            retry_after_s = max(retry_after_s, queue.plan.latency_s)
+            retry_after_s = self._limiter.book_return(
+                max(retry_after_s, queue.plan.latency_s),
+                queue.share.importance,
+            )
         return refusals.refuse_full(retry_after_s, self._is_rate_limited())
 
     def _is_rate_limited(self) -> bool:
--- a/merlintrestle/requests/load/rate_limits.py
+++ b/merlintrestle/requests/load/rate_limits.py
@@ -21,6 +21,9 @@
 # Shortest delay until the next call, in seconds, so that rounding errors of the
 # clock cannot delay a timer by nothing again and again.
 _MIN_DELAY_S = 0.001
+# Longest time after which a refused caller is told to come back, in seconds.
+# Most callers have given up by then.
+_MAX_RETURN_DELAY_S = 10.0
 # Fraction of a call that may be missing, because of rounding errors.
 _TOLERANCE = 1e-6
 
@@ -42,6 +45,9 @@
         self._get_time = get_time
         self._tokens = 0.0
         self._updated_at = 0.0
+        # When the next refused caller may come back, in seconds, by the
+        # importance of its class.
+        self._next_return_at: dict[int, float] = {}
 
     def set_rate(self, rate: float | None) -> None:
         """Sets the allowed calls per second; None: no limit.
@@ -88,6 +94,36 @@
             return 0.0
         return max(_MIN_DELAY_S, missing / self.rate)
 
+    def book_return(self, delay_s: float, importance: int) -> float:
+        """Returns after how many seconds a refused caller may come back.
+
+        Refused callers come back one after the other at the rate of the limit.
+        If all were told the same time, all but one would be refused again.
+        Callers of more important classes do not wait for those of others.
+
+        Args:
+            delay_s: Seconds until the limit allows the call, regardless of
+                other refused callers.
+            importance: Importance of the call's class.
+        """
+        if self.rate is None:
+            return delay_s
+        now = self._get_time()
+        booked_until = max(
+            (
+                next_return_at
+                for booked, next_return_at in self._next_return_at.items()
+                if booked >= importance
+            ),
+            default=0.0,
+        )
+        return_at = min(
+            max(now + delay_s, booked_until),
+            now + max(delay_s, _MAX_RETURN_DELAY_S),
+        )
+        self._next_return_at[importance] = return_at + 1.0 / self.rate
+        return return_at - now
+
     def _refill(self, rate: float) -> None:
         now = self._get_time()
         gained = (now - self._updated_at) * rate
--- a/merlintrestle/requests/load/retries.py
+++ b/merlintrestle/requests/load/retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 import functools
 
@@ -138,4 +139,28 @@
         earlier, outcomes.Ran
     ):
         return earlier
+    if (
+        isinstance(latest, outcomes.NotRun)
+        and isinstance(earlier, outcomes.NotRun)
+        and (latest.rate_limited or earlier.rate_limited)
+    ):
+        return _choose_earlier_return(earlier, latest)
     return latest
+
+
+def _choose_earlier_return(
+    earlier: outcomes.NotRun, latest: outcomes.NotRun
+) -> outcomes.NotRun:
+    """Returns the latest refusal with the shorter of both retry delays.
+
+    A backend server with a rate limit may accept the call much later than
+    another one that is only full at the moment.
+    """
+    delays_s = [
+        refusal.retry_after_s
+        for refusal in (earlier, latest)
+        if refusal.retry_after_s is not None
+    ]
+    return dataclasses.replace(
+        latest, retry_after_s=min(delays_s, default=None)
+    )
--- a/tests/requests/load/simulations.py
+++ b/tests/requests/load/simulations.py
@@ -68,8 +68,8 @@
         self.retry_delays_s: list[float] = []
         self._rng = random.Random(seed)
         self._loop = asyncio.get_running_loop()
-        backend = backends.LocalBackend()
-        backend.announce("kassa", "127.0.0.1:1", slots, control_pb2.READY)
+        self._backend = backend = backends.LocalBackend()
+        self.set_slots(slots)
         self._admission = admission.Admission(
             backend,
             fakes.FakeActiveVersion(builders.build_snapshot({})),
@@ -78,6 +78,10 @@
         )
         self._admission.set_rate_limit(rate_limit)
 
+    def set_slots(self, slots: int) -> None:
+        """Sets the number of slots of the backend server."""
+        self._backend.announce("kassa", "127.0.0.1:1", slots, control_pb2.READY)
+
     def set_rate_limit(self, rate_limit: float | None) -> None:
         """Sets the rate limit of the backend server; None: no limit."""
         self._admission.set_rate_limit(rate_limit)
--- a/tests/requests/load/test_rate_limits.py
+++ b/tests/requests/load/test_rate_limits.py
@@ -87,6 +87,27 @@
         with asyncio.Runner(loop_factory=model.SimulatedLoop) as runner:
             runner.run(run())
 
+    def test_refused_callers_that_return_as_told_are_served(self) -> None:
+        """Guards against refused callers that all return at the same time."""
+
+        async def run() -> None:
+            simulation = simulations.Simulation(12, rate_limit=10.0)
+
+            async def call() -> bool:
+                refusal = await simulation.request_slot(_LOOKUP, 0.4)
+                if refusal is None:
+                    return True
+                await asyncio.sleep(refusal.retry_after_s or 0.0)
+                # The latency target has passed meanwhile.
+                return await simulation.request_slot(_LOOKUP, -0.1) is None
+
+            simulation.set_slots(100)
+            served = await asyncio.gather(*(call() for _ in range(40)))
+            self.assertEqual(served.count(True), 40)
+
+        with asyncio.Runner(loop_factory=model.SimulatedLoop) as runner:
+            runner.run(run())
+
     def test_a_lifted_limit_frees_waiting_calls_at_once(self) -> None:
         """Guards against calls that wait for a limit that is gone."""
 
--- a/tests/requests/load/test_retries.py
+++ b/tests/requests/load/test_retries.py
@@ -183,3 +183,16 @@
         for earlier in (outcomes.Unknown("broke"), outcomes.Ran("cut")):
             self.assertIs(retries.combine(earlier, refused), earlier)
         self.assertIs(retries.combine(refused, refused), refused)
+
+    def test_rate_limit_does_not_hide_an_upstream_that_is_free_sooner(
+        self,
+    ) -> None:
+        """Guards against callers who come back long after there is room."""
+        full = outcomes.NotRun("full", retry_after_s=0.1)
+        limited = outcomes.NotRun(
+            "limited", retry_after_s=4.0, rate_limited=True
+        )
+        for earlier, latest in ((full, limited), (limited, full)):
+            combined = retries.combine(earlier, latest)
+            assert isinstance(combined, outcomes.NotRun)
+            self.assertEqual(combined.retry_after_s, 0.1)
--- a/tools/model.py
+++ b/tools/model.py
@@ -14,6 +14,7 @@
 from merlintrestle.members import table as tables
 from merlintrestle.requests import backend as backends
 from merlintrestle.requests.calls import call as calls
+from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import metadata
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.load import admission
@@ -22,6 +23,7 @@
 from merlintrestle.requests.load import picking
 from merlintrestle.requests.load import refused_callers
 from merlintrestle.requests.load import repeats
+from merlintrestle.requests.serving import backend_notices
 from merlintrestle.requests.serving import dispatch as dispatches
 from merlintrestle.requests.transport import bodies
 from merlintrestle.requests.transport import headers
@@ -112,6 +114,9 @@
         slowness: Work time, as a multiple of the usual one.
         shed_fraction: Fraction of the calls that the backend server sheds, even
             if it has capacity.
+        rate_limits: Times in seconds from the start, and the rate limit that
+            the backend server states from then on, in calls per second; None:
+            no limit.
     """
 
     service: str
@@ -119,6 +124,15 @@
     slots: int = 18
     slowness: float = 1.0
     shed_fraction: float = 0.0
+    rate_limits: tuple[tuple[float, float | None], ...] = ()
+
+    def get_rate_limit(self, elapsed_s: float) -> float | None:
+        """Returns the rate limit at a time, in seconds from the start."""
+        rate_limit = None
+        for since_s, stated_limit in self.rate_limits:
+            if since_s <= elapsed_s:
+                rate_limit = stated_limit
+        return rate_limit
 
 
 class ServerChange(NamedTuple):
@@ -128,11 +142,14 @@
         at_s: Time of the change, in seconds from the start.
         server_number: Number of the backend server.
         slowness: Slowness of the backend server from then on; 0 if it drains.
+        restarts_daemon: Whether the daemon of the backend server is restarted
+            instead. It then knows as little as after its first start.
     """
 
     at_s: float
     server_number: int
-    slowness: float
+    slowness: float = 1.0
+    restarts_daemon: bool = False
 
 
 class Result(NamedTuple):
@@ -151,6 +168,8 @@
         far: Fraction of the answers between daemons that crossed zones.
         repeat_ratios: Repeats that reached backend servers, as a ratio to the
             calls, by service.
+        sends: Times at which calls were sent to each backend server, in seconds
+            from the start.
     """
 
     counts: collections.Counter[tuple[str, str]]
@@ -159,6 +178,7 @@
     worst: float
     far: float
     repeat_ratios: dict[str, float]
+    sends: list[list[float]]
 
     def compute_fraction(self, class_name: str, result_name: str) -> float:
         """Returns the fraction of a class's requests that had a result.
@@ -233,6 +253,7 @@
     The daemon is also the local runner and the forwarder of its dispatcher.
 
     Attributes:
+        number: Number of the backend server.
         server: Configuration of the backend server.
         slowness: Present slowness of the backend server.
         backend: State of the backend server as the daemon knows it.
@@ -243,16 +264,25 @@
 
     def __init__(self, simulation: Simulation, number: int):
         self._simulation = simulation
+        self.number = number
         self.server = simulation.servers[number]
         self.slowness = self.server.slowness
         loop = asyncio.get_running_loop()
         backend = backends.LocalBackend()
-        backend.announce(self.server.service, "127.0.0.1:1", self.server.slots)
+        backend.announce(
+            self.server.service,
+            "127.0.0.1:1",
+            self.server.slots,
+            instance_id=f"i-{number}",
+        )
         self.backend = backend
         active_version: Any = _EmptyVersion()
         self._admission = admission.Admission(
             backend, active_version, simulation.table, loop.time
         )
+        self._notices = backend_notices.BackendNotices(
+            backend, self._admission, dialects.NativeDialect()
+        )
         self.refused_callers = refused_callers.RefusedCallers(loop.time)
         self.repeats = repeats.Repeats()
         retry_budgets = budgets.Budgets(
@@ -260,7 +290,7 @@
         )
         retry_budgets.set_bounds(RETRY_RATIO, _RETRY_SLACK, _RETRY_WINDOW_S)
         member_id = _get_member_id(number)
-        picker = picking.Picker(
+        self._picker = picker = picking.Picker(
             self.server.zone,
             lambda: member_id,
             self._admission.has_capacity,
@@ -300,17 +330,31 @@
         crosses_zones = peer.server.zone != self.server.zone
         delay_s = _CROSS_ZONE_DELAY_S if crosses_zones else _SAME_ZONE_DELAY_S
         await asyncio.sleep(delay_s)
+        peer.adopt_notices(sent_headers.get(headers.NOTICES))
         outcome = await peer.run(forwarded_call)
         if isinstance(outcome, outcomes.Answered):
             self._simulation.peer_answers[crosses_zones] += 1
         await asyncio.sleep(delay_s)
+        self._picker.notices.record(
+            _get_member_id(peer.number), peer.get_notice_header()
+        )
         return outcome
 
+    def get_notice_header(self) -> str | None:
+        """Returns the header that states the notices; None if there is none."""
+        return self._notices.get_header() or None
+
+    def adopt_notices(self, header: str | None) -> None:
+        """Applies the notices that another daemon passes on with a call."""
+        self._notices.adopt(header)
+
     async def run(self, call: calls.Call) -> outcomes.Outcome:
         """Admits a call and runs it, or refuses it."""
         refusal = await self._admission.acquire(call)
         if refusal is not None:
             return refusal
+        self._simulation.record_send(self.number)
+        read_headers = self._notices.build_reader()
         self._simulation.count_repeat(self.server.service, call)
         shed = self._simulation.rng.random() < self.server.shed_fraction
         self._admission.record_acceptance(not shed)
@@ -329,6 +373,7 @@
         finally:
             self._admission.release(call)
             self.repeats.end(repeat)
+        read_headers(self._simulation.build_notice_headers(self.server))
         response: Any = _Response(
             status, loads.encode_load(self._admission.get_load())
         )
@@ -373,6 +418,8 @@
             caller and each nested call counts.
         repeats_by_service: Number of repeats among them that reached a backend
             server. Calls that are nested in a repeat count as repeats.
+        sends: Times at which calls were sent to each backend server, in seconds
+            from the start.
     """
 
     def __init__(
@@ -392,6 +439,7 @@
         self.repeats_by_service: collections.Counter[str] = (
             collections.Counter()
         )
+        self.sends: list[list[float]] = [[] for _ in servers]
         self._counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -476,9 +524,33 @@
         if call.repeat or _is_nested_in_repeat(call):
             self.repeats_by_service[service] += 1
 
+    def record_send(self, number: int) -> None:
+        """Records that a call is sent to a backend server."""
+        self.sends[number].append(self._get_elapsed())
+
+    def build_notice_headers(self, server: Server) -> dict[str, str]:
+        """Returns the headers in which a backend server states its notices."""
+        rate_limit = server.get_rate_limit(self._get_elapsed())
+        if rate_limit is None:
+            return {}
+        return {headers.RATE_LIMIT: str(rate_limit)}
+
+    def _get_elapsed(self) -> float:
+        """Returns the seconds since the start."""
+        return self._loop.time() - self._started_at
+
+    def _restart_daemon(self, number: int) -> None:
+        daemon = _SimulatedDaemon(self, number)
+        daemon.slowness = self._daemons[number].slowness
+        self._daemons[number] = daemon
+        self._daemons_by_address[f"10.0.0.{number}:2"] = daemon
+
     async def _apply_change(self, change: ServerChange) -> None:
         """Changes a backend server at the time of the change."""
         await asyncio.sleep(change.at_s)
+        if change.restarts_daemon:
+            self._restart_daemon(change.server_number)
+            return
         daemon = self._daemons[change.server_number]
         if change.slowness:
             daemon.slowness = change.slowness
@@ -603,6 +675,7 @@
                 service: self.repeats_by_service[service] / count
                 for service, count in self.calls_by_service.items()
             },
+            self.sends,
         )
 
 
