--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -40,6 +40,7 @@
         active_version: interfaces.ActiveVersion,
         table: interfaces.MemberTable,
         get_time: Callable[[], float] = time.monotonic,
+        rate_limit_burst_s: float = 0.0,
     ):
         """Initializes admission control.
 
@@ -48,11 +49,12 @@
             active_version: The active version, with the declared targets.
             table: Lists the upstreams of each service.
             get_time: Returns the monotonic time in seconds.
+            rate_limit_burst_s: See `rate_limits.RateLimiter`.
         """
         self._get_time = get_time
         self._backend = backend
         self._acceptance = acceptance.AcceptanceRate(get_time)
-        self._limiter = rate_limits.RateLimiter(get_time)
+        self._limiter = rate_limits.RateLimiter(get_time, rate_limit_burst_s)
         self._slots = slots_lib.Slots(
             backend, active_version, table, self._limiter
         )
--- a/merlintrestle/requests/load/rate_limits.py
+++ b/merlintrestle/requests/load/rate_limits.py
@@ -11,10 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# Time for which unused calls are saved up for a burst, in seconds. Without it,
-# a limit that is only slightly above the demand would not be used, as calls
-# arrive at random times.
-_BURST_S = 0.25
+# Default of the time for which unused calls are saved up, in seconds. Without
+# them, a limit that is only slightly above the demand would not be used, as
+# calls arrive at random times.
+_DEFAULT_BURST_S = 0.25
 # Lowest rate that is kept, in calls per second. A backend server can lift its
 # limit only in an answer, so it still gets a call from time to time.
 _MIN_RATE = 0.5
@@ -35,13 +35,16 @@
         rate: Calls per second that are allowed; None: no limit.
     """
 
-    def __init__(self, get_time: Callable[[], float]):
+    def __init__(self, get_time: Callable[[], float], burst_s: float = 0.0):
         """Initializes a limiter without a limit.
 
         Args:
             get_time: Returns the monotonic time in seconds.
+            burst_s: Time for which unused calls are saved up, in seconds;
+                0: the default.
         """
         self.rate: float | None = None
+        self._burst_s = burst_s or _DEFAULT_BURST_S
         self._get_time = get_time
         self._tokens = 0.0
         self._updated_at = 0.0
@@ -64,7 +67,7 @@
         else:
             self._refill(self.rate)
         self.rate = max(_MIN_RATE, rate)
-        self._tokens = min(self._tokens, _get_capacity(self.rate))
+        self._tokens = min(self._tokens, self._get_capacity(self.rate))
 
     def may_send(self) -> bool:
         """Returns whether a call may be sent now."""
@@ -82,7 +85,9 @@
     def cancel_send(self) -> None:
         """Undoes `record_send` for a call that was not sent."""
         if self.rate is not None:
-            self._tokens = min(self._tokens + 1.0, _get_capacity(self.rate))
+            self._tokens = min(
+                self._tokens + 1.0, self._get_capacity(self.rate)
+            )
 
     def get_delay(self, calls: int = 1) -> float:
         """Returns after how many seconds a number of calls may be sent."""
@@ -127,10 +132,9 @@
     def _refill(self, rate: float) -> None:
         now = self._get_time()
         gained = (now - self._updated_at) * rate
-        self._tokens = min(self._tokens + gained, _get_capacity(rate))
+        self._tokens = min(self._tokens + gained, self._get_capacity(rate))
         self._updated_at = now
 
-
-def _get_capacity(rate: float) -> float:
-    """Returns the greatest number of calls that are saved up."""
-    return 1.0 + rate * _BURST_S
+    def _get_capacity(self, rate: float) -> float:
+        """Returns the greatest number of calls that are saved up."""
+        return 1.0 + rate * self._burst_s
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -137,7 +137,10 @@
         )
         self.recall_servicer = recall.RecallServicer(claims)
         self._admission = admission = admissions.Admission(
-            self.backend, active_version, table
+            self.backend,
+            active_version,
+            table,
+            rate_limit_burst_s=settings.rate_limit_burst_s,
         )
         self.crashes = crashes.CrashTracker(self.backend)
         self.observer = observers.Observer(
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -85,6 +85,7 @@
         call_application.router.add_route(
             "*", "/{path:.*}", self._worker.handle
         )
+        call_application.on_response_prepare.append(self._worker.add_notices)
         call_runner, self.port = await process.serve(
             call_application, port, handler_cancellation=True
         )
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import time
-from typing import TYPE_CHECKING
+from typing import NamedTuple, TYPE_CHECKING
 
 import aiohttp
 from aiohttp import web
@@ -20,6 +20,18 @@
 _instance_numbers = itertools.count(1)
 
 
+class Arrival(NamedTuple):
+    """A request that arrived at a backend server.
+
+    Attributes:
+        at_s: When it arrived, in seconds of the monotonic clock.
+        attempt_id: Id of the attempt; empty if not stated.
+    """
+
+    at_s: float
+    attempt_id: str
+
+
 class PlatformBackendStandin:
     """A backend server of one instance, as the users' platform documents it.
 
@@ -40,7 +52,7 @@
         rate_limit: Requests per second that it states to accept from all
             daemons together, as text; empty: no limit.
         leaving: Whether its answers state that it leaves.
-        arrivals: Monotonic times at which requests arrived, in seconds.
+        arrivals: The requests that arrived, in order.
     """
 
     def __init__(
@@ -64,7 +76,7 @@
         )
         self.rate_limit = ""
         self.leaving = False
-        self.arrivals: list[float] = []
+        self.arrivals: list[Arrival] = []
         self._sequence = 0
         self._runner: web.AppRunner | None = None
 
@@ -80,6 +92,13 @@
             shutdown_timeout_s=0.05,
         )
 
+    def replace_process(self) -> None:
+        """Continues as a new process, which has another id and no notices."""
+        self.instance_id = f"i-{next(_instance_numbers):08x}"
+        self.rate_limit = ""
+        self.leaving = False
+        self._sequence = 0
+
     async def close(self) -> None:
         """Closes the port for calls."""
         if self._runner is not None:
@@ -146,7 +165,9 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         if request.path == "/health":
             return self._answer_health_check()
-        self.arrivals.append(time.monotonic())
+        self.arrivals.append(
+            Arrival(time.monotonic(), request.headers.get("X-Attempt-Id", ""))
+        )
         self.received_headers.append(dict(request.headers))
         target_instance_id = request.headers.get(
             "X-Target-Instance", self.instance_id
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -25,6 +25,8 @@
 ATTEMPT_ID_HEADER = "Attempt-Id"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Merlintrestle-Deadline-Ms"
+RATE_LIMIT_HEADER = "Merlintrestle-Rate-Limit"
+LEAVING_HEADER = "Merlintrestle-Leaving"
 # A request with this header ends the process when it starts to run.
 CRASH_HEADER = "Crash"
 _CRASH_EXIT_STATUS = 70
@@ -70,6 +72,9 @@
         breaks: Whether calls do their work and then abort their connection
             unanswered.
         sheds: Whether every call is shed, even if slots are free.
+        rate_limit: Calls per second that the answers state to accept from all
+            daemons together; None: no limit.
+        leaving: Whether the answers state that the backend server leaves.
     """
 
     healthy: bool = True
@@ -80,6 +85,8 @@
     cut: bool = False
     breaks: bool = False
     sheds: bool = False
+    rate_limit: float | None = None
+    leaving: bool = False
 
 
 class Worker:
@@ -125,6 +132,16 @@
                 transport.abort()
         self.faults = new_faults
 
+    async def add_notices(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Adds the notices to an answer before it is sent."""
+        del request
+        if self.faults.rate_limit is not None:
+            response.headers[RATE_LIMIT_HEADER] = str(self.faults.rate_limit)
+        if self.faults.leaving:
+            response.headers[LEAVING_HEADER] = "1"
+
     async def wait_idle(self) -> None:
         """Waits until no request is in flight."""
         await self._idle.wait()
--- a/tests/platform/soaking.py
+++ b/tests/platform/soaking.py
@@ -38,6 +38,16 @@
 # Well within the minimum timeout of a route.
 _MAX_WORK_MS = 600
 _REFUSAL_STATUSES = (429, 503)
+# Time after a notice until an answer has told all daemons that send requests.
+_TOLD_S = 1.0
+# Time after which a backend server that leaves must get no requests.
+_DRAIN_S = 2.0
+# Longest time that a restart of a daemon takes.
+_RESTART_S = 8.0
+# Share by which a backend server may get more than its limit allows, and the
+# number of requests that it may get in addition.
+_LIMIT_FACTOR = 1.5
+_LIMIT_SLACK = 5
 # Wait of a refused caller before its next call.
 _RETRY_DELAY_S = 0.2
 
@@ -84,6 +94,10 @@
         """Sets the seed of the random generator."""
         self._random = random.Random(seed)
         self.result = SoakResult()
+        # Index of the daemon to which each attempt was sent, by attempt id.
+        self._origins: dict[str, int] = {}
+        # Index of each daemon that was restarted, and when, in seconds.
+        self._restarts: list[tuple[int, float]] = []
         self._fleet = processes.ProcessFleet()
         # Number of the version that the fleet starts with.
         self._version = 5
@@ -139,6 +153,9 @@
     ) -> None:
         """Sends a nested call through the local daemon."""
         nested_request = self._create_request("GET")
+        self._origins[nested_request.attempt_id] = self._fleet.daemons.index(
+            daemon
+        )
         headers = _build_headers(nested_request)
         headers["X-Deadline-Ms"] = request.headers["X-Deadline-Ms"]
         try:
@@ -174,6 +191,7 @@
         name = self._random.choice(("tickets", "nested", "payouts"))
         work_ms = self._random.randrange(_MAX_WORK_MS)
         request = self._create_request("POST" if name == "payouts" else "GET")
+        self._origins[request.attempt_id] = index
         url = f"{self._fleet.daemons[index].url}/{name}/{work_ms}"
         try:
             async with session.request(
@@ -254,6 +272,7 @@
         if self._stopping & {index, peer_index}:
             return
         self._stopping.add(index)
+        self._restarts.append((index, time.monotonic()))
         daemon = self._fleet.daemons[index]
         daemon.send_signal(signal.SIGTERM)
         status = await daemon.wait()
@@ -335,6 +354,125 @@
         self.result.violations.append(f"{request.attempt_id}: {violation}")
 
 
+class _LimitedSpan(NamedTuple):
+    """A span of time in which a backend server states one rate limit.
+
+    Attributes:
+        daemon: Index of its daemon.
+        rate: The limit, in requests per second.
+        began_s: When it was stated first, in seconds of the monotonic clock.
+        ended_s: When it was no longer stated.
+    """
+
+    daemon: int
+    rate: float
+    began_s: float
+    ended_s: float
+
+
+class NoticeSoak(Soak):
+    """Soak test in which backend servers also state notices in their answers.
+
+    They limit their rate, or leave while their heartbeats report that they are
+    ready; then a new process takes their place.
+    """
+
+    def __init__(self, seed: int):
+        """Sets the seed of the random generator."""
+        super().__init__(seed)
+        self._spans: list[_LimitedSpan] = []
+        self._noticed: set[int] = set()
+        self._actions |= {
+            "limit": self._limit_rate,
+            "limit again": self._limit_rate,
+            "leave": self._leave_by_answers,
+        }
+
+    async def run(self) -> SoakResult:
+        """Runs the whole soak test."""
+        result = await super().run()
+        for span in self._spans:
+            self._check_span(span)
+        return result
+
+    async def _limit_rate(self) -> None:
+        """Makes a backend server limit its rate, once or twice in a row."""
+        index = self._random.randrange(len(_SERVICES))
+        backend = self._fleet.daemons[index].backend
+        if index in self._noticed:
+            return
+        self._noticed.add(index)
+        for _ in range(self._random.randint(1, 2)):
+            rate = round(self._random.uniform(1.0, 15.0), 1)
+            backend.rate_limit = str(rate)
+            began_s = time.monotonic()
+            await asyncio.sleep(self._random.uniform(1.5, 4.0))
+            self._spans.append(
+                _LimitedSpan(index, rate, began_s, time.monotonic())
+            )
+        backend.rate_limit = ""
+        self._noticed.discard(index)
+
+    async def _leave_by_answers(self) -> None:
+        """Makes a backend server leave, and replaces its process."""
+        index = self._random.randrange(len(_SERVICES))
+        backend = self._fleet.daemons[index].backend
+        if index in self._noticed:
+            return
+        self._noticed.add(index)
+        backend.leaving = True
+        arrived = len(backend.arrivals)
+        # An answer must state it before any daemon can know of it.
+        give_up_s = time.monotonic() + _DRAIN_S
+        while len(backend.arrivals) == arrived:
+            if time.monotonic() > give_up_s:
+                break
+            await asyncio.sleep(0.05)
+        told_s = time.monotonic() + _MAX_WORK_MS / 1000
+        await asyncio.sleep(_DRAIN_S + self._random.uniform(0.2, 1.0))
+        restarted = self._find_restarted(told_s - _MAX_WORK_MS / 1000)
+        for at_s, attempt_id in backend.arrivals[arrived:]:
+            if at_s > told_s + _DRAIN_S and (
+                self._origins.get(attempt_id) not in restarted
+            ):
+                self.result.violations.append(
+                    f"{attempt_id}: reached a server that had left"
+                )
+        backend.replace_process()
+        self._noticed.discard(index)
+
+    def _check_span(self, span: _LimitedSpan) -> None:
+        """Adds a violation if a backend server got more than its limit.
+
+        Requests that began at a daemon that was restarted meanwhile do not
+        count, as that daemon could not know of the limit.
+        """
+        from_s = span.began_s + _TOLD_S
+        duration_s = span.ended_s - from_s
+        restarted = self._find_restarted(span.began_s)
+        arrived = sum(
+            from_s <= at_s < span.ended_s
+            and self._origins.get(attempt_id) not in restarted
+            for at_s, attempt_id in self._fleet.daemons[
+                span.daemon
+            ].backend.arrivals
+        )
+        allowed = _LIMIT_FACTOR * span.rate * duration_s + _LIMIT_SLACK
+        if arrived > allowed:
+            self.result.violations.append(
+                f"a server limited to {span.rate} a second got {arrived}"
+                f" requests in {duration_s:.1f} s"
+            )
+
+    def _find_restarted(self, since_s: float) -> set[int]:
+        """Returns the daemons that were restarted since shortly before."""
+        return {
+            index
+            for index, at_s in self._restarts
+            if at_s >= since_s - _RESTART_S
+        }
+
+
 def _build_headers(request: Request) -> dict[str, str]:
     return {
         "Host": "desk.example",
@@ -348,15 +486,22 @@
 
 
 @click.command()
+@click.option(
+    "--notices",
+    "with_notices",
+    is_flag=True,
+    help="Backend servers limit their rate and leave by their answers.",
+)
 @click.option("--first", default=1, show_default=True, help="First seed.")
 @click.option(
     "--count", default=50, show_default=True, help="Number of seeds to run."
 )
-def main(first: int, count: int) -> None:
+def main(with_notices: bool, first: int, count: int) -> None:
     """Runs seeds one after the other; fails if any has a violation."""
     failed = 0
+    soak_type = NoticeSoak if with_notices else Soak
     for seed in range(first, first + count):
-        result = asyncio.run(Soak(seed).run())
+        result = asyncio.run(soak_type(seed).run())
         click.echo(f"seed {seed}: {dict(result.response_counts)}")
         for violation in result.violations:
             click.echo(f"  {violation}")
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -29,7 +29,7 @@
         began_at = time.monotonic()
         statuses = await self._send_load(_LOAD_S)
         allowed = _LIMIT_FACTOR * 8.5 * (time.monotonic() - began_at)
-        arrived = sum(at >= began_at for at in limited.arrivals)
+        arrived = sum(at_s >= began_at for at_s, _ in limited.arrivals)
         self.assertLessEqual(arrived, allowed + _LIMIT_SLACK)
         self.assertGreater(arrived, 0)
         self.assertEqual(set(statuses), {200})
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -7,6 +7,7 @@
 from tests.platform import soaking
 
 _SEEDS = (1, 2, 10)
+_NOTICE_SEEDS = (1, 2)
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
@@ -23,3 +24,11 @@
                 result = await soaking.Soak(seed).run()
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.response_counts["200"], 0)
+
+    async def test_notices_of_backend_servers_amid_maintenance(self) -> None:
+        """Guards against limits and leaves that are missed amid restarts."""
+        for seed in _NOTICE_SEEDS:
+            with self.subTest(seed=seed):
+                result = await soaking.NoticeSoak(seed).run()
+                self.assertEqual(result.violations, [])
+                self.assertGreater(result.response_counts["200"], 0)
--- a/tests/standins/test_backend.py
+++ b/tests/standins/test_backend.py
@@ -56,6 +56,18 @@
         self.assertEqual(hashlib.sha256(body).hexdigest(), checksum)
         self.assertNotEqual(checksum, content.compute_checksum("r2", 50001))
 
+    async def test_answers_state_the_notices(self) -> None:
+        """Guards against notices that tests ask for and no answer states."""
+        backend = await builders.start_backend(self)
+        faults = {"rate_limit": 2.5, "leaving": True}
+        control_url = f"http://127.0.0.1:{backend.control_port}/faults"
+        async with self.session.post(control_url, json=faults) as answer:
+            self.assertEqual(answer.status, 200)
+        async with self.session.get(f"http://{backend.address}/x") as answer:
+            stated = answer.headers
+        self.assertEqual(stated[worker.RATE_LIMIT_HEADER], "2.5")
+        self.assertEqual(stated[worker.LEAVING_HEADER], "1")
+
     async def test_call_beyond_the_slots_is_shed_and_not_run(self) -> None:
         """A call gets status 503 and does not run while all slots are taken."""
         backend = await builders.start_backend(self, slots=1)
