Reproduce: versions are missed after the store came back from an older copy

The platform's store stand-in takes a copy of its contents, comes back from it with the next era in the header of all answers, gives revisions and leases out again and answers 410 to a watch from a revision that it doesn't have. With a copy 31 revisions old no daemon takes the versions that are written afterwards (the test's 10 s run out), and a single source ignores a version whose revision stood for another one before (6 != 7).

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -18,6 +18,7 @@
 _MAX_TRANSACTION_ENTRIES = 32
 _CHUNK_BYTES = 16 * 1024
 _HANG_S = 3600
+_FIRST_LEASE = 77_000
 # Transactions that write such keys are refused with status 403.
 _READ_ONLY_PREFIXES = ("op/", "servers/")
 
@@ -69,12 +70,33 @@
     chunk_delay_s: float = 0.0
 
 
+class Copy(NamedTuple):
+    """A copy of the store's contents, from which it may come back later.
+
+    Attributes:
+        revision: Revision at the time of the copy.
+        items: Items by key.
+        events: Events that the history contained.
+        compacted_revision: Revision up to which the history was discarded.
+        leases: Leases by id.
+    """
+
+    revision: int
+    items: dict[str, Item]
+    events: list[dict[str, Any]]
+    compacted_revision: int
+    leases: dict[int, tuple[float, float]]
+
+
 class PlatformStoreStandin:
     """A server of the store's HTTP interface.
 
     Attributes:
         port: Its port; set by `start`.
         faults: Active faults.
+        era: Number in the era header of all answers; rises when the store
+            comes back from a copy. As text, it is sent as it is; if empty,
+            there is no header.
         call_counts: Number of calls by kind, such as "range".
         sent_bytes: Bytes of the answers' bodies by kind of call; a body that
             is cut off or lost counts whole.
@@ -83,6 +105,7 @@
     def __init__(self) -> None:
         self.port = 0
         self.faults = Faults()
+        self.era: int | str = 1
         self.call_counts: dict[str, int] = {}
         self.sent_bytes: dict[str, int] = {}
         self._revision = 1
@@ -92,7 +115,7 @@
         # Expiry on the monotonic clock in seconds and time to live in ms, by
         # lease id.
         self._leases: dict[int, tuple[float, float]] = {}
-        self._lease_ids = itertools.count(77_000)
+        self._lease_ids = itertools.count(_FIRST_LEASE)
         self._change_condition = asyncio.Condition()
         self._runner: web.AppRunner | None = None
 
@@ -104,6 +127,7 @@
     async def start(self) -> None:
         """Opens the port."""
         application = web.Application(middlewares=[self._inject_faults])
+        application.on_response_prepare.append(self._add_era)
         application.add_routes(
             [
                 web.get(_PATH_PREFIX + "key", self._handle_key),
@@ -139,6 +163,32 @@
         self._events.clear()
         await self._notify_watches()
 
+    def take_copy(self) -> Copy:
+        """Returns a copy of the contents, for `come_back`."""
+        return Copy(
+            self._revision,
+            dict(self._items),
+            list(self._events),
+            self._compacted_revision,
+            dict(self._leases),
+        )
+
+    async def come_back(self, copy: Copy) -> None:
+        """Replaces the contents by an earlier copy, which begins a new era.
+
+        What was written since is gone, and its revisions and leases are given
+        out again. Watches from a later revision get status 410.
+        """
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._events = list(copy.events)
+        self._compacted_revision = copy.compacted_revision
+        self._leases = dict(copy.leases)
+        last_lease = max(copy.leases, default=_FIRST_LEASE - 1)
+        self._lease_ids = itertools.count(last_lease + 1)
+        self.era = int(self.era) + 1
+        await self._notify_watches()
+
     async def delete_prefix(self, prefix: str) -> None:
         """Deletes the keys with a prefix, as if their leases had expired."""
         self._revision += 1
@@ -146,6 +196,13 @@
             self._remove(key)
         await self._notify_watches()
 
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        del request
+        if self.era != "":
+            response.headers["Store-Era"] = str(self.era)
+
     @web.middleware
     async def _inject_faults(self, request: web.Request, handler: Any) -> Any:
         """Counts a call and its answer's bytes, and injects the faults."""
@@ -212,7 +269,7 @@
     async def _handle_watch(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
         deadline = time.monotonic() + int(request.query["waitMs"]) / 1000
-        while after >= self._compacted_revision:
+        while self._compacted_revision <= after <= self._revision:
             events = [
                 event
                 for event in self._events
