Take versions that are written after the store came back from a copy

What callers saw: a route that had been added was answered 404, and changes that had been confirmed were not in force 2.6 s later, at daemons of all zones, until the third write after the store's return.

Cause: watchers compare the store's revisions as numbers that only rise. A store that comes back from a copy gives out lower ones; a revision at or below the known one was taken for "nothing has changed" and an entry under one for old.

Class: a number that is unique only within one era decides across eras. So the interface rules it out: the store's client qualifies each revision and lease id by the era that the answer states (StoreEra, store/eras.py). One of a later era is greater than all of earlier ones and equal to none; a write, removal or renewal with one of an earlier era is answered as if the key had changed or the lease had ended, a write that meets a new era has an unknown outcome, a late answer of an earlier era is not used. A malformed era is logged and taken for the current one. The source of versions stays with the version in force while the store has an older one, and asks no history of another era.

--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -14,6 +14,7 @@
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.store import client
+from merlintrestle.store import eras
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -38,6 +39,11 @@
 _KEEPALIVE = connectors.TcpKeepalive(
     idle_s=1, interval_s=1, probe_count=2, user_timeout_ms=2_000
 )
+# Header of all answers; its number rises when the store comes back from a copy.
+_ERA_HEADER = "Store-Era"
+# Fields of answers, and of the items in them, that begin anew with each era.
+_NUMBERED_FIELDS = ("at", "revision", "lease")
+_LIST_FIELDS = ("items", "events")
 _OK = 200
 _FORBIDDEN = 403
 _NOT_FOUND = 404
@@ -47,17 +53,27 @@
 _UNAVAILABLE = 503
 
 
+class _EarlierEraError(aiohttp.ClientError):
+    """A late answer, from before the store came back from a copy."""
+
+
 class PlatformStore:
     """Client for the platform's store.
 
     Failed reads and refused writes raise `errors.StoreUnavailableError`, writes
     without a response `errors.StoreUnknownOutcomeError`, and malformed
     responses `errors.CorruptRecordError`. In responses, `revision` is that of
-    an item's last change and `at` the store's current one.
+    an item's last change and `at` the store's current one. Revisions and leases
+    are qualified by the era, see `eras`; a call with one of an earlier era is
+    answered as if the key had changed or the lease had ended.
+
+    Attributes:
+        era: Era of the store.
     """
 
     def __init__(self, address: str):
         """Sets the store's "ip:port"; `start` opens the connection pool."""
+        self.era = eras.StoreEra()
         self._address = address
         self._session: aiohttp.ClientSession | None = None
         self._arriving_paths: list[str] = []
@@ -169,12 +185,14 @@
         Raises:
             errors.StoreUnavailableError: The store failed or lost the history.
         """
-        query = {"prefix": _add_prefix(key), "after": str(after)}
+        query = {"prefix": _add_prefix(key)}
+        query["after"] = str(eras.get_number(after))
         query["waitMs"] = str(wait_ms)
         status, fields = await self._read(
             "watch", query, wait_ms / 1000 + _TIMEOUT_S
         )
-        if status == _GONE:
+        # Revisions of an earlier era may exist again, for other contents.
+        if status == _GONE or eras.get_era(after) != self.era.current:
             raise errors.StoreUnavailableError(
                 "store: the history is not there any more"
             )
@@ -189,15 +207,27 @@
         self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
     ) -> client.WriteReply:
         """Writes a key if it has the expected revision; 0: does not exist."""
+        if expected_revision and not self._is_current(expected_revision):
+            entry = await self.get(key)
+            return client.WriteReply(False, entry or client.Entry(key, b"", 0))
+        if lease_id and not self._is_current(lease_id):
+            raise errors.StoreUnavailableError("store: the lease has ended")
         text = base64.b64encode(value).decode()
         status, fields = await self._write(
             "txn",
             {
                 "expectedRev": [
-                    {"key": _add_prefix(key), "revision": expected_revision}
+                    {
+                        "key": _add_prefix(key),
+                        "revision": eras.get_number(expected_revision),
+                    }
                 ],
                 "writes": [
-                    {"key": _add_prefix(key), "value": text, "lease": lease_id}
+                    {
+                        "key": _add_prefix(key),
+                        "value": text,
+                        "lease": eras.get_number(lease_id),
+                    }
                 ],
             },
         )
@@ -210,11 +240,16 @@
 
     async def delete(self, key: str, expected_revision: int) -> bool:
         """Deletes a key if it has the expected revision."""
+        if not self._is_current(expected_revision):
+            return False
         status, _ = await self._write(
             "txn",
             {
                 "expectedRev": [
-                    {"key": _add_prefix(key), "revision": expected_revision}
+                    {
+                        "key": _add_prefix(key),
+                        "revision": eras.get_number(expected_revision),
+                    }
                 ],
                 "remove": [_add_prefix(key)],
             },
@@ -228,7 +263,10 @@
 
     async def renew_lease(self, lease_id: int) -> int:
         """Renews a lease; returns its duration in seconds, 0 if it ended."""
-        status, fields = await self._write(f"keep/{lease_id}", {})
+        if not self._is_current(lease_id):
+            return 0
+        path = f"keep/{eras.get_number(lease_id)}"
+        status, fields = await self._write(path, {})
         if status == _NOT_FOUND:
             return 0
         return max(1, _get_field(fields, "ttlMs", int) // 1000)
@@ -244,12 +282,23 @@
     async def _write(
         self, path: str, body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
+        era = self.era.current
         try:
-            return await self._request("POST", path, {}, body, _TIMEOUT_S)
+            answer = await self._request("POST", path, {}, body, _TIMEOUT_S)
         except aiohttp.ClientConnectorError as error:
             raise errors.StoreUnavailableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise errors.StoreUnknownOutcomeError(_describe(error)) from error
+        if era and self.era.current != era:
+            # Its revisions and lease may stand for other contents now.
+            raise errors.StoreUnknownOutcomeError(
+                "store: it came back from a copy during the write"
+            )
+        return answer
+
+    def _is_current(self, qualified: int) -> bool:
+        """Returns whether a revision or lease is from the current era."""
+        return eras.get_era(qualified) == self.era.current
 
     async def _request(
         self,
@@ -259,7 +308,11 @@
         body: dict[str, Any] | None,
         timeout_s: float,
     ) -> tuple[int, dict[str, Any]]:
-        """Sends a request whose response must begin within a timeout."""
+        """Sends a request whose response must begin within a timeout.
+
+        Returns:
+            The status and the fields, with qualified revisions and leases.
+        """
         assert self._session is not None
         url = yarl.URL(f"http://{self._address}{_BASE_PATH}{path}")
         async with (
@@ -273,11 +326,28 @@
                 text = await connectors.read_body(response, timeout, _TIMEOUT_S)
             finally:
                 self._arriving_paths.remove(path)
+        era = self.era.read(response.headers.get(_ERA_HEADER))
+        if era < self.era.current:
+            raise _EarlierEraError(f"an answer of era {era}")
         if response.status in (_TOO_MANY_REQUESTS, _UNAVAILABLE, _FORBIDDEN):
             raise errors.StoreUnavailableError(
                 f"store: refused with {response.status}"
             )
-        return response.status, _parse_json(text, response.status)
+        fields = _parse_json(text, response.status)
+        _qualify_fields(fields, era)
+        return response.status, fields
+
+
+def _qualify_fields(fields: dict[str, Any], era: int) -> None:
+    """Qualifies the revisions and leases in an answer by the era."""
+    for name in _NUMBERED_FIELDS:
+        if type(fields.get(name)) is int:
+            fields[name] = eras.qualify(fields[name], era)
+    for name in _LIST_FIELDS:
+        items = fields.get(name)
+        for item in items if isinstance(items, list) else ():
+            if isinstance(item, dict):
+                _qualify_fields(item, era)
 
 
 def _add_prefix(key: str) -> str:
--- /dev/null
+++ b/merlintrestle/store/eras.py
@@ -0,0 +1,118 @@
+"""Eras of the store, and revisions and leases that are unique across them.
+
+A store that comes back from an older copy of its contents begins a new era.
+What was written since the copy is gone, and its revisions and lease ids are
+given out again for other writes. Within the product, each revision and lease id
+is therefore qualified by its era: one of a later era is greater than any of an
+earlier one and never equal to it. So decisions that compare them stay correct.
+"""
+
+from __future__ import annotations
+
+import re
+import time
+from typing import TYPE_CHECKING
+
+from merlintrestle import events as event_logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+events = event_logs.EventLog("store")
+
+# Bits of a qualified number that the store itself counts; the era is in the
+# bits above.
+_NUMBER_BITS = 47
+_NUMBER_MASK = (1 << _NUMBER_BITS) - 1
+# With 16 bits for the era, qualified numbers are positive 64-bit numbers.
+_ERA_PATTERN = re.compile(r"\d{1,4}")
+# The first era. A store in it has never come back from a copy.
+_FIRST_ERA = 1
+
+
+def qualify(number: int, era: int) -> int:
+    """Returns a revision or lease id that is qualified by its era.
+
+    Args:
+        number: Number that the store gave out; 0: none, which stays 0.
+        era: Era of the store; 0 if the store states none.
+    """
+    return number and number | (era << _NUMBER_BITS)
+
+
+def get_number(qualified: int) -> int:
+    """Returns the number that the store gave out."""
+    return qualified & _NUMBER_MASK
+
+
+def get_era(qualified: int) -> int:
+    """Returns the era of a qualified number; 0 if the store stated none."""
+    return qualified >> _NUMBER_BITS
+
+
+class StoreEra:
+    """The era of the store, as this daemon knows it.
+
+    Attributes:
+        current: The latest era; 0: the store has stated none yet.
+        on_change: Callbacks for a new era. The first one that this daemon hears
+            of is not new.
+    """
+
+    def __init__(self, get_time: Callable[[], float] = time.monotonic):
+        """Initializes an era that is not known yet.
+
+        Args:
+            get_time: Returns the monotonic time in seconds.
+        """
+        self.current = 0
+        self.on_change: list[Callable[[], None]] = []
+        self._get_time = get_time
+        self._known_since = 0.0
+
+    def read(self, text: str | None) -> int:
+        """Reads the era that an answer of the store states.
+
+        A malformed or missing one is taken for the current era.
+
+        Returns:
+            The era of the answer. It is less than `current` if the answer is
+            late, from before the store came back.
+        """
+        if text is None:
+            return self.current
+        if not _ERA_PATTERN.fullmatch(text):
+            events.warn("store era malformed", value=text)
+            return self.current
+        self.learn(int(text))
+        return int(text)
+
+    def learn(self, era: int, age_s: float = 0.0) -> None:
+        """Records an era that the store or another daemon states.
+
+        Args:
+            era: The era.
+            age_s: For how long the other daemon has known it, in seconds.
+        """
+        known_since = self._get_time() - age_s
+        if era < self.current:
+            return
+        if era == self.current:
+            self._known_since = min(self._known_since, known_since)
+            return
+        previous, self.current = self.current, era
+        self._known_since = known_since
+        if not previous:
+            return
+        events.warn("store came back from a copy", era=era, previous=previous)
+        for notify in self.on_change:
+            notify()
+
+    def get_age(self) -> float:
+        """Returns for how long the era has been known to a daemon, in seconds.
+
+        It is infinite in the first era, and if the store states none.
+        """
+        if self.current <= _FIRST_ERA:
+            return float("inf")
+        return self._get_time() - self._known_since
--- a/merlintrestle/versions/record_source.py
+++ b/merlintrestle/versions/record_source.py
@@ -9,6 +9,7 @@
 from merlintrestle.documents import snapshot as snapshots
 from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.schema import document_pb2
+from merlintrestle.store import eras
 from merlintrestle.store import records
 from merlintrestle.versions import known_revision
 
@@ -177,7 +178,10 @@
 
         The history is queried from the last known revision, so the query fails,
         and misses no change, if the store has dropped the history since then.
+        Nothing that was known before a new era tells of what changed in it.
         """
+        if eras.get_era(revision) != eras.get_era(self._tracker.revision):
+            return False
         is_receiving = self._store.is_receiving
         if is_receiving() or not self._tracker.may_query_history():
             return await self._tracker.wait_for_watch(revision, is_receiving)
@@ -194,10 +198,15 @@
         return True
 
     def _apply_entry(self, entry: client.Entry) -> document_pb2.Head:
-        """Applies an entry unless a newer one is known; returns the head."""
+        """Applies an entry unless a newer one is known; returns the head.
+
+        A store that came back from a copy may have an older version, under a
+        newer revision, until the operators write theirs again.
+        """
         if entry.revision > self._head_revision:
             version = self._format.parse_version(entry.value)
-            self._newest_entry_by_version = {version: entry}
             self._head_revision = entry.revision
-            self._head = document_pb2.Head(version=version)
+            if version >= self._head.version:
+                self._newest_entry_by_version = {version: entry}
+                self._head = document_pb2.Head(version=version)
         return self._head
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 
+from merlintrestle import errors
 from merlintrestle.platform import configuration
 from merlintrestle.platform import store as stores
 from tests.platform import builders
@@ -123,3 +124,102 @@
             ).version,
             6,
         )
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """Calls of one daemon to the store, across eras."""
+
+    async def asyncSetUp(self) -> None:
+        self.standin, self.store = await builders.start_store(self)
+        self.copy = self.standin.take_copy()
+
+    async def write(self, key: str, value: bytes = b"old") -> int:
+        """Writes a key that does not exist; returns its revision."""
+        reply = await self.store.put(key, value, 0)
+        self.assertTrue(reply.written)
+        return reply.entry.revision
+
+    async def test_revisions_rise_from_era_to_era(self) -> None:
+        """Guards against later writes that look older than earlier ones."""
+        revision = await self.write("a")
+        await self.write("b")
+        await self.standin.come_back(self.copy)
+        await self.store.get("a")
+        self.assertGreater(await self.write("a"), revision)
+
+    async def test_revision_of_an_earlier_era_replaces_and_deletes_nothing(
+        self,
+    ) -> None:
+        """Guards against the loss of what another daemon wrote since."""
+        revision = await self.write("a")
+        await self.standin.come_back(self.copy)
+        await self.store.get("a")
+        newer_revision = await self.write("a", b"new")
+        reply = await self.store.put("a", b"late", revision)
+        self.assertFalse(reply.written)
+        self.assertEqual(reply.entry.value, b"new")
+        self.assertEqual(reply.entry.revision, newer_revision)
+        self.assertFalse(await self.store.delete("a", revision))
+        entry = await self.store.get("a")
+        assert entry is not None
+        self.assertEqual(entry.value, b"new")
+
+    async def test_lease_of_an_earlier_era_has_ended(self) -> None:
+        """Guards against a lease id that is another daemon's lease now."""
+        lease_id = await self.store.grant_lease(60)
+        await self.standin.come_back(self.copy)
+        await self.store.get("a")
+        other_lease_id = await self.store.grant_lease(1)
+        self.assertNotEqual(other_lease_id, lease_id)
+        self.assertEqual(await self.store.renew_lease(lease_id), 0)
+        with self.assertRaises(errors.StoreUnavailableError):
+            await self.store.put("a", b"x", 0, lease_id)
+
+    async def test_write_that_meets_a_new_era_has_an_unknown_outcome(
+        self,
+    ) -> None:
+        """Guards against writes that are confirmed for another revision."""
+        await self.write("a")
+        revision = await self.write("b")
+        await self.standin.come_back(self.copy)
+        with self.assertRaises(errors.StoreUnknownOutcomeError):
+            await self.store.put("b", b"late", revision)
+
+    async def test_watch_of_an_earlier_era_ends(self) -> None:
+        """Guards against watches that miss the first writes of an era."""
+        revision = await self.write("a")
+        await self.standin.come_back(self.copy)
+        for _ in range(5):
+            await self.standin.write("op/other", b"")
+        with self.assertRaises(errors.StoreUnavailableError):
+            await self.store.read_events("a", revision, 1)
+
+    async def test_late_answer_of_an_earlier_era_is_not_used(self) -> None:
+        """Guards against data from before the store came back."""
+        await self.write("a")
+        self.standin.era = 2
+        await self.store.get("a")
+        self.standin.era = 1
+        with self.assertRaises(errors.StoreUnavailableError):
+            await self.store.get("a")
+        with self.assertRaises(errors.StoreUnknownOutcomeError):
+            await self.store.put("b", b"x", 0)
+
+    async def test_malformed_era_is_logged_and_changes_nothing(self) -> None:
+        """Guards against a malformed era that begins a new one."""
+        revision = await self.write("a")
+        for era in ("x", "-1", "1.5", "99999999"):
+            with self.subTest(era=era):
+                self.standin.era = era
+                with self.assertLogs("merlintrestle.store", "WARNING"):
+                    entry = await self.store.get("a")
+                assert entry is not None
+                self.assertEqual(entry.revision, revision)
+
+    async def test_store_without_eras_is_used_as_before(self) -> None:
+        """Guards against a store that must state an era."""
+        self.standin.era = ""
+        revision = await self.write("a")
+        reply = await self.store.put("a", b"new", revision)
+        self.assertTrue(reply.written)
+        self.assertTrue(await self.store.delete("a", reply.entry.revision))
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -12,7 +12,7 @@
 _TERMS = re.compile(
     r"X-Attempt|X-Deadline|X-Target-Instance|X-Caller-Service|X-Not-Executed"
     r"|X-Response-Signature|X-Served-By|X-Server-Load"
-    r"|Server-Limit|Server-Leaving"
+    r"|Server-Limit|Server-Leaving|Store-Era"
     r"|kv-(key|range|watch|txn|lease|keep)|op/config|Instances\."
     r"|maxAttempts|timeoutMs|targetLatencyMs|coldRemainingMs|heartbeatMs"
     r"|non_idempotent|retryBudgetRatio|internalPorts|sidecar"
