Write seeds again when the store came back from a copy

The seeds that daemons write for those that start later were gone with the copy and written again only with the next check, after up to 20 s (600 s by default); a daemon that started meanwhile found no peer. A new era now makes the next update write them.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -258,6 +258,7 @@
             self._components.use_witnesses,
             self._components.read_before_contact,
         )
+        self._store.era.on_change.append(distribution.watcher.handle_new_era)
         servicer = control_server.ControlServicer(
             membership,
             distribution,
--- a/merlintrestle/store/client.py
+++ b/merlintrestle/store/client.py
@@ -14,6 +14,7 @@
 from merlintrestle import errors
 from merlintrestle.schema import store_pb2
 from merlintrestle.schema import store_pb2_grpc
+from merlintrestle.store import eras
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -79,6 +80,7 @@
           address: Address of the store as "ip:port".
           timeout_s: Timeout of a call, in seconds.
         """
+        self.era = eras.StoreEra()
         self._address = address
         self._timeout_s = timeout_s
         self._channel: Any = None
--- a/merlintrestle/versions/discovery.py
+++ b/merlintrestle/versions/discovery.py
@@ -61,6 +61,10 @@
         except errors.MerlintrestleError as error:
             events.warn("no seeds written", error=str(error))
 
+    def forget_written(self) -> None:
+        """Makes the next update write the seeds, as the store lost them."""
+        self._seeds = []
+
     async def update_seeds(self) -> None:
         """Writes the zone's seeds if they changed or were written long ago.
 
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -136,6 +136,14 @@
                 wait_s = backoff.get_next_delay()
             await asyncio.sleep(wait_s)
 
+    def handle_new_era(self) -> None:
+        """Handles that the store came back from a copy of its contents.
+
+        Seeds that were written since the copy are gone. A daemon that starts
+        would find no peer until they are checked, which is seldom.
+        """
+        self._discovery.forget_written()
+
     def get_refresh_interval_s(self) -> float:
         """Returns the mean time between two reads of the head, in seconds.
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -124,6 +124,11 @@
         """Address of the store, "ip:port"."""
         return f"{process.HOST}:{self.port}"
 
+    @property
+    def keys(self) -> frozenset[str]:
+        """The keys that exist."""
+        return frozenset(self._items)
+
     async def start(self) -> None:
         """Opens the port."""
         application = web.Application(middlewares=[self._inject_faults])
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -59,6 +59,20 @@
         status, _, _ = await self.fleet.send(0, "/added/1")
         self.assertEqual(status, 200)
 
+    async def test_seeds_are_written_again(self) -> None:
+        """Guards against starting daemons that find no peer in the store."""
+        async with asyncio.timeout(fleets.TEST_TIMEOUT_S / 2):
+            copy = self.fleet.store.take_copy()
+            while "merlintrestle/seeds/noord" not in self.fleet.store.keys:
+                await asyncio.sleep(0.02)
+            # By then the daemons know each other and have no news to write.
+            await asyncio.sleep(3.0)
+            await self.fleet.store.come_back(
+                copy._replace(items={}, revision=1)
+            )
+            while "merlintrestle/seeds/noord" not in self.fleet.store.keys:
+                await asyncio.sleep(0.02)
+
     async def test_version_in_force_stays_until_it_is_written_again(
         self,
     ) -> None:
