Know a roll-out's order again that was written again in a new era

Numbers of a later era are greater, so each daemon sees the order once more. If it is the known one by service, version and time, its state, its evidence and its phase stay, reports under its earlier number still count, and the daemons that watch write its final state again. The next order of the same era is new.

--- a/merlintrestle/rollouts/controller.py
+++ b/merlintrestle/rollouts/controller.py
@@ -10,6 +10,7 @@
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.rollouts import analysis
+from merlintrestle.rollouts import records
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
@@ -84,11 +85,27 @@
             if key in self._handled_orders:
                 continue
             known = self._tracker.get(order.service)
-            if known is None or known.rollout.number < order.number:
+            if known is None or known.rollout.number <= order.number:
                 order.state = await self._storage.read_state(order)
                 self._tracker.merge_rollout(order)
+                await self._restore_state(order)
             self._handled_orders.add(key)
 
+    async def _restore_state(self, order: control_pb2.Rollout) -> None:
+        """Writes the final state of an order that the store has lost.
+
+        Args:
+            order: The order, with its state in the store.
+        """
+        progress = self._tracker.get(order.service)
+        if (
+            progress is not None
+            and progress.rollout.number == order.number
+            and progress.rollout.state in records.FINAL_STATES
+            and order.state not in records.FINAL_STATES
+        ):
+            await self._storage.write_state(order, progress.rollout.state)
+
     async def write_state(self, progress: progresses.Progress) -> None:
         """Writes the state of a roll-out if it has changed.
 
--- a/merlintrestle/rollouts/observer.py
+++ b/merlintrestle/rollouts/observer.py
@@ -160,6 +160,9 @@
         rollout = progress.rollout
         if self._report.number == rollout.number:
             return
+        if self._report.number in progress.earlier_numbers:
+            self._report.number = rollout.number
+            return
         self._report = control_pb2.Trial(
             service=rollout.service,
             number=rollout.number,
--- a/merlintrestle/rollouts/progress.py
+++ b/merlintrestle/rollouts/progress.py
@@ -49,6 +49,7 @@
 
     Attributes:
         rollout: The order, with its last known state.
+        earlier_numbers: Numbers of the order in earlier eras of the store.
         phase: Phase of the roll-out.
         received_at: Monotonic time when this daemon received the order, in
             seconds.
@@ -66,6 +67,7 @@
 
     def __init__(self, rollout: control_pb2.Rollout, now: float):
         self.rollout = rollout
+        self.earlier_numbers: set[int] = set()
         self.phase = analysis.Phase.TRIAL
         self.received_at = now
         self.phase_started_at = now
@@ -77,6 +79,18 @@
         self.old_versions: frozenset[str] = frozenset()
         self.baseline: dict[str, Baseline] = {}
 
+    def renumber(self, number: int) -> None:
+        """Changes the number of the order, which was written again.
+
+        Args:
+            number: Its number in a later era of the store.
+        """
+        self.earlier_numbers.add(self.rollout.number)
+        self.reports = {
+            member_id: records.renumber_report(report, number)
+            for member_id, report in self.reports.items()
+        }
+
     @property
     def ended(self) -> bool:
         """True once the order is known to be in a final state."""
--- a/merlintrestle/rollouts/records.py
+++ b/merlintrestle/rollouts/records.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from merlintrestle.schema import control_pb2
+from merlintrestle.store import eras
 
 # Final states of an order. The first one that is written to the store is never
 # changed.
@@ -56,6 +57,34 @@
     return received if received.state > current.state else None
 
 
+def is_written_again(
+    current: control_pb2.Rollout, received: control_pb2.Rollout
+) -> bool:
+    """Returns whether an order is a known one in a later era of the store.
+
+    A store that came back from a copy has lost the orders since the copy. The
+    operators write them again, under numbers of the new era. If such an order
+    were taken for a new one, a version that was rolled back would get calls
+    again.
+    """
+    return (
+        eras.get_era(received.number) > eras.get_era(current.number)
+        and received.service == current.service
+        and received.version == current.version
+        and received.within_ms == current.within_ms
+    )
+
+
+def renumber_report(
+    report: control_pb2.Trial, number: int
+) -> control_pb2.Trial:
+    """Returns a copy of a report under another number of its order."""
+    renumbered = control_pb2.Trial()
+    renumbered.CopyFrom(report)
+    renumbered.number = number
+    return renumbered
+
+
 def merge_report(
     current: control_pb2.Trial | None, received: control_pb2.Trial
 ) -> control_pb2.Trial | None:
--- a/merlintrestle/rollouts/tracker.py
+++ b/merlintrestle/rollouts/tracker.py
@@ -108,7 +108,13 @@
         chosen = records.choose_rollout(current, received)
         if chosen is None:
             return
-        if progress is None or chosen.number != progress.rollout.number:
+        if progress is not None and records.is_written_again(
+            progress.rollout, chosen
+        ):
+            progress.renumber(chosen.number)
+            # A final state, or one that is further, is not lost.
+            chosen = _keep_state(progress.rollout, chosen)
+        elif progress is None or chosen.number != progress.rollout.number:
             progress = progress_lib.Progress(chosen, self._get_time())
             self._progress_by_service[chosen.service] = progress
         progress.rollout = chosen
@@ -130,7 +136,13 @@
         A report that is not on the last order of the service is ignored.
         """
         progress = self._progress_by_service.get(received.service)
-        if progress is None or received.number != progress.rollout.number:
+        if progress is None:
+            return
+        if received.number in progress.earlier_numbers:
+            received = records.renumber_report(
+                received, progress.rollout.number
+            )
+        if received.number != progress.rollout.number:
             return
         merged = records.merge_report(
             progress.reports.get(received.member_id), received
@@ -222,3 +234,19 @@
             },
             age_ms=round((self._get_time() - progress.received_at) * _MS_PER_S),
         )
+
+
+def _keep_state(
+    known: control_pb2.Rollout, written_again: control_pb2.Rollout
+) -> control_pb2.Rollout:
+    """Returns an order that was written again, with the state it has reached.
+
+    Args:
+        known: The order as known, with its number in an earlier era.
+        written_again: The order with its number in a later era.
+    """
+    kept = control_pb2.Rollout()
+    kept.CopyFrom(written_again)
+    if known.state in records.FINAL_STATES or known.state > kept.state:
+        kept.state = known.state
+    return kept
--- a/tests/rollouts/builders.py
+++ b/tests/rollouts/builders.py
@@ -137,6 +137,10 @@
         self.lost_answers = 0
         self._revision = 10
 
+    def begin_era(self, revision: int) -> None:
+        """Continues with a revision that is qualified by a later era."""
+        self._revision = revision
+
     def write(self, key: str, value: bytes) -> int:
         """Writes a key unconditionally, and returns its revision."""
         self._revision += 1
--- a/tests/rollouts/test_controller.py
+++ b/tests/rollouts/test_controller.py
@@ -9,6 +9,7 @@
 from merlintrestle.rollouts import observer as observers
 from merlintrestle.rollouts import storage as storages
 from merlintrestle.schema import control_pb2
+from merlintrestle.store import eras
 from tests.rollouts import builders
 
 _OLD = "10.0.0.1:7600"
@@ -19,8 +20,9 @@
 class RolloutControllerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.fixture = builders.ServiceFixture(old=1, new=1)
-        storage = storages.RolloutStorage(
-            builders.FakeStore(), storages.DefaultFormat()
+        self.store = builders.FakeStore()
+        self.storage = storage = storages.RolloutStorage(
+            self.store, storages.DefaultFormat()
         )
         observer = observers.Observer(
             self.fixture.tracker,
@@ -62,3 +64,51 @@
         )
         await self.controller.write_state(self.fixture.progress)
         self.assertTrue(self.fixture.progress.ended)
+
+    def build_order(self, revision: int, era: int) -> control_pb2.Rollout:
+        """Builds the order as read from the store, in an era."""
+        return builders.build_rollout(number=eras.qualify(revision, era))
+
+    async def test_ended_order_that_is_written_again_stays_ended(self) -> None:
+        """Guards against a bad version that is tried again in a new era."""
+        for state in (control_pb2.ROLLED_BACK, control_pb2.COMPLETE):
+            with self.subTest(state=state):
+                self.setUp()
+                await self.controller.handle_orders([self.build_order(70, 1)])
+                ended = builders.copy(self.fixture.progress.rollout)
+                ended.state = state
+                self.fixture.tracker.merge_rollout(ended)
+                self.store.begin_era(eras.qualify(60, 2))
+                again = self.build_order(50, 2)
+                await self.controller.handle_orders([again])
+                self.assertTrue(self.fixture.progress.ended)
+                self.assertEqual(self.fixture.progress.rollout.state, state)
+                # The operators read the state, which was lost as well.
+                self.assertEqual(await self.storage.read_state(again), state)
+
+    async def test_open_order_that_is_written_again_keeps_its_evidence(
+        self,
+    ) -> None:
+        """Guards against a trial that begins anew in a new era."""
+        await self.controller.handle_orders([self.build_order(70, 1)])
+        number = self.fixture.progress.rollout.number
+        before = builders.build_report(_NEW, 40, 0, number=number)
+        self.fixture.tracker.merge_report(before)
+        await self.controller.handle_orders([self.build_order(50, 2)])
+        progress = self.fixture.progress
+        self.assertEqual(progress.rollout.number, eras.qualify(50, 2))
+        self.assertEqual(progress.reports[_NEW].classes[0].calls, 40)
+        # A daemon that has not heard of the new number yet reports.
+        later = builders.build_report(_NEW, 60, 0, number=number)
+        self.fixture.tracker.merge_report(later)
+        self.assertEqual(progress.reports[_NEW].classes[0].calls, 60)
+
+    async def test_next_order_of_a_new_era_is_a_new_one(self) -> None:
+        """Guards against orders that are never carried out any more."""
+        await self.controller.handle_orders([self.build_order(70, 1)])
+        ended = builders.copy(self.fixture.progress.rollout)
+        ended.state = control_pb2.ROLLED_BACK
+        self.fixture.tracker.merge_rollout(ended)
+        await self.controller.handle_orders([self.build_order(50, 2)])
+        await self.controller.handle_orders([self.build_order(53, 2)])
+        self.assertFalse(self.fixture.progress.ended)
