Eras in the native store, and their spread between daemons

The native store states its era in the metadata of its answers; its client qualifies revisions and leases as the platform's does. A change whose first write may have been accepted in an earlier era is undecided, not a lost race (test failed before: Conflict). Few daemons call the store all the time, so the others hear of a new era, and those that start hear how old it is, over the links.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -12,6 +12,7 @@
 from merlintrestle.daemon import admin
 from merlintrestle.daemon import heartbeats
 from merlintrestle.daemon import metrics
+from merlintrestle.members import era_gossip
 from merlintrestle.members import membership as memberships
 from merlintrestle.members import service as control_server
 from merlintrestle.members import table as tables
@@ -259,6 +260,7 @@
             self._components.read_before_contact,
         )
         self._store.era.on_change.append(distribution.watcher.handle_new_era)
+        era_gossip.EraGossip(self._store.era, membership.links)
         servicer = control_server.ControlServicer(
             membership,
             distribution,
--- a/merlintrestle/members/links.py
+++ b/merlintrestle/members/links.py
@@ -63,6 +63,8 @@
         on_strike: Called with each new strike from a peer.
         get_offer: Returns the offer of the newest version held by this daemon,
             which every message contains; None if it holds none.
+        extend_message: Callbacks that may add to each message before it is
+            sent.
         last_received_at: Monotonic time of the last message from any peer, in
             seconds.
     """
@@ -74,6 +76,9 @@
         self.on_open: list[Callable[[Link], None]] = []
         self.on_strike: list[Callable[[control_pb2.Strike], None]] = []
         self.get_offer: Callable[[], control_pb2.Offer | None] = lambda: None
+        self.extend_message: list[
+            Callable[[control_pb2.LinkMessage], None]
+        ] = []
         self.last_received_at = 0.0
         self._table = table
         self._timing = timing
@@ -154,6 +159,11 @@
                     # that it holds.
                     link.peer_offer = offer
 
+    def send_now(self) -> None:
+        """Sends a message on all links at once, with or without updates."""
+        for link in self._links:
+            link.outbox.request_message()
+
     async def flush(self, timeout_s: float) -> None:
         """Waits until all queued updates have been sent.
 
@@ -288,6 +298,8 @@
             # Only the first message contains the sender.
             sender = ""
             sent_version = self._add_offer(message, sent_version)
+            for extend in self.extend_message:
+                extend(message)
             accounting.count_sent(_KIND, message)
             link.is_writing = True
             await _write(link, message, write)
--- a/merlintrestle/members/outbox.py
+++ b/merlintrestle/members/outbox.py
@@ -92,6 +92,10 @@
         self._delta = delta
         self._mark_urgent()
 
+    def request_message(self) -> None:
+        """Triggers a message, which is sent at once."""
+        self._mark_urgent()
+
     def pop_message(self) -> control_pb2.LinkMessage:
         """Removes queued updates and returns them as a message.
 
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -192,7 +192,7 @@
             "watch", query, wait_ms / 1000 + _TIMEOUT_S
         )
         # Revisions of an earlier era may exist again, for other contents.
-        if status == _GONE or eras.get_era(after) != self.era.current:
+        if status == _GONE or not self.era.has(after):
             raise errors.StoreUnavailableError(
                 "store: the history is not there any more"
             )
@@ -207,10 +207,10 @@
         self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
     ) -> client.WriteReply:
         """Writes a key if it has the expected revision; 0: does not exist."""
-        if expected_revision and not self._is_current(expected_revision):
+        if expected_revision and not self.era.has(expected_revision):
             entry = await self.get(key)
             return client.WriteReply(False, entry or client.Entry(key, b"", 0))
-        if lease_id and not self._is_current(lease_id):
+        if lease_id and not self.era.has(lease_id):
             raise errors.StoreUnavailableError("store: the lease has ended")
         text = base64.b64encode(value).decode()
         status, fields = await self._write(
@@ -240,7 +240,7 @@
 
     async def delete(self, key: str, expected_revision: int) -> bool:
         """Deletes a key if it has the expected revision."""
-        if not self._is_current(expected_revision):
+        if not self.era.has(expected_revision):
             return False
         status, _ = await self._write(
             "txn",
@@ -263,7 +263,7 @@
 
     async def renew_lease(self, lease_id: int) -> int:
         """Renews a lease; returns its duration in seconds, 0 if it ended."""
-        if not self._is_current(lease_id):
+        if not self.era.has(lease_id):
             return 0
         path = f"keep/{eras.get_number(lease_id)}"
         status, fields = await self._write(path, {})
@@ -289,17 +289,13 @@
             raise errors.StoreUnavailableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise errors.StoreUnknownOutcomeError(_describe(error)) from error
-        if era and self.era.current != era:
+        if era is not None and self.era.current != era:
             # Its revisions and lease may stand for other contents now.
             raise errors.StoreUnknownOutcomeError(
                 "store: it came back from a copy during the write"
             )
         return answer
 
-    def _is_current(self, qualified: int) -> bool:
-        """Returns whether a revision or lease is from the current era."""
-        return eras.get_era(qualified) == self.era.current
-
     async def _request(
         self,
         method: str,
@@ -327,7 +323,7 @@
             finally:
                 self._arriving_paths.remove(path)
         era = self.era.read(response.headers.get(_ERA_HEADER))
-        if era < self.era.current:
+        if self.era.is_late(era):
             raise _EarlierEraError(f"an answer of era {era}")
         if response.status in (_TOO_MANY_REQUESTS, _UNAVAILABLE, _FORBIDDEN):
             raise errors.StoreUnavailableError(
--- a/merlintrestle/store/acceptance.py
+++ b/merlintrestle/store/acceptance.py
@@ -8,6 +8,7 @@
 
 from merlintrestle import errors
 from merlintrestle.schema import document_pb2
+from merlintrestle.store import eras
 from merlintrestle.store import records
 
 if TYPE_CHECKING:
@@ -112,6 +113,8 @@
             reply = await store.put(records.HEAD_KEY, value, expected_revision)
             if reply.written:
                 return Accepted(head.version)
+            if _is_other_era(expected_revision, reply.entry.revision):
+                return Undecided("the store came back from an older copy")
             return await resolve_change(
                 store,
                 head,
@@ -123,6 +126,19 @@
     return Undecided(reason)
 
 
+def _is_other_era(expected_revision: int, revision: int) -> bool:
+    """Returns whether two revisions of the head are of different eras.
+
+    The change may have been accepted in the earlier era, and the daemons may
+    run it, although the store has lost it.
+    """
+    return (
+        expected_revision != 0
+        and revision != 0
+        and eras.get_era(expected_revision) != eras.get_era(revision)
+    )
+
+
 async def resolve_change(
     store: records.Store,
     proposed: document_pb2.Head,
--- a/merlintrestle/store/client.py
+++ b/merlintrestle/store/client.py
@@ -24,6 +24,10 @@
 MAX_VALUE_BYTES = 1_000_000
 _MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 _MAX_RECONNECT_BACKOFF_MS = 1000
+# Metadata of all answers; its number rises when the store comes back from a
+# copy.
+ERA_METADATA = "merlintrestle-store-era"
+_EARLIER_ERA = "store: it came back from a copy during the call"
 
 
 class Entry(NamedTuple):
@@ -71,6 +75,13 @@
     `errors.StoreUnavailableError`. A write that fails raises
     `errors.StoreUnknownOutcomeError`: read the key to find out whether the
     write took effect.
+
+    Revisions and leases are qualified by the era, see `eras`; a call with one
+    of an earlier era is answered as if the key had changed or the lease had
+    ended.
+
+    Attributes:
+      era: Era of the store.
     """
 
     def __init__(self, address: str, timeout_s: float = 2.0):
@@ -107,29 +118,39 @@
     async def get(self, key: str) -> Entry | None:
         """Reads a key; None if it does not exist."""
         reply = await self._read(self._stub.Get, store_pb2.GetRequest(key=key))
-        return _convert_entry(reply.entry) if reply.entry.revision else None
+        if not reply.entry.revision:
+            return None
+        return self._convert_entry(reply.entry)
 
     async def put(
         self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
     ) -> WriteReply:
         """Writes a key if it still has the expected revision (0: absent)."""
+        if expected_revision and not self.era.has(expected_revision):
+            entry = await self.get(key)
+            return WriteReply(False, entry or Entry(key, b"", 0))
+        if lease_id and not self.era.has(lease_id):
+            raise errors.StoreUnavailableError("store: the lease has ended")
         reply = await self._write(
             self._stub.Put,
             store_pb2.PutRequest(
                 key=key,
                 value=value,
-                expected_revision=expected_revision,
-                lease_id=lease_id,
+                expected_revision=eras.get_number(expected_revision),
+                lease_id=eras.get_number(lease_id),
             ),
         )
-        return WriteReply(reply.written, _convert_entry(reply.entry))
+        entry = self._convert_entry(reply.entry)
+        return WriteReply(reply.written, entry)
 
     async def delete(self, key: str, expected_revision: int) -> bool:
         """Deletes a key if it still has the expected revision."""
+        if not self.era.has(expected_revision):
+            return False
         reply = await self._write(
             self._stub.Delete,
             store_pb2.DeleteRequest(
-                key=key, expected_revision=expected_revision
+                key=key, expected_revision=eras.get_number(expected_revision)
             ),
         )
         return reply.deleted
@@ -142,7 +163,7 @@
             self._stub.List,
             store_pb2.ListRequest(prefix=prefix, after=after, limit=limit),
         )
-        return [_convert_entry(entry) for entry in reply.entries]
+        return [self._convert_entry(entry) for entry in reply.entries]
 
     async def watch(
         self, key: str, after_revision: int
@@ -153,10 +174,18 @@
           errors.StoreUnavailableError: The store ended the watch, or the
               connection broke.
         """
-        request = store_pb2.WatchRequest(key=key, after_revision=after_revision)
+        if after_revision and not self.era.has(after_revision):
+            raise errors.StoreUnavailableError("the revision is of another era")
+        request = store_pb2.WatchRequest(
+            key=key, after_revision=eras.get_number(after_revision)
+        )
+        call = self._stub.Watch(request)
         try:
-            async for entry in self._stub.Watch(request):
-                yield _convert_entry(entry)
+            async for entry in call:
+                era = await self._read_era(call)
+                if self.era.is_late(era):
+                    break
+                yield self._convert_entry(entry)
         except grpc.aio.AioRpcError as error:
             raise errors.StoreUnavailableError(_describe(error)) from error
         raise errors.StoreUnavailableError("the store ended the watch")
@@ -169,32 +198,53 @@
         reply = await self._write(
             self._stub.GrantLease, store_pb2.GrantLeaseRequest(seconds=seconds)
         )
-        return reply.lease_id
+        return self.era.qualify(reply.lease_id)
 
     async def renew_lease(self, lease_id: int) -> int:
         """Extends a lease; returns its duration in seconds, 0 if it ended."""
+        if not self.era.has(lease_id):
+            return 0
         reply = await self._write(
-            self._stub.KeepLease, store_pb2.KeepLeaseRequest(lease_id=lease_id)
+            self._stub.KeepLease,
+            store_pb2.KeepLeaseRequest(lease_id=eras.get_number(lease_id)),
         )
         return reply.seconds
 
-    async def _read(self, call: Any, request: Any) -> Any:
+    async def _read(self, method: Any, request: Any) -> Any:
         try:
-            return await call(request, timeout=self._timeout_s)
+            call = method(request, timeout=self._timeout_s)
+            reply = await call
+            era = await self._read_era(call)
         except grpc.aio.AioRpcError as error:
             raise errors.StoreUnavailableError(_describe(error)) from error
+        if self.era.is_late(era):
+            raise errors.StoreUnavailableError(_EARLIER_ERA)
+        return reply
 
-    async def _write(self, call: Any, request: Any) -> Any:
+    async def _write(self, method: Any, request: Any) -> Any:
+        previous_era = self.era.current
         try:
-            return await call(request, timeout=self._timeout_s)
+            call = method(request, timeout=self._timeout_s)
+            reply = await call
+            era = await self._read_era(call)
         except grpc.aio.AioRpcError as error:
             # gRPC also reports UNAVAILABLE if the connection broke after the
             # request was sent, so no status proves that a write had no effect.
             raise errors.StoreUnknownOutcomeError(_describe(error)) from error
-
-
-def _convert_entry(entry: store_pb2.Entry) -> Entry:
-    return Entry(entry.key, entry.value, entry.revision)
+        if self.era.is_late(era) or previous_era not in (None, era):
+            # Its revisions and lease may stand for other contents now.
+            raise errors.StoreUnknownOutcomeError(_EARLIER_ERA)
+        return reply
+
+    async def _read_era(self, call: Any) -> int:
+        """Returns the era that an answer states in its metadata."""
+        metadata = await call.initial_metadata()
+        text = metadata.get(ERA_METADATA) if metadata is not None else None
+        return self.era.read(text)
+
+    def _convert_entry(self, entry: store_pb2.Entry) -> Entry:
+        revision = self.era.qualify(entry.revision)
+        return Entry(entry.key, entry.value, revision)
 
 
 def _describe(error: grpc.aio.AioRpcError) -> str:
--- a/merlintrestle/store/eras.py
+++ b/merlintrestle/store/eras.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import time
 from typing import TYPE_CHECKING
@@ -54,7 +55,7 @@
     """The era of the store, as this daemon knows it.
 
     Attributes:
-        current: The latest era; 0: the store has stated none yet.
+        current: The latest era; None: the store has stated none yet.
         on_change: Callbacks for a new era. The first one that this daemon hears
             of is not new.
     """
@@ -65,10 +66,12 @@
         Args:
             get_time: Returns the monotonic time in seconds.
         """
-        self.current = 0
+        self.current: int | None = None
         self.on_change: list[Callable[[], None]] = []
         self._get_time = get_time
-        self._known_since = 0.0
+        # Since when a daemon has known the era, in seconds; minus infinity: the
+        # store has never come back from a copy.
+        self._known_since = -math.inf
 
     def read(self, text: str | None) -> int:
         """Reads the era that an answer of the store states.
@@ -80,13 +83,25 @@
             late, from before the store came back.
         """
         if text is None:
-            return self.current
+            return self.current or 0
         if not _ERA_PATTERN.fullmatch(text):
             events.warn("store era malformed", value=text)
-            return self.current
+            return self.current or 0
         self.learn(int(text))
         return int(text)
 
+    def is_late(self, era: int) -> bool:
+        """Returns whether an answer is from before the current era."""
+        return era < (self.current or 0)
+
+    def qualify(self, number: int) -> int:
+        """Returns a number of the current era, qualified by it."""
+        return qualify(number, self.current or 0)
+
+    def has(self, qualified: int) -> bool:
+        """Returns whether a revision or lease id is of the current era."""
+        return get_era(qualified) == (self.current or 0)
+
     def learn(self, era: int, age_s: float = 0.0) -> None:
         """Records an era that the store or another daemon states.
 
@@ -95,24 +110,23 @@
             age_s: For how long the other daemon has known it, in seconds.
         """
         known_since = self._get_time() - age_s
-        if era < self.current:
-            return
-        if era == self.current:
+        previous = self.current
+        if previous is None:
+            self.current = era
+            if era > _FIRST_ERA:
+                self._known_since = known_since
+        elif era == previous:
             self._known_since = min(self._known_since, known_since)
-            return
-        previous, self.current = self.current, era
-        self._known_since = known_since
-        if not previous:
-            return
-        events.warn("store came back from a copy", era=era, previous=previous)
-        for notify in self.on_change:
-            notify()
+        elif era > previous:
+            self.current = era
+            self._known_since = known_since
+            events.warn("store came back from a copy", era=era, before=previous)
+            for notify in self.on_change:
+                notify()
 
     def get_age(self) -> float:
-        """Returns for how long the era has been known to a daemon, in seconds.
+        """Returns for how long daemons have known the era, in seconds.
 
-        It is infinite in the first era, and if the store states none.
+        It is infinite if the store has never come back from a copy.
         """
-        if self.current <= _FIRST_ERA:
-            return float("inf")
         return self._get_time() - self._known_since
--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -42,6 +42,22 @@
     expires_at: float
 
 
+class Copy(NamedTuple):
+    """A copy of the contents of a store, from which it may come back.
+
+    Attributes:
+        revision: Revision at the time of the copy.
+        entries: Entries by key.
+        leases: Leases by id.
+        next_lease_id: Id of the next lease.
+    """
+
+    revision: int
+    entries: dict[str, Entry]
+    leases: dict[int, _Lease]
+    next_lease_id: int
+
+
 class ValueTooLargeError(Exception):
     """A value is larger than `MAX_VALUE_BYTES`."""
 
@@ -55,6 +71,7 @@
 
     Attributes:
         revision: Revision of the last change of any key.
+        era: Era of the contents, which rises when they are replaced by a copy.
         open_watches: Number of open watches.
     """
 
@@ -65,6 +82,7 @@
             clock: Returns the time in seconds of any monotonic clock.
         """
         self.revision = 0
+        self.era = 1
         self.open_watches = 0
         self._clock = clock
         self._entries: dict[str, Entry] = {}
@@ -72,6 +90,31 @@
         self._next_lease_id = 1
         self._change_events: dict[str, set[asyncio.Event]] = {}
 
+    def take_copy(self) -> Copy:
+        """Returns a copy of the contents, for `come_back`."""
+        self.expire_leases()
+        return Copy(
+            self.revision,
+            dict(self._entries),
+            {
+                lease_id: dataclasses.replace(lease)
+                for lease_id, lease in self._leases.items()
+            },
+            self._next_lease_id,
+        )
+
+    def come_back(self, copy: Copy) -> None:
+        """Replaces the contents by an earlier copy, which begins a new era.
+
+        What was written since is gone, and its revisions and lease ids are
+        given out again.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self._entries = dict(copy.entries)
+        self._leases = dict(copy.leases)
+        self._next_lease_id = copy.next_lease_id
+
     def get(self, key: str) -> Entry:
         """Returns the entry of a key, with revision 0 if it does not exist."""
         self.expire_leases()
--- a/standins/servicer.py
+++ b/standins/servicer.py
@@ -20,6 +20,9 @@
 
 _MAX_KEPT_WRITES = 10_000
 _MAX_COUNTED_SECONDS = 120
+# Length of the outage after which the store comes back, in seconds.
+_OUTAGE_S = 0.2
+_ERA_METADATA = "merlintrestle-store-era"
 
 
 class Write(NamedTuple):
@@ -85,6 +88,15 @@
         self._faults_changed.set()
         self._faults_changed = asyncio.Event()
 
+    def end_watches(self) -> None:
+        """Ends all open watches, as an outage does."""
+        outage = faults.StoreFaults(faults.Outage.UNAVAILABLE)
+        previous = self.faults
+        self.set_faults(outage)
+        asyncio.get_running_loop().call_later(
+            _OUTAGE_S, self.set_faults, previous
+        )
+
     async def Get(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Reads a key."""
         await self._begin_call("get", context, request.key)
@@ -191,6 +203,9 @@
             await self._faults_changed.wait()
         if self.faults.outage is not faults.Outage.NONE:
             await context.abort(grpc.StatusCode.UNAVAILABLE, "outage")
+        await context.send_initial_metadata(
+            ((_ERA_METADATA, str(self.key_value_store.era)),)
+        )
 
     async def _abort_if_answer_lost(self, context: Any) -> None:
         if self.faults.lose_answers > 0:
