Run no payout a second time when the store has lost its claim

After the store came back from a copy the claim is gone, so a caller who sends the payout again through another daemon had it run twice; so at the same daemon if its answer had been lost, and whoever's if the holder was killed meanwhile.

A claim whose own write meets the new era is given back, a lease of an earlier era is not used, a claimed call whose claim is of an earlier era is not forwarded.

--- a/merlintrestle/requests/interfaces.py
+++ b/merlintrestle/requests/interfaces.py
@@ -9,6 +9,7 @@
     from merlintrestle.members import table
     from merlintrestle.rollouts import subsets
     from merlintrestle.store import client
+    from merlintrestle.store import eras
 
 
 class ActiveVersion(Protocol):
@@ -75,7 +76,13 @@
 
 
 class Store(Protocol):
-    """The methods of `store.client.StoreClient` that claims use."""
+    """The part of `store.client.StoreClient` that claims use.
+
+    Attributes:
+        era: Era of the store.
+    """
+
+    era: eras.StoreEra
 
     async def get(self, key: str) -> client.Entry | None:
         """Reads one key."""
--- a/merlintrestle/requests/serving/attempt_runner.py
+++ b/merlintrestle/requests/serving/attempt_runner.py
@@ -32,6 +32,7 @@
     from merlintrestle.requests.serving import attempts as attempts_
     from merlintrestle.requests.serving import local_runner as local_runners
     from merlintrestle.requests.transport import forwarding
+    from merlintrestle.requests.unrepeatable import sent_calls
 
 
 class _AttemptRecorder:
@@ -124,6 +125,7 @@
         forwarder: forwarding.Forwarder,
         get_time: Callable[[], float],
         round_trip: round_trips.RoundTripTime,
+        keyed_calls: sent_calls.KeyedCallRecorder | None = None,
     ):
         """Initializes the runner.
 
@@ -135,7 +137,10 @@
             forwarder: Sends calls to other daemons.
             get_time: Returns the monotonic time, in seconds.
             round_trip: Round-trip time to other daemons.
+            keyed_calls: Records the calls that must not be repeated; None: they
+                are not recorded.
         """
+        self._keyed_calls = keyed_calls
         self._round_trip = round_trip
         self._get_local_id = get_member_id
         self._table = table
@@ -208,7 +213,12 @@
                 # A copy, as a concurrent attempt may use another wait.
                 call = dataclasses.replace(call, wait=attempt.wait)
             return await self._local_runner.run(call)
-        return await self._send_to_peer(attempt, call, report_doubt)
+        if self._keyed_calls is None:
+            return await self._send_to_peer(attempt, call, report_doubt)
+        number = self._keyed_calls.add(call, attempt.upstream)
+        outcome = await self._send_to_peer(attempt, call, report_doubt)
+        self._keyed_calls.record_outcome(number, outcome)
+        return outcome
 
     def _schedule_hedge_timer(
         self,
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -29,6 +29,7 @@
     from merlintrestle.requests.load import picking
     from merlintrestle.requests.serving import local_runner as local_runners
     from merlintrestle.requests.transport import forwarding
+    from merlintrestle.requests.unrepeatable import sent_calls
 
 
 class Dispatcher:
@@ -48,6 +49,7 @@
         get_time: Callable[[], float],
         budgets: budgets_.Budgets,
         subsets: interfaces.SubsetSelector,
+        keyed_calls: sent_calls.KeyedCallRecorder | None = None,
     ):
         """Initializes the dispatcher.
 
@@ -60,6 +62,8 @@
             get_time: Returns the monotonic time, in seconds.
             budgets: The retry budgets of the services.
             subsets: Selects the upstreams that an attempt may use.
+            keyed_calls: Records the calls that must not be repeated; None: they
+                are not recorded.
         """
         self._table = table
         self._subsets = subsets
@@ -76,6 +80,7 @@
             forwarder,
             get_time,
             self._round_trip,
+            keyed_calls,
         )
         self.startup_wait = startup.StartupWait(table, get_time)
 
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -26,10 +26,12 @@
 from merlintrestle.requests.serving import serving_state as serving_states
 from merlintrestle.requests.transport import forwarding
 from merlintrestle.requests.transport import server
+from merlintrestle.requests.unrepeatable import claim_restoration
 from merlintrestle.requests.unrepeatable import claims as claims_
 from merlintrestle.requests.unrepeatable import leases
 from merlintrestle.requests.unrepeatable import recall
 from merlintrestle.requests.unrepeatable import recall_retries
+from merlintrestle.requests.unrepeatable import sent_calls
 from merlintrestle.rollouts import observer as observers
 from merlintrestle.rollouts import subsets
 from merlintrestle.rollouts import tracker as trackers
@@ -134,6 +136,12 @@
             recall_retries.RetryingRecaller(self._recall_client),
             settings.claims,
             time.monotonic,
+            copy_age_s=settings.store_copy_age_s,
+            settling_s=settings.store_settling_s,
+        )
+        self._sent_calls = sent_calls.SentCalls(time.monotonic)
+        self._claim_restorer = claim_restoration.ClaimRestorer(
+            claims, self._sent_calls
         )
         self.recall_servicer = recall.RecallServicer(claims)
         self._admission = admission = admissions.Admission(
@@ -172,6 +180,7 @@
             time.monotonic,
             self._budgets,
             subsets.SubsetSelector(tracker, settings.trial_share),
+            sent_calls.KeyedCallRecorder(self._sent_calls, claims.build_key),
         )
 
     def set_retry_bounds(
@@ -238,6 +247,7 @@
         await self._peer_server.close()
         self._peer_handler.close()
         self._local_runner.at_most_once.close()
+        self._claim_restorer.close()
         await self._forwarder.close()
         await self._recall_client.close()
 
@@ -355,7 +365,7 @@
     def _get_member_id(self) -> str:
         return self._member_id
 
-    def _get_holder(self) -> claims_.Holder:
-        return claims_.Holder(
+    def _get_holder(self) -> sent_calls.Holder:
+        return sent_calls.Holder(
             self._get_member_id(), self._settings.address, self.control_port
         )
--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -7,14 +7,16 @@
 import hashlib
 import secrets
 import time
-from typing import NamedTuple, Protocol, TYPE_CHECKING
+from typing import Protocol, TYPE_CHECKING
 
 from google.protobuf import message
 
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.unrepeatable import leases
 from merlintrestle.requests.unrepeatable import ledger as ledgers
+from merlintrestle.requests.unrepeatable import sent_calls
 from merlintrestle.schema import request_pb2
 
 if TYPE_CHECKING:
@@ -24,10 +26,20 @@
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.store import client
 
+events = event_logs.EventLog("requests")
+
 # Longest wait for the store, in seconds. After it, a call is refused with "not
 # run".
 STORE_TIMEOUT_S = 1.0
 _STORE_RETRY_AFTER_S = 2.0
+# Defaults of the longest age of a copy from which the store may come back, and
+# of the time after that in which no new claims are made, in seconds.
+_DEFAULT_COPY_AGE_S = 30.0
+_DEFAULT_SETTLING_S = 3.0
+# Delay between attempts to write a claim again, and their total time, in
+# seconds. The store may go away again meanwhile.
+_RESTORE_RETRY_DELAY_S = 0.2
+_RESTORE_TIMEOUT_S = 30.0
 # A claim that was written longer ago is read again from the store before the
 # call is forwarded. Usually the claim is younger, which saves that read.
 _RECHECK_AGE_S = 5.0
@@ -43,20 +55,6 @@
 )
 
 
-class Holder(NamedTuple):
-    """The holder of a claim: the daemon that made it, as stated in the claim.
-
-    Attributes:
-        member_id: Member id of the daemon.
-        address: IP address at which the daemon answers recalls.
-        control_port: Port at which the daemon answers recalls.
-    """
-
-    member_id: str
-    address: str
-    control_port: int
-
-
 @dataclasses.dataclass(slots=True)
 class HeldClaim:
     """A claim that this daemon made, so that no other one may run the call.
@@ -122,19 +120,28 @@
 class Claims:
     """Makes claims, and resolves the claims of earlier attempts.
 
+    A store that comes back from an older copy has lost the claims since that
+    copy. The daemons then write theirs again, see `claim_restoration`, and make
+    no new ones for a settling time.
+
     Attributes:
         ledger: Records of the claims that this daemon made.
+        era: Era of the store.
+        copy_age_s: Longest age of a copy from which the store may come back, in
+            seconds.
     """
 
     def __init__(
         self,
-        get_holder: Callable[[], Holder],
+        get_holder: Callable[[], sent_calls.Holder],
         store: interfaces.Store,
         lease: leases.ClaimLease,
         recaller: Recaller,
         prefix: str,
         get_time: Callable[[], float],
         get_boot_time: Callable[[], float] = leases.get_boot_time,
+        copy_age_s: float = 0.0,
+        settling_s: float = 0.0,
     ):
         """Sets the dependencies.
 
@@ -147,7 +154,14 @@
             prefix: Prefix of the keys of claims.
             get_time: Clock for deadlines, in seconds.
             get_boot_time: Clock for the age of claims, in seconds since boot.
+            copy_age_s: Longest age of a copy from which the store may come
+                back, in seconds; 0: the default.
+            settling_s: Time after the store came back in which no new claims
+                are made, in seconds; 0: the default.
         """
+        self.era = store.era
+        self.copy_age_s = copy_age_s or _DEFAULT_COPY_AGE_S
+        self._settling_s = settling_s or _DEFAULT_SETTLING_S
         self.ledger = ledgers.Ledger()
         self._get_holder = get_holder
         self._store = store
@@ -190,18 +204,15 @@
         """
         if self._get_time() >= call.refuse_by:
             return outcomes.TOO_LATE
-        holder = self._get_holder()
+        settling_wait_s = self.get_settling_wait_s()
+        if settling_wait_s:
+            return _refuse_while_settling(settling_wait_s)
         digest = call.get_request_digest()
-        record = self.ledger.open(claim_key, secrets.token_hex(8), digest)
-        claim = request_pb2.Claim(
-            member_id=holder.member_id,
-            address=holder.address,
-            control_port=holder.control_port,
-            claim_id=record.claim_id,
-            at_ms=int(time.time() * 1000),
-            request_digest=digest,
-        )
         written_at = self._get_boot_time()
+        record = self.ledger.open(
+            claim_key, secrets.token_hex(8), digest, written_at
+        )
+        claim = _build_claim(self._get_holder(), record.claim_id, digest)
         try:
             async with asyncio.timeout(self._compute_store_timeout(call)):
                 entry = await self._write(claim_key, claim, expected_revision)
@@ -222,12 +233,68 @@
             return ReplaceableClaim(0)
         stored = _decode_claim(entry.value)
         if stored is not None and stored.claim_id == record.claim_id:
-            return HeldClaim(record, entry.revision, written_at)
+            held = HeldClaim(record, entry.revision, written_at)
+            return await self._confirm(held)
         self.ledger.end(record, request_pb2.RELEASED)
         if stored is None:
             return outcomes.Unknown("the claim of the key cannot be read")
         return ExistingClaim(stored, entry.revision)
 
+    async def _confirm(self, held: HeldClaim) -> HeldClaim | outcomes.NotRun:
+        """Returns a claim that was made, unless a new era has just begun.
+
+        An earlier claim of the same key may then be about to be written again.
+        """
+        settling_wait_s = self.get_settling_wait_s()
+        if not settling_wait_s:
+            return held
+        self.ledger.end(held.record, request_pb2.RELEASED)
+        await self.release(held)
+        return _refuse_while_settling(settling_wait_s)
+
+    def get_settling_wait_s(self) -> float:
+        """Returns the time until new claims may be made, in seconds."""
+        return max(0.0, self._settling_s - self.era.get_age())
+
+    def list_recent(self) -> list[ledgers.Record]:
+        """Returns the records of claims that the store may have lost."""
+        return self.ledger.list_since(self._get_boot_time() - self.copy_age_s)
+
+    async def restore(self, record: ledgers.Record) -> None:
+        """Writes a claim of this daemon again, unless the store has it."""
+        claim = _build_claim(
+            self._get_holder(), record.claim_id, record.request_digest
+        )
+        await self._restore(record.claim_key, claim)
+
+    async def restore_sent(self, call: sent_calls.SentCall) -> None:
+        """Writes the claim of a call that was sent to another daemon.
+
+        If that daemon is still alive, it has written the claim itself. If it
+        was killed, what became of the call is not known any more.
+        """
+        claim = _build_claim(call.holder, "", call.request_digest)
+        await self._restore(call.claim_key, claim)
+
+    async def _restore(self, claim_key: str, claim: request_pb2.Claim) -> None:
+        value = claim.SerializeToString()
+        try:
+            async with asyncio.timeout(_RESTORE_TIMEOUT_S):
+                while not await self._try_restore(claim_key, value):
+                    await asyncio.sleep(_RESTORE_RETRY_DELAY_S)
+        except TimeoutError:
+            events.warn("claim not written again", key=claim_key)
+
+    async def _try_restore(self, claim_key: str, value: bytes) -> bool:
+        """Writes a claim unless there is one; returns False if that failed."""
+        try:
+            lease_id = await self._lease.get_id()
+            await self._store.put(claim_key, value, 0, lease_id)
+        except errors.StoreError as error:
+            events.note("claim restoration", key=claim_key, error=str(error))
+            return False
+        return True
+
     async def check(
         self, held: HeldClaim, call: calls.Call
     ) -> outcomes.NotRun | None:
@@ -241,6 +308,8 @@
         """
         if self._get_time() >= call.refuse_by:
             return outcomes.TOO_LATE
+        if not self.era.has(held.revision):
+            return outcomes.NotRun("the store has come back without the claim")
         age_s = self._get_boot_time() - held.written_at
         if age_s > leases.MAX_CLAIM_AGE_S:
             return outcomes.NotRun("the claim may have expired")
@@ -348,6 +417,26 @@
         return await self._recaller.recall(claim, claim_key, wait_s)
 
 
+def _refuse_while_settling(wait_s: float) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        "the store has come back from a copy, and claims are written again",
+        retry_after_s=wait_s,
+    )
+
+
+def _build_claim(
+    holder: sent_calls.Holder, claim_id: str, request_digest: bytes
+) -> request_pb2.Claim:
+    return request_pb2.Claim(
+        member_id=holder.member_id,
+        address=holder.address,
+        control_port=holder.control_port,
+        claim_id=claim_id,
+        at_ms=int(time.time() * 1000),
+        request_digest=request_digest,
+    )
+
+
 def _refuse_reused_key(call: calls.Call) -> outcomes.NotRun | outcomes.Unknown:
     """Refuses an Idempotency-Key that was used for another request.
 
--- a/merlintrestle/requests/unrepeatable/leases.py
+++ b/merlintrestle/requests/unrepeatable/leases.py
@@ -55,10 +55,10 @@
         Raises:
             errors.StoreError: A new lease is needed and the store grants none.
         """
-        if self._lease_id and self._get_age() < _LEASE_REUSE_S:
+        if self._is_usable():
             return self._lease_id
         async with self._lock:
-            if not self._lease_id or self._get_age() >= _LEASE_REUSE_S:
+            if not self._is_usable():
                 await self._renew()
         return self._lease_id
 
@@ -77,5 +77,16 @@
         self._lease_id = await self._store.grant_lease(LEASE_TTL_S)
         self._requested_at = requested_at
 
+    def _is_usable(self) -> bool:
+        """Returns whether there is a lease that new claims may use.
+
+        A lease of an earlier era may be gone, or be another daemon's now.
+        """
+        return (
+            bool(self._lease_id)
+            and self._store.era.has(self._lease_id)
+            and self._get_age() < _LEASE_REUSE_S
+        )
+
     def _get_age(self) -> float:
         return self._get_time() - self._requested_at
--- a/merlintrestle/requests/unrepeatable/ledger.py
+++ b/merlintrestle/requests/unrepeatable/ledger.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.calls import outcomes
@@ -32,6 +33,8 @@
         claim_key: Key of the claim in the store.
         claim_id: Id of the claim, which differs for each attempt.
         request_digest: Digest of the request.
+        opened_at: When the claim was about to be written, in seconds since
+            boot.
         state: State of the claim.
         answer: Stored answer of the backend server; None if there is none, if
             it was too large to store or if it was evicted.
@@ -41,6 +44,7 @@
     claim_key: str
     claim_id: str
     request_digest: bytes
+    opened_at: float = 0.0
     state: request_pb2.ClaimState = request_pb2.RUNNING
     answer: outcomes.Replayed | None = None
     ended_event: asyncio.Event = dataclasses.field(
@@ -78,12 +82,39 @@
             collections.deque()
         )
 
-    def open(self, claim_key: str, claim_id: str, digest: bytes) -> Record:
-        """Adds a record for a claim that is about to be written."""
-        record = Record(claim_key, claim_id, digest)
+    def open(
+        self,
+        claim_key: str,
+        claim_id: str,
+        digest: bytes,
+        opened_at: float = 0.0,
+    ) -> Record:
+        """Adds a record for a claim that is about to be written.
+
+        Args:
+            claim_key: Key of the claim in the store.
+            claim_id: Id of the claim.
+            digest: Digest of the request.
+            opened_at: The time, in seconds since boot.
+        """
+        record = Record(claim_key, claim_id, digest, opened_at)
         self._records[claim_id] = record
         return record
 
+    def list_since(self, opened_at: float) -> list[Record]:
+        """Returns the records of claims since a time that were not released.
+
+        Args:
+            opened_at: The time, in seconds since boot.
+        """
+        recent = itertools.takewhile(
+            lambda record: record.opened_at >= opened_at,
+            reversed(self._records.values()),
+        )
+        return [
+            record for record in recent if record.state != request_pb2.RELEASED
+        ]
+
     def find(self, claim_id: str) -> Record | None:
         """Returns the record of a claim; None if unknown or evicted."""
         return self._records.get(claim_id)
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -179,16 +179,27 @@
         self.settings = settings_pb2.DaemonSettings(
             address="127.0.0.1", zone="noord", claims="claims/"
         )
-        self.store = store or fakes.FakeStore()
-        self.proxy = proxies.Proxy(
+        self.store: Any = store or fakes.FakeStore()
+        self.proxy = self._build_proxy()
+
+    def _build_proxy(self) -> proxies.Proxy:
+        return proxies.Proxy(
             self.settings,
             self.active_version,
             self.table,
             self.store,
         )
 
-    async def start(self) -> Node:
-        """Starts the servers, announces the backend server and returns self."""
+    async def start(self, settling_s: float = 0.0) -> Node:
+        """Starts the servers, announces the backend server and returns self.
+
+        Args:
+            settling_s: Time without new claims after the store came back from a
+                copy, in seconds; 0: the default.
+        """
+        if settling_s:
+            self.settings.store_settling_s = settling_s
+            self.proxy = self._build_proxy()
         self.backend = server.Server(self._serve)
         await self.backend.start("127.0.0.1", 0)
         self.push_async_callback(self.backend.close)
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -7,6 +7,7 @@
 
 from merlintrestle import errors
 from merlintrestle.store import client
+from merlintrestle.store import eras
 
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
@@ -83,9 +84,11 @@
         faults: Faults of the next calls, in this order.
         fault: Fault of all calls after those of `faults`.
         writes: Number of writes, deletions and lease requests that arrived.
+        era: Era of the store.
     """
 
     def __init__(self) -> None:
+        self.era = eras.StoreEra()
         self.now = 0.0
         self.faults: list[Fault] = []
         self.fault = Fault.NONE
@@ -146,6 +149,18 @@
         self._leases[lease_id] = self.now + seconds
         return lease_id
 
+    def come_back(self) -> None:
+        """Loses all keys and leases, and begins a new era.
+
+        Revisions and lease ids are given out again.
+        """
+        era = (self.era.current or 0) + 1
+        self._leases.clear()
+        self._entries.clear()
+        self._revision = eras.qualify(1, era)
+        self._last_lease_id = eras.qualify(1, era)
+        self.era.learn(era)
+
     def lose_leases(self) -> None:
         """Deletes all leases and keys, as the restore of a backup may do."""
         self._leases.clear()
--- a/tests/requests/interleaving.py
+++ b/tests/requests/interleaving.py
@@ -14,6 +14,7 @@
 from merlintrestle.requests.unrepeatable import at_most_once
 from merlintrestle.requests.unrepeatable import claims
 from merlintrestle.requests.unrepeatable import leases
+from merlintrestle.requests.unrepeatable import sent_calls
 from tests.requests import builders
 from tests.requests import fakes
 
@@ -68,7 +69,7 @@
         self.simulation = simulation
         self.number = number
         self.pending_steps: list[asyncio.Future[None]] = []
-        holder = claims.Holder(f"10.0.0.{number}:1", f"10.0.0.{number}", 1)
+        holder = sent_calls.Holder(f"10.0.0.{number}:1", f"10.0.0.{number}", 1)
         self.claims = claims.Claims(
             lambda: holder,
             _SteppedStore(self),
@@ -240,6 +241,7 @@
 
     def __init__(self, daemon: Daemon):
         self._daemon = daemon
+        self.era = daemon.simulation.store.era
 
     def __getattr__(self, name: str) -> Any:
         async def call(*arguments: Any) -> Any:
