Write accepted versions again that the native store has lost

After the native store came back from a copy its head, the documents and the audit records since are gone although operators were told that their changes were accepted and all daemons run them: with the next restart of the daemons the versions were lost, and the next change made a version number that was used before, which no daemon would run (test failed before: head 2 instead of 4).

A watcher that finds an earlier head in a new era writes the documents, the ids of the lost changes (their details are gone, the record says so) and the head again. If another change was accepted since, nothing is replaced and the log says "versions diverged". On the users' platform operators write theirs again themselves.

--- a/merlintrestle/versions/source.py
+++ b/merlintrestle/versions/source.py
@@ -8,13 +8,14 @@
 from merlintrestle.documents import compiler
 from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.rollouts import storage
+from merlintrestle.schema import document_pb2
 from merlintrestle.store import records
+from merlintrestle.store import restoration
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from merlintrestle.documents import snapshot as snapshot_lib
-    from merlintrestle.schema import document_pb2
     from merlintrestle.store import client
 
 
@@ -51,16 +52,29 @@
     def __init__(self, store: client.StoreClient):
         self._store = store
         self._compiled: snapshot_lib.Snapshot | None = None
+        # The newest head that was compiled, and the era in which it was read.
+        self._known_head = document_pb2.Head()
+        self._known_era = 0
         self._documents: dict[bytes, document_pb2.Document] = {}
 
     async def read_head(self) -> document_pb2.Head:
         """Reads the head; its version is 0 if there is none.
 
+        If the store came back from a copy with an earlier head, the known one
+        is written again.
+
         Raises:
-            errors.StoreUnavailableError: The store did not answer.
+            errors.StoreError: The store did not answer.
         """
-        head, _ = await records.read_head(self._store)
-        return head
+        head, revision = await records.read_head(self._store)
+        era = self._store.era.current or 0
+        if head.version >= self._known_head.version or era <= self._known_era:
+            return head
+        restored = await restoration.restore_head(
+            self._store, self._known_head, self._documents, head, revision
+        )
+        self._known_era = era
+        return self._known_head if restored else head
 
     async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
         """Yields the head and each newer one until the store fails.
@@ -100,6 +114,9 @@
                 f"version {head.version} compiles to another digest"
             )
         self._compiled = snapshot
+        if head.version >= self._known_head.version:
+            self._known_head = head
+            self._known_era = self._store.era.current or 0
         return snapshot
 
     async def read_orders(self) -> list[client.Entry]:
