--- a/merlintrestle/daemon/metrics.py
+++ b/merlintrestle/daemon/metrics.py
@@ -16,6 +16,7 @@
 
     from merlintrestle.members import table as tables
     from merlintrestle.requests.serving import proxy as proxies
+    from merlintrestle.store import eras
     from merlintrestle.versions import active_version as active_versions
 
 
@@ -27,8 +28,10 @@
         active_version: active_versions.ActiveVersion,
         table: tables.MemberTable,
         proxy: proxies.Proxy,
+        era: eras.StoreEra,
     ):
         """Initializes the collector with the sources of the metrics."""
+        self._era = era
         self._active_version = active_version
         self._table = table
         self._proxy = proxy
@@ -75,16 +78,22 @@
             name = control_pb2.MemberState.Name(state).lower()
             members.add_metric((name,), count)
         yield members
+        yield metrics_core.GaugeMetricFamily(
+            "merlintrestle_store_era",
+            "Era of the store, which rises when it comes back from a copy.",
+            value=self._era.current or 0,
+        )
 
 
 def build_registry(
     active_version: active_versions.ActiveVersion,
     table: tables.MemberTable,
     proxy: proxies.Proxy,
+    era: eras.StoreEra,
 ) -> prometheus_client.CollectorRegistry:
     """Returns a registry with the metrics of a daemon."""
     registry = prometheus_client.CollectorRegistry()
-    registry.register(StateCollector(active_version, table, proxy))
+    registry.register(StateCollector(active_version, table, proxy, era))
     registry.register(proxy.outcome_counts)
     registry.register(proxy.latencies)
     registry.register(proxy.traffic)
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -150,7 +150,7 @@
     async def start_endpoints(self) -> None:
         """Opens the loopback port; subclasses may open further ports."""
         self.registry = metrics.build_registry(
-            self._active_version, self._table, self._proxy
+            self._active_version, self._table, self._proxy, self._store.era
         )
         self._admin = admin.AdminServer(
             self._settings.admin_port,
--- a/merlintrestle/store/eras.py
+++ b/merlintrestle/store/eras.py
@@ -27,6 +27,8 @@
 _NUMBER_MASK = (1 << _NUMBER_BITS) - 1
 # With 16 bits for the era, qualified numbers are positive 64-bit numbers.
 _ERA_PATTERN = re.compile(r"\d{1,4}")
+# Number of eras that may begin while no daemon gets an answer of the store.
+_MAX_MISSED_ERAS = 10
 # The first era. A store in it has never come back from a copy.
 _FIRST_ERA = 1
 
@@ -84,12 +86,21 @@
         """
         if text is None:
             return self.current or 0
-        if not _ERA_PATTERN.fullmatch(text):
+        if not _ERA_PATTERN.fullmatch(text) or not self._is_plausible(
+            int(text)
+        ):
             events.warn("store era malformed", value=text)
             return self.current or 0
         self.learn(int(text))
         return int(text)
 
+    def _is_plausible(self, era: int) -> bool:
+        """Returns whether the store may be in an era.
+
+        A value far too high would make all later answers seem to be late.
+        """
+        return self.current is None or era <= self.current + _MAX_MISSED_ERAS
+
     def is_late(self, era: int) -> bool:
         """Returns whether an answer is from before the current era."""
         return era < (self.current or 0)
--- a/tests/platform/soaking.py
+++ b/tests/platform/soaking.py
@@ -48,6 +48,9 @@
 # number of requests that it may get in addition.
 _LIMIT_FACTOR = 1.5
 _LIMIT_SLACK = 5
+# Time from the write of a version until all daemons run it, in seconds. One of
+# them may have just been stopped or started.
+_IN_FORCE_S = 5.0
 # Wait of a refused caller before its next call.
 _RETRY_DELAY_S = 0.2
 
@@ -304,11 +307,14 @@
                 maxAttempts=1,
             ),
         )
-        await self._fleet.store.write(
-            stores.CONFIGURATION_KEY,
-            builders.build_configuration(self._version, *routes),
+        await self._write_configuration(
+            builders.build_configuration(self._version, *routes)
         )
 
+    async def _write_configuration(self, configuration: bytes) -> None:
+        """Writes a configuration as the operators do."""
+        await self._fleet.store.write(stores.CONFIGURATION_KEY, configuration)
+
     async def _reload(self) -> None:
         """Changes the settings of a daemon, which must keep serving."""
         index = self._random.randrange(len(_SERVICES))
@@ -473,6 +479,76 @@
         }
 
 
+class EraSoak(NoticeSoak):
+    """Soak test in which the store also comes back from older copies.
+
+    What the operators wrote since is written again. The daemons must run the
+    newest version soon after its last write.
+    """
+
+    def __init__(self, seed: int):
+        """Sets the seed of the random generator."""
+        super().__init__(seed)
+        self._drilling = False
+        # What the operators wrote last.
+        self._configuration = b""
+        self._actions |= {
+            "come back": self._come_back,
+            "come back again": self._come_back,
+        }
+
+    async def _write_configuration(self, configuration: bytes) -> None:
+        self._configuration = configuration
+        await super()._write_configuration(configuration)
+
+    async def _run_actions(self) -> None:
+        """Runs the actions, and checks which versions run in the end."""
+        await super()._run_actions()
+        await self._configure()
+        try:
+            async with asyncio.timeout(_IN_FORCE_S):
+                while not all(map(self._runs_newest, self._fleet.daemons)):
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            running = [
+                _find_running_version(daemon) for daemon in self._fleet.daemons
+            ]
+            self.result.violations.append(
+                f"version {self._version} is not in force: {running}"
+            )
+
+    def _runs_newest(self, daemon: processes.DaemonProcess) -> bool:
+        return _find_running_version(daemon) == self._version
+
+    async def _come_back(self) -> None:
+        """Makes the store go away and come back from a copy."""
+        if self._drilling:
+            return
+        self._drilling = True
+        store = self._fleet.store
+        copy = store.take_copy()
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        store.faults.status = 503
+        await asyncio.sleep(self._random.uniform(0.1, 1.0))
+        await store.come_back(copy)
+        store.faults.status = 0
+        await asyncio.sleep(self._random.uniform(0.0, 0.5))
+        await super()._write_configuration(self._configuration)
+        self._drilling = False
+
+
+def _find_running_version(daemon: processes.DaemonProcess) -> int:
+    """Returns the version that a daemon activated last, by its log."""
+    return max(
+        (
+            line["version"]
+            for line in daemon.lines
+            if line.get("event") == "version runs"
+        ),
+        default=0,
+    )
+
+
 def _build_headers(request: Request) -> dict[str, str]:
     return {
         "Host": "desk.example",
@@ -485,21 +561,26 @@
     await action()
 
 
+_SOAKS = {"maintenance": Soak, "notices": NoticeSoak, "eras": EraSoak}
+
+
 @click.command()
 @click.option(
-    "--notices",
-    "with_notices",
-    is_flag=True,
-    help="Backend servers limit their rate and leave by their answers.",
+    "--kind",
+    type=click.Choice(("maintenance", "notices", "eras")),
+    default="maintenance",
+    show_default=True,
+    help="notices: backend servers also limit their rate and leave by their"
+    " answers; eras: the store also comes back from older copies.",
 )
 @click.option("--first", default=1, show_default=True, help="First seed.")
 @click.option(
     "--count", default=50, show_default=True, help="Number of seeds to run."
 )
-def main(with_notices: bool, first: int, count: int) -> None:
+def main(kind: str, first: int, count: int) -> None:
     """Runs seeds one after the other; fails if any has a violation."""
     failed = 0
-    soak_type = NoticeSoak if with_notices else Soak
+    soak_type = _SOAKS[kind]
     for seed in range(first, first + count):
         result = asyncio.run(soak_type(seed).run())
         click.echo(f"seed {seed}: {dict(result.response_counts)}")
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -8,6 +8,7 @@
 
 _SEEDS = (1, 2, 10)
 _NOTICE_SEEDS = (1, 2)
+_ERA_SEEDS = (1, 2)
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
@@ -32,3 +33,11 @@
                 result = await soaking.NoticeSoak(seed).run()
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.response_counts["200"], 0)
+
+    async def test_store_that_comes_back_amid_maintenance(self) -> None:
+        """Guards against versions and requests that a new era loses."""
+        for seed in _ERA_SEEDS:
+            with self.subTest(seed=seed):
+                result = await soaking.EraSoak(seed).run()
+                self.assertEqual(result.violations, [])
+                self.assertGreater(result.response_counts["200"], 0)
--- a/tests/store/test_eras.py
+++ b/tests/store/test_eras.py
@@ -38,6 +38,13 @@
         self.assertEqual(self.changes, 2)
         self.assertTrue(self.era.is_late(1))
 
+    def test_era_far_too_high_is_logged_and_changes_nothing(self) -> None:
+        """Guards against one wrong answer that makes all others seem late."""
+        self.era.read("1")
+        with self.assertLogs("merlintrestle.store", "WARNING"):
+            self.assertEqual(self.era.read("9000"), 1)
+        self.assertFalse(self.era.is_late(1))
+
     def test_age_is_what_another_daemon_has_seen(self) -> None:
         """Guards against an old era that counts as new after a start."""
         self.era.read("1")
