--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -129,19 +129,24 @@
         )
         self.control_port = settings.control_port
         self._recall_client = recall.RecallClient()
+        lease = leases.ClaimLease(store)
         claims = claims_.Claims(
             self._get_holder,
             store,
-            leases.ClaimLease(store),
+            lease,
             recall_retries.RetryingRecaller(self._recall_client),
             settings.claims,
             time.monotonic,
-            copy_age_s=settings.store_copy_age_s,
             settling_s=settings.store_settling_s,
         )
         self._sent_calls = sent_calls.SentCalls(time.monotonic)
         self._claim_restorer = claim_restoration.ClaimRestorer(
-            claims, self._sent_calls
+            claims,
+            self._sent_calls,
+            store,
+            lease,
+            self._get_holder,
+            settings.store_copy_age_s,
         )
         self.recall_servicer = recall.RecallServicer(claims)
         self._admission = admission = admissions.Admission(
--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -12,7 +12,6 @@
 from google.protobuf import message
 
 from merlintrestle import errors
-from merlintrestle import events as event_logs
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.unrepeatable import leases
 from merlintrestle.requests.unrepeatable import ledger as ledgers
@@ -26,20 +25,13 @@
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.store import client
 
-events = event_logs.EventLog("requests")
-
 # Longest wait for the store, in seconds. After it, a call is refused with "not
 # run".
 STORE_TIMEOUT_S = 1.0
 _STORE_RETRY_AFTER_S = 2.0
-# Defaults of the longest age of a copy from which the store may come back, and
-# of the time after that in which no new claims are made, in seconds.
-_DEFAULT_COPY_AGE_S = 30.0
+# Default of the time after the store came back from a copy in which no new
+# claims are made, in seconds.
 _DEFAULT_SETTLING_S = 3.0
-# Delay between attempts to write a claim again, and their total time, in
-# seconds. The store may go away again meanwhile.
-_RESTORE_RETRY_DELAY_S = 0.2
-_RESTORE_TIMEOUT_S = 30.0
 # A claim that was written longer ago is read again from the store before the
 # call is forwarded. Usually the claim is younger, which saves that read.
 _RECHECK_AGE_S = 5.0
@@ -127,8 +119,6 @@
     Attributes:
         ledger: Records of the claims that this daemon made.
         era: Era of the store.
-        copy_age_s: Longest age of a copy from which the store may come back, in
-            seconds.
     """
 
     def __init__(
@@ -140,7 +130,6 @@
         prefix: str,
         get_time: Callable[[], float],
         get_boot_time: Callable[[], float] = leases.get_boot_time,
-        copy_age_s: float = 0.0,
         settling_s: float = 0.0,
     ):
         """Sets the dependencies.
@@ -154,13 +143,10 @@
             prefix: Prefix of the keys of claims.
             get_time: Clock for deadlines, in seconds.
             get_boot_time: Clock for the age of claims, in seconds since boot.
-            copy_age_s: Longest age of a copy from which the store may come
-                back, in seconds; 0: the default.
             settling_s: Time after the store came back in which no new claims
                 are made, in seconds; 0: the default.
         """
         self.era = store.era
-        self.copy_age_s = copy_age_s or _DEFAULT_COPY_AGE_S
         self._settling_s = settling_s or _DEFAULT_SETTLING_S
         self.ledger = ledgers.Ledger()
         self._get_holder = get_holder
@@ -212,7 +198,7 @@
         record = self.ledger.open(
             claim_key, secrets.token_hex(8), digest, written_at
         )
-        claim = _build_claim(self._get_holder(), record.claim_id, digest)
+        claim = build_claim(self._get_holder(), record.claim_id, digest)
         try:
             async with asyncio.timeout(self._compute_store_timeout(call)):
                 entry = await self._write(claim_key, claim, expected_revision)
@@ -256,45 +242,6 @@
         """Returns the time until new claims may be made, in seconds."""
         return max(0.0, self._settling_s - self.era.get_age())
 
-    def list_recent(self) -> list[ledgers.Record]:
-        """Returns the records of claims that the store may have lost."""
-        return self.ledger.list_since(self._get_boot_time() - self.copy_age_s)
-
-    async def restore(self, record: ledgers.Record) -> None:
-        """Writes a claim of this daemon again, unless the store has it."""
-        claim = _build_claim(
-            self._get_holder(), record.claim_id, record.request_digest
-        )
-        await self._restore(record.claim_key, claim)
-
-    async def restore_sent(self, call: sent_calls.SentCall) -> None:
-        """Writes the claim of a call that was sent to another daemon.
-
-        If that daemon is still alive, it has written the claim itself. If it
-        was killed, what became of the call is not known any more.
-        """
-        claim = _build_claim(call.holder, "", call.request_digest)
-        await self._restore(call.claim_key, claim)
-
-    async def _restore(self, claim_key: str, claim: request_pb2.Claim) -> None:
-        value = claim.SerializeToString()
-        try:
-            async with asyncio.timeout(_RESTORE_TIMEOUT_S):
-                while not await self._try_restore(claim_key, value):
-                    await asyncio.sleep(_RESTORE_RETRY_DELAY_S)
-        except TimeoutError:
-            events.warn("claim not written again", key=claim_key)
-
-    async def _try_restore(self, claim_key: str, value: bytes) -> bool:
-        """Writes a claim unless there is one; returns False if that failed."""
-        try:
-            lease_id = await self._lease.get_id()
-            await self._store.put(claim_key, value, 0, lease_id)
-        except errors.StoreError as error:
-            events.note("claim restoration", key=claim_key, error=str(error))
-            return False
-        return True
-
     async def check(
         self, held: HeldClaim, call: calls.Call
     ) -> outcomes.NotRun | None:
@@ -424,9 +371,10 @@
     )
 
 
-def _build_claim(
+def build_claim(
     holder: sent_calls.Holder, claim_id: str, request_digest: bytes
 ) -> request_pb2.Claim:
+    """Builds the claim of a holder, as it is written to the store."""
     return request_pb2.Claim(
         member_id=holder.member_id,
         address=holder.address,
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -4,7 +4,9 @@
 
 import unittest
 
-from tests.platform import soaking
+from tests.platform import era_soak
+from tests.platform import maintenance_soak
+from tests.platform import notice_soak
 
 _SEEDS = (1, 2, 10)
 _NOTICE_SEEDS = (1, 2)
@@ -22,7 +24,7 @@
         """
         for seed in _SEEDS:
             with self.subTest(seed=seed):
-                result = await soaking.Soak(seed).run()
+                result = await maintenance_soak.Soak(seed).run()
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.response_counts["200"], 0)
 
@@ -30,7 +32,7 @@
         """Guards against limits and leaves that are missed amid restarts."""
         for seed in _NOTICE_SEEDS:
             with self.subTest(seed=seed):
-                result = await soaking.NoticeSoak(seed).run()
+                result = await notice_soak.NoticeSoak(seed).run()
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.response_counts["200"], 0)
 
@@ -38,6 +40,6 @@
         """Guards against versions and requests that a new era loses."""
         for seed in _ERA_SEEDS:
             with self.subTest(seed=seed):
-                result = await soaking.EraSoak(seed).run()
+                result = await era_soak.EraSoak(seed).run()
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.response_counts["200"], 0)
