--- a/tests/platform/era_soak.py
+++ b/tests/platform/era_soak.py
@@ -63,7 +63,10 @@
         self._drilling = True
         store = self._fleet.store
         copy = store.take_copy()
-        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        for _ in range(self._random.randint(10, 60)):
+            # Other writers raise the revision, which then goes back.
+            await store.write("servers/other", b"")
+            await asyncio.sleep(0.05)
         store.faults.status = 503
         await asyncio.sleep(self._random.uniform(0.1, 1.0))
         await store.come_back(copy)
