Read over the notices: no state that only tests use, no bookings of a lifted limit

Found in a read of the whole change: UpstreamNotices kept a rate limit that no decision reads; bookings of returns outlived the limit they were made under by up to ten seconds; a comment stood before the wrong lines.

--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -118,11 +118,11 @@
         self._slots.update_shares()
         if self._is_too_late(queue, call):
             return refusals.refuse_too_late()
-        # Only the queue of this class is checked: a waiting call of another
-        # class that may use a free slot was granted it when it became free.
         if self._slots.waiting:
             # The rate limit may have allowed a waiting call since.
             self._slots.grant_free_slots()
+        # Only the queue of this class is checked: a waiting call of another
+        # class that may use a free slot was granted it when it became free.
         may_start = not queue.waiting and self._slots.may_start(queue)
         if call.wait is not calls.Wait.NORMAL:
             refusal = self._queue_admission.check_wait(queue, call, may_start)
--- a/merlintrestle/requests/load/rate_limits.py
+++ b/merlintrestle/requests/load/rate_limits.py
@@ -60,6 +60,7 @@
         """
         if rate is None:
             self.rate = None
+            self._next_return_at.clear()
             return
         if self.rate is None:
             self._tokens = 0.0
--- a/merlintrestle/requests/load/upstream_notices.py
+++ b/merlintrestle/requests/load/upstream_notices.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
-
 from merlintrestle import events as event_logs
 from merlintrestle.requests.calls import notices as notices_lib
 
@@ -14,19 +12,6 @@
 _MAX_UPSTREAMS = 4096
 
 
-class _Reported(NamedTuple):
-    """The latest notices that the daemon of an upstream reported.
-
-    Attributes:
-        header: The header in which it reported them.
-        rate_limit: Calls per second that its backend server accepts; None: no
-            limit.
-    """
-
-    header: str
-    rate_limit: float | None
-
-
 class UpstreamNotices:
     """The latest notices of each upstream.
 
@@ -36,7 +21,8 @@
 
     def __init__(self) -> None:
         """Initializes an empty collection."""
-        self._reported: dict[str, _Reported] = {}
+        # The header in which each daemon reported them last.
+        self._headers: dict[str, str] = {}
 
     def record(self, member_id: str, header: str | None) -> None:
         """Records the notices in an answer of an upstream's daemon.
@@ -46,26 +32,16 @@
             header: The encoded notices. None: there are none; a daemon that has
                 reported notices since its start always reports them.
         """
-        if header is None:
+        if header is None or self._headers.get(member_id) == header:
             return
-        known = self._reported.get(member_id)
-        if known is not None and known.header == header:
-            return
-        passed = notices_lib.decode_passed_notices(header)
-        if passed is None:
+        if notices_lib.decode_passed_notices(header) is None:
             events.warn("passed notices malformed", value=header)
             return
-        self._reported.pop(member_id, None)
-        if len(self._reported) >= _MAX_UPSTREAMS:
-            del self._reported[next(iter(self._reported))]
-        self._reported[member_id] = _Reported(header, passed.notices.rate_limit)
+        self._headers.pop(member_id, None)
+        if len(self._headers) >= _MAX_UPSTREAMS:
+            del self._headers[next(iter(self._headers))]
+        self._headers[member_id] = header
 
     def get_header(self, member_id: str) -> str | None:
         """Returns the header to pass to an upstream; None if there is none."""
-        reported = self._reported.get(member_id)
-        return reported.header if reported is not None else None
-
-    def get_rate_limit(self, member_id: str) -> float | None:
-        """Returns the rate limit of an upstream; None if it has none."""
-        reported = self._reported.get(member_id)
-        return reported.rate_limit if reported is not None else None
+        return self._headers.get(member_id)
--- a/tests/requests/serving/test_backend_notices.py
+++ b/tests/requests/serving/test_backend_notices.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from merlintrestle.requests.calls import notices
 from merlintrestle.requests.transport import headers
 from merlintrestle.schema import control_pb2
 from tests.requests import builders
@@ -33,13 +34,13 @@
             started_ms=started_ms,
         )
 
-    def use_notices(self, notices: dict[str, str]) -> None:
+    def use_notices(self, stated: dict[str, str]) -> None:
         """Makes the second backend server state notices in its answers."""
 
         async def answer(request: web.BaseRequest) -> web.StreamResponse:
             await request.read()
             await asyncio.sleep(0.05)
-            return web.Response(body=b"whole", headers=notices)
+            return web.Response(body=b"whole", headers=stated)
 
         self.limited.use_handler(answer)
 
@@ -84,8 +85,10 @@
         for process in (("i-2", 0), ("i-2", 7)):
             self.announce(*process)
             self.assertEqual(await self.send(5), [200] * 5)
-        notices = self.caller.picker.notices
-        self.assertIsNone(notices.get_rate_limit(self.limited.member_id))
+        header = self.caller.picker.notices.get_header(self.limited.member_id)
+        passed = notices.decode_passed_notices(header or "")
+        assert passed is not None
+        self.assertEqual(passed.notices, notices.NO_NOTICES)
 
     async def test_new_process_starts_without_a_limit(self) -> None:
         """Guards against a limit that a restarted server never named."""
