--- a/tests/store/fakes.py
+++ b/tests/store/fakes.py
@@ -8,6 +8,7 @@
 
 from merlintrestle import errors
 from merlintrestle.store import client
+from merlintrestle.store import eras
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -26,9 +27,11 @@
             decrements it.
         before_call: Awaited with method and key before each get and put.
         calls: Number of calls of each method.
+        era: Era of the store.
     """
 
     def __init__(self) -> None:
+        self.era = eras.StoreEra()
         self.entries: dict[str, client.Entry] = {}
         self.down = False
         self.lost_answers: collections.Counter[str] = collections.Counter()
