--- a/merlintrestle/store/client.py
+++ b/merlintrestle/store/client.py
@@ -26,7 +26,7 @@
 _MAX_RECONNECT_BACKOFF_MS = 1000
 # Metadata of all answers; its number rises when the store comes back from a
 # copy.
-ERA_METADATA = "merlintrestle-store-era"
+ERA_METADATA = "merlintrestle-era"
 _EARLIER_ERA = "store: it came back from a copy during the call"
 
 
--- a/standins/servicer.py
+++ b/standins/servicer.py
@@ -22,7 +22,7 @@
 _MAX_COUNTED_SECONDS = 120
 # Length of the outage after which the store comes back, in seconds.
 _OUTAGE_S = 0.2
-_ERA_METADATA = "merlintrestle-store-era"
+_ERA_METADATA = "merlintrestle-era"
 
 
 class Write(NamedTuple):
