--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -31,17 +31,28 @@
 _ROOT = pathlib.Path(__file__).parents[2]
 
 
-def _choose_first_port() -> int:
-    """Returns the first of the ports that are reserved for a daemon.
+def _reserve_ports() -> tuple[int, socket.socket]:
+    """Reserves the ports of a daemon.
 
-    The second is the port of the administration interface, which is always on
-    127.0.0.1, whatever the daemon's address is. So it must be free there.
+    The second one is the port of the administration interface, which is always
+    on 127.0.0.1, whatever the daemon's address is. So it must be free there,
+    and no other fleet of tests may choose it before the daemon binds it.
+
+    Returns:
+        The first port, and a UDP socket that reserves the ports until it is
+        closed.
     """
     while True:
         port = secrets.choice(_FIRST_PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port + 1))
-            return port
+        reservation = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            reservation.bind(("127.0.0.1", port + 1))
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port + 1))
+        except OSError:
+            reservation.close()
+            continue
+        return port, reservation
 
 
 class DaemonProcess:
@@ -70,7 +81,7 @@
         self.backend = platform_backend.PlatformBackendStandin(service)
         self.lines: list[dict[str, Any]] = []
         self._address = address
-        self._first_port = _choose_first_port()
+        self._first_port, self._reservation = _reserve_ports()
         self._store_address = store_address
         self._settings_path = folder / f"{address}.conf"
         self._process: asyncio.subprocess.Process | None = None
@@ -154,6 +165,7 @@
             self._process.kill()
             await self.wait()
         await self.backend.close()
+        self._reservation.close()
 
     def list_events(self) -> list[str]:
         """Returns the logged events, in order."""
