Let the order of a roll-out replace only the one that the check read

What callers saw: `rollout start` printed "ordered" with exit code 0 and replaced the order of another operator, who had read 0 as well; documented is 3.

Cause: `orders.write_order` read the key again for an order without a number and expected the revision that it found. Its compare-and-swap guarded the time between these two calls, not that since the check that no roll-out runs.

Change: `read_last_order` returns a `SeenOrder` with the revision of the entry, and `write_order` rests on it and reads nothing. Without a `SeenOrder` the service must have no order, so no caller can replace what it has not read. A lost race is raised, so its reply cannot be ignored as `rollout abort` did, which called itself done while another operator's order stood. The last order is read by its key, not from the first 1,000 orders, and its state before it: read after it, the state of a later order hid that the earlier one had ended.

Why it is enough: the store accepts one write on a revision, and the revision is that of the decision, whichever call the other one comes at.

--- a/merlintrestle/errors.py
+++ b/merlintrestle/errors.py
@@ -49,6 +49,10 @@
     """A write was sent but not answered; it may have taken effect."""
 
 
+class LostRaceError(MerlintrestleError):
+    """Another writer was first; this write changed nothing."""
+
+
 class CorruptRecordError(StoreError):
     """A record of the store is missing or malformed."""
 
--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -102,6 +102,19 @@
     service: str
 
 
+class RolloutReplaced(NamedTuple):
+    """Another operator ordered a roll-out of a service before it was aborted.
+
+    The roll-out that was to be aborted may have been rolled back; the one that
+    was ordered since continues.
+
+    Attributes:
+        service: Service of the roll-outs.
+    """
+
+    service: str
+
+
 class RolloutAttempt(NamedTuple):
     """An operator's attempt to start or abort a roll-out.
 
--- a/merlintrestle/operators/rollout_commands.py
+++ b/merlintrestle/operators/rollout_commands.py
@@ -69,13 +69,8 @@
     findings = _check_options(version, within_s)
     async with current_session.open_store() as store:
         findings += await _check_service(store, service)
-        last_order = await _read_last_order(store, service)
-        if (
-            last_order is not None
-            and last_order.state not in rollout_records.FINAL_STATES
-        ):
-            text = f"is being moved to {last_order.version} already."
-            findings.append(errors.Finding(service, text))
+        seen = await _read_last_order(store, service)
+        findings += _check_last_order(service, seen.order)
         attempt = orders.Attempt(
             orders.START,
             operator,
@@ -90,10 +85,11 @@
         order = control_pb2.Rollout(
             service=service, version=version, within_ms=round(within_s * 1000)
         )
-        number = await orders.write_order(store, order)
-    if not number:
-        current_session.report(results.RolloutRace(service))
-        return exit_codes.LOST_RACE
+        try:
+            number = await orders.write_order(store, order, seen)
+        except errors.LostRaceError:
+            current_session.report(results.RolloutRace(service))
+            return exit_codes.LOST_RACE
     current_session.report(
         results.RolloutShown(service, version, "ordered", number)
     )
@@ -148,7 +144,8 @@
     """Has a service go back to the version before."""
     operator = current_session.require_setting("operator")
     async with current_session.open_store() as store:
-        order = await _require_last_order(store, service)
+        seen = await _read_last_order(store, service)
+        order = _require_order(service, seen)
         attempt = orders.Attempt(
             orders.ABORT,
             operator,
@@ -161,7 +158,11 @@
         order.state = await storage.write_state(order, control_pb2.ROLLED_BACK)
         if order.state == control_pb2.ROLLED_BACK:
             # Daemons poll orders, but read a state only when they write it.
-            await orders.write_order(store, order)
+            try:
+                await orders.write_order(store, order, seen)
+            except errors.LostRaceError:
+                current_session.report(results.RolloutReplaced(service))
+                return exit_codes.LOST_RACE
     current_session.report(_build_result(order))
     is_rolled_back = order.state == control_pb2.ROLLED_BACK
     return exit_codes.OK if is_rolled_back else exit_codes.LOST_RACE
@@ -219,16 +220,22 @@
     return [errors.Finding(service, text)]
 
 
+def _check_last_order(
+    service: str, order: control_pb2.Rollout | None
+) -> list[errors.Finding]:
+    """Returns a finding if the last roll-out of a service has not ended."""
+    if order is None or order.state in rollout_records.FINAL_STATES:
+        return []
+    text = f"is being moved to {order.version} already."
+    return [errors.Finding(service, text)]
+
+
 async def _read_last_order(
     store: store_records.Store, service: str
-) -> control_pb2.Rollout | None:
-    """Returns the last order for a service, with its state; None if absent."""
+) -> storages.SeenOrder:
+    """Returns the last order for a service, with its state."""
     storage = storages.RolloutStorage(store, storages.DefaultFormat())
-    for order in await storage.read_orders():
-        if order.service == service:
-            order.state = await storage.read_state(order)
-            return order
-    return None
+    return await storage.read_last_order(service)
 
 
 async def _require_last_order(
@@ -239,11 +246,21 @@
     Raises:
         errors.InvalidInputError: There is no order for the service.
     """
-    order = await _read_last_order(store, service)
-    if order is None:
+    return _require_order(service, await _read_last_order(store, service))
+
+
+def _require_order(
+    service: str, seen: storages.SeenOrder
+) -> control_pb2.Rollout:
+    """Returns the order that was read for a service.
+
+    Raises:
+        errors.InvalidInputError: There is no order for the service.
+    """
+    if seen.order is None:
         text = "has no roll-out."
         raise errors.InvalidInputError([errors.Finding(service, text)])
-    return order
+    return seen.order
 
 
 def _build_result(order: control_pb2.Rollout) -> results.RolloutShown:
--- a/merlintrestle/rollouts/orders.py
+++ b/merlintrestle/rollouts/orders.py
@@ -19,6 +19,7 @@
 ABORT = "abort"
 _AUDIT_TRAIL_PREFIX = "rollouts/trail/"
 _MAX_LISTED_ATTEMPTS = 1000
+_NO_ORDER = storage.SeenOrder(None, 0)
 
 
 class Attempt(NamedTuple):
@@ -41,35 +42,44 @@
     version: str
 
 
-async def write_order(store: records.Store, order: control_pb2.Rollout) -> int:
-    """Writes an order, replacing the previous one of its service.
+async def write_order(
+    store: records.Store,
+    order: control_pb2.Rollout,
+    seen: storage.SeenOrder = _NO_ORDER,
+) -> int:
+    """Writes an order in place of the one that was checked.
+
+    The write rests on the revision that the check read, not on one that is read
+    again: an order that another operator wrote since would be replaced.
 
     The number of an order is the store revision of its entry. It is therefore
     not part of the written value.
 
     Args:
         store: The store.
-        order: The order. If its number is not 0, it replaces only the order
-            with this number.
+        order: The order.
+        seen: The last order for the service when it was checked that it may be
+            replaced; by default, the service must not have any.
 
     Returns:
-        The number of the written order, or 0 if nothing was written because
-        another operator has written an order in the meantime.
+        The number of the written order.
 
     Raises:
+        errors.LostRaceError: Another order was written since the check. Nothing
+            was written.
         errors.StoreError: The store did not answer.
     """
-    key = storage.ORDER_PREFIX + order.service
-    previous = await store.get(key)
-    revision = previous.revision if previous is not None else 0
-    if order.number and revision != order.number:
-        return 0
     written = control_pb2.Rollout()
     written.CopyFrom(order)
     written.number = 0
-    value = written.SerializeToString(deterministic=True)
-    reply = await store.put(key, value, revision)
-    return reply.entry.revision if reply.written else 0
+    reply = await store.put(
+        storage.ORDER_PREFIX + order.service,
+        written.SerializeToString(deterministic=True),
+        seen.revision,
+    )
+    if not reply.written:
+        raise errors.LostRaceError(f"{order.service}: there is another order")
+    return reply.entry.revision
 
 
 async def write_attempt(
--- a/merlintrestle/rollouts/storage.py
+++ b/merlintrestle/rollouts/storage.py
@@ -36,6 +36,21 @@
     state: control_pb2.RolloutState
 
 
+class SeenOrder(NamedTuple):
+    """The last order for a service, as a check has read it.
+
+    An order that is written after the check replaces exactly this one.
+
+    Attributes:
+        order: The order with its state; None if there is none, or none that is
+            valid.
+        revision: Revision of its entry in the store; 0 if there is no entry.
+    """
+
+    order: control_pb2.Rollout | None
+    revision: int
+
+
 class RecordFormat(Protocol):
     """Keys and encoding of the orders and states in the store.
 
@@ -133,6 +148,26 @@
         )
         return self.parse_orders(entries)
 
+    async def read_last_order(self, service: str) -> SeenOrder:
+        """Returns the last order for a service.
+
+        The state is read before the order, as the state that is read after it
+        may belong to a later order and hide that this one has ended.
+
+        Raises:
+            errors.StoreUnavailableError: The store did not answer.
+        """
+        state_entry = await self._store.get(
+            self._format.build_state_key(service)
+        )
+        entry = await self._store.get(self._format.order_prefix + service)
+        if entry is None:
+            return SeenOrder(None, 0)
+        for order in self.parse_orders([entry]):
+            order.state = self._get_state(order, state_entry)
+            return SeenOrder(order, entry.revision)
+        return SeenOrder(None, entry.revision)
+
     def parse_orders(
         self, entries: Sequence[client.Entry]
     ) -> list[control_pb2.Rollout]:
--- a/tests/operators/builders.py
+++ b/tests/operators/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import itertools
 import pathlib
@@ -15,17 +16,19 @@
 from merlintrestle.operators import command
 from merlintrestle.operators import fleet
 from merlintrestle.operators import session
+from merlintrestle.rollouts import storage as storages
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import control_pb2_grpc
 from merlintrestle.store import records
 from tests.store import fakes
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
     from merlintrestle.documents import snapshot as snapshots
 
 FLEETS = pathlib.Path(__file__).parents[2] / "fleets"
+OTHER_OPERATOR = "bram"
 START_MS = 1_800_000_000_000  # Since 1970.
 # Control port of the first daemon of a fake fleet.
 _FIRST_PORT = 1001
@@ -101,6 +104,63 @@
         )
 
 
+class Race:
+    """Has another operator run commands during a command of a runner.
+
+    Attributes:
+        calls: Method and key of each call of the store by the first command.
+        exit_codes: Exit codes of the other operator's commands.
+    """
+
+    def __init__(
+        self,
+        runner: CommandRunner,
+        position: int | None,
+        commands: Sequence[Sequence[str]],
+    ):
+        """Waits for the calls of the next command.
+
+        Args:
+            runner: Runs the commands of both operators.
+            position: Number of calls of the first command after which the
+                others run; None for never.
+            commands: Arguments of the other operator's commands.
+        """
+        self.calls: list[tuple[str, str]] = []
+        self.exit_codes: list[int] = []
+        self._runner = runner
+        self._position = position
+        self._commands = commands
+        runner.store.before_call = self._before_call
+
+    async def _before_call(self, method: str, key: str) -> None:
+        if len(self.calls) == self._position:
+            self._runner.store.before_call = None
+            for command_arguments in self._commands:
+                # A command has an event loop of its own, so it needs a thread.
+                result = await asyncio.to_thread(
+                    self._runner.run,
+                    *command_arguments,
+                    operator=OTHER_OPERATOR,
+                )
+                self.exit_codes.append(result.exit_code)
+            self._runner.store.before_call = self._before_call
+        self.calls.append((method, key))
+
+
+def write_rollout_state(
+    store: fakes.FakeStore, state: control_pb2.RolloutState
+) -> None:
+    """Writes the state of the only order in a store, as daemons do."""
+
+    async def write() -> None:
+        storage = storages.RolloutStorage(store, storages.DefaultFormat())
+        (order,) = await storage.read_orders()
+        await storage.write_state(order, state)
+
+    asyncio.run(write())
+
+
 class FakeFleet:
     """Fake daemons that answer status requests in memory.
 
--- a/tests/rollouts/test_orders.py
+++ b/tests/rollouts/test_orders.py
@@ -1,11 +1,68 @@
-"""Tests of the audit trail of roll-outs."""
+"""Tests of the orders of roll-outs and of their audit trail."""
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 import unittest
 
+from merlintrestle import errors
 from merlintrestle.rollouts import orders
+from merlintrestle.rollouts import storage as storages
 from tests.rollouts import builders
+from tests.standins import builders as standin_builders
+
+if TYPE_CHECKING:
+    from merlintrestle.schema import control_pb2
+
+
+def _build_order(version: str) -> control_pb2.Rollout:
+    return builders.build_rollout(version=version, number=0)
+
+
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_order_without_a_check_replaces_nothing(self) -> None:
+        """Guards against a caller that orders without what a check read."""
+        store = builders.FakeStore()
+        number = await orders.write_order(store, _build_order("v3"))
+        with self.assertRaises(errors.LostRaceError):
+            await orders.write_order(store, _build_order("v2"))
+        storage = storages.RolloutStorage(store, storages.DefaultFormat())
+        seen = await storage.read_last_order(builders.SERVICE)
+        assert seen.order is not None
+        self.assertEqual((seen.order.version, seen.revision), ("v3", number))
+
+
+class EraTest(unittest.IsolatedAsyncioTestCase):
+    """The store comes back from an older copy between check and write."""
+
+    async def asyncSetUp(self) -> None:
+        self.standin = await standin_builders.start_store(self)
+        self.store = await standin_builders.start_client(self, self.standin)
+        self.storage = storages.RolloutStorage(
+            self.store, storages.DefaultFormat()
+        )
+        self.contents = self.standin.servicer.key_value_store
+        self.copy = self.contents.take_copy()
+
+    async def test_checked_order_of_an_earlier_era_is_not_replaced(
+        self,
+    ) -> None:
+        """Guards against replacing an order that has the checked revision.
+
+        The store has lost the checked order and given its revision out again,
+        to the order of another operator.
+        """
+        await orders.write_order(self.store, _build_order("v1"))
+        seen = await self.storage.read_last_order(builders.SERVICE)
+        self.contents.come_back(self.copy)
+        other = await standin_builders.start_client(self, self.standin)
+        await orders.write_order(other, _build_order("v3"))
+        await self.store.get("any key")
+        with self.assertRaises(errors.LostRaceError):
+            await orders.write_order(self.store, _build_order("v2"), seen)
+        last = await self.storage.read_last_order(builders.SERVICE)
+        assert last.order is not None
+        self.assertEqual(last.order.version, "v3")
 
 
 class AuditTrailTest(unittest.IsolatedAsyncioTestCase):
