List every attempt at a roll-out, also two in the same millisecond

What callers saw: of the attempts of two operators at a roll-out of a service in the same millisecond, `rollout history` listed the first and dropped the second without an error, and the order of the second was written without its record.

Cause: the key of an attempt had only service and time, and `write_attempt` ignored the store's reply that nothing was written.

Change: the key ends with a random id of 64 bits, and the record is written with `records.write_once`, as the audit records of changes are: it raises if the key has another value, and repeats an unanswered write, whose first try it knows again by key and value. Records of earlier releases stay under the same prefix without an id; the list is sorted by time, then by the order of recording.

Why it is enough: no two attempts share a key, whoever makes them and whenever, and no reply to the write of one is left unread.

--- a/merlintrestle/rollouts/orders.py
+++ b/merlintrestle/rollouts/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import NamedTuple, TYPE_CHECKING
 
 from google.protobuf import message
@@ -9,16 +10,18 @@
 from merlintrestle import errors
 from merlintrestle.rollouts import storage
 from merlintrestle.schema import control_pb2
+from merlintrestle.store import records
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from merlintrestle.store import records
+    from merlintrestle.store import client
 
 START = "start"
 ABORT = "abort"
 _AUDIT_TRAIL_PREFIX = "rollouts/trail/"
 _MAX_LISTED_ATTEMPTS = 1000
+_ID_BYTES = 8
 _NO_ORDER = storage.SeenOrder(None, 0)
 
 
@@ -91,6 +94,9 @@
 
     To be called before the order is written, and for refused attempts as well.
 
+    Attempts at a service in the same millisecond, even by the same operator,
+    are told apart by a random id in their keys.
+
     Args:
         store: The store.
         attempt: The attempt.
@@ -103,9 +109,10 @@
     record = control_pb2.RolloutAttempt(
         **attempt._asdict(), refusals=[str(finding) for finding in findings]
     )
-    key = f"{_AUDIT_TRAIL_PREFIX}{attempt.service}/{attempt.at_ms:015d}"
+    prefix = _build_trail_prefix(attempt.service)
+    key = f"{prefix}{attempt.at_ms:015d}-{secrets.token_hex(_ID_BYTES)}"
     value = record.SerializeToString(deterministic=True)
-    await store.put(key, value, 0)
+    await records.write_once(store, key, value)
 
 
 async def list_attempts(
@@ -113,15 +120,31 @@
 ) -> list[control_pb2.RolloutAttempt]:
     """Returns the attempts at roll-outs of a service, newest last.
 
+    Those of the same millisecond are in the order in which they were recorded.
+
     Raises:
         errors.StoreError: The store did not answer, or a record is malformed.
     """
-    prefix = f"{_AUDIT_TRAIL_PREFIX}{service}/"
+    prefix = _build_trail_prefix(service)
     entries = await store.list(prefix, limit=_MAX_LISTED_ATTEMPTS)
+    # Within a millisecond, keys are in the order of their random ids.
+    entries.sort(key=lambda entry: entry.revision)
+    attempts = [_parse_attempt(entry) for entry in entries]
+    return sorted(attempts, key=lambda attempt: attempt.at_ms)
+
+
+def _build_trail_prefix(service: str) -> str:
+    """Returns the prefix of the keys of all attempts at a service.
+
+    It is followed by the time of the attempt in ms, in 15 digits, a hyphen and
+    the random id. Records of earlier releases have neither hyphen nor id.
+    """
+    return f"{_AUDIT_TRAIL_PREFIX}{service}/"
+
+
+def _parse_attempt(entry: client.Entry) -> control_pb2.RolloutAttempt:
+    """Returns the attempt in an entry of the store."""
     try:
-        return [
-            control_pb2.RolloutAttempt.FromString(entry.value)
-            for entry in entries
-        ]
+        return control_pb2.RolloutAttempt.FromString(entry.value)
     except message.DecodeError as error:
-        raise errors.CorruptRecordError(f"{prefix}: {error}") from error
+        raise errors.CorruptRecordError(f"{entry.key}: {error}") from error
--- a/merlintrestle/store/records.py
+++ b/merlintrestle/store/records.py
@@ -104,7 +104,7 @@
     """
     value = document.SerializeToString(deterministic=True)
     digest = hashlib.sha256(value).digest()
-    await _write_once(store, DOCUMENT_PREFIX + digest.hex(), value)
+    await write_once(store, DOCUMENT_PREFIX + digest.hex(), value)
     return digest
 
 
@@ -116,7 +116,7 @@
             unchanged.
     """
     value = change.SerializeToString(deterministic=True)
-    await _write_once(store, CHANGE_PREFIX + change.change_id, value)
+    await write_once(store, CHANGE_PREFIX + change.change_id, value)
 
 
 async def read_change(
@@ -185,8 +185,16 @@
     return change_id
 
 
-async def _write_once(store: Store, key: str, value: bytes) -> None:
-    """Writes a key whose value never changes; retries are harmless."""
+async def write_once(store: Store, key: str, value: bytes) -> None:
+    """Writes a key whose value never changes; retries are harmless.
+
+    If the answer of the store is lost, the write is repeated, which finds the
+    value of the first try.
+
+    Raises:
+        errors.StoreUnknownOutcomeError: The store did not answer.
+        errors.CorruptRecordError: The key has another value.
+    """
     for attempt in range(_MAX_WRITE_ATTEMPTS):
         try:
             reply = await store.put(key, value, 0)
--- a/tests/operators/test_rollout_races.py
+++ b/tests/operators/test_rollout_races.py
@@ -135,11 +135,17 @@
                     self.assertEqual(result.exit_code, expected, result.output)
 
     def test_all_attempts_of_a_race_are_listed(self) -> None:
-        """Guards against an attempt that is missing after a lost race."""
+        """Guards against an attempt that is missing after a race.
+
+        Both operators' attempts are in the same millisecond.
+        """
         calls = self.record_calls(_SITUATIONS["no order"], _OWN_START)
         for position in range(len(calls)):
             with self.subTest(position=position):
                 runner = _build_runner(_SITUATIONS["no order"])
+                runner.dependencies = runner.dependencies._replace(
+                    read_clock_ms=lambda: builders.START_MS
+                )
                 builders.Race(runner, position, [_OTHER_START])
                 runner.run(*_OWN_START)
                 history = runner.run(
--- a/tests/rollouts/test_orders.py
+++ b/tests/rollouts/test_orders.py
@@ -2,23 +2,24 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
 import unittest
 
 from merlintrestle import errors
 from merlintrestle.rollouts import orders
 from merlintrestle.rollouts import storage as storages
+from merlintrestle.schema import control_pb2
 from tests.rollouts import builders
 from tests.standins import builders as standin_builders
 
-if TYPE_CHECKING:
-    from merlintrestle.schema import control_pb2
-
 
 def _build_order(version: str) -> control_pb2.Rollout:
     return builders.build_rollout(version=version, number=0)
 
 
+def _build_attempt(operator: str, at_ms: int = 5) -> orders.Attempt:
+    return orders.Attempt(orders.START, operator, at_ms, builders.SERVICE, "v2")
+
+
 class OrderTest(unittest.IsolatedAsyncioTestCase):
     async def test_order_without_a_check_replaces_nothing(self) -> None:
         """Guards against a caller that orders without what a check read."""
@@ -82,3 +83,44 @@
         self.assertCountEqual(
             [attempt.operator for attempt in attempts], ["anna", "bram"]
         )
+
+    async def test_attempts_of_one_operator_are_told_apart(self) -> None:
+        """Guards against an identity that is only a name and a time."""
+        store = builders.FakeStore()
+        for _ in range(2):
+            await orders.write_attempt(store, _build_attempt("anna"), [])
+        attempts = await orders.list_attempts(store, builders.SERVICE)
+        self.assertEqual(len(attempts), 2)
+
+    async def test_attempt_whose_answer_is_lost_is_listed_once(self) -> None:
+        """Guards against a repeated write that is listed as a second attempt.
+
+        The store writes the record, but its answer to that write is lost.
+        """
+        store = builders.FakeStore()
+        store.lost_answers = 1
+        await orders.write_attempt(store, _build_attempt("anna"), [])
+        attempts = await orders.list_attempts(store, builders.SERVICE)
+        self.assertEqual(len(attempts), 1)
+
+    async def test_list_is_in_the_order_of_time(self) -> None:
+        """Guards against records of earlier releases at the wrong place.
+
+        Their keys have the time only. Attempts of the same millisecond are
+        listed in the order in which they were recorded, whatever their ids.
+        """
+        store = builders.FakeStore()
+        for operator, at_ms in (("first", 5), ("third", 7), ("second", 6)):
+            record = control_pb2.RolloutAttempt(operator=operator, at_ms=at_ms)
+            store.write(
+                f"rollouts/trail/{builders.SERVICE}/{at_ms:015d}",
+                record.SerializeToString(),
+            )
+        names = [f"new {number}" for number in range(5)]
+        for name in names:
+            await orders.write_attempt(store, _build_attempt(name, 6), [])
+        attempts = await orders.list_attempts(store, builders.SERVICE)
+        self.assertEqual(
+            [attempt.operator for attempt in attempts],
+            ["first", "second", *names, "third"],
+        )
