Repeat an order whose answer is lost, and tell it from another operator's

What callers saw: if the store wrote an order and its answer was lost, `rollout start` printed "Nothing was changed" with exit code 4 while the order stood; `rollout abort` the same after either of its writes.

Cause: no answer was taken for "nothing was written".

Change: operations.py records an attempt, makes its write, and repeats both while the store does not answer. An order has a random id, by which a refused repetition knows its own first try, also if it was aborted since; an equal order of another operator is not taken for it. What was not written (3), what is unknown (5) and what failed before any write (4) are three types of errors. The record goes first in a repetition: a store that came back from a copy has lost it, and its answer tells the new era, in which the checked revision stands for nothing.

--- a/merlintrestle/errors.py
+++ b/merlintrestle/errors.py
@@ -53,6 +53,10 @@
     """Another writer was first; this write changed nothing."""
 
 
+class UndecidedError(MerlintrestleError):
+    """A repeated write got no answer; it may have taken effect, or may yet."""
+
+
 class CorruptRecordError(StoreError):
     """A record of the store is missing or malformed."""
 
--- a/merlintrestle/operators/exit_codes.py
+++ b/merlintrestle/operators/exit_codes.py
@@ -15,7 +15,8 @@
 LOST_RACE = 3
 # The store does not answer or has a record that cannot be read.
 STORE_UNAVAILABLE = 4
-# The change may have been accepted: the audit trail shows the outcome.
+# The change may have been accepted: the audit trail shows the outcome. Also: a
+# roll-out may have been ordered or aborted, which its status shows.
 UNKNOWN_OUTCOME = 5
 # The version is not in force everywhere, or a target is missed. Also: the
 # status of the fleet is unknown, or a roll-out is not complete.
--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -115,6 +115,18 @@
     service: str
 
 
+class RolloutUndecided(NamedTuple):
+    """The store did not answer; whether a roll-out was changed is unknown.
+
+    Attributes:
+        service: Service of the roll-out.
+        reason: Error message of the store's client.
+    """
+
+    service: str
+    reason: str
+
+
 class RolloutAttempt(NamedTuple):
     """An operator's attempt to start or abort a roll-out.
 
--- a/merlintrestle/operators/rollout_commands.py
+++ b/merlintrestle/operators/rollout_commands.py
@@ -13,6 +13,7 @@
 from merlintrestle.operators import exit_codes
 from merlintrestle.operators import results
 from merlintrestle.operators import session
+from merlintrestle.rollouts import operations
 from merlintrestle.rollouts import orders
 from merlintrestle.rollouts import records as rollout_records
 from merlintrestle.rollouts import storage as storages
@@ -81,15 +82,22 @@
         if findings:
             await orders.write_attempt(store, attempt, findings)
             raise errors.InvalidInputError(findings)
-        await orders.write_attempt(store, attempt, [])
         order = control_pb2.Rollout(
             service=service, version=version, within_ms=round(within_s * 1000)
         )
         try:
-            number = await orders.write_order(store, order, seen)
+            number = await operations.start_rollout(
+                store,
+                attempt,
+                order,
+                seen,
+                current_session.dependencies.retry_delay_s,
+            )
         except errors.LostRaceError:
             current_session.report(results.RolloutRace(service))
             return exit_codes.LOST_RACE
+        except errors.UndecidedError as error:
+            return _report_undecided(current_session, service, error)
     current_session.report(
         results.RolloutShown(service, version, "ordered", number)
     )
@@ -153,16 +161,19 @@
             service,
             order.version,
         )
-        await orders.write_attempt(store, attempt, [])
-        storage = storages.RolloutStorage(store, storages.DefaultFormat())
-        order.state = await storage.write_state(order, control_pb2.ROLLED_BACK)
-        if order.state == control_pb2.ROLLED_BACK:
-            # Daemons poll orders, but read a state only when they write it.
-            try:
-                await orders.write_order(store, order, seen)
-            except errors.LostRaceError:
-                current_session.report(results.RolloutReplaced(service))
-                return exit_codes.LOST_RACE
+        try:
+            order.state = await operations.abort_rollout(
+                store,
+                attempt,
+                order,
+                seen,
+                current_session.dependencies.retry_delay_s,
+            )
+        except errors.LostRaceError:
+            current_session.report(results.RolloutReplaced(service))
+            return exit_codes.LOST_RACE
+        except errors.UndecidedError as error:
+            return _report_undecided(current_session, service, error)
     current_session.report(_build_result(order))
     is_rolled_back = order.state == control_pb2.ROLLED_BACK
     return exit_codes.OK if is_rolled_back else exit_codes.LOST_RACE
@@ -191,6 +202,16 @@
     return exit_codes.OK
 
 
+def _report_undecided(
+    current_session: session.Session,
+    service: str,
+    error: errors.UndecidedError,
+) -> int:
+    """Reports that the outcome of a command is unknown; returns its code."""
+    current_session.report(results.RolloutUndecided(service, str(error)))
+    return exit_codes.UNKNOWN_OUTCOME
+
+
 def _check_options(version: str, within_s: float) -> list[errors.Finding]:
     """Returns the findings for the options of the command `start`."""
     findings = []
--- a/merlintrestle/operators/session.py
+++ b/merlintrestle/operators/session.py
@@ -172,9 +172,9 @@
         return exit_codes.FINDINGS
     except errors.StoreError as error:
         # A read failed, or a write before the change of a document was
-        # proposed, or any write of a roll-out. If it is unknown whether the
-        # change of a document was accepted, the result is `outcomes.Undecided`
-        # instead.
+        # proposed or a roll-out was changed. If it is unknown whether such a
+        # change took effect, the result is `outcomes.Undecided` or
+        # `results.RolloutUndecided` instead.
         is_corrupt = isinstance(error, errors.CorruptRecordError)
         current_session.report(results.StoreFailure(str(error), is_corrupt))
         return exit_codes.STORE_UNAVAILABLE
--- a/merlintrestle/operators/text_format.py
+++ b/merlintrestle/operators/text_format.py
@@ -205,6 +205,16 @@
     ]
 
 
+@format_text.register
+def _(result: results.RolloutUndecided) -> list[str]:
+    return [
+        f"Outcome unknown: {result.reason}.",
+        "The command may have taken effect, or may yet. When the store answers"
+        " again, look with `merlintrestle rollout status"
+        f" {result.service}`.",
+    ]
+
+
 @format_text.register
 def _(result: results.RolloutHistory) -> list[str]:
     if not result.attempts:
--- a/merlintrestle/rollouts/orders.py
+++ b/merlintrestle/rollouts/orders.py
@@ -22,6 +22,7 @@
 _AUDIT_TRAIL_PREFIX = "rollouts/trail/"
 _MAX_LISTED_ATTEMPTS = 1000
 _ID_BYTES = 8
+_ORDER_ID_BITS = 64
 _NO_ORDER = storage.SeenOrder(None, 0)
 
 
@@ -45,6 +46,18 @@
     version: str
 
 
+class Record(NamedTuple):
+    """Record of an attempt in the audit trail.
+
+    Attributes:
+        key: Its key in the store, which no other attempt has.
+        value: Its encoded value.
+    """
+
+    key: str
+    value: bytes
+
+
 async def write_order(
     store: records.Store,
     order: control_pb2.Rollout,
@@ -65,12 +78,14 @@
             replaced; by default, the service must not have any.
 
     Returns:
-        The number of the written order.
+        The number of the order, which may stand already because of an earlier
+        call that got no answer.
 
     Raises:
         errors.LostRaceError: Another order was written since the check. Nothing
             was written.
-        errors.StoreError: The store did not answer.
+        errors.StoreUnknownOutcomeError: The store did not answer. The call may
+            be repeated if the order has an id.
     """
     written = control_pb2.Rollout()
     written.CopyFrom(order)
@@ -80,11 +95,32 @@
         written.SerializeToString(deterministic=True),
         seen.revision,
     )
-    if not reply.written:
+    if not reply.written and not _is_in_place(written, reply.entry):
         raise errors.LostRaceError(f"{order.service}: there is another order")
     return reply.entry.revision
 
 
+def identify(order: control_pb2.Rollout) -> control_pb2.Rollout:
+    """Returns a copy of an order that has an id."""
+    identified = control_pb2.Rollout()
+    identified.CopyFrom(order)
+    identified.order_id = order.order_id or secrets.randbits(_ORDER_ID_BITS)
+    return identified
+
+
+def _is_in_place(order: control_pb2.Rollout, entry: client.Entry) -> bool:
+    """Returns whether an entry is an order that was to be written.
+
+    An order that is aborted keeps its id, so it is in place, too.
+    """
+    try:
+        stored = control_pb2.Rollout.FromString(entry.value)
+    except message.DecodeError:
+        return False
+    is_same = bool(order.order_id) and stored.order_id == order.order_id
+    return is_same and stored.state in (order.state, control_pb2.ROLLED_BACK)
+
+
 async def write_attempt(
     store: records.Store,
     attempt: Attempt,
@@ -106,13 +142,7 @@
         errors.StoreError: The store did not answer. The order must then not be
             written.
     """
-    record = control_pb2.RolloutAttempt(
-        **attempt._asdict(), refusals=[str(finding) for finding in findings]
-    )
-    prefix = _build_trail_prefix(attempt.service)
-    key = f"{prefix}{attempt.at_ms:015d}-{secrets.token_hex(_ID_BYTES)}"
-    value = record.SerializeToString(deterministic=True)
-    await records.write_once(store, key, value)
+    await records.write_once(store, *build_record(attempt, findings))
 
 
 async def list_attempts(
@@ -133,6 +163,20 @@
     return sorted(attempts, key=lambda attempt: attempt.at_ms)
 
 
+def build_record(
+    attempt: Attempt, findings: Sequence[errors.Finding]
+) -> Record:
+    """Returns the record of an attempt, whose key no other attempt has."""
+    record = control_pb2.RolloutAttempt(
+        **attempt._asdict(), refusals=[str(finding) for finding in findings]
+    )
+    prefix = _build_trail_prefix(attempt.service)
+    return Record(
+        f"{prefix}{attempt.at_ms:015d}-{secrets.token_hex(_ID_BYTES)}",
+        record.SerializeToString(deterministic=True),
+    )
+
+
 def _build_trail_prefix(service: str) -> str:
     """Returns the prefix of the keys of all attempts at a service.
 
--- /dev/null
+++ b/tests/rollouts/test_operations.py
@@ -0,0 +1,264 @@
+"""Tests of ordering and aborting roll-outs while the store loses answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+import unittest
+
+from merlintrestle import errors
+from merlintrestle.rollouts import operations
+from merlintrestle.rollouts import orders
+from merlintrestle.rollouts import storage as storages
+from merlintrestle.schema import control_pb2
+from tests.rollouts import builders
+from tests.standins import builders as standin_builders
+from tests.store import fakes
+
+if TYPE_CHECKING:
+    from merlintrestle.store import client
+
+_ORDER_KEY = storages.ORDER_PREFIX + builders.SERVICE
+_STATE_KEY = storages.STATE_PREFIX + builders.SERVICE
+_FINAL_STATES = (control_pb2.COMPLETE, control_pb2.ROLLED_BACK)
+
+
+def _build_order(version: str = "v2") -> control_pb2.Rollout:
+    return builders.build_rollout(version=version, number=0)
+
+
+class _Operator:
+    """Operator who checks the last order, then starts or aborts a roll-out."""
+
+    def __init__(self, store: fakes.FakeStore | client.StoreClient, name: str):
+        self._store = store
+        self._name = name
+        self._storage = storages.RolloutStorage(store, storages.DefaultFormat())
+
+    async def read_last_order(self) -> storages.SeenOrder:
+        """Returns the service's last order."""
+        return await self._storage.read_last_order(builders.SERVICE)
+
+    async def start(self, seen: storages.SeenOrder, version: str = "v2") -> int:
+        """Starts a roll-out after a check, and returns its number."""
+        return await operations.start_rollout(
+            self._store,
+            self._build_attempt(orders.START, version),
+            _build_order(version),
+            seen,
+            0,
+        )
+
+    async def abort(self, seen: storages.SeenOrder) -> control_pb2.RolloutState:
+        """Aborts the roll-out of a check, and returns its state."""
+        assert seen.order is not None
+        return await operations.abort_rollout(
+            self._store,
+            self._build_attempt(orders.ABORT, seen.order.version),
+            seen.order,
+            seen,
+            0,
+        )
+
+    async def end(self, state: control_pb2.RolloutState) -> None:
+        """Writes the state of the last order, as daemons do."""
+        seen = await self.read_last_order()
+        assert seen.order is not None
+        await self._storage.write_state(seen.order, state)
+
+    async def list_attempts(self) -> list[tuple[str, str]]:
+        """Returns operator and action of each listed attempt."""
+        attempts = await orders.list_attempts(self._store, builders.SERVICE)
+        return [(attempt.operator, attempt.action) for attempt in attempts]
+
+    def _build_attempt(self, action: str, version: str) -> orders.Attempt:
+        return orders.Attempt(action, self._name, 5, builders.SERVICE, version)
+
+
+class LostAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = fakes.FakeStore()
+        self.anna = _Operator(self.store, "anna")
+        self.bram = _Operator(self.store, "bram")
+
+    async def _check_last_order(self, version: str) -> None:
+        seen = await self.anna.read_last_order()
+        assert seen.order is not None
+        self.assertEqual(seen.order.version, version)
+
+    async def test_own_first_try_is_recognized(self) -> None:
+        """Guards against taking the own order for that of another operator.
+
+        The store writes the order, but its answer is lost. The repeated write
+        meets it, also where it replaced a roll-out that had ended.
+        """
+        for state in (None, *_FINAL_STATES):
+            with self.subTest(state=state):
+                await self.asyncSetUp()
+                if state is not None:
+                    await self.bram.start(await self.bram.read_last_order())
+                    await self.bram.end(state)
+                seen = await self.anna.read_last_order()
+                self.store.lost_answers[_ORDER_KEY] = 1
+                number = await self.anna.start(seen)
+                last = await self.anna.read_last_order()
+                self.assertEqual(last.revision, number)
+                attempts = await self.anna.list_attempts()
+                self.assertEqual(attempts.count(("anna", "start")), 1)
+
+    async def test_equal_order_of_another_operator_is_not_the_own(self) -> None:
+        """Guards against two operators who both read that they were first.
+
+        The other operator orders the same. The answer that nothing was written
+        is lost.
+        """
+        seen = await self.anna.read_last_order()
+        await self.bram.start(seen)
+        self.store.lost_answers[_ORDER_KEY] = 1
+        with self.assertRaises(errors.LostRaceError):
+            await self.anna.start(seen)
+
+    async def test_own_order_that_was_aborted_is_recognized(self) -> None:
+        """Guards against calling an order that was accepted a lost race.
+
+        The other operator aborts it before the write is repeated.
+        """
+        seen = await self.anna.read_last_order()
+        self.store.lost_answers[_ORDER_KEY] = 1
+
+        async def abort_at_repetition(method: str, key: str) -> None:
+            if (method, key) == ("put", _ORDER_KEY) and key in (
+                self.store.entries
+            ):
+                self.store.before_call = None
+                await self.bram.abort(await self.bram.read_last_order())
+
+        self.store.before_call = abort_at_repetition
+        await self.anna.start(seen)
+
+    async def test_late_write_orders_nothing_twice(self) -> None:
+        """Guards against a late first try that replaces the repeated one."""
+        seen = await self.anna.read_last_order()
+        self.store.late_writes[_ORDER_KEY] = 1
+        number = await self.anna.start(seen)
+        self.store.release_late_writes()
+        last = await self.anna.read_last_order()
+        self.assertEqual(last.revision, number)
+
+    async def test_order_without_any_answer_is_undecided(self) -> None:
+        """Guards against calling an order that may come late no change."""
+        seen = await self.anna.read_last_order()
+        self.store.late_writes[_ORDER_KEY] = 100
+        with self.assertRaises(errors.UndecidedError):
+            await self.anna.start(seen)
+        self.store.release_late_writes()
+        await self._check_last_order("v2")
+
+    async def test_order_without_a_recorded_attempt_is_not_written(
+        self,
+    ) -> None:
+        """Guards against an order that the audit trail does not list."""
+        seen = await self.anna.read_last_order()
+        self.store.down = True
+        with self.assertRaises(errors.StoreError):
+            await self.anna.start(seen)
+        self.assertEqual(self.store.entries, {})
+
+    async def test_lost_answers_to_an_abort(self) -> None:
+        """Guards against calling an abort that took effect no change.
+
+        The answer to any of its writes is lost.
+        """
+        for key in (_STATE_KEY, _ORDER_KEY):
+            with self.subTest(key=key):
+                await self.asyncSetUp()
+                await self.bram.start(await self.bram.read_last_order())
+                seen = await self.anna.read_last_order()
+                self.store.lost_answers[key] = 1
+                state = await self.anna.abort(seen)
+                self.assertEqual(state, control_pb2.ROLLED_BACK)
+                last = await self.anna.read_last_order()
+                assert last.order is not None
+                self.assertEqual(last.order.state, control_pb2.ROLLED_BACK)
+                self.assertEqual(
+                    await self.anna.list_attempts(),
+                    [("bram", "start"), ("anna", "abort")],
+                )
+
+    async def test_abort_without_any_answer_is_undecided(self) -> None:
+        """Guards against calling an abort that may come late no change."""
+        for key in (_STATE_KEY, _ORDER_KEY):
+            with self.subTest(key=key):
+                await self.asyncSetUp()
+                await self.bram.start(await self.bram.read_last_order())
+                seen = await self.anna.read_last_order()
+                self.store.late_writes[key] = 100
+                with self.assertRaises(errors.UndecidedError):
+                    await self.anna.abort(seen)
+
+
+class EraTest(unittest.IsolatedAsyncioTestCase):
+    """The store comes back from an older copy between check and order."""
+
+    async def asyncSetUp(self) -> None:
+        self.standin = await standin_builders.start_store(self)
+        self.contents = self.standin.servicer.key_value_store
+        self.copy = self.contents.take_copy()
+        self.store = await standin_builders.start_client(self, self.standin)
+        self.anna = _Operator(self.store, "anna")
+        other_store = await standin_builders.start_client(self, self.standin)
+        self.bram = _Operator(other_store, "bram")
+
+    async def test_attempt_that_the_store_lost_is_listed(self) -> None:
+        """Guards against an order in force whose attempt is not listed.
+
+        The store comes back from a copy that is older than the record of the
+        attempt, just before the order is written.
+        """
+        seen = await self.anna.read_last_order()
+        put = self.store.put
+
+        async def come_back(
+            key: str, value: bytes, expected_revision: int, lease_id: int = 0
+        ) -> client.WriteReply:
+            if key == _ORDER_KEY:
+                self.store.put = put  # type: ignore[method-assign]
+                self.contents.come_back(self.copy)
+            return await put(key, value, expected_revision, lease_id)
+
+        self.store.put = come_back  # type: ignore[method-assign]
+        await self.anna.start(seen)
+        self.assertEqual(await self.anna.list_attempts(), [("anna", "start")])
+        last = await self.anna.read_last_order()
+        self.assertNotEqual(last.revision, 0)
+
+    async def test_repeated_order_replaces_none_of_a_later_era(self) -> None:
+        """Guards against replacing an order that has the checked revision.
+
+        The first try does not reach the store. It comes back without the
+        checked order, and gives its revision out again to another operator's.
+        """
+        await self.bram.start(await self.bram.read_last_order(), "v1")
+        await self.bram.end(control_pb2.COMPLETE)
+        seen = await self.anna.read_last_order()
+        put = self.store.put
+
+        async def lose(
+            key: str, value: bytes, expected_revision: int, lease_id: int = 0
+        ) -> client.WriteReply:
+            if key != _ORDER_KEY:
+                return await put(key, value, expected_revision, lease_id)
+            self.store.put = put  # type: ignore[method-assign]
+            self.contents.come_back(self.copy)
+            await self.bram.start(await self.bram.read_last_order(), "v3")
+            raise errors.StoreUnknownOutcomeError("the store is down")
+
+        self.store.put = lose  # type: ignore[method-assign]
+        with self.assertRaises(errors.LostRaceError):
+            await self.anna.start(seen)
+        last = await self.anna.read_last_order()
+        assert last.order is not None
+        self.assertEqual(last.order.version, "v3")
+        self.assertCountEqual(
+            await self.anna.list_attempts(),
+            [("bram", "start"), ("anna", "start")],
+        )
