Let an abort end the roll-out that it read, and no other

What callers saw: an abort that another operator overtook by aborting first and ordering the same version again ended that new roll-out; its operator had read 0. And an abort exited with 3 and left the roll-out running, if a daemon wrote "running" at its write.

Cause: the class of the replaced order. The final state is written on the revision of the state's entry, which says nothing of the order that it belongs to; a state has no more than its version. And a refused write of the state was final, though nobody had ended the roll-out.

Change: the order is read between the state and its write. A later order is only accepted once this roll-out has ended, so either it is seen then, or the state has changed and its write is refused. A refused write is repeated while the roll-out has not ended. An aborted order keeps its id, so two operators who abort the same roll-out both read 0, as they do one after the other.

What daemons do is unchanged: `write_state` is split in two.

--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -103,7 +103,7 @@
 
 
 class RolloutReplaced(NamedTuple):
-    """Another operator ordered a roll-out of a service before it was aborted.
+    """Another operator ordered a roll-out of a service before one was aborted.
 
     The roll-out that was to be aborted may have been rolled back; the one that
     was ordered since continues.
--- a/merlintrestle/rollouts/operations.py
+++ b/merlintrestle/rollouts/operations.py
@@ -7,6 +7,7 @@
 
 from merlintrestle import errors
 from merlintrestle.rollouts import orders
+from merlintrestle.rollouts import records as rollout_records
 from merlintrestle.rollouts import storage
 from merlintrestle.schema import control_pb2
 from merlintrestle.store import acceptance
@@ -17,6 +18,8 @@
 
 # Repetitions of a write that got no answer.
 _MAX_REPETITIONS = 3
+# Writes of a final state, each of which another writer's state may precede.
+_MAX_STATE_WRITES = 3
 
 ResultT = TypeVar("ResultT")
 
@@ -92,17 +95,45 @@
     store: records.Store, order: control_pb2.Rollout, seen: storage.SeenOrder
 ) -> control_pb2.RolloutState:
     """Rolls a roll-out back unless it has ended, and returns its state."""
-    rollout_storage = storage.RolloutStorage(store, storage.DefaultFormat())
-    state = await rollout_storage.write_state(order, control_pb2.ROLLED_BACK)
+    aborted = control_pb2.Rollout()
+    aborted.CopyFrom(order)
+    aborted.state = control_pb2.ROLLED_BACK
+    state = await _write_final_state(store, order, aborted, seen)
     if state == control_pb2.ROLLED_BACK:
         # Daemons poll orders, but read a state only when they write it.
-        aborted = control_pb2.Rollout()
-        aborted.CopyFrom(order)
-        aborted.state = state
         await orders.write_order(store, aborted, seen)
     return state
 
 
+async def _write_final_state(
+    store: records.Store,
+    order: control_pb2.Rollout,
+    aborted: control_pb2.Rollout,
+    seen: storage.SeenOrder,
+) -> control_pb2.RolloutState:
+    """Writes that a roll-out is rolled back, and returns its state.
+
+    A later order to the same version cannot be told by its state, which would
+    be overwritten. It is only accepted after this roll-out has ended, so either
+    the order shows it after the state was read, or the state has changed and
+    its write is refused.
+
+    The write is also refused if a daemon writes in between that the roll-out
+    runs; it is then repeated.
+    """
+    rollout_storage = storage.RolloutStorage(store, storage.DefaultFormat())
+    state = order.state
+    for _ in range(_MAX_STATE_WRITES):
+        entry = await rollout_storage.read_state_entry(order.service)
+        await orders.check_standing(store, aborted, seen)
+        state = await rollout_storage.replace_state(
+            order, control_pb2.ROLLED_BACK, entry
+        )
+        if state in rollout_records.FINAL_STATES:
+            break
+    return state
+
+
 async def _carry_out(
     store: records.Store,
     attempt: orders.Attempt,
--- a/merlintrestle/rollouts/orders.py
+++ b/merlintrestle/rollouts/orders.py
@@ -100,6 +100,28 @@
     return reply.entry.revision
 
 
+async def check_standing(
+    store: records.Store, order: control_pb2.Rollout, seen: storage.SeenOrder
+) -> None:
+    """Checks that the last order for a service is still the one that was read.
+
+    Args:
+        store: The store.
+        order: The order that is to be written in its place, and may be already.
+        seen: The last order when it was read.
+
+    Raises:
+        errors.LostRaceError: Another order was written since.
+        errors.StoreUnavailableError: The store did not answer.
+    """
+    entry = await store.get(storage.ORDER_PREFIX + order.service)
+    if entry is not None and (
+        entry.revision == seen.revision or _is_in_place(order, entry)
+    ):
+        return
+    raise errors.LostRaceError(f"{order.service}: there is another order")
+
+
 def identify(order: control_pb2.Rollout) -> control_pb2.Rollout:
     """Returns a copy of an order that has an id."""
     identified = control_pb2.Rollout()
--- a/merlintrestle/rollouts/storage.py
+++ b/merlintrestle/rollouts/storage.py
@@ -157,9 +157,7 @@
         Raises:
             errors.StoreUnavailableError: The store did not answer.
         """
-        state_entry = await self._store.get(
-            self._format.build_state_key(service)
-        )
+        state_entry = await self.read_state_entry(service)
         entry = await self._store.get(self._format.order_prefix + service)
         if entry is None:
             return SeenOrder(None, 0)
@@ -197,11 +195,17 @@
         Raises:
             errors.StoreUnavailableError: The store did not answer.
         """
-        entry = await self._store.get(
-            self._format.build_state_key(rollout.service)
-        )
+        entry = await self.read_state_entry(rollout.service)
         return self._get_state(rollout, entry)
 
+    async def read_state_entry(self, service: str) -> client.Entry | None:
+        """Returns the entry with a service's state, for `replace_state`.
+
+        Raises:
+            errors.StoreUnavailableError: The store did not answer.
+        """
+        return await self._store.get(self._format.build_state_key(service))
+
     async def write_state(
         self, rollout: control_pb2.Rollout, state: control_pb2.RolloutState
     ) -> control_pb2.RolloutState:
@@ -224,14 +228,38 @@
             errors.StoreUnknownOutcomeError: It is unknown whether the state was
                 written.
         """
-        key = self._format.build_state_key(rollout.service)
-        entry = await self._store.get(key)
+        entry = await self.read_state_entry(rollout.service)
+        return await self.replace_state(rollout, state, entry)
+
+    async def replace_state(
+        self,
+        rollout: control_pb2.Rollout,
+        state: control_pb2.RolloutState,
+        entry: client.Entry | None,
+    ) -> control_pb2.RolloutState:
+        """Writes a state in place of an entry that was read before.
+
+        Args:
+            rollout: The order.
+            state: The state to write.
+            entry: Entry with the last written state of the service's
+                roll-outs, or None if the store had none.
+
+        Returns:
+            The state of the order after the write, as `write_state` does.
+
+        Raises:
+            errors.StoreUnknownOutcomeError: It is unknown whether the state was
+                written.
+        """
         current = self._get_state(rollout, entry)
         if current in records.FINAL_STATES or current >= state:
             return current
-        value = self._format.encode_state(rollout, state)
-        revision = entry.revision if entry is not None else 0
-        reply = await self._store.put(key, value, revision)
+        reply = await self._store.put(
+            self._format.build_state_key(rollout.service),
+            self._format.encode_state(rollout, state),
+            entry.revision if entry is not None else 0,
+        )
         if reply.written:
             return state
         return self._get_state(rollout, reply.entry)
--- a/tests/rollouts/test_operations.py
+++ b/tests/rollouts/test_operations.py
@@ -15,6 +15,8 @@
 from tests.store import fakes
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from merlintrestle.store import client
 
 _ORDER_KEY = storages.ORDER_PREFIX + builders.SERVICE
@@ -196,6 +198,120 @@
                     await self.anna.abort(seen)
 
 
+class AbortRaceTest(unittest.IsolatedAsyncioTestCase):
+    """Another operator or a daemon comes before any call of an abort."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = fakes.FakeStore()
+        self.anna = _Operator(self.store, "anna")
+        self.bram = _Operator(self.store, "bram")
+        self.calls: list[tuple[str, str]] = []
+
+    async def _abort(
+        self, position: int | None, interrupt: Callable[[], Awaitable[None]]
+    ) -> control_pb2.RolloutState:
+        """Starts a roll-out, aborts it, and returns the state.
+
+        Args:
+            position: Number of calls of the abort after which another writer
+                comes; None for never.
+            interrupt: What the other writer does.
+        """
+        await self.asyncSetUp()
+        await self.bram.start(await self.bram.read_last_order())
+        seen = await self.anna.read_last_order()
+
+        async def before_call(method: str, key: str) -> None:
+            if len(self.calls) == position:
+                self.store.before_call = None
+                await interrupt()
+                self.store.before_call = before_call
+            self.calls.append((method, key))
+
+        self.store.before_call = before_call
+        try:
+            return await self.anna.abort(seen)
+        finally:
+            self.store.before_call = None
+
+    async def _list_calls(self) -> list[tuple[str, str]]:
+        """Returns the calls of an abort that nobody interrupts."""
+
+        async def interrupt() -> None:
+            """Is never called."""
+
+        await self._abort(None, interrupt)
+        return self.calls
+
+    async def _check_last_state(self, state: control_pb2.RolloutState) -> None:
+        last = await self.anna.read_last_order()
+        assert last.order is not None
+        self.assertEqual(last.order.state, state)
+
+    async def test_next_rollout_to_the_same_version_continues(self) -> None:
+        """Guards against an abort that ends the roll-out after the next.
+
+        The other operator aborts the roll-out and orders the same version
+        again, which daemons start.
+        """
+
+        async def order_again() -> None:
+            await self.bram.abort(await self.bram.read_last_order())
+            await self.bram.start(await self.bram.read_last_order())
+            await self.bram.end(control_pb2.RUNNING)
+
+        for position, call in enumerate(await self._list_calls()):
+            with self.subTest(position=position, call=call):
+                try:
+                    state = await self._abort(position, order_again)
+                    self.assertNotEqual(state, control_pb2.ROLLED_BACK)
+                except errors.LostRaceError:
+                    """The order that was read is not the last any more."""
+                await self._check_last_state(control_pb2.RUNNING)
+
+    async def test_abort_of_another_operator_is_no_lost_race(self) -> None:
+        """Guards against an abort that reports a race though it holds."""
+
+        async def abort() -> None:
+            await self.bram.abort(await self.bram.read_last_order())
+
+        for position, call in enumerate(await self._list_calls()):
+            with self.subTest(position=position, call=call):
+                state = await self._abort(position, abort)
+                self.assertEqual(state, control_pb2.ROLLED_BACK)
+                await self._check_last_state(control_pb2.ROLLED_BACK)
+
+    async def test_start_by_a_daemon_does_not_stop_an_abort(self) -> None:
+        """Guards against a roll-out that continues though it was aborted.
+
+        A daemon writes that it runs.
+        """
+
+        async def run() -> None:
+            await self.bram.end(control_pb2.RUNNING)
+
+        for position, call in enumerate(await self._list_calls()):
+            with self.subTest(position=position, call=call):
+                state = await self._abort(position, run)
+                self.assertEqual(state, control_pb2.ROLLED_BACK)
+                await self._check_last_state(control_pb2.ROLLED_BACK)
+
+    async def test_first_end_stands(self) -> None:
+        """Guards against a rollback after the old version was stopped.
+
+        A daemon writes that the roll-out is complete.
+        """
+
+        async def complete() -> None:
+            await self.bram.end(control_pb2.COMPLETE)
+
+        for position, call in enumerate(await self._list_calls()):
+            with self.subTest(position=position, call=call):
+                state = await self._abort(position, complete)
+                self.assertIn(state, _FINAL_STATES)
+                await self._check_last_state(state)
+
+
 class EraTest(unittest.IsolatedAsyncioTestCase):
     """The store comes back from an older copy between check and order."""
 
