List the newest attempts at roll-outs too, not the oldest 1,000 only

Read on the way of the missing attempt: `rollout history` read one page of 1,000 records, oldest first, so from the next one on each new attempt of the service was missing. The new test, with 2,100 attempts, listed 1,000 before.

The pages of audit records of changes and of attempts are read by one function. The fake store of the roll-outs' tests obeys `after`, as the store does.

--- a/merlintrestle/rollouts/orders.py
+++ b/merlintrestle/rollouts/orders.py
@@ -20,7 +20,6 @@
 START = "start"
 ABORT = "abort"
 _AUDIT_TRAIL_PREFIX = "rollouts/trail/"
-_MAX_LISTED_ATTEMPTS = 1000
 _ID_BYTES = 8
 _ORDER_ID_BITS = 64
 _NO_ORDER = storage.SeenOrder(None, 0)
@@ -178,7 +177,7 @@
         errors.StoreError: The store did not answer, or a record is malformed.
     """
     prefix = _build_trail_prefix(service)
-    entries = await store.list(prefix, limit=_MAX_LISTED_ATTEMPTS)
+    entries = [entry async for entry in records.list_entries(store, prefix)]
     # Within a millisecond, keys are in the order of their random ids.
     entries.sort(key=lambda entry: entry.revision)
     attempts = [_parse_attempt(entry) for entry in entries]
--- a/merlintrestle/store/records.py
+++ b/merlintrestle/store/records.py
@@ -134,14 +134,31 @@
     store: Store, after_id: str
 ) -> AsyncIterator[document_pb2.Change]:
     """Yields the audit records whose ids sort after `after_id`, by id."""
-    last_key = CHANGE_PREFIX + after_id
+    entries = list_entries(
+        store, CHANGE_PREFIX, CHANGE_PREFIX + after_id, _CHANGES_PER_PAGE
+    )
+    async for entry in entries:
+        yield _parse(entry.key, entry.value, document_pb2.Change())
+
+
+async def list_entries(
+    store: Store, prefix: str, after: str = "", page_size: int = 1000
+) -> AsyncIterator[client.Entry]:
+    """Yields all entries whose keys have a prefix, in the order of their keys.
+
+    Args:
+        store: The store.
+        prefix: Prefix of the keys.
+        after: Yields only entries whose keys sort after this one.
+        page_size: Number of entries that are read with one call.
+    """
     while True:
-        entries = await store.list(CHANGE_PREFIX, last_key, _CHANGES_PER_PAGE)
+        entries = await store.list(prefix, after, page_size)
         for entry in entries:
-            yield _parse(entry.key, entry.value, document_pb2.Change())
-        if len(entries) < _CHANGES_PER_PAGE:
+            yield entry
+        if len(entries) < page_size:
             return
-        last_key = entries[-1].key
+        after = entries[-1].key
 
 
 async def walk_chain(
--- a/tests/rollouts/builders.py
+++ b/tests/rollouts/builders.py
@@ -155,8 +155,11 @@
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> list[client.Entry]:
         """Returns the entries whose keys have a prefix, ordered by key."""
-        del after
-        keys = sorted(key for key in self.entries if key.startswith(prefix))
+        keys = sorted(
+            key
+            for key in self.entries
+            if key.startswith(prefix) and key > after
+        )
         return [self.entries[key] for key in keys][:limit]
 
     async def put(
--- a/tests/rollouts/test_orders.py
+++ b/tests/rollouts/test_orders.py
@@ -10,6 +10,7 @@
 from merlintrestle.schema import control_pb2
 from tests.rollouts import builders
 from tests.standins import builders as standin_builders
+from tests.store import fakes
 
 
 def _build_order(version: str) -> control_pb2.Rollout:
@@ -124,3 +125,14 @@
             [attempt.operator for attempt in attempts],
             ["first", "second", *names, "third"],
         )
+
+    async def test_newest_of_many_attempts_are_listed(self) -> None:
+        """Guards against a list that ends at a limit, before the newest."""
+        store = fakes.FakeStore()
+        count = 2100
+        for at_ms in range(count):
+            await orders.write_attempt(store, _build_attempt("anna", at_ms), [])
+        attempts = await orders.list_attempts(store, builders.SERVICE)
+        self.assertEqual(
+            [attempt.at_ms for attempt in attempts], list(range(count))
+        )
