Tell the native store the era of an expected revision

Cause: the client compares eras, but only with the last one that it has heard of, and sends the bare number of the revision. Each command makes the same writes, so after a return to the same copy the same numbers go to the same keys.

Change: `PutRequest` and `DeleteRequest` name the era of the expected revision, and a store in another era takes it for a conflict. 0, from a store that states no era or a client of an earlier release, is compared as before.

Evidence: the two new tests (an order just after the store's return; a write and a removal by a client that has not heard of it) failed before this change with the other's value gone. Not covered: a lease id of an earlier era in the same window, and a write to a store that does not know the field. The platform's store has its own client and is untouched.

--- a/merlintrestle/store/client.py
+++ b/merlintrestle/store/client.py
@@ -138,6 +138,7 @@
                 value=value,
                 expected_revision=eras.get_number(expected_revision),
                 lease_id=eras.get_number(lease_id),
+                expected_era=eras.get_era(expected_revision),
             ),
         )
         entry = self._convert_entry(reply.entry)
@@ -150,7 +151,9 @@
         reply = await self._write(
             self._stub.Delete,
             store_pb2.DeleteRequest(
-                key=key, expected_revision=eras.get_number(expected_revision)
+                key=key,
+                expected_revision=eras.get_number(expected_revision),
+                expected_era=eras.get_era(expected_revision),
             ),
         )
         return reply.deleted
--- a/standins/servicer.py
+++ b/standins/servicer.py
@@ -105,8 +105,9 @@
     async def Put(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Writes a key by compare-and-swap."""
         await self._begin_call("put", context, request.key)
+        is_expected_era = self._is_expected_era(request)
         try:
-            written = self.key_value_store.put(
+            written = is_expected_era and self.key_value_store.put(
                 request.key,
                 request.value,
                 request.expected_revision,
@@ -131,7 +132,8 @@
     async def Delete(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Removes a key by compare-and-swap."""
         await self._begin_call("delete", context, request.key)
-        deleted = self.key_value_store.delete(
+        is_expected_era = self._is_expected_era(request)
+        deleted = is_expected_era and self.key_value_store.delete(
             request.key, request.expected_revision
         )
         await self._abort_if_answer_lost(context)
@@ -207,6 +209,10 @@
             ((_ERA_METADATA, str(self.key_value_store.era)),)
         )
 
+    def _is_expected_era(self, request: Any) -> bool:
+        """Returns whether the expected revision is of the current era."""
+        return request.expected_era in (0, self.key_value_store.era)
+
     async def _abort_if_answer_lost(self, context: Any) -> None:
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
--- a/tests/rollouts/test_operations.py
+++ b/tests/rollouts/test_operations.py
@@ -324,57 +324,67 @@
         other_store = await standin_builders.start_client(self, self.standin)
         self.bram = _Operator(other_store, "bram")
 
-    async def test_attempt_that_the_store_lost_is_listed(self) -> None:
-        """Guards against an order in force whose attempt is not listed.
-
-        The store comes back from a copy that is older than the record of the
-        attempt, just before the order is written.
-        """
-        seen = await self.anna.read_last_order()
+    def _interrupt_order(
+        self, interrupt: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Has something happen just before Anna's first write of an order."""
         put = self.store.put
 
-        async def come_back(
+        async def put_after_interrupt(
             key: str, value: bytes, expected_revision: int, lease_id: int = 0
         ) -> client.WriteReply:
             if key == _ORDER_KEY:
                 self.store.put = put  # type: ignore[method-assign]
-                self.contents.come_back(self.copy)
+                await interrupt()
             return await put(key, value, expected_revision, lease_id)
 
-        self.store.put = come_back  # type: ignore[method-assign]
+        self.store.put = put_after_interrupt  # type: ignore[method-assign]
+
+    async def test_attempt_that_the_store_lost_is_listed(self) -> None:
+        """Guards against an order in force whose attempt is not listed.
+
+        The store comes back from a copy that is older than the record of the
+        attempt.
+        """
+        seen = await self.anna.read_last_order()
+
+        async def come_back() -> None:
+            self.contents.come_back(self.copy)
+
+        self._interrupt_order(come_back)
         await self.anna.start(seen)
         self.assertEqual(await self.anna.list_attempts(), [("anna", "start")])
         last = await self.anna.read_last_order()
         self.assertNotEqual(last.revision, 0)
 
-    async def test_repeated_order_replaces_none_of_a_later_era(self) -> None:
+    async def test_order_replaces_none_of_a_later_era(self) -> None:
         """Guards against replacing an order that has the checked revision.
 
-        The first try does not reach the store. It comes back without the
-        checked order, and gives its revision out again to another operator's.
+        The store comes back without the checked order, and gives its revision
+        out again to another operator's. The first try comes after that, or does
+        not reach the store.
         """
-        await self.bram.start(await self.bram.read_last_order(), "v1")
-        await self.bram.end(control_pb2.COMPLETE)
-        seen = await self.anna.read_last_order()
-        put = self.store.put
+        for is_lost in (False, True):
+            with self.subTest(is_lost=is_lost):
+                await self.asyncSetUp()
+                await self.bram.start(await self.bram.read_last_order(), "v1")
+                await self.bram.end(control_pb2.COMPLETE)
+                seen = await self.anna.read_last_order()
 
-        async def lose(
-            key: str, value: bytes, expected_revision: int, lease_id: int = 0
-        ) -> client.WriteReply:
-            if key != _ORDER_KEY:
-                return await put(key, value, expected_revision, lease_id)
-            self.store.put = put  # type: ignore[method-assign]
-            self.contents.come_back(self.copy)
-            await self.bram.start(await self.bram.read_last_order(), "v3")
-            raise errors.StoreUnknownOutcomeError("the store is down")
+                async def come_back(is_lost: bool = is_lost) -> None:
+                    self.contents.come_back(self.copy)
+                    other = await self.bram.read_last_order()
+                    await self.bram.start(other, "v3")
+                    if is_lost:
+                        raise errors.StoreUnknownOutcomeError("store is down")
 
-        self.store.put = lose  # type: ignore[method-assign]
-        with self.assertRaises(errors.LostRaceError):
-            await self.anna.start(seen)
-        last = await self.anna.read_last_order()
-        assert last.order is not None
-        self.assertEqual(last.order.version, "v3")
-        self.assertCountEqual(
-            await self.anna.list_attempts(),
-            [("bram", "start"), ("anna", "start")],
-        )
+                self._interrupt_order(come_back)
+                with self.assertRaises(errors.LostRaceError):
+                    await self.anna.start(seen)
+                last = await self.anna.read_last_order()
+                assert last.order is not None
+                self.assertEqual(last.order.version, "v3")
+                self.assertCountEqual(
+                    await self.anna.list_attempts(),
+                    [("bram", "start"), ("anna", "start")],
+                )
--- a/tests/store/test_eras.py
+++ b/tests/store/test_eras.py
@@ -70,6 +70,32 @@
         self.contents = self.standin.servicer.key_value_store
         self.copy = self.contents.take_copy()
 
+    async def test_era_that_the_client_has_not_heard_of_loses_nothing(
+        self,
+    ) -> None:
+        """Guards against the loss of what another program wrote since.
+
+        The store comes back and gives a revision out again. The client, which
+        still knows the earlier era, replaces or deletes the key with it.
+        """
+        for method in ("put", "delete"):
+            with self.subTest(method):
+                await self.asyncSetUp()
+                revision = (await self.store.put("a", b"old", 0)).entry.revision
+                self.contents.come_back(self.copy)
+                other = await builders.start_client(self, self.standin)
+                written = await other.put("a", b"new", 0)
+                self.assertEqual(
+                    eras.get_number(written.entry.revision),
+                    eras.get_number(revision),
+                )
+                with self.assertRaises(errors.StoreUnknownOutcomeError):
+                    if method == "put":
+                        await self.store.put("a", b"late", revision)
+                    else:
+                        await self.store.delete("a", revision)
+                self.assertEqual(self.contents.get("a").value, b"new")
+
     async def test_revision_of_an_earlier_era_replaces_nothing(self) -> None:
         """Guards against the loss of what another daemon wrote since."""
         revision = (await self.store.put("a", b"old", 0)).entry.revision
