List the late daemon that ends the next roll-out

Read on the way of the abort, which had the same fault: the final state of a roll-out is written on the revision of the state's entry, which tells the version but not the order. A daemon that has heard neither that its roll-out was rolled back nor that the same version was ordered again can write that it is complete, and the next one counts as complete; the version before may then be stopped while it gets calls.

--- a/tests/rollouts/test_storage.py
+++ b/tests/rollouts/test_storage.py
@@ -75,6 +75,39 @@
             self.assertEqual(state, control_pb2.ROLLOUT_STATE_UNSPECIFIED)
             await storage.write_state(repeated, control_pb2.RUNNING)
 
+    async def test_late_daemon_does_not_end_the_next_rollout(self):
+        """Guards against a final state for an order that never reached it.
+
+        A roll-out is rolled back, and the same version is ordered again and
+        runs. A daemon that has heard of neither writes that the roll-out it
+        knows is complete.
+        """
+        for record_format in _FORMATS:
+            with self.subTest(record_format=record_format):
+                store = builders.FakeStore()
+                storage = storages.RolloutStorage(store, record_format)
+                known = self._write_order(store, record_format)
+                await storage.write_state(known, control_pb2.RUNNING)
+                await storage.write_state(known, control_pb2.ROLLED_BACK)
+                ordered_again = self._write_order(store, record_format)
+                await storage.write_state(ordered_again, control_pb2.RUNNING)
+                await storage.write_state(known, control_pb2.COMPLETE)
+                self.assertEqual(
+                    await storage.read_state(ordered_again),
+                    control_pb2.RUNNING,
+                )
+
+    def _write_order(
+        self, store: builders.FakeStore, record_format: storages.RecordFormat
+    ) -> control_pb2.Rollout:
+        """Writes an order, and returns it as daemons read it."""
+        key = record_format.order_prefix + builders.SERVICE
+        value = b'{"service":"balie","targetVersion":"v2","durationS":10}'
+        if isinstance(record_format, storages.DefaultFormat):
+            value = builders.build_rollout(number=0).SerializeToString()
+        store.write(key, value)
+        return record_format.decode_order(store.entries[key])
+
     async def test_malformed_orders_do_not_block_others(self):
         """Guards against a malformed record that blocks all roll-outs."""
         record_format = rollouts.PLATFORM_FORMAT
