--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -103,10 +103,10 @@
 
 
 class RolloutReplaced(NamedTuple):
-    """Another operator ordered a roll-out of a service before one was aborted.
+    """Another operator changed a service's roll-out before it was aborted.
 
-    The roll-out that was to be aborted may have been rolled back; the one that
-    was ordered since continues.
+    The roll-out that was to be aborted may have been rolled back; one that was
+    ordered since continues.
 
     Attributes:
         service: Service of the roll-outs.
--- a/merlintrestle/operators/text_format.py
+++ b/merlintrestle/operators/text_format.py
@@ -199,7 +199,7 @@
 @format_text.register
 def _(result: results.RolloutReplaced) -> list[str]:
     return [
-        "Lost a race: another operator has ordered a roll-out of"
+        "Lost a race: another operator has ordered or aborted a roll-out of"
         f" {result.service} since. Look with `merlintrestle rollout status"
         f" {result.service}`."
     ]
