Play the store of the roll-outs' tests by the one fake that commands use

Two fakes had the same reads and writes; the one of the roll-outs' tests adds what other programs write and a later era. No check changes; answers are lost by key.

--- a/tests/rollouts/builders.py
+++ b/tests/rollouts/builders.py
@@ -4,12 +4,11 @@
 
 from typing import Any
 
-from merlintrestle import errors
 from merlintrestle.members import table as tables
 from merlintrestle.rollouts import progress as progresses
 from merlintrestle.rollouts import tracker as trackers
 from merlintrestle.schema import control_pb2
-from merlintrestle.store import client
+from tests.store import fakes
 
 SERVICE = "balie"
 
@@ -123,18 +122,15 @@
         return progress
 
 
-class FakeStore:
-    """In-memory store whose replies may be lost.
+class FakeStore(fakes.FakeStore):
+    """Fake store that other programs write to as well.
 
-    Attributes:
-        entries: The entries, by key.
-        lost_answers: Number of further writes that are applied but whose reply
-            is lost.
+    Its revisions are higher than the number of `build_rollout`, so that states
+    that are written to it are later than that order.
     """
 
     def __init__(self) -> None:
-        self.entries: dict[str, client.Entry] = {}
-        self.lost_answers = 0
+        super().__init__()
         self._revision = 10
 
     def begin_era(self, revision: int) -> None:
@@ -143,35 +139,6 @@
 
     def write(self, key: str, value: bytes) -> int:
         """Writes a key unconditionally, and returns its revision."""
-        self._revision += 1
-        self.entries[key] = client.Entry(key, value, self._revision)
-        return self._revision
-
-    async def get(self, key: str) -> client.Entry | None:
-        """Reads one key."""
-        return self.entries.get(key)
-
-    async def list(
-        self, prefix: str, after: str = "", limit: int = 1000
-    ) -> list[client.Entry]:
-        """Returns the entries whose keys have a prefix, ordered by key."""
-        keys = sorted(
-            key
-            for key in self.entries
-            if key.startswith(prefix) and key > after
-        )
-        return [self.entries[key] for key in keys][:limit]
-
-    async def put(
-        self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
-    ) -> client.WriteReply:
-        """Writes a key if it has the expected revision."""
-        del lease_id
-        current = self.entries.get(key, client.Entry(key, b"", 0))
-        if current.revision != expected_revision:
-            return client.WriteReply(False, current)
-        self.write(key, value)
-        if self.lost_answers:
-            self.lost_answers -= 1
-            raise errors.StoreUnknownOutcomeError("the reply was lost")
-        return client.WriteReply(True, self.entries[key])
+        entry = self.entries.get(key)
+        reply = self._swap(key, value, entry.revision if entry else 0)
+        return reply.entry.revision
--- a/tests/rollouts/test_orders.py
+++ b/tests/rollouts/test_orders.py
@@ -10,7 +10,6 @@
 from merlintrestle.schema import control_pb2
 from tests.rollouts import builders
 from tests.standins import builders as standin_builders
-from tests.store import fakes
 
 
 def _build_order(version: str) -> control_pb2.Rollout:
@@ -99,7 +98,12 @@
         The store writes the record, but its answer to that write is lost.
         """
         store = builders.FakeStore()
-        store.lost_answers = 1
+
+        async def lose_answer(method: str, key: str) -> None:
+            store.before_call = None
+            store.lost_answers[key] = 1
+
+        store.before_call = lose_answer
         await orders.write_attempt(store, _build_attempt("anna"), [])
         attempts = await orders.list_attempts(store, builders.SERVICE)
         self.assertEqual(len(attempts), 1)
@@ -128,7 +132,7 @@
 
     async def test_newest_of_many_attempts_are_listed(self) -> None:
         """Guards against a list that ends at a limit, before the newest."""
-        store = fakes.FakeStore()
+        store = builders.FakeStore()
         count = 2100
         for at_ms in range(count):
             await orders.write_attempt(store, _build_attempt("anna", at_ms), [])
--- a/tests/rollouts/test_states.py
+++ b/tests/rollouts/test_states.py
@@ -127,9 +127,10 @@
             for progress in writer.tracker.list_open():
                 await writer.controller.write_state(progress)
 
-        self.store.lost_answers = int(lost)
+        key = storages.STATE_PREFIX + builders.SERVICE
+        self.store.lost_answers[key] = int(lost)
         asyncio.run(run())
-        self.store.lost_answers = 0
+        self.store.lost_answers.clear()
 
     @stateful.rule(duration_s=strategies.sampled_from([0.5, 4.0, 10.0]))
     def wait(self, duration_s: float) -> None:
--- a/tests/rollouts/test_storage.py
+++ b/tests/rollouts/test_storage.py
@@ -57,7 +57,8 @@
             store = builders.FakeStore()
             storage = storages.RolloutStorage(store, record_format)
             rollout = builders.build_rollout()
-            store.lost_answers = 1
+            key = record_format.build_state_key(builders.SERVICE)
+            store.lost_answers[key] = 1
             with self.assertRaises(errors.StoreUnknownOutcomeError):
                 await storage.write_state(rollout, control_pb2.COMPLETE)
             state = await storage.write_state(rollout, control_pb2.ROLLED_BACK)
