--- a/tests/requests/serving/test_drain.py
+++ b/tests/requests/serving/test_drain.py
@@ -11,6 +11,7 @@
 from merlintrestle.requests.transport import headers
 from merlintrestle.schema import control_pb2
 from tests.requests import builders
+from tests.requests import downloads
 
 _NESTED_CALL_HEADERS = (headers.DEADLINE, headers.DEPTH, headers.ATTEMPT)
 
@@ -158,7 +159,7 @@
         caller is slow. Bytes in the buffers of a process that ends are lost.
         """
         async with builders.run_nodes(1) as (node,):
-            download = builders.SlowDownload(node)
+            download = downloads.SlowDownload(node)
             node.use_handler(download.send)
             reader, writer = await download.request()
             await download.wait_until_held_back()
--- a/tests/requests/unrepeatable/test_late_holder.py
+++ b/tests/requests/unrepeatable/test_late_holder.py
@@ -7,11 +7,10 @@
 import unittest
 from unittest import mock
 
-from aiohttp import web
-
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.unrepeatable import recall
 from tests.requests import builders
+from tests.requests.unrepeatable import payouts
 
 _KEY = {headers.IDEMPOTENCY_KEY: "ticket-7"}
 # Value of `recall._REPLY_MARGIN_S` in the test: the time within which a reply
@@ -22,33 +21,19 @@
 class LateHolderTest(unittest.IsolatedAsyncioTestCase):
     async def test_holder_that_answers_late_is_not_gone(self) -> None:
         """A reply after the margin counts: the payout is not "unknown"."""
-        started = asyncio.Event()
-        may_answer = asyncio.Event()
-        runs: list[str] = []
-
-        async def pay(request: web.BaseRequest) -> web.StreamResponse:
-            await request.read()
-            runs.append(request.raw_path)
-            started.set()
-            await may_answer.wait()
-            return web.Response(body=b"paid")
-
+        payout = payouts.SlowPayout()
         async with (
-            builders.run_nodes(2, True, handler=pay) as (first, second),
+            builders.run_nodes(2, True, handler=payout.run) as (first, second),
             builders.open_client() as client,
         ):
-            abandoned = asyncio.ensure_future(
-                client.post(first.url + "/payouts", headers=_KEY)
-            )
-            await started.wait()
-            abandoned.cancel()
+            await payout.send_and_leave(client, first, _KEY)
             recalls = first.proxy.recall_servicer
             answer_recall = recalls._claims.answer_recall
 
             async def answer_late(*arguments: Any) -> Any:
                 reply = await answer_recall(*arguments)
                 await asyncio.sleep(2 * _REPLY_MARGIN_S)
-                may_answer.set()
+                payout.may_answer.set()
                 return reply
 
             with (
@@ -63,5 +48,5 @@
                 self.assertEqual(
                     (answer.status, await answer.read()), (200, b"paid")
                 )
-            may_answer.set()
-        self.assertEqual(len(runs), 1)
+            payout.may_answer.set()
+        self.assertEqual(len(payout.runs), 1)
--- a/tests/requests/unrepeatable/test_recall_retries.py
+++ b/tests/requests/unrepeatable/test_recall_retries.py
@@ -8,14 +8,13 @@
 import unittest
 from unittest import mock
 
-from aiohttp import web
-
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.unrepeatable import recall
 from merlintrestle.requests.unrepeatable import recall_retries
 from tests.requests import builders
 from tests.requests import relays
 from tests.requests.unrepeatable import holders
+from tests.requests.unrepeatable import payouts
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -117,27 +116,13 @@
         The caller gets "unknown" at its deadline. A later retry gets the
         answer of the first run.
         """
-        may_answer = asyncio.Event()
-        started = asyncio.Event()
-        runs: list[str] = []
-
-        async def pay(request: web.BaseRequest) -> web.StreamResponse:
-            await request.read()
-            runs.append(request.raw_path)
-            started.set()
-            await may_answer.wait()
-            return web.Response(body=b"paid")
-
+        payout = payouts.SlowPayout()
         async with (
-            builders.run_nodes(2, True, handler=pay) as (first, second),
+            builders.run_nodes(2, True, handler=payout.run) as (first, second),
             builders.open_client() as client,
         ):
             sent_headers = {headers.IDEMPOTENCY_KEY: "ticket-7"}
-            abandoned = asyncio.ensure_future(
-                client.post(first.url + "/payouts", headers=sent_headers)
-            )
-            await started.wait()
-            abandoned.cancel()
+            await payout.send_and_leave(client, first, sent_headers)
 
             async def never_answer(*arguments: object) -> None:
                 del arguments
@@ -155,9 +140,9 @@
             self.assertEqual(answer.status, 504)
             self.assertEqual(answer.headers[headers.OUTCOME], "unknown")
             del sent_headers[headers.DEADLINE]
-            may_answer.set()
+            payout.may_answer.set()
             answer = await client.post(
                 second.url + "/payouts", headers=sent_headers
             )
             self.assertEqual(await answer.read(), b"paid")
-        self.assertEqual(len(runs), 1)
+        self.assertEqual(len(payout.runs), 1)
