--- a/tests/requests/load/test_limited_fleets.py
+++ b/tests/requests/load/test_limited_fleets.py
@@ -11,6 +11,7 @@
 
 from tests.requests import builders
 from tools import model
+from tools import model_records
 
 _ZONES = ("a", "b", "c")
 _WINDOW_S = 4.0
@@ -47,10 +48,10 @@
     servers: int,
     limits: dict[int, tuple[tuple[float, float | None], ...]],
     slots: int,
-) -> list[model.Server]:
+) -> list[model_records.Server]:
     """Builds backend servers, of which the first ones serve "desk"."""
     return [
-        model.Server(
+        model_records.Server(
             "desk" if number < servers else "other",
             _ZONES[number % len(_ZONES)],
             slots,
@@ -62,15 +63,17 @@
 
 def _build_lookups(
     rate: float, work_s: float, latency_s: float
-) -> model.WorkClass:
+) -> model_records.WorkClass:
     plan = builders.build_plan("lookup", latency_s=latency_s, work_s=0.0)
     plan = plan._replace(service="desk", deadline_s=2.5)
-    return model.WorkClass(plan, rate, work_s, 2.5, max_retries=2)
+    return model_records.WorkClass(plan, rate, work_s, 2.5, max_retries=2)
 
 
-def _build_restarts(at_s: float, *numbers: int) -> list[model.ServerChange]:
+def _build_restarts(
+    at_s: float, *numbers: int
+) -> list[model_records.ServerChange]:
     return [
-        model.ServerChange(at_s, number, restarts_daemon=True)
+        model_records.ServerChange(at_s, number, restarts_daemon=True)
         for number in numbers
     ]
 
--- a/tests/tools/test_model.py
+++ b/tests/tools/test_model.py
@@ -6,6 +6,7 @@
 import unittest
 
 from tools import model
+from tools import model_records
 from tools import policies
 
 _DURATION_S = 3.0
@@ -16,7 +17,7 @@
     seed: int = 1,
     min_timeout_fraction: float = 0.83,
     simulation_seed: int | None = None,
-) -> model.Result:
+) -> model_records.Result:
     """Simulates the request rate of a load on a fleet without changes.
 
     Args:
--- a/tools/model.py
+++ b/tools/model.py
@@ -6,7 +6,7 @@
 import collections
 import dataclasses
 import random
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 import multidict
 
@@ -30,6 +30,7 @@
 from merlintrestle.rollouts import subsets
 from merlintrestle.rollouts import tracker as trackers
 from merlintrestle.schema import control_pb2
+from tools import model_records as records
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -75,128 +76,10 @@
         return self._select(0)
 
 
-class WorkClass(NamedTuple):
-    """A class of work and the callers that send its calls.
-
-    Attributes:
-        plan: Declared targets of the class.
-        rate: Requests per second of all callers, without their retries; 0 if
-            all calls of the class are nested in calls of other classes.
-        work_s: Mean work time at a backend server of usual speed, in seconds.
-        timeout_s: Longest timeout of a caller, in seconds.
-        min_timeout_fraction: Shortest timeout of a caller, as a fraction of the
-            longest one.
-        max_retries: Maximum number of retries of a caller.
-        in_time_value: Value of an answer within the latency target.
-        late_value: Value of a later answer.
-        nested_classes: Names of the classes of the nested calls that each call
-            makes.
-    """
-
-    plan: snapshots.ClassPlan
-    rate: float
-    work_s: float
-    timeout_s: float
-    min_timeout_fraction: float = 0.83
-    max_retries: int = 1
-    in_time_value: float = 1.0
-    late_value: float = 0.5
-    nested_classes: tuple[str, ...] = ()
-
-
-class Server(NamedTuple):
-    """A backend server and its instance.
-
-    Attributes:
-        service: Service that the backend server serves.
-        zone: Availability zone of the instance.
-        slots: Number of calls that the backend server runs at once.
-        slowness: Work time, as a multiple of the usual one.
-        shed_fraction: Fraction of the calls that the backend server sheds, even
-            if it has capacity.
-        rate_limits: Times in seconds from the start, and the rate limit that
-            the backend server states from then on, in calls per second; None:
-            no limit.
-    """
-
-    service: str
-    zone: str
-    slots: int = 18
-    slowness: float = 1.0
-    shed_fraction: float = 0.0
-    rate_limits: tuple[tuple[float, float | None], ...] = ()
-
-    def get_rate_limit(self, elapsed_s: float) -> float | None:
-        """Returns the rate limit at a time, in seconds from the start."""
-        rate_limit = None
-        for since_s, stated_limit in self.rate_limits:
-            if since_s <= elapsed_s:
-                rate_limit = stated_limit
-        return rate_limit
-
-
-class ServerChange(NamedTuple):
-    """A change of a backend server during the simulation.
-
-    Attributes:
-        at_s: Time of the change, in seconds from the start.
-        server_number: Number of the backend server.
-        slowness: Slowness of the backend server from then on; 0 if it drains.
-        restarts_daemon: Whether the daemon of the backend server is restarted
-            instead. It then knows as little as after its first start.
-    """
-
-    at_s: float
-    server_number: int
-    slowness: float = 1.0
-    restarts_daemon: bool = False
-
-
-class Result(NamedTuple):
-    """Results of the callers.
-
-    Attributes:
-        counts: Number of requests by name of the class and name of the result:
-            "in time", "late", "refused" (without a retry), "refused again"
-            (after a retry) or "failed".
-        earned: Value of the answers, as a fraction of the value that all
-            requests would have if answered in time.
-        served: Fraction of the requests that were answered, in time or late.
-            An error, or an answer after the caller's timeout, does not count.
-        worst: Mean of `earned` in the two worst windows. A request counts in
-            the window in which it began.
-        far: Fraction of the answers between daemons that crossed zones.
-        repeat_ratios: Repeats that reached backend servers, as a ratio to the
-            calls, by service.
-        sends: Times at which calls were sent to each backend server, in seconds
-            from the start.
-    """
-
-    counts: collections.Counter[tuple[str, str]]
-    earned: float
-    served: float
-    worst: float
-    far: float
-    repeat_ratios: dict[str, float]
-    sends: list[list[float]]
-
-    def compute_fraction(self, class_name: str, result_name: str) -> float:
-        """Returns the fraction of a class's requests that had a result.
-
-        Args:
-            class_name: Name of the class.
-            result_name: Name of the result, as in `counts`.
-        """
-        total = sum(
-            count for key, count in self.counts.items() if key[0] == class_name
-        )
-        return self.counts[class_name, result_name] / max(1, total)
-
-
 class _MemberTable:
     """The upstreams of all services, common to all daemons."""
 
-    def __init__(self, servers: Iterable[Server]):
+    def __init__(self, servers: Iterable[records.Server]):
         self._upstreams_by_number = {
             number: _build_upstream(number, server)
             for number, server in enumerate(servers)
@@ -424,8 +307,8 @@
 
     def __init__(
         self,
-        servers: list[Server],
-        work_classes: list[WorkClass],
+        servers: list[records.Server],
+        work_classes: list[records.WorkClass],
         seed: int = 1,
     ):
         self.servers = servers
@@ -462,8 +345,8 @@
         return self._daemons_by_address[address]
 
     async def run(
-        self, duration_s: float, changes: Iterable[ServerChange]
-    ) -> Result:
+        self, duration_s: float, changes: Iterable[records.ServerChange]
+    ) -> records.Result:
         """Simulates callers until all their requests have ended.
 
         Args:
@@ -528,7 +411,7 @@
         """Records that a call is sent to a backend server."""
         self.sends[number].append(self._get_elapsed())
 
-    def build_notice_headers(self, server: Server) -> dict[str, str]:
+    def build_notice_headers(self, server: records.Server) -> dict[str, str]:
         """Returns the headers in which a backend server states its notices."""
         rate_limit = server.get_rate_limit(self._get_elapsed())
         if rate_limit is None:
@@ -545,7 +428,7 @@
         self._daemons[number] = daemon
         self._daemons_by_address[f"10.0.0.{number}:2"] = daemon
 
-    async def _apply_change(self, change: ServerChange) -> None:
+    async def _apply_change(self, change: records.ServerChange) -> None:
         """Changes a backend server at the time of the change."""
         await asyncio.sleep(change.at_s)
         if change.restarts_daemon:
@@ -559,7 +442,10 @@
         daemon.backend.state = control_pb2.DRAINING
 
     async def _start_callers(
-        self, work_class: WorkClass, duration_s: float, group: asyncio.TaskGroup
+        self,
+        work_class: records.WorkClass,
+        duration_s: float,
+        group: asyncio.TaskGroup,
     ) -> None:
         """Starts the callers of a class of work at random times."""
         end = self._started_at + duration_s
@@ -567,7 +453,7 @@
             await asyncio.sleep(self.rng.expovariate(work_class.rate))
             group.create_task(self._run_caller(work_class))
 
-    async def _run_caller(self, work_class: WorkClass) -> None:
+    async def _run_caller(self, work_class: records.WorkClass) -> None:
         """Makes the request of a caller, with its retries."""
         started_at = self._loop.time()
         daemon = self.rng.choice(self._daemons)
@@ -596,7 +482,7 @@
     async def _attempt(
         self,
         daemon: _SimulatedDaemon,
-        work_class: WorkClass,
+        work_class: records.WorkClass,
         request_key: tuple[str, str],
         caller_deadline: float,
     ) -> outcomes.Outcome:
@@ -630,7 +516,7 @@
 
     def _record_result(
         self,
-        work_class: WorkClass,
+        work_class: records.WorkClass,
         outcome: outcomes.Outcome | None,
         started_at: float,
         caller_deadline: float,
@@ -654,7 +540,7 @@
         self._earned_value[window] += earned_value
         self._counts[work_class.plan.name, result_name] += 1
 
-    def _build_result(self) -> Result:
+    def _build_result(self) -> records.Result:
         answered = sum(
             count
             for (_, result_name), count in self._counts.items()
@@ -664,7 +550,7 @@
             self._earned_value[window] / requested_value
             for window, requested_value in self._requested_value.items()
         )
-        return Result(
+        return records.Result(
             self._counts,
             sum(self._earned_value.values())
             / sum(self._requested_value.values()),
@@ -680,12 +566,12 @@
 
 
 def simulate(
-    servers: list[Server],
-    work_classes: list[WorkClass],
+    servers: list[records.Server],
+    work_classes: list[records.WorkClass],
     duration_s: float,
     seed: int = 1,
-    changes: Iterable[ServerChange] = (),
-) -> Result:
+    changes: Iterable[records.ServerChange] = (),
+) -> records.Result:
     """Simulates the load of callers on a fleet.
 
     A simulation of ten seconds with fourteen daemons takes a few seconds.
@@ -698,7 +584,7 @@
         changes: Changes of backend servers during the simulation.
     """
 
-    async def run() -> Result:
+    async def run() -> records.Result:
         return await Simulation(servers, work_classes, seed).run(
             duration_s, changes
         )
@@ -707,7 +593,7 @@
         return runner.run(run())
 
 
-def _build_upstream(number: int, server: Server) -> tables.Upstream:
+def _build_upstream(number: int, server: records.Server) -> tables.Upstream:
     return tables.Upstream(
         member_id=_get_member_id(number),
         address=f"10.0.0.{number}",
@@ -725,7 +611,7 @@
 
 
 def _build_call(
-    work_class: WorkClass, deadline: float, latency_deadline: float
+    work_class: records.WorkClass, deadline: float, latency_deadline: float
 ) -> calls.Call:
     return calls.Call(
         service=work_class.plan.service,
@@ -753,7 +639,9 @@
     return outcome.response.status == _STATUS_OK
 
 
-def _may_retry(work_class: WorkClass, outcome: outcomes.Outcome) -> bool:
+def _may_retry(
+    work_class: records.WorkClass, outcome: outcomes.Outcome
+) -> bool:
     """Returns whether a caller may repeat a call that has failed."""
     return work_class.plan.repeatable or isinstance(outcome, outcomes.NotRun)
 
--- a/tools/policies.py
+++ b/tools/policies.py
@@ -14,6 +14,7 @@
 
 from merlintrestle.documents import snapshot as snapshots
 from tools import model
+from tools import model_records
 
 _ZONES = ("a", "b", "c", "d")
 _DURATION_S = 12.0
@@ -86,11 +87,11 @@
 
 def build_servers(
     rng: random.Random, load: Load = LOADS["calm"]
-) -> list[model.Server]:
+) -> list[model_records.Server]:
     """Builds backend servers of three services, with different slowness."""
     services = _SERVICES * _WIDE_SERVER_FACTOR if load.wide else _SERVICES
     return [
-        model.Server(
+        model_records.Server(
             service,
             _ZONES[number % len(_ZONES)],
             _WIDE_SLOTS_PER_SERVER if load.wide else _SLOTS_PER_SERVER,
@@ -113,7 +114,7 @@
     )
 
 
-def build_work_classes(rate_factor: float) -> list[model.WorkClass]:
+def build_work_classes(rate_factor: float) -> list[model_records.WorkClass]:
     """Builds the classes of the requests and of the calls nested in them.
 
     The classes are lookup, grant and packet (downloads). Calls of the classes
@@ -132,12 +133,12 @@
     # The factors on the rate are the fractions of the requests that belong to
     # each class.
     return [
-        model.WorkClass(check, 0.0, 0.03, 0.4),
-        model.WorkClass(verify, 0.0, 0.03, 0.4),
-        model.WorkClass(
+        model_records.WorkClass(check, 0.0, 0.03, 0.4),
+        model_records.WorkClass(verify, 0.0, 0.03, 0.4),
+        model_records.WorkClass(
             lookup, 0.633 * rate, 0.09, 1.5, nested_classes=("check",)
         ),
-        model.WorkClass(
+        model_records.WorkClass(
             grant._replace(repeatable=False),
             0.256 * rate,
             0.12,
@@ -146,13 +147,13 @@
             late_value=1,
             nested_classes=("check", "verify"),
         ),
-        model.WorkClass(packet, 0.11 * rate, 0.096, 1.5),
+        model_records.WorkClass(packet, 0.11 * rate, 0.096, 1.5),
     ]
 
 
 def build_changes(
-    load: Load, servers: list[model.Server], rng: random.Random
-) -> list[model.ServerChange]:
+    load: Load, servers: list[model_records.Server], rng: random.Random
+) -> list[model_records.ServerChange]:
     """Builds the changes of the backend servers under a load."""
     changes = []
     # By `_SERVICES`, the first six backend servers are those of "board" and the
@@ -161,22 +162,26 @@
         draining, slow = rng.sample(range(6), 2)
         usual_slowness = servers[slow].slowness
         changes += [
-            model.ServerChange(2.0, draining, 0.0),
-            model.ServerChange(3.0, slow, 4.0 * usual_slowness),
-            model.ServerChange(8.0, slow, usual_slowness),
-            model.ServerChange(4.0, 6 + rng.randrange(4), 3.0),
+            model_records.ServerChange(2.0, draining, 0.0),
+            model_records.ServerChange(3.0, slow, 4.0 * usual_slowness),
+            model_records.ServerChange(8.0, slow, usual_slowness),
+            model_records.ServerChange(4.0, 6 + rng.randrange(4), 3.0),
         ]
     if load.cold:
         for number, server in enumerate(servers):
             cold_slowness = _COLD_SLOWNESS * server.slowness
-            changes.append(model.ServerChange(4.0, number, cold_slowness))
-            changes.append(model.ServerChange(7.0, number, server.slowness))
+            changes.append(
+                model_records.ServerChange(4.0, number, cold_slowness)
+            )
+            changes.append(
+                model_records.ServerChange(7.0, number, server.slowness)
+            )
     return changes
 
 
 def simulate_load(
     name: str, seed: int, duration_s: float = _DURATION_S
-) -> model.Result:
+) -> model_records.Result:
     """Simulates one load.
 
     Args:
