Interrupt commands and operations of the tests by one class of the fake store

Two tests counted the calls of the store, each by its own hook; the operator of the roll-outs' tests stands with their builders. Each call that is interrupted is a subtest with its number and kind.

--- a/tests/operators/builders.py
+++ b/tests/operators/builders.py
@@ -104,11 +104,10 @@
         )
 
 
-class Race:
+class Race(fakes.Interruption):
     """Has another operator run commands during a command of a runner.
 
     Attributes:
-        calls: Method and key of each call of the store by the first command.
         exit_codes: Exit codes of the other operator's commands.
     """
 
@@ -126,26 +125,18 @@
                 others run; None for never.
             commands: Arguments of the other operator's commands.
         """
-        self.calls: list[tuple[str, str]] = []
+        super().__init__(runner.store, position, self._run_commands)
         self.exit_codes: list[int] = []
         self._runner = runner
-        self._position = position
         self._commands = commands
-        runner.store.before_call = self._before_call
-
-    async def _before_call(self, method: str, key: str) -> None:
-        if len(self.calls) == self._position:
-            self._runner.store.before_call = None
-            for command_arguments in self._commands:
-                # A command has an event loop of its own, so it needs a thread.
-                result = await asyncio.to_thread(
-                    self._runner.run,
-                    *command_arguments,
-                    operator=OTHER_OPERATOR,
-                )
-                self.exit_codes.append(result.exit_code)
-            self._runner.store.before_call = self._before_call
-        self.calls.append((method, key))
+
+    async def _run_commands(self) -> None:
+        for command_arguments in self._commands:
+            # A command has an event loop of its own, so it needs a thread.
+            result = await asyncio.to_thread(
+                self._runner.run, *command_arguments, operator=OTHER_OPERATOR
+            )
+            self.exit_codes.append(result.exit_code)
 
 
 def write_rollout_state(
--- a/tests/operators/test_rollout_races.py
+++ b/tests/operators/test_rollout_races.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from typing import TYPE_CHECKING
+from typing import NamedTuple, TYPE_CHECKING
 import unittest
 
 from merlintrestle.operators import exit_codes
@@ -13,7 +13,9 @@
 from tests.operators import builders
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
+
+    from click import testing
 
     _Situation = Callable[[builders.CommandRunner], None]
 
@@ -45,6 +47,12 @@
     runner.run(*_ABORT)
 
 
+def _stop_clock(runner: builders.CommandRunner) -> None:
+    runner.dependencies = runner.dependencies._replace(
+        read_clock_ms=lambda: builders.START_MS
+    )
+
+
 def _write_malformed_order(runner: builders.CommandRunner) -> None:
     asyncio.run(runner.store.put(_ORDER_KEY, b"\xff", 0))
 
@@ -69,10 +77,54 @@
     return runner
 
 
+class _Play(NamedTuple):
+    """A command before one of whose calls of the store others ran.
+
+    Attributes:
+        name: Number and kind of that call.
+        runner: Runs further commands.
+        result: Result of the command.
+        other_exit_codes: Exit codes of the other operator's commands.
+        overtaken: Whether they came after the command had read the last order.
+    """
+
+    name: str
+    runner: builders.CommandRunner
+    result: testing.Result
+    other_exit_codes: list[int]
+    overtaken: bool
+
+
 class RaceTest(unittest.TestCase):
     """Another operator's commands come before any call of the store."""
 
-    def record_calls(
+    def play_each_call(
+        self,
+        prepare: _Situation,
+        command: tuple[str, ...],
+        other_commands: list[tuple[str, ...]],
+    ) -> Iterator[_Play]:
+        """Plays the other commands before each call of a command in turn."""
+        calls = self._list_calls(prepare, command)
+        checked_at = calls.index(("get", _ORDER_KEY))
+        for position, call in enumerate(calls):
+            runner = _build_runner(prepare)
+            race = builders.Race(runner, position, other_commands)
+            result = runner.run(*command)
+            yield _Play(
+                f"call {position}, {' '.join(call)}",
+                runner,
+                result,
+                race.exit_codes,
+                position > checked_at,
+            )
+
+    def check_status(self, runner: builders.CommandRunner, status: str) -> None:
+        """Checks the status of the service's last roll-out."""
+        result = runner.run("rollout", "status", _SERVICE)
+        self.assertIn(status, result.output)
+
+    def _list_calls(
         self, prepare: _Situation, command: tuple[str, ...]
     ) -> list[tuple[str, str]]:
         """Returns the calls of the store of an undisturbed command."""
@@ -82,11 +134,6 @@
         self.assertEqual(result.exit_code, exit_codes.OK, result.output)
         return race.calls
 
-    def check_status(self, runner: builders.CommandRunner, status: str) -> None:
-        """Checks the status of the service's last roll-out."""
-        result = runner.run("rollout", "status", _SERVICE)
-        self.assertIn(status, result.output)
-
 
 class StartRaceTest(RaceTest):
     def test_overtaken_order_replaces_nothing(self) -> None:
@@ -97,21 +144,21 @@
         before, it is found by the check.
         """
         for name, prepare in _SITUATIONS.items():
-            calls = self.record_calls(prepare, _OWN_START)
-            checked_at = calls.index(("get", _ORDER_KEY))
-            for position, call in enumerate(calls):
-                with self.subTest(name, position=position, call=call):
-                    expected = (
-                        exit_codes.LOST_RACE
-                        if position > checked_at
-                        else exit_codes.FINDINGS
+            for play in self.play_each_call(
+                prepare, _OWN_START, [_OTHER_START]
+            ):
+                expected = (
+                    exit_codes.LOST_RACE
+                    if play.overtaken
+                    else exit_codes.FINDINGS
+                )
+                with self.subTest(name, before=play.name):
+                    self.assertEqual(
+                        (play.result.exit_code, play.other_exit_codes),
+                        (expected, [exit_codes.OK]),
+                        play.result.output,
                     )
-                    runner = _build_runner(prepare)
-                    race = builders.Race(runner, position, [_OTHER_START])
-                    result = runner.run(*_OWN_START)
-                    self.assertEqual(result.exit_code, expected, result.output)
-                    self.assertEqual(race.exit_codes, [exit_codes.OK])
-                    self.check_status(runner, "v3: ordered")
+                    self.check_status(play.runner, "v3: ordered")
 
     def test_overtaken_by_a_rollout_that_has_ended(self) -> None:
         """Guards against an order that rests on one which was replaced.
@@ -120,38 +167,32 @@
         may be ordered again, but not by a command whose check came before.
         """
         for name, prepare in _SITUATIONS.items():
-            calls = self.record_calls(prepare, _OWN_START)
-            checked_at = calls.index(("get", _ORDER_KEY))
-            for position, call in enumerate(calls):
-                with self.subTest(name, position=position, call=call):
-                    runner = _build_runner(prepare)
-                    builders.Race(runner, position, [_OTHER_START, _ABORT])
-                    result = runner.run(*_OWN_START)
-                    expected = (
-                        exit_codes.LOST_RACE
-                        if position > checked_at
-                        else exit_codes.OK
+            for play in self.play_each_call(
+                prepare, _OWN_START, [_OTHER_START, _ABORT]
+            ):
+                expected = (
+                    exit_codes.LOST_RACE if play.overtaken else exit_codes.OK
+                )
+                with self.subTest(name, before=play.name):
+                    self.assertEqual(
+                        (play.result.exit_code, play.other_exit_codes),
+                        (expected, [exit_codes.OK] * 2),
+                        play.result.output,
                     )
-                    self.assertEqual(result.exit_code, expected, result.output)
 
     def test_all_attempts_of_a_race_are_listed(self) -> None:
         """Guards against an attempt that is missing after a race.
 
         Both operators' attempts are in the same millisecond.
         """
-        calls = self.record_calls(_SITUATIONS["no order"], _OWN_START)
-        for position in range(len(calls)):
-            with self.subTest(position=position):
-                runner = _build_runner(_SITUATIONS["no order"])
-                runner.dependencies = runner.dependencies._replace(
-                    read_clock_ms=lambda: builders.START_MS
-                )
-                builders.Race(runner, position, [_OTHER_START])
-                runner.run(*_OWN_START)
-                history = runner.run(
-                    "rollout", "history", _SERVICE, "--output", "json"
-                )
-                attempts = json.loads(history.output)["attempts"]
+        for play in self.play_each_call(
+            _stop_clock, _OWN_START, [_OTHER_START]
+        ):
+            history = play.runner.run(
+                "rollout", "history", _SERVICE, "--output", "json"
+            )
+            attempts = json.loads(history.output)["attempts"]
+            with self.subTest(before=play.name):
                 self.assertCountEqual(
                     [attempt["operator"] for attempt in attempts],
                     ["anna", builders.OTHER_OPERATOR],
@@ -165,18 +206,17 @@
         The other operator aborts the roll-out and orders the next one, before
         any call of the store that `rollout abort` makes.
         """
-        calls = self.record_calls(_order_earlier, _ABORT)
-        checked_at = calls.index(("get", _ORDER_KEY))
-        for position, call in enumerate(calls):
-            with self.subTest(position=position, call=call):
-                runner = _build_runner(_order_earlier)
-                race = builders.Race(runner, position, [_ABORT, _OTHER_START])
-                result = runner.run(*_ABORT)
-                self.assertEqual(race.exit_codes, [exit_codes.OK] * 2)
-                if position > checked_at:
-                    expected = exit_codes.LOST_RACE
-                    self.check_status(runner, "v3: ordered")
-                else:
-                    expected = exit_codes.OK
-                    self.check_status(runner, "v3: rolled back")
-                self.assertEqual(result.exit_code, expected, result.output)
+        for play in self.play_each_call(
+            _order_earlier, _ABORT, [_ABORT, _OTHER_START]
+        ):
+            if play.overtaken:
+                expected, status = exit_codes.LOST_RACE, "v3: ordered"
+            else:
+                expected, status = exit_codes.OK, "v3: rolled back"
+            with self.subTest(before=play.name):
+                self.assertEqual(
+                    (play.result.exit_code, play.other_exit_codes),
+                    (expected, [exit_codes.OK] * 2),
+                    play.result.output,
+                )
+                self.check_status(play.runner, status)
--- a/tests/rollouts/builders.py
+++ b/tests/rollouts/builders.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, TYPE_CHECKING
 
 from merlintrestle.members import table as tables
+from merlintrestle.rollouts import operations
+from merlintrestle.rollouts import orders
 from merlintrestle.rollouts import progress as progresses
+from merlintrestle.rollouts import storage as storages
 from merlintrestle.rollouts import tracker as trackers
 from merlintrestle.schema import control_pb2
 from tests.store import fakes
 
+if TYPE_CHECKING:
+    from merlintrestle.store import client
+
 SERVICE = "balie"
 
 
@@ -142,3 +148,51 @@
         entry = self.entries.get(key)
         reply = self._swap(key, value, entry.revision if entry else 0)
         return reply.entry.revision
+
+
+class Operator:
+    """Operator who checks the last order, then starts or aborts a roll-out."""
+
+    def __init__(self, store: fakes.FakeStore | client.StoreClient, name: str):
+        self._store = store
+        self._name = name
+        self._storage = storages.RolloutStorage(store, storages.DefaultFormat())
+
+    async def read_last_order(self) -> storages.SeenOrder:
+        """Returns the service's last order."""
+        return await self._storage.read_last_order(SERVICE)
+
+    async def start(self, seen: storages.SeenOrder, version: str = "v2") -> int:
+        """Starts a roll-out after a check, and returns its number."""
+        return await operations.start_rollout(
+            self._store,
+            self._build_attempt(orders.START, version),
+            build_rollout(version=version, number=0),
+            seen,
+            0,
+        )
+
+    async def abort(self, seen: storages.SeenOrder) -> control_pb2.RolloutState:
+        """Aborts the roll-out of a check, and returns its state."""
+        assert seen.order is not None
+        return await operations.abort_rollout(
+            self._store,
+            self._build_attempt(orders.ABORT, seen.order.version),
+            seen.order,
+            seen,
+            0,
+        )
+
+    async def write_state(self, state: control_pb2.RolloutState) -> None:
+        """Writes the state of the last order, as daemons do."""
+        seen = await self.read_last_order()
+        assert seen.order is not None
+        await self._storage.write_state(seen.order, state)
+
+    async def list_attempts(self) -> list[tuple[str, str]]:
+        """Returns operator and action of each listed attempt."""
+        attempts = await orders.list_attempts(self._store, SERVICE)
+        return [(attempt.operator, attempt.action) for attempt in attempts]
+
+    def _build_attempt(self, action: str, version: str) -> orders.Attempt:
+        return orders.Attempt(action, self._name, 5, SERVICE, version)
--- a/tests/rollouts/test_operations.py
+++ b/tests/rollouts/test_operations.py
@@ -6,8 +6,6 @@
 import unittest
 
 from merlintrestle import errors
-from merlintrestle.rollouts import operations
-from merlintrestle.rollouts import orders
 from merlintrestle.rollouts import storage as storages
 from merlintrestle.schema import control_pb2
 from tests.rollouts import builders
@@ -24,63 +22,11 @@
 _FINAL_STATES = (control_pb2.COMPLETE, control_pb2.ROLLED_BACK)
 
 
-def _build_order(version: str = "v2") -> control_pb2.Rollout:
-    return builders.build_rollout(version=version, number=0)
-
-
-class _Operator:
-    """Operator who checks the last order, then starts or aborts a roll-out."""
-
-    def __init__(self, store: fakes.FakeStore | client.StoreClient, name: str):
-        self._store = store
-        self._name = name
-        self._storage = storages.RolloutStorage(store, storages.DefaultFormat())
-
-    async def read_last_order(self) -> storages.SeenOrder:
-        """Returns the service's last order."""
-        return await self._storage.read_last_order(builders.SERVICE)
-
-    async def start(self, seen: storages.SeenOrder, version: str = "v2") -> int:
-        """Starts a roll-out after a check, and returns its number."""
-        return await operations.start_rollout(
-            self._store,
-            self._build_attempt(orders.START, version),
-            _build_order(version),
-            seen,
-            0,
-        )
-
-    async def abort(self, seen: storages.SeenOrder) -> control_pb2.RolloutState:
-        """Aborts the roll-out of a check, and returns its state."""
-        assert seen.order is not None
-        return await operations.abort_rollout(
-            self._store,
-            self._build_attempt(orders.ABORT, seen.order.version),
-            seen.order,
-            seen,
-            0,
-        )
-
-    async def end(self, state: control_pb2.RolloutState) -> None:
-        """Writes the state of the last order, as daemons do."""
-        seen = await self.read_last_order()
-        assert seen.order is not None
-        await self._storage.write_state(seen.order, state)
-
-    async def list_attempts(self) -> list[tuple[str, str]]:
-        """Returns operator and action of each listed attempt."""
-        attempts = await orders.list_attempts(self._store, builders.SERVICE)
-        return [(attempt.operator, attempt.action) for attempt in attempts]
-
-    def _build_attempt(self, action: str, version: str) -> orders.Attempt:
-        return orders.Attempt(action, self._name, 5, builders.SERVICE, version)
-
-
 class LostAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.store = fakes.FakeStore()
-        self.anna = _Operator(self.store, "anna")
-        self.bram = _Operator(self.store, "bram")
+        self.anna = builders.Operator(self.store, "anna")
+        self.bram = builders.Operator(self.store, "bram")
 
     async def _check_last_order(self, version: str) -> None:
         seen = await self.anna.read_last_order()
@@ -98,7 +44,7 @@
                 await self.asyncSetUp()
                 if state is not None:
                     await self.bram.start(await self.bram.read_last_order())
-                    await self.bram.end(state)
+                    await self.bram.write_state(state)
                 seen = await self.anna.read_last_order()
                 self.store.lost_answers[_ORDER_KEY] = 1
                 number = await self.anna.start(seen)
@@ -203,9 +149,8 @@
 
     async def asyncSetUp(self) -> None:
         self.store = fakes.FakeStore()
-        self.anna = _Operator(self.store, "anna")
-        self.bram = _Operator(self.store, "bram")
-        self.calls: list[tuple[str, str]] = []
+        self.anna = builders.Operator(self.store, "anna")
+        self.bram = builders.Operator(self.store, "bram")
 
     async def _abort(
         self, position: int | None, interrupt: Callable[[], Awaitable[None]]
@@ -220,19 +165,12 @@
         await self.asyncSetUp()
         await self.bram.start(await self.bram.read_last_order())
         seen = await self.anna.read_last_order()
-
-        async def before_call(method: str, key: str) -> None:
-            if len(self.calls) == position:
-                self.store.before_call = None
-                await interrupt()
-                self.store.before_call = before_call
-            self.calls.append((method, key))
-
-        self.store.before_call = before_call
+        interruption = fakes.Interruption(self.store, position, interrupt)
         try:
             return await self.anna.abort(seen)
         finally:
-            self.store.before_call = None
+            interruption.close()
+            self.calls = interruption.calls
 
     async def _list_calls(self) -> list[tuple[str, str]]:
         """Returns the calls of an abort that nobody interrupts."""
@@ -258,7 +196,7 @@
         async def order_again() -> None:
             await self.bram.abort(await self.bram.read_last_order())
             await self.bram.start(await self.bram.read_last_order())
-            await self.bram.end(control_pb2.RUNNING)
+            await self.bram.write_state(control_pb2.RUNNING)
 
         for position, call in enumerate(await self._list_calls()):
             with self.subTest(position=position, call=call):
@@ -288,7 +226,7 @@
         """
 
         async def run() -> None:
-            await self.bram.end(control_pb2.RUNNING)
+            await self.bram.write_state(control_pb2.RUNNING)
 
         for position, call in enumerate(await self._list_calls()):
             with self.subTest(position=position, call=call):
@@ -303,7 +241,7 @@
         """
 
         async def complete() -> None:
-            await self.bram.end(control_pb2.COMPLETE)
+            await self.bram.write_state(control_pb2.COMPLETE)
 
         for position, call in enumerate(await self._list_calls()):
             with self.subTest(position=position, call=call):
@@ -320,9 +258,9 @@
         self.contents = self.standin.servicer.key_value_store
         self.copy = self.contents.take_copy()
         self.store = await standin_builders.start_client(self, self.standin)
-        self.anna = _Operator(self.store, "anna")
+        self.anna = builders.Operator(self.store, "anna")
         other_store = await standin_builders.start_client(self, self.standin)
-        self.bram = _Operator(other_store, "bram")
+        self.bram = builders.Operator(other_store, "bram")
 
     def _interrupt_order(
         self, interrupt: Callable[[], Awaitable[None]]
@@ -368,7 +306,7 @@
             with self.subTest(is_lost=is_lost):
                 await self.asyncSetUp()
                 await self.bram.start(await self.bram.read_last_order(), "v1")
-                await self.bram.end(control_pb2.COMPLETE)
+                await self.bram.write_state(control_pb2.COMPLETE)
                 seen = await self.anna.read_last_order()
 
                 async def come_back(is_lost: bool = is_lost) -> None:
--- a/tests/store/fakes.py
+++ b/tests/store/fakes.py
@@ -166,3 +166,42 @@
         self.calls[method] += 1
         if self.down:
             raise errors.StoreUnknownOutcomeError("fake: the store is down")
+
+
+class Interruption:
+    """Interrupts the user of a fake store before one of its calls.
+
+    Attributes:
+        calls: Method and key of each get and put of the user.
+    """
+
+    def __init__(
+        self,
+        store: FakeStore,
+        position: int | None,
+        interrupt: Callable[[], Awaitable[None]],
+    ):
+        """Waits for the calls.
+
+        Args:
+            store: The store.
+            position: Number of calls after which the user is interrupted; None
+                for never.
+            interrupt: Awaited then; its own calls do not count.
+        """
+        self.calls: list[tuple[str, str]] = []
+        self._store = store
+        self._position = position
+        self._interrupt = interrupt
+        store.before_call = self._before_call
+
+    def close(self) -> None:
+        """Counts no further calls."""
+        self._store.before_call = None
+
+    async def _before_call(self, method: str, key: str) -> None:
+        if len(self.calls) == self._position:
+            self._store.before_call = None
+            await self._interrupt()
+            self._store.before_call = self._before_call
+        self.calls.append((method, key))
