Let an order that was read replace itself by its number

An abort passed the order and what its check had read, which were the same. An order has the number under which it was read, so without a SeenOrder it rests on that, and one without a number must be the service's first, as before.

--- a/merlintrestle/operators/rollout_commands.py
+++ b/merlintrestle/operators/rollout_commands.py
@@ -152,8 +152,7 @@
     """Has a service go back to the version before."""
     operator = current_session.require_setting("operator")
     async with current_session.open_store() as store:
-        seen = await _read_last_order(store, service)
-        order = _require_order(service, seen)
+        order = await _require_last_order(store, service)
         attempt = orders.Attempt(
             orders.ABORT,
             operator,
@@ -166,7 +165,6 @@
                 store,
                 attempt,
                 order,
-                seen,
                 current_session.dependencies.retry_delay_s,
             )
         except errors.LostRaceError:
@@ -267,21 +265,11 @@
     Raises:
         errors.InvalidInputError: There is no order for the service.
     """
-    return _require_order(service, await _read_last_order(store, service))
-
-
-def _require_order(
-    service: str, seen: storages.SeenOrder
-) -> control_pb2.Rollout:
-    """Returns the order that was read for a service.
-
-    Raises:
-        errors.InvalidInputError: There is no order for the service.
-    """
-    if seen.order is None:
+    order = (await _read_last_order(store, service)).order
+    if order is None:
         text = "has no roll-out."
         raise errors.InvalidInputError([errors.Finding(service, text)])
-    return seen.order
+    return order
 
 
 def _build_result(order: control_pb2.Rollout) -> results.RolloutShown:
--- a/merlintrestle/rollouts/operations.py
+++ b/merlintrestle/rollouts/operations.py
@@ -62,7 +62,6 @@
     store: records.Store,
     attempt: orders.Attempt,
     order: control_pb2.Rollout,
-    seen: storage.SeenOrder,
     retry_delay_s: float = acceptance.RETRY_DELAY_S,
 ) -> control_pb2.RolloutState:
     """Records the attempt to abort a roll-out, and rolls it back.
@@ -70,8 +69,7 @@
     Args:
         store: The store.
         attempt: The attempt.
-        order: The order of the roll-out.
-        seen: The last order for the service when this order was read.
+        order: The order of the roll-out, as it was read.
         retry_delay_s: Delay before a write is repeated, in seconds.
 
     Returns:
@@ -86,22 +84,22 @@
     identified = orders.identify(order)
 
     async def write() -> control_pb2.RolloutState:
-        return await _roll_back(store, identified, seen)
+        return await _roll_back(store, identified)
 
     return await _carry_out(store, attempt, write, retry_delay_s)
 
 
 async def _roll_back(
-    store: records.Store, order: control_pb2.Rollout, seen: storage.SeenOrder
+    store: records.Store, order: control_pb2.Rollout
 ) -> control_pb2.RolloutState:
     """Rolls a roll-out back unless it has ended, and returns its state."""
     aborted = control_pb2.Rollout()
     aborted.CopyFrom(order)
     aborted.state = control_pb2.ROLLED_BACK
-    state = await _write_final_state(store, order, aborted, seen)
+    state = await _write_final_state(store, order, aborted)
     if state == control_pb2.ROLLED_BACK:
         # Daemons poll orders, but read a state only when they write it.
-        await orders.write_order(store, aborted, seen)
+        await orders.write_order(store, aborted)
     return state
 
 
@@ -109,7 +107,6 @@
     store: records.Store,
     order: control_pb2.Rollout,
     aborted: control_pb2.Rollout,
-    seen: storage.SeenOrder,
 ) -> control_pb2.RolloutState:
     """Writes that a roll-out is rolled back, and returns its state.
 
@@ -125,7 +122,7 @@
     state = order.state
     for _ in range(_MAX_STATE_WRITES):
         entry = await rollout_storage.read_state_entry(order.service)
-        await orders.check_standing(store, aborted, seen)
+        await orders.check_standing(store, aborted)
         state = await rollout_storage.replace_state(
             order, control_pb2.ROLLED_BACK, entry
         )
--- a/merlintrestle/rollouts/orders.py
+++ b/merlintrestle/rollouts/orders.py
@@ -22,7 +22,6 @@
 _AUDIT_TRAIL_PREFIX = "rollouts/trail/"
 _ID_BYTES = 8
 _ORDER_ID_BITS = 64
-_NO_ORDER = storage.SeenOrder(None, 0)
 
 
 class Attempt(NamedTuple):
@@ -60,7 +59,7 @@
 async def write_order(
     store: records.Store,
     order: control_pb2.Rollout,
-    seen: storage.SeenOrder = _NO_ORDER,
+    seen: storage.SeenOrder | None = None,
 ) -> int:
     """Writes an order in place of the one that was checked.
 
@@ -74,7 +73,8 @@
         store: The store.
         order: The order.
         seen: The last order for the service when it was checked that it may be
-            replaced; by default, the service must not have any.
+            replaced. None: an order that was read replaces itself, by its
+            number, and one without a number must be the service's first.
 
     Returns:
         The number of the order, which may stand already because of an earlier
@@ -92,7 +92,7 @@
     reply = await store.put(
         storage.ORDER_PREFIX + order.service,
         written.SerializeToString(deterministic=True),
-        seen.revision,
+        seen.revision if seen is not None else order.number,
     )
     if not reply.written and not _is_in_place(written, reply.entry):
         raise errors.LostRaceError(f"{order.service}: there is another order")
@@ -100,14 +100,14 @@
 
 
 async def check_standing(
-    store: records.Store, order: control_pb2.Rollout, seen: storage.SeenOrder
+    store: records.Store, order: control_pb2.Rollout
 ) -> None:
-    """Checks that the last order for a service is still the one that was read.
+    """Checks that an order is still the last one for its service.
 
     Args:
         store: The store.
-        order: The order that is to be written in its place, and may be already.
-        seen: The last order when it was read.
+        order: The order as it was read, but with the state with which it is to
+            be written again, and may be already.
 
     Raises:
         errors.LostRaceError: Another order was written since.
@@ -115,7 +115,7 @@
     """
     entry = await store.get(storage.ORDER_PREFIX + order.service)
     if entry is not None and (
-        entry.revision == seen.revision or _is_in_place(order, entry)
+        entry.revision == order.number or _is_in_place(order, entry)
     ):
         return
     raise errors.LostRaceError(f"{order.service}: there is another order")
--- a/tests/rollouts/builders.py
+++ b/tests/rollouts/builders.py
@@ -179,7 +179,6 @@
             self._store,
             self._build_attempt(orders.ABORT, seen.order.version),
             seen.order,
-            seen,
             0,
         )
 
--- a/tests/rollouts/test_orders.py
+++ b/tests/rollouts/test_orders.py
@@ -32,6 +32,17 @@
         assert seen.order is not None
         self.assertEqual((seen.order.version, seen.revision), ("v3", number))
 
+    async def test_order_that_was_read_replaces_itself_only(self) -> None:
+        """Guards against writing an order again in place of a later one."""
+        store = builders.FakeStore()
+        storage = storages.RolloutStorage(store, storages.DefaultFormat())
+        await orders.write_order(store, _build_order("v2"))
+        (order,) = await storage.read_orders()
+        order.state = control_pb2.ROLLED_BACK
+        await orders.write_order(store, order)
+        with self.assertRaises(errors.LostRaceError):
+            await orders.write_order(store, order)
+
 
 class EraTest(unittest.IsolatedAsyncioTestCase):
     """The store comes back from an older copy between check and write."""
