--- a/tests/rollouts/test_storage.py
+++ b/tests/rollouts/test_storage.py
@@ -83,20 +83,18 @@
         runs. A daemon that has heard of neither writes that the roll-out it
         knows is complete.
         """
+        states = []
         for record_format in _FORMATS:
-            with self.subTest(record_format=record_format):
-                store = builders.FakeStore()
-                storage = storages.RolloutStorage(store, record_format)
-                known = self._write_order(store, record_format)
-                await storage.write_state(known, control_pb2.RUNNING)
-                await storage.write_state(known, control_pb2.ROLLED_BACK)
-                ordered_again = self._write_order(store, record_format)
-                await storage.write_state(ordered_again, control_pb2.RUNNING)
-                await storage.write_state(known, control_pb2.COMPLETE)
-                self.assertEqual(
-                    await storage.read_state(ordered_again),
-                    control_pb2.RUNNING,
-                )
+            store = builders.FakeStore()
+            storage = storages.RolloutStorage(store, record_format)
+            known = self._write_order(store, record_format)
+            await storage.write_state(known, control_pb2.RUNNING)
+            await storage.write_state(known, control_pb2.ROLLED_BACK)
+            ordered_again = self._write_order(store, record_format)
+            await storage.write_state(ordered_again, control_pb2.RUNNING)
+            await storage.write_state(known, control_pb2.COMPLETE)
+            states.append(await storage.read_state(ordered_again))
+        self.assertEqual(states, [control_pb2.RUNNING] * len(_FORMATS))
 
     def _write_order(
         self, store: builders.FakeStore, record_format: storages.RecordFormat
