--- a/tests/rollouts/test_operations.py
+++ b/tests/rollouts/test_operations.py
@@ -74,9 +74,8 @@
         self.store.lost_answers[_ORDER_KEY] = 1
 
         async def abort_at_repetition(method: str, key: str) -> None:
-            if (method, key) == ("put", _ORDER_KEY) and key in (
-                self.store.entries
-            ):
+            is_written = _ORDER_KEY in self.store.entries
+            if is_written and (method, key) == ("put", _ORDER_KEY):
                 self.store.before_call = None
                 await self.bram.abort(await self.bram.read_last_order())
 
