--- a/merlintrestle/documents/loader.py
+++ b/merlintrestle/documents/loader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, TypeVar
 
 from google.protobuf import message
@@ -15,6 +16,9 @@
 
 M = TypeVar("M", bound=message.Message)
 
+# SHA-256.
+_KEY_DIGEST_BYTES = 32
+
 
 def load_snapshot(
     version: int,
@@ -38,7 +42,8 @@
 
     Raises:
         errors.SnapshotError: The digest differs, a resource cannot be parsed,
-            or a route or a service refers to a resource that is missing.
+            a route or a service refers to a resource that is missing, or two
+            workspaces have the same API key.
     """
     actual_digest = snapshot.compute_digest(version, resources, base)
     if digest is not None and actual_digest != digest:
@@ -68,6 +73,7 @@
         actual_digest,
         host_routes=_group_host_routes(services, parsed_resources),
         limits=limits.limits if limits else None,
+        workspaces=_collect_workspaces(parsed_resources),
     )
 
 
@@ -97,6 +103,18 @@
         return snapshot.ParsedResource(
             digest, host_route=_build_host_route(name, route)
         )
+    if name.startswith(snapshot.WORKSPACE_PREFIX):
+        workspace = _parse_message(
+            name, value, document_pb2.WorkspaceResource()
+        )
+        _require(
+            name,
+            name == snapshot.build_workspace_name(workspace.name),
+            "is misnamed",
+        )
+        return snapshot.ParsedResource(
+            digest, workspace=_build_workspace(name, workspace)
+        )
     _require(
         name, name.startswith(snapshot.CLASS_PREFIX), "is of no known kind"
     )
@@ -204,7 +222,58 @@
         prefix=route.prefix,
         destinations=destinations,
         plan=plan._replace(max_attempts=route.max_attempts),
+        anonymous=route.anonymous,
+    )
+
+
+def _build_workspace(
+    name: str, workspace: document_pb2.WorkspaceResource
+) -> snapshot.Workspace:
+    _require(name, bool(workspace.name), "has no name")
+    _require(
+        name,
+        all(len(key) == _KEY_DIGEST_BYTES for key in workspace.key_digests),
+        "has a malformed digest of a key",
+    )
+    _require(name, 0 <= workspace.rate < math.inf, "has a bad rate")
+    _require(name, 0 <= workspace.burst < math.inf, "has a bad burst")
+    _require(
+        name,
+        workspace.rate > 0 or not workspace.burst,
+        "has a burst without a rate",
     )
+    return snapshot.Workspace(
+        name=workspace.name,
+        key_digests=tuple(workspace.key_digests),
+        importance=workspace.importance,
+        rate=workspace.rate,
+        burst=workspace.burst,
+    )
+
+
+def _collect_workspaces(
+    parsed_resources: Mapping[str, snapshot.ParsedResource],
+) -> dict[str, snapshot.Workspace]:
+    """Returns the workspaces by name.
+
+    Raises:
+        errors.SnapshotError: Two workspaces have the same API key.
+    """
+    workspaces = {}
+    owners: dict[bytes, str] = {}
+    for name, parsed in parsed_resources.items():
+        workspace = parsed.workspace
+        if workspace is None:
+            continue
+        workspaces[workspace.name] = workspace
+        for digest in workspace.key_digests:
+            owner = owners.setdefault(digest, workspace.name)
+            _require(
+                name,
+                owner == workspace.name,
+                f"has an API key of {owner!r}",
+            )
+    return workspaces
 
 
 def _build_limits(limits: document_pb2.LimitsResource) -> snapshot.Limits:
--- a/merlintrestle/documents/snapshot.py
+++ b/merlintrestle/documents/snapshot.py
@@ -16,6 +16,7 @@
 SERVICE_PREFIX = "service/"
 CLASS_PREFIX = "class/"
 HOST_ROUTE_PREFIX = "route/"
+WORKSPACE_PREFIX = "workspace/"
 
 
 class Route(NamedTuple):
@@ -99,6 +100,7 @@
             check the end; without it, "/a" would also match "/ab".
         destinations: Services among which the requests are distributed.
         plan: Class of work of the requests.
+        anonymous: Whether requests without an API key are served.
     """
 
     name: str
@@ -106,6 +108,27 @@
     prefix: str
     destinations: tuple[WeightedService, ...]
     plan: ClassPlan
+    anonymous: bool = False
+
+
+class Workspace(NamedTuple):
+    """A group of callers with API keys.
+
+    Attributes:
+        name: Name of the workspace.
+        key_digests: SHA-256 digests of its API keys.
+        importance: 1 (shed first) to 5 (shed last); 0 if the class of work
+            decides.
+        rate: Quota in requests per second of all daemons together; 0 for no
+            quota.
+        burst: Requests that are admitted beyond the rate after a pause.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...]
+    importance: int = 0
+    rate: float = 0.0
+    burst: float = 0.0
 
 
 class Limits(NamedTuple):
@@ -172,6 +195,7 @@
         routes: The routes to the class of work, for a class resource.
         host_route: The host route, for a host route resource; otherwise None.
         limits: The limits, for the limits resource; otherwise None.
+        workspace: The workspace, for a workspace resource; otherwise None.
     """
 
     digest: bytes
@@ -180,6 +204,7 @@
     routes: tuple[Route, ...] = ()
     host_route: HostRoute | None = None
     limits: Limits | None = None
+    workspace: Workspace | None = None
 
 
 class Snapshot:
@@ -197,6 +222,8 @@
         parsed_resources: Parsed resources by name.
         host_routes: Host routes by host, longest prefix first.
         limits: Limits for the requests of callers; None if not specified.
+        workspaces: Workspaces by name. If there are any, requests need an API
+            key unless their route is anonymous.
     """
 
     def __init__(
@@ -208,6 +235,7 @@
         digest: bytes = b"",
         host_routes: Mapping[str, tuple[HostRoute, ...]] | None = None,
         limits: Limits | None = None,
+        workspaces: Mapping[str, Workspace] | None = None,
     ):
         """Initializes the snapshot.
 
@@ -219,6 +247,8 @@
             digest: Digest of the snapshot; computed if empty.
             host_routes: Host routes by host, longest prefix first.
             limits: Limits for the requests of callers; None if not specified.
+            workspaces: Workspaces by name, of which no two have the same API
+                key.
         """
         self.version = version
         self.host_routes = host_routes or {}
@@ -227,6 +257,12 @@
             for host, routes in self.host_routes.items()
         }
         self.limits = limits
+        self.workspaces = workspaces or {}
+        self._workspaces_by_key = {
+            digest: workspace
+            for workspace in self.workspaces.values()
+            for digest in workspace.key_digests
+        }
         self.resources = resources
         self.services = services
         self.parsed_resources = parsed_resources or {}
@@ -256,6 +292,14 @@
                 return route
         return None
 
+    def find_workspace(self, key_digest: bytes) -> Workspace | None:
+        """Returns the workspace of an API key, or None if it is unknown.
+
+        Args:
+            key_digest: SHA-256 digest of the key.
+        """
+        return self._workspaces_by_key.get(key_digest)
+
 
 def _index_prefixes(
     routes: tuple[HostRoute, ...],
@@ -303,6 +347,11 @@
     return f"{HOST_ROUTE_PREFIX}{name}"
 
 
+def build_workspace_name(name: str) -> str:
+    """Returns the name of the resource that holds a workspace."""
+    return f"{WORKSPACE_PREFIX}{name}"
+
+
 def find_parsed_resource(
     base: Snapshot | None, name: str, value: bytes
 ) -> ParsedResource | None:
