Admit requests of workspaces by API key

Cause: two deployments need callers with API keys; daemons know none. Change: the platform's table of workspaces and anonymous routes; admission by key, freshness and quota at the caller's daemon (the latter two admit everything until their parts exist); the workspace replaces the key and the caller's own header on the way to backend servers, also over two daemons and for retries; counters and bounded log lines of refusals. Claims of unrepeatable calls compare the workspace, so that no workspace gets the answer of another one that uses the same Idempotency-Key.

--- a/merlintrestle/daemon/metrics.py
+++ b/merlintrestle/daemon/metrics.py
@@ -97,6 +97,7 @@
     registry.register(proxy.outcome_counts)
     registry.register(proxy.latencies)
     registry.register(proxy.traffic)
+    registry.register(proxy.workspace_admission.refusals)
     return registry
 
 
--- a/merlintrestle/documents/loader.py
+++ b/merlintrestle/documents/loader.py
@@ -229,7 +229,13 @@
 def _build_workspace(
     name: str, workspace: document_pb2.WorkspaceResource
 ) -> snapshot.Workspace:
-    _require(name, bool(workspace.name), "has no name")
+    # The name becomes the value of a header.
+    _require(
+        name,
+        workspace.name.isprintable()
+        and workspace.name.strip() == workspace.name != "",
+        "has no name or one that does not fit into a header",
+    )
     _require(
         name,
         all(len(key) == _KEY_DIGEST_BYTES for key in workspace.key_digests),
--- a/merlintrestle/documents/snapshot.py
+++ b/merlintrestle/documents/snapshot.py
@@ -26,11 +26,13 @@
         method: HTTP method; "*" matches any method.
         prefix: Path prefix, starting with "/".
         plan: Class of work of the matching requests.
+        anonymous: Whether requests without an API key are served.
     """
 
     method: str
     prefix: str
     plan: ClassPlan
+    anonymous: bool = False
 
 
 class ClassPlan(NamedTuple):
@@ -168,8 +170,8 @@
 
     def match(
         self, method: str, path: str, organisation: str = ""
-    ) -> ClassPlan | None:
-        """Returns the class of work of a request, or None without a route.
+    ) -> Route | None:
+        """Returns the route of a request, or None if no route matches.
 
         Args:
             method: HTTP method of the request.
@@ -179,7 +181,7 @@
         """
         for route in self.routes.get(organisation or self.owner, ()):
             if route.method in ("*", method) and path.startswith(route.prefix):
-                return route.plan
+                return route
         return None
 
 
@@ -352,6 +354,16 @@
     return f"{WORKSPACE_PREFIX}{name}"
 
 
+def hash_key(key: str) -> bytes:
+    """Returns the SHA-256 digest of an API key.
+
+    Args:
+        key: The key. Bytes of a header that are not UTF-8 are surrogates, as
+            the HTTP library decodes them.
+    """
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()
+
+
 def find_parsed_resource(
     base: Snapshot | None, name: str, value: bytes
 ) -> ParsedResource | None:
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -8,6 +8,7 @@
 from merlintrestle import rows
 from merlintrestle.documents import compiler
 from merlintrestle.documents import snapshot as snapshots
+from merlintrestle.documents import workspaces
 from merlintrestle.platform import rollouts
 from merlintrestle.platform import store as stores
 from merlintrestle.schema import document_pb2
@@ -74,6 +75,10 @@
         _add_service(resources, rows.Row("services", row))
     for row in rows.read_table(configuration, "routes"):
         _add_route(resources, rows.Row("routes", row))
+    if configuration.get("tenants") is not None:
+        tenants = rows.read_table(configuration, "tenants")
+        for number, row in enumerate(tenants, 1):
+            _add_workspace(resources, f"tenants row {number}", row)
     limits = configuration.get("limits")
     if limits is not None:
         _add_limits(resources, rows.Row("limits", limits))
@@ -100,6 +105,7 @@
                 parts=_build_parts(row),
                 target=_build_target(row),
                 max_attempts=row.get_integer("maxAttempts"),
+                anonymous=row.get_flag("allowAnonymous"),
             )
         )
     )
@@ -132,12 +138,33 @@
         latency_ms=latency_ms,
         deadline_ms=deadline_ms,
         repeatable=_REPEATABILITY[kind],
-        importance=max(1, _MAX_IMPORTANCE - priority),
+        importance=_compute_importance(priority),
         # Downloads have latency targets too, so none holds a slot for minutes.
         size=document_pb2.SMALL,
     )
 
 
+def _add_workspace(resources: dict[str, bytes], place: str, row: Any) -> None:
+    fields = rows.Row(place, row, secret=True)
+    importance = 0
+    if fields.has("priority"):
+        importance = _compute_importance(fields.get_integer("priority"))
+    workspace = snapshots.Workspace(
+        fields.get_text("name"),
+        (),
+        importance,
+        fields.get_number("ratePerS"),
+        fields.get_number("burst"),
+    )
+    workspaces.add_workspace(
+        resources, place, workspace, fields.get_texts("apiKeys")
+    )
+
+
+def _compute_importance(priority: int) -> int:
+    return max(1, _MAX_IMPORTANCE - priority)
+
+
 def _add_limits(resources: dict[str, bytes], row: rows.Row) -> None:
     resources[snapshots.LIMITS_RESOURCE] = compiler.serialize_message(
         document_pb2.LimitsResource(
--- a/merlintrestle/platform/requests.py
+++ b/merlintrestle/platform/requests.py
@@ -38,6 +38,8 @@
 _NOT_EXECUTED = multidict.istr("X-Not-Executed")
 # Requests per second that the backend server accepts from all daemons together.
 _RATE_LIMIT = multidict.istr("Server-Limit")
+# Workspace of the caller (platform: tenant).
+_WORKSPACE = multidict.istr("X-Tenant-Id")
 # "1" in the answers of a backend server that leaves.
 _LEAVING = multidict.istr("Server-Leaving")
 _RETRY_AFTER = "Retry-After"
@@ -133,6 +135,8 @@
     sent_headers.popall(_TARGET_INSTANCE, None)
     if backend.instance_id:
         sent_headers[_TARGET_INSTANCE] = backend.instance_id
+    if call.workspace:
+        sent_headers[_WORKSPACE] = call.workspace
     return sent_headers
 
 
@@ -183,3 +187,8 @@
 @dialects.get_notice_headers.register(PlatformDialect)
 def _get_notice_headers(dialect: PlatformDialect) -> notices.NoticeHeaders:
     return notices.NoticeHeaders(_RATE_LIMIT, _LEAVING)
+
+
+@dialects.get_workspace_header.register(PlatformDialect)
+def _get_workspace_header(dialect: PlatformDialect) -> multidict.istr:
+    return _WORKSPACE
--- a/merlintrestle/requests/calls/call.py
+++ b/merlintrestle/requests/calls/call.py
@@ -68,6 +68,7 @@
         origin: Service of the instance at which the request began; empty if
             unknown.
         route: Name of the host route; empty if the call was routed otherwise.
+        workspace: Name of the caller's workspace; empty if there is none.
         decision_log: Decision log of the call.
     """
 
@@ -91,6 +92,7 @@
     request_id: str = ""
     origin: str = ""
     route: str = ""
+    workspace: str = ""
     decision_log: decision_logs.DecisionLog = dataclasses.field(
         default_factory=lambda: decision_logs.DecisionLog("")
     )
@@ -116,6 +118,20 @@
             self._request_digest = self._compute_request_digest()
         return self._request_digest
 
+    def get_claim_digest(self) -> bytes:
+        """Returns the digest of the request and of its workspace.
+
+        Two workspaces may use the same Idempotency-Key. Without the workspace
+        in the digest, one would get the answer to an equal request of the
+        other. The key of the claim does not depend on the workspace: otherwise
+        a retry after an API key has moved to another workspace could run the
+        call a second time.
+        """
+        digest = self.get_request_digest()
+        if not self.workspace:
+            return digest
+        return hashlib.sha256(digest + self.workspace.encode()).digest()
+
     def _compute_request_digest(self) -> bytes:
         digest = hashlib.sha256()
         for text in (self.service, self.method, self.target):
--- a/merlintrestle/requests/calls/dialect.py
+++ b/merlintrestle/requests/calls/dialect.py
@@ -135,6 +135,13 @@
     raise TypeError(f"not a dialect: {dialect!r}")
 
 
+@generics.cache_dispatch
+@functools.singledispatch
+def get_workspace_header(dialect: object) -> multidict.istr:
+    """Returns the header in which a backend server gets the workspace."""
+    raise TypeError(f"not a dialect: {dialect!r}")
+
+
 @match_caller_request.register(NativeDialect)
 def _match_caller_request(
     dialect: NativeDialect,
@@ -180,6 +187,8 @@
     # would run up to N + 1 times.
     attempt = 1 if call.plan.repeatable else call.attempt_number
     sent_headers[headers.ATTEMPT] = str(attempt)
+    if call.workspace:
+        sent_headers[headers.WORKSPACE] = call.workspace
     return sent_headers
 
 
@@ -205,3 +214,8 @@
 @get_notice_headers.register(NativeDialect)
 def _get_notice_headers(dialect: NativeDialect) -> notices.NoticeHeaders:
     return notices.NoticeHeaders(headers.RATE_LIMIT, headers.LEAVING)
+
+
+@get_workspace_header.register(NativeDialect)
+def _get_workspace_header(dialect: NativeDialect) -> multidict.istr:
+    return headers.WORKSPACE
--- a/merlintrestle/requests/calls/parsing.py
+++ b/merlintrestle/requests/calls/parsing.py
@@ -65,6 +65,7 @@
         repeat: True if the call may have been sent to a backend server before.
         return_trip_ms: Estimated milliseconds that a refusal takes to reach the
             caller's daemon. They are part of `timeout_ms`.
+        workspace: Name of the caller's workspace; empty if there is none.
     """
 
     timeout_ms: int | None
@@ -78,6 +79,7 @@
     wait: calls.Wait = calls.Wait.NORMAL
     repeat: bool = False
     return_trip_ms: int = 0
+    workspace: str = ""
 
 
 def match_peer_request(
@@ -164,6 +166,7 @@
         request_id=metadata.request_id,
         origin=metadata.origin,
         route=match.route,
+        workspace=metadata.workspace,
         decision_log=decision_logs.DecisionLog(metadata.request_id),
     )
 
--- a/merlintrestle/requests/calls/plans.py
+++ b/merlintrestle/requests/calls/plans.py
@@ -14,6 +14,9 @@
 # Entries of each cache. There are only a few classes of work per route and
 # version.
 _MAX_CACHED_PLANS = 4096
+# Precedes the importance in the name of a plan whose importance was replaced;
+# names of classes do not contain it.
+_IMPORTANCE_SEPARATOR = "+w"
 
 
 @functools.lru_cache(_MAX_CACHED_PLANS)
@@ -38,6 +41,28 @@
     return snapshot.ClassPlan(*fields)
 
 
+@functools.lru_cache(_MAX_CACHED_PLANS)
+def replace_importance(
+    plan: snapshot.ClassPlan, importance: int
+) -> snapshot.ClassPlan:
+    """Returns the plan of the calls of a class with another importance.
+
+    It has another name, because there is one queue for each name and all calls
+    in a queue have the same importance.
+    """
+    if importance == plan.importance:
+        return plan
+    return plan._replace(
+        name=f"{plan.name}{_IMPORTANCE_SEPARATOR}{importance}",
+        importance=importance,
+    )
+
+
+def get_class_name(plan: snapshot.ClassPlan) -> str:
+    """Returns the name of a plan's class as the configuration states it."""
+    return plan.name.partition(_IMPORTANCE_SEPARATOR)[0]
+
+
 def _list_field_types() -> tuple[tuple[type, ...], ...]:
     """Returns the JSON types that each field of a class of work may have."""
     types_by_name: dict[str, tuple[type, ...]] = {
--- a/merlintrestle/requests/calls/routing.py
+++ b/merlintrestle/requests/calls/routing.py
@@ -27,12 +27,14 @@
         target: Path and query for the backend server, beginning with "/".
         route: Name of the host route; empty if the request was routed
             otherwise.
+        anonymous: Whether the route serves requests without an API key.
     """
 
     service: str
     plan: snapshot.ClassPlan
     target: str
     route: str = ""
+    anonymous: bool = False
 
 
 def match_service(
@@ -77,10 +79,10 @@
         return _refuse("a path must have no dot segments", 400)
     if "//" in path:
         path = _REPEATED_SLASHES_PATTERN.sub("/", path)
-    plan = service.match(method, path, organisation)
-    if plan is None:
+    route = service.match(method, path, organisation)
+    if route is None:
         return _refuse(f"no class of work of {name} takes this request", 404)
-    return Match(name, plan, target)
+    return Match(name, route.plan, target, anonymous=route.anonymous)
 
 
 def match_host(
@@ -102,7 +104,13 @@
     )
     if route is None:
         return _refuse("no route takes this request", 404)
-    return Match(choose_service(route), route.plan, raw_path, route.name)
+    return Match(
+        choose_service(route),
+        route.plan,
+        raw_path,
+        route.name,
+        route.anonymous,
+    )
 
 
 def choose_service(route: snapshot.HostRoute) -> str:
--- a/merlintrestle/requests/interfaces.py
+++ b/merlintrestle/requests/interfaces.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from merlintrestle.documents import snapshot
     from merlintrestle.members import table
+    from merlintrestle.requests.calls import outcomes
     from merlintrestle.rollouts import subsets
     from merlintrestle.store import client
     from merlintrestle.store import eras
@@ -75,6 +76,42 @@
         """
 
 
+class Freshness(Protocol):
+    """Knows whether this daemon's active version is proven to be fresh."""
+
+    def is_fresh(self) -> bool:
+        """Returns whether requests with API keys may be admitted."""
+
+
+class Quotas(Protocol):
+    """Spends tokens of the quotas of workspaces, one for each call.
+
+    Only workspaces with a rate are passed.
+    """
+
+    def try_spend(self, workspace: snapshot.Workspace) -> bool:
+        """Spends a token if one is in hand."""
+
+    async def spend(
+        self, workspace: snapshot.Workspace, timeout_s: float
+    ) -> None | outcomes.NotRun:
+        """Waits for a token and spends it.
+
+        If this is cancelled, no token is spent.
+
+        Args:
+            workspace: The workspace.
+            timeout_s: Maximum wait, in seconds.
+
+        Returns:
+            None if a token was spent; otherwise a refusal with status 429 if
+            the quota is exceeded, and with 503 if that is not known.
+        """
+
+    def give_back(self, workspace: snapshot.Workspace) -> None:
+        """Returns the token of a call that did not run."""
+
+
 class Store(Protocol):
     """The part of `store.client.StoreClient` that claims use.
 
--- a/merlintrestle/requests/serving/attempt_runner.py
+++ b/merlintrestle/requests/serving/attempt_runner.py
@@ -311,6 +311,8 @@
         peer_headers = call.headers.copy()
         peer_headers[headers.PLAN] = plans.encode_plan(call.plan)
         peer_headers[headers.METADATA] = metadata.encode_metadata(call_metadata)
+        if call.workspace:
+            peer_headers[headers.WORKSPACE] = call.workspace
         notices = self._picker.notices.get_header(attempt.upstream.member_id)
         if notices is not None:
             peer_headers[headers.NOTICES] = notices
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -5,18 +5,23 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from aiohttp import hdrs
+
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import parsing
 from merlintrestle.requests.load import refused_callers
 from merlintrestle.requests.reports import decision_logs
 from merlintrestle.requests.serving import responses
+from merlintrestle.requests.workspaces import admission
+from merlintrestle.requests.workspaces import credentials
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from aiohttp import web
 
+    from merlintrestle.documents import snapshot
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.calls import routing
     from merlintrestle.requests.reports import latencies as latencies_
@@ -24,6 +29,8 @@
     from merlintrestle.requests.serving import dispatch
     from merlintrestle.requests.serving import serving_state as serving_states
 
+_UNAUTHORIZED = 401
+
 
 class CallerHandler:
     """Handles the requests of callers by sending their calls to upstreams."""
@@ -36,6 +43,7 @@
         outcome_counts: outcome_counts_.OutcomeCounts,
         latencies: latencies_.Latencies,
         is_busy: Callable[[], bool],
+        workspace_admission: admission.WorkspaceAdmission,
     ):
         """Initializes the handler.
 
@@ -47,7 +55,11 @@
             latencies: Records how long callers waited for answers.
             is_busy: Returns whether the local backend server runs a call.
                 Requests may be nested in a call only while it does.
+            workspace_admission: Admits requests while the active version has
+                workspaces.
         """
+        self._workspace_admission = workspace_admission
+        self._workspace_header = dialects.get_workspace_header(dialect)
         self._is_busy = is_busy
         self._state = state
         self._dialect = dialect
@@ -76,12 +88,22 @@
         )
         if isinstance(match, outcomes.NotRun):
             return self._refuse(match, request)
+        admitted: admission.Admitted | None = None
+        dispatched = False
         self._state.begin_call()
         try:
+            if active_snapshot.workspaces:
+                decision = await self._admit(active_snapshot, match, request)
+                if isinstance(decision, outcomes.NotRun):
+                    return self._refuse(decision, request)
+                admitted = decision
+                match = match._replace(plan=admitted.plan)
             metadata = self._read_metadata(request, match, started_at)
             call = await parsing.read_call(request, match, metadata, started_at)
             if isinstance(call, outcomes.NotRun):
                 return self._refuse(call, request)
+            if admitted is not None:
+                self._apply_workspace(call, admitted)
             call.decision_log.add(
                 "routed",
                 version=active_snapshot.version,
@@ -91,10 +113,37 @@
                 limit=_get_timeout_source(call, metadata),
                 waited_ms=metadata.waited_ms,
             )
-            return await self._serve(request, call, started_at, metadata)
+            dispatched = True
+            return await self._serve(
+                request, call, started_at, metadata, admitted
+            )
         finally:
+            if admitted is not None and not dispatched:
+                self._workspace_admission.give_back(admitted)
             self._state.end_call()
 
+    async def _admit(
+        self,
+        active_snapshot: snapshot.Snapshot,
+        match: routing.Match,
+        request: web.BaseRequest,
+    ) -> admission.Admitted | outcomes.NotRun:
+        """Decides on a request by its API key; may wait for its quota."""
+        admitted = self._workspace_admission.admit(
+            active_snapshot, match, request.headers
+        )
+        if isinstance(admitted, admission.QuotaWait):
+            return await self._workspace_admission.wait(admitted)
+        return admitted
+
+    def _apply_workspace(
+        self, call: calls.Call, admitted: admission.Admitted
+    ) -> None:
+        """Replaces the credentials of a call by its workspace."""
+        credentials.remove_credentials(call.headers, self._workspace_header)
+        call.workspace = admitted.workspace
+        call.decision_log.add("admitted", workspace=admitted.workspace)
+
     def _read_metadata(
         self, request: web.BaseRequest, match: routing.Match, started_at: float
     ) -> parsing.CallMetadata:
@@ -142,12 +191,15 @@
         call: calls.Call,
         started_at: float,
         metadata: parsing.CallMetadata,
+        admitted: admission.Admitted | None,
     ) -> web.StreamResponse:
         try:
             outcome = await responses.catch_body_error(
                 self._dispatcher.run(call)
             )
             duration_s = self._get_time() - started_at
+            if admitted is not None and isinstance(outcome, outcomes.NotRun):
+                self._workspace_admission.give_back(admitted)
             if not isinstance(outcome, outcomes.Answered):
                 self._remember_failed_request(
                     request, call, started_at, metadata
@@ -174,7 +226,10 @@
     def _refuse(
         self, refusal: outcomes.NotRun, request: web.BaseRequest
     ) -> web.Response:
-        return dialects.render(self._dialect, refusal, request)
+        response = dialects.render(self._dialect, refusal, request)
+        if refusal.status == _UNAUTHORIZED:
+            response.headers[hdrs.WWW_AUTHENTICATE] = "Bearer"
+        return response
 
 
 def _get_timeout_source(
--- a/merlintrestle/requests/serving/local_runner.py
+++ b/merlintrestle/requests/serving/local_runner.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import plans
 from merlintrestle.requests.load import repeats
 from merlintrestle.requests.serving import backend_notices
 from merlintrestle.requests.transport import forwarding
@@ -147,7 +148,9 @@
         self._track_crashes(call, outcome)
         if not isinstance(outcome, outcomes.NotRun):
             self._observer.record_call(
-                call.plan.name,
+                # A roll-out compares classes, regardless of the importance
+                # that a workspace gives to its calls.
+                plans.get_class_name(call.plan),
                 _is_failure(outcome),
                 time.monotonic() - started_at,
             )
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -18,6 +18,7 @@
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import transfers
+from merlintrestle.requests.workspaces import credentials
 
 if TYPE_CHECKING:
     from merlintrestle.requests.calls import call as calls
@@ -51,6 +52,7 @@
         local_runner: local_runners.LocalRunner,
         admission: admissions.Admission,
         link: links.OutgoingLink,
+        workspace_header: str,
     ):
         """Initializes the handler.
 
@@ -59,8 +61,11 @@
             local_runner: Runs calls on the local backend server.
             admission: Admits calls to the slots of the backend server.
             link: The outgoing link to other daemons.
+            workspace_header: Header in which the local backend server gets the
+                workspace of a call.
         """
         self._link = link
+        self._workspace_header = workspace_header
         self._transfers = transfers.TransferSender(link)
         self._state = state
         self._local_runner = local_runner
@@ -100,6 +105,9 @@
         )
         if call_metadata is None:
             return outcomes.render(_MALFORMED)
+        workspace = request.headers.get(headers.WORKSPACE)
+        if workspace is not None:
+            call_metadata = call_metadata._replace(workspace=workspace)
         self._local_runner.notices.adopt(request.headers.get(headers.NOTICES))
         progress = self._registry.add(call_id)
         self._state.begin_call()
@@ -109,6 +117,12 @@
             )
             if isinstance(call, outcomes.NotRun):
                 return outcomes.render(call)
+            if active_snapshot.workspaces:
+                # The caller's daemon removes them, unless it still runs an
+                # earlier version without workspaces.
+                credentials.remove_credentials(
+                    call.headers, self._workspace_header
+                )
             call.decision_log.add(
                 "passed on",
                 left_ms=call_metadata.timeout_ms,
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -32,6 +32,7 @@
 from merlintrestle.requests.unrepeatable import recall
 from merlintrestle.requests.unrepeatable import recall_retries
 from merlintrestle.requests.unrepeatable import sent_calls
+from merlintrestle.requests.workspaces import admission as workspace_admission
 from merlintrestle.rollouts import observer as observers
 from merlintrestle.rollouts import subsets
 from merlintrestle.rollouts import tracker as trackers
@@ -81,6 +82,8 @@
         crashes: Receives the strikes of other daemons (`crashes.strikes.add`)
             and sends those of this daemon (`crashes.send_strike`).
         observer: Records answers of the local backend server in a roll-out.
+        workspace_admission: Admits requests to workspaces. Its `freshness` and
+            `quotas` may be set at any time.
         recall_servicer: gRPC servicer to be added to the control server. It
             answers recalls: queries of other daemons about the claims
             of this daemon on calls that must not be repeated.
@@ -109,6 +112,9 @@
         tracker = tracker or trackers.RolloutTracker(table.get_upstreams)
         self._dialect = dialect
         self.backend = backend.LocalBackend()
+        self.workspace_admission = workspace_admission.WorkspaceAdmission(
+            time.monotonic
+        )
         self.caller_port = 0
         self.peer_port = 0
         self.latencies = latencies.Latencies()
@@ -220,9 +226,14 @@
             self.outcome_counts,
             self.latencies,
             self._admission.is_busy,
+            self.workspace_admission,
         )
         self._peer_handler = peers.PeerHandler(
-            self._state, self._local_runner, self._admission, self._link
+            self._state,
+            self._local_runner,
+            self._admission,
+            self._link,
+            dialects.get_workspace_header(self._dialect),
         )
         byte_counters = self._byte_counters
         self._caller_server = server.Server(
--- a/merlintrestle/requests/transport/headers.py
+++ b/merlintrestle/requests/transport/headers.py
@@ -36,6 +36,9 @@
 NOTICES = multidict.istr("Merlintrestle-Notices")
 # Further metadata of a call, see `metadata`; trusted on the peer port only.
 METADATA = multidict.istr("Merlintrestle-Passed")
+# Workspace of the caller; trusted on the peer port only. A backend server gets
+# it too.
+WORKSPACE = multidict.istr("Merlintrestle-Workspace")
 # Identifies one attempt of a call between two daemons.
 CALL_ID = multidict.istr("Merlintrestle-Call")
 IDEMPOTENCY_KEY = multidict.istr("Idempotency-Key")
--- a/merlintrestle/requests/unrepeatable/at_most_once.py
+++ b/merlintrestle/requests/unrepeatable/at_most_once.py
@@ -65,7 +65,7 @@
         record = claims.ledger.find_answered(claim_key)
         if (
             record is not None
-            and record.request_digest == call.get_request_digest()
+            and record.request_digest == call.get_claim_digest()
         ):
             return record.answer or _build_ran_without_answer()
         revision = 0
--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -193,7 +193,7 @@
         settling_wait_s = self.get_settling_wait_s()
         if settling_wait_s:
             return _refuse_while_settling(settling_wait_s)
-        digest = call.get_request_digest()
+        digest = call.get_claim_digest()
         written_at = self._get_boot_time()
         record = self.ledger.open(
             claim_key, secrets.token_hex(8), digest, written_at
@@ -285,7 +285,7 @@
             otherwise the outcome for the caller.
         """
         claim = existing.claim
-        if claim.request_digest != call.get_request_digest():
+        if claim.request_digest != call.get_claim_digest():
             return _refuse_reused_key(call)
         wait_s = 0.0
         while True:
--- a/merlintrestle/requests/unrepeatable/sent_calls.py
+++ b/merlintrestle/requests/unrepeatable/sent_calls.py
@@ -119,7 +119,7 @@
         _, _, control_port = upstream.member_id.rpartition(":")
         holder = Holder(upstream.member_id, upstream.address, int(control_port))
         return self._sent_calls.add(
-            self._build_key(call), call.get_request_digest(), holder
+            self._build_key(call), call.get_claim_digest(), holder
         )
 
     def record_outcome(self, number: int, outcome: outcomes.Outcome) -> None:
--- /dev/null
+++ b/merlintrestle/requests/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: groups of callers with API keys, priorities and quotas."""
--- /dev/null
+++ b/merlintrestle/requests/workspaces/admission.py
@@ -0,0 +1,172 @@
+"""Admission of requests to workspaces by API key, freshness and quota."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TYPE_CHECKING
+
+from merlintrestle.requests.calls import outcomes
+from merlintrestle.requests.calls import plans
+from merlintrestle.requests.workspaces import credentials
+from merlintrestle.requests.workspaces import refusals
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import multidict
+
+    from merlintrestle.documents import snapshot
+    from merlintrestle.requests import interfaces
+    from merlintrestle.requests.calls import routing
+
+# Fraction of the latency target for which a call may wait for a quota token.
+# The rest must be enough to run the call.
+_MAX_WAIT_FRACTION = 0.25
+_TOO_MANY_REQUESTS = 429
+
+_UNKNOWN_KEY = outcomes.NotRun("the API key is missing or unknown", 401, None)
+_STALE = outcomes.NotRun(
+    "this daemon cannot prove that its API keys are up to date",
+    elsewhere=True,
+)
+
+
+class Admitted(NamedTuple):
+    """A request that may enter.
+
+    Attributes:
+        plan: Class of work of the call, with the importance of its workspace.
+        workspace: Name of its workspace; empty if it is anonymous.
+        charged: The workspace whose quota a token was taken from, if any.
+    """
+
+    plan: snapshot.ClassPlan
+    workspace: str = ""
+    charged: snapshot.Workspace | None = None
+
+
+class QuotaWait(NamedTuple):
+    """A request of a workspace that has no quota token in hand.
+
+    Attributes:
+        workspace: Its workspace.
+        plan: Class of work of its route.
+    """
+
+    workspace: snapshot.Workspace
+    plan: snapshot.ClassPlan
+
+
+class AlwaysFresh:
+    """An `interfaces.Freshness` without a limit."""
+
+    def is_fresh(self) -> bool:
+        """Returns True."""
+        return True
+
+
+class UnlimitedQuotas:
+    """An `interfaces.Quotas` that admits every call."""
+
+    def try_spend(self, workspace: snapshot.Workspace) -> bool:
+        """Returns True."""
+        return True
+
+    async def spend(
+        self, workspace: snapshot.Workspace, timeout_s: float
+    ) -> outcomes.NotRun | None:
+        """Returns None."""
+        return None
+
+    def give_back(self, workspace: snapshot.Workspace) -> None:
+        """Does nothing."""
+
+
+class WorkspaceAdmission:
+    """Decides whether a request may enter while there are workspaces.
+
+    Attributes:
+        freshness: Knows whether the active version is fresh.
+        quotas: Quotas of the workspaces.
+        refusals: Counts the refusals.
+    """
+
+    def __init__(
+        self,
+        get_time: Callable[[], float],
+        freshness: interfaces.Freshness | None = None,
+        quotas: interfaces.Quotas | None = None,
+    ):
+        """Initializes the admission.
+
+        Args:
+            get_time: Returns a monotonic time, in seconds.
+            freshness: Knows whether the active version is fresh; by default it
+                always is.
+            quotas: Quotas of the workspaces; by default there are none.
+        """
+        self.freshness = freshness or AlwaysFresh()
+        self.quotas = quotas or UnlimitedQuotas()
+        self.refusals = refusals.RefusalCounts(get_time)
+
+    def admit(
+        self,
+        active_snapshot: snapshot.Snapshot,
+        match: routing.Match,
+        request_headers: multidict.MultiMapping[str],
+    ) -> Admitted | QuotaWait | outcomes.NotRun:
+        """Decides on a request; `active_snapshot` must have workspaces.
+
+        This is the only check: an admitted request may wait, be retried or run
+        at another daemon later on.
+
+        Args:
+            active_snapshot: Snapshot of the active version.
+            match: Destination of the request.
+            request_headers: Headers of the request.
+
+        Returns:
+            `QuotaWait` if the decision must wait for a token, see `wait`.
+        """
+        digest = credentials.read_key_digest(request_headers)
+        if digest is None and match.anonymous:
+            return Admitted(match.plan)
+        workspace = active_snapshot.find_workspace(
+            digest or credentials.MALFORMED
+        )
+        if workspace is None:
+            self.refusals.record(refusals.UNKNOWN_KEY)
+            return _UNKNOWN_KEY
+        if not self.freshness.is_fresh():
+            self.refusals.record(refusals.STALE)
+            return _STALE
+        if workspace.rate and not self.quotas.try_spend(workspace):
+            return QuotaWait(workspace, match.plan)
+        return _build_admitted(workspace, match.plan)
+
+    async def wait(self, quota_wait: QuotaWait) -> Admitted | outcomes.NotRun:
+        """Waits for a token, for a fraction of the latency target at most."""
+        workspace, plan = quota_wait
+        refusal = await self.quotas.spend(
+            workspace, plan.latency_s * _MAX_WAIT_FRACTION
+        )
+        if refusal is None:
+            return _build_admitted(workspace, plan)
+        over_quota = refusal.status == _TOO_MANY_REQUESTS
+        self.refusals.record(
+            refusals.OVER_QUOTA if over_quota else refusals.NO_QUOTA_KNOWN
+        )
+        return refusal
+
+    def give_back(self, admitted: Admitted) -> None:
+        """Returns the quota token of a call that did not run."""
+        if admitted.charged is not None:
+            self.quotas.give_back(admitted.charged)
+
+
+def _build_admitted(
+    workspace: snapshot.Workspace, plan: snapshot.ClassPlan
+) -> Admitted:
+    if workspace.importance:
+        plan = plans.replace_importance(plan, workspace.importance)
+    charged = workspace if workspace.rate else None
+    return Admitted(plan, workspace.name, charged)
--- a/merlintrestle/rows.py
+++ b/merlintrestle/rows.py
@@ -11,6 +11,10 @@
     from collections.abc import Mapping
 
 
+# Largest accepted number; larger integers may not fit into a float.
+_MAX_NUMBER = 1e300
+
+
 class Row:
     """A JSON object, such as a row of a table, with type checks on access.
 
@@ -22,6 +26,7 @@
         table: str,
         fields: Any,
         error: type[errors.MerlintrestleError] = errors.SnapshotError,
+        secret: bool = False,
     ):
         """Initializes the row.
 
@@ -29,9 +34,13 @@
             table: Name of the table or object, for error messages.
             fields: Decoded JSON value.
             error: Class of the error for malformed values.
+            secret: Whether errors state only the places of malformed values,
+                because any value may be a secret.
         """
         if not isinstance(fields, dict):
-            raise error(f"{table}: {fields!r} is not an object")
+            value = "it" if secret else repr(fields)
+            raise error(f"{table}: {value} is not an object")
+        self._secret = secret
         self._table = table
         self._fields = fields
         self._error = error
@@ -50,6 +59,33 @@
             raise self._build_error(name)
         return value
 
+    def has(self, name: str) -> bool:
+        """Returns whether a value is stated."""
+        return self._fields.get(name) is not None
+
+    def get_flag(self, name: str) -> bool:
+        """Returns a truth value; False if it is absent."""
+        value = self._fields.get(name)
+        if value is not None and not isinstance(value, bool):
+            raise self._build_error(name)
+        return bool(value)
+
+    def get_number(self, name: str) -> float:
+        """Returns a non-negative, finite number; 0 if it is absent."""
+        value = self._fields.get(name)
+        if value is None:
+            return 0.0
+        if type(value) not in (int, float) or not 0 <= value <= _MAX_NUMBER:
+            raise self._build_error(name)
+        return float(value)
+
+    def get_texts(self, name: str) -> list[str]:
+        """Returns a list of non-empty strings; an empty list if absent."""
+        texts = self.get_list(name) or []
+        if not all(isinstance(text, str) and text for text in texts):
+            raise self._build_error(name)
+        return texts
+
     def get_seconds(self, name: str, max_s: float) -> float:
         """Returns a time in seconds, above 0 and at most `max_s`."""
         value = self._fields.get(name)
@@ -67,6 +103,8 @@
         return value
 
     def _build_error(self, name: str) -> errors.MerlintrestleError:
+        if self._secret:
+            return self._error(f"{self._table}: {name} is malformed")
         row_name = self._fields.get("name", "")
         value = self._fields.get(name)
         return self._error(f"{self._table} {row_name}: {name} is {value!r}")
@@ -109,10 +147,13 @@
     columns, rows = table.get("columns"), table.get("rows")
     if not isinstance(columns, list) or not isinstance(rows, list):
         raise errors.SnapshotError(f"{name}: columns and rows are not lists")
+    if not all(isinstance(column, str) for column in columns):
+        raise errors.SnapshotError(f"{name}: a column is not text")
     objects = []
-    for row in rows:
+    for number, row in enumerate(rows, 1):
         if not isinstance(row, list) or len(row) != len(columns):
-            raise errors.SnapshotError(f"{name}: {row!r} does not fit")
+            # The values of the row are not stated, as they may be secret.
+            raise errors.SnapshotError(f"{name}: row {number} does not fit")
         pairs = zip(columns, row, strict=True)
         objects.append(
             {key: value for key, value in pairs if value is not None}
--- a/tests/documents/test_compiler.py
+++ b/tests/documents/test_compiler.py
@@ -235,8 +235,8 @@
         self.service = compiled.services["balie"]
 
     def _match(self, method: str, path: str, organisation: str = "") -> str:
-        plan = self.service.match(method, path, organisation)
-        return plan.name if plan else ""
+        route = self.service.match(method, path, organisation)
+        return route.plan.name if route else ""
 
     def test_longest_prefix_precedes_named_method(self) -> None:
         self.assertEqual(self._match("GET", "/tickets/one/2"), "get-ticket-one")
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -11,10 +11,11 @@
 # Headers, methods, keys, fields and settings of the platform.
 _TERMS = re.compile(
     r"X-Attempt|X-Deadline|X-Target-Instance|X-Caller-Service|X-Not-Executed"
-    r"|X-Response-Signature|X-Served-By|X-Server-Load"
+    r"|X-Response-Signature|X-Served-By|X-Server-Load|X-Tenant"
     r"|Server-Limit|Server-Leaving|Store-Era"
     r"|kv-(key|range|watch|txn|lease|keep)|op/config|Instances\."
     r"|maxAttempts|timeoutMs|targetLatencyMs|coldRemainingMs|heartbeatMs"
+    r"|tenants|apiKeys|allowAnonymous|ratePerS"
     r"|non_idempotent|retryBudgetRatio|internalPorts|sidecar"
 )
 _MAX_LINES = 1500
