--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -76,6 +76,11 @@
     return {**route, **changes}
 
 
+def build_tenants(*rows: dict[str, Any]) -> dict[str, Any]:
+    """Builds the table of workspaces; by default one, "ijssel"."""
+    return _build_table(rows or ({"name": "ijssel", "apiKeys": ["k1", "k2"]},))
+
+
 def build_configuration(
     version: int, *routes: dict[str, Any], **changes: Any
 ) -> bytes:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from typing import TYPE_CHECKING
 import unittest
 from unittest import mock
 
+import hypothesis
+from hypothesis import strategies
+
 from merlintrestle import errors
+from merlintrestle.documents import snapshot as snapshots
 from merlintrestle.platform import configuration
 from merlintrestle.platform import store as stores
 from merlintrestle.versions import deltas
@@ -21,6 +26,17 @@
     from merlintrestle.schema import document_pb2
 
 
+def _format(error: Exception) -> list[str]:
+    """Returns the lines of an error and its causes, as logs state them."""
+    lines = traceback.TracebackException.from_exception(error)
+    return list(lines.format_exception_only()) + (
+        _format(error.__context__)
+        if isinstance(error.__context__, Exception)
+        and not error.__suppress_context__
+        else []
+    )
+
+
 class ResourcesTest(unittest.TestCase):
     def test_the_longest_prefix_is_first(self):
         """Guards against a general route that hides a more specific one."""
@@ -101,6 +117,114 @@
                     builders.load_configuration(value)
                 self.assertIn(next(iter(change)), str(caught.exception))
 
+    def test_workspaces_and_anonymous_routes(self):
+        """Guards against keys, priorities and quotas that are misread."""
+        snapshot = builders.load_configuration(
+            builders.build_configuration(
+                1,
+                builders.build_route("a", allowAnonymous=True),
+                builders.build_route("b"),
+                tenants=builders.build_tenants(
+                    {"name": "ijssel", "apiKeys": ["k1", "k2"]},
+                    {"name": "vecht", "priority": 1, "ratePerS": 1.6},
+                    {"name": "waal", "priority": 9, "ratePerS": 3, "burst": 4},
+                ),
+            )
+        )
+        routes = snapshot.host_routes["desk.example"]
+        self.assertEqual([route.anonymous for route in routes], [True, False])
+        digests = (snapshots.hash_key("k1"), snapshots.hash_key("k2"))
+        ijssel = snapshots.Workspace("ijssel", digests)
+        self.assertEqual(
+            snapshot.workspaces,
+            {
+                "ijssel": ijssel,
+                "vecht": snapshots.Workspace("vecht", (), 4, 1.6),
+                "waal": snapshots.Workspace("waal", (), 1, 3.0, 4.0),
+            },
+        )
+        self.assertEqual(snapshot.find_workspace(digests[1]), ijssel)
+        for tenants in (None, {"columns": ["name"], "rows": []}):
+            value = builders.build_configuration(1, tenants=tenants)
+            self.assertFalse(builders.load_configuration(value).workspaces)
+
+    def test_malformed_workspaces_invalidate_the_configuration(self):
+        """Guards against a key that two workspaces share, and keys in logs."""
+        for change in (
+            {"name": ""},
+            {"name": None},
+            {"name": ["secret"]},
+            {"name": "a\r\nX-B: c"},
+            {"name": "\ud800"},
+            {"name": "vecht"},
+            {"apiKeys": "secret"},
+            {"apiKeys": ["secret", ""]},
+            {"apiKeys": ["secret", 7]},
+            {"apiKeys": ["secret", "secret"]},
+            {"apiKeys": ["secret\ud800"]},
+            {"apiKeys": ["secret", "vecht-secret"]},
+            {"priority": -1},
+            {"priority": "secret"},
+            {"ratePerS": -0.5},
+            {"ratePerS": True},
+            {"ratePerS": float("nan")},
+            {"ratePerS": float("inf")},
+            {"ratePerS": 10**400},
+            {"ratePerS": 1, "burst": -1},
+            {"burst": 4},
+        ):
+            with self.subTest(change=change):
+                row = {"name": "ijssel", "apiKeys": ["secret"], **change}
+                vecht = {"name": "vecht", "apiKeys": ["vecht-secret"]}
+                self.assert_refused_without_keys(
+                    builders.build_tenants(vecht, row)
+                )
+        for tenants in (
+            ["secret"],
+            {"columns": ["name", "apiKeys"], "rows": [["ijssel", "secret", 1]]},
+            {"columns": ["name", ["secret"]], "rows": [["ijssel", "secret"]]},
+        ):
+            with self.subTest(tenants=tenants):
+                self.assert_refused_without_keys(tenants)
+
+    @hypothesis.given(
+        strategies.fixed_dictionaries(
+            {},
+            optional=dict.fromkeys(
+                ("name", "apiKeys", "priority", "ratePerS", "burst"),
+                strategies.recursive(
+                    strategies.sampled_from(
+                        [None, True, -1, 0, 2.5, 1e309, "", "secret"]
+                    ),
+                    lambda values: strategies.lists(values, max_size=2),
+                    max_leaves=3,
+                ),
+            ),
+        )
+    )
+    def test_no_value_of_a_workspace_gets_into_errors(self, row):
+        try:
+            builders.load_configuration(
+                builders.build_configuration(
+                    1,
+                    tenants=builders.build_tenants(
+                        {"name": "vecht", "apiKeys": ["vecht-secret"]}, row
+                    ),
+                )
+            )
+        except errors.SnapshotError as error:
+            # A key in the place of the name is part of the resource's name.
+            if row.get("name") != "secret":
+                self.assertNotIn("secret", "".join(_format(error)))
+
+    def assert_refused_without_keys(self, tenants):
+        value = builders.build_configuration(1, tenants=tenants)
+        with self.assertRaises(errors.SnapshotError) as caught:
+            builders.load_configuration(value)
+        text = "".join(_format(caught.exception))
+        self.assertNotIn("secret", text)
+        self.assertRegex(text, "tenants|workspace/")
+
     def test_a_delta_contains_only_the_changed_route(self):
         """Guards against deltas that transfer unchanged routes again."""
         previous = builders.load_configuration(
--- /dev/null
+++ b/tests/requests/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of workspaces."""
