--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import traceback
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 import unittest
 from unittest import mock
 
@@ -146,20 +146,17 @@
             ["secret", "vecht-secret"],
         )
         rates = (-0.5, True, float("nan"), float("inf"), 10**400, "secret")
-        for change in (
+        changes: list[Any] = [
             *({"name": name} for name in names),
             *({"apiKeys": texts} for texts in keys),
             *({"ratePerS": rate} for rate in rates),
             *({"priority": priority} for priority in (-1, "secret")),
             *({"ratePerS": 1, "burst": burst} for burst in rates),
             {"burst": 4},
-        ):
+        ]
+        for change in changes:
             with self.subTest(change=change):
-                row: dict[str, object] = {
-                    "name": "ijssel",
-                    "apiKeys": ["secret"],
-                    **change,
-                }
+                row = {"name": "ijssel", "apiKeys": ["secret"], **change}
                 vecht = {"name": "vecht", "apiKeys": ["vecht-secret"]}
                 self.assert_refused_without_keys(
                     builders.build_tenants(vecht, row)
