--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+import traceback
+from typing import Any, TYPE_CHECKING
 import unittest
 from unittest import mock
 
 from merlintrestle import errors
+from merlintrestle.documents import snapshot as snapshots
 from merlintrestle.platform import configuration
 from merlintrestle.platform import store as stores
 from merlintrestle.versions import deltas
@@ -101,6 +103,81 @@
                     builders.load_configuration(value)
                 self.assertIn(next(iter(change)), str(caught.exception))
 
+    def test_workspaces_and_anonymous_routes(self):
+        """Guards against keys, priorities and quotas that are misread."""
+        snapshot = builders.load_configuration(
+            builders.build_configuration(
+                1,
+                builders.build_route("a", allowAnonymous=True),
+                builders.build_route("b"),
+                tenants=builders.build_tenants(
+                    {"name": "ijssel", "apiKeys": ["k1", "k2"]},
+                    {"name": "vecht", "priority": 1, "ratePerS": 1.6},
+                    {"name": "waal", "priority": 9, "ratePerS": 3, "burst": 4},
+                ),
+            )
+        )
+        routes = snapshot.host_routes["desk.example"]
+        self.assertEqual([route.anonymous for route in routes], [True, False])
+        digests = (snapshots.hash_key("k1"), snapshots.hash_key("k2"))
+        ijssel = snapshots.Workspace("ijssel", digests)
+        self.assertEqual(
+            snapshot.workspaces,
+            {
+                "ijssel": ijssel,
+                "vecht": snapshots.Workspace("vecht", (), 4, 1.6),
+                "waal": snapshots.Workspace("waal", (), 1, 3.0, 4.0),
+            },
+        )
+        self.assertEqual(snapshot.find_workspace(digests[1]), ijssel)
+        for tenants in (None, {"columns": ["name"], "rows": []}):
+            value = builders.build_configuration(1, tenants=tenants)
+            self.assertFalse(builders.load_configuration(value).workspaces)
+
+    def test_malformed_workspaces_invalidate_the_configuration(self):
+        """Guards against a key that two workspaces share, and keys in logs."""
+        names = ("", None, ["secret"], "a\r\nX-B: c", "\ud800", "vecht")
+        keys = (
+            "secret",
+            ["secret", ""],
+            ["secret", 7],
+            ["secret", "secret"],
+            ["secret\ud800"],
+            ["secret", "vecht-secret"],
+        )
+        rates = (-0.5, True, float("nan"), float("inf"), 10**400, "secret")
+        changes: list[Any] = [
+            *({"name": name} for name in names),
+            *({"apiKeys": texts} for texts in keys),
+            *({"ratePerS": rate} for rate in rates),
+            *({"priority": priority} for priority in (-1, "secret")),
+            *({"ratePerS": 1, "burst": burst} for burst in rates),
+            {"burst": 4},
+        ]
+        for change in changes:
+            with self.subTest(change=change):
+                row = {"name": "ijssel", "apiKeys": ["secret"], **change}
+                vecht = {"name": "vecht", "apiKeys": ["vecht-secret"]}
+                self.assert_refused_without_keys(
+                    builders.build_tenants(vecht, row)
+                )
+        for tenants in (
+            ["secret"],
+            {"columns": ["name", "apiKeys"], "rows": [["ijssel", "secret", 1]]},
+            {"columns": ["name", ["secret"]], "rows": [["ijssel", "secret"]]},
+        ):
+            with self.subTest(tenants=tenants):
+                self.assert_refused_without_keys(tenants)
+
+    def assert_refused_without_keys(self, tenants):
+        value = builders.build_configuration(1, tenants=tenants)
+        with self.assertRaises(errors.SnapshotError) as caught:
+            builders.load_configuration(value)
+        # As logs state it, with its causes.
+        text = "".join(traceback.format_exception(caught.exception, limit=0))
+        self.assertNotIn("secret", text)
+        self.assertRegex(text, "tenants|workspace/")
+
     def test_a_delta_contains_only_the_changed_route(self):
         """Guards against deltas that transfer unchanged routes again."""
         previous = builders.load_configuration(
