Prove how recently the active version was the newest

Cause: a daemon that is cut off, frozen or late serves API keys that a newer version removed, and cannot tell. Change: reads of the head record from when on nothing newer than a version had been accepted; other daemons ask a watcher for this about once a second, then any other daemon, and read the store at last. A read of the history counts from before the time that the history may lack; a watch proves nothing; a read that returns an earlier version than a known one proves nothing. No tests of the new modules yet.

--- a/merlintrestle/daemon/metrics.py
+++ b/merlintrestle/daemon/metrics.py
@@ -18,6 +18,7 @@
     from merlintrestle.requests.serving import proxy as proxies
     from merlintrestle.store import eras
     from merlintrestle.versions import active_version as active_versions
+    from merlintrestle.versions import freshness as freshness_lib
 
 
 class StateCollector:
@@ -29,8 +30,10 @@
         table: tables.MemberTable,
         proxy: proxies.Proxy,
         era: eras.StoreEra,
+        freshness: freshness_lib.Freshness,
     ):
         """Initializes the collector with the sources of the metrics."""
+        self._freshness = freshness
         self._era = era
         self._active_version = active_version
         self._table = table
@@ -83,6 +86,12 @@
             "Era of the store, which rises when it comes back from a copy.",
             value=self._era.current or 0,
         )
+        if self._freshness.is_required():
+            yield metrics_core.GaugeMetricFamily(
+                "merlintrestle_freshness_age_seconds",
+                "Time since the running version was known to be the newest.",
+                value=self._freshness.get_age(),
+            )
 
 
 def build_registry(
@@ -90,10 +99,13 @@
     table: tables.MemberTable,
     proxy: proxies.Proxy,
     era: eras.StoreEra,
+    freshness: freshness_lib.Freshness,
 ) -> prometheus_client.CollectorRegistry:
     """Returns a registry with the metrics of a daemon."""
     registry = prometheus_client.CollectorRegistry()
-    registry.register(StateCollector(active_version, table, proxy, era))
+    registry.register(
+        StateCollector(active_version, table, proxy, era, freshness)
+    )
     registry.register(proxy.outcome_counts)
     registry.register(proxy.latencies)
     registry.register(proxy.traffic)
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -29,6 +29,8 @@
 from merlintrestle.store import client
 from merlintrestle.versions import active_version as active_versions
 from merlintrestle.versions import distribution as distributions
+from merlintrestle.versions import freshness as freshness_lib
+from merlintrestle.versions import freshness_poller as freshness_pollers
 from merlintrestle.versions import source as sources
 
 events = event_logs.EventLog("daemon")
@@ -90,6 +92,9 @@
     It opens its ports first, as its member record contains them, and then
     joins the fleet. A graceful stop announces the leave, waits for requests in
     flight, and then stops the services.
+
+    Attributes:
+        freshness: How recently the active version was known to be the newest.
     """
 
     def __init__(
@@ -104,6 +109,9 @@
         self._settings = settings_pb2.DaemonSettings()
         self._settings.CopyFrom(settings)
         self._active_version = active_versions.ActiveVersion()
+        self.freshness = freshness_lib.Freshness(
+            settings.revocation_limit_s, self._active_version
+        )
         self._store = self._components.store
         self._stopping = False
         self._started_serving = False
@@ -150,7 +158,11 @@
     async def start_endpoints(self) -> None:
         """Opens the loopback port; subclasses may open further ports."""
         self.registry = metrics.build_registry(
-            self._active_version, self._table, self._proxy, self._store.era
+            self._active_version,
+            self._table,
+            self._proxy,
+            self._store.era,
+            self.freshness,
         )
         self._admin = admin.AdminServer(
             self._settings.admin_port,
@@ -258,6 +270,10 @@
             self._settings.spread,
             self._components.use_witnesses,
             self._components.read_before_contact,
+            self.freshness,
+        )
+        poller = freshness_pollers.FreshnessPoller(
+            self.freshness, membership, distribution.watcher
         )
         self._store.era.on_change.append(distribution.watcher.handle_new_era)
         era_gossip.EraGossip(self._store.era, membership.links)
@@ -266,6 +282,7 @@
             distribution,
             self._proxy.get_class_statuses,
             lambda: self._proxy.in_flight,
+            poller,
         )
         request_pb2_grpc.add_RequestsServicer_to_server(
             self._proxy.recall_servicer, self._control.server
@@ -279,6 +296,13 @@
         self._connect_rollouts(membership, distribution)
         await self.add_runtime_dependency(membership)
         await self.add_runtime_dependency(distribution)
+        if self.freshness.limit_s:
+            membership.links.on_message.append(
+                lambda _, message: self.freshness.learn_version(
+                    message.offer.version
+                )
+            )
+            await self.add_runtime_dependency(poller)
         await self.add_runtime_dependency(self._rollout_controller)
 
     def _connect_rollouts(
--- a/merlintrestle/errors.py
+++ b/merlintrestle/errors.py
@@ -63,3 +63,7 @@
 
 class SnapshotError(MerlintrestleError):
     """A snapshot or delta is invalid and is not used."""
+
+
+class RejectedVersionError(SnapshotError):
+    """A version is invalid in itself, so that no daemon ever runs it."""
--- a/merlintrestle/members/service.py
+++ b/merlintrestle/members/service.py
@@ -18,6 +18,7 @@
 
     from merlintrestle.members import membership as membership_lib
     from merlintrestle.versions import distribution as distribution_lib
+    from merlintrestle.versions import freshness_poller as freshness_poller_lib
 
 _OPTIONS = [
     ("grpc.max_receive_message_length", peers_lib.MAX_MESSAGE_BYTES),
@@ -75,6 +76,7 @@
             [], Sequence[control_pb2.ClassStatus]
         ] = lambda: (),
         get_in_flight: Callable[[], int] = lambda: 0,
+        poller: freshness_poller_lib.FreshnessPoller | None = None,
     ):
         """Initializes the servicer.
 
@@ -83,7 +85,10 @@
             distribution: Answers calls about versions.
             get_classes: Returns the measurements of each class of calls.
             get_in_flight: Returns the number of requests in flight.
+            poller: Answers other daemons how fresh the version is; None if
+                this daemon has no proofs.
         """
+        self._poller = poller
         self._membership = membership
         self._distribution = distribution
         self._get_classes = get_classes
@@ -146,6 +151,14 @@
         )
         return _count("Probe", request, control_pb2.ProbeReply(reached=reached))
 
+    async def Freshness(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Returns the latest proof of freshness."""
+        del context
+        reply = control_pb2.FreshnessReply()
+        if self._poller is not None:
+            reply = await self._poller.answer(request)
+        return _count("Freshness", request, reply)
+
     async def Status(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Returns what this daemon runs and measures."""
         del context
@@ -161,6 +174,8 @@
         if active_version.active_snapshot is not None:
             reply.running.version = active_version.active_snapshot.version
             reply.running.digest = active_version.active_snapshot.digest
+        if self._poller is not None:
+            self._poller.describe(reply)
         if request.members:
             reply.members.extend(self._membership.table.list_members())
         return reply
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -120,5 +120,6 @@
         retry_window_s=settings.retry_window_s,
         farewell_s=farewell_s,
         link_mbps=settings.link_mbps,
+        revocation_limit_s=settings.revocation_limit_s,
         trial_share=settings.expose_share * _TRIAL_FRACTION,
     )
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -13,6 +13,7 @@
 PATH_VARIABLE = "MERLINTRESTLE_CONFIG"
 _MS_PER_S = 1000
 _MAX_PORT = 65535
+_DEFAULT_REVOCATION_LIMIT_MS = 5000.0
 
 
 class Address(NamedTuple):
@@ -48,6 +49,8 @@
         retry_slack: Retries allowed in one window in addition to the ratio's.
         retry_window_s: Length of the window, in seconds.
         expose_share: Share of calls that a bad version may get; 0 if unstated.
+        revocation_limit_s: Time after a version within which the API keys that
+            it removed stop working, in seconds; 0: no limit.
         link_mbps: Capacity of the instance's link in Mbit/s; 0 if unknown.
     """
 
@@ -70,6 +73,7 @@
     retry_slack: float
     retry_window_s: float
     expose_share: float
+    revocation_limit_s: float
     link_mbps: float
 
 
@@ -148,6 +152,7 @@
         expose_share=reader.get_optional(
             "bounds.exposeShare", settings_reader.parse_number, 0.0
         ),
+        revocation_limit_s=_read_revocation_limit(reader),
         link_mbps=reader.get_optional(
             "limits.linkMbps", settings_reader.parse_number, 0.0
         ),
@@ -174,6 +179,23 @@
     return values
 
 
+def _read_revocation_limit(reader: settings_reader.SettingsReader) -> float:
+    """Returns the limit in seconds; 0 if it is not strict."""
+    limit_ms = reader.get_optional(
+        "bounds.revokeMs",
+        settings_reader.parse_number,
+        _DEFAULT_REVOCATION_LIMIT_MS,
+    )
+    strict = reader.get_optional("bounds.revokeStrict", _parse_flag, False)
+    return limit_ms / _MS_PER_S if strict else 0.0
+
+
+def _parse_flag(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither true nor false.")
+    return text == "true"
+
+
 def _parse_address(text: str) -> Address:
     if problem := config.check_address(text):
         raise ValueError(problem)
--- a/merlintrestle/versions/distribution.py
+++ b/merlintrestle/versions/distribution.py
@@ -25,6 +25,7 @@
     from merlintrestle.members import membership as membership_lib
     from merlintrestle.schema import control_pb2
     from merlintrestle.schema import document_pb2
+    from merlintrestle.versions import freshness as freshness_lib
     from merlintrestle.versions import source as source_lib
 
 events = event_logs.EventLog("versions")
@@ -55,6 +56,7 @@
         spread: str = PUSH_DELTAS,
         use_witnesses: bool = True,
         read_before_contact: bool = False,
+        freshness: freshness_lib.Freshness | None = None,
     ):
         """Creates the components.
 
@@ -68,6 +70,8 @@
                 runs, and are queried for the floor at startup.
             read_before_contact: Whether to read the store before the first
                 contact with a peer.
+            freshness: Records what reads of the store prove; None if nobody
+                needs it.
         """
         super().__init__()
         self.active_version = active_version
@@ -85,6 +89,7 @@
             source,
             self.add_snapshot,
             read_before_contact=read_before_contact,
+            freshness=freshness,
         )
         self._floor_resolver = floor_lib.FloorResolver(
             membership, self._marker, self.watcher
@@ -146,6 +151,7 @@
     async def on_stop(self) -> None:
         """Cancels the calls in flight."""
         await self._marker.close()
+        await self.watcher.close()
 
     @mode.Service.task
     async def _watch(self) -> None:
--- a/merlintrestle/versions/record_source.py
+++ b/merlintrestle/versions/record_source.py
@@ -11,6 +11,7 @@
 from merlintrestle.schema import document_pb2
 from merlintrestle.store import eras
 from merlintrestle.store import records
+from merlintrestle.versions import freshness as freshness_lib
 from merlintrestle.versions import known_revision
 
 if TYPE_CHECKING:
@@ -20,6 +21,10 @@
 
 # Minimum wait of a watch, for a query of events that have already occurred.
 _MIN_WAIT_MS = 1
+# The store's history may omit the changes of about a second before the store
+# drops it. A query of the history proves only what was the newest version
+# before that time, in seconds.
+_HISTORY_BLIND_S = 1.2
 
 
 class RecordFormat(NamedTuple):
@@ -70,15 +75,30 @@
 
 
 class RecordSource:
-    """Source of versions that reads the newest one from a single record."""
+    """Source of versions that reads the newest one from a single record.
 
-    def __init__(self, store: RecordStore, record_format: RecordFormat):
+    Attributes:
+        head_proof: What the latest read of the head proves; None before any.
+    """
+
+    def __init__(
+        self,
+        store: RecordStore,
+        record_format: RecordFormat,
+        get_time: Callable[[], float] = freshness_lib.get_boot_time,
+    ):
         """Starts without a known version.
 
         Args:
             store: The store.
             record_format: Keys and parsers of the record.
+            get_time: Returns the time of proofs of freshness, in seconds.
         """
+        self.head_proof: freshness_lib.Proof | None = None
+        self._get_time = get_time
+        # The version in the store at the known revision. It is lower than that
+        # of the head if the store came back from a copy.
+        self._stored_version = 0
         self._store = store
         self._format = record_format
         self._newest_entry_by_version: dict[int, client.Entry] = {}
@@ -99,26 +119,36 @@
             errors.SnapshotError: The configuration is malformed.
         """
         if self._tracker.revision:
+            asked_at = self._get_time()
             self._other_entries, revision = await self._store.read_after(
                 self._format.prefix, self._format.head_key
             )
-            if revision <= self._tracker.revision or (
-                await self._update_without_read(revision)
-            ):
+            if revision <= self._tracker.revision:
+                # Whatever raised the known revision, the version is the newest
+                # one at this revision, so at the time of this request or later.
+                self._record_proof(asked_at)
                 return self._head
+            if await self._update_without_read(revision, asked_at):
+                return self._head
+        asked_at = self._get_time()
         previous_revision = self._head_revision
         entries, revision = await self._store.read_first_page(
             self._format.prefix
         )
         head = self._head
-        for entry in entries:
-            if entry.key == self._format.head_key:
-                head = self._apply_entry(entry)
+        found = [
+            entry for entry in entries if entry.key == self._format.head_key
+        ]
+        for entry in found:
+            head = self._apply_entry(entry)
+        if not found and revision > self._tracker.revision:
+            self._stored_version = 0
         self._other_entries = [
             entry for entry in entries if entry.key != self._format.head_key
         ]
         self._tracker.record_read(self._head_revision != previous_revision)
         self._tracker.advance(revision)
+        self._record_proof(asked_at)
         return head
 
     async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
@@ -145,15 +175,22 @@
         """Compiles the version of a head.
 
         Raises:
-            errors.SnapshotError: The version is malformed or was replaced.
+            errors.RejectedVersionError: The version is malformed.
+            errors.SnapshotError: The version was replaced.
         """
         entry = self._newest_entry_by_version.get(head.version)
         if entry is None:
             raise errors.SnapshotError(
                 f"version {head.version} was replaced by a later one"
             )
-        resources = self._format.build_resources(entry.value)
-        snapshot = loader.load_snapshot(head.version, resources, self._compiled)
+        try:
+            snapshot = loader.load_snapshot(
+                head.version,
+                self._format.build_resources(entry.value),
+                self._compiled,
+            )
+        except errors.SnapshotError as error:
+            raise errors.RejectedVersionError(str(error)) from error
         self._compiled = snapshot
         return snapshot
 
@@ -173,18 +210,34 @@
         """
         return await seeds_lib.write_seeds(self._store, zone, member_ids)
 
-    async def _update_without_read(self, revision: int) -> bool:
+    def _record_proof(self, asked_at: float) -> None:
+        """Records that the version in the store was the newest at a time."""
+        self.head_proof = freshness_lib.Proof(self._stored_version, asked_at)
+
+    async def _update_without_read(
+        self, revision: int, asked_at: float
+    ) -> bool:
         """Returns whether a watch or the history brings the head up to date.
 
+        Records what this proves. An entry of the watch with the revision of the
+        store or a later one was the newest after the store was asked for it.
+
         The history is queried from the last known revision, so the query fails,
         and misses no change, if the store has dropped the history since then.
         Nothing that was known before a new era tells of what changed in it.
+
+        Args:
+            revision: Revision of the store.
+            asked_at: Time before the store was asked for it.
         """
         if eras.get_era(revision) != eras.get_era(self._tracker.revision):
             return False
         is_receiving = self._store.is_receiving
         if is_receiving() or not self._tracker.may_query_history():
-            return await self._tracker.wait_for_watch(revision, is_receiving)
+            if not await self._tracker.wait_for_watch(revision, is_receiving):
+                return False
+            self._record_proof(asked_at)
+            return True
         try:
             entries, _ = await self._store.read_events(
                 self._format.head_key, self._tracker.revision, _MIN_WAIT_MS
@@ -195,6 +248,7 @@
             self._apply_entry(entry)
             self._tracker.record_read(head_changed=True)
             self._tracker.advance(entry.revision)
+        self._record_proof(asked_at - _HISTORY_BLIND_S)
         return True
 
     def _apply_entry(self, entry: client.Entry) -> document_pb2.Head:
@@ -206,6 +260,7 @@
         if entry.revision > self._head_revision:
             version = self._format.parse_version(entry.value)
             self._head_revision = entry.revision
+            self._stored_version = version
             if version >= self._head.version:
                 self._newest_entry_by_version = {version: entry}
                 self._head = document_pb2.Head(version=version)
--- a/merlintrestle/versions/source.py
+++ b/merlintrestle/versions/source.py
@@ -11,19 +11,29 @@
 from merlintrestle.schema import document_pb2
 from merlintrestle.store import records
 from merlintrestle.store import restoration
+from merlintrestle.versions import freshness as freshness_lib
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from merlintrestle.documents import snapshot as snapshot_lib
     from merlintrestle.store import client
 
 
 class ConfigurationSource(Protocol):
-    """Access to the configuration, roll-out orders and seeds in a store."""
+    """Access to the configuration, roll-out orders and seeds in a store.
+
+    Attributes:
+        head_proof: What the latest read of the head proves; None before any.
+    """
+
+    head_proof: freshness_lib.Proof | None
 
     async def read_head(self) -> document_pb2.Head:
-        """Reads the head; its version is 0 if there is none."""
+        """Reads the head; its version is 0 if there is none.
+
+        Sets `head_proof` if the read proves which version is the newest.
+        """
 
     def watch_head(self) -> AsyncIterator[document_pb2.Head]:
         """Yields the head and each newer one until the store fails."""
@@ -47,10 +57,19 @@
     """Source that reads the native store.
 
     The document under a digest never changes, so each is read only once.
+
+    Attributes:
+        head_proof: What the latest read of the head proves; None before any.
     """
 
-    def __init__(self, store: client.StoreClient):
+    def __init__(
+        self,
+        store: client.StoreClient,
+        get_time: Callable[[], float] = freshness_lib.get_boot_time,
+    ):
+        self.head_proof: freshness_lib.Proof | None = None
         self._store = store
+        self._get_time = get_time
         self._compiled: snapshot_lib.Snapshot | None = None
         # The newest head that was compiled, and the era in which it was read.
         self._known_head = document_pb2.Head()
@@ -66,7 +85,11 @@
         Raises:
             errors.StoreError: The store did not answer.
         """
+        asked_at = self._get_time()
         head, revision = await records.read_head(self._store)
+        # An earlier head than the known one is recorded as it is: `Freshness`
+        # knows that nothing follows from it.
+        self.head_proof = freshness_lib.Proof(head.version, asked_at)
         era = self._store.era.current or 0
         if head.version >= self._known_head.version or era <= self._known_era:
             return head
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -10,7 +10,9 @@
 from merlintrestle import events as event_logs
 from merlintrestle.members import table as table_lib
 from merlintrestle.members import timing as timing_lib
+from merlintrestle.versions import active_version as active_version_lib
 from merlintrestle.versions import discovery as discovery_lib
+from merlintrestle.versions import freshness as freshness_lib
 from merlintrestle.versions import watcher_selection as watcher_selection_lib
 
 if TYPE_CHECKING:
@@ -29,6 +31,11 @@
 # rate. A version that one of them reads reaches the whole fleet within some
 # tenths of a second, and the store counts each call.
 _FULL_RATE_WATCHERS = 3
+# Minimum time between the starts of two reads that prove freshness, in seconds,
+# whoever asks for them.
+_MIN_PROOF_READ_INTERVAL_S = 0.7
+# The same after a failed call to the store. A watcher also retries by itself.
+_FAILED_PROOF_READ_INTERVAL_S = 1.5
 
 
 class Watcher:
@@ -52,6 +59,7 @@
         on_snapshot: Callable[[snapshot_lib.Snapshot], None],
         get_time: Callable[[], float] = time.monotonic,
         read_before_contact: bool = False,
+        freshness: freshness_lib.Freshness | None = None,
     ):
         """Connects the components.
 
@@ -62,7 +70,15 @@
             get_time: Monotonic time in seconds.
             read_before_contact: Whether to read the head before the first
                 contact with a peer.
+            freshness: Records what the reads prove; None if nobody needs it.
         """
+        self._freshness = freshness or freshness_lib.Freshness(
+            0.0, active_version_lib.ActiveVersion()
+        )
+        self._proof_read: asyncio.Task[None] | None = None
+        self._next_proof_read_at = 0.0
+        # Rejected versions since the last one that was compiled.
+        self._rejected_versions: set[int] = set()
         self._read_before_contact = read_before_contact
         self.on_orders: list[
             Callable[[Sequence[client.Entry]], Awaitable[None]]
@@ -185,10 +201,62 @@
         self._record_store_call(True)
         self._head_version = head.version
         self._head_read_at = started_at
+        proof = self._source.head_proof
         await self._compile(head)
+        self._record_proof(proof)
         await self._handle_orders()
         return head.version
 
+    def _record_proof(self, proof: freshness_lib.Proof | None) -> None:
+        """Records a proof once its version has been compiled.
+
+        A rejected version never runs anywhere, so the newest one before it
+        stays in force. One that only this daemon cannot compile counts.
+        """
+        if proof is None:
+            return
+        version = proof.version
+        while version in self._rejected_versions:
+            version -= 1
+        self._freshness.record_read(version, proof.time)
+
+    async def prove_freshness(self, max_age_s: float) -> None:
+        """Reads the head if the proof of freshness is older than a maximum.
+
+        A read in flight is shared by all who ask, and reads do not follow each
+        other faster than at a minimum interval. So the proof may still be older
+        afterwards.
+        """
+        if self._proof_read is None:
+            now = self._freshness.get_time()
+            proof = self._freshness.get_newest_proof()
+            if proof is not None and now - proof.time <= max_age_s:
+                return
+            if now < self._next_proof_read_at:
+                return
+            self._next_proof_read_at = now + _MIN_PROOF_READ_INTERVAL_S
+            self._proof_read = asyncio.create_task(self._read_for_proof())
+        # A caller that is cancelled does not end the read of the others.
+        await asyncio.shield(self._proof_read)
+
+    async def _read_for_proof(self) -> None:
+        try:
+            await self.read_and_compile_head()
+        except errors.MerlintrestleError as error:
+            events.note("no proof of freshness", error=str(error))
+            self._next_proof_read_at = (
+                self._freshness.get_time()
+                + timing_lib.jitter(_FAILED_PROOF_READ_INTERVAL_S)
+            )
+        finally:
+            self._proof_read = None
+
+    async def close(self) -> None:
+        """Cancels a read in flight that others wait for."""
+        if self._proof_read is not None:
+            self._proof_read.cancel()
+            await asyncio.gather(self._proof_read, return_exceptions=True)
+
     async def _handle_orders(self) -> None:
         """Reads the roll-out orders and passes them to `on_orders`.
 
@@ -268,7 +336,8 @@
             await self._discovery.update_seeds()
             while self.selection.is_watcher():
                 if self._get_time() >= refresh_at:
-                    await self.read_and_compile_head()
+                    if not self._was_read_for_proof():
+                        await self.read_and_compile_head()
                     await self._discovery.update_seeds()
                     refresh_at = self._get_time() + timing_lib.jitter(
                         self.get_refresh_interval_s()
@@ -286,6 +355,19 @@
             watch.cancel()
             await asyncio.gather(watch, return_exceptions=True)
 
+    def _was_read_for_proof(self) -> bool:
+        """Returns whether reads that prove freshness replace the next one.
+
+        They are made about every second, so most detect a failure of the store
+        as early.
+        """
+        return (
+            self._freshness.is_required()
+            and self._head_read_at is not None
+            and self._get_time() - self._head_read_at
+            < self._timing.head_refresh_interval_s
+        )
+
     async def _follow_head(self) -> None:
         async for head in self._source.watch_head():
             self._record_store_call(True)
@@ -315,6 +397,10 @@
                 "version refused", version=head.version, error=str(error)
             )
             self._handled_version = max(self._handled_version, head.version)
+            if isinstance(error, errors.RejectedVersionError):
+                self._rejected_versions.add(head.version)
             return
         self._handled_version = max(self._handled_version, head.version)
+        self._rejected_versions.clear()
+        self._freshness.learn_version(head.version)
         self._on_snapshot(snapshot)
--- a/tests/versions/builders.py
+++ b/tests/versions/builders.py
@@ -16,6 +16,7 @@
 from merlintrestle.store import records
 from merlintrestle.versions import active_version as active_version_lib
 from merlintrestle.versions import distribution as distribution_lib
+from merlintrestle.versions import freshness as freshness_lib
 from tests.members import builders as member_builders
 
 if TYPE_CHECKING:
@@ -79,6 +80,8 @@
     """Fake `source.ConfigurationSource` for any number of daemons.
 
     Attributes:
+        head_proof: What the last read proves.
+        get_time: Returns the time of proofs.
         down: Whether every call fails.
         stale_version: If set, reads return this version, not the newest one.
         reads_hang: Whether reads get no answer.
@@ -92,6 +95,8 @@
     """
 
     def __init__(self) -> None:
+        self.head_proof: freshness_lib.Proof | None = None
+        self.get_time = freshness_lib.get_boot_time
         self.down = False
         self.stale_version: int | None = None
         self.reads_hang = False
@@ -128,10 +133,12 @@
         self.reads += 1
         if self.reads_hang:
             await asyncio.Event().wait()
+        asked_at = self.get_time()
         self._check_up()
         version = (
             self._version if self.stale_version is None else self.stale_version
         )
+        self.head_proof = freshness_lib.Proof(version, asked_at)
         return document_pb2.Head(version=version)
 
     async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
