Show operators which daemons refuse requests with API keys

Cause: a stale daemon runs the accepted version, so nothing tells why it refuses. Change: the status has the age of the proof and whether the daemon is stale; `merlintrestle status` gives it as the detail of the daemon. Tests of the first proof after a start and after a freeze, of rejected versions and shared reads.

--- a/merlintrestle/operators/fleet.py
+++ b/merlintrestle/operators/fleet.py
@@ -58,7 +58,8 @@
         state: "in force", "behind", "closed", "differs" or "unreachable"; or
             "runs" if the accepted version is unknown.
         version: The version that the daemon runs; 0 if it is unknown.
-        detail: Reason of the state "closed", "differs" or "unreachable".
+        detail: Reason of the state "closed", "differs" or "unreachable", or
+            that the daemon refuses requests with API keys.
     """
 
     id: str
@@ -219,6 +220,8 @@
             reply.running.digest,
         ):
             state, detail = DIFFERS, "another snapshot of the same version"
+        if reply.stale:
+            detail = detail or _describe_staleness(reply)
     return Daemon(
         member.id,
         member.zone,
@@ -229,6 +232,19 @@
     )
 
 
+def _describe_staleness(reply: control_pb2.StatusReply) -> str:
+    """Returns why a daemon refuses requests with API keys."""
+    age = (
+        f"{reply.freshness_age_ms / 1000:.1f} s ago"
+        if reply.freshness_age_ms
+        else "never"
+    )
+    return (
+        "refuses requests with API keys: its version was last known to be the "
+        f"newest {age}"
+    )
+
+
 def list_not_in_force(daemons: Sequence[Daemon]) -> tuple[Daemon, ...]:
     """Returns the daemons that do not run the accepted version.
 
--- a/tests/operators/test_status_queries.py
+++ b/tests/operators/test_status_queries.py
@@ -211,6 +211,14 @@
         with self.assertRaises(fleet.DaemonUnavailableError):
             await fleet.list_members(address, 5)
 
+    def test_stale_daemon_says_so(self) -> None:
+        """Guards against refusals that `status` does not explain."""
+        reply = control_pb2.StatusReply(stale=True, freshness_age_ms=7250)
+        status = fleet.MemberStatus(control_pb2.Member(), reply, "")
+        daemon = fleet.check_daemon(status, 0, b"")
+        self.assertEqual(daemon.state, fleet.IN_FORCE)
+        self.assertIn("newest 7.2 s ago", daemon.detail)
+
     def _list_daemons(
         self, member_statuses: list[fleet.MemberStatus], version: int
     ) -> list[fleet.Daemon]:
--- a/tests/versions/test_freshness_poller.py
+++ b/tests/versions/test_freshness_poller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 import unittest
 from unittest import mock
@@ -145,6 +146,43 @@
 
         _run(seed, play)
 
+    def test_a_daemon_is_fresh_soon_after_its_start(self) -> None:
+        """Guards against a restart that refuses calls for an interval."""
+
+        async def play(fleet: freshness_fleets.Fleet) -> None:
+            for daemon in fleet.daemons:
+                with self.subTest(daemon=daemon.id):
+                    await daemon.close()
+                    restarted = freshness_fleets.Daemon(
+                        fleet, int(daemon.id.rpartition(":")[2]) - 9000
+                    )
+                    for peer in fleet.daemons:
+                        restarted.table.merge(peer.table.local_member)
+                    await restarted.start()
+                    await asyncio.sleep(0.1)
+                    self.assertTrue(restarted.freshness.is_fresh())
+                    fleet.daemons[fleet.daemons.index(daemon)] = restarted
+
+        _run(1, play)
+
+    def test_a_refused_request_ends_the_wait_after_a_freeze(self) -> None:
+        """Guards against refusals for an interval after a freeze.
+
+        The clock of the event loop does not count the time of the freeze.
+        """
+
+        async def play(fleet: freshness_fleets.Fleet) -> None:
+            watchers = fleet.list_watchers()
+            daemon = next(d for d in fleet.daemons if d not in watchers)
+            daemon.freshness._get_time = lambda: (
+                freshness_fleets.get_time() + 10.0
+            )
+            self.assertFalse(daemon.freshness.is_fresh())
+            await asyncio.sleep(0.3)
+            self.assertTrue(daemon.freshness.is_fresh())
+
+        _run(1, play)
+
     def test_a_store_that_is_down_gets_few_calls(self) -> None:
         """Guards against a fleet that keeps a failing store from returning."""
 
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -12,6 +12,7 @@
 from merlintrestle.members import seeds
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
+from merlintrestle.versions import freshness as freshness_lib
 from merlintrestle.versions import source
 from merlintrestle.versions import watcher as watcher_lib
 from tests.members import builders as member_builders
@@ -156,6 +157,68 @@
         await builders.wait_until(lambda: self.daemon.archive.version == 3)
         self.assertEqual(self.configuration.open_watches, 1)
 
+    def build_proving_watcher(self) -> watcher_lib.Watcher:
+        """Builds a watcher whose reads prove freshness, with a limit."""
+        self.freshness = freshness_lib.Freshness(
+            5.0, self.daemon.active_version
+        )
+        return watcher_lib.Watcher(
+            self.daemon.membership,
+            self.configuration,
+            self.daemon.add_snapshot,
+            self.fleet.get_time,
+            freshness=self.freshness,
+        )
+
+    async def test_rejected_version_leaves_the_one_before_in_force(
+        self,
+    ) -> None:
+        """Operators write a malformed version, which no daemon ever runs.
+
+        A proof of it would never be usable, so all daemons would refuse the
+        requests with API keys until the next valid version.
+        """
+        watcher = self.build_proving_watcher()
+        await self.configuration.accept(1, ["balie"])
+        await watcher.read_and_compile_head()
+        rejected = errors.RejectedVersionError("malformed")
+        await self.configuration.accept(2, ["balie"])
+        with (
+            mock.patch.object(
+                self.configuration, "compile_head", side_effect=rejected
+            ),
+            self.assertLogs("merlintrestle.versions", "ERROR"),
+        ):
+            await watcher.read_and_compile_head()
+        proof = self.freshness.get_newest_proof()
+        assert proof is not None
+        self.assertEqual(proof.version, 1)
+
+    async def test_version_that_only_this_daemon_refuses_counts(self) -> None:
+        """A daemon of an earlier release cannot compile a version.
+
+        Others run it, so this daemon must refuse the keys that it removed.
+        """
+        watcher = self.build_proving_watcher()
+        self.configuration.broken_versions.add(2)
+        await self.configuration.accept(2, ["balie"])
+        with self.assertLogs("merlintrestle.versions", "ERROR"):
+            await watcher.read_and_compile_head()
+        proof = self.freshness.get_newest_proof()
+        assert proof is not None
+        self.assertEqual(proof.version, 2)
+
+    async def test_one_read_proves_freshness_for_all_who_ask(self) -> None:
+        """Hundreds of daemons ask a watcher at once.
+
+        A read for each would exceed the rate limit of the store.
+        """
+        watcher = self.build_proving_watcher()
+        await self.configuration.accept(1, ["balie"])
+        await asyncio.gather(*(watcher.prove_freshness(0.0) for _ in range(50)))
+        await watcher.prove_freshness(0.0)
+        self.assertEqual(self.configuration.reads, 1)
+
     async def test_silent_watch_is_detected(self) -> None:
         """The connection of the watch goes silent and a version is accepted.
 
