--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -11,14 +11,17 @@
 
 from merlintrestle import errors
 from merlintrestle import events as event_logs
+from merlintrestle import http_ports
+from merlintrestle import settings_reader
 from merlintrestle.daemon import heartbeats
 from merlintrestle.daemon import validation
-from merlintrestle.platform import settings as settings_lib
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from merlintrestle.platform import settings as settings_lib
+
 events = event_logs.EventLog("platform")
 
 _READY_PATH = "/merlintrestle/ready"
@@ -26,8 +29,6 @@
 _LEAVE_PATH = "/merlintrestle/Instances.Leave/{instance_id}"
 METRICS_PORT = 9464  # Prometheus endpoint; deploy/system.toml states it too.
 _MAX_BODY_BYTES = 16 * 1024
-# Maximum wait for open requests when a port is closed.
-_SHUTDOWN_TIMEOUT_S = 0.1
 _STATES = {"ready": control_pb2.READY, "draining": control_pb2.DRAINING}
 
 
@@ -67,20 +68,20 @@
         self._on_leave = on_leave
         self._knows_service = knows_service
         self._render_metrics = render_metrics
-        self._metrics_address = settings_lib.Address(
+        self._metrics_address = settings_reader.Address(
             settings.address, METRICS_PORT if settings.first_port else 0
         )
-        self._runners: list[web.AppRunner] = []
+        self._ports = http_ports.HttpPorts(_MAX_BODY_BYTES)
 
     async def on_start(self) -> None:
         """Binds the ports."""
-        self.readiness = await self._serve(
+        self.readiness = await self._ports.serve(
             self.readiness, [web.get(_READY_PATH, self._handle_ready)]
         )
-        self._metrics_address = await self._serve(
+        self._metrics_address = await self._ports.serve(
             self._metrics_address, [web.get("/metrics", self._handle_metrics)]
         )
-        self.announcements = await self._serve(
+        self.announcements = await self._ports.serve(
             self.announcements,
             [
                 web.post(_HEARTBEAT_PATH, self._handle_heartbeat),
@@ -90,21 +91,7 @@
 
     async def on_stop(self) -> None:
         """Closes the ports."""
-        for runner in self._runners:
-            await runner.cleanup()
-
-    async def _serve(
-        self, address: settings_lib.Address, routes: list[web.RouteDef]
-    ) -> settings_lib.Address:
-        application = web.Application(client_max_size=_MAX_BODY_BYTES)
-        application.add_routes(routes)
-        runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
-        )
-        await runner.setup()
-        self._runners.append(runner)
-        await web.TCPSite(runner, address.host, address.port).start()
-        return settings_lib.Address(address.host, runner.addresses[0][1])
+        await self._ports.close()
 
     async def _handle_ready(self, request: web.Request) -> web.Response:
         del request
--- a/merlintrestle/platform/health.py
+++ b/merlintrestle/platform/health.py
@@ -17,12 +17,13 @@
 _PATH = "/health"
 # Id of the backend server process, which the platform calls an instance.
 _INSTANCE_HEADER = "X-Served-By"
-# Running calls, waiting calls and slots, separated by commas.
+# Running calls, waiting calls and slots, separated by commas. Further figures
+# may follow.
 _LOAD_HEADER = "X-Server-Load"
+_SLOTS_INDEX = 2
 # A backend server without a free slot responds later. The daemon then uses the
 # next heartbeat, which contains the same status and arrives in 1 to 2 seconds.
 _TIMEOUT_S = 0.5
-_LOAD_FIELDS = 3
 _OK = 200
 
 
@@ -53,10 +54,10 @@
     """Returns a valid status as a heartbeat before all others, else None."""
     instance_id = response.headers.get(_INSTANCE_HEADER, "")
     load = response.headers.get(_LOAD_HEADER, "").split(",")
-    if response.status != _OK or not instance_id or len(load) != _LOAD_FIELDS:
+    if response.status != _OK or not instance_id or len(load) <= _SLOTS_INDEX:
         return None
-    slots = load[-1].strip()
-    if not slots.isdecimal() or not int(slots):
+    slots = load[_SLOTS_INDEX].strip()
+    if not (slots.isascii() and slots.isdecimal() and int(slots)):
         return None
     return heartbeats.Heartbeat(
         instance_id=instance_id,
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -6,23 +6,12 @@
 import pathlib
 from typing import NamedTuple
 
-from merlintrestle import config
 from merlintrestle import errors
 from merlintrestle import settings_reader
 
 PATH_VARIABLE = "MERLINTRESTLE_CONFIG"
 _MS_PER_S = 1000
-_MAX_PORT = 65535
-
-
-class Address(NamedTuple):
-    """IP number and port number of a socket."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
+_DEFAULT_REVOCATION_LIMIT_MS = 5000.0
 
 
 class Settings(NamedTuple):
@@ -48,6 +37,8 @@
         retry_slack: Retries allowed in one window in addition to the ratio's.
         retry_window_s: Length of the window, in seconds.
         expose_share: Share of calls that a bad version may get; 0 if unstated.
+        revocation_limit_s: Time after a version within which the API keys that
+            it removed stop working, in seconds; 0: no limit.
         link_mbps: Capacity of the instance's link in Mbit/s; 0 if unknown.
     """
 
@@ -55,14 +46,14 @@
     zone: str
     region: str
     service: str
-    backend: Address
-    callers: Address
-    peers: Address
-    readiness: Address
-    announcements: Address
+    backend: settings_reader.Address
+    callers: settings_reader.Address
+    peers: settings_reader.Address
+    readiness: settings_reader.Address
+    announcements: settings_reader.Address
     first_port: int
     last_port: int
-    store: Address
+    store: settings_reader.Address
     heartbeat_s: float
     drain_s: float
     grace_s: float
@@ -70,6 +61,7 @@
     retry_slack: float
     retry_window_s: float
     expose_share: float
+    revocation_limit_s: float
     link_mbps: float
 
 
@@ -109,22 +101,34 @@
         errors.InvalidInputError: With all findings.
     """
     reader = settings_reader.SettingsReader(_split_lines(text))
-    ports = reader.get_required("internalPorts", _parse_ports, (0, 0))
+    ports = reader.get_required(
+        "internalPorts", settings_reader.parse_ports, (0, 0)
+    )
     settings = Settings(
         address=reader.get_required("ip", settings_reader.parse_ip, ""),
         zone=reader.get_required("zone", str, ""),
         region=reader.get_required("region", str, ""),
         service=reader.get_required("service", str, ""),
-        backend=reader.get_required("app", _parse_address, _UNSET),
-        callers=reader.get_required("listen.outbound", _parse_address, _UNSET),
-        peers=reader.get_required("listen.inbound", _parse_address, _UNSET),
-        readiness=reader.get_required("listen.ready", _parse_address, _UNSET),
+        backend=reader.get_required(
+            "app", settings_reader.parse_address, _UNSET
+        ),
+        callers=reader.get_required(
+            "listen.outbound", settings_reader.parse_address, _UNSET
+        ),
+        peers=reader.get_required(
+            "listen.inbound", settings_reader.parse_address, _UNSET
+        ),
+        readiness=reader.get_required(
+            "listen.ready", settings_reader.parse_address, _UNSET
+        ),
         announcements=reader.get_required(
-            "listen.control", _parse_address, _UNSET
+            "listen.control", settings_reader.parse_address, _UNSET
         ),
         first_port=ports[0],
         last_port=ports[1],
-        store=reader.get_required("platform.address", _parse_address, _UNSET),
+        store=reader.get_required(
+            "platform.address", settings_reader.parse_address, _UNSET
+        ),
         heartbeat_s=reader.get_required(
             "heartbeatMs", settings_reader.parse_number, 0.0
         )
@@ -148,6 +152,7 @@
         expose_share=reader.get_optional(
             "bounds.exposeShare", settings_reader.parse_number, 0.0
         ),
+        revocation_limit_s=_read_revocation_limit(reader),
         link_mbps=reader.get_optional(
             "limits.linkMbps", settings_reader.parse_number, 0.0
         ),
@@ -157,7 +162,9 @@
     return settings
 
 
-_UNSET = Address("", 0)  # Placeholder for a missing or malformed address.
+_UNSET = settings_reader.Address(
+    "", 0
+)  # Placeholder for a missing or malformed address.
 
 
 def _split_lines(text: str) -> dict[str, str]:
@@ -174,16 +181,18 @@
     return values
 
 
-def _parse_address(text: str) -> Address:
-    if problem := config.check_address(text):
-        raise ValueError(problem)
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
+def _read_revocation_limit(reader: settings_reader.SettingsReader) -> float:
+    """Returns the limit in seconds; 0 if it is not strict."""
+    limit_ms = reader.get_optional(
+        "bounds.revokeMs",
+        settings_reader.parse_number,
+        _DEFAULT_REVOCATION_LIMIT_MS,
+    )
+    strict = reader.get_optional("bounds.revokeStrict", _parse_flag, False)
+    return limit_ms / _MS_PER_S if strict else 0.0
 
 
-def _parse_ports(text: str) -> tuple[int, int]:
-    first, _, last = text.partition(",")
-    ports = (int(first), int(last or first))
-    if not 0 < ports[0] <= ports[1] <= _MAX_PORT:
-        raise ValueError(f"{text!r} is not a range of ports.")
-    return ports
+def _parse_flag(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither true nor false.")
+    return text == "true"
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import json
 from typing import Any, TYPE_CHECKING
 
 import aiohttp
@@ -13,6 +12,7 @@
 from merlintrestle import connectors
 from merlintrestle import errors
 from merlintrestle import events as event_logs
+from merlintrestle import rows
 from merlintrestle.store import client
 from merlintrestle.store import eras
 
@@ -105,7 +105,7 @@
             query["after"] = _add_prefix(after)
         while True:
             _, fields = await self._read("range", query)
-            items = _get_field(fields, "items", list)
+            items = rows.get_field(fields, "items", list)
             found = parse_entries(items)
             entries += found
             more = bool(fields.get("hasMore")) and bool(found)
@@ -123,8 +123,8 @@
         """
         query = {"prefix": _add_prefix(prefix), "after": _add_prefix(key)}
         _, fields = await self._read("range", query)
-        entries = parse_entries(_get_field(fields, "items", list))
-        return entries, _get_field(fields, "at", int)
+        entries = parse_entries(rows.get_field(fields, "items", list))
+        return entries, rows.get_field(fields, "at", int)
 
     async def read_newest(self, key: str) -> client.ReadResult:
         """Reads one key and the store's revision at that time."""
@@ -140,8 +140,8 @@
         The revision is returned even if no key has the prefix.
         """
         _, fields = await self._read("range", {"prefix": _add_prefix(prefix)})
-        entries = parse_entries(_get_field(fields, "items", list))
-        return entries, _get_field(fields, "at", int)
+        entries = parse_entries(rows.get_field(fields, "items", list))
+        return entries, rows.get_field(fields, "at", int)
 
     async def watch(
         self, key: str, after_revision: int
@@ -198,10 +198,10 @@
             )
         found = [
             _parse_entry(event)
-            for event in _get_field(fields, "events", list)
+            for event in rows.get_field(fields, "events", list)
             if not event.get("deleted") and event.get("key") == _add_prefix(key)
         ]
-        return found, _get_field(fields, "at", int)
+        return found, rows.get_field(fields, "at", int)
 
     async def put(
         self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
@@ -235,7 +235,7 @@
             return client.WriteReply(False, _parse_conflict(fields, key))
         if status == _NOT_FOUND:
             raise errors.StoreUnavailableError("store: the lease has ended")
-        revision = _get_field(fields, "revision", int)
+        revision = rows.get_field(fields, "revision", int)
         return client.WriteReply(True, client.Entry(key, value, revision))
 
     async def delete(self, key: str, expected_revision: int) -> bool:
@@ -259,7 +259,7 @@
     async def grant_lease(self, seconds: int) -> int:
         """Creates a lease; keys written with it are deleted when it ends."""
         _, fields = await self._write("lease", {"ttlMs": seconds * 1000})
-        return _get_field(fields, "lease", int)
+        return rows.get_field(fields, "lease", int)
 
     async def renew_lease(self, lease_id: int) -> int:
         """Renews a lease; returns its duration in seconds, 0 if it ended."""
@@ -269,7 +269,7 @@
         status, fields = await self._write(path, {})
         if status == _NOT_FOUND:
             return 0
-        return max(1, _get_field(fields, "ttlMs", int) // 1000)
+        return max(1, rows.get_field(fields, "ttlMs", int) // 1000)
 
     async def _read(
         self, path: str, query: dict[str, str], timeout_s: float = _TIMEOUT_S
@@ -329,7 +329,7 @@
             raise errors.StoreUnavailableError(
                 f"store: refused with {response.status}"
             )
-        fields = _parse_json(text, response.status)
+        fields = rows.parse_response(text, response.status)
         _qualify_fields(fields, era)
         return response.status, fields
 
@@ -384,42 +384,23 @@
 def _parse_entry(item: Any) -> client.Entry:
     if not isinstance(item, dict):
         raise errors.CorruptRecordError(f"store: an item is {item!r}")
-    key = _remove_prefix(_get_field(item, "key", str))
+    key = _remove_prefix(rows.get_field(item, "key", str))
     try:
-        value = base64.b64decode(_get_field(item, "value", str), validate=True)
+        value = base64.b64decode(
+            rows.get_field(item, "value", str), validate=True
+        )
     except ValueError as error:
         raise errors.CorruptRecordError(f"{key}: {error}") from error
-    return client.Entry(key, value, _get_field(item, "revision", int))
+    return client.Entry(key, value, rows.get_field(item, "revision", int))
 
 
 def _parse_conflict(fields: dict[str, Any], key: str) -> client.Entry:
     """Returns the entry of a key whose write was refused; revision 0: none."""
-    for item in _get_field(fields, "items", list):
+    for item in rows.get_field(fields, "items", list):
         if item.get("key") == _add_prefix(key) and item.get("revision"):
             return _parse_entry(item)
     return client.Entry(key, b"", 0)
 
 
-def _parse_json(text: bytes, status: int) -> dict[str, Any]:
-    try:
-        fields = json.loads(text) if text else {}
-    except ValueError as error:
-        raise errors.CorruptRecordError(
-            f"store: an answer {status} is not JSON: {error}"
-        ) from error
-    if not isinstance(fields, dict):
-        raise errors.CorruptRecordError(
-            f"store: an answer {status} is not an object"
-        )
-    return fields
-
-
-def _get_field(fields: dict[str, Any], name: str, kind: type) -> Any:
-    value = fields.get(name)
-    if type(value) is not kind:
-        raise errors.CorruptRecordError(f"store: {name!r} is {value!r}")
-    return value
-
-
 def _describe(error: Exception) -> str:
     return f"store: {type(error).__name__}: {error}"
--- a/merlintrestle/rows.py
+++ b/merlintrestle/rows.py
@@ -159,3 +159,32 @@
             {key: value for key, value in pairs if value is not None}
         )
     return objects
+
+
+def parse_response(text: bytes, status: int) -> dict[str, Any]:
+    """Decodes the JSON object in a response of the store; empty if absent.
+
+    Args:
+        text: Body of the response.
+        status: Its status, for error messages.
+
+    Raises:
+        errors.CorruptRecordError: The body is not a JSON object.
+    """
+    if not text:
+        return {}
+    return parse_object(
+        text, f"store: an answer {status}", errors.CorruptRecordError
+    )
+
+
+def get_field(fields: Mapping[str, Any], name: str, kind: type) -> Any:
+    """Returns a field of a response of the store.
+
+    Raises:
+        errors.CorruptRecordError: The field is absent or of another type.
+    """
+    value = fields.get(name)
+    if type(value) is not kind:
+        raise errors.CorruptRecordError(f"store: {name!r} is {value!r}")
+    return value
--- a/merlintrestle/settings_reader.py
+++ b/merlintrestle/settings_reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypeVar
+from typing import NamedTuple, TYPE_CHECKING, TypeVar
 
 from merlintrestle import config
 from merlintrestle import errors
@@ -12,6 +12,18 @@
 
 _T = TypeVar("_T")
 
+_MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """IP number and port number of a socket."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
 
 class SettingsReader:
     """Parses the values of a settings file and collects findings.
@@ -69,3 +81,28 @@
     if not 0 <= number < float("inf"):
         raise ValueError(f"{text!r} is out of range.")
     return number
+
+
+def parse_address(text: str) -> Address:
+    """Returns an address of the form "ip:port".
+
+    Raises:
+        ValueError: If the text is not such an address.
+    """
+    if problem := config.check_address(text):
+        raise ValueError(problem)
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
+def parse_ports(text: str) -> tuple[int, int]:
+    """Returns the first and the last port of a range "first,last".
+
+    Raises:
+        ValueError: If the text is not a range of ports.
+    """
+    first, _, last = text.partition(",")
+    ports = (int(first), int(last or first))
+    if not 0 < ports[0] <= ports[1] <= _MAX_PORT:
+        raise ValueError(f"{text!r} is not a range of ports.")
+    return ports
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any, TYPE_CHECKING
 
+from merlintrestle import settings_reader
 from merlintrestle.documents import loader
 from merlintrestle.platform import configuration as configuration_lib
 from merlintrestle.platform import settings as settings_lib
@@ -49,7 +50,7 @@
 def build_settings(**changes: Any) -> settings_lib.Settings:
     """Builds settings with free ports."""
     settings = settings_lib.parse_settings(build_settings_text())
-    free_address = settings_lib.Address("127.0.0.1", 0)
+    free_address = settings_reader.Address("127.0.0.1", 0)
     settings = settings._replace(
         callers=free_address,
         peers=free_address,
--- a/tests/platform/fleets.py
+++ b/tests/platform/fleets.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from merlintrestle import settings_reader
 from merlintrestle.platform import service
 from merlintrestle.platform import store as stores
 from standins import platform_backend
@@ -113,8 +114,8 @@
             builders.build_settings(
                 service=service_name,
                 expose_share=self.expose_share,
-                backend=builders.settings_lib.Address(host, backend.port),
-                store=builders.settings_lib.Address(host, int(port)),
+                backend=settings_reader.Address(host, backend.port),
+                store=settings_reader.Address(host, int(port)),
             )
         )
         await daemon.start()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,6 +5,7 @@
 import unittest
 
 from merlintrestle import errors
+from merlintrestle import settings_reader
 from merlintrestle.platform import service
 from merlintrestle.platform import settings
 from tests.platform import builders
@@ -15,7 +16,9 @@
         """Guards against settings that get a wrong value or unit."""
         parsed = settings.parse_settings(builders.build_settings_text())
         self.assertEqual(parsed.zone, "noord")
-        self.assertEqual(parsed.callers, settings.Address("127.0.0.1", 8629))
+        self.assertEqual(
+            parsed.callers, settings_reader.Address("127.0.0.1", 8629)
+        )
         self.assertEqual((parsed.first_port, parsed.last_port), (7600, 7615))
         self.assertEqual(parsed.heartbeat_s, 1.5)
         self.assertEqual(parsed.retry_slack, 62.0)
