Derive only what a version changes from its base

On 1,400 routes it was a tenth of a daemon's time at a version every two seconds.

load_changes takes the changed and removed resources, as a delta names them. It groups the routes only of the hosts concerned, checks references only if a service or class changed and otherwise the destinations of the new routes, and shares the indexes of unchanged hosts and workspaces. The definition of the digest is unchanged.

Routes with equal host and prefix are now ordered by name. The first one takes precedence, and their order was that of the operators' record on a watcher and that of the names on all other daemons.

--- a/merlintrestle/documents/loader.py
+++ b/merlintrestle/documents/loader.py
@@ -12,12 +12,13 @@
 from merlintrestle.schema import document_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
 M = TypeVar("M", bound=message.Message)
 
 # SHA-256.
 _KEY_DIGEST_BYTES = 32
+_EMPTY = snapshot.Snapshot(0, {}, {})
 
 
 def load_snapshot(
@@ -45,40 +46,96 @@
             a route or a service refers to a resource that is missing, or two
             workspaces have the same API key.
     """
-    actual_digest = snapshot.compute_digest(version, resources, base)
-    if digest is not None and actual_digest != digest:
-        raise errors.SnapshotError(f"version {version} has another digest")
-    parsed_resources = {
-        name: snapshot.find_parsed_resource(base, name, value)
-        or _parse_resource(name, value)
+    base = base or _EMPTY
+    changed = {
+        name: value
         for name, value in resources.items()
+        if base.resources.get(name) != value
     }
-    services = {
-        parsed.service.name: parsed.service
-        for parsed in parsed_resources.values()
-        if parsed.service is not None
+    removed = base.resources.keys() - resources.keys()
+    return load_changes(version, base, changed, removed, digest)
+
+
+def load_changes(
+    version: int,
+    base: snapshot.Snapshot,
+    changed: Mapping[str, bytes],
+    removed: Iterable[str],
+    digest: bytes | None = None,
+) -> snapshot.Snapshot:
+    """Builds the snapshot that differs from a base in some resources.
+
+    The time it takes depends mainly on the number of these resources, as
+    everything that does not depend on them is shared with the base.
+
+    Args:
+        version: Number of the version.
+        base: Earlier snapshot, built by this module.
+        changed: Added and changed serialized resources by name.
+        removed: Names of removed resources.
+        digest: Expected digest, see `load_snapshot`.
+
+    Raises:
+        errors.SnapshotError: See `load_snapshot`.
+    """
+    resources = dict(base.resources)
+    parsed_resources = dict(base.parsed_resources)
+    replaced = []
+    for name in {*removed, *changed} & resources.keys():
+        del resources[name]
+        replaced.append(parsed_resources.pop(name))
+    resources.update(changed)
+    changed_digests = {
+        name: snapshot.hash_resource(name, value)
+        for name, value in changed.items()
     }
-    _check_references(services, parsed_resources)
-    service_plans = {
-        name: _reuse_service(base, name, parsed_resources)
-        or _build_service(name, parsed_resources)
-        for name in services
+    digests = {name: parsed.digest for name, parsed in parsed_resources.items()}
+    actual_digest = snapshot.combine_digests(
+        version, {**digests, **changed_digests}
+    )
+    if digest is not None and actual_digest != digest:
+        raise errors.SnapshotError(f"version {version} has another digest")
+    added = {
+        name: _parse_resource(name, value, changed_digests[name])
+        for name, value in changed.items()
     }
+    parsed_resources.update(added)
+    differing = [*replaced, *added.values()]
+    service_plans: Mapping[str, snapshot.ServicePlan]
+    if any(parsed.service or parsed.plan for parsed in differing):
+        service_plans = _build_services(base, parsed_resources)
+        _check_destinations(service_plans, parsed_resources)
+    else:
+        service_plans = base.services
+        _check_destinations(service_plans, added)
+    workspaces = base.workspaces
+    if any(parsed.workspace for parsed in differing):
+        workspaces = _collect_workspaces(parsed_resources)
     limits = parsed_resources.get(snapshot.LIMITS_RESOURCE)
     return snapshot.Snapshot(
         version,
-        dict(resources),
+        resources,
         service_plans,
         parsed_resources,
         actual_digest,
-        host_routes=_group_host_routes(services, parsed_resources),
+        host_routes=_group_host_routes(
+            base.host_routes,
+            [parsed.host_route for parsed in replaced if parsed.host_route],
+            [
+                parsed.host_route
+                for parsed in added.values()
+                if parsed.host_route
+            ],
+        ),
         limits=limits.limits if limits else None,
-        workspaces=_collect_workspaces(parsed_resources),
+        workspaces=workspaces,
+        base=base,
     )
 
 
-def _parse_resource(name: str, value: bytes) -> snapshot.ParsedResource:
-    digest = snapshot.hash_resource(name, value)
+def _parse_resource(
+    name: str, value: bytes, digest: bytes
+) -> snapshot.ParsedResource:
     if name == snapshot.BUDGET_RESOURCE:
         _parse_message(name, value, document_pb2.BudgetResource())
         return snapshot.ParsedResource(digest)
@@ -285,32 +342,57 @@
     )
 
 
-def _group_host_routes(
-    services: Mapping[str, document_pb2.ServiceResource],
+def _check_destinations(
+    services: Mapping[str, snapshot.ServicePlan],
     parsed_resources: Mapping[str, snapshot.ParsedResource],
-) -> dict[str, tuple[snapshot.HostRoute, ...]]:
-    """Returns the host routes by host, longest prefix first.
-
-    Raises:
-        errors.SnapshotError: A route refers to an unknown service.
-    """
-    routes_by_host: dict[str, list[snapshot.HostRoute]] = {}
+) -> None:
+    """Checks that host routes lead to known services."""
     for name, parsed in parsed_resources.items():
-        route = parsed.host_route
-        if route is None:
+        if parsed.host_route is None:
             continue
-        for destination in route.destinations:
+        for destination in parsed.host_route.destinations:
             known = destination.service in services
             _require(name, known, f"leads to unknown {destination.service!r}")
-        routes_by_host.setdefault(route.host, []).append(route)
-    return {
-        host: tuple(sorted(routes, key=_rank_host_route))
-        for host, routes in routes_by_host.items()
-    }
 
 
-def _rank_host_route(route: snapshot.HostRoute) -> tuple[int, str]:
-    return -len(route.prefix), route.prefix
+def _group_host_routes(
+    base: Mapping[str, tuple[snapshot.HostRoute, ...]],
+    replaced: Iterable[snapshot.HostRoute],
+    added: Iterable[snapshot.HostRoute],
+) -> Mapping[str, tuple[snapshot.HostRoute, ...]]:
+    """Returns the host routes by host, longest prefix first.
+
+    Args:
+        base: Host routes of the base.
+        replaced: Routes of the base that were changed or removed.
+        added: New and changed routes.
+    """
+    replaced_names = {route.name for route in replaced}
+    added_by_host: dict[str, list[snapshot.HostRoute]] = {
+        route.host: [] for route in replaced
+    }
+    for route in added:
+        added_by_host.setdefault(route.host, []).append(route)
+    grouped = dict(base)
+    for host, routes in added_by_host.items():
+        kept = [
+            route
+            for route in base.get(host, ())
+            if route.name not in replaced_names
+        ]
+        grouped[host] = tuple(sorted([*kept, *routes], key=_rank_host_route))
+        if not grouped[host]:
+            del grouped[host]
+    return grouped
+
+
+def _rank_host_route(route: snapshot.HostRoute) -> tuple[int, str, str]:
+    """Returns the sort key of a host route.
+
+    Of routes with the same prefix, all daemons must use the same one, whatever
+    the order in which they received the resources.
+    """
+    return -len(route.prefix), route.prefix, route.name
 
 
 def _parse_route(
@@ -321,13 +403,31 @@
     return snapshot.Route(method, prefix, plan)
 
 
+def _build_services(
+    base: snapshot.Snapshot,
+    parsed_resources: Mapping[str, snapshot.ParsedResource],
+) -> dict[str, snapshot.ServicePlan]:
+    """Returns the services by name, those of the base if they are unchanged."""
+    services = {
+        parsed.service.name: parsed.service
+        for parsed in parsed_resources.values()
+        if parsed.service is not None
+    }
+    _check_references(services, parsed_resources)
+    return {
+        name: _reuse_service(base, name, parsed_resources)
+        or _build_service(name, parsed_resources)
+        for name in services
+    }
+
+
 def _reuse_service(
-    base: snapshot.Snapshot | None,
+    base: snapshot.Snapshot,
     name: str,
     parsed_resources: Mapping[str, snapshot.ParsedResource],
 ) -> snapshot.ServicePlan | None:
     """Returns the service plan of the base if its resources are unchanged."""
-    if base is None or name not in base.services:
+    if name not in base.services:
         return None
     service = parsed_resources[snapshot.build_service_name(name)].service
     assert service is not None
--- a/merlintrestle/documents/snapshot.py
+++ b/merlintrestle/documents/snapshot.py
@@ -236,6 +236,7 @@
         host_routes: Mapping[str, tuple[HostRoute, ...]] | None = None,
         limits: Limits | None = None,
         workspaces: Mapping[str, Workspace] | None = None,
+        base: Snapshot | None = None,
     ):
         """Initializes the snapshot.
 
@@ -249,20 +250,30 @@
             limits: Limits for the requests of callers; None if not specified.
             workspaces: Workspaces by name, of which no two have the same API
                 key.
+            base: Snapshot whose indexes of unchanged hosts and workspaces are
+                shared.
         """
         self.version = version
         self.host_routes = host_routes or {}
-        self._prefixes = {
-            host: _index_prefixes(routes)
+        self._prefixes: Mapping[
+            str, tuple[tuple[int, ...], dict[str, HostRoute]]
+        ] = {
+            host: base._prefixes[host]
+            if base is not None and base.host_routes.get(host) is routes
+            else _index_prefixes(routes)
             for host, routes in self.host_routes.items()
         }
         self.limits = limits
         self.workspaces = workspaces or {}
-        self._workspaces_by_key = {
-            digest: workspace
-            for workspace in self.workspaces.values()
-            for digest in workspace.key_digests
-        }
+        self._workspaces_by_key: Mapping[bytes, Workspace]
+        if base is not None and base.workspaces is self.workspaces:
+            self._workspaces_by_key = base._workspaces_by_key
+        else:
+            self._workspaces_by_key = {
+                digest: workspace
+                for workspace in self.workspaces.values()
+                for digest in workspace.key_digests
+            }
         self.resources = resources
         self.services = services
         self.parsed_resources = parsed_resources or {}
@@ -311,25 +322,28 @@
     return tuple(lengths), by_prefix
 
 
-def compute_digest(
-    version: int,
-    resources: Mapping[str, bytes],
-    base: Snapshot | None = None,
-) -> bytes:
+def compute_digest(version: int, resources: Mapping[str, bytes]) -> bytes:
     """Returns the SHA-256 of a version and the digests of its resources.
 
     Args:
         version: Number of the version.
         resources: Serialized resources by name.
-        base: Snapshot whose digests of unchanged resources are reused.
     """
-    digest = hashlib.sha256(str(version).encode())
-    for name in sorted(resources):
-        parsed = find_parsed_resource(base, name, resources[name])
-        digest.update(
-            parsed.digest if parsed else hash_resource(name, resources[name])
-        )
-    return digest.digest()
+    return combine_digests(
+        version,
+        {name: hash_resource(name, value) for name, value in resources.items()},
+    )
+
+
+def combine_digests(version: int, digests: Mapping[str, bytes]) -> bytes:
+    """Returns the digest of a snapshot from those of its resources.
+
+    Args:
+        version: Number of the version.
+        digests: Result of `hash_resource` by name of the resource.
+    """
+    parts = [digests[name] for name in sorted(digests)]
+    return hashlib.sha256(b"".join((str(version).encode(), *parts))).digest()
 
 
 def build_service_name(service: str) -> str:
@@ -352,15 +366,6 @@
     return f"{WORKSPACE_PREFIX}{name}"
 
 
-def find_parsed_resource(
-    base: Snapshot | None, name: str, value: bytes
-) -> ParsedResource | None:
-    """Returns the parsed resource of a base if its value is unchanged."""
-    if base is None or base.resources.get(name) != value:
-        return None
-    return base.parsed_resources.get(name)
-
-
 def hash_resource(name: str, value: bytes) -> bytes:
     """Returns the SHA-256 of the name and the value of a resource."""
     return hashlib.sha256(f"{name}\0".encode() + value).digest()
--- a/merlintrestle/versions/deltas.py
+++ b/merlintrestle/versions/deltas.py
@@ -31,10 +31,13 @@
         digest=target.digest,
         removed=sorted(base.resources.keys() - target.resources.keys()),
     )
-    for name in sorted(target.resources):
-        value = target.resources[name]
-        if base.resources.get(name) != value:
-            delta.changed.add(name=name, value=value)
+    changed = [
+        name
+        for name, value in target.resources.items()
+        if base.resources.get(name) != value
+    ]
+    for name in sorted(changed):
+        delta.changed.add(name=name, value=target.resources[name])
     return delta
 
 
@@ -53,12 +56,10 @@
         )
     if base.digest != delta.base_digest:
         raise errors.SnapshotError("the base of the delta has another digest")
-    resources = dict(base.resources)
-    for name in delta.removed:
-        resources.pop(name, None)
-    for resource in delta.changed:
-        resources[resource.name] = resource.value
-    return loader.load_snapshot(delta.version, resources, base, delta.digest)
+    changed = {resource.name: resource.value for resource in delta.changed}
+    return loader.load_changes(
+        delta.version, base, changed, delta.removed, delta.digest
+    )
 
 
 def build_snapshot_message(
