--- a/merlintrestle/config.py
+++ b/merlintrestle/config.py
@@ -6,7 +6,6 @@
 import re
 from typing import Any, NamedTuple, TYPE_CHECKING, TypeVar
 
-import click
 from google.protobuf import descriptor as descriptors
 
 from merlintrestle import errors
@@ -64,6 +63,8 @@
 
 def add_options(message_class: type[message.Message]) -> Callable[[F], F]:
     """Returns a decorator that adds the settings to a click command."""
+    # Imported here, as daemons on the platform only use the checks of values.
+    import click
 
     def decorate(command: F) -> F:
         for setting in reversed(list_settings(message_class)):
