Run repeatable pipelined requests concurrently

Cause: aiohttp runs one coroutine per connection, and its parser drops the valid requests in front of malformed bytes of the same packet.

--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -5,12 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from aiohttp import hdrs
+
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import parsing
 from merlintrestle.requests.load import refused_callers
 from merlintrestle.requests.reports import decision_logs
 from merlintrestle.requests.serving import responses
+from merlintrestle.requests.transport import pipelining
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,7 +68,7 @@
         )
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        started_at = self._get_time()
+        started_at = pipelining.get_arrival(request, self._get_time())
         active_snapshot = self._state.get_active_snapshot(
             dialects.may_be_nested(self._dialect, request, self._is_busy())
         )
@@ -76,6 +79,10 @@
         )
         if isinstance(match, outcomes.NotRun):
             return self._refuse(match, request)
+        if not self._may_run(request, match):
+            await pipelining.wait_for_turn(request)
+            # The version and the state of this daemon may have changed.
+            return await self._answer(request)
         self._state.begin_call()
         try:
             metadata = self._read_metadata(request, match, started_at)
@@ -95,6 +102,20 @@
         finally:
             self._state.end_call()
 
+    def _may_run(self, request: web.BaseRequest, match: routing.Match) -> bool:
+        """Returns whether a request may run now, else it waits for its turn.
+
+        A request that is not repeatable runs when those in front have been
+        answered. "100 Continue" must not appear among their answers either.
+        """
+        if not pipelining.has_turn(request) and (
+            not match.plan.repeatable or hdrs.EXPECT in request.headers
+        ):
+            return False
+        if match.plan.repeatable and not self._state.caller_keep_alive_disabled:
+            pipelining.allow_next(request)
+        return True
+
     def _read_metadata(
         self, request: web.BaseRequest, match: routing.Match, started_at: float
     ) -> parsing.CallMetadata:
@@ -153,6 +174,7 @@
                     request, call, started_at, metadata
                 )
             try:
+                outcome = await responses.hold_until_turn(request, outcome)
                 response = await responses.respond(
                     request, outcome, self._dialect
                 )
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -25,6 +25,7 @@
 from merlintrestle.requests.serving import peers
 from merlintrestle.requests.serving import serving_state as serving_states
 from merlintrestle.requests.transport import forwarding
+from merlintrestle.requests.transport import pipelining
 from merlintrestle.requests.transport import server
 from merlintrestle.requests.unrepeatable import claim_restoration
 from merlintrestle.requests.unrepeatable import claims as claims_
@@ -225,7 +226,7 @@
             self._state, self._local_runner, self._admission, self._link
         )
         byte_counters = self._byte_counters
-        self._caller_server = server.Server(
+        self._caller_server = pipelining.Server(
             caller_handler.handle, byte_counters.callers
         )
         self._peer_server = server.Server(
--- a/merlintrestle/requests/serving/responses.py
+++ b/merlintrestle/requests/serving/responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -10,6 +11,7 @@
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.transport import bodies
+from merlintrestle.requests.transport import pipelining
 from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import streams
 
@@ -41,6 +43,53 @@
         return outcomes.Unknown(str(error), 400)
 
 
+async def hold_until_turn(
+    request: web.BaseRequest, outcome: outcomes.Outcome
+) -> outcomes.Outcome:
+    """Holds a streamed answer until it may be written to the connection.
+
+    A streamed answer occupies its slot while it waits, and stays paused by
+    back-pressure. If it ends before, it is buffered and its slot becomes free.
+
+    Args:
+        request: The request.
+        outcome: The outcome of its call.
+
+    Returns:
+        The outcome to respond with.
+    """
+    if not isinstance(outcome, outcomes.Answered) or outcome.body is not None:
+        return outcome
+    framed = streams.is_framed(outcome.response, request.method)
+    if not framed:
+        pipelining.cancel_behind(request)
+    if pipelining.has_turn(request):
+        return outcome
+    content = outcome.response.content
+    turn = asyncio.ensure_future(pipelining.wait_for_turn(request))
+    ended = asyncio.ensure_future(content.wait_eof())
+    try:
+        await asyncio.wait((turn, ended), return_when=asyncio.FIRST_COMPLETED)
+        if framed and content.is_eof() and content.exception() is None:
+            outcome.body = content.read_nowait()
+            return outcome
+        await turn
+    except BaseException:
+        outcome.release()
+        raise
+    finally:
+        turn.cancel()
+        if not ended.cancel() and not ended.cancelled():
+            # Otherwise asyncio logs the exception of a truncated answer.
+            ended.exception()
+    if content.exception() is None:
+        return outcome
+    # Nothing of it was written, so the caller can be told what happened.
+    outcome.truncated = True
+    outcome.release()
+    return outcomes.Ran("the answer was cut")
+
+
 async def respond(
     request: web.BaseRequest,
     outcome: outcomes.Outcome,
--- a/merlintrestle/requests/transport/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -80,7 +80,7 @@
 
     def __call__(self) -> web.RequestHandler:
         """Creates the protocol of a connection."""
-        return _RequestHandler(self, loop=self._loop, **self._options)
+        return RequestHandler(self, loop=self._loop, **self._options)
 
     async def start(self, address: str, port: int) -> None:
         """Binds the port; 0 selects a free one."""
@@ -125,7 +125,7 @@
         )
 
 
-class _RequestHandler(web.RequestHandler, protocols.NoDelayProtocol):
+class RequestHandler(web.RequestHandler, protocols.NoDelayProtocol):
     """Server side of a connection.
 
     Counts bytes, limits the wait for the first request, and adds the outcome to
@@ -139,6 +139,7 @@
         self._traffic = server.traffic
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts the timer of the first request."""
         super().connection_made(transport)
         # The task of the connection exists. From here on, aiohttp only creates
         # tasks for single requests.
@@ -151,6 +152,7 @@
         )
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancels the request in flight."""
         self._first_request_timer.cancel()
         super().connection_lost(exc)
 
