Count pipelined requests, and parse a plain request in one call

The parser of the caller port needs a second call to see whether bytes follow a message. It is saved where a packet is one request without a body, which is known only if the bytes before it ended with a message: without that condition the property test found a request that stayed in the parser. New metrics: merlintrestle_pipelined_requests_total and merlintrestle_pipeline_max_depth.

--- a/merlintrestle/requests/reports/traffic.py
+++ b/merlintrestle/requests/reports/traffic.py
@@ -20,6 +20,7 @@
     from collections.abc import Callable, Iterator
 
     from merlintrestle.requests.load import links
+    from merlintrestle.requests.transport import pipelining
 
 events = event_logs.EventLog("requests")
 
@@ -76,6 +77,7 @@
         link: links.OutgoingLink,
         get_buffered_bytes: Callable[[], int],
         get_time: Callable[[], float],
+        pipelines: pipelining.PipelineCounts | None = None,
     ):
         """Initializes the report.
 
@@ -85,8 +87,10 @@
             get_buffered_bytes: Returns the number of bytes in the write
                 buffers of both ports.
             get_time: Returns the time in seconds.
+            pipelines: Counts of pipelined requests; None: there are none.
         """
         self._traffics = traffics
+        self._pipelines = pipelines
         self._link = link
         self._get_buffered_bytes = get_buffered_bytes
         self._get_time = get_time
@@ -131,6 +135,17 @@
             byte_counters.add_metric((name, "in"), traffic.received)
             byte_counters.add_metric((name, "out"), traffic.sent)
         yield byte_counters
+        if self._pipelines is not None:
+            yield metrics_core.CounterMetricFamily(
+                "merlintrestle_pipelined_requests",
+                "Requests that arrived before the one in front was answered.",
+                value=self._pipelines.requests,
+            )
+            yield metrics_core.GaugeMetricFamily(
+                "merlintrestle_pipeline_max_depth",
+                "Most requests that one connection had in flight.",
+                value=self._pipelines.max_depth,
+            )
         for name, help_text, value in self._list_gauges():
             yield metrics_core.GaugeMetricFamily(name, help_text, value=value)
 
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -233,7 +233,11 @@
             self._peer_handler.handle, byte_counters.peers
         )
         self.traffic = traffic.TrafficReport(
-            byte_counters, self._link, self._get_write_buffer_bytes, loop.time
+            byte_counters,
+            self._link,
+            self._get_write_buffer_bytes,
+            loop.time,
+            self._caller_server.pipeline_counts,
         )
         await self._peer_server.start(address, self._settings.peer_port)
         self.peer_port = self._peer_server.port
--- a/merlintrestle/requests/transport/pipelining.py
+++ b/merlintrestle/requests/transport/pipelining.py
@@ -15,13 +15,14 @@
 from typing import Any, TYPE_CHECKING
 
 from aiohttp import http
+from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
 
 from merlintrestle.requests.transport import server
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from aiohttp import abc
 
@@ -32,9 +33,10 @@
 # Maximum number of requests of all connections that run ahead of their turn.
 # Each may hold an answer of `bodies.MAX_BUFFERED_BYTES`, or twice as much of a
 # streamed one. Further requests run when their turn comes.
-MAX_AHEAD = 256
+MAX_AHEAD = 128
 # Interval of checks for a disconnect while nothing is read, in seconds.
 _DISCONNECT_CHECK_S = 0.25
+_HEADERS_END = b"\r\n\r\n"
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +68,9 @@
         ("ahead", "allows_next", "arrived_at", "has_turn", "turn")
     )
 
+    # Requests are abstract mappings, so `isinstance` would call Python code of
+    # `abc` several times for each request; the functions compare types.
+
     def __init__(self, arrived_at: float, *arguments: Any):
         super().__init__(*arguments)
         self.arrived_at = arrived_at
@@ -89,33 +94,33 @@
 
 def get_arrival(request: web.BaseRequest, now: float) -> float:
     """Returns when a request arrived, in seconds of the event loop's clock."""
-    if isinstance(request, PipelinedRequest):
+    if type(request) is PipelinedRequest:
         return request.arrived_at
     return now
 
 
 def has_turn(request: web.BaseRequest) -> bool:
     """Returns whether the answer of a request may be written."""
-    return not isinstance(request, PipelinedRequest) or request.has_turn
+    return type(request) is not PipelinedRequest or request.has_turn
 
 
 async def wait_for_turn(request: web.BaseRequest) -> None:
     """Waits until the answer of a request may be written."""
-    if isinstance(request, PipelinedRequest):
+    if type(request) is PipelinedRequest:
         await request.wait_for_turn()
 
 
 def allow_next(request: web.BaseRequest) -> None:
     """Lets the request behind this one run; the handler calls it early."""
     protocol = request.protocol
-    if isinstance(protocol, _PipeliningHandler):
+    if type(protocol) is _PipeliningHandler:
         protocol.allow_next(request)
 
 
 def cancel_behind(request: web.BaseRequest) -> None:
     """Cancels what is behind a request whose answer closes the connection."""
     protocol = request.protocol
-    if isinstance(protocol, _PipeliningHandler):
+    if type(protocol) is _PipeliningHandler:
         protocol.cancel_behind(request)
 
 
@@ -164,11 +169,13 @@
     """
 
     __slots__ = (
+        "_at_boundary",
         "_counts",
         "_disconnect_timer",
         "_ended",
         "_entries",
         "_handle",
+        "_last_payload",
         "_next_may_start",
         "_started",
         "_unfinished",
@@ -176,12 +183,15 @@
 
     def __init__(self, manager: Server, **options: Any):
         super().__init__(manager, **options)
+        # True if the bytes so far end with the end of a message.
+        self._at_boundary = True
         self._counts = manager.pipeline_counts
         self._disconnect_timer: asyncio.TimerHandle | None = None
         # True once nothing behind the requests in flight may run.
         self._ended = False
         self._entries: collections.deque[_Entry] = collections.deque()
         self._handle = manager.request_handler
+        self._last_payload: Any = None
         self._next_may_start = False
         self._started = 0
         # Body of the last message, if it has not arrived completely.
@@ -236,44 +246,65 @@
             # Nothing that follows can be parsed.
             self._traffic.received += len(data)
             return
-        while True:
-            known = len(messages)
-            super().data_received(data)
-            unfinished = self._unfinished
-            if len(messages) > known:
-                if _is_error(messages[-1][0]) and unfinished is not None:
-                    unfinished.set_exception(
-                        web.RequestPayloadError("the body is malformed")
-                    )
-                unfinished = messages[-1][1]
-                self._add_entry(known)
-            if unfinished is None:
-                break
-            if not unfinished.is_eof():
-                self._unfinished = unfinished
-                break
-            self._unfinished = None
-            if (
-                len(messages) >= MAX_DEPTH
-                or self._upgraded
-                or self._close
-                or self._force_close
-                or (messages and _is_error(messages[-1][0]))
-            ):
+        # Usually a packet is one request without a body. Then the parser has
+        # nothing left, and the second call of it is saved.
+        ends = data[-len(_HEADERS_END) :] == _HEADERS_END
+        whole = (
+            ends
+            and self._at_boundary
+            and data.find(_HEADERS_END) == len(data) - len(_HEADERS_END)
+        )
+        self._at_boundary = whole
+        while self._parse_one(data):
+            if whole and self._last_payload is streams.EMPTY_PAYLOAD:
                 break
             # The parser has stopped at the end of a message.
             data = b""
+        else:
+            self._at_boundary = ends and self._last_payload is None
         if self._next_may_start and self._entries:
             self._start_next()
         if self._buffer_paused and self._disconnect_timer is None:
             self._watch_for_disconnect()
 
+    def _parse_one(self, data: bytes) -> bool:
+        """Parses up to the end of a message; returns whether to go on.
+
+        Sets `_last_payload` to the body of that message, or to one that has not
+        arrived completely, or to None if the parser has used up all bytes.
+        """
+        messages = self._messages
+        known = len(messages)
+        super().data_received(data)
+        payload = self._unfinished
+        if len(messages) > known:
+            if payload is not None and _is_error(messages[-1][0]):
+                payload.set_exception(
+                    web.RequestPayloadError("the body is malformed")
+                )
+            payload = messages[-1][1]
+            self._add_entry(known)
+        self._last_payload = payload
+        if payload is None:
+            return False
+        if not payload.is_eof():
+            self._unfinished = payload
+            return False
+        self._unfinished = None
+        return not (
+            len(messages) >= MAX_DEPTH
+            or self._upgraded
+            or self._close
+            or self._force_close
+            or (messages and _is_error(messages[-1][0]))
+        )
+
     def allow_next(self, request: web.BaseRequest) -> None:
         """Lets the request behind this one run."""
         if not request.keep_alive:
             self._ended = True
             return
-        if isinstance(request, PipelinedRequest):
+        if type(request) is PipelinedRequest:
             request.allows_next = True
         self._next_may_start = True
         if self._entries:
@@ -296,18 +327,23 @@
             assert behind is not None and behind.ahead is not None
             behind.ahead.cancel()
 
-    async def finish_response(
+    def finish_response(
         self,
         request: web.BaseRequest,
         resp: web.StreamResponse,
         start_time: float | None,
-    ) -> tuple[web.StreamResponse, bool]:
+    ) -> Coroutine[Any, Any, tuple[web.StreamResponse, bool]]:
         """Writes the rest of an answer."""
         if self._entries and _closes(request, resp):
             self.cancel_behind(None)
-        upgraded = self._upgraded
-        result = await super().finish_response(request, resp, start_time)
-        if upgraded and not self._upgraded:
+        finish = super().finish_response(request, resp, start_time)
+        return self._finish_upgrade(finish) if self._upgraded else finish
+
+    async def _finish_upgrade(
+        self, finish: Coroutine[Any, Any, tuple[web.StreamResponse, bool]]
+    ) -> tuple[web.StreamResponse, bool]:
+        result = await finish
+        if not self._upgraded:
             # aiohttp has parsed one message of what followed the upgrade.
             self.data_received(b"")
         return result
@@ -401,7 +437,7 @@
         self, request: web.BaseRequest
     ) -> Awaitable[web.StreamResponse]:
         """Handles the request whose turn it is."""
-        if isinstance(request, PipelinedRequest) and request.ahead is not None:
+        if type(request) is PipelinedRequest and request.ahead is not None:
             return self._join(request.ahead)
         return self._handle(request)
 
--- a/tests/requests/pipelines.py
+++ b/tests/requests/pipelines.py
@@ -68,7 +68,7 @@
 
     async def _read_chunks(self) -> bytes:
         body = b""
-        while size := int(await self.reader.readline(), 16):
+        while size := int(await self.reader.readuntil(b"\n"), 16):
             body += (await self.reader.readexactly(size + 2))[:-2]
         await self.reader.readexactly(2)
         return body
