--- a/merlintrestle/requests/reports/traffic.py
+++ b/merlintrestle/requests/reports/traffic.py
@@ -20,7 +20,6 @@
     from collections.abc import Callable, Iterator
 
     from merlintrestle.requests.load import links
-    from merlintrestle.requests.transport import pipelining
 
 events = event_logs.EventLog("requests")
 
@@ -44,6 +43,21 @@
     sent: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class PipelineCounts:
+    """Counts of pipelined requests, from the start of the daemon.
+
+    Attributes:
+        requests: Requests that arrived before the one in front was answered.
+        max_depth: Largest number of requests in flight on one connection.
+        ahead: Requests that run, or have run, and wait for their turn.
+    """
+
+    requests: int = 0
+    max_depth: int = 0
+    ahead: int = 0
+
+
 class Traffics(NamedTuple):
     """Byte counters of a daemon's data path, by kind of connection.
 
@@ -77,7 +91,7 @@
         link: links.OutgoingLink,
         get_buffered_bytes: Callable[[], int],
         get_time: Callable[[], float],
-        pipelines: pipelining.PipelineCounts | None = None,
+        pipelines: PipelineCounts | None = None,
     ):
         """Initializes the report.
 
--- a/merlintrestle/requests/transport/pipelining.py
+++ b/merlintrestle/requests/transport/pipelining.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import select
 from typing import Any, TYPE_CHECKING
 
@@ -19,6 +18,7 @@
 from aiohttp import web
 from aiohttp import web_protocol
 
+from merlintrestle.requests.reports import traffic as traffics
 from merlintrestle.requests.transport import server
 
 if TYPE_CHECKING:
@@ -26,8 +26,6 @@
 
     from aiohttp import abc
 
-    from merlintrestle.requests.reports import traffic as traffics
-
 # Maximum number of requests of a connection that are in flight.
 MAX_DEPTH = 8
 # Maximum number of requests of all connections that run ahead of their turn.
@@ -39,21 +37,6 @@
 _HEADERS_END = b"\r\n\r\n"
 
 
-@dataclasses.dataclass(slots=True)
-class PipelineCounts:
-    """Counts of pipelined requests, from the start of the daemon.
-
-    Attributes:
-        requests: Requests that arrived before the one in front was answered.
-        max_depth: Largest number of requests in flight on one connection.
-        ahead: Requests that run, or have run, and wait for their turn.
-    """
-
-    requests: int = 0
-    max_depth: int = 0
-    ahead: int = 0
-
-
 class PipelinedRequest(web.BaseRequest):
     """A request that arrived before the one in front was answered.
 
@@ -143,7 +126,7 @@
             traffic: Counter of the bytes of connections.
         """
         super().__init__(handler, traffic)
-        self.pipeline_counts = PipelineCounts()
+        self.pipeline_counts = traffics.PipelineCounts()
 
     def __call__(self) -> web.RequestHandler:
         """Creates the protocol of a connection."""
