--- a/tests/requests/transport/test_pipelining.py
+++ b/tests/requests/transport/test_pipelining.py
@@ -238,22 +238,22 @@
         )
         self.assertEqual(answers[1], (200, b"/stream"))
 
-    async def test_body_that_ends_in_the_packet_of_the_next_request(
-        self,
-    ) -> None:
+    async def test_request_that_ends_in_the_packet_of_the_next(self) -> None:
         """Guards against requests that stay in the buffer of the parser."""
-        request = pipelines.build_request("/1", "POST", body="body")
-        async with (
-            builders.run_nodes(1, handler=self.handle) as (node,),
-            pipelines.connect(node) as connection,
+        next_request = pipelines.build_request("/2")
+        for request in (
+            pipelines.build_request("/1"),
+            pipelines.build_request("/1", "POST", body="body"),
         ):
-            connection.writer.write(request[:-3])
-            await asyncio.sleep(0.02)
-            connection.writer.write(
-                request[-3:] + pipelines.build_request("/2")
-            )
-            self.assertEqual(await connection.read_answer(), (200, b"/1"))
-            self.assertEqual(await connection.read_answer(), (200, b"/2"))
+            async with (
+                builders.run_nodes(1, handler=self.handle) as (node,),
+                pipelines.connect(node) as connection,
+            ):
+                connection.writer.write(request[:-3])
+                await asyncio.sleep(0.02)
+                connection.writer.write(request[-3:] + next_request)
+                self.assertEqual(await connection.read_answer(), (200, b"/1"))
+                self.assertEqual(await connection.read_answer(), (200, b"/2"))
 
     async def test_continue_is_sent_on_its_turn(self) -> None:
         """Guards against "100 Continue" in place of the answer in front."""
@@ -295,6 +295,48 @@
             self.assertTrue(await draining)
         self.assertEqual(len(node.served), 2)
 
+    async def test_payout_behind_an_idle_time(self) -> None:
+        """Guards against the state of earlier requests that lets others run."""
+        self.add_gates("/payouts")
+        async with (
+            builders.run_nodes(1, handler=self.handle) as (node,),
+            pipelines.connect(node) as connection,
+        ):
+            connection.writer.write(pipelines.build_request("/1"))
+            self.assertEqual(await connection.read_answer(), (200, b"/1"))
+            connection.writer.write(
+                pipelines.build_request("/payouts", "POST", _KEY, "pay")
+                + pipelines.build_request("/3")
+            )
+            await self.wait_for_running("/payouts")
+            await asyncio.sleep(0.02)
+            self.assertEqual(len(node.served), 2)
+
+    async def test_last_answer_before_its_turn(self) -> None:
+        """Guards against requests that run behind an answer that closes."""
+        self.add_gates("/1", "/2")
+        async with builders.run_nodes(1, handler=self.handle) as (node,):
+            async with pipelines.connect(node) as connection:
+                for path in ("/1", "/2"):
+                    connection.writer.write(pipelines.build_request(path))
+                await self.wait_for_running("/1", "/2")
+                node.proxy.disable_caller_keep_alive()
+                self.gates["/2"].set()
+                await self.wait_for_running("/1")
+                connection.writer.write(pipelines.build_request("/3"))
+                await asyncio.sleep(0.02)
+                self.gates["/1"].set()
+                self.assertEqual(
+                    await connection.read_answers(), [(200, b"/1")]
+                )
+            async with pipelines.connect(node) as connection:
+                for path in ("/4", "/5"):
+                    connection.writer.write(pipelines.build_request(path))
+                self.assertEqual(
+                    await connection.read_answers(), [(200, b"/4")]
+                )
+        self.assertEqual([path for _, path in node.served], ["/1", "/2", "/4"])
+
 
 class OrderTest(unittest.TestCase):
     """Random requests, orders of answers, disconnects and drains."""
