Buffer only short streamed answers before their turn

Up to 1 MiB of an answer of the local backend server is read ahead. If such an answer gave its slot back while it waits, 128 of them would hold 128 MiB.

--- a/merlintrestle/requests/serving/responses.py
+++ b/merlintrestle/requests/serving/responses.py
@@ -49,7 +49,8 @@
     """Holds a streamed answer until it may be written to the connection.
 
     A streamed answer occupies its slot while it waits, and stays paused by
-    back-pressure. If it ends before, it is buffered and its slot becomes free.
+    back-pressure. A short one that ends before is buffered and frees its slot;
+    of others, the number of slots bounds the memory.
 
     Args:
         request: The request.
@@ -70,7 +71,12 @@
     ended = asyncio.ensure_future(content.wait_eof())
     try:
         await asyncio.wait((turn, ended), return_when=asyncio.FIRST_COMPLETED)
-        if framed and content.is_eof() and content.exception() is None:
+        if (
+            framed
+            and content.is_eof()
+            and content.exception() is None
+            and content.total_bytes <= bodies.MAX_BUFFERED_BYTES
+        ):
             outcome.body = content.read_nowait()
             return outcome
         await turn
