Take a plain request on an idle connection past the pipelining code

In-process server with a fake transport, 25 alternated rounds of 3,000 requests on a busy machine, minimum: 28.3 us without pipelining, 32.2 us with it, 37.2 us before this change (29.6 us beside it). Python calls per request: 117, 132, 140.

--- a/merlintrestle/requests/transport/pipelining.py
+++ b/merlintrestle/requests/transport/pipelining.py
@@ -229,22 +229,26 @@
             # Nothing that follows can be parsed.
             self._traffic.received += len(data)
             return
-        # Usually a packet is one request without a body. Then the parser has
-        # nothing left, and the second call of it is saved.
         ends = data[-len(_HEADERS_END) :] == _HEADERS_END
-        whole = (
+        if (
             ends
             and self._at_boundary
+            and not messages
+            and not self._request_in_progress
             and data.find(_HEADERS_END) == len(data) - len(_HEADERS_END)
-        )
-        self._at_boundary = whole
+        ):
+            # Usually the connection is idle, and a packet is one request
+            # without a body. The parser then has nothing left.
+            super().data_received(data)
+            self._next_may_start = False
+            if messages and messages[0][1] is not streams.EMPTY_PAYLOAD:
+                self._unfinished = messages[0][1]
+                self._at_boundary = False
+            return
         while self._parse_one(data):
-            if whole and self._last_payload is streams.EMPTY_PAYLOAD:
-                break
             # The parser has stopped at the end of a message.
             data = b""
-        else:
-            self._at_boundary = ends and self._last_payload is None
+        self._at_boundary = ends and self._last_payload is None
         if self._next_may_start and self._entries:
             self._start_next()
         if self._buffer_paused and self._disconnect_timer is None:
