--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -25,6 +25,7 @@
 from merlintrestle.requests.serving import peers
 from merlintrestle.requests.serving import serving_state as serving_states
 from merlintrestle.requests.transport import forwarding
+from merlintrestle.requests.transport import pipelining
 from merlintrestle.requests.transport import server
 from merlintrestle.requests.unrepeatable import claim_restoration
 from merlintrestle.requests.unrepeatable import claims as claims_
@@ -236,14 +237,18 @@
             dialects.get_workspace_header(self._dialect),
         )
         byte_counters = self._byte_counters
-        self._caller_server = server.Server(
+        self._caller_server = pipelining.Server(
             caller_handler.handle, byte_counters.callers
         )
         self._peer_server = server.Server(
             self._peer_handler.handle, byte_counters.peers
         )
         self.traffic = traffic.TrafficReport(
-            byte_counters, self._link, self._get_write_buffer_bytes, loop.time
+            byte_counters,
+            self._link,
+            self._get_write_buffer_bytes,
+            loop.time,
+            self._caller_server.pipeline_counts,
         )
         await self._peer_server.start(address, self._settings.peer_port)
         self.peer_port = self._peer_server.port
