Add quotas of workspaces over all daemons

Cause: a workspace's rate must hold over all daemons together, also while daemons or the store fail. Change: package quotas: a coordinator with a lease in the store grants tokens that expire; daemons request them in batches and spend one per call. Settings of the platform, metrics and the connection in the daemon.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -17,6 +17,8 @@
 from merlintrestle.members import service as control_server
 from merlintrestle.members import table as tables
 from merlintrestle.members import timing as timings
+from merlintrestle.quotas import bounds as quota_bounds
+from merlintrestle.quotas import service as quota_service
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.serving import proxy as proxies
 from merlintrestle.rollouts import controller as controllers
@@ -24,6 +26,7 @@
 from merlintrestle.rollouts import storage as storages
 from merlintrestle.rollouts import tracker as trackers
 from merlintrestle.schema import control_pb2
+from merlintrestle.schema import quota_pb2_grpc
 from merlintrestle.schema import request_pb2_grpc
 from merlintrestle.schema import settings_pb2
 from merlintrestle.store import client
@@ -152,6 +155,7 @@
         self.registry = metrics.build_registry(
             self._active_version, self._table, self._proxy, self._store.era
         )
+        self.registry.register(self.quotas)
         self._admin = admin.AdminServer(
             self._settings.admin_port,
             self._active_version,
@@ -224,6 +228,7 @@
         """
         self._stopping = True
         self._proxy.disable_caller_keep_alive()
+        await self.quotas.retire()
         farewell_s = self._settings.farewell_s
         propagation_s = min(_LEAVE_PROPAGATION_S, farewell_s)
         await asyncio.sleep(farewell_s - propagation_s)
@@ -270,6 +275,7 @@
         request_pb2_grpc.add_RequestsServicer_to_server(
             self._proxy.recall_servicer, self._control.server
         )
+        self._connect_quotas(membership, distribution)
         await self._control.start(servicer)
         self._proxy.backend.on_change = self._publish_backend
         self._proxy.set_on_leaving(self._retire_leaving_backend)
@@ -280,6 +286,29 @@
         await self.add_runtime_dependency(membership)
         await self.add_runtime_dependency(distribution)
         await self.add_runtime_dependency(self._rollout_controller)
+        await self.add_runtime_dependency(self.quotas)
+
+    def _connect_quotas(
+        self,
+        membership: memberships.Membership,
+        distribution: distributions.Distribution,
+    ) -> None:
+        """Connects the quotas with the gossip, the peers and the store."""
+        settings = self._settings
+        self.quotas = quota_service.Quotas(
+            membership,
+            self._active_version,
+            self._store,
+            distribution.watcher.selection.get_rank,
+            quota_bounds.build_bounds(
+                settings.quota_window_s,
+                settings.quota_overshoot,
+                settings.quota_slack,
+            ),
+        )
+        quota_pb2_grpc.add_QuotasServicer_to_server(
+            quota_service.QuotaServicer(self.quotas), self._control.server
+        )
 
     def _connect_rollouts(
         self,
--- a/merlintrestle/members/peers.py
+++ b/merlintrestle/members/peers.py
@@ -193,9 +193,21 @@
         closing.add_done_callback(self._closing.discard)
 
     async def call(
-        self, address: str, method: str, request: Any, timeout_s: float
+        self,
+        address: str,
+        method: str,
+        request: Any,
+        timeout_s: float,
+        stub_class: Any = control_pb2_grpc.ControlStub,
     ) -> Any:
-        """Calls a method of the Control service of a peer.
+        """Calls a method of the Control service, or of another, of a peer.
+
+        Args:
+            address: Address of the peer.
+            method: Name of the method.
+            request: The request.
+            timeout_s: Longest wait for the reply, in seconds.
+            stub_class: Generated stub of the service.
 
         Raises:
             PeerError: The call failed or timed out. Later calls use a new
@@ -204,7 +216,7 @@
                 during the call is kept.
         """
         channel = self._get_channel(address)
-        stub = control_pb2_grpc.ControlStub(channel)
+        stub = stub_class(channel)
         accounting.count_sent(method, request, accounting.CALL_OVERHEAD_BYTES)
         async with self._translate_errors(address, method, channel):
             reply = await getattr(stub, method)(
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -119,6 +119,9 @@
         retry_slack=settings.retry_slack,
         retry_window_s=settings.retry_window_s,
         farewell_s=farewell_s,
+        quota_window_s=settings.quota_window_s,
+        quota_overshoot=settings.quota_overshoot,
+        quota_slack=settings.quota_slack,
         link_mbps=settings.link_mbps,
         trial_share=settings.expose_share * _TRIAL_FRACTION,
     )
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -48,6 +48,12 @@
         retry_slack: Retries allowed in one window in addition to the ratio's.
         retry_window_s: Length of the window, in seconds.
         expose_share: Share of calls that a bad version may get; 0 if unstated.
+        quota_window_s: Length of the window of quotas, in seconds; 0 if
+            unstated.
+        quota_overshoot: Part of a quota by which it may be exceeded; 0 if
+            unstated.
+        quota_slack: Calls by which a quota may be exceeded in addition; 0 if
+            unstated.
         link_mbps: Capacity of the instance's link in Mbit/s; 0 if unknown.
     """
 
@@ -70,6 +76,9 @@
     retry_slack: float
     retry_window_s: float
     expose_share: float
+    quota_window_s: float
+    quota_overshoot: float
+    quota_slack: float
     link_mbps: float
 
 
@@ -148,6 +157,15 @@
         expose_share=reader.get_optional(
             "bounds.exposeShare", settings_reader.parse_number, 0.0
         ),
+        quota_window_s=reader.get_optional(
+            "bounds.quotaWindowS", settings_reader.parse_number, 0.0
+        ),
+        quota_overshoot=reader.get_optional(
+            "bounds.quotaOvershoot", settings_reader.parse_number, 0.0
+        ),
+        quota_slack=reader.get_optional(
+            "bounds.quotaSlack", settings_reader.parse_number, 0.0
+        ),
         link_mbps=reader.get_optional(
             "limits.linkMbps", settings_reader.parse_number, 0.0
         ),
--- /dev/null
+++ b/merlintrestle/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces over all daemons together."""
--- /dev/null
+++ b/merlintrestle/quotas/account.py
@@ -0,0 +1,344 @@
+"""The tokens of one daemon."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from typing import Protocol, TYPE_CHECKING
+
+from merlintrestle.quotas import bounds as bounds_lib
+from merlintrestle.schema import quota_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+# Time for which tokens are requested in advance, at the recent rate of calls.
+_HORIZON_S = 0.8
+# A workspace without a call for this long holds no tokens.
+_IDLE_S = 1.2
+# Time after which a workspace without calls is forgotten.
+_FORGOTTEN_S = 10.0
+# Weight of the calls since the last request in the estimated rate, per second.
+_RATE_WEIGHT_PER_S = 1.5
+# Largest number of tokens requested for one workspace at a time.
+_MAX_WANTED = 10_000
+_MS_PER_S = 1000
+
+
+class Waiter(Protocol):
+    """A call that waits for a token; an `asyncio.Future`.
+
+    Its result is 0 once it has a token, or else the time in seconds after which
+    there may be one.
+    """
+
+    def done(self) -> bool:
+        """Returns whether it has a result or no longer waits."""
+
+    def set_result(self, result: float) -> None:
+        """Ends the wait."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Batch:
+    """Tokens of one reply."""
+
+    expires_at: float
+    count: int
+    epoch: int
+
+
+class _Purse:
+    """Tokens of one workspace, and the calls for which they are requested."""
+
+    __slots__ = (
+        "asked",
+        "asked_at",
+        "batches",
+        "has_news",
+        "is_tight",
+        "rate",
+        "refused_until",
+        "reported",
+        "reported_until",
+        "spent",
+        "spent_before",
+        "unreported_expiry",
+        "waiters",
+    )
+
+    def __init__(self, now: float):
+        self.batches: collections.deque[_Batch] = collections.deque()
+        self.waiters: collections.deque[Waiter] = collections.deque()
+        # Calls since the last request, their rate before it and the last one.
+        self.asked = 0
+        self.rate = 0.0
+        self.asked_at = now
+        self.refused_until = -math.inf
+        # Tokens of the epoch that were spent, that were spent at the time of
+        # the last request, and that were reported as spent.
+        self.spent = 0
+        self.spent_before = 0
+        self.reported = 0
+        # Time up to which spent tokens were reported.
+        self.reported_until = now
+        # Least expiry of the tokens that are spent and not reported.
+        self.unreported_expiry = math.inf
+        # Whether the coordinator could not grant all that was requested.
+        self.is_tight = False
+        # Whether the coordinator has to be told of a change.
+        self.has_news = False
+
+    def begin_epoch(self, now: float) -> None:
+        """Starts to count anew; tokens of the earlier epoch stay valid."""
+        self.spent = self.spent_before = self.reported = 0
+        self.reported_until = now
+        self.unreported_expiry = math.inf
+        self.has_news = bool(self.waiters)
+
+    def count_tokens(self, epoch: int) -> int:
+        """Returns the number of tokens of an epoch."""
+        return sum(
+            batch.count for batch in self.batches if batch.epoch == epoch
+        )
+
+
+class Account:
+    """The tokens of this daemon.
+
+    A token is spent before its expiry, which counts from before the request
+    for it was sent, and only once. Each request states which tokens of the
+    epoch are held; the coordinator may grant all others again. It must be the
+    last request that is sent: its predecessor's reply is not applied any more.
+
+    Attributes:
+        epoch: Epoch of the coordinator that the daemon asks.
+        spent: Number of calls that got a token, less those that gave it back.
+        expired: Number of tokens that expired or were discarded.
+        refused: Number of calls that were refused because of their quota.
+    """
+
+    def __init__(
+        self, get_time: Callable[[], float] = bounds_lib.get_boot_time
+    ):
+        """Initializes an account without tokens.
+
+        Args:
+            get_time: Returns the time in seconds, with suspended time counted.
+        """
+        self.epoch = 0
+        self.spent = 0
+        self.expired = 0
+        self.refused = 0
+        self._get_time = get_time
+        self._purses: dict[str, _Purse] = {}
+        self._requested_at = get_time()
+
+    def begin_epoch(self, epoch: int) -> None:
+        """Starts to ask a new coordinator."""
+        self.epoch = epoch
+        now = self._get_time()
+        for purse in self._purses.values():
+            purse.begin_epoch(now)
+
+    def try_spend(self, name: str) -> bool:
+        """Spends a token of a workspace for a call, if there is one."""
+        now = self._get_time()
+        purse = self._purses.get(name)
+        if purse is None:
+            purse = self._purses[name] = _Purse(now)
+        purse.asked += 1
+        purse.asked_at = now
+        return self._take(purse, now)
+
+    def get_refusal(self, name: str) -> float:
+        """Returns for how long calls of a workspace are refused, in seconds.
+
+        0: a token may be requested.
+        """
+        purse = self._purses.get(name)
+        if purse is None:
+            return 0.0
+        remaining_s = purse.refused_until - self._get_time()
+        if remaining_s <= 0:
+            return 0.0
+        self.refused += 1
+        return remaining_s
+
+    def add_waiter(self, name: str, waiter: Waiter) -> None:
+        """Makes a call wait for a token, after `try_spend`."""
+        purse = self._purses.setdefault(name, _Purse(self._get_time()))
+        purse.waiters.append(waiter)
+        purse.has_news = True
+
+    def give_back(self, name: str, spent_at: float | None = None) -> None:
+        """Returns the token of a call that did not run.
+
+        A token that was reported as spent, or has expired, is lost: the
+        coordinator may have granted another one in its place.
+
+        Args:
+            name: Name of the workspace.
+            spent_at: Time at which the call got the token; None if unknown. A
+                token that is not reported yet is returned then.
+        """
+        purse = self._purses.get(name)
+        if purse is None or purse.spent <= purse.reported:
+            return
+        if purse.unreported_expiry <= self._get_time():
+            return
+        if spent_at is not None and spent_at <= purse.reported_until:
+            return
+        purse.spent -= 1
+        purse.spent_before = min(purse.spent_before, purse.spent)
+        self.spent -= 1
+        purse.batches.appendleft(_Batch(purse.unreported_expiry, 1, self.epoch))
+        purse.refused_until = -math.inf
+
+    def has_waiters(self) -> bool:
+        """Returns whether a call waits for a token."""
+        return any(
+            not waiter.done()
+            for purse in self._purses.values()
+            for waiter in purse.waiters
+        )
+
+    def build_reports(self) -> list[quota_pb2.TokenRequest]:
+        """Builds the next request; empty if there is nothing to request."""
+        now = self._get_time()
+        requested_at, self._requested_at = self._requested_at, now
+        elapsed_s = max(1e-3, now - requested_at)
+        weight = 1 - math.exp(-_RATE_WEIGHT_PER_S * elapsed_s)
+        reports = []
+        for name, purse in list(self._purses.items()):
+            purse.rate += weight * (purse.asked / elapsed_s - purse.rate)
+            report = self._build_report(name, purse, now, requested_at)
+            if report is not None:
+                reports.append(report)
+            elif now - purse.asked_at > _FORGOTTEN_S:
+                del self._purses[name]
+        return reports
+
+    def apply(
+        self, grants: Iterable[quota_pb2.TokenGrant], sent_at: float
+    ) -> None:
+        """Adds the tokens of a reply and ends the waits that it decides.
+
+        Args:
+            grants: The grants of the reply to the last request.
+            sent_at: Time before that request was built.
+        """
+        now = self._get_time()
+        expires_at = sent_at + bounds_lib.TOKEN_LIFETIME_S
+        for grant in grants:
+            purse = self._purses.get(grant.workspace)
+            if purse is None:
+                continue
+            # The tokens are counted at the coordinator until they are reported.
+            purse.has_news = grant.granted > 0
+            purse.is_tight = bool(grant.retry_after_ms)
+            if grant.granted:
+                purse.batches.append(
+                    _Batch(expires_at, grant.granted, self.epoch)
+                )
+                purse.refused_until = -math.inf
+            self._serve_waiters(purse, now)
+            if grant.retry_after_ms and not purse.batches:
+                retry_s = grant.retry_after_ms / _MS_PER_S
+                purse.refused_until = now + retry_s
+                self._refuse_waiters(purse, retry_s)
+
+    def _serve_waiters(self, purse: _Purse, now: float) -> None:
+        while purse.waiters:
+            if purse.waiters[0].done():
+                purse.waiters.popleft()
+            elif self._take(purse, now):
+                purse.waiters.popleft().set_result(0.0)
+            else:
+                purse.has_news = True
+                return
+
+    def _refuse_waiters(self, purse: _Purse, retry_s: float) -> None:
+        while purse.waiters:
+            waiter = purse.waiters.popleft()
+            if not waiter.done():
+                self.refused += 1
+                waiter.set_result(retry_s)
+
+    def _take(self, purse: _Purse, now: float) -> bool:
+        batches = purse.batches
+        while batches:
+            batch = batches[0]
+            if batch.expires_at <= now or not batch.count:
+                self.expired += batch.count
+                batches.popleft()
+                continue
+            batch.count -= 1
+            if not batch.count:
+                batches.popleft()
+            self.spent += 1
+            if batch.epoch == self.epoch:
+                purse.spent += 1
+                purse.unreported_expiry = min(
+                    purse.unreported_expiry, batch.expires_at
+                )
+                purse.has_news = True
+            return True
+        return False
+
+    def _build_report(
+        self, name: str, purse: _Purse, now: float, requested_at: float
+    ) -> quota_pb2.TokenRequest | None:
+        self._discard(purse, now)
+        while purse.waiters and purse.waiters[0].done():
+            purse.waiters.popleft()
+        needed = sum(not waiter.done() for waiter in purse.waiters)
+        tokens = sum(batch.count for batch in purse.batches)
+        expected = self._estimate_calls(purse, now)
+        if not (needed or expected > tokens or purse.has_news):
+            purse.asked = 0
+            return None
+        # What was spent since the last request may still be given back, unless
+        # other daemons need tokens.
+        if purse.is_tight:
+            self._set_reported(purse, purse.spent, now)
+        else:
+            self._set_reported(purse, purse.spent_before, requested_at)
+        purse.spent_before = purse.spent
+        if purse.refused_until > now or (purse.is_tight and purse.asked):
+            # Without these, each of the next calls would send a request.
+            needed = max(needed, min(purse.asked, expected))
+        purse.asked = 0
+        pending = purse.spent - purse.reported
+        return quota_pb2.TokenRequest(
+            workspace=name,
+            spent=purse.reported,
+            held=purse.count_tokens(self.epoch) + pending,
+            needed=needed,
+            wanted=max(0, expected - tokens),
+        )
+
+    def _set_reported(self, purse: _Purse, reported: int, until: float) -> None:
+        purse.reported = max(purse.reported, reported)
+        purse.reported_until = max(purse.reported_until, until)
+        if purse.reported >= purse.spent:
+            purse.unreported_expiry = math.inf
+
+    def _estimate_calls(self, purse: _Purse, now: float) -> int:
+        """Returns how many calls are expected within the horizon."""
+        if now - purse.asked_at > _IDLE_S:
+            return 0
+        return min(_MAX_WANTED, math.ceil(purse.rate * _HORIZON_S))
+
+    def _discard(self, purse: _Purse, now: float) -> None:
+        """Removes expired tokens, and all of a workspace without calls."""
+        is_idle = now - purse.asked_at > _IDLE_S
+        kept: collections.deque[_Batch] = collections.deque()
+        for batch in purse.batches:
+            if batch.expires_at <= now or is_idle:
+                self.expired += batch.count
+                purse.has_news = True
+            elif batch.count:
+                kept.append(batch)
+        purse.batches = kept
--- a/tests/members/builders.py
+++ b/tests/members/builders.py
@@ -122,7 +122,12 @@
         self._local_id = local_id
 
     async def call(
-        self, address: str, method: str, request: Any, timeout_s: float
+        self,
+        address: str,
+        method: str,
+        request: Any,
+        timeout_s: float,
+        stub_class: Any = None,
     ) -> Any:
         """Calls the target's handler of the method."""
         self._network.calls.append((self._local_id, address, method))
--- /dev/null
+++ b/tests/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quotas of workspaces."""
