Test quotas over many daemons in virtual time

Cause: the bound has to hold through lost, late and repeated messages, partitions, freezes, restarts and changes of the coordinator. Change: a fleet in virtual time with the real accounts, refills, election and allocation; fewer requests of daemons whose workspaces are over their quota.

--- a/merlintrestle/quotas/account.py
+++ b/merlintrestle/quotas/account.py
@@ -16,7 +16,7 @@
 # Time for which tokens are requested in advance, at the recent rate of calls.
 _HORIZON_S = 0.8
 # A workspace without a call for this long holds no tokens.
-_IDLE_S = 1.2
+_IDLE_S = 2.0
 # Time after which a workspace without calls is forgotten.
 _FORGOTTEN_S = 10.0
 # Weight of the calls since the last request in the estimated rate, per second.
@@ -62,6 +62,7 @@
         "refused_until",
         "reported",
         "reported_until",
+        "requested",
         "spent",
         "spent_before",
         "unreported_expiry",
@@ -85,7 +86,8 @@
         self.reported_until = now
         # Least expiry of the tokens that are spent and not reported.
         self.unreported_expiry = math.inf
-        # Whether the coordinator could not grant all that was requested.
+        # Tokens in the last request, and whether the coordinator granted fewer.
+        self.requested = 0
         self.is_tight = False
         # Whether the coordinator has to be told of a change.
         self.has_news = False
@@ -237,16 +239,20 @@
                 continue
             # The tokens are counted at the coordinator until they are reported.
             purse.has_news = grant.granted > 0
-            purse.is_tight = bool(grant.retry_after_ms)
+            purse.is_tight = grant.granted < purse.requested
             if grant.granted:
                 purse.batches.append(
                     _Batch(expires_at, grant.granted, self.epoch)
                 )
-                purse.refused_until = -math.inf
             self._serve_waiters(purse, now)
-            if grant.retry_after_ms and not purse.batches:
-                retry_s = grant.retry_after_ms / _MS_PER_S
+            # Once the tokens are spent, calls are refused until this time
+            # without a request for each.
+            retry_s = grant.retry_after_ms / _MS_PER_S
+            if retry_s:
                 purse.refused_until = now + retry_s
+            elif grant.granted and not purse.is_tight:
+                purse.refused_until = -math.inf
+            if retry_s and not purse.batches:
                 self._refuse_waiters(purse, retry_s)
 
     def _serve_waiters(self, purse: _Purse, now: float) -> None:
@@ -306,17 +312,19 @@
         else:
             self._set_reported(purse, purse.spent_before, requested_at)
         purse.spent_before = purse.spent
-        if purse.refused_until > now or (purse.is_tight and purse.asked):
+        if purse.refused_until > now:
             # Without these, each of the next calls would send a request.
             needed = max(needed, min(purse.asked, expected))
         purse.asked = 0
         pending = purse.spent - purse.reported
+        wanted = max(0, expected - tokens)
+        purse.requested = needed + wanted
         return quota_pb2.TokenRequest(
             workspace=name,
             spent=purse.reported,
             held=purse.count_tokens(self.epoch) + pending,
             needed=needed,
-            wanted=max(0, expected - tokens),
+            wanted=wanted,
         )
 
     def _set_reported(self, purse: _Purse, reported: int, until: float) -> None:
@@ -329,7 +337,8 @@
         """Returns how many calls are expected within the horizon."""
         if now - purse.asked_at > _IDLE_S:
             return 0
-        return min(_MAX_WANTED, math.ceil(purse.rate * _HORIZON_S))
+        mean = purse.rate * _HORIZON_S
+        return min(_MAX_WANTED, math.ceil(mean + math.sqrt(mean)))
 
     def _discard(self, purse: _Purse, now: float) -> None:
         """Removes expired tokens, and all of a workspace without calls."""
--- a/merlintrestle/quotas/allocation.py
+++ b/merlintrestle/quotas/allocation.py
@@ -18,11 +18,15 @@
 # not granted in advance.
 _RESERVED_SHARE = 0.3
 # A daemon whose need was not met is counted as competing for this long.
-_COMPETITION_S = 1.0
-# Bounds of the time after which a daemon may ask again. The least one limits
-# the requests of a daemon for a workspace that is over its quota.
-_MIN_RETRY_S = 0.25
+_COMPETITION_S = 2.0
+# Bounds of the time after which a daemon may ask again because of a call. The
+# least one exceeds the interval of its regular requests, which also ask for the
+# workspaces over their quota, so that calls cause none of their own.
+_MIN_RETRY_S = 1.0
 _MAX_RETRY_S = 5.0
+# Least time until a workspace with few tokens for its rate has all of them;
+# those of further time would be lost.
+_MAX_RETRY_FILL = 0.5
 _MS_PER_S = 1000
 
 
@@ -96,20 +100,25 @@
         holding.spent = max(holding.spent, report.spent)
 
     def grant(
-        self, process: int, report: quota_pb2.TokenRequest, now: float
+        self,
+        process: int,
+        report: quota_pb2.TokenRequest,
+        now: float,
+        is_settled: bool,
     ) -> quota_pb2.TokenGrant:
         """Grants what a process needs, and what it wants if there is plenty."""
         granted = min(report.needed, int(self.level))
         unmet = report.needed - granted
-        reserve = _RESERVED_SHARE * (self.level + self.outstanding)
-        spare = int(max(0.0, self.level - granted - reserve))
-        granted += min(report.wanted, spare)
+        granted += min(report.wanted, self._count_spare(process, granted, now))
         if granted:
             self.level -= granted
             self._add_tokens(process, granted, report.spent, now)
-        retry_s = self._compute_retry(process, now) if unmet else 0.0
-        if not unmet:
-            self.competitors.pop(process, None)
+        if unmet:
+            self.competitors[process] = now
+        # A daemon whose need was not met a moment ago is told at once when it
+        # gets the last tokens, so that its next call sends no request.
+        is_over = unmet or (self.level < 1 and self._competes(process, now))
+        retry_s = self._compute_retry(now, is_settled) if is_over else 0.0
         return quota_pb2.TokenGrant(
             workspace=report.workspace,
             granted=granted,
@@ -130,20 +139,36 @@
         # The earlier tokens expire sooner, but it is safe to count them longer.
         holding.expires_at = expires_at
 
-    def _compute_retry(self, process: int, now: float) -> float:
+    def _count_spare(self, process: int, granted: int, now: float) -> int:
+        """Returns how many tokens may be granted in advance.
+
+        Daemons that compete for tokens share all of them: what one of them does
+        not get now it requests with one of its next calls.
+        """
+        if self._competes(process, now):
+            return int((self.level - granted) / len(self.competitors))
+        reserve = _RESERVED_SHARE * (self.level + self.outstanding)
+        return int(max(0.0, self.level - granted - reserve))
+
+    def _competes(self, process: int, now: float) -> bool:
+        at = self.competitors.get(process, -math.inf)
+        return now - at <= _COMPETITION_S
+
+    def _compute_retry(self, now: float, is_settled: bool) -> float:
         """Returns when a process should ask again, in seconds.
 
         The processes that compete for the tokens take turns.
         """
-        self.competitors[process] = now
         if len(self.competitors) > 1:
             self.competitors = {
                 competitor: at
                 for competitor, at in self.competitors.items()
                 if now - at <= _COMPETITION_S
             }
-        missing = len(self.competitors) - self.level
-        return min(_MAX_RETRY_S, max(_MIN_RETRY_S, missing / self.rate))
+        missing = max(1, len(self.competitors)) - self.level
+        fill_s = _MAX_RETRY_FILL * self.get_cap(is_settled) / self.rate
+        least_s = min(_MIN_RETRY_S, fill_s)
+        return min(_MAX_RETRY_S, max(least_s, missing / self.rate))
 
     def _remove_expired(self, now: float) -> None:
         self._next_expiry = math.inf
@@ -247,9 +272,10 @@
             bucket = self._buckets[report.workspace]
             bucket.advance(now, self.settled_at)
             bucket.record_report(request.process, report)
-            bucket.limit_level(now >= self.settled_at)
+            is_settled = now >= self.settled_at
+            bucket.limit_level(is_settled)
             if bucket.removed_at is None:
-                grant = bucket.grant(request.process, report, now)
+                grant = bucket.grant(request.process, report, now, is_settled)
                 self.granted += grant.granted
                 reply.workspaces.append(grant)
         return reply
--- a/merlintrestle/quotas/refills.py
+++ b/merlintrestle/quotas/refills.py
@@ -21,7 +21,7 @@
 _UNAVAILABLE_STATUS = 503
 # Interval of requests that no call waits for, and least interval of others.
 _INTERVAL_S = 0.5
-_MIN_INTERVAL_S = 0.03
+_MIN_INTERVAL_S = 0.05
 # Time after a failure until the next request, while calls are refused.
 _FAILURE_INTERVAL_S = 0.4
 # Longest wait for a reply. The coordinator counts a token until it expires, so
--- a/merlintrestle/quotas/service.py
+++ b/merlintrestle/quotas/service.py
@@ -185,6 +185,7 @@
     @mode.Service.task
     async def _follow_version(self) -> None:
         while not self.should_stop:
+            await self._restart_failed()
             await self._set_running(self._has_rates())
             if self._allocation is not None:
                 self._configure(self._allocation)
@@ -212,6 +213,14 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.election.release()
 
+    async def _restart_failed(self) -> None:
+        """Starts the tasks again if one has failed, which is a fault."""
+        for task in self._tasks:
+            if task.done() and not task.cancelled():
+                events.fail("quota task failed", error=repr(task.exception()))
+                await self._set_running(False)
+                return
+
     def _is_cut_off(self) -> bool:
         return (
             self._membership.table.count_daemons() > 1
--- a/tests/quotas/builders.py
+++ b/tests/quotas/builders.py
@@ -289,7 +289,7 @@
         if refusal is None:
             self.fleet.record(workspace.name, sent_at)
         else:
-            self.fleet.refusals[workspace.name, refusal.status] += 1
+            self.fleet.record_refusal(workspace, refusal.status)
         return refusal
 
 
@@ -306,6 +306,8 @@
         delay_s: Longest delay of a message.
         ran: Times at which the calls that ran were sent, by workspace.
         refusals: Number of refusals by workspace and status.
+        wrong_refusals: Those of calls that were within the quota, counted over
+            the window before them.
     """
 
     def __init__(
@@ -325,6 +327,10 @@
         self.refusals: collections.Counter[tuple[str, int]] = (
             collections.Counter()
         )
+        self.wrong_refusals: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self.store_copy: dict[str, client.Entry] = {}
         self.version = 0
         self.active_version: Any = self
         self.set_workspaces(workspaces)
@@ -442,6 +448,18 @@
             for receive in daemon.links.on_message:
                 receive(None, message)
 
+    def record_refusal(
+        self, workspace: snapshot.Workspace, status: int
+    ) -> None:
+        """Records a refusal, and whether the call was within the quota."""
+        self.refusals[workspace.name, status] += 1
+        times = self.ran[workspace.name]
+        begin = get_time() - self.bounds.window_s
+        recent = len(times) - bisect.bisect_left(times, begin)
+        quota = workspace.rate * self.bounds.window_s + workspace.burst
+        if recent + 1 <= quota:
+            self.wrong_refusals[workspace.name, status] += 1
+
     def record(self, name: str, sent_at: float) -> None:
         """Records a call that ran."""
         bisect.insort(self.ran[name], sent_at)
