Begin a term with tokens after a coordinator of a whole window

Cause: after a takeover every workspace started without tokens, so calls within their quotas were refused for a second. Change: the record states whether the coordinator granted tokens for a whole window; its successor then starts with all that the cap of an unsettled one allows. A window contains at most these two.

--- a/merlintrestle/quotas/allocation.py
+++ b/merlintrestle/quotas/allocation.py
@@ -198,7 +198,7 @@
         starts_at: float,
         settled_at: float,
         get_time: Callable[[], float] = bounds_lib.get_boot_time,
-        is_first: bool = False,
+        starts_full: bool = False,
     ):
         """Initializes the allocation without a workspace.
 
@@ -209,7 +209,8 @@
             settled_at: Time at which no token of an earlier coordinator can be
                 in use any more.
             get_time: Returns the time in seconds.
-            is_first: Whether there was no coordinator before.
+            starts_full: Whether the workspaces start with all tokens that the
+                cap allows.
         """
         self.epoch = epoch
         self.granted = 0
@@ -217,7 +218,7 @@
         self._bounds = bounds
         self._starts_at = starts_at
         self._get_time = get_time
-        self._is_first = is_first
+        self._starts_full = starts_full
         self._buckets: dict[str, _Bucket] = {}
         self._configured = False
         # Last sequence number of each process, with the time of the request.
@@ -242,7 +243,7 @@
             if workspace.rate <= 0:
                 continue
             if name not in self._buckets:
-                is_full = self._is_first or (
+                is_full = self._starts_full or (
                     self._configured and now >= self.settled_at
                 )
                 self._buckets[name] = _Bucket(now, is_full)
--- a/merlintrestle/quotas/election.py
+++ b/merlintrestle/quotas/election.py
@@ -80,13 +80,27 @@
         starts_at: Time before which nothing may be granted.
         settled_at: Time at which no token of an earlier coordinator can be in
             use any more.
-        is_first: Whether there was no coordinator before.
+        starts_full: Whether workspaces start with all tokens that the cap
+            allows: the previous coordinator granted tokens for a whole window,
+            so that no window contains a third one, or there was none.
     """
 
     epoch: int
     starts_at: float
     settled_at: float
-    is_first: bool = False
+    starts_full: bool = False
+
+
+class _Stage(NamedTuple):
+    """Stage of a term that its record states.
+
+    Attributes:
+        settled: Whether no token of an earlier coordinator can be in use.
+        lasting: Whether tokens were granted for a whole window.
+    """
+
+    settled: bool
+    lasting: bool
 
 
 class _Attempt(NamedTuple):
@@ -112,6 +126,7 @@
         store: Store,
         member_id: str,
         get_rank: Callable[[], int | None],
+        window_s: float = bounds_lib.DEFAULT_WINDOW_S,
         is_cut_off: Callable[[], bool] = lambda: False,
         get_time: Callable[[], float] = bounds_lib.get_boot_time,
     ):
@@ -122,6 +137,7 @@
             member_id: Id of this daemon.
             get_rank: Returns the number of candidates before this one, or None
                 if this daemon is not a candidate.
+            window_s: Length of the window of the quotas in seconds.
             is_cut_off: Returns whether this daemon reaches no other one. As the
                 coordinator it would be of no use to them.
             get_time: Returns the time in seconds, with suspended time counted.
@@ -133,6 +149,7 @@
         self._store = store
         self._member_id = member_id
         self._get_rank = get_rank
+        self._window_s = window_s
         self._is_cut_off = is_cut_off
         self._get_time = get_time
         self._lease_id = 0
@@ -141,7 +158,7 @@
         self._attempt: _Attempt | None = None
         self._written_term: Term | None = None
         self._term_revision = 0
-        self._is_recorded_settled = False
+        self._recorded = _Stage(False, False)
         self._wake_event = asyncio.Event()
         self._is_urgent = False
 
@@ -204,11 +221,8 @@
         if not await self._renew():
             self._end(term, "lost")
             return _RETRY_S
-        if (
-            not self._is_recorded_settled
-            and self._get_time() >= term.settled_at
-            and not await self._record_term(term, True)
-        ):
+        stage = self._get_stage(term)
+        if stage != self._recorded and not await self._record_term(term, stage):
             self._valid_until = 0.0
             self._end(term, "replaced")
         return self._lease_s / _RENEWALS_PER_LEASE
@@ -260,7 +274,7 @@
             # If the answer to the write is lost, the next step reads this
             # record. The one before it decided on the term.
             self._written_term = term
-        if not await self._record_term(term, False):
+        if not await self._record_term(term, _Stage(False, False)):
             return
         self._attempt = self._written_term = None
         self._is_urgent = False
@@ -280,7 +294,7 @@
         era = self._get_era()
         expired_at = now + bounds_lib.COUNTED_LIFETIME_S
         if previous is None and era == _FIRST_ERA:
-            return Term(epoch, now, now, is_first=True)
+            return Term(epoch, now, now, starts_full=True)
         if previous is None or previous.era != era:
             # The store came back from a copy. A coordinator may still hold a
             # lease of the contents that were lost.
@@ -288,7 +302,7 @@
             return Term(epoch, expired_at, expired_at)
         if not previous.settled:
             return Term(epoch, expired_at, expired_at)
-        return Term(epoch, now, expired_at)
+        return Term(epoch, now, expired_at, previous.lasting)
 
     async def _renew(self) -> bool:
         """Renews the lease; returns whether it still exists.
@@ -305,10 +319,18 @@
         self._valid_until = asked_at + seconds - _LEASE_MARGIN_S
         return True
 
-    async def _record_term(self, term: Term, is_settled: bool) -> bool:
+    def _get_stage(self, term: Term) -> _Stage:
+        now = self._get_time()
+        lasts_at = max(
+            term.starts_at + self._window_s + _LEASE_MARGIN_S, term.settled_at
+        )
+        return _Stage(now >= term.settled_at, now >= lasts_at)
+
+    async def _record_term(self, term: Term, stage: _Stage) -> bool:
         value = quota_pb2.CoordinatorTerm(
             member_id=self._member_id,
-            settled=is_settled,
+            settled=stage.settled,
+            lasting=stage.lasting,
             era=self._get_era(),
             epoch=term.epoch,
         ).SerializeToString()
@@ -317,7 +339,7 @@
         written = reply.written or reply.entry.value == value
         if written:
             self._term_revision = reply.entry.revision
-            self._is_recorded_settled = is_settled
+            self._recorded = stage
         return written
 
     def _end(self, term: Term, reason: str) -> None:
--- a/merlintrestle/quotas/service.py
+++ b/merlintrestle/quotas/service.py
@@ -70,7 +70,12 @@
         self._member_id = table.local_id
         self.gossip = gossips.CoordinatorGossip(membership.links)
         self.election = elections.Election(
-            store, self._member_id, get_rank, self._is_cut_off, get_time
+            store,
+            self._member_id,
+            get_rank,
+            bounds.window_s,
+            self._is_cut_off,
+            get_time,
         )
         self.account = accounts.Account(get_time)
         self.refills = refills_lib.Refills(
@@ -247,7 +252,7 @@
             term.starts_at,
             term.settled_at,
             self._get_time,
-            term.is_first,
+            term.starts_full,
         )
         self._configured = None
         self._configure(self._allocation)
