--- a/merlintrestle/quotas/election.py
+++ b/merlintrestle/quotas/election.py
@@ -43,6 +43,7 @@
 # After a release, a candidate waits its rank times this delay.
 _DELAY_PER_RANK_S = 0.3
 _FIRST_ERA = 1
+_RELEASED = "released"
 
 
 class Store(Protocol):
@@ -206,7 +207,7 @@
         term, self._valid_until = self.term, 0.0
         if term is None:
             return
-        self._end(term, "released")
+        self._end(term, _RELEASED)
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
                 await self._store.delete(LEASE_KEY, term.epoch)
@@ -344,7 +345,8 @@
 
     def _end(self, term: Term, reason: str) -> None:
         self.term = None
-        events.warn("quota coordinator ends", epoch=term.epoch, reason=reason)
+        write = events.note if reason == _RELEASED else events.warn
+        write("quota coordinator ends", epoch=term.epoch, reason=reason)
         self.on_end(term.epoch)
 
     def _report_seen(self, entry: client.Entry) -> None:
--- a/tests/daemon/builders.py
+++ b/tests/daemon/builders.py
@@ -12,6 +12,7 @@
 
 from merlintrestle.daemon import service
 from merlintrestle.documents import compiler
+from merlintrestle.documents import snapshot as snapshots
 from merlintrestle.members import timing
 from merlintrestle.requests.transport import server
 from merlintrestle.schema import control_pb2
@@ -26,7 +27,13 @@
 from tests.members import builders as member_builders
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+    from collections.abc import (
+        AsyncIterator,
+        Awaitable,
+        Callable,
+        Mapping,
+        Sequence,
+    )
 
     from aiohttp import web
 
@@ -110,6 +117,19 @@
         """Sets the time for which a stopping daemon still serves callers."""
         self._settings.farewell_s = farewell_s
 
+    def set_workspaces(self, workspaces: Sequence[snapshots.Workspace]) -> None:
+        """Adds workspaces to the active version."""
+        active = self._active_version.active_snapshot
+        assert active is not None
+        self._active_version.active_snapshot = snapshots.Snapshot(
+            active.version,
+            active.resources,
+            active.services,
+            active.parsed_resources,
+            active.digest,
+            workspaces={item.name: item for item in workspaces},
+        )
+
     def record_states(self, daemon: Daemon) -> list[int]:
         """Returns a list to which the states of another daemon are appended."""
         states: list[int] = []
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -49,6 +49,22 @@
         )
         self.assertEqual(daemon_settings.link_mbps, 3.25)
 
+    def test_the_bounds_of_quotas_are_optional(self):
+        """Guards against settings files without quotas that are refused."""
+        text = builders.build_settings_text()
+        self.assertEqual(settings.parse_settings(text).quota_slack, 0)
+        bounds = "quotaWindowS=4,quotaOvershoot=0.2,quotaSlack=7"
+        lines = [
+            line + f",{bounds}" if line.startswith("bounds") else line
+            for line in text.splitlines()
+        ]
+        daemon_settings = service.build_daemon_settings(
+            settings.parse_settings("\n".join(lines))
+        )
+        self.assertEqual(daemon_settings.quota_window_s, 4)
+        self.assertEqual(daemon_settings.quota_overshoot, 0.2)
+        self.assertEqual(daemon_settings.quota_slack, 7)
+
     def test_a_short_grace_period_leaves_time_for_requests_in_flight(self):
         """Guards against requests that are aborted by an early kill.
 
