--- a/tests/quotas/test_gossip.py
+++ b/tests/quotas/test_gossip.py
@@ -19,9 +19,13 @@
         self.sent += 1
 
 
+def _build_links() -> Any:
+    return _Links()
+
+
 class CoordinatorGossipTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.links: Any = _Links()
+        self.links = _build_links()
         self.gossip = gossips.CoordinatorGossip(self.links)
 
     def receive(self, epoch: int, member_id: str) -> None:
