Count a call without a token once in the estimated demand

Cause: admission calls try_spend and then spend, which counted it twice. Change: a call that finds no token is counted in spend only. The lease is released during the farewell, so that a store that does not answer does not prolong a stop. Lasting terms include the longest wait for a token.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -228,10 +228,11 @@
         """
         self._stopping = True
         self._proxy.disable_caller_keep_alive()
-        await self.quotas.retire()
         farewell_s = self._settings.farewell_s
         propagation_s = min(_LEAVE_PROPAGATION_S, farewell_s)
-        await asyncio.sleep(farewell_s - propagation_s)
+        await asyncio.gather(
+            asyncio.sleep(farewell_s - propagation_s), self.quotas.retire()
+        )
         self._proxy.disable_keep_alive()
         self._table.leave()
         await asyncio.sleep(propagation_s)
--- a/merlintrestle/quotas/account.py
+++ b/merlintrestle/quotas/account.py
@@ -148,29 +148,33 @@
         """Spends a token of a workspace for a call, if there is one."""
         now = self._get_time()
         purse = self._purses.get(name)
-        if purse is None:
-            purse = self._purses[name] = _Purse(now)
+        if purse is None or not self._take(purse, now):
+            return False
         purse.asked += 1
         purse.asked_at = now
-        return self._take(purse, now)
+        return True
 
     def get_refusal(self, name: str) -> float:
         """Returns for how long calls of a workspace are refused, in seconds.
 
-        0: a token may be requested.
+        Called once for each call for which there is no token. 0: a token may
+        be requested.
         """
+        now = self._get_time()
         purse = self._purses.get(name)
         if purse is None:
-            return 0.0
-        remaining_s = purse.refused_until - self._get_time()
+            purse = self._purses[name] = _Purse(now)
+        purse.asked += 1
+        purse.asked_at = now
+        remaining_s = purse.refused_until - now
         if remaining_s <= 0:
             return 0.0
         self.refused += 1
         return remaining_s
 
     def add_waiter(self, name: str, waiter: Waiter) -> None:
-        """Makes a call wait for a token, after `try_spend`."""
-        purse = self._purses.setdefault(name, _Purse(self._get_time()))
+        """Makes a call wait for a token, after `get_refusal` returned 0."""
+        purse = self._purses[name]
         purse.waiters.append(waiter)
         purse.has_news = True
 
--- a/merlintrestle/quotas/allocation.py
+++ b/merlintrestle/quotas/allocation.py
@@ -291,7 +291,7 @@
         A request of a process that is forgotten has expired: its tokens would
         be void on arrival.
         """
-        kept_s = max(self._bounds.window_s, 2 * bounds_lib.TOKEN_LIFETIME_S)
+        kept_s = self._bounds.window_s + 2 * bounds_lib.TOKEN_LIFETIME_S
         if now - self._cleaned_at < kept_s:
             return
         self._cleaned_at = now
--- a/merlintrestle/quotas/bounds.py
+++ b/merlintrestle/quotas/bounds.py
@@ -26,8 +26,8 @@
 
 # Longest wait of a call for a token, and the largest part of the allowance that
 # is set aside for calls sent in one window that get their token in the next.
-_MAX_WAIT_S = 0.3
-_MAX_WAIT_SHARE = 0.15
+MAX_WAIT_S = 0.3
+MAX_WAIT_SHARE = 0.15
 
 
 def get_boot_time() -> float:
@@ -56,7 +56,7 @@
     def compute_wait_s(self, rate: float, burst: float) -> float:
         """Returns the longest wait of a call for a token, in seconds."""
         allowance = self._compute_allowance(rate, burst)
-        return min(_MAX_WAIT_S, _MAX_WAIT_SHARE * allowance / rate)
+        return min(MAX_WAIT_S, MAX_WAIT_SHARE * allowance / rate)
 
     def compute_circulation(self, rate: float, burst: float) -> float:
         """Returns how many tokens of all coordinators may be live at a time."""
--- a/merlintrestle/quotas/election.py
+++ b/merlintrestle/quotas/election.py
@@ -322,9 +322,9 @@
 
     def _get_stage(self, term: Term) -> _Stage:
         now = self._get_time()
-        lasts_at = max(
-            term.starts_at + self._window_s + _LEASE_MARGIN_S, term.settled_at
-        )
+        # Calls that are sent in a window may get their tokens after its end.
+        window_s = self._window_s + bounds_lib.MAX_WAIT_S + _LEASE_MARGIN_S
+        lasts_at = max(term.starts_at + window_s, term.settled_at)
         return _Stage(now >= term.settled_at, now >= lasts_at)
 
     async def _record_term(self, term: Term, stage: _Stage) -> bool:
