--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -17,6 +17,8 @@
 from merlintrestle.members import service as control_server
 from merlintrestle.members import table as tables
 from merlintrestle.members import timing as timings
+from merlintrestle.quotas import bounds as quota_bounds
+from merlintrestle.quotas import service as quota_service
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.serving import proxy as proxies
 from merlintrestle.rollouts import controller as controllers
@@ -24,6 +26,7 @@
 from merlintrestle.rollouts import storage as storages
 from merlintrestle.rollouts import tracker as trackers
 from merlintrestle.schema import control_pb2
+from merlintrestle.schema import quota_pb2_grpc
 from merlintrestle.schema import request_pb2_grpc
 from merlintrestle.schema import settings_pb2
 from merlintrestle.store import client
@@ -165,6 +168,7 @@
             self._store.era,
             self.freshness,
         )
+        self.registry.register(self.quotas)
         self._admin = admin.AdminServer(
             self._settings.admin_port,
             self._active_version,
@@ -239,7 +243,9 @@
         self._proxy.disable_caller_keep_alive()
         farewell_s = self._settings.farewell_s
         propagation_s = min(_LEAVE_PROPAGATION_S, farewell_s)
-        await asyncio.sleep(farewell_s - propagation_s)
+        await asyncio.gather(
+            asyncio.sleep(farewell_s - propagation_s), self.quotas.retire()
+        )
         self._proxy.disable_keep_alive()
         self._table.leave()
         await asyncio.sleep(propagation_s)
@@ -288,6 +294,7 @@
         request_pb2_grpc.add_RequestsServicer_to_server(
             self._proxy.recall_servicer, self._control.server
         )
+        self._connect_quotas(membership, distribution)
         await self._control.start(servicer)
         self._proxy.backend.on_change = self._publish_backend
         self._proxy.set_on_leaving(self._retire_leaving_backend)
@@ -305,6 +312,30 @@
             )
             await self.add_runtime_dependency(poller)
         await self.add_runtime_dependency(self._rollout_controller)
+        await self.add_runtime_dependency(self.quotas)
+
+    def _connect_quotas(
+        self,
+        membership: memberships.Membership,
+        distribution: distributions.Distribution,
+    ) -> None:
+        """Connects the quotas with the gossip, the peers and the store."""
+        settings = self._settings
+        self.quotas = quota_service.Quotas(
+            membership,
+            self._active_version,
+            self._store,
+            distribution.watcher.selection.get_rank,
+            quota_bounds.build_bounds(
+                settings.quota_window_s,
+                settings.quota_overshoot,
+                settings.quota_slack,
+            ),
+        )
+        self._proxy.workspace_admission.quotas = self.quotas
+        quota_pb2_grpc.add_QuotasServicer_to_server(
+            quota_service.QuotaServicer(self.quotas), self._control.server
+        )
 
     def _connect_rollouts(
         self,
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -39,6 +39,12 @@
         expose_share: Share of calls that a bad version may get; 0 if unstated.
         revocation_limit_s: Time after a version within which the API keys that
             it removed stop working, in seconds; 0: no limit.
+        quota_window_s: Length of the window of quotas, in seconds; 0 if
+            unstated.
+        quota_overshoot: Part of a quota by which it may be exceeded; 0 if
+            unstated.
+        quota_slack: Calls by which a quota may be exceeded in addition; 0 if
+            unstated.
         link_mbps: Capacity of the instance's link in Mbit/s; 0 if unknown.
     """
 
@@ -62,6 +68,9 @@
     retry_window_s: float
     expose_share: float
     revocation_limit_s: float
+    quota_window_s: float
+    quota_overshoot: float
+    quota_slack: float
     link_mbps: float
 
 
@@ -149,10 +158,11 @@
         retry_window_s=reader.get_required(
             "bounds.budgetWindowS", settings_reader.parse_number, 0.0
         ),
-        expose_share=reader.get_optional(
-            "bounds.exposeShare", settings_reader.parse_number, 0.0
-        ),
+        expose_share=_read_bound(reader, "exposeShare"),
         revocation_limit_s=_read_revocation_limit(reader),
+        quota_window_s=_read_bound(reader, "quotaWindowS"),
+        quota_overshoot=_read_bound(reader, "quotaOvershoot"),
+        quota_slack=_read_bound(reader, "quotaSlack"),
         link_mbps=reader.get_optional(
             "limits.linkMbps", settings_reader.parse_number, 0.0
         ),
@@ -162,9 +172,8 @@
     return settings
 
 
-_UNSET = settings_reader.Address(
-    "", 0
-)  # Placeholder for a missing or malformed address.
+# Placeholder for a missing or malformed address.
+_UNSET = settings_reader.Address("", 0)
 
 
 def _split_lines(text: str) -> dict[str, str]:
@@ -181,6 +190,13 @@
     return values
 
 
+def _read_bound(reader: settings_reader.SettingsReader, name: str) -> float:
+    """Returns a bound; 0 if it is not stated."""
+    return reader.get_optional(
+        f"bounds.{name}", settings_reader.parse_number, 0.0
+    )
+
+
 def _read_revocation_limit(reader: settings_reader.SettingsReader) -> float:
     """Returns the limit in seconds; 0 if it is not strict."""
     limit_ms = reader.get_optional(
@@ -188,11 +204,7 @@
         settings_reader.parse_number,
         _DEFAULT_REVOCATION_LIMIT_MS,
     )
-    strict = reader.get_optional("bounds.revokeStrict", _parse_flag, False)
+    strict = reader.get_optional(
+        "bounds.revokeStrict", settings_reader.parse_flag, False
+    )
     return limit_ms / _MS_PER_S if strict else 0.0
-
-
-def _parse_flag(text: str) -> bool:
-    if text not in ("true", "false"):
-        raise ValueError(f"{text!r} is neither true nor false.")
-    return text == "true"
--- a/merlintrestle/requests/interfaces.py
+++ b/merlintrestle/requests/interfaces.py
@@ -108,8 +108,13 @@
             the quota is exceeded, and with 503 if that is not known.
         """
 
-    def give_back(self, workspace: snapshot.Workspace) -> None:
-        """Returns the token of a call that did not run."""
+    def give_back(self, workspace: snapshot.Workspace, spent_at: float) -> None:
+        """Returns the token of a call that did not run.
+
+        Args:
+            workspace: Workspace of the call.
+            spent_at: When the call got the token, in seconds since boot.
+        """
 
 
 class Store(Protocol):
--- a/merlintrestle/requests/workspaces/admission.py
+++ b/merlintrestle/requests/workspaces/admission.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple, TYPE_CHECKING
 
+from merlintrestle.quotas import bounds as quota_bounds
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import plans
 from merlintrestle.requests.workspaces import credentials
@@ -37,11 +38,13 @@
         plan: Class of work of the call, with the importance of its workspace.
         workspace: Name of its workspace; empty if it is anonymous.
         charged: The workspace whose quota a token was taken from, if any.
+        charged_at: When that was, in seconds since boot.
     """
 
     plan: snapshot.ClassPlan
     workspace: str = ""
     charged: snapshot.Workspace | None = None
+    charged_at: float = 0.0
 
 
 class QuotaWait(NamedTuple):
@@ -77,7 +80,7 @@
         """Returns None."""
         return None
 
-    def give_back(self, workspace: snapshot.Workspace) -> None:
+    def give_back(self, workspace: snapshot.Workspace, spent_at: float) -> None:
         """Does nothing."""
 
 
@@ -160,7 +163,7 @@
     def give_back(self, admitted: Admitted) -> None:
         """Returns the quota token of a call that did not run."""
         if admitted.charged is not None:
-            self.quotas.give_back(admitted.charged)
+            self.quotas.give_back(admitted.charged, admitted.charged_at)
 
 
 def _build_admitted(
@@ -168,5 +171,8 @@
 ) -> Admitted:
     if workspace.importance:
         plan = plans.replace_importance(plan, workspace.importance)
-    charged = workspace if workspace.rate else None
-    return Admitted(plan, workspace.name, charged)
+    if not workspace.rate:
+        return Admitted(plan, workspace.name)
+    return Admitted(
+        plan, workspace.name, workspace, quota_bounds.get_boot_time()
+    )
--- a/merlintrestle/settings_reader.py
+++ b/merlintrestle/settings_reader.py
@@ -83,6 +83,17 @@
     return number
 
 
+def parse_flag(text: str) -> bool:
+    """Returns whether a text is "true".
+
+    Raises:
+        ValueError: If the text is neither "true" nor "false".
+    """
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither true nor false.")
+    return text == "true"
+
+
 def parse_address(text: str) -> Address:
     """Returns an address of the form "ip:port".
 
--- a/tests/requests/workspaces/builders.py
+++ b/tests/requests/workspaces/builders.py
@@ -96,6 +96,6 @@
         self.timeouts_s.append(timeout_s)
         return self.refusal
 
-    def give_back(self, workspace: snapshot.Workspace) -> None:
+    def give_back(self, workspace: snapshot.Workspace, spent_at: float) -> None:
         """Adds a token."""
         self.tokens += 1
