State workspaces in the document of the mesh

Workspaces could only be stated in the platform's configuration record, so operators of target documents could neither read nor change them.

The document of organisation mesh has [[workspaces]] with name, digests of API keys, importance, rate and burst; a class of work may be anonymous. Digests are stored as bytes, so 10,000 keys take 340 KB of the 1 MB that a value of the store may have. Findings about a workspace name its place and never a value, as any of them may be a key in the wrong place. Differences, and with them the audit trail, show the first 12 digits of a digest.

--- a/merlintrestle/documents/compiler.py
+++ b/merlintrestle/documents/compiler.py
@@ -58,6 +58,10 @@
             resources[snapshot.BUDGET_RESOURCE] = serialize_message(
                 document_pb2.BudgetResource(slots=document.budget_slots)
             )
+        for workspace in document.workspaces:
+            resources[snapshot.build_workspace_name(workspace.name)] = (
+                serialize_message(_build_workspace(workspace))
+            )
         for service in document.services:
             names = class_names.setdefault(service.name, [])
             for name, value in _compile_classes(organisation, service):
@@ -75,6 +79,18 @@
     return loader.load_snapshot(version, resources, base)
 
 
+def _build_workspace(
+    workspace: document_pb2.WorkspaceTarget,
+) -> document_pb2.WorkspaceResource:
+    return document_pb2.WorkspaceResource(
+        name=workspace.name,
+        key_digests=workspace.key_digests,
+        importance=workspace.importance,
+        rate=workspace.rate,
+        burst=workspace.burst,
+    )
+
+
 def _compile_classes(
     organisation: str, service: document_pb2.ServiceTarget
 ) -> list[tuple[str, bytes]]:
--- a/merlintrestle/documents/differences.py
+++ b/merlintrestle/documents/differences.py
@@ -16,13 +16,16 @@
 def list_differences(
     old: document_pb2.Document | None, new: document_pb2.Document | None
 ) -> list[str]:
-    """Returns a line for each key, service and class of work that differs.
+    """Returns a line for each key, service, class and workspace that differs.
 
     An added ("+") or removed ("-") class is one line. An added or removed
     service has a line of its own, a line for each of its classes, and a line
     ("~") for each key that has a value. A changed service or class has a line
     ("~") for each key that differs.
 
+    Workspaces are shown like classes; an added or removed digest of an API key
+    has a line of its own, in short form.
+
     Args:
         old: The old document, or None if the organisation had none.
         new: The new document, or None if the document was withdrawn.
@@ -31,10 +34,37 @@
     new_document = new or document_pb2.Document()
     return [
         *_compare_keys("", old_document, new_document, skip=("organisation",)),
+        *_compare_workspaces(old_document.workspaces, new_document.workspaces),
         *_compare_services(old_document.services, new_document.services),
     ]
 
 
+def _compare_workspaces(
+    old: Iterable[document_pb2.WorkspaceTarget],
+    new: Iterable[document_pb2.WorkspaceTarget],
+) -> Iterator[str]:
+    old_by_name = {workspace.name: workspace for workspace in old}
+    new_by_name = {workspace.name: workspace for workspace in new}
+    empty = document_pb2.WorkspaceTarget()
+    for name in sorted(old_by_name.keys() | new_by_name.keys()):
+        path = f"workspaces.{name}"
+        old_workspace = old_by_name.get(name, empty)
+        new_workspace = new_by_name.get(name, empty)
+        if name not in old_by_name:
+            yield f"+ {path}: {_describe_workspace(new_workspace)}"
+        elif name not in new_by_name:
+            yield f"- {path}: {_describe_workspace(old_workspace)}"
+        else:
+            yield from _compare_keys(
+                path + ".", old_workspace, new_workspace, skip=("key_digests",)
+            )
+        old_digests = set(old_workspace.key_digests)
+        new_digests = set(new_workspace.key_digests)
+        for digest in sorted(old_digests ^ new_digests):
+            sign = "+" if digest in new_digests else "-"
+            yield f"{sign} {path}.key_digests: {fields.format_digest(digest)}"
+
+
 def _compare_services(
     old: Iterable[document_pb2.ServiceTarget],
     new: Iterable[document_pb2.ServiceTarget],
@@ -104,6 +134,16 @@
     )
 
 
+def _describe_workspace(workspace: document_pb2.WorkspaceTarget) -> str:
+    quota = (
+        f"{workspace.rate:.15g} calls/s, burst {workspace.burst:.15g}"
+        if workspace.rate
+        else "no quota"
+    )
+    importance = workspace.importance or "that of the class"
+    return f"{quota}, importance {importance}"
+
+
 def _format_value(field: Any, value: Any) -> str:
     if field.is_repeated:
         return "[" + ", ".join(value) + "]"
--- a/merlintrestle/documents/fields.py
+++ b/merlintrestle/documents/fields.py
@@ -10,7 +10,8 @@
 from merlintrestle.schema import document_pb2
 from merlintrestle.schema import settings_pb2
 
-# Reserved organisation; its document only declares the shared capacity budget.
+# Reserved organisation; its document declares the shared capacity budget and
+# the workspaces.
 MESH_ORGANISATION = "mesh"
 # Importance of a class of work that declares none: 1 is shed first, 5 last.
 DEFAULT_IMPORTANCE = 3
@@ -21,6 +22,9 @@
 # Pattern of the names of organisations, services and classes of work.
 NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 _METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "*")
+_DIGEST = re.compile(r"[0-9a-fA-F]{64}")
+# Enough to tell 10,000 digests apart.
+_SHORT_DIGEST_DIGITS = 12
 # A path prefix of up to 200 characters.
 _PATH = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@/-]{0,199}")
 _MAX_LIST_ENTRIES = 1000
@@ -57,6 +61,11 @@
     return Range(setting.min, setting.max, setting.unit)
 
 
+def format_digest(digest: bytes) -> str:
+    """Returns the short form of the digest of an API key."""
+    return digest.hex()[:_SHORT_DIGEST_DIGITS] + "..."
+
+
 class Table:
     """A TOML table that checks each key when it is read.
 
@@ -74,6 +83,7 @@
         file: str,
         path: str,
         findings: list[errors.Finding],
+        hides_values: bool = False,
     ):
         """Initializes the table.
 
@@ -82,7 +92,10 @@
             file: Name of the file.
             path: Dotted path of this table; empty for the root table.
             findings: List to which findings are added.
+            hides_values: Whether findings contain no values, as any of them may
+                be an API key in the wrong place.
         """
+        self._hides_values = hides_values
         self._unread = dict(values)
         self._file = file
         self._path = path
@@ -114,10 +127,12 @@
             return default or 0
         return int(self._check_range(key, value, allowed))
 
-    def read_number(self, key: str, allowed: Range) -> float:
+    def read_number(
+        self, key: str, allowed: Range, default: float | None = None
+    ) -> float:
         """Reads a float or an integer within a range."""
         value = self._read_value(
-            key, (int, float), f"a number, {allowed}", None
+            key, (int, float), f"a number, {allowed}", default
         )
         if value is None:
             return 0.0
@@ -129,7 +144,7 @@
         value = self._read_value(key, str, words, default)
         if value not in choices:
             if value is not None:
-                self.report(key, f"{_format_value(value)} is not {words}.")
+                self.report(key, f"{self._format_value(value)} is not {words}.")
             return choices[default]
         return choices[value]
 
@@ -158,6 +173,42 @@
             pattern for pattern in patterns if self._check_pattern(key, pattern)
         ]
 
+    def read_digests(self, key: str) -> list[bytes]:
+        """Reads a list of SHA-256 digests in hex."""
+        expected = "a list of digests that `merlintrestle key-digest` prints"
+        digests = []
+        for text in self._read_strings(key, expected, None):
+            if _DIGEST.fullmatch(text):
+                digests.append(bytes.fromhex(text))
+            else:
+                self.report(
+                    key,
+                    "has an entry that is no SHA-256 digest of 64 hex digits;"
+                    " `merlintrestle key-digest` makes one from a key.",
+                )
+        return digests
+
+    def read_table_list(self, key: str) -> list[Table]:
+        """Reads an array of tables; returns [] if it is missing.
+
+        The path of a table has its name, or else its place from 1 on. Its
+        findings contain no values.
+        """
+        tables = []
+        values = self._read_value(key, list, "an array of tables", [])
+        for i, value in enumerate(values, 1):
+            if not isinstance(value, dict):
+                self.report(f"{key}[{i}]", "is not a table.")
+                continue
+            name = value.get("name")
+            is_name = isinstance(name, str) and NAME.fullmatch(name)
+            path = f"{key}.{name}" if is_name else f"{key}[{i}]"
+            table_path = f"{self._path}.{path}" if self._path else path
+            tables.append(
+                Table(value, self._file, table_path, self._findings, True)
+            )
+        return tables
+
     def read_tables(self, key: str) -> dict[str, Table]:
         """Reads a table of named tables; returns {} if it is missing."""
         tables = {}
@@ -184,7 +235,7 @@
         if isinstance(value, bool) is not (
             value_type is bool
         ) or not isinstance(value, value_type):
-            self.report(key, f"{_format_value(value)} is not {expected}.")
+            self.report(key, f"{self._format_value(value)} is not {expected}.")
             return default
         return value
 
@@ -200,21 +251,26 @@
             return []
         for value in values:
             if not isinstance(value, str):
-                self.report(key, f"{_format_value(value)} is not a text.")
+                self.report(key, f"{self._format_value(value)} is not a text.")
         return [value for value in values if isinstance(value, str)]
 
+    def _format_value(self, value: Any) -> str:
+        return "its value" if self._hides_values else _format_value(value)
+
     def _check_range(self, key: str, value: float, allowed: Range) -> float:
         # Comparisons with NaN are false, so NaN is also rejected here.
         if allowed.low <= value <= allowed.high and math.isfinite(value):
             return value
-        self.report(key, f"{_format_value(value)} is not within {allowed}.")
+        self.report(
+            key, f"{self._format_value(value)} is not within {allowed}."
+        )
         return 0
 
     def _check_name(self, key: str, name: str) -> bool:
         if NAME.fullmatch(name):
             return True
         text = (
-            f"{_format_value(name)} is not a name"
+            f"{self._format_value(name)} is not a name"
             " (a-z, 0-9 and '-', 63 at most)."
         )
         self.report(key, text)
@@ -224,12 +280,13 @@
         method, _, path = pattern.partition(" ")
         if method not in _METHODS:
             text = (
-                f"{_format_value(pattern)} begins with none of"
+                f"{self._format_value(pattern)} begins with none of"
                 f" {', '.join(_METHODS)}."
             )
         elif not _PATH.fullmatch(path) or "//" in path or "/." in path:
             text = (
-                f"{_format_value(pattern)} has no plain path after its method."
+                f"{self._format_value(pattern)} has no plain path after"
+                " its method."
             )
         else:
             return True
--- a/merlintrestle/documents/loader.py
+++ b/merlintrestle/documents/loader.py
@@ -181,8 +181,11 @@
         plan.service, plan.organisation, plan.name
     )
     _require(name, name == expected_name, "is misnamed")
-    patterns = resource.target.match
-    routes = tuple(_parse_route(name, pattern, plan) for pattern in patterns)
+    target = resource.target
+    routes = tuple(
+        _parse_route(name, pattern, plan, target.anonymous)
+        for pattern in target.match
+    )
     return snapshot.ParsedResource(digest, None, plan, routes)
 
 
@@ -402,11 +405,11 @@
 
 
 def _parse_route(
-    name: str, pattern: str, plan: snapshot.ClassPlan
+    name: str, pattern: str, plan: snapshot.ClassPlan, anonymous: bool
 ) -> snapshot.Route:
     method, _, prefix = pattern.partition(" ")
     _require(name, prefix.startswith("/"), f"has a bad match {pattern!r}")
-    return snapshot.Route(method, prefix, plan)
+    return snapshot.Route(method, prefix, plan, anonymous)
 
 
 def _build_services(
--- a/merlintrestle/documents/reader.py
+++ b/merlintrestle/documents/reader.py
@@ -30,6 +30,8 @@
     document_pb2.ClassTarget, "availability"
 )
 _IMPORTANCE = fields.get_declared_range(document_pb2.ClassTarget, "importance")
+_QUOTA_RATE = fields.get_declared_range(document_pb2.WorkspaceTarget, "rate")
+_BURST = fields.get_declared_range(document_pb2.WorkspaceTarget, "burst")
 
 
 def read_document(content: bytes, file: str) -> document_pb2.Document:
@@ -90,6 +92,7 @@
     document.services.extend(
         _read_named_tables(table, "services", _read_service)
     )
+    document.workspaces.extend(_read_workspaces(table))
     table.report_unknown_keys()
     if (
         document.budget_slots
@@ -99,6 +102,14 @@
             "budget_slots",
             f"only organisation {fields.MESH_ORGANISATION!r} has a budget.",
         )
+    if (
+        document.workspaces
+        and document.organisation != fields.MESH_ORGANISATION
+    ):
+        table.report(
+            "workspaces",
+            f"only organisation {fields.MESH_ORGANISATION!r} has workspaces.",
+        )
     if document.organisation == fields.MESH_ORGANISATION:
         if not document.budget_slots:
             table.report("budget_slots", "is required.")
@@ -149,6 +160,7 @@
     target.key_required = table.read_flag(
         "key_required", default=not target.repeatable
     )
+    target.anonymous = table.read_flag("anonymous", default=False)
     if target.key_required and target.repeatable:
         table.report("key_required", "is for classes that are not repeatable.")
     if 0 < target.deadline_ms < target.latency_ms:
@@ -157,6 +169,40 @@
     return target
 
 
+def _read_workspaces(table: Table) -> list[document_pb2.WorkspaceTarget]:
+    """Reads the workspaces, sorted by name."""
+    by_name: dict[str, document_pb2.WorkspaceTarget] = {}
+    owners: dict[bytes, str] = {}
+    for workspace_table in table.read_table_list("workspaces"):
+        workspace = _read_workspace(workspace_table)
+        if workspace.name and workspace.name in by_name:
+            workspace_table.report("name", "is also that of another workspace.")
+        by_name[workspace.name] = workspace
+        for digest in workspace.key_digests:
+            if digest in owners:
+                owner = owners[digest]
+                whose = "it" if owner == workspace.name else repr(owner)
+                short = fields.format_digest(digest)
+                text = f"{short} is a key of {whose} already."
+                workspace_table.report("key_digests", text)
+            owners.setdefault(digest, workspace.name)
+    return [by_name[name] for name in sorted(by_name)]
+
+
+def _read_workspace(table: Table) -> document_pb2.WorkspaceTarget:
+    workspace = document_pb2.WorkspaceTarget(
+        name=table.read_name("name"),
+        key_digests=sorted(table.read_digests("key_digests")),
+        importance=table.read_integer("importance", _IMPORTANCE, default=0),
+        rate=table.read_number("rate", _QUOTA_RATE, default=0.0),
+        burst=table.read_number("burst", _BURST, default=0.0),
+    )
+    if workspace.burst and not workspace.rate:
+        table.report("burst", "needs a rate above 0.")
+    table.report_unknown_keys()
+    return workspace
+
+
 def _read_named_tables(
     table: Table, key: str, read: Callable[[str, Table], Any]
 ) -> list[Any]:
--- a/merlintrestle/documents/writer.py
+++ b/merlintrestle/documents/writer.py
@@ -10,11 +10,21 @@
     from merlintrestle.schema import document_pb2
 
 
-def write_document(document: document_pb2.Document) -> str:
-    """Returns the TOML text of a document."""
+def write_document(
+    document: document_pb2.Document, whole_digests: bool = True
+) -> str:
+    """Returns the TOML text of a document.
+
+    Args:
+        document: The document.
+        whole_digests: Whether digests of API keys are whole; if not, they have
+            their short form, which the reader refuses.
+    """
     lines = [_format_pair("organisation", document.organisation)]
     if document.budget_slots:
         lines.append(_format_pair("budget_slots", document.budget_slots))
+    for workspace in document.workspaces:
+        lines += _write_workspace(workspace, whole_digests)
     for service in document.services:
         lines += ["", f"[services.{service.name}]"]
         if service.owner:
@@ -28,6 +38,29 @@
     return "\n".join(lines) + "\n"
 
 
+def _write_workspace(
+    workspace: document_pb2.WorkspaceTarget, whole_digests: bool
+) -> list[str]:
+    format_digest = bytes.hex if whole_digests else fields.format_digest
+    digests = [format_digest(digest) for digest in workspace.key_digests]
+    lines = [
+        "",
+        "[[workspaces]]",
+        _format_pair("name", workspace.name),
+        _format_pair("key_digests", digests),
+    ]
+    lines += [
+        _format_pair(key, value)
+        for key, value in (
+            ("importance", workspace.importance),
+            ("rate", workspace.rate),
+            ("burst", workspace.burst),
+        )
+        if value
+    ]
+    return lines
+
+
 def _write_class(service: str, target: document_pb2.ClassTarget) -> list[str]:
     sizes = {number: word for word, number in fields.SIZES.items()}
     lines = [
@@ -47,6 +80,8 @@
     # The reader's default is the opposite of `repeatable`.
     if target.key_required is target.repeatable:
         lines.append(_format_pair("key_required", target.key_required))
+    if target.anonymous:
+        lines.append(_format_pair("anonymous", True))
     return lines
 
 
--- a/tests/documents/builders.py
+++ b/tests/documents/builders.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from merlintrestle.documents import fields
+from merlintrestle.documents import snapshot
 from merlintrestle.schema import document_pb2
 
 SERVICES = ("balie", "kassa", "beeldarchief", "dwell-desk")
@@ -48,10 +49,24 @@
     return document_pb2.Document(organisation=organisation, services=services)
 
 
-def build_mesh_document(slots: int = BUDGET_SLOTS) -> document_pb2.Document:
-    """Returns the document of the mesh, which declares the budget."""
+def build_workspace(
+    name: str = "acme", *keys: str, **values: Any
+) -> document_pb2.WorkspaceTarget:
+    """Returns a workspace with the given API keys, one by default."""
+    digests = [snapshot.hash_key(key) for key in keys or (f"key of {name}",)]
+    return document_pb2.WorkspaceTarget(
+        name=name, key_digests=sorted(digests), **values
+    )
+
+
+def build_mesh_document(
+    slots: int = BUDGET_SLOTS, *workspaces: document_pb2.WorkspaceTarget
+) -> document_pb2.Document:
+    """Returns the document of the mesh: the budget and the workspaces."""
     return document_pb2.Document(
-        organisation=fields.MESH_ORGANISATION, budget_slots=slots
+        organisation=fields.MESH_ORGANISATION,
+        budget_slots=slots,
+        workspaces=workspaces,
     )
 
 
@@ -65,6 +80,7 @@
         work_ms=st.sampled_from([0.5, 10.0]),
         size=st.sampled_from([document_pb2.SMALL, document_pb2.LARGE]),
         importance=st.integers(1, 5),
+        anonymous=st.booleans(),
     ).map(_set_key_required)
 
 
@@ -84,12 +100,30 @@
     )
 
 
+def draw_workspaces() -> st.SearchStrategy[list[document_pb2.WorkspaceTarget]]:
+    """Draws workspaces without common keys, sorted by name."""
+    drawn = st.builds(
+        build_workspace,
+        st.sampled_from(["acme", "borax", "cobalt"]),
+        importance=st.integers(0, 5),
+        rate=st.sampled_from([0.5, 40.0]),
+        burst=st.sampled_from([0.0, 80.0]),
+    )
+    return st.lists(drawn, max_size=3, unique_by=lambda one: one.name).map(
+        lambda workspaces: sorted(workspaces, key=lambda one: one.name)
+    )
+
+
 def draw_documents(
     organisation: str,
 ) -> st.SearchStrategy[document_pb2.Document]:
     """Draws documents of an organisation in their canonical form."""
     if organisation == fields.MESH_ORGANISATION:
-        return st.sampled_from([10, BUDGET_SLOTS]).map(build_mesh_document)
+        return st.builds(
+            lambda slots, workspaces: build_mesh_document(slots, *workspaces),
+            st.sampled_from([10, BUDGET_SLOTS]),
+            draw_workspaces(),
+        )
     return st.lists(
         draw_services(), max_size=3, unique_by=lambda service: service.name
     ).map(lambda services: _build_drawn_document(organisation, services))
--- a/tests/documents/reference.py
+++ b/tests/documents/reference.py
@@ -15,6 +15,7 @@
     "document": document_pb2.Document,
     "service": document_pb2.ServiceTarget,
     "class": document_pb2.ClassTarget,
+    "workspace": document_pb2.WorkspaceTarget,
 }
 _EXAMPLES = {
     "organisation": '"zaanoever"',
@@ -33,6 +34,10 @@
     "size": '"large"',
     "deadline_ms": "2000",
     "key_required": "false",
+    "anonymous": "true",
+    "name": '"acme"',
+    "key_digests": '["9f86d081..."]',
+    "burst": "80",
 }
 
 
--- a/tests/documents/test_reader.py
+++ b/tests/documents/test_reader.py
@@ -41,6 +41,7 @@
     "size": ['"huge"', "1", '""'],
     "deadline_ms": ["0", "3600001", "{}"],
     "key_required": ["1", "true"],
+    "anonymous": ["1", '"yes"'],
     "latency": ["250"],
     "importancy": ["5"],
 }
@@ -71,7 +72,9 @@
         return caught.exception.findings
 
     @hypothesis.given(
-        st.sampled_from(builders.ORGANISATIONS).flatmap(builders.draw_documents)
+        st.sampled_from((*builders.ORGANISATIONS, "mesh")).flatmap(
+            builders.draw_documents
+        )
     )
     def test_written_document_reads_back_equal(
         self, document: document_pb2.Document
