Print the digest of an API key, and show digests in short form

Operators had no way to state a key of a workspace that keeps the key out of files, process lists and the shell's history.

--- a/merlintrestle/documents/fields.py
+++ b/merlintrestle/documents/fields.py
@@ -183,8 +183,10 @@
             else:
                 self.report(
                     key,
-                    "has an entry that is no SHA-256 digest of 64 hex digits;"
-                    " `merlintrestle key-digest` makes one from a key.",
+                    "has an entry that is not a digest of 64 hex digits:"
+                    " `merlintrestle key-digest` makes one from a key,"
+                    " `merlintrestle show --whole-digests` prints those in"
+                    " force.",
                 )
         return digests
 
--- a/merlintrestle/operators/command.py
+++ b/merlintrestle/operators/command.py
@@ -7,6 +7,7 @@
 from merlintrestle import config
 from merlintrestle.operators import change_commands
 from merlintrestle.operators import explain_command
+from merlintrestle.operators import key_command
 from merlintrestle.operators import rollout_commands
 from merlintrestle.operators import view_commands
 from merlintrestle.schema import settings_pb2
@@ -56,6 +57,7 @@
     view_commands.status,
     view_commands.watch,
     explain_command.explain,
+    key_command.key_digest,
     rollout_commands.rollout,
 ):
     main.add_command(_command)
--- a/merlintrestle/operators/results.py
+++ b/merlintrestle/operators/results.py
@@ -62,6 +62,16 @@
     lines: tuple[str, ...]
 
 
+class KeyDigest(NamedTuple):
+    """The digest of an API key.
+
+    Attributes:
+        digest: SHA-256 digest in hex, as in a target document.
+    """
+
+    digest: str
+
+
 class Shown(NamedTuple):
     """The accepted documents, of all organisations or of one.
 
--- a/merlintrestle/operators/text_format.py
+++ b/merlintrestle/operators/text_format.py
@@ -134,6 +134,11 @@
     ]
 
 
+@format_text.register
+def _(result: results.KeyDigest) -> list[str]:
+    return [result.digest]
+
+
 @format_text.register
 def _(result: results.Shown) -> list[str]:
     lines = [f"# version {result.version}"]
--- a/merlintrestle/operators/view_commands.py
+++ b/merlintrestle/operators/view_commands.py
@@ -39,21 +39,33 @@
 
 @click.command(
     epilog=session.format_examples(
-        "merlintrestle show", "merlintrestle show zaanoever > zaanoever.toml"
+        "merlintrestle show",
+        "merlintrestle show zaanoever > zaanoever.toml",
+        "merlintrestle show mesh --whole-digests > mesh.toml",
     )
 )
 @click.argument("organisation", required=False)
+@click.option(
+    "--whole-digests",
+    is_flag=True,
+    help="Show digests of API keys whole, as needed to apply them again.",
+)
 @session.pass_session
 async def show(
-    current_session: session.Session, organisation: str | None
+    current_session: session.Session,
+    organisation: str | None,
+    whole_digests: bool,
 ) -> int:
-    """Shows the accepted target documents, as files to edit and apply."""
+    """Shows the accepted target documents, as files to edit and apply.
+
+    Digests of API keys are shortened; a file with short ones is refused.
+    """
     head, documents = await current_session.read_accepted()
     if organisation and organisation not in documents:
         text = f"has no document in version {head.version}."
         raise errors.InvalidInputError([errors.Finding(organisation, text)])
     texts = {
-        name: writer.write_document(document)
+        name: writer.write_document(document, whole_digests)
         for name, document in documents.items()
         if organisation in (None, name)
     }
