Show refused workspaces, stale daemons and the coordinator in status

status named a daemon that refuses requests with API keys only if it did not run the accepted version either, and nothing told which workspaces are refused or which daemon is the quota coordinator.

Each daemon counts the refusals of the last 10 to 20 s by workspace (2,000 at most in each interval of 10 s, then forgotten) and reports the ten busiest.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -284,17 +284,18 @@
         )
         self._store.era.on_change.append(distribution.watcher.handle_new_era)
         era_gossip.EraGossip(self._store.era, membership.links)
+        self._connect_quotas(membership, distribution)
         servicer = control_server.ControlServicer(
             membership,
             distribution,
             self._proxy.get_class_statuses,
             lambda: self._proxy.in_flight,
             poller,
+            (self.quotas.add_status, self._describe_refusals),
         )
         request_pb2_grpc.add_RequestsServicer_to_server(
             self._proxy.recall_servicer, self._control.server
         )
-        self._connect_quotas(membership, distribution)
         await self._control.start(servicer)
         self._proxy.backend.on_change = self._publish_backend
         self._proxy.set_on_leaving(self._retire_leaving_backend)
@@ -314,6 +315,13 @@
         await self.add_runtime_dependency(self._rollout_controller)
         await self.add_runtime_dependency(self.quotas)
 
+    def _describe_refusals(self, reply: control_pb2.StatusReply) -> None:
+        """Adds to a status which workspaces are refused most."""
+        active_snapshot = self._active_version.active_snapshot
+        if active_snapshot is not None and active_snapshot.workspaces:
+            recent = self._proxy.workspace_admission.refusals.recent
+            reply.refusals.CopyFrom(recent.build_status())
+
     def _connect_quotas(
         self,
         membership: memberships.Membership,
--- a/merlintrestle/members/service.py
+++ b/merlintrestle/members/service.py
@@ -77,6 +77,7 @@
         ] = lambda: (),
         get_in_flight: Callable[[], int] = lambda: 0,
         poller: freshness_poller_lib.FreshnessPoller | None = None,
+        describe: Sequence[Callable[[control_pb2.StatusReply], None]] = (),
     ):
         """Initializes the servicer.
 
@@ -87,7 +88,9 @@
             get_in_flight: Returns the number of requests in flight.
             poller: Answers other daemons how fresh the version is; None if
                 this daemon has no proofs.
+            describe: Add to the status of this daemon.
         """
+        self._describe = describe
         self._poller = poller
         self._membership = membership
         self._distribution = distribution
@@ -176,6 +179,8 @@
             reply.running.digest = active_version.active_snapshot.digest
         if self._poller is not None:
             self._poller.describe(reply)
+        for describe in self._describe:
+            describe(reply)
         if request.members:
             reply.members.extend(self._membership.table.list_members())
         return reply
--- a/merlintrestle/operators/fleet.py
+++ b/merlintrestle/operators/fleet.py
@@ -60,6 +60,8 @@
         version: The version that the daemon runs; 0 if it is unknown.
         detail: Reason of the state "closed", "differs" or "unreachable", or
             that the daemon refuses requests with API keys.
+        is_stale: Whether the daemon refuses requests with API keys, as a newer
+            version may have been accepted.
     """
 
     id: str
@@ -68,6 +70,7 @@
     state: str
     version: int
     detail: str
+    is_stale: bool = False
 
 
 class MemberStatus(NamedTuple):
@@ -229,6 +232,7 @@
         state,
         running_version,
         detail,
+        reply is not None and reply.stale,
     )
 
 
--- a/merlintrestle/operators/status_queries.py
+++ b/merlintrestle/operators/status_queries.py
@@ -10,6 +10,7 @@
 from merlintrestle.operators import fleet
 from merlintrestle.operators import status_results
 from merlintrestle.operators import targets
+from merlintrestle.operators import workspaces
 from merlintrestle.store import records
 
 if TYPE_CHECKING:
@@ -62,6 +63,7 @@
         targets=tuple(targets.evaluate_targets(documents, replies))
         if member_statuses
         else (),
+        workspaces=workspaces.summarize(member_statuses),
     )
 
 
--- a/merlintrestle/operators/status_results.py
+++ b/merlintrestle/operators/status_results.py
@@ -7,6 +7,7 @@
 from merlintrestle.operators import exit_codes
 from merlintrestle.operators import fleet
 from merlintrestle.operators import targets as targets_lib
+from merlintrestle.operators import workspaces as workspaces_lib
 
 
 class Status(NamedTuple):
@@ -23,6 +24,8 @@
             unknown.
         targets: The targets of all classes of work; empty if the fleet's status
             is unknown.
+        workspaces: Status of the workspaces; None if there are none, or the
+            fleet's status is unknown.
     """
 
     version: int | None
@@ -30,6 +33,7 @@
     daemon_problem: str
     daemons: tuple[fleet.Daemon, ...]
     targets: tuple[targets_lib.Target, ...]
+    workspaces: workspaces_lib.WorkspaceStatus | None
 
 
 class InForce(NamedTuple):
@@ -59,6 +63,8 @@
         return exit_codes.STORE_UNAVAILABLE
     if status.daemon_problem or fleet.list_not_in_force(status.daemons):
         return exit_codes.NOT_FULFILLED
+    if any(daemon.is_stale for daemon in status.daemons):
+        return exit_codes.NOT_FULFILLED
     if any(target.state == targets_lib.MISSED for target in status.targets):
         return exit_codes.NOT_FULFILLED
     return exit_codes.OK
--- a/merlintrestle/operators/text_format.py
+++ b/merlintrestle/operators/text_format.py
@@ -11,6 +11,7 @@
 from merlintrestle.operators import results
 from merlintrestle.operators import status_results
 from merlintrestle.operators import targets
+from merlintrestle.operators import workspaces
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -180,9 +181,22 @@
         lines.append(f"Nothing is known of the fleet: {result.daemon_problem}.")
     elif not result.daemons:
         lines.append("Set --daemon to see whether it is in force.")
-    if not_in_force or (result.version is None and result.daemons):
-        daemons = not_in_force if result.version is not None else result.daemons
-        lines += ["", *_format_daemons(daemons)]
+    stale = [daemon for daemon in result.daemons if daemon.is_stale]
+    if stale:
+        lines.append(
+            f"{len(stale)} of {len(result.daemons)} daemons refuse requests"
+            " with API keys."
+        )
+    # If the accepted version is unknown, no daemon is in force.
+    shown = [
+        daemon
+        for daemon in result.daemons
+        if daemon.is_stale or daemon in not_in_force
+    ]
+    if shown:
+        lines += ["", *_format_daemons(shown)]
+    if result.workspaces is not None:
+        lines += ["", *_format_workspaces(result.workspaces)]
     if result.targets:
         lines += ["", *_format_targets(result.targets)]
     return lines
@@ -253,10 +267,45 @@
 def _format_daemons(daemons: Iterable[fleet.Daemon]) -> list[str]:
     return format_table(
         ["DAEMON", "ZONE", "SERVICE", "STATE", "VERSION", "DETAIL"],
-        daemons,
+        # The columns are the first six fields of a daemon.
+        [daemon[:6] for daemon in daemons],
     )
 
 
+def _format_workspaces(status: workspaces.WorkspaceStatus) -> list[str]:
+    lines = [
+        f"Quota coordinator: {coordinator.id or 'none'}, epoch"
+        f" {coordinator.epoch}, known to {coordinator.daemons} daemons"
+        + ("." if coordinator.is_granting else "; grants nothing.")
+        for coordinator in status.coordinators
+    ]
+    lines.append(f"Calls without a known API key: {status.unknown_key:.6g}/s.")
+    if not status.refusals:
+        return [*lines, "No workspace is refused."]
+    return [
+        *lines,
+        *format_table(
+            [
+                "WORKSPACE",
+                "OVER QUOTA/S",
+                "UNDECIDED/S",
+                "STALE/S",
+                "DAEMONS",
+            ],
+            [
+                (
+                    one.workspace,
+                    f"{one.over_quota:.6g}",
+                    f"{one.undecided:.6g}",
+                    f"{one.stale:.6g}",
+                    one.daemons,
+                )
+                for one in status.refusals
+            ],
+        ),
+    ]
+
+
 def _format_targets(fleet_targets: Iterable[targets.Target]) -> list[str]:
     return format_table(
         [
--- a/merlintrestle/quotas/service.py
+++ b/merlintrestle/quotas/service.py
@@ -26,6 +26,7 @@
     from merlintrestle.documents import snapshot
     from merlintrestle.members import membership as memberships
     from merlintrestle.requests.calls import outcomes
+    from merlintrestle.schema import control_pb2
     from merlintrestle.versions import active_version as active_versions
 
 events = event_logs.EventLog("quotas")
@@ -139,6 +140,14 @@
         self._configure(allocation)
         return allocation.answer(request)
 
+    def add_status(self, reply: control_pb2.StatusReply) -> None:
+        """Adds to a status which daemon is the quota coordinator."""
+        if not self._has_rates():
+            return
+        reply.quotas.epoch = self.gossip.epoch
+        reply.quotas.coordinator = self.gossip.member_id
+        reply.quotas.granting = self.election.may_grant()
+
     def collect(self) -> Iterator[metrics_core.Metric]:
         """Yields the metrics."""
         granted = self._granted_before
--- a/merlintrestle/requests/workspaces/admission.py
+++ b/merlintrestle/requests/workspaces/admission.py
@@ -8,6 +8,7 @@
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import plans
 from merlintrestle.requests.workspaces import credentials
+from merlintrestle.requests.workspaces import reasons
 from merlintrestle.requests.workspaces import refusals
 
 if TYPE_CHECKING:
@@ -137,10 +138,10 @@
             digest or credentials.MALFORMED
         )
         if workspace is None:
-            self.refusals.record(refusals.UNKNOWN_KEY)
+            self.refusals.record(reasons.UNKNOWN_KEY)
             return _UNKNOWN_KEY
         if not self.freshness.is_fresh():
-            self.refusals.record(refusals.STALE)
+            self.refusals.record(reasons.STALE, workspace.name)
             return _STALE
         if workspace.rate and not self.quotas.try_spend(workspace):
             return QuotaWait(workspace, match.plan)
@@ -156,7 +157,8 @@
             return _build_admitted(workspace, plan)
         over_quota = refusal.status == _TOO_MANY_REQUESTS
         self.refusals.record(
-            refusals.OVER_QUOTA if over_quota else refusals.NO_QUOTA_KNOWN
+            reasons.OVER_QUOTA if over_quota else reasons.NO_QUOTA_KNOWN,
+            workspace.name,
         )
         return refusal
 
--- a/merlintrestle/requests/workspaces/refusals.py
+++ b/merlintrestle/requests/workspaces/refusals.py
@@ -7,17 +7,12 @@
 from prometheus_client import metrics_core
 
 from merlintrestle import events as event_logs
+from merlintrestle.requests.workspaces import reasons
+from merlintrestle.requests.workspaces import recent_refusals
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-# Reasons; values of the label `reason`.
-UNKNOWN_KEY = "unknown key"
-STALE = "stale"
-OVER_QUOTA = "over quota"
-NO_QUOTA_KNOWN = "no quota known"
-_REASONS = (UNKNOWN_KEY, STALE, OVER_QUOTA, NO_QUOTA_KNOWN)
-
 # Minimum interval between the lines of one reason, in seconds. A line states
 # the number of refusals since the previous one. Writing a line, or counting it
 # as omitted, for each of 10,000 refusals a second would take more processor
@@ -31,6 +26,9 @@
     """Counts refusals by reason and logs them at a bounded rate.
 
     It is a collector for `prometheus_client`.
+
+    Attributes:
+        recent: Recent refusals by workspace.
     """
 
     def __init__(self, get_time: Callable[[], float]):
@@ -39,14 +37,21 @@
         Args:
             get_time: Returns a monotonic time, in seconds.
         """
+        self.recent = recent_refusals.RecentRefusals(get_time)
         self._get_time = get_time
-        self._counts = {reason: _Count() for reason in _REASONS}
+        self._counts = {reason: _Count() for reason in reasons.ALL}
+
+    def record(self, reason: str, workspace: str = "") -> None:
+        """Records a refusal.
 
-    def record(self, reason: str) -> None:
-        """Records a refusal for one of the reasons."""
+        Args:
+            reason: One of the module `reasons`.
+            workspace: Name of the workspace; empty if the key is unknown.
+        """
+        now = self._get_time()
+        self.recent.record(reason, workspace, now)
         count = self._counts[reason]
         count.total += 1
-        now = self._get_time()
         if now < count.next_line_at:
             return
         count.next_line_at = now + _LINE_INTERVAL_S
--- a/tests/quotas/test_daemons.py
+++ b/tests/quotas/test_daemons.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from merlintrestle.operators import fleet as operator_fleet
 from tests.daemon import builders as daemon_builders
 from tests.quotas import builders
 
@@ -78,6 +79,22 @@
                     await asyncio.sleep(0.05)
             await self.wait_until_granted(daemon, self.workspace)
 
+    async def test_status_tells_the_coordinator(self) -> None:
+        """Guards against a status that daemons do not fill in."""
+        replies = []
+        for daemon in self.fleet.daemons:
+            await self.wait_until_granted(daemon, self.workspace)
+        for daemon in self.fleet.daemons:
+            reply = await operator_fleet.ask_daemon(
+                daemon.control_address, False, _TIMEOUT_S
+            )
+            self.assertTrue(reply.HasField("refusals"))
+            replies.append(reply)
+        (coordinator,) = (one for one in replies if one.quotas.granting)
+        for reply in replies:
+            self.assertEqual(reply.quotas.coordinator, coordinator.self.id)
+            self.assertEqual(reply.quotas.epoch, coordinator.quotas.epoch)
+
     async def test_metrics_tell_the_coordinator(self) -> None:
         """Guards against metrics that are not registered, or by workspace."""
         daemon = self.fleet.daemons[0]
--- a/tests/requests/workspaces/test_admission.py
+++ b/tests/requests/workspaces/test_admission.py
@@ -10,7 +10,7 @@
 from merlintrestle.requests.calls import plans
 from merlintrestle.requests.calls import routing
 from merlintrestle.requests.workspaces import admission
-from merlintrestle.requests.workspaces import refusals
+from merlintrestle.requests.workspaces import reasons
 from tests.requests import builders as request_builders
 from tests.requests import fakes
 from tests.requests.workspaces import builders
@@ -57,7 +57,7 @@
                 assert isinstance(refusal, outcomes.NotRun)
                 self.assertEqual(refusal.status, 401)
                 self.assertIsNone(refusal.retry_after_s)
-        self.assertEqual(self.count(refusals.UNKNOWN_KEY), 3)
+        self.assertEqual(self.count(reasons.UNKNOWN_KEY), 3)
 
     def test_anonymous_requests_need_neither_key_nor_freshness(self) -> None:
         self.freshness.fresh = False
@@ -78,7 +78,7 @@
             self.assertEqual(refusal.status, status)
             self.assertEqual(bool(refusal.retry_after_s), status == 503)
         self.assertEqual(self.quotas.tokens, 1)
-        self.assertEqual(self.count(refusals.STALE), 2)
+        self.assertEqual(self.count(reasons.STALE), 2)
 
     async def test_only_workspaces_with_a_rate_spend_tokens(self) -> None:
         self.quotas.tokens = 1
@@ -107,8 +107,8 @@
         self.assertEqual(
             self.quotas.timeouts_s, [self.plan.latency_s * 0.25] * 3
         )
-        self.assertEqual(self.count(refusals.OVER_QUOTA), 1)
-        self.assertEqual(self.count(refusals.NO_QUOTA_KNOWN), 1)
+        self.assertEqual(self.count(reasons.OVER_QUOTA), 1)
+        self.assertEqual(self.count(reasons.NO_QUOTA_KNOWN), 1)
 
     def test_the_importance_of_a_workspace_precedes(self) -> None:
         """Guards against calls that share a queue with another importance."""
