Tell in explain why a request was not admitted

A request that was refused for its API key, freshness or quota left no line with its id, so explain could not tell which of the three it was.

The caller's daemon writes one line, "not admitted", with the cause. These lines have a rate of their own, ten a second, so that a flood of unknown keys does not displace the logs of calls; requests without an id get none. explain takes the line for the begin and the end of the story.

--- a/merlintrestle/operators/explain_command.py
+++ b/merlintrestle/operators/explain_command.py
@@ -17,10 +17,14 @@
 # Fields of every line about a request. The other fields of a line are printed
 # as "name=value".
 _COMMON_FIELDS = ("time", "level", "part", "event", "request")
+# Event of a request that its caller's daemon refused for its key, as its own
+# version may be out of date, or for its quota. It is the only line then.
+_NOT_ADMITTED = "not admitted"
 # Events that `requests.reports.decision_logs` writes at the end of a call. The
 # last event of a request at a daemon is one of them.
 _FINAL_EVENTS = frozenset(
     (
+        _NOT_ADMITTED,
         "answered",
         "answered again",
         "answer cut",
@@ -131,7 +135,8 @@
 def list_missing(log_lines: list[LogLine]) -> list[str]:
     """Returns what the lines lack to show a request from start to end.
 
-    The daemon that took the request from its caller logs "routed", and then
+    The daemon that took the request from its caller logs "routed", or
+    "not admitted" if it refused it by its API key or quota. It then logs
     "picked" for each upstream that it chose. The daemon beside the backend
     server of that upstream logs "passed on".
     """
@@ -142,7 +147,7 @@
         ]
     missing = []
     events = {log_line.event for log_line in log_lines}
-    if "routed" not in events:
+    if not events & {"routed", _NOT_ADMITTED}:
         missing.append("the daemon that took the request in")
     picked_lines = [
         log_line for log_line in log_lines if log_line.event == "picked"
--- a/merlintrestle/requests/reports/decision_logs.py
+++ b/merlintrestle/requests/reports/decision_logs.py
@@ -26,6 +26,8 @@
 MAX_COMPLETE_LOGS_PER_S = 10.0
 # Maximum rate of lines about successful calls, without bursts.
 MAX_SUCCESS_LINES_PER_S = 1.0
+# Maximum sustained rate of lines about requests that were not admitted.
+MAX_NOT_ADMITTED_LINES_PER_S = 10.0
 
 _Fields = dict[str, Any] | Callable[[], dict[str, Any]]
 
@@ -38,6 +40,9 @@
 _complete_log_bucket = event_logs.TokenBucket(
     time.monotonic(), MAX_COMPLETE_LOGS_PER_S
 )
+_not_admitted_bucket = event_logs.TokenBucket(
+    time.monotonic(), MAX_NOT_ADMITTED_LINES_PER_S
+)
 _success_bucket = event_logs.TokenBucket(
     time.monotonic(), MAX_SUCCESS_LINES_PER_S, burst=MAX_SUCCESS_LINES_PER_S
 )
@@ -194,6 +199,38 @@
     )
 
 
+def write_not_admitted(
+    request_id: str, cause: str, refusal: outcomes.NotRun
+) -> None:
+    """Writes a line about a request that was not admitted to its workspace.
+
+    Such requests have a rate of their own: a flood of them must not displace
+    the logs of calls. A request without an id gets no line, as none could find
+    it.
+
+    Args:
+        request_id: Id of the request; empty if it has none.
+        cause: What it was refused for: "key", "freshness" or "quota".
+        refusal: The refusal.
+    """
+    if not request_id:
+        return
+    if not _not_admitted_bucket.try_take(time.monotonic()):
+        _get_left_out_counter("not admitted").inc()
+        return
+    fields: dict[str, Any] = {
+        "request": request_id,
+        "cause": cause,
+        "status": refusal.status,
+        "reason": refusal.reason,
+        "retry_after_s": refusal.retry_after_s,
+    }
+    if _not_admitted_bucket.omitted:
+        fields["left_out"] = _not_admitted_bucket.omitted
+        _not_admitted_bucket.omitted = 0
+    events.write_unbounded(logging.INFO, "not admitted", fields)
+
+
 def build_outcome_fields(outcome: outcomes.Outcome) -> dict[str, Any]:
     """Returns the log fields that describe the outcome of an attempt."""
     if isinstance(outcome, outcomes.Answered):
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -100,6 +100,13 @@
             if active_snapshot.workspaces:
                 decision = await self._admit(active_snapshot, match, request)
                 if isinstance(decision, outcomes.NotRun):
+                    decision_logs.write_not_admitted(
+                        dialects.read_metadata(
+                            self._dialect, request
+                        ).request_id,
+                        admission.get_refusal_cause(decision),
+                        decision,
+                    )
                     return self._refuse(decision, request)
                 admitted = decision
                 match = match._replace(plan=admitted.plan)
--- a/merlintrestle/requests/workspaces/admission.py
+++ b/merlintrestle/requests/workspaces/admission.py
@@ -168,6 +168,13 @@
             self.quotas.give_back(admitted.charged, admitted.charged_at)
 
 
+def get_refusal_cause(refusal: outcomes.NotRun) -> str:
+    """Returns what a request was refused for: its key, freshness or quota."""
+    if refusal is _UNKNOWN_KEY:
+        return "key"
+    return "freshness" if refusal is _STALE else "quota"
+
+
 def _build_admitted(
     workspace: snapshot.Workspace, plan: snapshot.ClassPlan
 ) -> Admitted:
--- a/tests/operators/test_explain_command.py
+++ b/tests/operators/test_explain_command.py
@@ -62,6 +62,20 @@
             ],
         )
 
+    def test_request_that_was_not_admitted_is_complete(self):
+        """Guards against a refusal without its cause: key, freshness or quota.
+
+        The caller's daemon logs a single line, and no other daemon has any.
+        """
+        for cause in ("key", "freshness", "quota"):
+            result = self._explain(
+                near=_build_line("T1", "not admitted", cause=cause, status=503)
+            )
+            self.assertEqual(
+                result.output,
+                f"T1 near: not admitted cause={cause} status=503\n",
+            )
+
     def test_missing_lines_are_reported(self):
         """Guards against an incomplete log that looks like a complete one.
 
--- a/tests/requests/workspaces/test_admission.py
+++ b/tests/requests/workspaces/test_admission.py
@@ -77,6 +77,10 @@
             assert isinstance(refusal, outcomes.NotRun)
             self.assertEqual(refusal.status, status)
             self.assertEqual(bool(refusal.retry_after_s), status == 503)
+            self.assertEqual(
+                admission.get_refusal_cause(refusal),
+                "freshness" if status == 503 else "key",
+            )
         self.assertEqual(self.quotas.tokens, 1)
         self.assertEqual(self.count(reasons.STALE), 2)
 
@@ -104,6 +108,7 @@
                 self.assertIsInstance(result, admission.Admitted)
             else:
                 self.assertIs(result, refusal)
+                self.assertEqual(admission.get_refusal_cause(refusal), "quota")
         self.assertEqual(
             self.quotas.timeouts_s, [self.plan.latency_s * 0.25] * 3
         )
