Send calls with API keys in the demonstration

No example had workspaces, and nothing showed what callers with keys get from whole daemons.

The classes that backend servers call are anonymous. After the load the demo applies it and sends calls with a key, an unknown key, none, and over a quota.

--- a/tests/requests/workspaces/test_admission.py
+++ b/tests/requests/workspaces/test_admission.py
@@ -113,6 +113,11 @@
             self.quotas.timeouts_s, [self.plan.latency_s * 0.25] * 3
         )
         self.assertEqual(self.count(reasons.OVER_QUOTA), 1)
+        (recent,) = self.admission.refusals.recent.build_status().workspaces
+        self.assertEqual(
+            (recent.workspace, recent.over_quota, recent.undecided),
+            ("vecht", 1, 1),
+        )
         self.assertEqual(self.count(reasons.NO_QUOTA_KNOWN), 1)
 
     def test_the_importance_of_a_workspace_precedes(self) -> None:
--- a/tools/demonstration.py
+++ b/tools/demonstration.py
@@ -17,6 +17,7 @@
 from tools import calls
 from tools import fleet
 from tools import harm
+from tools import keyed_calls
 from tools import layouts
 from tools import load
 from tools import processes
@@ -64,6 +65,8 @@
             than `_LEAVE_GRACE_MS` after it was told to stop.
         version_regressions: Number of times that a daemon switched to an
             older version.
+        keyed_calls: Results of the calls with API keys; empty if the fleet has
+            no workspaces.
     """
 
     daemons: int
@@ -75,6 +78,7 @@
     stop_status: int | None
     new_work_after_leave: int
     version_regressions: int
+    keyed_calls: tuple[keyed_calls.GroupResult, ...] = ()
 
 
 async def run_demonstration(
@@ -98,7 +102,13 @@
         )
         if converged_s is None:
             raise processes.ProcessError(await _describe_daemons(example_fleet))
-        return await _run_steps(table, example_fleet)
+        measurements = await _run_steps(table, example_fleet)
+        document = keyed_calls.find_document(layout.name)
+        if document is None:
+            return measurements
+        _print_line("applying workspaces, then calls with API keys")
+        results = await keyed_calls.run_calls(example_fleet, document)
+        return measurements._replace(keyed_calls=tuple(results))
     finally:
         await example_fleet.close()
 
@@ -293,6 +303,8 @@
         violations.append(
             f"the stopped backend ended with {measurements.stop_status}"
         )
+    if measurements.keyed_calls:
+        violations += keyed_calls.list_violations([*measurements.keyed_calls])
     return violations
 
 
@@ -315,6 +327,8 @@
             f"  {label:<28} {len(class_results):>5} calls, "
             f"{met} met target; {counts}"
         )
+    for keyed_result in measurements.keyed_calls:
+        print_line(keyed_calls.format_result(keyed_result))
 
 
 def _print_line(text: str) -> None:
