--- a/merlintrestle/requests/load/polls.py
+++ b/merlintrestle/requests/load/polls.py
@@ -29,38 +29,6 @@
 # upstream is full, 15 of 16 calls find a free slot at one of four. If all four
 # are full, most likely the others are full as well.
 _MAX_POLLED = 4
-# Maximum number while few polls find a free slot. A second one still halves the
-# expected wait, as the call then waits at the better of the two.
-_MAX_POLLED_WHEN_FULL = 2
-# Fraction of the recent polls that find a free slot, below which the service is
-# regarded as full.
-_MIN_FREE_FRACTION = 0.25
-# Weight of the latest poll in this fraction.
-_FREE_EWMA_WEIGHT = 0.05
-
-
-class PollHistory:
-    """How often the recent polls of a service found a free slot.
-
-    While all upstreams are full, each further poll costs two daemons the
-    processor time of a refusal and finds nothing. Under overload these polls
-    would be most of the requests between daemons.
-    """
-
-    __slots__ = ("_free_fraction",)
-
-    def __init__(self) -> None:
-        self._free_fraction = 1.0
-
-    def record(self, found: bool) -> None:
-        """Records whether a poll found a free slot."""
-        self._free_fraction += _FREE_EWMA_WEIGHT * (found - self._free_fraction)
-
-    def get_max_polled(self) -> int:
-        """Returns how many upstreams are polled for one call."""
-        if self._free_fraction < _MIN_FREE_FRACTION:
-            return _MAX_POLLED_WHEN_FULL
-        return _MAX_POLLED
 
 
 class PolledUpstreams:
@@ -82,14 +50,13 @@
         """
         self._polled.append((expected_wait_s, upstream))
 
-    def is_complete(self, count: int, max_polled: int = _MAX_POLLED) -> bool:
+    def is_complete(self, count: int) -> bool:
         """Returns whether enough upstreams were polled.
 
         Args:
             count: Number of upstreams of the service.
-            max_polled: Maximum number of upstreams that are polled.
         """
-        return len(self._polled) >= min(max_polled, count)
+        return len(self._polled) >= min(_MAX_POLLED, count)
 
     def take_best(self) -> tables.Upstream:
         """Removes all upstreams and returns the one with the shortest wait."""
--- a/merlintrestle/requests/serving/dispatch.py
+++ b/merlintrestle/requests/serving/dispatch.py
@@ -82,7 +82,6 @@
             self._round_trip,
             keyed_calls,
         )
-        self._poll_histories: dict[str, polls.PollHistory] = {}
         self.startup_wait = startup.StartupWait(table, get_time)
 
     async def run(self, call: calls.Call) -> outcomes.Outcome:
@@ -139,7 +138,6 @@
         """
         outcome = event.outcome
         state.record(outcome)
-        self._record_poll(event.attempt, outcome, state)
         if isinstance(outcome, outcomes.NotRun) and outcome.unqueued:
             state.polled_upstreams.add(
                 event.attempt.upstream, outcome.retry_after_s or 0.0
@@ -203,10 +201,7 @@
             return False
         upstream_count = len(self._table.get_upstreams(call.service))
         if (
-            not state.polled_upstreams.is_complete(
-                upstream_count,
-                self._get_poll_history(call.service).get_max_polled(),
-            )
+            not state.polled_upstreams.is_complete(upstream_count)
             and state.may_attempt_another_upstream(upstream_count)
             and self._start_at_another_upstream(state)
         ):
@@ -217,32 +212,6 @@
         self._start(attempts_.Attempt(best), state)
         return True
 
-    def _record_poll(
-        self,
-        attempt: attempts_.Attempt,
-        outcome: outcomes.Outcome,
-        state: retry_states.RetryState,
-    ) -> None:
-        """Records whether an attempt that was a poll found a free slot.
-
-        The refusal of an upstream whose backend server rejects calls is not
-        recorded: it tells nothing about how full the service is.
-        """
-        if attempt.wait is calls.Wait.NORMAL:
-            return
-        load = self._picker.get_observation(attempt.upstream.member_id).load
-        if load is not None and load.acceptance_rate < 1:
-            return
-        unqueued = isinstance(outcome, outcomes.NotRun) and outcome.unqueued
-        if unqueued or outcomes.was_sent(outcome):
-            self._get_poll_history(state.call.service).record(not unqueued)
-
-    def _get_poll_history(self, service: str) -> polls.PollHistory:
-        history = self._poll_histories.get(service)
-        if history is None:
-            history = self._poll_histories[service] = polls.PollHistory()
-        return history
-
     def _handle_doubt(
         self, event: attempts_.AttemptInDoubt, state: retry_states.RetryState
     ) -> None:
--- a/tests/requests/load/test_polls.py
+++ b/tests/requests/load/test_polls.py
@@ -47,29 +47,6 @@
         self.polled_upstreams.add(self.upstreams[1], 0.1)
         self.assertTrue(self.polled_upstreams.is_complete(2))
 
-    def test_a_full_service_is_polled_less(self) -> None:
-        """Guards against refusals that take the processor time of calls."""
-        history = polls.PollHistory()
-        history.record(False)
-        self.assertEqual(4, history.get_max_polled())
-        for _ in range(50):
-            history.record(False)
-        self.assertEqual(2, history.get_max_polled())
-        for upstream in self.upstreams[:2]:
-            self.polled_upstreams.add(upstream, 0.1)
-        self.assertTrue(
-            self.polled_upstreams.is_complete(4, history.get_max_polled())
-        )
-
-    def test_free_slots_restore_the_polls(self) -> None:
-        """Guards against calls that wait after the overload has passed."""
-        history = polls.PollHistory()
-        for _ in range(50):
-            history.record(False)
-        for _ in range(10):
-            history.record(True)
-        self.assertEqual(4, history.get_max_polled())
-
     def test_upstreams_are_not_polled_over_a_saturated_link(self) -> None:
         """Guards against calls that are late because of the polling."""
         self.assertTrue(polls.is_worthwhile(0.05, 1.0))
