Serve waiting workspaces fairly within a class

A workspace with many waiting calls delayed those of all others of its class, filled the queue and raised the expected wait by which their calls are refused. Workspaces now take turns by start-time fair queueing beneath importance and lateness; a full queue sheds the last call of the workspace with the most waiting calls; the expected wait counts the calls ahead in this order. Calls without a workspace keep the sorted list alone.

--- a/merlintrestle/requests/load/queue_admission.py
+++ b/merlintrestle/requests/load/queue_admission.py
@@ -98,7 +98,9 @@
         waiter = _build_waiter(queue, call, now)
         max_wait_s = self._get_max_wait(queue, call, waiter.late, now)
         expected_s = self._slots.estimate_wait(queue, waiter)
-        if expected_s > max_wait_s or not self._slots.ensure_queue_space(queue):
+        if expected_s > max_wait_s or not self._slots.ensure_queue_space(
+            queue, call.workspace
+        ):
             return self._refuse(queue, waiter, expected_s, now)
         if await self._wait_in_queue(queue, waiter, max_wait_s):
             return None
@@ -182,4 +184,4 @@
 ) -> queues.Waiter:
     late = queue.is_late(call.latency_deadline - now)
     granted = asyncio.get_running_loop().create_future()
-    return queues.Waiter(late, call.latency_deadline, granted)
+    return queues.Waiter(late, call.latency_deadline, granted, call.workspace)
--- a/merlintrestle/requests/load/queues.py
+++ b/merlintrestle/requests/load/queues.py
@@ -10,6 +10,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from merlintrestle.requests.load import fair_order
 from merlintrestle.requests.load import shares
 
 if TYPE_CHECKING:
@@ -20,6 +21,8 @@
 # Initial hold time of a slot, as a fraction of the latency target, if the
 # targets state no work time. The measured hold times replace it.
 _DEFAULT_HOLD_FRACTION = 0.25
+# Weight of the latest call in the moving average of slot hold times.
+_HOLD_EWMA_WEIGHT = 0.1
 # Most calls end within this multiple of the mean hold time.
 _TYPICAL_HOLD_RATIO = 1.5
 # A wait that people do not perceive, in seconds: the usual limit for an answer
@@ -43,11 +46,13 @@
             met, in seconds.
         granted: Resolves to True if the call gets a slot, False if it stops
             waiting without one.
+        workspace: Name of the caller's workspace; empty if there is none.
     """
 
     late: bool
     latency_deadline: float
     granted: asyncio.Future[bool]
+    workspace: str = ""
 
     def __lt__(self, other: Waiter) -> bool:
         return (self.late, self.latency_deadline) < (
@@ -70,16 +75,27 @@
     its caller if it is late, and serving a late call first would make the next
     call late as well.
 
+    While calls of workspaces wait, the calls of each workspace are served in
+    this order, and the workspaces take turns (see `fair_order`).
+
     Attributes:
         plan: The class of work.
         share: The slots that the class may use.
         in_flight: Number of its calls that hold a slot.
         hold_s: Moving average of the time that a call holds a slot, in
             seconds.
-        waiting: Its calls that wait for a slot, in the order of service.
+        waiting: Its calls that wait for a slot, those in time first and each
+            group by latency deadline.
     """
 
-    __slots__ = ("hold_s", "in_flight", "plan", "share", "waiting")
+    __slots__ = (
+        "_fair_order",
+        "hold_s",
+        "in_flight",
+        "plan",
+        "share",
+        "waiting",
+    )
 
     def __init__(self, plan: snapshot.ClassPlan):
         self.plan = plan
@@ -87,16 +103,86 @@
         self.in_flight = 0
         self.hold_s = plan.work_s or plan.latency_s * _DEFAULT_HOLD_FRACTION
         self.waiting: list[Waiter] = []
+        # None while no call of a workspace waits.
+        self._fair_order: fair_order.FairOrder | None = None
 
     @property
     def below_guarantee(self) -> bool:
         """True if the next call is within the guaranteed slots."""
         return self.in_flight < max(1.0, self.share.guaranteed_slots)
 
+    @property
+    def workspaces_waiting(self) -> int:
+        """Number of workspaces with waiting calls."""
+        return self._fair_order.workspace_count if self._fair_order else 0
+
     def add(self, waiter: Waiter) -> None:
         """Inserts a waiting call in the order of service."""
+        if self._fair_order is not None:
+            self._fair_order.add(waiter)
+        elif waiter.workspace:
+            self._fair_order = fair_order.FairOrder((*self.waiting, waiter))
         bisect.insort(self.waiting, waiter)
 
+    def pop_next(self) -> Waiter:
+        """Removes and returns the waiting call that is served next."""
+        if self._fair_order is None:
+            return self.waiting.pop(0)
+        waiter = self._fair_order.pop_next()
+        self.waiting.remove(waiter)
+        self._discard_order_if_idle()
+        return waiter
+
+    def remove(self, waiter: Waiter) -> None:
+        """Removes a waiting call."""
+        self.waiting.remove(waiter)
+        if self._fair_order is not None:
+            self._fair_order.remove(waiter)
+            self._discard_order_if_idle()
+
+    def get_least_valuable(self) -> tuple[float, Waiter]:
+        """Returns the call to shed if the queues are full.
+
+        This is the last call of the workspace with the most waiting calls.
+
+        Returns:
+            The number of waiting calls of its workspace (0 if no call of a
+            workspace waits), and the call.
+        """
+        if self._fair_order is None:
+            return 0.0, self.waiting[-1]
+        return self._fair_order.get_largest()
+
+    def get_length(self, workspace: str) -> float:
+        """Returns the number of waiting calls of a workspace."""
+        if self._fair_order is None:
+            return 0.0
+        return self._fair_order.get_length(workspace)
+
+    def get_position(self, waiter: Waiter) -> int:
+        """Returns the place of a new call in the order of service, from 1."""
+        if self._fair_order is not None:
+            return self._fair_order.get_position(waiter)
+        position = bisect.bisect_right(self.waiting, waiter) + 1
+        if waiter.workspace and position > 1:
+            return fair_order.FairOrder(self.waiting).get_position(waiter)
+        return position
+
+    def record_hold(self, held_s: float, workspace: str) -> None:
+        """Records how long a call held its slot.
+
+        Args:
+            held_s: The hold time in seconds.
+            workspace: Workspace of the call; empty if there is none.
+        """
+        if self._fair_order is not None and self.hold_s > 0:
+            self._fair_order.settle(workspace, held_s / self.hold_s)
+        self.hold_s += _HOLD_EWMA_WEIGHT * (held_s - self.hold_s)
+
+    def _discard_order_if_idle(self) -> None:
+        if self._fair_order and not self._fair_order.workspace_count:
+            self._fair_order = None
+
     def is_late(self, latency_budget_s: float) -> bool:
         """Returns whether a call misses its target even without a wait.
 
--- a/merlintrestle/requests/load/slots.py
+++ b/merlintrestle/requests/load/slots.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.load import queues
@@ -71,6 +70,11 @@
         self._service_plan: snapshot.ServicePlan | None = None
         self._upstreams: tuple[tables.Upstream, ...] = ()
 
+    @property
+    def workspaces_waiting(self) -> int:
+        """Number of workspaces with waiting calls, counted for each class."""
+        return sum(queue.workspaces_waiting for queue in self._queues.values())
+
     def get_queue(self, call: calls.Call) -> queues.ClassQueue:
         """Returns the queue of the call's class of work."""
         key = (call.organisation, call.plan.name)
@@ -163,7 +167,7 @@
             if not ready:
                 return
             queue = max(ready, key=queues.ClassQueue.get_class_priority)
-            granted = queue.waiting.pop(0).granted
+            granted = queue.pop_next().granted
             self.waiting -= 1
             # A cancelled call may still be in the queue.
             if not granted.done():
@@ -180,14 +184,24 @@
     def remove(self, queue: queues.ClassQueue, waiter: queues.Waiter) -> None:
         """Removes a call from its queue unless it was removed before."""
         if waiter in queue.waiting:
-            queue.waiting.remove(waiter)
+            queue.remove(waiter)
             self.waiting -= 1
 
-    def ensure_queue_space(self, queue: queues.ClassQueue) -> bool:
+    def ensure_queue_space(
+        self, queue: queues.ClassQueue, workspace: str = ""
+    ) -> bool:
         """Sheds a waiting call if the queues are full and a new call may wait.
 
         The last call of the least important class with waiting calls is shed,
         provided that this class is less important than the class of `queue`.
+        While calls of workspaces wait, it is the last call of the workspace
+        with the most waiting calls. A class of equal importance also sheds it,
+        provided that this workspace still has at least as many waiting calls as
+        the workspace of the new call.
+
+        Args:
+            queue: Queue of the new call's class.
+            workspace: Workspace of the new call; empty if there is none.
 
         Returns:
             Whether the new call may wait.
@@ -199,12 +213,23 @@
             for candidate in self._queues.values()
             if candidate.waiting
         ]
-        least_important = min(
-            candidates, key=lambda candidate: candidate.share.importance
+        importance = min(candidate.share.importance for candidate in candidates)
+        if importance > queue.share.importance:
+            return False
+        shed_queue, (length, waiter) = max(
+            (
+                (candidate, candidate.get_least_valuable())
+                for candidate in candidates
+                if candidate.share.importance == importance
+            ),
+            key=lambda entry: entry[1][0],
         )
-        if least_important.share.importance >= queue.share.importance:
+        if (
+            importance == queue.share.importance
+            and length < queue.get_length(workspace) + 2
+        ):
             return False
-        waiter = least_important.waiting.pop()
+        shed_queue.remove(waiter)
         self.waiting -= 1
         waiter.stop_waiting()
         return True
@@ -220,7 +245,7 @@
         become free one after the other. Under a rate limit, it is no shorter
         than the time until the calls ahead and this one may be sent.
         """
-        position = bisect.bisect_right(queue.waiting, waiter) + 1
+        position = queue.get_position(waiter)
         ahead = self._count_ahead(queue, waiter)
         limit_wait_s = self._limiter.get_delay(ahead + position)
         if limit_wait_s and self.has_free_slot(queue):
