--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -141,8 +141,8 @@
             sent: Whether it was sent to the backend server.
         """
         queue = self._slots.get_queue(call)
-        held_s = self._get_time() - call.admitted_at
-        queue.record_hold(held_s, call.workspace)
+        now = self._get_time()
+        queue.record_hold(now - call.admitted_at, call.workspace, now)
         self._slots.release(queue, sent)
 
     def record_acceptance(self, accepted: bool) -> None:
--- a/merlintrestle/requests/load/fair_order.py
+++ b/merlintrestle/requests/load/fair_order.py
@@ -3,9 +3,10 @@
 Start-time fair queueing: each workspace has a virtual time at which its next
 call starts, and the waiting call with the earliest one is served first. A call
 advances the virtual time of its workspace by its hold time, in units of the
-mean hold time of the class. A workspace that begins to wait starts at the
-virtual time of the call that was served last, so that it neither saves up
-unused capacity nor waits for the backlog of other workspaces.
+mean hold time of the class, divided by the weight of the workspace. A workspace
+that begins to wait starts at the virtual time of the call that was served last,
+so that it neither saves up unused capacity nor waits for the backlog of other
+workspaces.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
     from collections.abc import Iterable
 
     from merlintrestle.requests.load import queues
+    from merlintrestle.requests.load import usual_loads
 
 # Bounds of the charge for a call, as multiples of the mean hold time. With the
 # upper bound, a workspace whose calls take long gets a slot at least a quarter
@@ -41,12 +43,14 @@
 
     Attributes:
         start: Virtual time at which its next call starts.
+        weight: Weight of the workspace.
         waiting: Its waiting calls, in the order of service.
         unsettled: Number of its calls that were granted a slot and whose hold
             time is not known yet.
     """
 
     start: float
+    weight: float
     waiting: list[queues.Waiter] = dataclasses.field(default_factory=list)
     unsettled: int = 0
 
@@ -55,17 +59,27 @@
     """Order of the waiting calls of one class among workspaces.
 
     Calls in time are served before late ones. Among these, workspaces get slots
-    fairly; the calls of one workspace are served in the order of their latency
-    deadlines. Calls without a workspace are treated as those of a workspace
-    with a greater weight: together they get as many slots as all workspaces
-    that wait, as many of them are nested calls whose parent calls hold slots of
-    other backend servers.
+    in proportion to their weights; the calls of one workspace are served in the
+    order of their latency deadlines. Calls without a workspace are treated as
+    those of a workspace with the weight of all others that wait together, as
+    many of them are nested calls whose parent calls hold slots of other backend
+    servers.
     """
 
-    __slots__ = ("_flows", "_idle", "_virtual_time")
+    __slots__ = ("_flows", "_idle", "_usual_loads", "_virtual_time")
 
-    def __init__(self, waiting: Iterable[queues.Waiter] = ()):
-        """Initializes the order with calls that wait already."""
+    def __init__(
+        self,
+        loads: usual_loads.UsualLoads,
+        waiting: Iterable[queues.Waiter] = (),
+    ):
+        """Initializes the order.
+
+        Args:
+            loads: Usual loads of the workspaces, for their weights.
+            waiting: Calls that wait already.
+        """
+        self._usual_loads = loads
         self._flows: dict[str, _Flow] = {}
         # Workspaces whose virtual time is ahead, without waiting calls.
         self._idle: dict[str, _Flow] = {}
@@ -83,7 +97,8 @@
         workspace = waiter.workspace
         flow = self._flows.get(workspace)
         if flow is None:
-            flow = self._idle.pop(workspace, None) or _Flow(self._virtual_time)
+            flow = self._idle.pop(workspace, None) or _Flow(0.0, 1.0)
+            flow.weight = self._compute_weight(workspace)
             flow.start = max(flow.start, self._virtual_time)
             self._flows[workspace] = flow
         bisect.insort(flow.waiting, waiter)
@@ -95,7 +110,8 @@
         # A cancelled call may still be waiting; it gets no slot.
         if not waiter.granted.done():
             self._virtual_time = max(self._virtual_time, flow.start)
-            flow.start += 1 / self._get_weight(waiter.workspace)
+            flow.weight = self._compute_weight(waiter.workspace)
+            flow.start += 1 / flow.weight
             flow.unsettled += 1
         self._retire_if_empty(waiter.workspace, flow)
         return waiter
@@ -113,15 +129,15 @@
             The number of waiting calls of its workspace, divided by the weight,
             and the call.
         """
-        workspace = max(self._flows, key=self.get_length)
-        return self.get_length(workspace), self._flows[workspace].waiting[-1]
+        flow = max(self._flows.values(), key=_get_length)
+        return _get_length(flow), flow.waiting[-1]
 
-    def get_length(self, workspace: str) -> float:
-        """Returns the number of waiting calls, divided by the weight."""
+    def get_next_length(self, workspace: str) -> float:
+        """Returns the weighted number of waiting calls with a new one."""
         flow = self._flows.get(workspace)
         if flow is None:
-            return 0.0
-        return len(flow.waiting) / self._get_weight(workspace)
+            return 1 / self._compute_weight(workspace)
+        return (len(flow.waiting) + 1) / flow.weight
 
     def settle(self, workspace: str, hold_ratio: float) -> None:
         """Corrects the charge for a call by its hold time.
@@ -135,31 +151,31 @@
             return
         flow.unsettled -= 1
         charge = min(_MAX_CHARGE, max(_MIN_CHARGE, hold_ratio))
-        flow.start += (charge - 1) / self._get_weight(workspace)
+        flow.start += (charge - 1) / flow.weight
 
     def get_position(self, waiter: queues.Waiter) -> int:
         """Returns the place of a new call in the order of service, from 1."""
         workspace = waiter.workspace
-        weight = self._get_weight(workspace)
         flow = self._flows.get(workspace)
         own_ahead = 0
         start = self._virtual_time
         if flow is not None:
             own_ahead = bisect.bisect_right(flow.waiting, waiter)
-            start = flow.start + own_ahead / weight
+            start = flow.start + own_ahead / flow.weight
         elif idle := self._idle.get(workspace):
             start = max(start, idle.start)
         position = own_ahead + 1
-        for other_workspace, other in self._flows.items():
+        for other in self._flows.values():
             if other is not flow:
-                distance = start - other.start
-                if not other_workspace:
-                    distance *= self._get_weight("")
+                distance = (start - other.start) * other.weight
                 position += _count_ahead(other.waiting, distance, waiter)
         return position
 
-    def _get_weight(self, workspace: str) -> float:
-        return 1.0 if workspace else max(1.0, self.workspace_count)
+    def _compute_weight(self, workspace: str) -> float:
+        if workspace:
+            return self._usual_loads.get_weight(workspace)
+        weights = (flow.weight for name, flow in self._flows.items() if name)
+        return max(1.0, sum(weights))
 
     def _retire_if_empty(self, workspace: str, flow: _Flow) -> None:
         """Removes a workspace without waiting calls.
@@ -187,6 +203,11 @@
     return head.late, flow.start, head.latency_deadline
 
 
+def _get_length(flow: _Flow) -> float:
+    """Returns the number of waiting calls, divided by the weight."""
+    return len(flow.waiting) / flow.weight
+
+
 def _count_ahead(
     waiting: list[queues.Waiter], distance: float, waiter: queues.Waiter
 ) -> int:
--- a/merlintrestle/requests/load/queues.py
+++ b/merlintrestle/requests/load/queues.py
@@ -12,6 +12,7 @@
 
 from merlintrestle.requests.load import fair_order
 from merlintrestle.requests.load import shares
+from merlintrestle.requests.load import usual_loads
 
 if TYPE_CHECKING:
     import asyncio
@@ -90,6 +91,7 @@
 
     __slots__ = (
         "_fair_order",
+        "_usual_loads",
         "hold_s",
         "in_flight",
         "plan",
@@ -105,6 +107,7 @@
         self.waiting: list[Waiter] = []
         # None while no call of a workspace waits.
         self._fair_order: fair_order.FairOrder | None = None
+        self._usual_loads = usual_loads.UsualLoads()
 
     @property
     def below_guarantee(self) -> bool:
@@ -121,7 +124,9 @@
         if self._fair_order is not None:
             self._fair_order.add(waiter)
         elif waiter.workspace:
-            self._fair_order = fair_order.FairOrder((*self.waiting, waiter))
+            self._fair_order = fair_order.FairOrder(
+                self._usual_loads, (*self.waiting, waiter)
+            )
         bisect.insort(self.waiting, waiter)
 
     def pop_next(self) -> Waiter:
@@ -146,18 +151,18 @@
         This is the last call of the workspace with the most waiting calls.
 
         Returns:
-            The number of waiting calls of its workspace (0 if no call of a
-            workspace waits), and the call.
+            The number of waiting calls of its workspace divided by the weight
+            (0 if no call of a workspace waits), and the call.
         """
         if self._fair_order is None:
             return 0.0, self.waiting[-1]
         return self._fair_order.get_largest()
 
-    def get_length(self, workspace: str) -> float:
-        """Returns the number of waiting calls of a workspace."""
+    def get_next_length(self, workspace: str) -> float:
+        """Returns the weighted number of waiting calls with a new one."""
         if self._fair_order is None:
-            return 0.0
-        return self._fair_order.get_length(workspace)
+            return 1 / self._usual_loads.get_weight(workspace)
+        return self._fair_order.get_next_length(workspace)
 
     def get_position(self, waiter: Waiter) -> int:
         """Returns the place of a new call in the order of service, from 1."""
@@ -165,16 +170,21 @@
             return self._fair_order.get_position(waiter)
         position = bisect.bisect_right(self.waiting, waiter) + 1
         if waiter.workspace and position > 1:
-            return fair_order.FairOrder(self.waiting).get_position(waiter)
+            return fair_order.FairOrder(
+                self._usual_loads, self.waiting
+            ).get_position(waiter)
         return position
 
-    def record_hold(self, held_s: float, workspace: str) -> None:
+    def record_hold(self, held_s: float, workspace: str, now: float) -> None:
         """Records how long a call held its slot.
 
         Args:
             held_s: The hold time in seconds.
             workspace: Workspace of the call; empty if there is none.
+            now: Monotonic time in seconds.
         """
+        if workspace:
+            self._usual_loads.record(workspace, held_s, now)
         if self._fair_order is not None and self.hold_s > 0:
             self._fair_order.settle(workspace, held_s / self.hold_s)
         self.hold_s += _HOLD_EWMA_WEIGHT * (held_s - self.hold_s)
--- a/merlintrestle/requests/load/slots.py
+++ b/merlintrestle/requests/load/slots.py
@@ -195,9 +195,9 @@
         The last call of the least important class with waiting calls is shed,
         provided that this class is less important than the class of `queue`.
         While calls of workspaces wait, it is the last call of the workspace
-        with the most waiting calls. A class of equal importance also sheds it,
-        provided that this workspace still has at least as many waiting calls as
-        the workspace of the new call.
+        with the most waiting calls in proportion to its weight. A class of
+        equal importance also sheds it, provided that the workspace of the new
+        call would have fewer waiting calls.
 
         Args:
             queue: Queue of the new call's class.
@@ -226,7 +226,7 @@
         )
         if (
             importance == queue.share.importance
-            and length < queue.get_length(workspace) + 2
+            and length <= queue.get_next_length(workspace)
         ):
             return False
         shed_queue.remove(waiter)
--- a/tests/requests/builders.py
+++ b/tests/requests/builders.py
@@ -370,6 +370,7 @@
     plan: snapshot.ClassPlan | None = None,
     latency_deadline: float = float("inf"),
     return_trip_s: float = 0.0,
+    workspace: str = "",
 ) -> calls.Call:
     """Builds a call as the daemon of the called backend server receives it.
 
@@ -382,6 +383,7 @@
             seconds.
         return_trip_s: Time that a refusal takes to the daemon of the caller,
             in seconds.
+        workspace: Name of the workspace of its caller.
     """
     plan = plan or build_plans()["/payouts"]
     return calls.Call(
@@ -398,6 +400,7 @@
         depth=0,
         attempt_number=0,
         key=key,
+        workspace=workspace,
     )
 
 
--- a/tests/requests/load/simulations.py
+++ b/tests/requests/load/simulations.py
@@ -38,6 +38,7 @@
         patience_s: How long a caller waits from its first attempt on, in
             seconds.
         retries: Maximum number of retries of a caller after refusals.
+        workspace: Name of their workspace; empty if there is none.
     """
 
     plan: snapshot.ClassPlan
@@ -45,14 +46,15 @@
     work_s: float
     patience_s: float
     retries: int
+    workspace: str = ""
 
 
 class Simulation:
     """One backend server and its callers.
 
     Attributes:
-        counts: Number of calls by class and result: "in time", "late" or
-            "refused".
+        counts: Number of calls by workspace, or class if there is none, and
+            result: "in time", "late" or "refused".
         started_at: Times at which calls were sent to the backend server, in
             seconds.
         retry_delays_s: Retry delays of the refusals, in seconds.
@@ -95,7 +97,12 @@
                 )
 
     def get_ratio(self, name: str, result: str) -> float:
-        """Returns the fraction of the calls of a class that had a result."""
+        """Returns the fraction of calls with a result.
+
+        Args:
+            name: Workspace of the calls; their class if there is none.
+            result: The result, as in `counts`.
+        """
         all_calls = sum(
             count for key, count in self.counts.items() if key[0] == name
         )
@@ -182,7 +189,7 @@
                 break
             remaining_s = began_at + callers.patience_s - self._loop.time()
             await asyncio.sleep(min(retry_after_s, remaining_s / 3))
-        self.counts[callers.plan.name, result] += 1
+        self.counts[callers.workspace or callers.plan.name, result] += 1
 
     async def _attempt(self, callers: Callers, began_at: float) -> float | None:
         """Makes one attempt.
@@ -194,6 +201,7 @@
             plan=callers.plan,
             deadline=began_at + callers.patience_s,
             latency_deadline=began_at + callers.plan.latency_s,
+            workspace=callers.workspace,
         )
         refusal = await self._admission.acquire(call)
         if refusal is not None:
