--- a/merlintrestle/daemon/metrics.py
+++ b/merlintrestle/daemon/metrics.py
@@ -56,6 +56,11 @@
             "Calls that are not yet answered whole.",
             value=self._proxy.in_flight,
         )
+        yield metrics_core.GaugeMetricFamily(
+            "merlintrestle_workspaces_waiting",
+            "Workspaces with calls that wait for a slot, by class and summed.",
+            value=self._proxy.workspaces_waiting,
+        )
         notices = self._proxy.backend_notices
         yield metrics_core.GaugeMetricFamily(
             "merlintrestle_backend_rate_limit",
--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -65,6 +65,11 @@
         """Number of calls that hold a slot."""
         return self._slots.in_flight
 
+    @property
+    def workspaces_waiting(self) -> int:
+        """Number of workspaces with waiting calls, counted for each class."""
+        return self._slots.workspaces_waiting
+
     def is_busy(self) -> bool:
         """Returns whether the local backend server runs any call."""
         return self._slots.in_flight > 0
--- a/merlintrestle/requests/load/fair_order.py
+++ b/merlintrestle/requests/load/fair_order.py
@@ -29,6 +29,10 @@
 # calls end at once passes over others a bounded number of times.
 _MIN_CHARGE = 0.25
 _MAX_CHARGE = 4.0
+# Number of mean hold times by which a workspace that begins to wait is served
+# earlier. Without it, calls of small workspaces that arrive unevenly are
+# refused although the workspace uses less than its share.
+_CREDIT = 0.5
 # Maximum number of workspaces without waiting calls whose virtual time is kept.
 # A workspace that is forgotten gets at most `_MAX_CHARGE` calls' worth of slots
 # too early.
@@ -97,9 +101,9 @@
         workspace = waiter.workspace
         flow = self._flows.get(workspace)
         if flow is None:
-            flow = self._idle.pop(workspace, None) or _Flow(0.0, 1.0)
+            flow = self._idle.pop(workspace, None) or _Flow(-math.inf, 1.0)
             flow.weight = self._compute_weight(workspace)
-            flow.start = max(flow.start, self._virtual_time)
+            flow.start = max(flow.start, self._get_first_start(flow.weight))
             self._flows[workspace] = flow
         bisect.insort(flow.waiting, waiter)
 
@@ -151,26 +155,36 @@
             return
         flow.unsettled -= 1
         charge = min(_MAX_CHARGE, max(_MIN_CHARGE, hold_ratio))
-        flow.start += (charge - 1) / flow.weight
+        flow.start = max(
+            flow.start + (charge - 1) / flow.weight,
+            self._get_first_start(flow.weight),
+        )
 
     def get_position(self, waiter: queues.Waiter) -> int:
         """Returns the place of a new call in the order of service, from 1."""
         workspace = waiter.workspace
         flow = self._flows.get(workspace)
         own_ahead = 0
-        start = self._virtual_time
         if flow is not None:
             own_ahead = bisect.bisect_right(flow.waiting, waiter)
             start = flow.start + own_ahead / flow.weight
-        elif idle := self._idle.get(workspace):
-            start = max(start, idle.start)
+        else:
+            start = self._get_first_start(self._compute_weight(workspace))
+            if idle := self._idle.get(workspace):
+                start = max(start, idle.start)
         position = own_ahead + 1
+        late = waiter.late
         for other in self._flows.values():
-            if other is not flow:
+            # Most workspaces are skipped here, as a refusal must be cheap.
+            if (late or other.start <= start) and other is not flow:
                 distance = (start - other.start) * other.weight
                 position += _count_ahead(other.waiting, distance, waiter)
         return position
 
+    def _get_first_start(self, weight: float) -> float:
+        """Returns the earliest start of a workspace that begins to wait."""
+        return self._virtual_time - _CREDIT / weight
+
     def _compute_weight(self, workspace: str) -> float:
         if workspace:
             return self._usual_loads.get_weight(workspace)
@@ -185,13 +199,13 @@
         if flow.waiting:
             return
         del self._flows[workspace]
-        if flow.start <= self._virtual_time:
+        if flow.start <= self._get_first_start(flow.weight):
             return
         if len(self._idle) >= _MAX_IDLE:
             self._idle = {
                 name: idle
                 for name, idle in self._idle.items()
-                if idle.start > self._virtual_time
+                if idle.start > self._get_first_start(idle.weight)
             }
             if len(self._idle) >= _MAX_IDLE:
                 del self._idle[next(iter(self._idle))]
@@ -219,9 +233,12 @@
         waiter: The call.
     """
     count = len(waiting)
-    ahead = min(count, max(0, math.ceil(distance)))
-    if ahead == distance and ahead < count and waiting[ahead] < waiter:
-        ahead += 1
+    if distance >= count:
+        ahead = count
+    else:
+        ahead = max(0, math.ceil(distance))
+        if ahead == distance and waiting[ahead] < waiter:
+            ahead += 1
     if not waiting[-1].late:
         return count if waiter.late else ahead
     in_time = bisect.bisect_left(waiting, True, key=_get_late)
--- a/merlintrestle/requests/load/usual_loads.py
+++ b/merlintrestle/requests/load/usual_loads.py
@@ -11,6 +11,9 @@
 # Time after which a call counts e times less. Longer than a burst, so that a
 # workspace does not gain weight by one.
 _TIME_CONSTANT_S = 300.0
+# With 1, a workspace that uses capacity that others leave unused for a while
+# gains weight and takes from them later.
+_PROPORTIONAL_FRACTION = 0.5
 # Maximum number of workspaces whose load is known. Beyond it, the smaller half
 # is forgotten; these have the least weight in any case.
 _MAX_WORKSPACES = 1024
@@ -56,15 +59,17 @@
     def get_weight(self, workspace: str) -> float:
         """Returns the weight of a workspace, at least 1.
 
-        It is the load of the workspace as a multiple of the mean. The weights
-        add up to at most twice the number of workspaces. Hence under overload
-        each workspace gets at least half of what it would get in proportion to
-        its usual load, and at least half of an equal share.
+        It is half the load of the workspace as a multiple of the mean. The
+        weights add up to at most 1.5 times the number of workspaces. Hence
+        under overload each workspace gets at least a third of what it would get
+        in proportion to its usual load, and at least two thirds of an equal
+        share.
         """
         load = self._loads.get(workspace)
         if not load:
             return 1.0
-        return max(1.0, load * len(self._loads) / self._total)
+        ratio = load * len(self._loads) / self._total
+        return max(1.0, _PROPORTIONAL_FRACTION * ratio)
 
     def _rescale(self, now: float) -> None:
         factor = math.exp((self._since - now) / _TIME_CONSTANT_S)
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -369,6 +369,11 @@
         """Number of calls whose answers are not yet complete."""
         return self._state.in_flight
 
+    @property
+    def workspaces_waiting(self) -> int:
+        """Number of workspaces with waiting calls, counted for each class."""
+        return self._admission.workspaces_waiting
+
     @property
     def backend_notices(self) -> notices.Notices:
         """The latest notices of the local backend server."""
