--- a/tests/requests/load/test_fair_order.py
+++ b/tests/requests/load/test_fair_order.py
@@ -179,8 +179,8 @@
     def test_others_keep_their_capacity(self) -> None:
         """Callers of nine small workspaces are served as without the tenth.
 
-        Its refused callers retry five times. In the order by deadline alone, the
-        others get about half of their answers.
+        Its refused callers retry five times. In the order by deadline alone,
+        its calls displace theirs in proportion to their number.
         """
         usual = 0.9 * _SLOTS / _WORK_S / 10
         small = [
