--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -23,6 +23,8 @@
     from merlintrestle.requests.calls import outcomes
     from merlintrestle.requests.load import queues
 
+# Weight of the latest call in the moving average of slot hold times.
+_HOLD_EWMA_WEIGHT = 0.1
 # A call is refused if less than this fraction of the mean hold time remains
 # until its `refuse_by`. Work times are skewed: at most a third of the calls end
 # within half of the mean.
@@ -147,7 +149,10 @@
         """
         queue = self._slots.get_queue(call)
         now = self._get_time()
-        queue.record_hold(now - call.admitted_at, call.workspace, now)
+        held_s = now - call.admitted_at
+        if call.workspace or queue.fair_order is not None:
+            queue.record_hold(held_s, call.workspace, now)
+        queue.hold_s += _HOLD_EWMA_WEIGHT * (held_s - queue.hold_s)
         self._slots.release(queue, sent)
 
     def record_acceptance(self, accepted: bool) -> None:
--- a/merlintrestle/requests/load/queues.py
+++ b/merlintrestle/requests/load/queues.py
@@ -22,8 +22,6 @@
 # Initial hold time of a slot, as a fraction of the latency target, if the
 # targets state no work time. The measured hold times replace it.
 _DEFAULT_HOLD_FRACTION = 0.25
-# Weight of the latest call in the moving average of slot hold times.
-_HOLD_EWMA_WEIGHT = 0.1
 # Most calls end within this multiple of the mean hold time.
 _TYPICAL_HOLD_RATIO = 1.5
 # A wait that people do not perceive, in seconds: the usual limit for an answer
@@ -87,10 +85,11 @@
             seconds.
         waiting: Its calls that wait for a slot, those in time first and each
             group by latency deadline.
+        fair_order: Order of the workspaces; None while no call of one waits.
     """
 
     __slots__ = (
-        "_fair_order",
+        "fair_order",
         "_usual_loads",
         "hold_s",
         "in_flight",
@@ -105,8 +104,7 @@
         self.in_flight = 0
         self.hold_s = plan.work_s or plan.latency_s * _DEFAULT_HOLD_FRACTION
         self.waiting: list[Waiter] = []
-        # None while no call of a workspace waits.
-        self._fair_order: fair_order.FairOrder | None = None
+        self.fair_order: fair_order.FairOrder | None = None
         self._usual_loads = usual_loads.UsualLoads()
 
     @property
@@ -117,23 +115,23 @@
     @property
     def workspaces_waiting(self) -> int:
         """Number of workspaces with waiting calls."""
-        return self._fair_order.workspace_count if self._fair_order else 0
+        return self.fair_order.workspace_count if self.fair_order else 0
 
     def add(self, waiter: Waiter) -> None:
         """Inserts a waiting call in the order of service."""
-        if self._fair_order is not None:
-            self._fair_order.add(waiter)
+        if self.fair_order is not None:
+            self.fair_order.add(waiter)
         elif waiter.workspace:
-            self._fair_order = fair_order.FairOrder(
+            self.fair_order = fair_order.FairOrder(
                 self._usual_loads, (*self.waiting, waiter)
             )
         bisect.insort(self.waiting, waiter)
 
     def pop_next(self) -> Waiter:
         """Removes and returns the waiting call that is served next."""
-        if self._fair_order is None:
+        if self.fair_order is None:
             return self.waiting.pop(0)
-        waiter = self._fair_order.pop_next()
+        waiter = self.fair_order.pop_next()
         self.waiting.remove(waiter)
         self._discard_order_if_idle()
         return waiter
@@ -141,8 +139,8 @@
     def remove(self, waiter: Waiter) -> None:
         """Removes a waiting call."""
         self.waiting.remove(waiter)
-        if self._fair_order is not None:
-            self._fair_order.remove(waiter)
+        if self.fair_order is not None:
+            self.fair_order.remove(waiter)
             self._discard_order_if_idle()
 
     def get_least_valuable(self) -> tuple[float, Waiter]:
@@ -154,20 +152,20 @@
             The number of waiting calls of its workspace divided by the weight
             (0 if no call of a workspace waits), and the call.
         """
-        if self._fair_order is None:
+        if self.fair_order is None:
             return 0.0, self.waiting[-1]
-        return self._fair_order.get_largest()
+        return self.fair_order.get_largest()
 
     def get_next_length(self, workspace: str) -> float:
         """Returns the weighted number of waiting calls with a new one."""
-        if self._fair_order is None:
+        if self.fair_order is None:
             return 1 / self._usual_loads.get_weight(workspace)
-        return self._fair_order.get_next_length(workspace)
+        return self.fair_order.get_next_length(workspace)
 
     def get_position(self, waiter: Waiter) -> int:
         """Returns the place of a new call in the order of service, from 1."""
-        if self._fair_order is not None:
-            return self._fair_order.get_position(waiter)
+        if self.fair_order is not None:
+            return self.fair_order.get_position(waiter)
         position = bisect.bisect_right(self.waiting, waiter) + 1
         if waiter.workspace and position > 1:
             return fair_order.FairOrder(
@@ -176,7 +174,7 @@
         return position
 
     def record_hold(self, held_s: float, workspace: str, now: float) -> None:
-        """Records how long a call held its slot.
+        """Records how long a call held its slot, for the shares of workspaces.
 
         Args:
             held_s: The hold time in seconds.
@@ -185,13 +183,12 @@
         """
         if workspace:
             self._usual_loads.record(workspace, held_s, now)
-        if self._fair_order is not None and self.hold_s > 0:
-            self._fair_order.settle(workspace, held_s / self.hold_s)
-        self.hold_s += _HOLD_EWMA_WEIGHT * (held_s - self.hold_s)
+        if self.fair_order is not None and self.hold_s > 0:
+            self.fair_order.settle(workspace, held_s / self.hold_s)
 
     def _discard_order_if_idle(self) -> None:
-        if self._fair_order and not self._fair_order.workspace_count:
-            self._fair_order = None
+        if self.fair_order and not self.fair_order.workspace_count:
+            self.fair_order = None
 
     def is_late(self, latency_budget_s: float) -> bool:
         """Returns whether a call misses its target even without a wait.
--- a/tests/requests/load/test_fair_order.py
+++ b/tests/requests/load/test_fair_order.py
@@ -88,12 +88,12 @@
         for n in range(10_000):
             queue.add(build_waiter(f"w{n}", 1.0))
             queue.record_hold(_WORK_S, queue.pop_next().workspace, float(n))
-        order: Any = queue._fair_order
+        order: Any = queue.fair_order
         self.assertLessEqual(len(order._idle), 256)
         self.assertLessEqual(len(queue._usual_loads), 1024)
         while queue.waiting:
             queue.pop_next()
-        self.assertIsNone(queue._fair_order)
+        self.assertIsNone(queue.fair_order)
 
     @hypothesis.given(
         strategies.lists(
@@ -143,15 +143,15 @@
                 for key in list(passed):
                     if key[0] == served.workspace:
                         del passed[key]
-                if queue._fair_order is not None:
-                    queue._fair_order.settle(served.workspace, hold_ratio)
+                if queue.fair_order is not None:
+                    queue.fair_order.settle(served.workspace, hold_ratio)
 
     @hypothesis.given(strategies.lists(strategies.integers(0, 9), max_size=50))
     def test_order_without_workspaces(self, deadlines: list[int]) -> None:
         """Deployments without workspaces keep the order by deadline."""
         waiters = [build_waiter("", n, n % 3 == 0) for n in deadlines]
         queue = build_queue(*waiters)
-        self.assertIsNone(queue._fair_order)
+        self.assertIsNone(queue.fair_order)
         served = [queue.pop_next() for _ in waiters]
         # The sort is stable, as the queue is for equal deadlines.
         self.assertEqual(served, sorted(waiters))
