--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -67,6 +67,11 @@
         """Number of calls that hold a slot."""
         return self._slots.in_flight
 
+    @property
+    def workspaces_waiting(self) -> int:
+        """Number of workspaces with waiting calls, counted for each class."""
+        return self._slots.workspaces_waiting
+
     def is_busy(self) -> bool:
         """Returns whether the local backend server runs any call."""
         return self._slots.in_flight > 0
@@ -143,7 +148,10 @@
             sent: Whether it was sent to the backend server.
         """
         queue = self._slots.get_queue(call)
-        held_s = self._get_time() - call.admitted_at
+        now = self._get_time()
+        held_s = now - call.admitted_at
+        if call.workspace or queue.fair_order is not None:
+            queue.record_hold(held_s, call.workspace, now)
         queue.hold_s += _HOLD_EWMA_WEIGHT * (held_s - queue.hold_s)
         self._slots.release(queue, sent)
 
