Give waiting calls a module of their own

Cause: queues and the fair order among workspaces imported each other, which tests.test_imports refuses. Result: 29 tests of the queues, the admission and the imports pass.

--- a/merlintrestle/requests/load/fair_order.py
+++ b/merlintrestle/requests/load/fair_order.py
@@ -20,8 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from merlintrestle.requests.load import queues
     from merlintrestle.requests.load import usual_loads
+    from merlintrestle.requests.load import waiters
 
 # Bounds of the charge for a call, as multiples of the mean hold time. With the
 # upper bound, a workspace whose calls take long gets a slot at least a quarter
@@ -55,7 +55,7 @@
 
     start: float
     weight: float
-    waiting: list[queues.Waiter] = dataclasses.field(default_factory=list)
+    waiting: list[waiters.Waiter] = dataclasses.field(default_factory=list)
     unsettled: int = 0
 
 
@@ -75,7 +75,7 @@
     def __init__(
         self,
         loads: usual_loads.UsualLoads,
-        waiting: Iterable[queues.Waiter] = (),
+        waiting: Iterable[waiters.Waiter] = (),
     ):
         """Initializes the order.
 
@@ -96,7 +96,7 @@
         """Number of workspaces with waiting calls."""
         return len(self._flows) - ("" in self._flows)
 
-    def add(self, waiter: queues.Waiter) -> None:
+    def add(self, waiter: waiters.Waiter) -> None:
         """Adds a waiting call."""
         workspace = waiter.workspace
         flow = self._flows.get(workspace)
@@ -107,7 +107,7 @@
             self._flows[workspace] = flow
         bisect.insort(flow.waiting, waiter)
 
-    def pop_next(self) -> queues.Waiter:
+    def pop_next(self) -> waiters.Waiter:
         """Removes and returns the call that is served next."""
         flow = min(self._flows.values(), key=_get_turn)
         waiter = flow.waiting.pop(0)
@@ -120,13 +120,13 @@
         self._retire_if_empty(waiter.workspace, flow)
         return waiter
 
-    def remove(self, waiter: queues.Waiter) -> None:
+    def remove(self, waiter: waiters.Waiter) -> None:
         """Removes a waiting call."""
         flow = self._flows[waiter.workspace]
         flow.waiting.remove(waiter)
         self._retire_if_empty(waiter.workspace, flow)
 
-    def get_largest(self) -> tuple[float, queues.Waiter]:
+    def get_largest(self) -> tuple[float, waiters.Waiter]:
         """Returns the last call of the workspace with the most waiting calls.
 
         Returns:
@@ -160,7 +160,7 @@
             self._get_first_start(flow.weight),
         )
 
-    def get_position(self, waiter: queues.Waiter) -> int:
+    def get_position(self, waiter: waiters.Waiter) -> int:
         """Returns the place of a new call in the order of service, from 1."""
         workspace = waiter.workspace
         flow = self._flows.get(workspace)
@@ -223,7 +223,7 @@
 
 
 def _count_ahead(
-    waiting: list[queues.Waiter], distance: float, waiter: queues.Waiter
+    waiting: list[waiters.Waiter], distance: float, waiter: waiters.Waiter
 ) -> int:
     """Returns how many calls of another workspace are served before a call.
 
--- a/merlintrestle/requests/load/queue_admission.py
+++ b/merlintrestle/requests/load/queue_admission.py
@@ -8,6 +8,7 @@
 from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.load import queues
 from merlintrestle.requests.load import refusals
+from merlintrestle.requests.load import waiters
 
 if TYPE_CHECKING:
     from merlintrestle.requests.calls import outcomes
@@ -108,7 +109,10 @@
         return self._refuse(queue, waiter, expected_s, loop.time())
 
     async def _wait_in_queue(
-        self, queue: queues.ClassQueue, waiter: queues.Waiter, max_wait_s: float
+        self,
+        queue: queues.ClassQueue,
+        waiter: waiters.Waiter,
+        max_wait_s: float,
     ) -> bool:
         """Waits in the queue.
 
@@ -147,7 +151,7 @@
     def _refuse(
         self,
         queue: queues.ClassQueue,
-        waiter: queues.Waiter,
+        waiter: waiters.Waiter,
         expected_s: float,
         now: float,
     ) -> outcomes.NotRun:
@@ -181,7 +185,7 @@
 
 def _build_waiter(
     queue: queues.ClassQueue, call: calls.Call, now: float
-) -> queues.Waiter:
+) -> waiters.Waiter:
     late = queue.is_late(call.latency_deadline - now)
     granted = asyncio.get_running_loop().create_future()
-    return queues.Waiter(late, call.latency_deadline, granted, call.workspace)
+    return waiters.Waiter(late, call.latency_deadline, granted, call.workspace)
--- a/merlintrestle/requests/load/queues.py
+++ b/merlintrestle/requests/load/queues.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import bisect
-import dataclasses
 from typing import TYPE_CHECKING
 
 from merlintrestle.requests.load import fair_order
@@ -15,9 +14,8 @@
 from merlintrestle.requests.load import usual_loads
 
 if TYPE_CHECKING:
-    import asyncio
-
     from merlintrestle.documents import snapshot
+    from merlintrestle.requests.load import waiters
 
 # Initial hold time of a slot, as a fraction of the latency target, if the
 # targets state no work time. The measured hold times replace it.
@@ -35,36 +33,6 @@
 _MAX_LATE_WAIT_FRACTION = 0.5
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class Waiter:
-    """A call that waits for a slot; sorted in the order of service.
-
-    Attributes:
-        late: Whether the call misses its latency target even without a wait.
-        latency_deadline: Time of the event loop by which the latency target is
-            met, in seconds.
-        granted: Resolves to True if the call gets a slot, False if it stops
-            waiting without one.
-        workspace: Name of the caller's workspace; empty if there is none.
-    """
-
-    late: bool
-    latency_deadline: float
-    granted: asyncio.Future[bool]
-    workspace: str = ""
-
-    def __lt__(self, other: Waiter) -> bool:
-        return (self.late, self.latency_deadline) < (
-            other.late,
-            other.latency_deadline,
-        )
-
-    def stop_waiting(self) -> None:
-        """Ends the wait without a slot, unless one is granted already."""
-        if not self.granted.done():
-            self.granted.set_result(False)
-
-
 class ClassQueue:
     """Calls of one class of work to the local backend server.
 
@@ -103,7 +71,7 @@
         self.share = shares.NO_SHARE
         self.in_flight = 0
         self.hold_s = plan.work_s or plan.latency_s * _DEFAULT_HOLD_FRACTION
-        self.waiting: list[Waiter] = []
+        self.waiting: list[waiters.Waiter] = []
         self.fair_order: fair_order.FairOrder | None = None
         self._usual_loads = usual_loads.UsualLoads()
 
@@ -117,7 +85,7 @@
         """Number of workspaces with waiting calls."""
         return self.fair_order.workspace_count if self.fair_order else 0
 
-    def add(self, waiter: Waiter) -> None:
+    def add(self, waiter: waiters.Waiter) -> None:
         """Inserts a waiting call in the order of service."""
         if self.fair_order is not None:
             self.fair_order.add(waiter)
@@ -127,7 +95,7 @@
             )
         bisect.insort(self.waiting, waiter)
 
-    def pop_next(self) -> Waiter:
+    def pop_next(self) -> waiters.Waiter:
         """Removes and returns the waiting call that is served next."""
         if self.fair_order is None:
             return self.waiting.pop(0)
@@ -136,14 +104,14 @@
         self._discard_order_if_idle()
         return waiter
 
-    def remove(self, waiter: Waiter) -> None:
+    def remove(self, waiter: waiters.Waiter) -> None:
         """Removes a waiting call."""
         self.waiting.remove(waiter)
         if self.fair_order is not None:
             self.fair_order.remove(waiter)
             self._discard_order_if_idle()
 
-    def get_least_valuable(self) -> tuple[float, Waiter]:
+    def get_least_valuable(self) -> tuple[float, waiters.Waiter]:
         """Returns the call to shed if the queues are full.
 
         This is the last call of the workspace with the most waiting calls.
@@ -162,7 +130,7 @@
             return 1 / self._usual_loads.get_weight(workspace)
         return self.fair_order.get_next_length(workspace)
 
-    def get_position(self, waiter: Waiter) -> int:
+    def get_position(self, waiter: waiters.Waiter) -> int:
         """Returns the place of a new call in the order of service, from 1."""
         if self.fair_order is not None:
             return self.fair_order.get_position(waiter)
--- a/merlintrestle/requests/load/slots.py
+++ b/merlintrestle/requests/load/slots.py
@@ -15,6 +15,7 @@
     from merlintrestle.requests import interfaces
     from merlintrestle.requests.calls import call as calls
     from merlintrestle.requests.load import rate_limits
+    from merlintrestle.requests.load import waiters
 
 # Maximum number of waiting calls for each slot, of all classes together. With
 # longer queues a full backend server would not serve more calls, and the calls
@@ -174,14 +175,14 @@
                 self.acquire(queue)
                 granted.set_result(True)
 
-    def add(self, queue: queues.ClassQueue, waiter: queues.Waiter) -> None:
+    def add(self, queue: queues.ClassQueue, waiter: waiters.Waiter) -> None:
         """Adds a waiting call to its queue."""
         queue.add(waiter)
         self.waiting += 1
         if not self._limiter.may_send():
             self._schedule_grant()
 
-    def remove(self, queue: queues.ClassQueue, waiter: queues.Waiter) -> None:
+    def remove(self, queue: queues.ClassQueue, waiter: waiters.Waiter) -> None:
         """Removes a call from its queue unless it was removed before."""
         if waiter in queue.waiting:
             queue.remove(waiter)
@@ -235,7 +236,7 @@
         return True
 
     def estimate_wait(
-        self, queue: queues.ClassQueue, waiter: queues.Waiter
+        self, queue: queues.ClassQueue, waiter: waiters.Waiter
     ) -> float:
         """Returns the expected wait of a new call for a slot, in seconds.
 
@@ -297,7 +298,7 @@
         return max(1.0, queue.share.guaranteed_slots, available)
 
     def _count_ahead(
-        self, queue: queues.ClassQueue, waiter: queues.Waiter
+        self, queue: queues.ClassQueue, waiter: waiters.Waiter
     ) -> int:
         """Returns the number of calls of other classes ahead of a call."""
         priority = queue.get_call_priority(not waiter.late)
--- a/tests/requests/load/test_fair_order.py
+++ b/tests/requests/load/test_fair_order.py
@@ -12,6 +12,7 @@
 
 from merlintrestle.requests.load import queues
 from merlintrestle.requests.load import usual_loads
+from merlintrestle.requests.load import waiters
 from tests.requests import builders
 from tests.requests.load import simulations
 from tools import model
@@ -32,13 +33,13 @@
 
 def build_waiter(
     workspace: str, latency_deadline: float = 1.0, late: bool = False
-) -> queues.Waiter:
+) -> waiters.Waiter:
     """Builds a waiting call."""
     granted = cast("asyncio.Future[bool]", _Granted())
-    return queues.Waiter(late, latency_deadline, granted, workspace)
+    return waiters.Waiter(late, latency_deadline, granted, workspace)
 
 
-def build_queue(*waiters: queues.Waiter) -> queues.ClassQueue:
+def build_queue(*waiters: waiters.Waiter) -> queues.ClassQueue:
     """Builds a queue of waiting calls."""
     queue = queues.ClassQueue(_LOOKUP)
     for waiter in waiters:
