Simulate uneven backend servers and demand that moves between zones

Cause: no load of the policy simulations had backend servers with few slots whose speed differs by a factor of three, nor zones that peak at different times, and refusals between daemons did not report the load as they do in the product. An idle daemon reported a hold time of 0, because the model read the load after the slot was released.

Change: the loads uneven, uneven-busy and uneven-full (84 backend servers 0.5, 1, 1 and 1.5 times as fast, three slots each, contention on their hosts and a swing of the demand by half in 15 s in three zones); the figures refused_hops and busiest.

--- a/tests/tools/test_model.py
+++ b/tests/tools/test_model.py
@@ -117,3 +117,31 @@
         )
         self.assertGreater(figures["earned"], 0.98)
         self.assertLess(figures["far"], 0.2)
+
+    def test_swing_moves_the_demand_between_zones(self) -> None:
+        """Demand of a zone changes, and that of all zones together does not.
+
+        Otherwise a load would compare policies by a change of the total demand.
+        """
+        swing = model_records.Swing(amplitude=0.5, period_s=15.0)
+        factors_by_zone = [
+            [
+                swing.get_factor(zone / 3, elapsed_ms / 1000)
+                for elapsed_ms in range(0, 15_000, 250)
+            ]
+            for zone in range(3)
+        ]
+        for factors in factors_by_zone:
+            self.assertAlmostEqual(max(factors), 1.5, places=2)
+            self.assertAlmostEqual(min(factors), 0.5, places=2)
+        for factors_at_once in zip(*factors_by_zone, strict=True):
+            self.assertAlmostEqual(sum(factors_at_once), 3.0)
+
+    def test_uneven_servers_have_the_usual_speed_on_average(self) -> None:
+        """The capacity of uneven servers is that of as many usual ones."""
+        servers = policies.build_servers(
+            random.Random(1), policies.LOADS["uneven"]
+        )
+        self.assertAlmostEqual(
+            sum(1.0 / server.slowness for server in servers), len(servers)
+        )
--- a/tools/model.py
+++ b/tools/model.py
@@ -217,12 +217,24 @@
         outcome = await peer.run(forwarded_call)
         if isinstance(outcome, outcomes.Answered):
             self._simulation.peer_answers[crosses_zones] += 1
+        else:
+            self._simulation.peer_refusals += 1
+        load = peer.get_load()
         await asyncio.sleep(delay_s)
+        if not isinstance(outcome, outcomes.Answered):
+            # The answer that states a refusal reports the load as well.
+            self._picker.get_observation(
+                _get_member_id(peer.number)
+            ).record_load(asyncio.get_running_loop().time(), load)
         self._picker.notices.record(
             _get_member_id(peer.number), peer.get_notice_header()
         )
         return outcome
 
+    def get_load(self) -> loads.Load:
+        """Returns the load that the daemon reports."""
+        return self._admission.get_load()
+
     def get_notice_header(self) -> str | None:
         """Returns the header that states the notices; None if there is none."""
         return self._notices.get_header() or None
@@ -251,15 +263,19 @@
                 retry_after_s=self._admission.estimate_retry_delay(call),
             )
         repeat = self.repeats.begin(call)
+        started_at = asyncio.get_running_loop().time()
         try:
             status = await self._run_at_backend(call)
+            # The load is reported while the call holds its slot.
+            load = self.get_load()
         finally:
             self._admission.release(call)
             self.repeats.end(repeat)
-        read_headers(self._simulation.build_notice_headers(self.server))
-        response: Any = _Response(
-            status, loads.encode_load(self._admission.get_load())
+        self._simulation.held_s[self.number] += (
+            asyncio.get_running_loop().time() - started_at
         )
+        read_headers(self._simulation.build_notice_headers(self.server))
+        response: Any = _Response(status, loads.encode_load(load))
         return outcomes.Answered(response, b"", [])
 
     async def _run_at_backend(self, call: calls.Call) -> int:
@@ -301,8 +317,10 @@
             caller and each nested call counts.
         repeats_by_service: Number of repeats among them that reached a backend
             server. Calls that are nested in a repeat count as repeats.
+        peer_refusals: Number of refusals between daemons.
         sends: Times at which calls were sent to each backend server, in seconds
             from the start.
+        held_s: Time that calls held slots of each backend server, in seconds.
     """
 
     def __init__(
@@ -310,6 +328,7 @@
         servers: list[records.Server],
         work_classes: list[records.WorkClass],
         seed: int = 1,
+        swing: records.Swing | None = None,
     ):
         self.servers = servers
         self.work_classes = {
@@ -322,7 +341,14 @@
         self.repeats_by_service: collections.Counter[str] = (
             collections.Counter()
         )
+        self.peer_refusals = 0
         self.sends: list[list[float]] = [[] for _ in servers]
+        self.held_s = [0.0 for _ in servers]
+        self._swing = swing
+        zones = sorted({server.zone for server in servers})
+        self._phases = [
+            zones.index(server.zone) / len(zones) for server in servers
+        ]
         self._counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -453,10 +479,20 @@
             await asyncio.sleep(self.rng.expovariate(work_class.rate))
             group.create_task(self._run_caller(work_class))
 
+    def _choose_daemon(self) -> _SimulatedDaemon:
+        """Returns the daemon that a caller sends its requests to."""
+        if self._swing is None:
+            return self.rng.choice(self._daemons)
+        elapsed_s = self._get_elapsed()
+        factors = [
+            self._swing.get_factor(phase, elapsed_s) for phase in self._phases
+        ]
+        return self.rng.choices(self._daemons, factors)[0]
+
     async def _run_caller(self, work_class: records.WorkClass) -> None:
         """Makes the request of a caller, with its retries."""
         started_at = self._loop.time()
-        daemon = self.rng.choice(self._daemons)
+        daemon = self._choose_daemon()
         timeout_s = work_class.timeout_s * self.rng.uniform(
             work_class.min_timeout_fraction, 1.0
         )
@@ -557,6 +593,9 @@
             answered / self._counts.total(),
             sum(window_fractions[:2]) / len(window_fractions[:2]),
             self.peer_answers[True] / max(1, self.peer_answers.total()),
+            self.peer_refusals
+            / max(1, self.peer_refusals + self.peer_answers.total()),
+            self._compute_busiest(),
             {
                 service: self.repeats_by_service[service] / count
                 for service, count in self.calls_by_service.items()
@@ -564,6 +603,16 @@
             self.sends,
         )
 
+    def _compute_busiest(self) -> float:
+        """Returns the use of the busiest backend server, see `Result`."""
+        used: dict[str, list[float]] = collections.defaultdict(list)
+        for server, held_s in zip(self.servers, self.held_s, strict=True):
+            used[server.service].append(held_s / server.slots)
+        return max(
+            max(service_used) * len(service_used) / max(1e-9, sum(service_used))
+            for service_used in used.values()
+        )
+
 
 def simulate(
     servers: list[records.Server],
@@ -571,6 +620,7 @@
     duration_s: float,
     seed: int = 1,
     changes: Iterable[records.ServerChange] = (),
+    swing: records.Swing | None = None,
 ) -> records.Result:
     """Simulates the load of callers on a fleet.
 
@@ -582,10 +632,11 @@
         duration_s: Time in which callers make requests, in seconds.
         seed: Seed of the random numbers.
         changes: Changes of backend servers during the simulation.
+        swing: Demand that moves between the zones; None: it is the same in all.
     """
 
     async def run() -> records.Result:
-        return await Simulation(servers, work_classes, seed).run(
+        return await Simulation(servers, work_classes, seed, swing).run(
             duration_s, changes
         )
 
--- a/tools/model_records.py
+++ b/tools/model_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple, TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -87,6 +88,32 @@
     restarts_daemon: bool = False
 
 
+class Swing(NamedTuple):
+    """Demand that moves between the availability zones and back.
+
+    The demand of a zone is a sine around its mean. The zones follow each other
+    at equal distances, so the demand of all zones together is constant.
+
+    Attributes:
+        amplitude: Greatest difference from the mean, as a fraction of it.
+        period_s: Time between two peaks of a zone, in seconds.
+    """
+
+    amplitude: float
+    period_s: float
+
+    def get_factor(self, phase: float, elapsed_s: float) -> float:
+        """Returns the demand of a zone as a multiple of its mean.
+
+        Args:
+            phase: Distance of the zone from the first one, as a fraction of the
+                period.
+            elapsed_s: Seconds from the start.
+        """
+        angle = 2 * math.pi * (elapsed_s / self.period_s + phase)
+        return 1.0 + self.amplitude * math.sin(angle)
+
+
 class Result(NamedTuple):
     """Results of the callers.
 
@@ -101,6 +128,11 @@
         worst: Mean of `earned` in the two worst windows. A request counts in
             the window in which it began.
         far: Fraction of the answers between daemons that crossed zones.
+        refused_hops: Fraction of the attempts between daemons that were
+            refused.
+        busiest: Fraction of the time that the slots of the busiest backend
+            server were in use, as a multiple of the mean of its service;
+            greatest of all services.
         repeat_ratios: Repeats that reached backend servers, as a ratio to the
             calls, by service.
         sends: Times at which calls were sent to each backend server, in seconds
@@ -112,6 +144,8 @@
     served: float
     worst: float
     far: float
+    refused_hops: float
+    busiest: float
     repeat_ratios: dict[str, float]
     sends: list[list[float]]
 
--- a/tools/policies.py
+++ b/tools/policies.py
@@ -34,8 +34,27 @@
 _SHED_FRACTION = 0.45
 # Factor on the work time while backend servers are cold.
 _COLD_SLOWNESS = 2.2
+# Speeds of uneven backend servers, as multiples of the usual one, and their
+# slots.
+_UNEVEN_SPEEDS = (0.5, 1.0, 1.0, 1.5)
+_UNEVEN_SLOTS_PER_SERVER = 3
+_UNEVEN_SERVER_FACTOR = 6
+_UNEVEN_ZONES = ("a", "b", "c")
+_UNEVEN_SWING = model_records.Swing(amplitude=0.5, period_s=15.0)
+# Other programs on the host of an uneven backend server take its processor
+# time: how long, how often in the simulated time, and factor on the work time.
+_CONTENTION_S = (0.5, 2.0)
+_CONTENTIONS_PER_SERVER = 2
+_CONTENTION_SLOWNESS = 2.0
 # Fields of the result that are printed.
-_RESULT_FIELDS = ("earned", "served", "worst", "far")
+_RESULT_FIELDS = (
+    "earned",
+    "served",
+    "worst",
+    "far",
+    "refused_hops",
+    "busiest",
+)
 
 
 class Load(NamedTuple):
@@ -52,6 +71,9 @@
             few slots each.
         shedding: Whether four in ten backend servers of one service shed
             nearly every other call.
+        uneven: Whether there are 84 backend servers of different speed with
+            three slots each, on hosts that they share with other programs, and
+            the demand moves between three zones.
     """
 
     rate_factor: float
@@ -59,6 +81,7 @@
     cold: bool = False
     wide: bool = False
     shedding: bool = False
+    uneven: bool = False
 
 
 class Variant(NamedTuple):
@@ -82,6 +105,9 @@
     "cold": Load(1.6, cold=True),
     "wide": Load(1.6, wide=True),
     "shedding": Load(1.0, wide=True, shedding=True),
+    "uneven": Load(1.3, uneven=True),
+    "uneven-busy": Load(1.8, uneven=True),
+    "uneven-full": Load(2.3, uneven=True),
 }
 
 
@@ -89,6 +115,8 @@
     rng: random.Random, load: Load = LOADS["calm"]
 ) -> list[model_records.Server]:
     """Builds backend servers of three services, with different slowness."""
+    if load.uneven:
+        return _build_uneven_servers(rng)
     services = _SERVICES * _WIDE_SERVER_FACTOR if load.wide else _SERVICES
     return [
         model_records.Server(
@@ -102,6 +130,23 @@
     ]
 
 
+def _build_uneven_servers(rng: random.Random) -> list[model_records.Server]:
+    services = _SERVICES * _UNEVEN_SERVER_FACTOR
+    speeds = list(_UNEVEN_SPEEDS) * (len(services) // len(_UNEVEN_SPEEDS))
+    rng.shuffle(speeds)
+    return [
+        model_records.Server(
+            service,
+            _UNEVEN_ZONES[number % len(_UNEVEN_ZONES)],
+            _UNEVEN_SLOTS_PER_SERVER,
+            1.0 / speed,
+        )
+        for number, (service, speed) in enumerate(
+            zip(services, speeds, strict=True)
+        )
+    ]
+
+
 def _choose_shed_fraction(
     service: str, load: Load, rng: random.Random
 ) -> float:
@@ -176,6 +221,18 @@
             changes.append(
                 model_records.ServerChange(7.0, number, server.slowness)
             )
+    if load.uneven:
+        for number, server in enumerate(servers):
+            for _ in range(_CONTENTIONS_PER_SERVER):
+                began_at = rng.uniform(0.0, _DURATION_S)
+                ended_at = began_at + rng.uniform(*_CONTENTION_S)
+                slowness = _CONTENTION_SLOWNESS * server.slowness
+                changes += [
+                    model_records.ServerChange(began_at, number, slowness),
+                    model_records.ServerChange(
+                        ended_at, number, server.slowness
+                    ),
+                ]
     return changes
 
 
@@ -198,7 +255,14 @@
     work_classes = build_work_classes(
         load.rate_factor * slots / (_SLOTS_PER_SERVER * len(_SERVICES))
     )
-    return model.simulate(servers, work_classes, duration_s, seed, changes)
+    return model.simulate(
+        servers,
+        work_classes,
+        duration_s,
+        seed,
+        changes,
+        _UNEVEN_SWING if load.uneven else None,
+    )
 
 
 def simulate_variant(
