Mend what a first reading of the whole change found

Cause: after three seconds of steady calls no quota token could be given back, as the expiry of reported tokens was kept; a workspace that a version removed was reported for ever; a task that failed took the coordinator's lease with it; a write of the term's record could outlast the lease; an answer of the store that cannot be read was logged with its value, which may contain API keys; a class without a fair order counted no waiting calls. Change: these, and comments and names that had to be read twice.

--- a/merlintrestle/documents/workspaces.py
+++ b/merlintrestle/documents/workspaces.py
@@ -25,8 +25,9 @@
 
     Args:
         resources: Serialized resources by name.
-        place: Place in the configuration, for error messages. These contain no
-            value, as any of them may be a key in the wrong place.
+        place: Place in the configuration, for error messages. Those of this
+            function contain no value, as any may be a key in the wrong place;
+            those of the loader contain the name of the workspace.
         workspace: The workspace without digests of keys.
         keys: Its API keys.
 
--- a/merlintrestle/operators/key_command.py
+++ b/merlintrestle/operators/key_command.py
@@ -32,7 +32,9 @@
     of processes nor in the shell's history. Space around it is ignored.
     """
     if sys.stdin.isatty():
-        content = click.prompt("API key", hide_input=True, err=True).encode()
+        content = click.prompt("API key", hide_input=True, err=True).encode(
+            "utf-8", "surrogateescape"
+        )
     else:
         content = sys.stdin.buffer.read(_MAX_KEY_BYTES + 1)
     key = read_key(content)
--- a/merlintrestle/platform/health.py
+++ b/merlintrestle/platform/health.py
@@ -51,7 +51,7 @@
 def parse_status(
     settings: settings_lib.Settings, response: aiohttp.ClientResponse
 ) -> heartbeats.Heartbeat | None:
-    """Returns a valid status as a heartbeat before all others, else None."""
+    """Returns a valid status as a heartbeat older than all others, or None."""
     instance_id = response.headers.get(_INSTANCE_HEADER, "")
     load = response.headers.get(_LOAD_HEADER, "").split(",")
     if response.status != _OK or not instance_id or len(load) <= _SLOTS_INDEX:
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -383,7 +383,9 @@
 
 def _parse_entry(item: Any) -> client.Entry:
     if not isinstance(item, dict):
-        raise errors.CorruptRecordError(f"store: an item is {item!r}")
+        raise errors.CorruptRecordError(
+            f"store: an item is of type {type(item).__name__}"
+        )
     key = _remove_prefix(rows.get_field(item, "key", str))
     try:
         value = base64.b64decode(
--- a/merlintrestle/quotas/account.py
+++ b/merlintrestle/quotas/account.py
@@ -59,6 +59,7 @@
         "has_news",
         "is_tight",
         "rate",
+        "recent_expiry",
         "refused_until",
         "reported",
         "reported_until",
@@ -72,7 +73,8 @@
     def __init__(self, now: float):
         self.batches: collections.deque[_Batch] = collections.deque()
         self.waiters: collections.deque[Waiter] = collections.deque()
-        # Calls since the last request, their rate before it and the last one.
+        # Calls since the last request; the estimated rate of calls; the time of
+        # the last call.
         self.asked = 0
         self.rate = 0.0
         self.asked_at = now
@@ -84,8 +86,10 @@
         self.reported = 0
         # Time up to which spent tokens were reported.
         self.reported_until = now
-        # Least expiry of the tokens that are spent and not reported.
+        # Least expiry of the tokens that are spent and not reported, and of
+        # those that were spent since the last request.
         self.unreported_expiry = math.inf
+        self.recent_expiry = math.inf
         # Tokens in the last request, and whether the coordinator granted fewer.
         self.requested = 0
         self.is_tight = False
@@ -96,7 +100,7 @@
         """Starts to count anew; tokens of the earlier epoch stay valid."""
         self.spent = self.spent_before = self.reported = 0
         self.reported_until = now
-        self.unreported_expiry = math.inf
+        self.unreported_expiry = self.recent_expiry = math.inf
         self.has_news = bool(self.waiters)
 
     def count_tokens(self, epoch: int) -> int:
@@ -220,12 +224,14 @@
         weight = 1 - math.exp(-_RATE_WEIGHT_PER_S * elapsed_s)
         reports = []
         for name, balance in list(self._balances.items()):
+            if now - balance.asked_at > _FORGOTTEN_S and not balance.waiters:
+                self._discard(balance, now)
+                del self._balances[name]
+                continue
             balance.rate += weight * (balance.asked / elapsed_s - balance.rate)
             report = self._build_report(name, balance, now, requested_at)
             if report is not None:
                 reports.append(report)
-            elif now - balance.asked_at > _FORGOTTEN_S:
-                del self._balances[name]
         return reports
 
     def apply(
@@ -244,7 +250,9 @@
             if balance is None:
                 continue
             # The tokens are counted at the coordinator until they are reported.
-            balance.has_news = grant.granted > 0
+            balance.has_news = (
+                grant.granted > 0 or balance.spent > balance.reported
+            )
             balance.is_tight = grant.granted < balance.requested
             if grant.granted:
                 balance.batches.append(
@@ -295,6 +303,9 @@
                 balance.unreported_expiry = min(
                     balance.unreported_expiry, batch.expires_at
                 )
+                balance.recent_expiry = min(
+                    balance.recent_expiry, batch.expires_at
+                )
                 balance.has_news = True
             return True
         return False
@@ -302,6 +313,7 @@
     def _build_report(
         self, name: str, balance: _Balance, now: float, requested_at: float
     ) -> quota_pb2.TokenRequest | None:
+        """Updates the counts of a workspace and returns its report, if any."""
         self._discard(balance, now)
         while balance.waiters and balance.waiters[0].done():
             balance.waiters.popleft()
@@ -316,7 +328,9 @@
         if balance.is_tight:
             self._set_reported(balance, balance.spent, now)
         else:
+            balance.unreported_expiry = balance.recent_expiry
             self._set_reported(balance, balance.spent_before, requested_at)
+        balance.recent_expiry = math.inf
         balance.spent_before = balance.spent
         if balance.refused_until > now:
             # Without these, each of the next calls would send a request.
--- a/merlintrestle/quotas/election.py
+++ b/merlintrestle/quotas/election.py
@@ -31,7 +31,8 @@
 # The holder grants nothing in the last part of its lease, for clocks that run
 # at slightly different rates.
 _LEASE_MARGIN_S = 0.1
-# Longest wait for an answer of the store.
+# Longest wait for the renewal or deletion of the lease and for the write of the
+# record; other calls have the timeout of the client.
 _CALL_TIMEOUT_S = 1.0
 _RETRY_S = 0.2
 # Interval between two reads of the key by the candidate of the first rank. It
@@ -168,7 +169,7 @@
         return self.term is not None and self._get_time() < self._valid_until
 
     def hurry(self) -> None:
-        """Reads the store soon, as the coordinator does not answer."""
+        """Shortens the interval to the next read, as nobody grants tokens."""
         self._is_urgent = True
 
     def handle_release(self) -> None:
@@ -335,7 +336,8 @@
             era=self._get_era(),
             epoch=term.epoch,
         ).SerializeToString()
-        reply = await self._store.put(TERM_KEY, value, self._term_revision)
+        async with asyncio.timeout(_CALL_TIMEOUT_S):
+            reply = await self._store.put(TERM_KEY, value, self._term_revision)
         # An earlier write whose answer was lost has the same value.
         written = reply.written or reply.entry.value == value
         if written:
@@ -367,8 +369,8 @@
         return self._store.era.current or _FIRST_ERA
 
 
-def _parse_term(value: bytes) -> quota_pb2.CoordinatorTerm | None:
-    """Parses the record; None stands for one that says nothing."""
+def _parse_term(value: bytes) -> quota_pb2.CoordinatorTerm:
+    """Parses the record; a malformed one counts as empty, so of another era."""
     try:
         return quota_pb2.CoordinatorTerm.FromString(value)
     except message.DecodeError:
--- a/merlintrestle/quotas/refills.py
+++ b/merlintrestle/quotas/refills.py
@@ -50,7 +50,8 @@
 
     Attributes:
         refused: Number of calls that were refused as no daemon grants tokens.
-        on_silence: Called when the coordinator does not answer.
+        on_unavailable: Called when no daemon grants tokens: the coordinator
+            is unknown, silent or not yet granting.
     """
 
     def __init__(
@@ -77,7 +78,7 @@
             get_time: Returns the time in seconds, with suspended time counted.
         """
         self.refused = 0
-        self.on_silence: Callable[[], None] = lambda: None
+        self.on_unavailable: Callable[[], None] = lambda: None
         self._account = account
         self._coordinator = coordinator
         self._send = send
@@ -212,7 +213,7 @@
     def _fail(self, available_in_s: float) -> None:
         self._is_failing = True
         self._available_at = self._get_time() + available_in_s
-        self.on_silence()
+        self.on_unavailable()
 
     async def _wait_for_turn(self) -> None:
         if self._is_failing:
--- a/merlintrestle/quotas/service.py
+++ b/merlintrestle/quotas/service.py
@@ -93,9 +93,10 @@
         self._configured: snapshot.Snapshot | None = None
         self._granted_before = 0
         self._is_retired = False
-        self._tasks: list[asyncio.Task[None]] = []
+        self._refill_task: asyncio.Task[None] | None = None
+        self._election_task: asyncio.Task[None] | None = None
         self.gossip.on_change.append(self._handle_change)
-        self.refills.on_silence = self.election.hurry
+        self.refills.on_unavailable = self.election.hurry
         self.election.on_seen = self.gossip.learn
         self.election.on_begin = self._begin_term
         self.election.on_end = self._end_term
@@ -186,21 +187,21 @@
         Calls that are still served get tokens from the next coordinator.
         """
         self._is_retired = True
-        if self._tasks:
-            election_task = self._tasks.pop()
-            election_task.cancel()
-            await asyncio.gather(election_task, return_exceptions=True)
-            await self.election.release()
+        await self._cancel(self._election_task)
+        self._election_task = None
+        await self.election.release()
 
     async def on_stop(self) -> None:
-        """Ends the tasks; releases the lease and tells the others."""
-        await self._set_running(False)
+        """Ends the tasks; a coordinator releases its lease."""
+        await self._stop_tasks()
 
     @mode.Service.task
     async def _follow_version(self) -> None:
         while not self.should_stop:
-            await self._restart_failed()
-            await self._set_running(self._has_rates())
+            if self._has_rates():
+                self._start_tasks()
+            elif self._refill_task is not None:
+                await self._stop_tasks()
             if self._allocation is not None:
                 self._configure(self._allocation)
             await self.sleep(_VERSION_INTERVAL_S)
@@ -213,27 +214,23 @@
             workspace.rate > 0 for workspace in active.workspaces.values()
         )
 
-    async def _set_running(self, running: bool) -> None:
-        if running == bool(self._tasks):
-            return
-        if running:
-            self._tasks = [asyncio.create_task(self.refills.run())]
-            if not self._is_retired:
-                self._tasks.append(asyncio.create_task(self.election.run()))
-            return
-        tasks, self._tasks = self._tasks, []
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    def _start_tasks(self) -> None:
+        """Starts the tasks, each again if it has failed."""
+        if not _is_running(self._refill_task):
+            self._refill_task = asyncio.create_task(self.refills.run())
+        if not self._is_retired and not _is_running(self._election_task):
+            self._election_task = asyncio.create_task(self.election.run())
+
+    async def _stop_tasks(self) -> None:
+        for task in (self._refill_task, self._election_task):
+            await self._cancel(task)
+        self._refill_task = self._election_task = None
         await self.election.release()
 
-    async def _restart_failed(self) -> None:
-        """Starts the tasks again if one has failed, which is a fault."""
-        for task in self._tasks:
-            if task.done() and not task.cancelled():
-                events.fail("quota task failed", error=repr(task.exception()))
-                await self._set_running(False)
-                return
+    async def _cancel(self, task: asyncio.Task[None] | None) -> None:
+        if task is not None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
 
     def _is_cut_off(self) -> bool:
         return (
@@ -300,3 +297,12 @@
         reply = self._quotas.answer(request)
         accounting.count_sent("Refill", reply, overhead)
         return reply
+
+
+def _is_running(task: asyncio.Task[None] | None) -> bool:
+    """Returns whether a task runs; logs why it has failed."""
+    if task is None:
+        return False
+    if task.done() and not task.cancelled():
+        events.fail("quota task failed", error=repr(task.exception()))
+    return not task.done()
--- a/merlintrestle/requests/load/fair_order.py
+++ b/merlintrestle/requests/load/fair_order.py
@@ -194,7 +194,8 @@
     def _retire_if_empty(self, workspace: str, flow: _Flow) -> None:
         """Removes a workspace without waiting calls.
 
-        Its virtual time is kept until the others have reached it.
+        Its virtual time is kept until the others have reached it, at most while
+        calls of any workspace wait.
         """
         if flow.waiting:
             return
@@ -229,7 +230,8 @@
 
     Args:
         waiting: Waiting calls of the other workspace.
-        distance: Number of its calls that start at an earlier virtual time.
+        distance: Difference of virtual start times as a number of its calls;
+            negative if its first call starts later.
         waiter: The call.
     """
     count = len(waiting)
--- a/merlintrestle/requests/load/queues.py
+++ b/merlintrestle/requests/load/queues.py
@@ -127,7 +127,8 @@
     def get_next_length(self, workspace: str) -> float:
         """Returns the weighted number of waiting calls with a new one."""
         if self.fair_order is None:
-            return 1 / self._usual_loads.get_weight(workspace)
+            waiting = 0 if workspace else len(self.waiting)
+            return (waiting + 1) / self._usual_loads.get_weight(workspace)
         return self.fair_order.get_next_length(workspace)
 
     def get_position(self, waiter: waiters.Waiter) -> int:
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -151,7 +151,10 @@
     def _apply_workspace(
         self, call: calls.Call, admitted: admission.Admitted
     ) -> None:
-        """Replaces the credentials of a call by its workspace."""
+        """Removes the credentials of a call and sets its workspace.
+
+        The workspace of an anonymous call is empty.
+        """
         credentials.remove_credentials(call.headers, self._workspace_header)
         call.workspace = admitted.workspace
         call.decision_log.add("admitted", workspace=admitted.workspace)
@@ -159,6 +162,7 @@
     def _may_run(self, request: web.BaseRequest, match: routing.Match) -> bool:
         """Returns whether a request may run now, else it waits for its turn.
 
+        If it may and is repeatable, the request behind it may run as well.
         A request that is not repeatable runs when those in front have been
         answered. "100 Continue" must not appear among their answers either.
         """
--- a/merlintrestle/requests/serving/responses.py
+++ b/merlintrestle/requests/serving/responses.py
@@ -48,9 +48,9 @@
 ) -> outcomes.Outcome:
     """Holds a streamed answer until it may be written to the connection.
 
-    A streamed answer occupies its slot while it waits, and stays paused by
-    back-pressure. A short one that ends before is buffered and frees its slot;
-    of others, the number of slots bounds the memory.
+    A streamed answer keeps its slot while it waits, and back-pressure pauses
+    its reading. If it is short and ends before its turn, it is buffered and its
+    slot is released. The number of slots bounds the memory of longer ones.
 
     Args:
         request: The request.
--- a/merlintrestle/requests/transport/pipelining.py
+++ b/merlintrestle/requests/transport/pipelining.py
@@ -301,7 +301,7 @@
         """Cancels what runs behind a request; nothing more is started.
 
         Args:
-            request: The request; None: the one whose turn it is.
+            request: The request; None: all that run ahead are cancelled.
         """
         self._ended = True
         if not self._started:
--- a/merlintrestle/requests/workspaces/refusals.py
+++ b/merlintrestle/requests/workspaces/refusals.py
@@ -63,7 +63,7 @@
         """Yields the refusals by reason."""
         family = metrics_core.CounterMetricFamily(
             "merlintrestle_workspace_refusals",
-            "Requests refused because of their API key or its quota.",
+            "Requests refused by API key, freshness of the version or quota.",
             labels=("reason",),
         )
         for reason, count in self._counts.items():
--- a/merlintrestle/rows.py
+++ b/merlintrestle/rows.py
@@ -186,5 +186,8 @@
     """
     value = fields.get(name)
     if type(value) is not kind:
-        raise errors.CorruptRecordError(f"store: {name!r} is {value!r}")
+        # Not the value: it may contain API keys in plain text.
+        raise errors.CorruptRecordError(
+            f"store: {name!r} is of type {type(value).__name__}"
+        )
     return value
--- a/tests/quotas/test_allocation.py
+++ b/tests/quotas/test_allocation.py
@@ -348,6 +348,37 @@
         self.account.give_back(_NAME)
         self.assertFalse(self.account.try_spend(_NAME))
 
+    def test_token_is_given_back_under_steady_calls(self) -> None:
+        """Guards against an expiry of reported tokens that voids later ones.
+
+        The calls since the last request are never reported with it, as they
+        may still be given back, so some calls are always unreported.
+        """
+        self.account.get_refusal(_NAME)
+        for _ in range(10):
+            self.receive(10)
+            self.assertTrue(self.account.try_spend(_NAME))
+            self.clock.now += bounds_lib.TOKEN_LIFETIME_S / 5
+        self.receive(10)
+        self.clock.now += 0.01
+        self.assertTrue(self.account.try_spend(_NAME))
+        spent = self.account.spent
+        self.account.give_back(_NAME, self.clock.now)
+        self.assertEqual(self.account.spent, spent - 1)
+
+    def test_removed_workspace_is_forgotten(self) -> None:
+        """Guards against reports for a workspace that gets no grants.
+
+        The coordinator answers nothing for a workspace that a version removed.
+        """
+        self.account.get_refusal(_NAME)
+        self.receive(2)
+        self.assertTrue(self.account.try_spend(_NAME))
+        for _ in range(25):
+            self.clock.now += 0.5
+            reports = self.account.build_reports()
+        self.assertEqual(reports, [])
+
     def test_unused_tokens_are_returned(self) -> None:
         """Guards against idle daemons that hold what others need."""
         self.account.get_refusal(_NAME)
--- a/tools/keyed_calls.py
+++ b/tools/keyed_calls.py
@@ -176,5 +176,5 @@
         async with session.get(f"{url}/keyed", headers=headers) as response:
             await response.read()
             return response.status
-    except aiohttp.ClientError:
+    except (aiohttp.ClientError, TimeoutError):
         return 0
