--- a/tests/quotas/test_allocation.py
+++ b/tests/quotas/test_allocation.py
@@ -321,6 +321,15 @@
         )
         self.account.apply([grant], sent_at)
 
+    def receive_all(self) -> None:
+        """Sends a request and receives all that it asks for."""
+        sent_at = self.clock.now
+        for report in self.account.build_reports():
+            grant = quota_pb2.TokenGrant(
+                workspace=_NAME, granted=report.needed + report.wanted
+            )
+            self.account.apply([grant], sent_at)
+
     def test_token_expires_by_the_time_of_the_request(self) -> None:
         """Guards against tokens that a frozen daemon spends later."""
         self.account.get_refusal(_NAME)
@@ -355,11 +364,11 @@
         may still be given back, so some calls are always unreported.
         """
         self.account.get_refusal(_NAME)
-        for _ in range(10):
-            self.receive(10)
+        for _ in range(50):
+            self.receive_all()
             self.assertTrue(self.account.try_spend(_NAME))
-            self.clock.now += bounds_lib.TOKEN_LIFETIME_S / 5
-        self.receive(10)
+            self.clock.now += bounds_lib.TOKEN_LIFETIME_S / 10
+        self.receive_all()
         self.clock.now += 0.01
         self.assertTrue(self.account.try_spend(_NAME))
         spent = self.account.spent
