Keep one clock that counts suspended time

Cause: the freshness of versions and the quotas each wrote again the function that the leases of claims already had. Change: merlintrestle/clocks.py holds it for all three; nothing else changes.

--- a/merlintrestle/quotas/account.py
+++ b/merlintrestle/quotas/account.py
@@ -7,6 +7,7 @@
 import math
 from typing import Protocol, TYPE_CHECKING
 
+from merlintrestle import clocks
 from merlintrestle.quotas import bounds as bounds_lib
 from merlintrestle.schema import quota_pb2
 
@@ -125,9 +126,7 @@
         refused: Number of calls that were refused because of their quota.
     """
 
-    def __init__(
-        self, get_time: Callable[[], float] = bounds_lib.get_boot_time
-    ):
+    def __init__(self, get_time: Callable[[], float] = clocks.get_boot_time):
         """Initializes an account without tokens.
 
         Args:
--- a/merlintrestle/quotas/allocation.py
+++ b/merlintrestle/quotas/allocation.py
@@ -6,6 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from merlintrestle import clocks
 from merlintrestle.quotas import bounds as bounds_lib
 from merlintrestle.schema import quota_pb2
 
@@ -197,7 +198,7 @@
         bounds: bounds_lib.Bounds,
         starts_at: float,
         settled_at: float,
-        get_time: Callable[[], float] = bounds_lib.get_boot_time,
+        get_time: Callable[[], float] = clocks.get_boot_time,
         starts_full: bool = False,
     ):
         """Initializes the allocation without a workspace.
--- a/merlintrestle/quotas/bounds.py
+++ b/merlintrestle/quotas/bounds.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import NamedTuple
 
 DEFAULT_WINDOW_S = 5.0
@@ -30,11 +29,6 @@
 MAX_WAIT_SHARE = 0.15
 
 
-def get_boot_time() -> float:
-    """Returns the time since boot in seconds, with suspended time counted."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Bounds(NamedTuple):
     """Bounds on the calls of each workspace in every window.
 
--- a/merlintrestle/quotas/election.py
+++ b/merlintrestle/quotas/election.py
@@ -8,6 +8,7 @@
 
 from google.protobuf import message
 
+from merlintrestle import clocks
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.quotas import bounds as bounds_lib
@@ -130,7 +131,7 @@
         get_rank: Callable[[], int | None],
         window_s: float = bounds_lib.DEFAULT_WINDOW_S,
         is_cut_off: Callable[[], bool] = lambda: False,
-        get_time: Callable[[], float] = bounds_lib.get_boot_time,
+        get_time: Callable[[], float] = clocks.get_boot_time,
     ):
         """Initializes the election.
 
--- a/merlintrestle/quotas/refills.py
+++ b/merlintrestle/quotas/refills.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import Protocol, TYPE_CHECKING
 
+from merlintrestle import clocks
 from merlintrestle.members import peers as peers_lib
-from merlintrestle.quotas import bounds as bounds_lib
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.schema import quota_pb2
 from merlintrestle.schema import quota_pb2_grpc
@@ -16,6 +16,7 @@
 
     from merlintrestle.documents import snapshot
     from merlintrestle.quotas import account as accounts
+    from merlintrestle.quotas import bounds as bounds_lib
 
 _OVER_QUOTA_STATUS = 429
 _UNAVAILABLE_STATUS = 503
@@ -64,7 +65,7 @@
         member_id: str,
         process: int,
         bounds: bounds_lib.Bounds,
-        get_time: Callable[[], float] = bounds_lib.get_boot_time,
+        get_time: Callable[[], float] = clocks.get_boot_time,
     ):
         """Connects the components.
 
--- a/merlintrestle/quotas/service.py
+++ b/merlintrestle/quotas/service.py
@@ -9,6 +9,7 @@
 import mode
 from prometheus_client import metrics_core
 
+from merlintrestle import clocks
 from merlintrestle import events as event_logs
 from merlintrestle.members import accounting
 from merlintrestle.quotas import account as accounts
@@ -49,7 +50,7 @@
         store: elections.Store,
         get_rank: Callable[[], int | None],
         bounds: bounds_lib.Bounds,
-        get_time: Callable[[], float] = bounds_lib.get_boot_time,
+        get_time: Callable[[], float] = clocks.get_boot_time,
     ):
         """Connects the components.
 
--- a/merlintrestle/requests/unrepeatable/claim_restoration.py
+++ b/merlintrestle/requests/unrepeatable/claim_restoration.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any, TYPE_CHECKING
 
+from merlintrestle import clocks
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.requests.unrepeatable import claims as claims_
@@ -83,7 +84,7 @@
 
     async def _restore_all(self) -> None:
         own = self._claims.ledger.list_since(
-            leases.get_boot_time() - self._copy_age_s
+            clocks.get_boot_time() - self._copy_age_s
         )
         await _gather(self._restore_own(record) for record in own)
         sent = self._sent_calls.list_recent(self._copy_age_s)
--- a/merlintrestle/requests/unrepeatable/claims.py
+++ b/merlintrestle/requests/unrepeatable/claims.py
@@ -11,6 +11,7 @@
 
 from google.protobuf import message
 
+from merlintrestle import clocks
 from merlintrestle import errors
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.unrepeatable import leases
@@ -129,7 +130,7 @@
         recaller: Recaller,
         prefix: str,
         get_time: Callable[[], float],
-        get_boot_time: Callable[[], float] = leases.get_boot_time,
+        get_boot_time: Callable[[], float] = clocks.get_boot_time,
         settling_s: float = 0.0,
     ):
         """Sets the dependencies.
--- a/merlintrestle/requests/unrepeatable/leases.py
+++ b/merlintrestle/requests/unrepeatable/leases.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
+from merlintrestle import clocks
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -20,15 +21,6 @@
 MAX_CLAIM_AGE_S = LEASE_TTL_S - _LEASE_REUSE_S - 3600.0
 
 
-def get_boot_time() -> float:
-    """Returns the seconds since boot, including time spent suspended.
-
-    `CLOCK_MONOTONIC` stops while the machine is suspended, so that a lease that
-    expired in that time would seem valid.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class ClaimLease:
     """The lease for new claims, which is replaced after one hour.
 
@@ -38,7 +30,7 @@
     def __init__(
         self,
         store: interfaces.Store,
-        get_time: Callable[[], float] = get_boot_time,
+        get_time: Callable[[], float] = clocks.get_boot_time,
     ):
         """Sets the store and the clock, in seconds."""
         self._store = store
--- a/merlintrestle/requests/workspaces/admission.py
+++ b/merlintrestle/requests/workspaces/admission.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple, TYPE_CHECKING
 
-from merlintrestle.quotas import bounds as quota_bounds
+from merlintrestle import clocks
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import plans
 from merlintrestle.requests.workspaces import credentials
@@ -182,6 +182,4 @@
         plan = plans.replace_importance(plan, workspace.importance)
     if not workspace.rate:
         return Admitted(plan, workspace.name)
-    return Admitted(
-        plan, workspace.name, workspace, quota_bounds.get_boot_time()
-    )
+    return Admitted(plan, workspace.name, workspace, clocks.get_boot_time())
--- a/merlintrestle/versions/freshness.py
+++ b/merlintrestle/versions/freshness.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 import math
-import time
 from typing import NamedTuple, Protocol, TYPE_CHECKING
 
+from merlintrestle import clocks
 from merlintrestle import events as event_logs
 
 if TYPE_CHECKING:
@@ -29,14 +29,6 @@
 _RETRY_AFTER_S = 1.0
 
 
-def get_boot_time() -> float:
-    """Returns a clock in seconds that also runs while the process is frozen.
-
-    Steps of the wall clock do not change it.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Proof(NamedTuple):
     """A proof of freshness.
 
@@ -73,7 +65,7 @@
         self,
         limit_s: float,
         active_version: ActiveVersion,
-        get_time: Callable[[], float] = get_boot_time,
+        get_time: Callable[[], float] = clocks.get_boot_time,
     ):
         """Starts without a proof.
 
--- a/merlintrestle/versions/record_source.py
+++ b/merlintrestle/versions/record_source.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple, Protocol, TYPE_CHECKING
 
+from merlintrestle import clocks
 from merlintrestle import errors
 from merlintrestle.documents import loader
 from merlintrestle.documents import snapshot as snapshots
@@ -85,7 +86,7 @@
         self,
         store: RecordStore,
         record_format: RecordFormat,
-        get_time: Callable[[], float] = freshness_lib.get_boot_time,
+        get_time: Callable[[], float] = clocks.get_boot_time,
     ):
         """Starts without a known version.
 
--- a/merlintrestle/versions/source.py
+++ b/merlintrestle/versions/source.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol, TYPE_CHECKING
 
+from merlintrestle import clocks
 from merlintrestle import errors
 from merlintrestle.documents import compiler
 from merlintrestle.members import seeds as seeds_lib
@@ -65,7 +66,7 @@
     def __init__(
         self,
         store: client.StoreClient,
-        get_time: Callable[[], float] = freshness_lib.get_boot_time,
+        get_time: Callable[[], float] = clocks.get_boot_time,
     ):
         self.head_proof: freshness_lib.Proof | None = None
         self._store = store
--- a/tests/platform/test_freshness.py
+++ b/tests/platform/test_freshness.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+from merlintrestle import clocks
 from merlintrestle import errors
 from merlintrestle.members import peers
 from merlintrestle.platform import configuration
@@ -62,7 +63,7 @@
 
     async def read(self) -> tuple[int, float]:
         """Returns the proven version, and its time since the read began."""
-        started_at = freshness.get_boot_time()
+        started_at = clocks.get_boot_time()
         await self.source.read_head()
         proof = self.source.head_proof
         assert proof is not None
--- a/tests/versions/builders.py
+++ b/tests/versions/builders.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from merlintrestle import clocks
 from merlintrestle import errors
 from merlintrestle.documents import compiler
 from merlintrestle.members import membership as membership_lib
@@ -96,7 +97,7 @@
 
     def __init__(self) -> None:
         self.head_proof: freshness_lib.Proof | None = None
-        self.get_time = freshness_lib.get_boot_time
+        self.get_time = clocks.get_boot_time
         self.down = False
         self.stale_version: int | None = None
         self.reads_hang = False
--- a/tests/versions/test_freshness.py
+++ b/tests/versions/test_freshness.py
@@ -10,6 +10,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from merlintrestle import clocks
 from merlintrestle.versions import active_version as active_version_lib
 from merlintrestle.versions import freshness as freshness_lib
 from tests.versions import freshness_fleets
@@ -96,14 +97,14 @@
 
     def test_the_clock_ignores_steps_and_counts_freezes(self) -> None:
         """Guards against clocks that step, or stop with the process."""
-        now = freshness_lib.get_boot_time()
+        now = clocks.get_boot_time()
         with (
             mock.patch.object(time, "time", lambda: 0.0),
             mock.patch.object(time, "monotonic", lambda: 0.0),
         ):
-            self.assertGreaterEqual(freshness_lib.get_boot_time(), now)
+            self.assertGreaterEqual(clocks.get_boot_time(), now)
         self.assertAlmostEqual(
-            freshness_lib.get_boot_time(),
+            clocks.get_boot_time(),
             time.clock_gettime(time.CLOCK_BOOTTIME),
             delta=1.0,
         )
