--- /dev/null
+++ b/review/lib/__init__.py
@@ -0,0 +1,1 @@
+"""What the cases of the review share."""
