Review case 1: a stopping daemon takes payouts that it then cuts

Cause: while its upstream runs one request, a stopping daemon takes any request as one that the upstream may have sent, and cuts all of them at the end of its drain.

--- a/review/lib/consumer.py
+++ b/review/lib/consumer.py
@@ -29,7 +29,7 @@
         status: Status of the answer; 0: no complete answer arrived.
         answer_headers: Headers of the answer.
         answer: Body of the answer.
-        answered_at: When the whole answer had arrived.
+        ended_at: When the whole answer had arrived, or the connection ended.
     """
 
     path: str
@@ -44,7 +44,7 @@
     status: int = 0
     answer_headers: dict[str, str] = dataclasses.field(default_factory=dict)
     answer: bytes = b""
-    answered_at: float = 0.0
+    ended_at: float = 0.0
 
     def encode(self) -> bytes:
         """Returns the bytes of the request."""
@@ -106,8 +106,9 @@
                 f"consumer: {request.attempt_id} {type(error).__name__}"
             )
             self.closed = True
+            request.ended_at = time.monotonic()
             return False
-        request.answered_at = time.monotonic()
+        request.ended_at = time.monotonic()
         text = f"gets {request.status}" if complete else "gets no answer"
         self._record.add(f"consumer: {request.attempt_id} {text}")
         return complete
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -21,6 +21,7 @@
 from standins import platform_store
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     import signal
 
 _ROOT = pathlib.Path(__file__).parents[2]
@@ -68,7 +69,7 @@
         headers: Its headers; the names are in lower case.
         body: Its body.
         started_at: When it began, in seconds of the monotonic clock.
-        ended_at: When its whole answer had been written; None: it was not.
+        dropped_at: When it dropped the request, as its connection closed.
     """
 
     backend: str
@@ -77,7 +78,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     started_at: float
-    ended_at: float | None = None
+    dropped_at: float = 0.0
 
 
 async def read_head(reader: asyncio.StreamReader) -> list[str]:
@@ -119,6 +120,7 @@
     Attributes:
         runs: The requests that it began to run.
         work_s: How long a request takes.
+        slow_work_s: How long one takes whose path contains "slow".
         unframed_prefix: Requests whose path begins so are answered without a
             length: the answer ends with the connection. Empty: none.
         state: State that its heartbeats state.
@@ -128,6 +130,7 @@
         """Sets the name; `start` opens the port."""
         self.runs: list[Run] = []
         self.work_s = 0.1
+        self.slow_work_s = 0.1
         self.unframed_prefix = ""
         self.state = "ready"
         self.service = service
@@ -146,26 +149,23 @@
         self._server = await asyncio.start_server(self._serve, address, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def start_heartbeats(self, address: str, control_port: int) -> None:
+    def start_heartbeats(self, daemon: Daemon) -> None:
         """Sends heartbeats to a daemon until `close`."""
-        self._heartbeats = asyncio.create_task(
-            self._send_heartbeats(address, control_port)
-        )
+        self._heartbeats = asyncio.create_task(self._send_heartbeats(daemon))
 
     async def close(self) -> None:
         """Stops the heartbeats and closes the port."""
-        if self._heartbeats is not None:
-            self._heartbeats.cancel()
+        self.stop_heartbeats()
         if self._server is not None:
             self._server.close()
 
-    def build_heartbeat(self, own_address: str, zone: str) -> dict[str, Any]:
+    def build_heartbeat(self, daemon: Daemon) -> dict[str, Any]:
         """Returns the next heartbeat."""
         self._sequence += 1
         return {
             "service": self.service,
-            "address": f"{own_address}:{self.port}",
-            "zone": zone,
+            "address": f"{daemon.address}:{self.port}",
+            "zone": daemon.zone,
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
@@ -173,20 +173,28 @@
             "seq": self._sequence,
         }
 
-    async def send_heartbeat(self, address: str, control_port: int) -> int:
+    def stop_heartbeats(self) -> None:
+        """Sends no further heartbeats."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+
+    async def post_heartbeat(
+        self, daemon: Daemon, heartbeat: dict[str, Any]
+    ) -> int:
         """Sends a heartbeat; returns the status, 0 if there is no answer."""
-        body = self.build_heartbeat(address, "zone-a")
-        return await self.post(
-            address,
-            control_port,
-            f"/merlintrestle/Instances.Heartbeat/{self.instance_id}",
-            body,
-        )
+        path = f"/merlintrestle/Instances.Heartbeat/{self.instance_id}"
+        return await self._post(daemon, path, heartbeat)
+
+    async def leave(self, daemon: Daemon) -> int:
+        """Tells a daemon that it leaves; returns the status."""
+        path = f"/merlintrestle/Instances.Leave/{self.instance_id}"
+        return await self._post(daemon, path, None)
 
-    async def post(
-        self, address: str, port: int, path: str, body: dict[str, Any] | None
+    async def _post(
+        self, daemon: Daemon, path: str, body: dict[str, Any] | None
     ) -> int:
         """Sends a call to a daemon's control address; returns the status."""
+        address, port = daemon.address, daemon.control
         text = b"" if body is None else json.dumps(body).encode()
         try:
             async with asyncio.timeout(1.0):
@@ -206,9 +214,10 @@
         self._record.add(f"{self._name} POST {path} -> {status}")
         return status
 
-    async def _send_heartbeats(self, address: str, control_port: int) -> None:
+    async def _send_heartbeats(self, daemon: Daemon) -> None:
         while True:
-            await self.send_heartbeat(address, control_port)
+            heartbeat = self.build_heartbeat(daemon)
+            await self.post_heartbeat(daemon, heartbeat)
             await asyncio.sleep(_HEARTBEAT_S)
 
     async def _serve(
@@ -251,24 +260,25 @@
         self._record.add(f"{self._name} runs {attempt_id} {lines[0]}")
         self._running += 1
         try:
-            await self._work(reader)
+            work_s = self.slow_work_s if "slow" in path else self.work_s
+            await self._work(reader, work_s)
         except ConnectionResetError:
+            run.dropped_at = time.monotonic()
             self._record.add(f"{self._name} drops {attempt_id}: disconnect")
             raise
         finally:
             self._running -= 1
         closing = await self._write_result(run, path, writer)
-        run.ended_at = time.monotonic()
         self._record.add(f"{self._name} answered {attempt_id}")
         return not closing and fields.get("connection", "") != "close"
 
-    async def _work(self, reader: asyncio.StreamReader) -> None:
+    async def _work(self, reader: asyncio.StreamReader, work_s: float) -> None:
         """Works; drops the request when its connection closes."""
-        end = time.monotonic() + self.work_s
+        end = time.monotonic() + work_s
         while time.monotonic() < end:
             if reader.at_eof() or reader.exception() is not None:
                 raise ConnectionResetError
-            await asyncio.sleep(min(0.02, self.work_s))
+            await asyncio.sleep(min(0.02, work_s))
 
     async def _write_result(
         self, run: Run, path: str, writer: asyncio.StreamWriter
@@ -316,6 +326,7 @@
 
     Attributes:
         address: Its loopback address.
+        zone: Its zone.
         backend: The upstream beside it.
         process: The process.
     """
@@ -331,9 +342,11 @@
         store_address: str,
         folder: pathlib.Path,
         record: Record,
+        zone: str,
     ):
         """Sets the addresses; `start` starts the process."""
         self.address = address
+        self.zone = zone
         self.backend = backend
         self.process: asyncio.subprocess.Process | None = None
         self._store_address = store_address
@@ -378,6 +391,11 @@
         self._record.add(f"daemon {self.address} gets {number.name}")
         self.process.send_signal(number)
 
+    async def wait(self) -> int:
+        """Waits for the process to end; returns its exit status."""
+        assert self.process is not None
+        return await self.process.wait()
+
     async def close(self) -> None:
         """Kills the process if it still runs."""
         if self.process is not None and self.process.returncode is None:
@@ -414,9 +432,10 @@
             "machineClass": "sidecar",
             "serves": "sidecar",
             "ip": address,
-            "zone": "zone-a",
+            "zone": self.zone,
             "region": "region-a",
             "zones.zone-a": "region-a",
+            "zones.zone-b": "region-a",
             "listen.inbound": f"{address}:8624",
             "listen.outbound": f"{address}:{self.outbound}",
             "listen.ready": f"{address}:{self.ready}",
@@ -543,10 +562,22 @@
             f"127.{1 + secrets.randbelow(200)}.{secrets.randbelow(250)}"
         )
 
-    async def start(self, configuration: bytes, *services: str) -> None:
-        """Starts a ready daemon with its upstream for each of the services."""
+    async def start(
+        self,
+        configuration: bytes,
+        *services: str,
+        zones: Sequence[str] = (),
+    ) -> None:
+        """Starts a ready daemon with its upstream for each of the services.
+
+        Args:
+            configuration: The first configuration.
+            *services: Services of the upstreams.
+            zones: Zones of the daemons; empty: all are in one.
+        """
         await self.store.start()
         await self.configure(configuration)
+        zones = zones or ["zone-a"] * len(services)
         for number, service in enumerate(services, 1):
             address = f"{self._network}.{number}"
             backend = Backend(f"{service}-{number}", service, self._record)
@@ -557,11 +588,12 @@
                 self.store.address,
                 pathlib.Path(self._folder.name),
                 self._record,
+                zones[number - 1],
             )
             self.daemons.append(daemon)
         await asyncio.gather(*(daemon.start() for daemon in self.daemons))
         for daemon in self.daemons:
-            daemon.backend.start_heartbeats(daemon.address, daemon.control)
+            daemon.backend.start_heartbeats(daemon)
 
     async def configure(self, configuration: bytes) -> None:
         """Writes a configuration as the operator does."""
