Review case 3: downloads over a silent connection never end

Cause: no deadline and no keep-alive holds for the body of a streamed answer of the upstream. Change: a script that silences the open connections to the upstreams during downloads.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,8 @@
-"""A daemon restarts while its upstream leaves, and an old ping arrives late."""
+"""Open connections to upstreams go silent in the middle of downloads."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
-import time
 from typing import TYPE_CHECKING
 
 from review.lib import consumer
@@ -14,111 +12,72 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-_DRAIN_S = 2.5
-_STABLE_WINDOW_S = 3.0
-# How long the leaving upstream goes on serving after its confirmation.
-_STAY_S = 12.0
-# How late the ping is that the upstream sent just before it left.
-_PING_DELAY_S = 4.0
-_SEND_INTERVAL_S = 0.05
-_WORK_S = 0.2
-_OK = 200
+_TIMEOUT_S = 5.0
+# Time after the route's timeout at which there must be a final answer.
+_MARGIN_S = 0.5
+_MIN_COUNT = 8
+_MIN_SHARE = 0.25
+_DOWNLOADS = 16
+# How long a consumer waits for its answer.
+_DEADLINE_MS = 6_941
+_BODY_BYTES = 540_000
+_BODY_S = 0.6
 
 
-async def _send_for(
-    daemon: deployment.Daemon, record: deployment.Record, end: float
-) -> Sequence[consumer.Request]:
-    """Sends requests at short intervals until a time."""
-    requests = []
-    tasks = []
-    while time.monotonic() < end:
-        request = consumer.Request(f"/tickets/{len(requests)}")
-        requests.append(request)
-        tasks.append(
-            asyncio.create_task(consumer.send(daemon, record, request))
-        )
-        await asyncio.sleep(_SEND_INTERVAL_S)
-    await asyncio.gather(*tasks)
-    return requests
-
-
-async def _restart(daemon: deployment.Daemon) -> None:
-    """Kills a daemon and starts it again."""
-    await asyncio.sleep(0.5)
-    daemon.send_signal(signal.SIGKILL)
-    await daemon.wait()
-    await asyncio.sleep(0.3)
-    await daemon.start()
+async def _download(
+    daemon: deployment.Daemon, record: deployment.Record, number: int
+) -> consumer.Request:
+    request = consumer.Request(f"/footage/{number}", deadline_ms=_DEADLINE_MS)
+    await consumer.send(daemon, record, request)
+    return request
 
 
 async def play(
     fleet: deployment.Deployment, record: deployment.Record
 ) -> list[str]:
-    """Sends requests from a third machine while an upstream leaves."""
-    configuration = deployment.build_configuration(
-        5,
-        [deployment.build_route("tickets", "/tickets/")],
-        ["desk", "front"],
+    """Silences the connections to all upstreams during downloads."""
+    route = deployment.build_route(
+        "footage", "/footage/", kind="download", timeoutMs=int(_TIMEOUT_S * 1e3)
     )
-    await fleet.start(configuration, "front", "desk", "desk")
+    configuration = deployment.build_configuration(5, [route], ["desk"])
+    await fleet.start(configuration, "desk", "desk", with_relays=True)
     for daemon in fleet.daemons:
-        daemon.backend.work_s = _WORK_S
+        daemon.backend.body_bytes = _BODY_BYTES
+        daemon.backend.body_s = _BODY_S
     # All machines have been in touch for `stableWindowMs` by then.
     await asyncio.sleep(4.0)
-    front, restarted, _ = fleet.daemons
-    backend = restarted.backend
-    late_ping = backend.build_heartbeat(restarted)
-    sent_at = time.monotonic()
-    backend.stop_heartbeats()
-    # From now on, its status check answers that it is leaving.
-    backend.state = "draining"
-    status = await backend.leave(restarted)
-    if status != _OK:
-        raise runner.CannotRunError(f"the leave was answered with {status}")
-    confirmed_at = time.monotonic()
-    sender = asyncio.create_task(
-        _send_for(front, record, confirmed_at + _STAY_S)
-    )
-    in_touch_at = 0.0
+    tasks = [
+        asyncio.create_task(
+            _download(fleet.daemons[number % 2], record, number)
+        )
+        for number in range(_DOWNLOADS)
+    ]
+    await asyncio.sleep(_BODY_S / 2)
     if runner.has_trouble():
-        await _restart(restarted)
-        in_touch_at = time.monotonic() + _STABLE_WINDOW_S
-        remaining_s = sent_at + _PING_DELAY_S - time.monotonic()
-        if remaining_s < 0:
-            raise runner.CannotRunError("the daemon took too long to start")
-        await asyncio.sleep(remaining_s)
-        record.add("the ping that was sent before the leave arrives")
-        await backend.post_heartbeat(restarted, late_ping)
-    sent = await sender
-    await backend.close()
-    record.add(f"{backend.instance_id} has ended")
-    return _find_late(
-        backend, sent, max(confirmed_at + _DRAIN_S, in_touch_at), confirmed_at
-    )
-
-
-def _find_late(
-    backend: deployment.Backend,
-    sent: Sequence[consumer.Request],
-    since: float,
-    confirmed_at: float,
-) -> list[str]:
-    """Returns the requests that reached the upstream too late.
-
-    Args:
-        backend: The upstream that left.
-        sent: The requests, sent to a machine in touch.
-        since: `drainMs` after the confirmation, and when the restarted machine
-            was in touch again.
-        confirmed_at: When the leave was confirmed.
-    """
-    sent_ids = {request.attempt_id for request in sent}
-    return [
-        f"DRAIN: {run.attempt_id} reached {run.backend}"
-        f" {run.started_at - confirmed_at:.1f} s after its leave was confirmed"
-        for run in backend.runs
-        if run.started_at > since and run.attempt_id in sent_ids
+        record.add("the open connections to the upstreams go silent")
+        for relay in fleet.relays:
+            relay.silence()
+    requests = [await task for task in tasks]
+    return _find_unanswered(requests)
+
+
+def _find_unanswered(requests: Sequence[consumer.Request]) -> list[str]:
+    """Returns the requests without a final answer, if they are too many."""
+    long = [
+        request
+        for request in requests
+        if request.ended_at - request.sent_at > _TIMEOUT_S
+    ]
+    unanswered = [
+        f"CONFIG: {request.attempt_id} {request.path} ended"
+        f" {request.ended_at - request.sent_at:.1f} s after it was sent"
+        for request in long
+        if request.ended_at - request.sent_at > _TIMEOUT_S + _MARGIN_S
     ]
+    too_many = len(unanswered) >= _MIN_COUNT and len(
+        unanswered
+    ) > _MIN_SHARE * len(long)
+    return unanswered if too_many else []
 
 
 if __name__ == "__main__":
--- a/review/lib/consumer.py
+++ b/review/lib/consumer.py
@@ -99,7 +99,7 @@
     async def receive(self, request: Request) -> bool:
         """Reads the answer to a request; returns whether it was complete."""
         try:
-            async with asyncio.timeout(request.deadline_ms / 1000 + 1):
+            async with asyncio.timeout(request.deadline_ms / 1000):
                 complete = await self._read_answer(request)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             self._record.add(
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -18,6 +18,7 @@
 import time
 from typing import Any, TYPE_CHECKING
 
+from review.lib import relay as relays
 from standins import platform_store
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
 _FIRST_PORTS = range(20_000, 32_000, 10)
 _HEARTBEAT_S = 1.5
 _START_TIMEOUT_S = 20.0
+_BODY_PARTS = 20
 # Bounds of the users' sites, and those of the sites with tenants.
 BOUNDS = (
     "seedLagS=3,addrReuseS=2,stableWindowMs=3000,ackMs=5000,catchUpS=6,"
@@ -124,6 +126,9 @@
         unframed_prefix: Requests whose path begins so are answered without a
             length: the answer ends with the connection. Empty: none.
         state: State that its heartbeats state.
+        body_bytes: Size of the body of its answers.
+        body_s: How long it takes to write a body.
+        public_port: Port at which its daemon reaches it.
     """
 
     def __init__(self, name: str, service: str, record: Record):
@@ -133,6 +138,8 @@
         self.slow_work_s = 0.1
         self.unframed_prefix = ""
         self.state = "ready"
+        self.body_bytes = 600
+        self.body_s = 0.0
         self.service = service
         self.slots = 12
         self.instance_id = f"i-{secrets.token_hex(4)}"
@@ -143,11 +150,13 @@
         self._server: asyncio.Server | None = None
         self._heartbeats: asyncio.Task[None] | None = None
         self.port = 0
+        self.public_port = 0
 
     async def start(self, address: str) -> None:
         """Opens the port."""
         self._server = await asyncio.start_server(self._serve, address, 0)
         self.port = self._server.sockets[0].getsockname()[1]
+        self.public_port = self.port
 
     def start_heartbeats(self, daemon: Daemon) -> None:
         """Sends heartbeats to a daemon until `close`."""
@@ -164,7 +173,7 @@
         self._sequence += 1
         return {
             "service": self.service,
-            "address": f"{daemon.address}:{self.port}",
+            "address": f"{daemon.address}:{self.public_port}",
             "zone": daemon.zone,
             "version": "v1",
             "slots": self.slots,
@@ -284,7 +293,8 @@
         self, run: Run, path: str, writer: asyncio.StreamWriter
     ) -> bool:
         """Writes an answer; returns whether the connection closes."""
-        body = f"{self.instance_id} {run.attempt_id} {path}\n".encode() * 20
+        line = f"{self.instance_id} {run.attempt_id} {path}\n".encode()
+        body = line * (1 + self.body_bytes // len(line))
         extra = [
             ("X-Attempt-Id", run.attempt_id),
             ("X-Response-Signature", f"s.{run.attempt_id}"),
@@ -294,7 +304,9 @@
         unframed = bool(self.unframed_prefix) and path.startswith(
             self.unframed_prefix
         )
-        await _write_answer(writer, "200 OK", extra, body, framed=not unframed)
+        await _write_answer(
+            writer, "200 OK", extra, body, not unframed, self.body_s
+        )
         return unframed
 
     def _build_load(self) -> list[tuple[str, str]]:
@@ -310,6 +322,7 @@
     headers: list[tuple[str, str]],
     body: bytes,
     framed: bool = True,
+    body_s: float = 0.0,
 ) -> None:
     lines = [f"HTTP/1.1 {status}"]
     lines += [f"{name}: {value}" for name, value in dict(headers).items()]
@@ -317,8 +330,17 @@
         lines.append(f"Content-Length: {len(body)}")
     else:
         lines.append("Connection: close")
-    writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-    await writer.drain()
+    head = "\r\n".join([*lines, "", ""]).encode()
+    if not body_s:
+        writer.write(head + body)
+        await writer.drain()
+        return
+    writer.write(head)
+    part_bytes = -(-len(body) // _BODY_PARTS)
+    for start in range(0, len(body), part_bytes):
+        writer.write(body[start : start + part_bytes])
+        await writer.drain()
+        await asyncio.sleep(body_s / _BODY_PARTS)
 
 
 class Daemon:
@@ -456,7 +478,7 @@
             "contracts": "base,drain,config,cost,retry,recover,tenants,quota,"
             "platform",
             "bounds": BOUNDS,
-            "app": f"{address}:{self.backend.port}",
+            "app": f"{address}:{self.backend.public_port}",
             "service": self.backend.service,
             "platform.address": self._store_address,
             "platform.form": "kv",
@@ -549,6 +571,7 @@
     Attributes:
         store: Stand-in for the store.
         daemons: The daemons.
+        relays: Relays between the daemons and their upstreams, if any.
     """
 
     def __init__(self, record: Record):
@@ -556,6 +579,7 @@
         self.store = platform_store.PlatformStoreStandin()
         self.store.era = ""
         self.daemons: list[Daemon] = []
+        self.relays: list[relays.Relay] = []
         self._record = record
         self._folder = tempfile.TemporaryDirectory()
         self._network = (
@@ -567,6 +591,7 @@
         configuration: bytes,
         *services: str,
         zones: Sequence[str] = (),
+        with_relays: bool = False,
     ) -> None:
         """Starts a ready daemon with its upstream for each of the services.
 
@@ -574,6 +599,8 @@
             configuration: The first configuration.
             *services: Services of the upstreams.
             zones: Zones of the daemons; empty: all are in one.
+            with_relays: Whether a relay stands between each daemon and its
+                upstream.
         """
         await self.store.start()
         await self.configure(configuration)
@@ -582,6 +609,11 @@
             address = f"{self._network}.{number}"
             backend = Backend(f"{service}-{number}", service, self._record)
             await backend.start(address)
+            if with_relays:
+                relay = relays.Relay(address, backend.port)
+                await relay.start()
+                self.relays.append(relay)
+                backend.public_port = relay.port
             daemon = Daemon(
                 address,
                 backend,
@@ -606,5 +638,7 @@
         for daemon in self.daemons:
             await daemon.close()
             await daemon.backend.close()
+        for relay in self.relays:
+            await relay.close()
         await self.store.close()
         self._folder.cleanup()
