--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -11,8 +11,10 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -30,6 +32,8 @@
 _HEARTBEAT_S = 1.5
 _START_TIMEOUT_S = 20.0
 _BODY_PARTS = 20
+# Value of SO_LINGER with which the close of a connection resets it.
+_LINGER_RESET = struct.pack("ii", 1, 0)
 # Bounds of the users' sites, and those of the sites with tenants.
 BOUNDS = (
     "seedLagS=3,addrReuseS=2,stableWindowMs=3000,ackMs=5000,catchUpS=6,"
@@ -123,8 +127,9 @@
         runs: The requests that it began to run.
         work_s: How long a request takes.
         slow_work_s: How long one takes whose path contains "slow".
-        unframed_prefix: Requests whose path begins so are answered without a
-            length: the answer ends with the connection. Empty: none.
+        spoil_share: Share of its answers that it breaks off: it states no
+            length, and resets the connection in the middle of the body.
+        spoiled: Attempt ids of these answers.
         state: State that its heartbeats state.
         body_bytes: Size of the body of its answers.
         body_s: How long it takes to write a body.
@@ -136,7 +141,8 @@
         self.runs: list[Run] = []
         self.work_s = 0.1
         self.slow_work_s = 0.1
-        self.unframed_prefix = ""
+        self.spoil_share = 0.0
+        self.spoiled: set[str] = set()
         self.state = "ready"
         self.body_bytes = 600
         self.body_s = 0.0
@@ -301,13 +307,15 @@
             ("X-Served-By", self.instance_id),
             *self._build_load(),
         ]
-        unframed = bool(self.unframed_prefix) and path.startswith(
-            self.unframed_prefix
-        )
-        await _write_answer(
-            writer, "200 OK", extra, body, not unframed, self.body_s
-        )
-        return unframed
+        if random.random() < self.spoil_share:
+            self.spoiled.add(run.attempt_id)
+            self._record.add(f"{self._name} breaks off {run.attempt_id}")
+            head = _build_head("200 OK", extra, None)
+            await _break_off(writer, head + body[: len(body) // 2])
+            return True
+        head = _build_head("200 OK", extra, len(body))
+        await _write_slowly(writer, head, body, self.body_s)
+        return False
 
     def _build_load(self) -> list[tuple[str, str]]:
         return [
@@ -316,21 +324,32 @@
         ]
 
 
+def _build_head(
+    status: str, headers: list[tuple[str, str]], length: int | None
+) -> bytes:
+    """Returns the head of an answer; without a length if that is None."""
+    lines = [f"HTTP/1.1 {status}"]
+    lines += [f"{name}: {value}" for name, value in dict(headers).items()]
+    if length is None:
+        lines.append("Connection: close")
+    else:
+        lines.append(f"Content-Length: {length}")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
 async def _write_answer(
     writer: asyncio.StreamWriter,
     status: str,
     headers: list[tuple[str, str]],
     body: bytes,
-    framed: bool = True,
-    body_s: float = 0.0,
 ) -> None:
-    lines = [f"HTTP/1.1 {status}"]
-    lines += [f"{name}: {value}" for name, value in dict(headers).items()]
-    if framed:
-        lines.append(f"Content-Length: {len(body)}")
-    else:
-        lines.append("Connection: close")
-    head = "\r\n".join([*lines, "", ""]).encode()
+    writer.write(_build_head(status, headers, len(body)) + body)
+    await writer.drain()
+
+
+async def _write_slowly(
+    writer: asyncio.StreamWriter, head: bytes, body: bytes, body_s: float
+) -> None:
     if not body_s:
         writer.write(head + body)
         await writer.drain()
@@ -343,6 +362,15 @@
         await asyncio.sleep(body_s / _BODY_PARTS)
 
 
+async def _break_off(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Writes data and resets the connection."""
+    writer.write(data)
+    await writer.drain()
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+    writer.transport.abort()
+
+
 class Daemon:
     """A daemon as the platform starts it, and the upstream beside it.
 
