--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -30,7 +30,7 @@
 _ROOT = pathlib.Path(__file__).parents[2]
 _FIRST_PORTS = range(20_000, 32_000, 10)
 _HEARTBEAT_S = 1.5
-_START_TIMEOUT_S = 20.0
+_START_TIMEOUT_S = 40.0
 _BODY_PARTS = 20
 # Value of SO_LINGER with which the close of a connection resets it.
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -432,6 +432,8 @@
         self._record.add(f"daemon {self.address} started")
         async with asyncio.timeout(_START_TIMEOUT_S):
             while await self.query_readiness() != 200:
+                if self.process.returncode is not None:
+                    raise OSError("the daemon ended at its start")
                 await asyncio.sleep(0.05)
         self._record.add(f"daemon {self.address} is ready")
 
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import traceback
 from typing import TYPE_CHECKING
@@ -44,7 +45,7 @@
     record = deployment.Record(pathlib.Path(script).parent / "record.txt")
     try:
         breaches = asyncio.run(_play(play, record))
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         record.add("the case could not run: " + traceback.format_exc())
         sys.exit(_COULD_NOT_RUN)
@@ -64,6 +65,10 @@
     record: deployment.Record,
 ) -> list[str]:
     fleet = deployment.Deployment(record)
+    task = asyncio.current_task()
+    assert task is not None
+    # Whoever ends the script ends the daemons as well.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         async with asyncio.timeout(_TIMEOUT_S):
             return await play(fleet, record)
