--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -153,6 +153,7 @@
         self._record = record
         self._sequence = 0
         self._running = 0
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._heartbeats: asyncio.Task[None] | None = None
         self.port = 0
@@ -169,12 +170,15 @@
         self._heartbeats = asyncio.create_task(self._send_heartbeats(daemon))
 
     async def close(self) -> None:
-        """Stops the heartbeats and closes the port."""
-        self.stop_heartbeats()
+        """Stops the heartbeats, closes the port and all connections."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
         if self._server is not None:
             self._server.close()
 
-    def build_heartbeat(self, daemon: Daemon) -> dict[str, Any]:
+    def _build_heartbeat(self, daemon: Daemon) -> dict[str, Any]:
         """Returns the next heartbeat."""
         self._sequence += 1
         return {
@@ -188,29 +192,12 @@
             "seq": self._sequence,
         }
 
-    def stop_heartbeats(self) -> None:
-        """Sends no further heartbeats."""
-        if self._heartbeats is not None:
-            self._heartbeats.cancel()
-
-    async def post_heartbeat(
-        self, daemon: Daemon, heartbeat: dict[str, Any]
-    ) -> int:
-        """Sends a heartbeat; returns the status, 0 if there is no answer."""
-        path = f"/merlintrestle/Instances.Heartbeat/{self.instance_id}"
-        return await self._post(daemon, path, heartbeat)
-
-    async def leave(self, daemon: Daemon) -> int:
-        """Tells a daemon that it leaves; returns the status."""
-        path = f"/merlintrestle/Instances.Leave/{self.instance_id}"
-        return await self._post(daemon, path, None)
-
     async def _post(
-        self, daemon: Daemon, path: str, body: dict[str, Any] | None
+        self, daemon: Daemon, path: str, body: dict[str, Any]
     ) -> int:
         """Sends a call to a daemon's control address; returns the status."""
         address, port = daemon.address, daemon.control
-        text = b"" if body is None else json.dumps(body).encode()
+        text = json.dumps(body).encode()
         try:
             async with asyncio.timeout(1.0):
                 reader, writer = await asyncio.open_connection(address, port)
@@ -231,13 +218,14 @@
 
     async def _send_heartbeats(self, daemon: Daemon) -> None:
         while True:
-            heartbeat = self.build_heartbeat(daemon)
-            await self.post_heartbeat(daemon, heartbeat)
+            path = f"/merlintrestle/Instances.Heartbeat/{self.instance_id}"
+            await self._post(daemon, path, self._build_heartbeat(daemon))
             await asyncio.sleep(_HEARTBEAT_S)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while lines := await read_head(reader):
                 if not await self._answer(lines, reader, writer):
@@ -245,6 +233,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(
@@ -284,7 +273,6 @@
         finally:
             self._running -= 1
         closing = await self._write_result(run, path, writer)
-        self._record.add(f"{self._name} answered {attempt_id}")
         return not closing and fields.get("connection", "") != "close"
 
     async def _work(self, reader: asyncio.StreamReader, work_s: float) -> None:
@@ -315,6 +303,7 @@
             return True
         head = _build_head("200 OK", extra, len(body))
         await _write_slowly(writer, head, body, self.body_s)
+        self._record.add(f"{self._name} answered {run.attempt_id}")
         return False
 
     def _build_load(self) -> list[tuple[str, str]]:
@@ -443,11 +432,6 @@
         self._record.add(f"daemon {self.address} gets {number.name}")
         self.process.send_signal(number)
 
-    async def wait(self) -> int:
-        """Waits for the process to end; returns its exit status."""
-        assert self.process is not None
-        return await self.process.wait()
-
     async def close(self) -> None:
         """Kills the process if it still runs."""
         if self.process is not None and self.process.returncode is None:
@@ -635,28 +619,36 @@
         await self.store.start()
         await self.configure(configuration)
         zones = zones or ["zone-a"] * len(services)
-        for number, service in enumerate(services, 1):
-            address = f"{self._network}.{number}"
-            backend = Backend(f"{service}-{number}", service, self._record)
-            await backend.start(address)
-            if with_relays:
-                relay = relays.Relay(address, backend.port)
-                await relay.start()
-                self.relays.append(relay)
-                backend.public_port = relay.port
-            daemon = Daemon(
-                address,
-                backend,
-                self.store.address,
-                pathlib.Path(self._folder.name),
-                self._record,
-                zones[number - 1],
-            )
-            self.daemons.append(daemon)
+        for service, zone in zip(services, zones, strict=True):
+            await self.add(service, zone, with_relays)
         await asyncio.gather(*(daemon.start() for daemon in self.daemons))
         for daemon in self.daemons:
             daemon.backend.start_heartbeats(daemon)
 
+    async def add(
+        self, service: str, zone: str, with_relay: bool = False
+    ) -> Daemon:
+        """Adds a machine, whose daemon is not started."""
+        number = len(self.daemons) + 1
+        address = f"{self._network}.{number}"
+        backend = Backend(f"{service}-{number}", service, self._record)
+        await backend.start(address)
+        if with_relay:
+            relay = relays.Relay(address, backend.port)
+            await relay.start()
+            self.relays.append(relay)
+            backend.public_port = relay.port
+        daemon = Daemon(
+            address,
+            backend,
+            self.store.address,
+            pathlib.Path(self._folder.name),
+            self._record,
+            zone,
+        )
+        self.daemons.append(daemon)
+        return daemon
+
     async def configure(self, configuration: bytes) -> None:
         """Writes a configuration as the operator does."""
         await self.store.write("op/config", configuration)
