--- a/merlintrestle/platform/requests.py
+++ b/merlintrestle/platform/requests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -10,6 +9,7 @@
 import multidict
 
 from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.calls import nesting
 from merlintrestle.requests.calls import notices
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import parsing
@@ -86,12 +86,14 @@
     )
 
 
-@dialects.may_be_nested.register(PlatformDialect)
-def _may_be_nested(
-    dialect: PlatformDialect, request: web.BaseRequest, backend_busy: bool
-) -> bool:
-    # Nested calls are not marked: a busy backend server may have sent any call.
-    return backend_busy
+@dialects.classify_nesting.register(PlatformDialect)
+def _classify_nesting(
+    dialect: PlatformDialect, request: web.BaseRequest, uses_api_keys: bool
+) -> nesting.Nesting:
+    # Nested calls are not marked, but only callers have keys.
+    if uses_api_keys and hdrs.AUTHORIZATION in request.headers:
+        return nesting.Nesting.NONE
+    return nesting.Nesting.UNKNOWN
 
 
 @dialects.render.register(PlatformDialect)
@@ -127,10 +129,9 @@
 def _build_backend_headers(
     dialect: PlatformDialect, call: calls.Call, backend: backends.LocalBackend
 ) -> multidict.CIMultiDict[str]:
-    remaining_s = call.deadline - asyncio.get_running_loop().time()
     sent_headers = call.headers.copy()
     sent_headers[_ATTEMPT_ID] = call.request_id
-    sent_headers[_DEADLINE] = str(max(1, int(remaining_s * 1000)))
+    sent_headers[_DEADLINE] = call.state_timeout()
     sent_headers[_ORIGIN] = call.origin
     sent_headers.popall(_TARGET_INSTANCE, None)
     if backend.instance_id:
--- a/merlintrestle/requests/calls/call.py
+++ b/merlintrestle/requests/calls/call.py
@@ -69,6 +69,8 @@
             unknown.
         route: Name of the host route; empty if the call was routed otherwise.
         workspace: Name of the caller's workspace; empty if there is none.
+        stated_timeout_ms: Timeout that the backend server was given with this
+            call, in milliseconds; 0: it was not sent yet.
         decision_log: Decision log of the call.
     """
 
@@ -93,6 +95,7 @@
     origin: str = ""
     route: str = ""
     workspace: str = ""
+    stated_timeout_ms: int = 0
     decision_log: decision_logs.DecisionLog = dataclasses.field(
         default_factory=lambda: decision_logs.DecisionLog("")
     )
@@ -108,6 +111,11 @@
         remaining_s = self.deadline - asyncio.get_running_loop().time()
         return math.floor(remaining_s * 1000)
 
+    def state_timeout(self) -> str:
+        """Returns the timeout to state to the backend server, in ms."""
+        self.stated_timeout_ms = max(1, self.get_remaining_ms())
+        return str(self.stated_timeout_ms)
+
     def get_request_digest(self) -> bytes:
         """Returns a digest of the request that does not depend on its sender.
 
--- a/merlintrestle/requests/calls/dialect.py
+++ b/merlintrestle/requests/calls/dialect.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 import functools
 from typing import TYPE_CHECKING
 
 from merlintrestle import generics
+from merlintrestle.requests.calls import nesting
 from merlintrestle.requests.calls import notices
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import parsing
@@ -55,18 +55,16 @@
 
 @generics.cache_dispatch
 @functools.singledispatch
-def may_be_nested(
-    dialect: object, request: web.BaseRequest, backend_busy: bool
-) -> bool:
-    """Returns whether a request may be nested in a call that is running here.
-
-    The local backend server sends such a request while it runs another call.
-    It is served during a drain too, so that the other call does not fail.
+def classify_nesting(
+    dialect: object, request: web.BaseRequest, uses_api_keys: bool
+) -> nesting.Nesting:
+    """Returns what a request states about being nested in another call.
 
     Args:
         dialect: Dialect of the callers.
         request: The request.
-        backend_busy: True if the local backend server is running a call.
+        uses_api_keys: Whether the active version identifies callers by API
+            keys.
     """
     raise TypeError(f"not a dialect: {dialect!r}")
 
@@ -158,11 +156,13 @@
     return parsing.read_metadata(request)
 
 
-@may_be_nested.register(NativeDialect)
-def _may_be_nested(
-    dialect: NativeDialect, request: web.BaseRequest, backend_busy: bool
-) -> bool:
-    return parsing.get_depth(request) > 0
+@classify_nesting.register(NativeDialect)
+def _classify_nesting(
+    dialect: NativeDialect, request: web.BaseRequest, uses_api_keys: bool
+) -> nesting.Nesting:
+    if parsing.get_depth(request):
+        return nesting.Nesting.NESTED
+    return nesting.Nesting.NONE
 
 
 @render.register(NativeDialect)
@@ -176,10 +176,9 @@
 def _build_backend_headers(
     dialect: NativeDialect, call: calls.Call, backend: backends.LocalBackend
 ) -> multidict.CIMultiDict[str]:
-    remaining_s = call.deadline - asyncio.get_running_loop().time()
     sent_headers = call.headers.copy()
     sent_headers[headers.ORGANISATION] = call.organisation
-    sent_headers[headers.DEADLINE] = str(max(1, int(remaining_s * 1000)))
+    sent_headers[headers.DEADLINE] = call.state_timeout()
     sent_headers[headers.DEPTH] = str(call.depth + 1)
     # Only the outermost repeatable call is retried. The calls nested in it are
     # marked as retries (attempt 1), because daemons do not retry such calls.
--- a/merlintrestle/requests/crashing/crashes.py
+++ b/merlintrestle/requests/crashing/crashes.py
@@ -11,7 +11,7 @@
 from merlintrestle.requests.crashing import strikes
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests.calls import call as calls
@@ -88,6 +88,10 @@
             )
         return self._suspect_slot.release
 
+    def list_calls_in_flight(self) -> Collection[calls.Call]:
+        """Returns the calls that run at the backend server."""
+        return self._calls_in_flight.values()
+
     def begin(self, call: calls.Call) -> None:
         """Records that a call is being sent to the backend server."""
         self._calls_in_flight[id(call)] = call
--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -72,10 +72,6 @@
         """Number of workspaces with waiting calls, counted for each class."""
         return self._slots.workspaces_waiting
 
-    def is_busy(self) -> bool:
-        """Returns whether the local backend server runs any call."""
-        return self._slots.in_flight > 0
-
     def has_capacity(self) -> bool:
         """Returns whether the local backend server can run another call now."""
         backend = self._backend
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -12,13 +12,14 @@
 from merlintrestle.requests.calls import parsing
 from merlintrestle.requests.load import refused_callers
 from merlintrestle.requests.reports import decision_logs
+from merlintrestle.requests.serving import drains
 from merlintrestle.requests.serving import responses
 from merlintrestle.requests.transport import pipelining
 from merlintrestle.requests.workspaces import admission
 from merlintrestle.requests.workspaces import credentials
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from aiohttp import web
 
@@ -43,7 +44,7 @@
         dispatcher: dispatch.Dispatcher,
         outcome_counts: outcome_counts_.OutcomeCounts,
         latencies: latencies_.Latencies,
-        is_busy: Callable[[], bool],
+        list_running_calls: Callable[[], Collection[calls.Call]],
         workspace_admission: admission.WorkspaceAdmission,
     ):
         """Initializes the handler.
@@ -54,15 +55,17 @@
             dispatcher: Sends calls to upstreams.
             outcome_counts: Counts the outcomes of the calls of each class.
             latencies: Records how long callers waited for answers.
-            is_busy: Returns whether the local backend server runs a call.
-                Requests may be nested in a call only while it does.
+            list_running_calls: Returns the calls that run at the local backend
+                server.
             workspace_admission: Admits requests while the active version has
                 workspaces.
         """
         self._workspace_admission = workspace_admission
         self._workspace_header = dialects.get_workspace_header(dialect)
-        self._is_busy = is_busy
         self._state = state
+        self._drain_admission = drains.DrainAdmission(
+            state, dialect, list_running_calls
+        )
         self._dialect = dialect
         self._dispatcher = dispatcher
         self._outcome_counts = outcome_counts
@@ -79,14 +82,10 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         started_at = pipelining.get_arrival(request, self._get_time())
-        active_snapshot = self._state.get_active_snapshot(
-            dialects.may_be_nested(self._dialect, request, self._is_busy())
-        )
+        active_snapshot = self._state.get_active_snapshot()
         if isinstance(active_snapshot, outcomes.NotRun):
             return self._refuse(active_snapshot, request)
-        match = dialects.match_caller_request(
-            self._dialect, active_snapshot, request
-        )
+        match = self._match(request, active_snapshot, started_at)
         if isinstance(match, outcomes.NotRun):
             return self._refuse(match, request)
         if not self._may_run(request, match):
@@ -114,6 +113,9 @@
             call = await parsing.read_call(request, match, metadata, started_at)
             if isinstance(call, outcomes.NotRun):
                 return self._refuse(call, request)
+            refusal = self._drain_admission.check_call(call)
+            if refusal is not None:
+                return self._refuse(refusal, request)
             if admitted is not None:
                 self._apply_workspace(call, admitted)
             call.decision_log.add(
@@ -134,6 +136,26 @@
                 self._workspace_admission.give_back(admitted)
             self._state.end_call()
 
+    def _match(
+        self,
+        request: web.BaseRequest,
+        active_snapshot: snapshot.Snapshot,
+        started_at: float,
+    ) -> routing.Match | outcomes.NotRun:
+        """Returns the destination of a request, or a refusal.
+
+        Once this daemon drains, it refuses what it could not answer in time.
+        """
+        match = dialects.match_caller_request(
+            self._dialect, active_snapshot, request
+        )
+        if isinstance(match, outcomes.NotRun):
+            return match
+        refusal = self._drain_admission.check_request(
+            request, active_snapshot, match.plan, started_at
+        )
+        return refusal or match
+
     async def _admit(
         self,
         active_snapshot: snapshot.Snapshot,
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -15,6 +15,7 @@
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.reports import decision_logs
 from merlintrestle.requests.serving import responses
+from merlintrestle.requests.serving import serving_state as serving_states
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import probes
 from merlintrestle.requests.transport import transfers
@@ -26,7 +27,6 @@
     from merlintrestle.requests.load import links
     from merlintrestle.requests.load import reservations
     from merlintrestle.requests.serving import local_runner as local_runners
-    from merlintrestle.requests.serving import serving_state as serving_states
 
 # Maximum reserved bytes of the outgoing link with which the slot of a call is
 # released as soon as its answer is read from the backend server. With more, it
@@ -97,6 +97,8 @@
         self, request: web.BaseRequest, call_id: str
     ) -> web.StreamResponse:
         started_at = self._get_time()
+        if self._state.draining:
+            return outcomes.render(serving_states.STOPPING)
         active_snapshot = self._state.get_active_snapshot()
         if isinstance(active_snapshot, outcomes.NotRun):
             return outcomes.render(active_snapshot)
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -226,7 +226,7 @@
             self._dispatcher,
             self.outcome_counts,
             self.latencies,
-            self._admission.is_busy,
+            self.crashes.list_calls_in_flight,
             self.workspace_admission,
         )
         self._peer_handler = peers.PeerHandler(
@@ -301,7 +301,8 @@
         """
         self.disable_keep_alive()
         self.backend.drain()
-        self._state.draining = True
+        loop = asyncio.get_running_loop()
+        self._state.begin_drain(loop.time() + timeout_s)
         try:
             async with asyncio.timeout(timeout_s):
                 await self._wait_for_calls()
--- a/merlintrestle/requests/serving/serving_state.py
+++ b/merlintrestle/requests/serving/serving_state.py
@@ -12,6 +12,9 @@
     from merlintrestle.requests import interfaces
 
 
+STOPPING = outcomes.NotRun("this daemon is stopping", elsewhere=True)
+
+
 class ServingState:
     """State shared by the caller port and the peer port of a daemon.
 
@@ -22,6 +25,8 @@
         peer_keep_alive_disabled: True once each answer to another daemon
             closes its connection.
         draining: True once new work is refused.
+        drain_ends_at: Event loop time at which the drain ends and connections
+            are closed, in seconds; set once `draining` is.
     """
 
     def __init__(self, active_version: interfaces.ActiveVersion):
@@ -34,22 +39,22 @@
         self.caller_keep_alive_disabled = False
         self.peer_keep_alive_disabled = False
         self.draining = False
+        self.drain_ends_at = 0.0
         self._active_version = active_version
         self._idle = asyncio.Event()
         self._idle.set()
 
-    def get_active_snapshot(
-        self, nested: bool = False
-    ) -> snapshot.Snapshot | outcomes.NotRun:
-        """Returns the snapshot of the active configuration, or a refusal.
+    def begin_drain(self, ends_at: float) -> None:
+        """Begins to refuse new work.
 
         Args:
-            nested: True if the request may be nested in a request in flight at
-                this daemon. It is served during a drain too, as its refusal
-                would make the request in flight fail.
+            ends_at: Event loop time at which the drain ends, in seconds.
         """
-        if self.draining and not nested:
-            return outcomes.NotRun("this daemon is stopping", elsewhere=True)
+        self.draining = True
+        self.drain_ends_at = ends_at
+
+    def get_active_snapshot(self) -> snapshot.Snapshot | outcomes.NotRun:
+        """Returns the snapshot of the active configuration, or a refusal."""
         active_snapshot = self._active_version.active_snapshot
         if active_snapshot is None:
             return outcomes.NotRun(
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -70,3 +70,81 @@
             status, _, _ = await call
             await stopping
         self.assertEqual((status, self.nested_status), (200, 200))
+
+    async def stop_during_a_call(self) -> None:
+        """Starts a fleet whose first daemon drains while a call runs there."""
+        await self.fleet.start(
+            "balie",
+            "kassa",
+            configuration=builders.build_configuration(
+                5,
+                builders.build_route("tickets", timeoutMs=9000),
+                builders.build_route(
+                    "payouts",
+                    service="kassa",
+                    kind="non_idempotent",
+                    timeoutMs=3000,
+                ),
+            ),
+        )
+        self.fleet.backends[0].handler = self.wait
+        self.call = asyncio.create_task(self.fleet.send(deadline_ms=9000))
+        async with asyncio.timeout(fleets.TEST_TIMEOUT_S):
+            await self.call_started.wait()
+            self.stopping = asyncio.create_task(self.fleet.daemons[0].stop())
+            while not self.fleet.daemons[0]._proxy._state.draining:
+                await asyncio.sleep(0.01)
+
+    async def wait(self, request: web.Request) -> web.StreamResponse:
+        """Answers once the test allows it."""
+        self.call_started.set()
+        await self.may_continue.wait()
+        return await self.fleet.backends[0].answer(request)
+
+    async def end_the_call(self) -> int:
+        """Returns the status of the call that runs during the drain."""
+        self.may_continue.set()
+        async with asyncio.timeout(fleets.TEST_TIMEOUT_S):
+            status, _, _ = await self.call
+            await self.stopping
+        return status
+
+    async def test_payout_that_may_outlast_the_drain_is_refused(self) -> None:
+        """Guards against payouts that are cut at the end of a drain.
+
+        The backend server beside the stopping daemon is busy, so that any
+        request might be nested in its call.
+        """
+        await self.stop_during_a_call()
+        status, _, _ = await self.fleet.send(
+            path="/payouts/1", method="POST", deadline_ms=6000
+        )
+        self.assertEqual(status, 503)
+        self.assertEqual(self.fleet.backends[1].executed_attempts, [])
+        self.assertEqual(await self.end_the_call(), 200)
+
+    async def test_nested_payout_is_served_while_the_daemon_drains(
+        self,
+    ) -> None:
+        """Guards against a payout in flight whose own payout is refused.
+
+        The nested payout states the time that is left of its parent call.
+        """
+        await self.stop_during_a_call()
+        (parent,) = self.fleet.daemons[0]._proxy.crashes.list_calls_in_flight()
+        status, _, _ = await self.fleet.send(
+            path="/payouts/1",
+            method="POST",
+            deadline_ms=parent.get_remaining_ms(),
+        )
+        self.assertEqual(status, 200)
+        self.assertEqual(await self.end_the_call(), 200)
+
+    async def test_payout_that_ends_within_the_drain_is_served(self) -> None:
+        """Guards against refusals of payouts that cannot be cut."""
+        await self.stop_during_a_call()
+        status, _, _ = await self.fleet.send(
+            path="/payouts/1", method="POST", deadline_ms=1000
+        )
+        self.assertEqual(status, 200)
+        self.assertEqual(await self.end_the_call(), 200)
