Start no call that may outlast a drain

Nothing asked whether the request could end before the connections are closed.

Evidence: the cut payouts were sent 2.3 s into the drain and later, so the drain did not end too early for them; with an idle backend server all were refused.

Change: `drain_admission.may_start` starts a call whose deadline is before the end of the drain, as nothing can cut it. Others must fit by their latency target, and those that may not be repeated must also be nested by evidence: they state the deadline or the timeout of a call that runs at the local backend server.

--- /dev/null
+++ b/merlintrestle/requests/calls/nesting.py
@@ -0,0 +1,56 @@
+"""Detection of calls that a backend server makes while it runs another call.
+
+Such a nested call is served while the daemon drains, as the call that it is
+nested in would fail otherwise.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from merlintrestle.requests.calls import call as calls
+
+# Maximum difference between the deadlines of a nested call and of the call that
+# it is nested in, in seconds, for the time that the request needs to arrive.
+_DEADLINE_TOLERANCE_S = 0.1
+
+
+class Nesting(enum.Enum):
+    """What a request itself states about being nested in another call."""
+
+    # It is not nested.
+    NONE = enum.auto()
+    # It does not state whether it is nested.
+    UNKNOWN = enum.auto()
+    # It states that it is nested.
+    NESTED = enum.auto()
+
+
+def shares_deadline(
+    running_calls: Iterable[calls.Call],
+    arrived_at: float,
+    timeout_ms: int | None,
+) -> bool:
+    """Returns whether a request has the deadline of a running call.
+
+    A nested call ends with the call that it is nested in. Backend servers state
+    the time that is left of that call, or pass on the timeout that they were
+    given.
+
+    Args:
+        running_calls: The calls that run at the local backend server.
+        arrived_at: Event loop time at which the request arrived, in seconds.
+        timeout_ms: Timeout that the request states; None: it states none.
+    """
+    if timeout_ms is None:
+        return False
+    deadline = arrived_at + timeout_ms / 1000
+    return any(
+        timeout_ms == call.stated_timeout_ms
+        or abs(deadline - call.deadline) <= _DEADLINE_TOLERANCE_S
+        for call in running_calls
+    )
--- /dev/null
+++ b/merlintrestle/requests/serving/drains.py
@@ -0,0 +1,127 @@
+"""Admission of requests of callers while the daemon drains."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from merlintrestle import events as event_logs
+from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.calls import nesting
+from merlintrestle.requests.load import drain_admission
+from merlintrestle.requests.serving import serving_state as serving_states
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from aiohttp import web
+
+    from merlintrestle.documents import snapshot
+    from merlintrestle.requests.calls import call as calls
+    from merlintrestle.requests.calls import outcomes
+
+events = event_logs.EventLog("requests")
+
+
+class DrainAdmission:
+    """Refuses requests that a draining daemon could not answer in time."""
+
+    def __init__(
+        self,
+        state: serving_states.ServingState,
+        dialect: object,
+        list_running_calls: Callable[[], Collection[calls.Call]],
+    ):
+        """Sets the dependencies.
+
+        Args:
+            state: The serving state of this daemon.
+            dialect: The dialect of the callers.
+            list_running_calls: Returns the calls that run at the local backend
+                server. Requests may be nested in one of them.
+        """
+        self._state = state
+        self._dialect = dialect
+        self._list_running_calls = list_running_calls
+        self._get_time = asyncio.get_running_loop().time
+
+    def check_request(
+        self,
+        request: web.BaseRequest,
+        active_snapshot: snapshot.Snapshot,
+        plan: snapshot.ClassPlan,
+        arrived_at: float,
+    ) -> outcomes.NotRun | None:
+        """Returns the refusal of a request that arrives; None: it is served.
+
+        Args:
+            request: The request.
+            active_snapshot: Snapshot of the active version.
+            plan: Class of work of the request.
+            arrived_at: Event loop time at which it arrived, in seconds.
+        """
+        if not self._state.draining:
+            return None
+        metadata = dialects.read_metadata(self._dialect, request)
+        stated = dialects.classify_nesting(
+            self._dialect, request, bool(active_snapshot.workspaces)
+        )
+        running_calls = self._list_running_calls()
+        nested = stated is nesting.Nesting.NESTED or (
+            stated is nesting.Nesting.UNKNOWN
+            and nesting.shares_deadline(
+                running_calls, arrived_at, metadata.timeout_ms
+            )
+        )
+        may_be_nested = nested or (
+            stated is nesting.Nesting.UNKNOWN and bool(running_calls)
+        )
+        timeout_s = plan.deadline_s
+        if metadata.timeout_ms is not None:
+            timeout_s = min(timeout_s, metadata.timeout_ms / 1000)
+        remaining_s = arrived_at + timeout_s - self._get_time()
+        starts = may_be_nested and self._may_start(plan, remaining_s, nested)
+        return self._decide(
+            starts, metadata.request_id, remaining_s, nested, may_be_nested
+        )
+
+    def check_call(self, call: calls.Call) -> outcomes.NotRun | None:
+        """Returns the refusal of an accepted call that was not sent yet.
+
+        Its body may have arrived, or its workspace may have been admitted, only
+        shortly before the end of the drain.
+        """
+        if not self._state.draining:
+            return None
+        remaining_s = call.deadline - self._get_time()
+        if self._may_start(call.plan, remaining_s, owed=True):
+            return None
+        return self._decide(False, call.request_id, remaining_s, True, True)
+
+    def _may_start(
+        self, plan: snapshot.ClassPlan, remaining_s: float, owed: bool
+    ) -> bool:
+        return drain_admission.may_start(
+            plan, remaining_s, self._get_drain_left_s(), owed
+        )
+
+    def _get_drain_left_s(self) -> float:
+        return self._state.drain_ends_at - self._get_time()
+
+    def _decide(
+        self,
+        starts: bool,
+        request_id: str,
+        remaining_s: float,
+        nested: bool,
+        may_be_nested: bool,
+    ) -> outcomes.NotRun | None:
+        """Logs a decision and returns the refusal, if it is one."""
+        events.note(
+            "served while stopping" if starts else "refused while stopping",
+            request=request_id,
+            nested="yes" if nested else "maybe" if may_be_nested else "no",
+            left_ms=round(remaining_s * 1000),
+            drain_left_ms=round(self._get_drain_left_s() * 1000),
+        )
+        return None if starts else serving_states.STOPPING
