End streamed answers that are silent once their deadline has passed

Cause: `ExchangeRunner.run` closes the watchdog that keeps the deadline once the headers have arrived, and `forward_answer` reads the body without a limit, as a sound download may take longer than its deadline. Nothing told a slow answer from one that never ends.

Evidence: half of the downloads run beside their own daemon, so it is not the watch on peers; all bytes that had passed were forwarded (189,014 of 540,000 each), so it is not the caller.

Change: from the deadline on a streamed answer is ended, and its slot released, once no byte came in six checks in a row (1.5 s) while the daemon was reading. Answers that move go on, as do those whose reading is paused for a slow caller. An answer of another daemon is only ended if that daemon has written more, has ended the call or does not answer.

The same cause on related paths: answers of other daemons (found: 10 s and more, repeatable calls only), answers to claimed payouts (found: 30 s past the caller's deadline), answers without a length and those that wait for their turn on a connection (found); small answers, uploads, foreign answers, probes, store and health checks (not found: all under a limit).

--- a/merlintrestle/requests/calls/call.py
+++ b/merlintrestle/requests/calls/call.py
@@ -52,6 +52,8 @@
             call is a retry, or if another daemon may retry the call or one that
             it is nested in.
         key: Idempotency-Key; empty if there is none.
+        extension_s: Time by which `deadline` is later than the caller's, in
+            seconds. A claimed call is awaited for longer than its caller waits.
         return_trip_s: Estimated time that a refusal takes to reach the
             caller's daemon, in seconds. Only `refuse_by` depends on it; a call
             that is running is not cancelled before `deadline`, as this is only
@@ -86,6 +88,7 @@
     depth: int
     attempt_number: int
     key: str
+    extension_s: float = 0.0
     return_trip_s: float = 0.0
     repeat: bool = False
     wait: Wait = Wait.NORMAL
@@ -101,6 +104,11 @@
     )
     _request_digest: bytes = b""
 
+    @property
+    def caller_deadline(self) -> float:
+        """Event loop time at which the caller's time is over, in seconds."""
+        return self.deadline - self.extension_s
+
     @property
     def refuse_by(self) -> float:
         """Event loop time by which the call must start or be refused."""
--- a/merlintrestle/requests/transport/forwarding.py
+++ b/merlintrestle/requests/transport/forwarding.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import functools
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import Any, NamedTuple, TYPE_CHECKING, TypeGuard
 
 from aiohttp import hdrs
 
@@ -16,12 +16,13 @@
 from merlintrestle.requests.transport import exchange_outcomes
 from merlintrestle.requests.transport import exchanges
 from merlintrestle.requests.transport import headers
+from merlintrestle.requests.transport import overdue_answers
 from merlintrestle.requests.transport import pool as pools
 from merlintrestle.requests.transport import resends
 from merlintrestle.requests.transport import watchdogs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Mapping
+    from collections.abc import Awaitable, Callable, Coroutine, Mapping
 
     import multidict
 
@@ -139,7 +140,7 @@
         if pooled is None:
             # A new connection has not gone silent; if no answer arrives, the
             # server is slow.
-            return await self._send_over_new(
+            outcome = await self._send_over_new(
                 address,
                 call.target,
                 call,
@@ -147,9 +148,15 @@
                 call.plan.repeatable,
                 options,
             )
-        return await self._send_over_pooled(
-            backend, pooled, call, sent_headers, options, observer
-        )
+        else:
+            outcome = await self._send_over_pooled(
+                backend, pooled, call, sent_headers, options, observer
+            )
+        if _is_streamed(outcome):
+            self._watch_deadline(
+                address, call, outcome, overdue_answers.is_never_waiting
+            )
+        return outcome
 
     async def _send_over_pooled(
         self,
@@ -291,12 +298,18 @@
             outcome = await self._send_with_probes(
                 address, target, call, sent_headers, report
             )
-        if (
-            call.plan.repeatable
-            and isinstance(outcome, outcomes.Answered)
-            and outcome.body is None
-        ):
+        if not _is_streamed(outcome):
+            return outcome
+        if call.plan.repeatable:
             self._watch_answer_body(address, call_id, outcome)
+        may_continue = functools.partial(
+            overdue_answers.is_waiting_at_peer,
+            self._pool,
+            address,
+            call_id,
+            outcome.response,
+        )
+        self._watch_deadline(address, call, outcome, may_continue)
         return outcome
 
     async def _send_with_probes(
@@ -393,6 +406,45 @@
         )
         answered.add_release_callback(lambda: _cancel(task))
 
+    def _watch_deadline(
+        self,
+        address: str,
+        call: calls.Call,
+        answered: outcomes.Answered,
+        may_continue: Callable[[], Awaitable[bool]],
+    ) -> None:
+        """Ends a streamed answer that is silent once its deadline has passed.
+
+        Its slot is released at once, as the forwarding of the answer may be
+        waiting for its receiver.
+        """
+
+        def end(silence: overdue_answers.Silence) -> None:
+            events.warn(
+                "silent answer ended",
+                request=call.request_id,
+                address=address,
+                status=answered.response.status,
+                received=silence.received,
+                late_ms=round(silence.late_s * 1000),
+            )
+            answered.truncated = True
+            answered.response.abort()
+            answered.release()
+
+        watch = overdue_answers.OverdueWatch(
+            answered.response, call.caller_deadline, may_continue, end
+        )
+        watch.start()
+        answered.add_release_callback(watch.close)
+
+
+def _is_streamed(
+    outcome: outcomes.Outcome,
+) -> TypeGuard[outcomes.Answered]:
+    """Returns whether a call has an answer that is passed on in chunks."""
+    return isinstance(outcome, outcomes.Answered) and outcome.body is None
+
 
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
--- a/merlintrestle/requests/unrepeatable/at_most_once.py
+++ b/merlintrestle/requests/unrepeatable/at_most_once.py
@@ -124,7 +124,9 @@
             outcome = await self._claims.check(held, call)
             if outcome is None:
                 extended_call = dataclasses.replace(
-                    call, deadline=call.deadline + ANSWER_GRACE_S
+                    call,
+                    deadline=call.deadline + ANSWER_GRACE_S,
+                    extension_s=ANSWER_GRACE_S,
                 )
                 outcome = await self._forward(extended_call)
             if isinstance(outcome, outcomes.Answered):
