Test that a payout is not sent on at the end of a drain

Guards the related path of the drain fix: the body of an accepted payout arrives when the drain ends. Without `check_call` the payout was run and its answer passed on (KeyError: 'Merlintrestle-Outcome', as it was not refused).

--- a/tests/requests/serving/test_drain.py
+++ b/tests/requests/serving/test_drain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 import unittest
 
 import aiohttp
@@ -13,6 +14,9 @@
 from tests.requests import builders
 from tests.requests import downloads
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 _NESTED_CALL_HEADERS = (headers.DEADLINE, headers.DEPTH, headers.ATTEMPT)
 
 
@@ -131,6 +135,37 @@
             answer = await client.get(nodes[1].url + "/x")
             self.assertEqual(answer.status, 200)
 
+    async def test_payout_whose_body_arrives_at_the_end_is_refused(
+        self,
+    ) -> None:
+        """Guards against payouts that are sent on just before they are cut."""
+        body_sent = asyncio.Event()
+
+        async def send_body() -> AsyncIterator[bytes]:
+            yield b"amount"
+            await body_sent.wait()
+            yield b"=25"
+
+        async with (
+            builders.run_nodes(1) as (node,),
+            builders.open_client() as client,
+        ):
+            call = asyncio.create_task(
+                client.post(
+                    node.url + "/payouts",
+                    data=send_body(),
+                    headers={headers.IDEMPOTENCY_KEY: "k"},
+                )
+            )
+            while not node.proxy.in_flight:
+                await asyncio.sleep(0)
+            # What `drain` does first, with no time left.
+            node.proxy._state.begin_drain(asyncio.get_running_loop().time())
+            body_sent.set()
+            answer = await call
+            self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+        self.assertEqual(node.served, [])
+
     async def test_announcement_does_not_end_a_drain(self) -> None:
         """Guards against new work after a heartbeat of the backend server."""
         async with builders.run_nodes(1) as (node,):
