Ask the socket whether an answer without a length was reset

Cause: where the last bytes and the reset are there before the loop polls, uvloop reports the end of the stream and `connection_lost` gets no exception; aiohttp then marks a body without a length as complete. The error stays in the socket.

Evidence: the same exchange over one connection raises an error on asyncio's loop and none on uvloop; SO_ERROR is ECONNRESET then. "reset in an answer" shows each such end.

Change: while a body has not ended, `connection_lost` asks the socket for its error and treats one like an exception.

The same cause on related paths: answers of other daemons (found, the same class), bodies of requests (not found, always framed), store and status checks (not found: a truncated body is no JSON, and only headers are read).

--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import errno
 import re
+import socket
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -14,6 +16,7 @@
 from aiohttp import hdrs
 from aiohttp import http
 
+from merlintrestle import events as event_logs
 from merlintrestle.requests.reports import traffic as traffics
 from merlintrestle.requests.transport import answers
 from merlintrestle.requests.transport import protocols
@@ -26,6 +29,8 @@
 
     from merlintrestle.requests.transport import bodies
 
+events = event_logs.EventLog("requests")
+
 _KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout\s*=\s*(\d{1,6})")
 _READ_BUFFER_BYTES = 64 * 1024
 # Size of the read buffer for answers of the local backend server. It is large,
@@ -243,7 +248,11 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails the call in flight; called by the event loop."""
         content = self._payload
-        if exc is not None and content is not None and not content.is_eof():
+        if (
+            content is not None
+            and not content.is_eof()
+            and (exc is not None or self._was_reset())
+        ):
             # aiohttp marks a body without a length as complete here. After a
             # reset, a truncated body would look complete.
             content.set_exception(
@@ -255,6 +264,27 @@
             self._loop_timer.cancel()
         super().connection_lost(exc)
 
+    def _was_reset(self) -> bool:
+        """Returns whether the connection was reset instead of closed.
+
+        If the last bytes and a reset have arrived together, uvloop reports the
+        end of the stream and leaves the error in the socket.
+        """
+        if self.transport is None:
+            return False
+        sock = self.transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if not error:
+            return False
+        events.note(
+            "reset in an answer",
+            address=self.address,
+            error=errno.errorcode.get(error, str(error)),
+        )
+        return True
+
     def _start_loop_timer(self, when: float) -> None:
         if self._loop_timer is not None:
             self._loop_timer.cancel()
