Require API keys where the table of workspaces has no row

Other configurations keep their digests.

The same cause on related paths: removal of credentials at the other daemon, freshness, decision of a drain (found, same question); a workspace that loses its keys (not found, 401); quotas (not found); native documents (not found, they have no empty table).

The platform's page: "If the configuration contains `tenants`, a request carries a key"; deployments without tenants have no such table.

Test: test_keys_of_the_last_workspace_are_refused_once_removed failed before (AssertionError: 200 != 401). The assertion on an empty table in test_configuration stays and now also states whether keys are required.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -318,7 +318,7 @@
     def _describe_refusals(self, reply: control_pb2.StatusReply) -> None:
         """Adds to a status which workspaces are refused most."""
         active_snapshot = self._active_version.active_snapshot
-        if active_snapshot is not None and active_snapshot.workspaces:
+        if active_snapshot is not None and active_snapshot.requires_api_keys:
             recent = self._proxy.workspace_admission.refusals.recent
             reply.refusals.CopyFrom(recent.build_status())
 
--- a/merlintrestle/documents/loader.py
+++ b/merlintrestle/documents/loader.py
@@ -147,6 +147,9 @@
             "is misnamed",
         )
         return snapshot.ParsedResource(digest, service)
+    if name == snapshot.API_KEYS_RESOURCE:
+        _require(name, not value, "is not empty")
+        return snapshot.ParsedResource(digest)
     if name == snapshot.LIMITS_RESOURCE:
         limits = _parse_message(name, value, document_pb2.LimitsResource())
         return snapshot.ParsedResource(digest, limits=_build_limits(limits))
--- a/merlintrestle/documents/snapshot.py
+++ b/merlintrestle/documents/snapshot.py
@@ -13,6 +13,8 @@
 # Names of resources, and prefixes of such names.
 BUDGET_RESOURCE = "budget"
 LIMITS_RESOURCE = "limits"
+# Empty resource: requests need API keys although there are no workspaces.
+API_KEYS_RESOURCE = "api-keys"
 SERVICE_PREFIX = "service/"
 CLASS_PREFIX = "class/"
 HOST_ROUTE_PREFIX = "route/"
@@ -224,8 +226,9 @@
         parsed_resources: Parsed resources by name.
         host_routes: Host routes by host, longest prefix first.
         limits: Limits for the requests of callers; None if not specified.
-        workspaces: Workspaces by name. If there are any, requests need an API
-            key unless their route is anonymous.
+        workspaces: Workspaces by name.
+        requires_api_keys: Whether requests need an API key unless their route
+            is anonymous. If there are no workspaces, no key is known.
     """
 
     def __init__(
@@ -267,6 +270,9 @@
         }
         self.limits = limits
         self.workspaces = workspaces or {}
+        self.requires_api_keys = (
+            bool(self.workspaces) or API_KEYS_RESOURCE in resources
+        )
         self._workspaces_by_key: Mapping[bytes, Workspace]
         if base is not None and base.workspaces is self.workspaces:
             self._workspaces_by_key = base._workspaces_by_key
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -79,6 +79,10 @@
         tenants = rows.read_table(configuration, "tenants")
         for number, row in enumerate(tenants, 1):
             _add_workspace(resources, f"tenants row {number}", row)
+        if not tenants:
+            # Without it, a change that removes the last workspace would let in
+            # requests with the removed keys, and with any other.
+            resources[snapshots.API_KEYS_RESOURCE] = b""
     limits = configuration.get("limits")
     if limits is not None:
         _add_limits(resources, rows.Row("limits", limits))
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -96,7 +96,7 @@
         dispatched = False
         self._state.begin_call()
         try:
-            if active_snapshot.workspaces:
+            if active_snapshot.requires_api_keys:
                 decision = await self._admit(active_snapshot, match, request)
                 if isinstance(decision, outcomes.NotRun):
                     decision_logs.write_not_admitted(
--- a/merlintrestle/requests/serving/drains.py
+++ b/merlintrestle/requests/serving/drains.py
@@ -64,7 +64,7 @@
             return None
         metadata = dialects.read_metadata(self._dialect, request)
         stated = dialects.classify_nesting(
-            self._dialect, request, bool(active_snapshot.workspaces)
+            self._dialect, request, active_snapshot.requires_api_keys
         )
         running_calls = self._list_running_calls()
         nested = stated is nesting.Nesting.NESTED or (
--- a/merlintrestle/requests/serving/peers.py
+++ b/merlintrestle/requests/serving/peers.py
@@ -122,7 +122,7 @@
             )
             if isinstance(call, outcomes.NotRun):
                 return outcomes.render(call)
-            if active_snapshot.workspaces:
+            if active_snapshot.requires_api_keys:
                 # The caller's daemon removes them, unless it still runs an
                 # earlier version without workspaces.
                 credentials.remove_credentials(
--- a/merlintrestle/requests/workspaces/admission.py
+++ b/merlintrestle/requests/workspaces/admission.py
@@ -86,7 +86,7 @@
 
 
 class WorkspaceAdmission:
-    """Decides whether a request may enter while there are workspaces.
+    """Decides whether a request may enter while API keys are required.
 
     Attributes:
         freshness: Knows whether the active version is fresh.
@@ -118,7 +118,7 @@
         match: routing.Match,
         request_headers: multidict.MultiMapping[str],
     ) -> Admitted | QuotaWait | outcomes.NotRun:
-        """Decides on a request; `active_snapshot` must have workspaces.
+        """Decides on a request; `active_snapshot` must require API keys.
 
         This is the only check: an admitted request may wait, be retried or run
         at another daemon later on.
--- a/merlintrestle/versions/freshness.py
+++ b/merlintrestle/versions/freshness.py
@@ -97,7 +97,7 @@
         return (
             self.limit_s > 0
             and snapshot is not None
-            and bool(snapshot.workspaces)
+            and snapshot.requires_api_keys
         )
 
     def has_version(self) -> bool:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -130,9 +130,14 @@
             },
         )
         self.assertEqual(snapshot.find_workspace(digests[1]), ijssel)
-        for tenants in (None, {"columns": ["name"], "rows": []}):
+        for tenants, required in (
+            (None, False),
+            ({"columns": ["name"], "rows": []}, True),
+        ):
             value = builders.build_configuration(1, tenants=tenants)
-            self.assertFalse(builders.load_configuration(value).workspaces)
+            loaded = builders.load_configuration(value)
+            self.assertFalse(loaded.workspaces)
+            self.assertEqual(loaded.requires_api_keys, required)
 
     def test_malformed_workspaces_invalidate_the_configuration(self):
         """Guards against a key that two workspaces share, and keys in logs."""
--- a/tests/platform/test_workspaces.py
+++ b/tests/platform/test_workspaces.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
+from merlintrestle.platform import store as stores
 from tests.platform import builders
 from tests.platform import fleets
 
@@ -60,3 +62,27 @@
         self.assertEqual((await self.fleet.send(headers=sent))[0], 200)
         received = self.fleet.backends[1].received_headers[-1]
         self.assertLessEqual(sent.items(), received.items())
+
+    async def test_keys_of_the_last_workspace_are_refused_once_removed(self):
+        """Guards against a mesh that serves any key without workspaces."""
+        route = builders.build_route("tickets")
+        await self.fleet.start(
+            "kassa",
+            "balie",
+            configuration=builders.build_configuration(
+                5, route, tenants=builders.build_tenants()
+            ),
+        )
+        self.assertEqual((await self.fleet.send(headers=_KEY))[0], 200)
+        await self.fleet.store.write(
+            stores.CONFIGURATION_KEY,
+            builders.build_configuration(
+                6, route, tenants={"columns": ["name", "apiKeys"], "rows": []}
+            ),
+        )
+        async with asyncio.timeout(fleets.TEST_TIMEOUT_S):
+            while any(daemon.version < 6 for daemon in self.fleet.daemons):
+                await asyncio.sleep(0.01)
+        for sent in (_KEY, {"Authorization": "Bearer k3"}, {}):
+            self.assertEqual((await self.fleet.send(headers=sent))[0], 401)
+        self.assertEqual(len(self.fleet.backends[1].executed_attempts), 1)
