Lower a mean hold time that no call can correct

Cause: the calls in flight raise the mean hold time of their class to some seconds; `_is_too_late` refuses each call with less than half of it left; with no call admitted the mean never falls.

Change: while no call of a class runs, its mean halves with each second, down to the initial value. "too late" in the story of a call gives the mean.

Test: test_long_holds_do_not_refuse_a_class_forever failed before (NotRun "too little time is left for an answer" is not None); test_short_time_left_is_refused_after_any_pause guards the other side.

--- a/merlintrestle/requests/load/admission.py
+++ b/merlintrestle/requests/load/admission.py
@@ -23,8 +23,6 @@
     from merlintrestle.requests.calls import outcomes
     from merlintrestle.requests.load import queues
 
-# Weight of the latest call in the moving average of slot hold times.
-_HOLD_EWMA_WEIGHT = 0.1
 # A call is refused if less than this fraction of the mean hold time remains
 # until its `refuse_by`. Work times are skewed: at most a third of the calls end
 # within half of the mean.
@@ -148,7 +146,7 @@
         held_s = now - call.admitted_at
         if call.workspace or queue.fair_order is not None:
             queue.record_hold(held_s, call.workspace, now)
-        queue.hold_s += _HOLD_EWMA_WEIGHT * (held_s - queue.hold_s)
+        queue.update_hold(held_s, now)
         self._slots.release(queue, sent)
 
     def record_acceptance(self, accepted: bool) -> None:
@@ -187,7 +185,17 @@
         whether it ran.
         """
         remaining_s = call.refuse_by - asyncio.get_running_loop().time()
-        return remaining_s < _MIN_HOLD_FRACTION * queue.hold_s
+        if remaining_s >= _MIN_HOLD_FRACTION * queue.hold_s:
+            return False
+        queue.age_hold(self._get_time())
+        too_late = remaining_s < _MIN_HOLD_FRACTION * queue.hold_s
+        if too_late:
+            call.decision_log.add(
+                "too late",
+                hold_ms=round(queue.hold_s * 1000),
+                in_flight=queue.in_flight,
+            )
+        return too_late
 
     async def _wait_for_slot(
         self, queue: queues.ClassQueue, call: calls.Call
--- a/merlintrestle/requests/load/queues.py
+++ b/merlintrestle/requests/load/queues.py
@@ -17,9 +17,14 @@
     from merlintrestle.documents import snapshot
     from merlintrestle.requests.load import waiters
 
+# Weight of the latest call in the moving average of slot hold times.
+_HOLD_EWMA_WEIGHT = 0.1
 # Initial hold time of a slot, as a fraction of the latency target, if the
 # targets state no work time. The measured hold times replace it.
 _DEFAULT_HOLD_FRACTION = 0.25
+# Time in which a measured hold time halves while no call can be measured, in
+# seconds.
+_HOLD_HALF_LIFE_S = 1.0
 # Most calls end within this multiple of the mean hold time.
 _TYPICAL_HOLD_RATIO = 1.5
 # A wait that people do not perceive, in seconds: the usual limit for an answer
@@ -58,6 +63,8 @@
 
     __slots__ = (
         "fair_order",
+        "_hold_updated_at",
+        "_initial_hold_s",
         "_usual_loads",
         "hold_s",
         "in_flight",
@@ -70,7 +77,11 @@
         self.plan = plan
         self.share = shares.NO_SHARE
         self.in_flight = 0
-        self.hold_s = plan.work_s or plan.latency_s * _DEFAULT_HOLD_FRACTION
+        self._initial_hold_s = (
+            plan.work_s or plan.latency_s * _DEFAULT_HOLD_FRACTION
+        )
+        self.hold_s = self._initial_hold_s
+        self._hold_updated_at = 0.0
         self.waiting: list[waiters.Waiter] = []
         self.fair_order: fair_order.FairOrder | None = None
         self._usual_loads = usual_loads.UsualLoads()
@@ -142,6 +153,32 @@
             ).get_position(waiter)
         return position
 
+    def update_hold(self, held_s: float, now: float) -> None:
+        """Updates the mean hold time by that of a call that has ended.
+
+        Args:
+            held_s: The hold time in seconds.
+            now: Monotonic time in seconds.
+        """
+        self.hold_s += _HOLD_EWMA_WEIGHT * (held_s - self.hold_s)
+        self._hold_updated_at = now
+
+    def age_hold(self, now: float) -> None:
+        """Lowers the mean hold time of a class of which no call runs.
+
+        A few long holds, as when the process was suspended, can raise it so far
+        that all calls are refused as too late. No call would be measured any
+        more, and the class would be refused forever.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if not self.in_flight:
+            elapsed_s = now - self._hold_updated_at
+            aged_s = self.hold_s * 0.5 ** (elapsed_s / _HOLD_HALF_LIFE_S)
+            self.hold_s = min(self.hold_s, max(self._initial_hold_s, aged_s))
+        self._hold_updated_at = now
+
     def record_hold(self, held_s: float, workspace: str, now: float) -> None:
         """Records how long a call held its slot, for the shares of workspaces.
 
--- a/tests/requests/load/test_admission.py
+++ b/tests/requests/load/test_admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 import unittest
 
 import hypothesis
@@ -36,7 +36,9 @@
 )
 
 
-def build_admission(*plans: snapshot.ClassPlan) -> admissions.Admission:
+def build_admission(
+    *plans: snapshot.ClassPlan, **options: Any
+) -> admissions.Admission:
     """Builds admission control for a ready backend server with 4 slots."""
     named = {f"/{number}": plan for number, plan in enumerate(plans)}
     backend = backends.LocalBackend()
@@ -45,6 +47,7 @@
         backend,
         fakes.FakeActiveVersion(builders.build_snapshot(named)),
         fakes.FakeMemberTable(),
+        **options,
     )
 
 
@@ -88,6 +91,30 @@
             admission.release(call)
         self.assertEqual([await task for task in waiting], [None, None])
 
+    async def test_long_holds_do_not_refuse_a_class_forever(self) -> None:
+        """Guards against calls that are refused forever after a freeze."""
+        clock = fakes.FakeClock()
+        admission = build_admission(get_time=clock.get_time)
+        payout = builders.build_plan("payout", work_s=0.0, latency_s=0.5)
+        for _ in range(_SLOTS):
+            call = await self.acquire(admission, payout)
+            clock.now += 30.0
+            admission.release(call)
+        self.deadline = asyncio.get_running_loop().time() + 2.0
+        self.assertIsNotNone(await self.request_slot(admission, payout))
+        clock.now += 10.0
+        self.assertIsNone(await self.request_slot(admission, payout))
+
+    async def test_short_time_left_is_refused_after_any_pause(self) -> None:
+        """Guards against calls that are accepted and cannot end in time."""
+        clock = fakes.FakeClock()
+        admission = build_admission(get_time=clock.get_time)
+        payout = builders.build_plan("payout", work_s=0.5, latency_s=0.5)
+        self.deadline = asyncio.get_running_loop().time() + 0.2
+        for _ in range(2):
+            self.assertIsNotNone(await self.request_slot(admission, payout))
+            clock.now += 100.0
+
     async def test_return_trip_time_is_no_time_to_run(self) -> None:
         """A call whose answer would arrive too late gets no slot."""
         admission = build_admission()
