Refuse heartbeats whose text cannot be encoded

Cause: the version was checked for its length only; the lone surrogate was stored, and `LocalBackend.build_record` raised UnicodeEncodeError from then on, in each heartbeat and in the drain.

Change: a version must be printable text.

Tests: test_text_that_cannot_be_sent_is_refused failed before (InvalidInputError not raised, OverflowError), test_malformed_ids_are_refused too.

--- a/merlintrestle/daemon/validation.py
+++ b/merlintrestle/daemon/validation.py
@@ -13,6 +13,8 @@
 _SERVICE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _MAX_SLOTS = 100_000
 _MAX_VERSION_CHARACTERS = 200
+# Characters that may stand in the header that names the backend server.
+_INSTANCE_ID = re.compile(r"[!-~]{1,200}")
 
 
 def is_service_name(value: Any) -> bool:
@@ -21,12 +23,23 @@
 
 
 def is_version(value: Any) -> bool:
-    """Returns whether a value is a software version or None (absent)."""
+    """Returns whether a value is a software version or None (absent).
+
+    Text with lone surrogates, which JSON allows, cannot be sent to other
+    daemons. It is not printable.
+    """
     return value is None or (
-        isinstance(value, str) and len(value) <= _MAX_VERSION_CHARACTERS
+        isinstance(value, str)
+        and len(value) <= _MAX_VERSION_CHARACTERS
+        and value.isprintable()
     )
 
 
+def is_instance_id(value: Any) -> bool:
+    """Returns whether a value is the id of a backend server process."""
+    return isinstance(value, str) and _INSTANCE_ID.fullmatch(value) is not None
+
+
 def is_address(value: Any) -> bool:
     """Returns whether a value is an "ip:port"."""
     return isinstance(value, str) and not config.check_address(value)
@@ -41,7 +54,11 @@
     """Returns whether a value is a finite, non-negative number."""
     if type(value) not in (int, float):
         return False
-    return math.isfinite(value) and value >= 0
+    try:
+        return math.isfinite(value) and value >= 0
+    except OverflowError:
+        # The integer is larger than any float.
+        return False
 
 
 def is_start_time(value: Any) -> bool:
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -162,6 +162,8 @@
         )
         if not is_valid(fields.get(name))
     ]
+    if not validation.is_instance_id(instance_id):
+        findings.append(errors.Finding("id", f"{instance_id!r} is malformed."))
     if findings:
         raise errors.InvalidInputError(findings)
     return heartbeats.Heartbeat(
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -71,6 +71,29 @@
         with self.assertRaises(errors.InvalidInputError):
             endpoints.parse_heartbeat("i-1", {**_FIELDS, name: value})
 
+    def test_text_that_cannot_be_sent_is_refused(self) -> None:
+        """Guards against text that fails each later heartbeat and the stop."""
+        for name, value in (
+            ("version", "\ud800"),
+            ("version", "v1\n"),
+            ("seq", 10**400),
+            ("coldRemainingMs", 10**400),
+        ):
+            with (
+                self.subTest(name=name),
+                self.assertRaises(errors.InvalidInputError),
+            ):
+                endpoints.parse_heartbeat("i-1", {**_FIELDS, name: value})
+
+    def test_malformed_ids_are_refused(self) -> None:
+        """Guards against ids that cannot stand in the header of a request."""
+        for instance_id in ("i-1\r\nX-A: b", "i 1", "\ud800", "é"):
+            with (
+                self.subTest(instance_id=instance_id),
+                self.assertRaises(errors.InvalidInputError),
+            ):
+                endpoints.parse_heartbeat(instance_id, _FIELDS)
+
     @hypothesis.given(strategies.sampled_from(_REQUIRED_FIELDS))
     def test_missing_fields_are_refused(self, name: str) -> None:
         """Guards against incomplete heartbeats that are applied."""
