Refuse configurations whose values cannot be encoded

Found as a related path of the unreadable heartbeat: text with lone surrogates, or a number of over 32 bits, in a configuration raised UnicodeEncodeError or ValueError instead of SnapshotError, which nobody who reads configurations expects. The platform's store takes only valid configurations, so no caller has seen it.

Change: `Row.get_text` takes only text with a UTF-8 form, and `Row.get_integer` only numbers that fit into the field.

Test: test_values_that_cannot_be_stored_are_refused failed before (UnicodeEncodeError, ValueError: Value out of range).

--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+_MAX_BODY_BYTES = 2**64 - 1
 # Whether calls of a route may run more than once, by the kind of the route.
 _REPEATABILITY = {"idempotent": True, "download": True, "non_idempotent": False}
 # Importance of priority 0; it decreases by 1 with each further priority number.
@@ -173,7 +174,7 @@
     resources[snapshots.LIMITS_RESOURCE] = compiler.serialize_message(
         document_pb2.LimitsResource(
             max_header_bytes=row.get_integer("maxHeaderBytes"),
-            max_body_bytes=row.get_integer("maxBodyBytes"),
+            max_body_bytes=row.get_integer("maxBodyBytes", _MAX_BODY_BYTES),
             header_timeout_ms=row.get_integer("headerTimeoutMs"),
             idle_timeout_ms=row.get_integer("idleTimeoutMs"),
         )
--- a/merlintrestle/rows.py
+++ b/merlintrestle/rows.py
@@ -13,6 +13,8 @@
 
 # Largest accepted number; larger integers may not fit into a float.
 _MAX_NUMBER = 1e300
+# Largest integer of a field of 32 bits.
+_MAX_INTEGER = 2**32 - 1
 
 
 class Row:
@@ -48,14 +50,19 @@
     def get_text(self, name: str) -> str:
         """Returns a non-empty string."""
         value = self._fields.get(name)
-        if not isinstance(value, str) or not value:
+        if not isinstance(value, str) or not _is_encodable(value):
             raise self._build_error(name)
         return value
 
-    def get_integer(self, name: str) -> int:
-        """Returns a non-negative integer."""
+    def get_integer(self, name: str, maximum: int = _MAX_INTEGER) -> int:
+        """Returns a non-negative integer.
+
+        Args:
+            name: Name of the value.
+            maximum: Largest accepted value.
+        """
         value = self._fields.get(name)
-        if type(value) is not int or value < 0:
+        if type(value) is not int or not 0 <= value <= maximum:
             raise self._build_error(name)
         return value
 
@@ -110,6 +117,20 @@
         return self._error(f"{self._table} {row_name}: {name} is {value!r}")
 
 
+def _is_encodable(value: str) -> bool:
+    """Returns whether a text is not empty and has a UTF-8 form.
+
+    JSON allows lone surrogates, which have none.
+    """
+    if not value:
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def parse_object(
     value: bytes,
     name: str,
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -38,6 +38,25 @@
         ]
         self.assertEqual(prefixes, ["/x/y/", "/x/"])
 
+    def test_values_that_cannot_be_stored_are_refused(self):
+        """Guards against an error that ends the watch of configurations."""
+        for name, value in (
+            ("name", "\ud800"),
+            ("prefix", "/\ud800/"),
+            ("host", "\ud800"),
+            ("service", "\ud800"),
+            ("timeoutMs", 2**40),
+            ("maxAttempts", 2**80),
+        ):
+            route = {**builders.build_route("a"), name: value}
+            with (
+                self.subTest(name=name),
+                self.assertRaises(errors.SnapshotError),
+            ):
+                builders.load_configuration(
+                    builders.build_configuration(1, route)
+                )
+
     def test_the_kind_determines_repeatability(self):
         """Guards against a second run of calls that must run only once."""
         expected = {
