Answer at a stop what was started behind another request

Cause: from SIGTERM on the next answer closes its connection, and `finish_response` cancels the requests behind it, also those that were started. The users' page excuses only those that were not passed on.

Change: before a stop an answer closes its connection only if no request behind it was started (`pipelining.is_followed`).

The same cause on related paths: answers without a length and errors (no fault, they end the connection), connections between daemons (not found, one request at a time).

--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -74,10 +74,16 @@
         self._refused_callers = refused_callers.RefusedCallers(self._get_time)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answers a request."""
+        """Answers a request.
+
+        Before a stop the answer closes its connection, unless requests behind
+        it were sent on already: their answers would be lost.
+        """
         response = await self._answer(request)
         return responses.force_close_if(
-            self._state.caller_keep_alive_disabled, response
+            self._state.caller_keep_alive_disabled
+            and not pipelining.is_followed(request),
+            response,
         )
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
