Take headers up to the limit that the configuration states

Callers saw: 400 for a header above 8,190 bytes although maxHeaderBytes allows 16,384, and for 100 headers, the documented number, if another daemon ran the request.

Cause: the limits of the parser were constants; the configured limit was read and never used. Between daemons the same limits held, although daemons add headers of their own.

Change: a new connection of a caller takes the limit of the active version if that is higher; between daemons 256 KiB a header and 128 headers are taken, of an answer 64 KiB and 256 headers.

The same cause on related paths: headers between daemons (found), headers of answers (found by reading), the other configured limits (not found).

Tests: test_header_within_the_stated_limit and test_many_headers_reach_another_daemon failed before (400 != 200); test_header_beyond_the_limit_is_refused guards the other side.

--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -11,6 +11,7 @@
 from merlintrestle import events as event_logs
 from merlintrestle.requests import backend
 from merlintrestle.requests.calls import dialect as dialects
+from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.crashing import crashes
 from merlintrestle.requests.load import admission as admissions
 from merlintrestle.requests.load import budgets
@@ -65,6 +66,13 @@
 _SAMPLE_INTERVAL_S = 0.5
 
 
+# Maximum size of the headers of a caller that a configuration may state, and of
+# each header between daemons, in bytes.
+_MAX_HEADER_BYTES = 256 * 1024
+# Maximum number of headers between daemons: those of a caller and their own.
+_MAX_PEER_HEADERS = 128
+
+
 class Proxy(mode.Service):
     """Handles the requests of callers and of other daemons.
 
@@ -240,9 +248,11 @@
         self._caller_server = pipelining.Server(
             caller_handler.handle, byte_counters.callers
         )
+        self._caller_server.get_max_header_bytes = self._get_max_header_bytes
         self._peer_server = server.Server(
-            self._peer_handler.handle, byte_counters.peers
+            self._peer_handler.handle, byte_counters.peers, _MAX_PEER_HEADERS
         )
+        self._peer_server.get_max_header_bytes = lambda: _MAX_HEADER_BYTES
         self.traffic = traffic.TrafficReport(
             byte_counters,
             self._link,
@@ -389,6 +399,21 @@
         """Returns the recent outcomes of the calls of each class."""
         return self.outcome_counts.get_statuses()
 
+    def _get_max_header_bytes(self) -> int:
+        """Returns the header limit of callers, in bytes.
+
+        It is that of the active version if that states a higher one than the
+        default.
+        """
+        active_snapshot = self._state.get_active_snapshot()
+        if (
+            isinstance(active_snapshot, outcomes.NotRun)
+            or active_snapshot.limits is None
+        ):
+            return server.DEFAULT_HEADER_BYTES
+        stated = active_snapshot.limits.max_header_bytes
+        return max(server.DEFAULT_HEADER_BYTES, min(stated, _MAX_HEADER_BYTES))
+
     def _get_member_id(self) -> str:
         return self._member_id
 
--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -37,6 +37,9 @@
 # so that the server can finish an answer sooner: while an answer waits for a
 # slow link, its slot isn't available to other calls.
 READ_AHEAD_BYTES = 512 * 1024
+# Limits of the headers of an answer.
+_MAX_HEADER_BYTES = 64 * 1024
+_MAX_HEADERS = 256
 _SWITCHING_PROTOCOLS_STATUS = 101
 _MAX_INFORMATIONAL_STATUS = 199
 # Requests with these methods have no Content-Length if they have no body.
@@ -133,6 +136,9 @@
             read_until_eof=True,
             auto_decompress=False,
             read_bufsize=max(read_ahead_bytes, _READ_BUFFER_BYTES),
+            max_line_size=_MAX_HEADER_BYTES,
+            max_field_size=_MAX_HEADER_BYTES,
+            max_headers=_MAX_HEADERS,
         )
         self._answer_body = None
         await self._send(method, target, headers, body)
--- a/merlintrestle/requests/transport/pipelining.py
+++ b/merlintrestle/requests/transport/pipelining.py
@@ -141,7 +141,7 @@
 
     def __call__(self) -> web.RequestHandler:
         """Creates the protocol of a connection."""
-        return _PipeliningHandler(self, loop=self._loop, **self._options)
+        return _PipeliningHandler(self, loop=self._loop, **self.build_options())
 
 
 class _Entry:
--- a/merlintrestle/requests/transport/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -32,9 +32,8 @@
 _SHUTDOWN_TIMEOUT_S = 0.05
 # Interval at which `flush` checks the write buffers of connections.
 _FLUSH_POLL_S = 0.02
-# Limits of the headers of a request.
-_MAX_LINE_BYTES = 8190
-_MAX_FIELD_BYTES = 8190
+# Default maximum size of the request line and of each header, in bytes.
+DEFAULT_HEADER_BYTES = 8190
 _MAX_HEADERS = 100
 
 
@@ -44,25 +43,27 @@
     Attributes:
         port: The bound port.
         traffic: Counter of the bytes of its connections.
+        get_max_header_bytes: Returns the maximum size of the request line and
+            of each header on a new connection, in bytes.
     """
 
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         traffic: traffics.Traffic | None = None,
+        max_headers: int = _MAX_HEADERS,
     ):
         """Sets the handler.
 
         Args:
             handler: Answers requests.
             traffic: Counter of the bytes of connections.
+            max_headers: Maximum number of headers of a request.
         """
         options: dict[str, Any] = {
             "access_log": None,
             "keepalive_timeout": _KEEPALIVE_TIMEOUT_S,
-            "max_line_size": _MAX_LINE_BYTES,
-            "max_field_size": _MAX_FIELD_BYTES,
-            "max_headers": _MAX_HEADERS,
+            "max_headers": max_headers,
             "auto_decompress": False,
             # The rest of a refused upload is read for this time in seconds, so
             # that the refusal arrives before the connection is reset.
@@ -75,12 +76,22 @@
         )
         self.port = 0
         self.traffic = traffic or traffics.Traffic()
+        self.get_max_header_bytes = lambda: DEFAULT_HEADER_BYTES
         self._options = options
         self._listener: asyncio.Server | None = None
 
     def __call__(self) -> web.RequestHandler:
         """Creates the protocol of a connection."""
-        return RequestHandler(self, loop=self._loop, **self._options)
+        return RequestHandler(self, loop=self._loop, **self.build_options())
+
+    def build_options(self) -> dict[str, Any]:
+        """Returns the options of a new connection."""
+        max_bytes = self.get_max_header_bytes()
+        return {
+            **self._options,
+            "max_line_size": max_bytes,
+            "max_field_size": max_bytes,
+        }
 
     async def start(self, address: str, port: int) -> None:
         """Binds the port; 0 selects a free one."""
