Refuse heartbeats without an availability zone

Change: `zone` is checked like the other fields.

The same cause on related paths: service, address, slots, state, seq (not found, checked before); `version` may be absent, as before.

Tests: test_missing_fields_are_refused and test_invalid_values_of_fields_are_refused, with "zone" among the required fields, failed before (InvalidInputError not raised).

--- a/merlintrestle/daemon/validation.py
+++ b/merlintrestle/daemon/validation.py
@@ -45,6 +45,11 @@
     return isinstance(value, str) and not config.check_address(value)
 
 
+def is_zone(value: Any) -> bool:
+    """Returns whether a value is the name of an availability zone."""
+    return isinstance(value, str) and bool(value) and value.isprintable()
+
+
 def is_slot_count(value: Any) -> bool:
     """Returns whether a value is a valid number of slots."""
     return type(value) is int and 0 < value <= _MAX_SLOTS
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -17,7 +17,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-_MAX_BODY_BYTES = 2**64 - 1
 # Whether calls of a route may run more than once, by the kind of the route.
 _REPEATABILITY = {"idempotent": True, "download": True, "non_idempotent": False}
 # Importance of priority 0; it decreases by 1 with each further priority number.
@@ -81,8 +80,7 @@
         for number, row in enumerate(tenants, 1):
             _add_workspace(resources, f"tenants row {number}", row)
         if not tenants:
-            # Without it, a change that removes the last workspace would let in
-            # requests with the removed keys, and with any other.
+            # Otherwise requests with any key would be served.
             resources[snapshots.API_KEYS_RESOURCE] = b""
     limits = configuration.get("limits")
     if limits is not None:
@@ -174,7 +172,7 @@
     resources[snapshots.LIMITS_RESOURCE] = compiler.serialize_message(
         document_pb2.LimitsResource(
             max_header_bytes=row.get_integer("maxHeaderBytes"),
-            max_body_bytes=row.get_integer("maxBodyBytes", _MAX_BODY_BYTES),
+            max_body_bytes=row.get_integer("maxBodyBytes", rows.MAX_LONG),
             header_timeout_ms=row.get_integer("headerTimeoutMs"),
             idle_timeout_ms=row.get_integer("idleTimeoutMs"),
         )
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -148,11 +148,14 @@
         raise errors.InvalidInputError(
             [errors.Finding("heartbeat", "is not an object.")]
         )
+    stated = {**fields, "id": instance_id}
     findings = [
-        errors.Finding(name, f"{fields.get(name)!r} is not allowed.")
+        errors.Finding(name, f"{stated.get(name)!r} is not allowed.")
         for name, is_valid in (
+            ("id", validation.is_instance_id),
             ("service", validation.is_service_name),
             ("address", validation.is_address),
+            ("zone", validation.is_zone),
             ("slots", validation.is_slot_count),
             ("state", _is_state),
             ("coldRemainingMs", validation.is_non_negative_number),
@@ -160,10 +163,8 @@
             ("born", validation.is_start_time),
             ("version", validation.is_version),
         )
-        if not is_valid(fields.get(name))
+        if not is_valid(stated.get(name))
     ]
-    if not validation.is_instance_id(instance_id):
-        findings.append(errors.Finding("id", f"{instance_id!r} is malformed."))
     if findings:
         raise errors.InvalidInputError(findings)
     return heartbeats.Heartbeat(
--- a/merlintrestle/platform/requests.py
+++ b/merlintrestle/platform/requests.py
@@ -91,9 +91,8 @@
     dialect: PlatformDialect, request: web.BaseRequest, uses_api_keys: bool
 ) -> nesting.Nesting:
     # Nested calls are not marked, but only callers have keys.
-    if uses_api_keys and hdrs.AUTHORIZATION in request.headers:
-        return nesting.Nesting.NONE
-    return nesting.Nesting.UNKNOWN
+    has_key = uses_api_keys and hdrs.AUTHORIZATION in request.headers
+    return nesting.Nesting.NONE if has_key else nesting.Nesting.UNKNOWN
 
 
 @dialects.render.register(PlatformDialect)
--- a/merlintrestle/rows.py
+++ b/merlintrestle/rows.py
@@ -15,6 +15,8 @@
 _MAX_NUMBER = 1e300
 # Largest integer of a field of 32 bits.
 _MAX_INTEGER = 2**32 - 1
+# Largest integer of a field of 64 bits.
+MAX_LONG = 2**64 - 1
 
 
 class Row:
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -29,6 +29,7 @@
 _REQUIRED_FIELDS = (
     "service",
     "address",
+    "zone",
     "slots",
     "state",
     "coldRemainingMs",
@@ -66,8 +67,10 @@
         self, name: str, value: Any
     ) -> None:
         """Guards against invalid values that reach the routing."""
-        if name == "service" and value in ("lost", "10.0.0.1", "1"):
+        if name in ("service", "zone") and value in ("lost", "10.0.0.1", "1"):
             return  # Valid names; a later check refuses unknown services.
+        if name == "zone" and value == "x" * 99:
+            return  # A valid name.
         with self.assertRaises(errors.InvalidInputError):
             endpoints.parse_heartbeat("i-1", {**_FIELDS, name: value})
 
