Do not apply one heartbeat against the status at the start

Callers saw: a backend server had said that it leaves, and its daemon had confirmed it, was killed and started again.

Cause: the retired process was kept in memory only; after a restart the first heartbeat counts whatever its age, and a health check at the start that failed was dropped.

Change: a failed health check at the start counts as a heartbeat that says draining. A single heartbeat that contradicts it is not applied, the next one of the same process is. "heartbeat unconfirmed" shows it.

The same cause on related paths: leaves that answers state (not found, the next answer states it again); versions and roll-outs (not found, read from store or peers at the start).

Tests: test_a_restart_after_a_leave_and_a_late_heartbeat (real processes) failed before (200 == 200, the call ran at the leaving server); test_a_late_heartbeat_after_a_restart_of_the_daemon and two that guard sound processes.

--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TYPE_CHECKING
+from typing import NamedTuple
 
-if TYPE_CHECKING:
-    from merlintrestle.schema import control_pb2
+from merlintrestle import events as event_logs
+from merlintrestle.schema import control_pb2
+
+events = event_logs.EventLog("daemon")
 
 # Sequence number of the state that a daemon reads from the health endpoint of
 # its backend server at the start; less than that of any heartbeat.
@@ -59,6 +61,11 @@
     had caught up, and late heartbeats of the previous process would be treated
     as heartbeats of the new one. Therefore a process is identified by its id
     and its start time.
+
+    A restarted daemon does not know that the process is retired. If the status
+    at its start said that the process accepts no calls, a single heartbeat that
+    says otherwise may be a late one, and is not applied. A process that accepts
+    calls sends the next one soon.
     """
 
     def __init__(self) -> None:
@@ -66,6 +73,9 @@
         self._instance_id = ""
         self._started_ms = 0
         self._sequence = INITIAL_SEQUENCE
+        # Whether the latest status or heartbeat is the one at the start, which
+        # said that the process accepts no calls.
+        self._drained_at_start = False
         # Latest start time of a retired process by id, in ms since 1970.
         self._retired: dict[str, int] = {}
 
@@ -75,7 +85,7 @@
         return bool(self._instance_id or self._retired)
 
     def accept(self, heartbeat: Heartbeat) -> bool:
-        """Records a heartbeat; returns False if it is outdated."""
+        """Records a heartbeat; returns False if it must not be applied."""
         retired_ms = self._retired.get(heartbeat.instance_id)
         if retired_ms is not None and heartbeat.started_ms <= retired_ms:
             return False
@@ -94,7 +104,7 @@
         # A heartbeat without a start time keeps the known one of its process.
         self._started_ms = heartbeat.started_ms or self._started_ms
         self._sequence = heartbeat.sequence
-        return True
+        return not self._contradicts_start(heartbeat, is_current)
 
     def retire(self, instance_id: str, started_ms: int = 0) -> bool:
         """Retires a process, which accepts no new calls from now on.
@@ -118,6 +128,24 @@
         self._mark_retired(instance_id, started_ms or self._started_ms)
         return not self._started_earlier(started_ms)
 
+    def _contradicts_start(
+        self, heartbeat: Heartbeat, is_current: bool
+    ) -> bool:
+        """Returns whether only the status at the start speaks against it."""
+        drained_at_start = self._drained_at_start and is_current
+        ready = heartbeat.state == control_pb2.READY
+        self._drained_at_start = (
+            heartbeat.sequence == INITIAL_SEQUENCE and not ready
+        )
+        if not drained_at_start or not ready:
+            return False
+        events.note(
+            "heartbeat unconfirmed",
+            instance=heartbeat.instance_id,
+            sequence=heartbeat.sequence,
+        )
+        return True
+
     def _started_earlier(self, started_ms: int) -> bool:
         """Returns whether a process started before the current one."""
         return 0 < started_ms < self._started_ms
--- a/merlintrestle/platform/health.py
+++ b/merlintrestle/platform/health.py
@@ -17,14 +17,13 @@
 _PATH = "/health"
 # Id of the backend server process, which the platform calls an instance.
 _INSTANCE_HEADER = "X-Served-By"
-# Running calls, waiting calls and slots, separated by commas. Further figures
-# may follow.
+# Running calls, waiting calls, slots and perhaps more, separated by commas.
 _LOAD_HEADER = "X-Server-Load"
 _SLOTS_INDEX = 2
 # A backend server without a free slot responds later. The daemon then uses the
 # next heartbeat, which contains the same status and arrives in 1 to 2 seconds.
 _TIMEOUT_S = 0.5
-_OK = 200
+_STATES = {200: control_pb2.READY, 503: control_pb2.DRAINING}
 
 
 async def check_backend(
@@ -54,7 +53,8 @@
     """Returns a valid status as a heartbeat older than all others, or None."""
     instance_id = response.headers.get(_INSTANCE_HEADER, "")
     load = response.headers.get(_LOAD_HEADER, "").split(",")
-    if response.status != _OK or not instance_id or len(load) <= _SLOTS_INDEX:
+    known = response.status in _STATES and instance_id
+    if not known or len(load) <= _SLOTS_INDEX:
         return None
     slots = load[_SLOTS_INDEX].strip()
     if not (slots.isascii() and slots.isdecimal() and int(slots)):
@@ -64,7 +64,7 @@
         service=settings.service,
         address=str(settings.backend),
         slots=int(slots),
-        state=control_pb2.READY,
+        state=_STATES[response.status],
         remaining_warmup_s=0.0,
         sequence=heartbeats.INITIAL_SEQUENCE,
     )
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -52,6 +52,7 @@
         rate_limit: Requests per second that it states to accept from all
             daemons together, as text; empty: no limit.
         leaving: Whether its answers state that it leaves.
+        healthy: Whether its health checks succeed.
         arrivals: The requests that arrived, in order.
     """
 
@@ -76,6 +77,7 @@
         )
         self.rate_limit = ""
         self.leaving = False
+        self.healthy = True
         self.arrivals: list[Arrival] = []
         self._sequence = 0
         self._runner: web.AppRunner | None = None
@@ -190,7 +192,7 @@
 
     def _answer_health_check(self) -> web.Response:
         return web.Response(
-            status=503 if self.rejects_requests else 200,
+            status=200 if self.healthy and not self.rejects_requests else 503,
             headers={
                 "X-Served-By": self.instance_id,
                 "X-Server-Load": f"0,0,{self.slots}",
--- a/tests/daemon/test_heartbeats.py
+++ b/tests/daemon/test_heartbeats.py
@@ -10,14 +10,17 @@
 
 
 def _build_heartbeat(
-    instance_id: str = "i-1", sequence: float = 1, started_ms: int = 0
+    instance_id: str = "i-1",
+    sequence: float = 1,
+    started_ms: int = 0,
+    state: control_pb2.BackendState = control_pb2.READY,
 ) -> heartbeats.Heartbeat:
     return heartbeats.Heartbeat(
         instance_id=instance_id,
         service="kassa",
         address="127.0.0.1:1",
         slots=12,
-        state=control_pb2.READY,
+        state=state,
         remaining_warmup_s=0.0,
         sequence=sequence,
         started_ms=started_ms,
@@ -39,6 +42,32 @@
         self.assertTrue(self.filter.accept(_build_heartbeat("i-1", 1, 2000)))
         self.assertTrue(self.filter.accept(_build_heartbeat("i-1", 2, 2000)))
 
+    def test_a_late_heartbeat_after_a_restart_of_the_daemon(self) -> None:
+        """Guards against calls to a process that left before the restart."""
+        drained = _build_heartbeat(
+            sequence=heartbeats.INITIAL_SEQUENCE, state=control_pb2.DRAINING
+        )
+        self.assertTrue(self.filter.accept(drained))
+        self.assertFalse(self.filter.accept(_build_heartbeat(sequence=7)))
+        self.assertFalse(self.filter.accept(_build_heartbeat(sequence=6)))
+
+    def test_a_sound_process_whose_status_was_bad(self) -> None:
+        """Guards against a sound process that gets no calls any more."""
+        drained = _build_heartbeat(
+            sequence=heartbeats.INITIAL_SEQUENCE, state=control_pb2.DRAINING
+        )
+        self.filter.accept(drained)
+        self.filter.accept(_build_heartbeat(sequence=7))
+        self.assertTrue(self.filter.accept(_build_heartbeat(sequence=8)))
+
+    def test_another_process_after_a_bad_status(self) -> None:
+        """Guards against a new process that has to wait for its calls."""
+        drained = _build_heartbeat(
+            sequence=heartbeats.INITIAL_SEQUENCE, state=control_pb2.DRAINING
+        )
+        self.filter.accept(drained)
+        self.assertTrue(self.filter.accept(_build_heartbeat("i-2")))
+
     def test_a_late_heartbeat_from_before_a_restart(self) -> None:
         self.filter.accept(_build_heartbeat("i-1", 400, 1000))
         self.filter.accept(_build_heartbeat("i-1", 1, 2000))
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -34,6 +34,23 @@
         await self.fleet.wait_until_served(1)
         await self.fleet.wait_until_served(0)
 
+    async def test_a_restart_after_a_leave_and_a_late_heartbeat(self) -> None:
+        """Guards against calls to a backend server that left before a kill."""
+        daemon, backend = self.balie_daemon, self.balie_daemon.backend
+        self.assertEqual(
+            await backend.send_leave(daemon.heartbeat_address), 200
+        )
+        backend.healthy = False
+        daemon.send_signal(signal.SIGKILL)
+        await daemon.wait()
+        await daemon.start()
+        await self.fleet.wait_for_readiness(daemon)
+        await backend.send_heartbeat(daemon.heartbeat_address)
+        served = len(backend.executed_attempts)
+        for index in (0, 1):
+            self.assertNotEqual(await self.fleet.send(index), 200)
+        self.assertEqual(len(backend.executed_attempts), served)
+
     async def test_calls_of_other_daemons_are_served_during_a_planned_stop(
         self,
     ) -> None:
