--- a/merlintrestle/platform/health.py
+++ b/merlintrestle/platform/health.py
@@ -31,8 +31,7 @@
 ) -> heartbeats.Heartbeat | None:
     """Returns the backend server's status as a heartbeat, if available.
 
-    Without it, a daemon that restarts while its backend server is running would
-    refuse that server's calls until the next heartbeat.
+    Without it, a restarted daemon would refuse calls until the next heartbeat.
     """
     try:
         async with (
@@ -53,11 +52,12 @@
     """Returns a valid status as a heartbeat older than all others, or None."""
     instance_id = response.headers.get(_INSTANCE_HEADER, "")
     load = response.headers.get(_LOAD_HEADER, "").split(",")
-    known = response.status in _STATES and instance_id
-    if not known or len(load) <= _SLOTS_INDEX:
+    # A full backend server rejects the check like any other request.
+    if "X-Not-Executed" in response.headers or len(load) <= _SLOTS_INDEX:
         return None
     slots = load[_SLOTS_INDEX].strip()
-    if not (slots.isascii() and slots.isdecimal() and int(slots)):
+    has_slots = slots.isascii() and slots.isdecimal() and int(slots)
+    if not has_slots or not instance_id or response.status not in _STATES:
         return None
     return heartbeats.Heartbeat(
         instance_id=instance_id,
