--- a/merlintrestle/documents/snapshot.py
+++ b/merlintrestle/documents/snapshot.py
@@ -227,8 +227,6 @@
         host_routes: Host routes by host, longest prefix first.
         limits: Limits for the requests of callers; None if not specified.
         workspaces: Workspaces by name.
-        requires_api_keys: Whether requests need an API key unless their route
-            is anonymous. If there are no workspaces, no key is known.
     """
 
     def __init__(
@@ -270,9 +268,6 @@
         }
         self.limits = limits
         self.workspaces = workspaces or {}
-        self.requires_api_keys = (
-            bool(self.workspaces) or API_KEYS_RESOURCE in resources
-        )
         self._workspaces_by_key: Mapping[bytes, Workspace]
         if base is not None and base.workspaces is self.workspaces:
             self._workspaces_by_key = base._workspaces_by_key
@@ -287,6 +282,14 @@
         self.parsed_resources = parsed_resources or {}
         self.digest = digest or compute_digest(version, resources)
 
+    @property
+    def requires_api_keys(self) -> bool:
+        """True if requests need an API key unless their route is anonymous.
+
+        If there are no workspaces, no key is known.
+        """
+        return bool(self.workspaces) or API_KEYS_RESOURCE in self.resources
+
     def find_host_route(self, host: str, path: str) -> HostRoute | None:
         """Returns the route with the longest prefix that matches a path.
 
