Name where a request during a drain comes from

Two flags in a row told a decision apart; an enum does now. The log lines "served while stopping" and "refused while stopping" have the field `origin` in place of `nested`. No decision changes.

--- a/merlintrestle/requests/serving/drains.py
+++ b/merlintrestle/requests/serving/drains.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from typing import TYPE_CHECKING
 
 from merlintrestle import events as event_logs
@@ -23,6 +24,19 @@
 events = event_logs.EventLog("requests")
 
 
+class _Origin(enum.Enum):
+    """What a request that is decided on during the drain comes from."""
+
+    # A caller; it is new work.
+    NEW = "new"
+    # A caller, or the local backend server while it runs a call.
+    MAYBE_NESTED = "maybe nested"
+    # The local backend server while it runs a call.
+    NESTED = "nested"
+    # A caller, before the drain or this far into it.
+    ACCEPTED = "accepted"
+
+
 class DrainAdmission:
     """Refuses requests that a draining daemon could not answer in time."""
 
@@ -63,27 +77,17 @@
         if not self._state.draining:
             return None
         metadata = dialects.read_metadata(self._dialect, request)
-        stated = dialects.classify_nesting(
-            self._dialect, request, active_snapshot.requires_api_keys
-        )
-        running_calls = self._list_running_calls()
-        nested = stated is nesting.Nesting.NESTED or (
-            stated is nesting.Nesting.UNKNOWN
-            and nesting.shares_deadline(
-                running_calls, arrived_at, metadata.timeout_ms
-            )
-        )
-        may_be_nested = nested or (
-            stated is nesting.Nesting.UNKNOWN and bool(running_calls)
-        )
         timeout_s = plan.deadline_s
         if metadata.timeout_ms is not None:
             timeout_s = min(timeout_s, metadata.timeout_ms / 1000)
         remaining_s = arrived_at + timeout_s - self._get_time()
-        starts = may_be_nested and self._may_start(plan, remaining_s, nested)
-        return self._decide(
-            starts, metadata.request_id, remaining_s, nested, may_be_nested
+        origin = self._find_origin(
+            request, active_snapshot, arrived_at, metadata.timeout_ms
+        )
+        starts = origin is not _Origin.NEW and self._may_start(
+            plan, remaining_s, owed=origin is _Origin.NESTED
         )
+        return self._decide(starts, metadata.request_id, remaining_s, origin)
 
     def check_call(self, call: calls.Call) -> outcomes.NotRun | None:
         """Returns the refusal of an accepted call that was not sent yet.
@@ -96,7 +100,29 @@
         remaining_s = call.deadline - self._get_time()
         if self._may_start(call.plan, remaining_s, owed=True):
             return None
-        return self._decide(False, call.request_id, remaining_s, True, True)
+        return self._decide(
+            False, call.request_id, remaining_s, _Origin.ACCEPTED
+        )
+
+    def _find_origin(
+        self,
+        request: web.BaseRequest,
+        active_snapshot: snapshot.Snapshot,
+        arrived_at: float,
+        timeout_ms: int | None,
+    ) -> _Origin:
+        """Returns whether a request is nested, by all that is known."""
+        stated = dialects.classify_nesting(
+            self._dialect, request, active_snapshot.requires_api_keys
+        )
+        if stated is nesting.Nesting.NESTED:
+            return _Origin.NESTED
+        running_calls = self._list_running_calls()
+        if stated is nesting.Nesting.NONE or not running_calls:
+            return _Origin.NEW
+        if nesting.shares_deadline(running_calls, arrived_at, timeout_ms):
+            return _Origin.NESTED
+        return _Origin.MAYBE_NESTED
 
     def _may_start(
         self, plan: snapshot.ClassPlan, remaining_s: float, owed: bool
@@ -109,18 +135,13 @@
         return self._state.drain_ends_at - self._get_time()
 
     def _decide(
-        self,
-        starts: bool,
-        request_id: str,
-        remaining_s: float,
-        nested: bool,
-        may_be_nested: bool,
+        self, starts: bool, request_id: str, remaining_s: float, origin: _Origin
     ) -> outcomes.NotRun | None:
         """Logs a decision and returns the refusal, if it is one."""
         events.note(
             "served while stopping" if starts else "refused while stopping",
             request=request_id,
-            nested="yes" if nested else "maybe" if may_be_nested else "no",
+            origin=origin.value,
             left_ms=round(remaining_s * 1000),
             drain_left_ms=round(self._get_drain_left_s() * 1000),
         )
