--- a/merlintrestle/requests/load/drain_admission.py
+++ b/merlintrestle/requests/load/drain_admission.py
@@ -14,7 +14,7 @@
 
 # Time that is reserved for writing the last answers, in seconds.
 _FLUSH_S = 0.1
-# Most calls end within this fraction of their latency target.
+# Fraction of its latency target within which a call is expected to end.
 _TYPICAL_LATENCY_FRACTION = 0.5
 
 
