--- a/merlintrestle/requests/serving/drains.py
+++ b/merlintrestle/requests/serving/drains.py
@@ -25,7 +25,7 @@
 
 
 class _Origin(enum.Enum):
-    """What a request that is decided on during the drain comes from."""
+    """Where a request comes from, as far as known during the drain."""
 
     # A caller; it is new work.
     NEW = "new"
@@ -33,7 +33,7 @@
     MAYBE_NESTED = "maybe nested"
     # The local backend server while it runs a call.
     NESTED = "nested"
-    # A caller, before the drain or this far into it.
+    # A caller; it was accepted, and is decided on again before it is sent.
     ACCEPTED = "accepted"
 
 
