Log the status at the start, each leave and each heartbeat not applied

With these lines and the count of heartbeats by result the hypotheses of the incident can be told apart. No decision changes.

--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+import prometheus_client
+
 from merlintrestle import events as event_logs
 from merlintrestle.schema import control_pb2
 
@@ -15,6 +17,12 @@
 # Maximum number of retired processes of the backend server that are stored.
 _MAX_RETIRED_PROCESSES = 64
 
+_heartbeats_counter = prometheus_client.Counter(
+    "merlintrestle_heartbeats",
+    "Heartbeats of the backend server, by what became of them.",
+    ("result",),
+)
+
 
 class Heartbeat(NamedTuple):
     """State of a backend server, which it sends periodically.
@@ -88,14 +96,14 @@
         """Records a heartbeat; returns False if it must not be applied."""
         retired_ms = self._retired.get(heartbeat.instance_id)
         if retired_ms is not None and heartbeat.started_ms <= retired_ms:
-            return False
+            return self._reject(heartbeat, "its process is retired")
         if self._started_earlier(heartbeat.started_ms):
-            return False
+            return self._reject(heartbeat, "its process started earlier")
         is_current = self._is_current(
             heartbeat.instance_id, heartbeat.started_ms
         )
         if is_current and heartbeat.sequence <= self._sequence:
-            return False
+            return self._reject(heartbeat, "it is out of order")
         if heartbeat.instance_id != self._instance_id:
             # Before the first heartbeat, the current id is empty.
             self._mark_retired(self._instance_id, self._started_ms)
@@ -104,7 +112,10 @@
         # A heartbeat without a start time keeps the known one of its process.
         self._started_ms = heartbeat.started_ms or self._started_ms
         self._sequence = heartbeat.sequence
-        return not self._contradicts_start(heartbeat, is_current)
+        if self._contradicts_start(heartbeat, is_current):
+            return self._reject(heartbeat, "it contradicts the initial status")
+        _heartbeats_counter.labels("applied").inc()
+        return True
 
     def retire(self, instance_id: str, started_ms: int = 0) -> bool:
         """Retires a process, which accepts no new calls from now on.
@@ -122,11 +133,23 @@
             server: the process is the current one, or none is current. False
             if another process, or a later one with the same id, is current.
         """
-        if instance_id != self._instance_id:
+        current = self._instance_id
+        if instance_id != current:
             self._mark_retired(instance_id, started_ms)
-            return not self._instance_id
-        self._mark_retired(instance_id, started_ms or self._started_ms)
-        return not self._started_earlier(started_ms)
+            applies = not current
+        else:
+            self._mark_retired(instance_id, started_ms or self._started_ms)
+            applies = not self._started_earlier(started_ms)
+        events.note(
+            "process retired",
+            instance=instance_id,
+            started_ms=started_ms,
+            current=current,
+            current_started_ms=self._started_ms,
+            sequence=self._sequence,
+            applies=applies,
+        )
+        return applies
 
     def _contradicts_start(
         self, heartbeat: Heartbeat, is_current: bool
@@ -137,14 +160,23 @@
         self._drained_at_start = (
             heartbeat.sequence == INITIAL_SEQUENCE and not ready
         )
-        if not drained_at_start or not ready:
-            return False
+        return drained_at_start and ready
+
+    def _reject(self, heartbeat: Heartbeat, reason: str) -> bool:
+        """Logs and counts a heartbeat that is not applied; returns False."""
+        _heartbeats_counter.labels(reason).inc()
         events.note(
-            "heartbeat unconfirmed",
+            "heartbeat not applied",
+            reason=reason,
             instance=heartbeat.instance_id,
+            started_ms=heartbeat.started_ms,
             sequence=heartbeat.sequence,
+            state=control_pb2.BackendState.Name(heartbeat.state).lower(),
+            current=self._instance_id,
+            current_started_ms=self._started_ms,
+            current_sequence=self._sequence,
         )
-        return True
+        return False
 
     def _started_earlier(self, started_ms: int) -> bool:
         """Returns whether a process started before the current one."""
--- a/merlintrestle/requests/backend.py
+++ b/merlintrestle/requests/backend.py
@@ -194,6 +194,7 @@
             "backend server changed",
             service=self.service,
             instance=self.instance_id,
+            started_ms=self.started_ms,
             address=self.address,
             slots=self.slots,
             version=self.version,
