Retire all processes of a leave that states no start

A daemon that has just restarted knows its backend server by the status check alone, which states no start. A leave states none either, so the process was retired with start 0. A late heartbeat does state one, and counted as that of a later process under the same id: the server that leaves got calls until it ended.

A process whose start is unknown is retired with the time of the leave: a heartbeat from before the leave states an earlier start, a process that starts again under the id a later one. So it gets its calls with its first heartbeat.

--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+import time
+from typing import NamedTuple, TYPE_CHECKING
 
 import prometheus_client
 
 from merlintrestle import events as event_logs
 from merlintrestle.schema import control_pb2
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 events = event_logs.EventLog("daemon")
 
 # Sequence number of the state that a daemon reads from the health endpoint of
@@ -70,21 +74,32 @@
     as heartbeats of the new one. Therefore a process is identified by its id
     and its start time.
 
+    A leave may state no start time. If no heartbeat has stated it either, as
+    the daemon has just restarted, a late heartbeat would look like one of a
+    later process. Therefore every process with this id that was running at the
+    time of the leave is retired.
+
     A restarted daemon does not know that the process is retired. If the status
     at its start said that the process accepts no calls, a single heartbeat that
     says otherwise may be a late one, and is not applied. A process that accepts
     calls sends the next one soon.
     """
 
-    def __init__(self) -> None:
-        """Initializes the filter without a known process."""
+    def __init__(self, get_time: Callable[[], float] = time.time) -> None:
+        """Initializes the filter without a known process.
+
+        Args:
+            get_time: Returns the time in seconds since 1970.
+        """
+        self._get_time = get_time
         self._instance_id = ""
         self._started_ms = 0
         self._sequence = INITIAL_SEQUENCE
         # Whether the latest status or heartbeat is the one at the start, which
         # said that the process accepts no calls.
         self._drained_at_start = False
-        # Latest start time of a retired process by id, in ms since 1970.
+        # Latest start time of a retired process by id, in ms since 1970; the
+        # time of its leave if the start is unknown.
         self._retired: dict[str, int] = {}
 
     @property
@@ -135,15 +150,17 @@
         """
         current = self._instance_id
         if instance_id != current:
-            self._mark_retired(instance_id, started_ms)
             applies = not current
         else:
-            self._mark_retired(instance_id, started_ms or self._started_ms)
             applies = not self._started_earlier(started_ms)
+            started_ms = started_ms or self._started_ms
+        retired_ms = started_ms or int(self._get_time() * 1000)
+        self._mark_retired(instance_id, retired_ms)
         events.note(
             "process retired",
             instance=instance_id,
             started_ms=started_ms,
+            retired_ms=retired_ms,
             current=current,
             current_started_ms=self._started_ms,
             sequence=self._sequence,
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -54,6 +54,8 @@
         leaving: Whether its answers state that it leaves.
         healthy: Whether its health checks succeed.
         arrivals: The requests that arrived, in order.
+        started_ms: Start of its process, which its heartbeats state, in ms
+            since 1970; 0: they do not state it. A leave never does.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self.leaving = False
         self.healthy = True
         self.arrivals: list[Arrival] = []
+        self.started_ms = 0
         self._sequence = 0
         self._runner: web.AppRunner | None = None
 
@@ -123,7 +126,7 @@
             Status of the answer.
         """
         self._sequence += 1
-        body = {
+        body: dict[str, object] = {
             "service": self.service,
             "address": f"{process.HOST}:{self.port}",
             "zone": self.zone,
@@ -133,6 +136,8 @@
             "coldRemainingMs": 0,
             "seq": self._sequence if sequence is None else sequence,
         }
+        if self.started_ms:
+            body["born"] = self.started_ms
         path = f"/merlintrestle/Instances.Heartbeat/{self.instance_id}"
         return await _post(f"http://{heartbeat_address}{path}", body)
 
--- a/tests/daemon/test_heartbeats.py
+++ b/tests/daemon/test_heartbeats.py
@@ -116,6 +116,33 @@
         self.assertTrue(self.filter.accept(_build_heartbeat("i-2", 1)))
         self.assertFalse(self.filter.accept(_build_heartbeat("i-1", 3)))
 
+    def test_a_leave_before_the_first_heartbeat(self) -> None:
+        """Guards against calls to a process that left after a restart."""
+        for initial_state in ("none", "ready"):
+            with self.subTest(initial_state=initial_state):
+                self.filter = heartbeats.HeartbeatFilter(lambda: 5.0)
+                if initial_state == "ready":
+                    self.filter.accept(
+                        _build_heartbeat("i-1", heartbeats.INITIAL_SEQUENCE)
+                    )
+                self.assertTrue(self.filter.retire("i-1"))
+                late = _build_heartbeat("i-1", 7, 1000)
+                self.assertFalse(self.filter.accept(late))
+
+    def test_a_process_after_a_leave_before_the_first_heartbeat(self) -> None:
+        """Guards against a restarted process that gets no calls."""
+        self.filter = heartbeats.HeartbeatFilter(lambda: 5.0)
+        self.assertTrue(self.filter.retire("i-1"))
+        self.assertTrue(self.filter.accept(_build_heartbeat("i-1", 1, 5001)))
+
+    def test_a_leave_while_an_earlier_process_seems_current(self) -> None:
+        """Guards against calls to a process whose address was reused."""
+        self.filter = heartbeats.HeartbeatFilter(lambda: 5.0)
+        self.filter.accept(_build_heartbeat("i-1", heartbeats.INITIAL_SEQUENCE))
+        self.filter.accept(_build_heartbeat("i-0", 40, 1000))
+        self.filter.retire("i-1")
+        self.assertFalse(self.filter.accept(_build_heartbeat("i-1", 7, 2000)))
+
 
 class RestartTest(unittest.TestCase):
     """Tests that `LocalBackend` resets its state when a process restarts."""
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 import unittest
 
 from tests.platform import processes
@@ -41,11 +42,32 @@
             await backend.send_leave(daemon.heartbeat_address), 200
         )
         backend.healthy = False
-        daemon.send_signal(signal.SIGKILL)
-        await daemon.wait()
-        await daemon.start()
-        await self.fleet.wait_for_readiness(daemon)
+        await self.restart_balie_daemon()
         await backend.send_heartbeat(daemon.heartbeat_address)
+        await self.check_not_called()
+
+    async def test_a_leave_after_a_restart_and_a_late_heartbeat(self) -> None:
+        """Guards against calls to a backend server that left after a kill."""
+        daemon, backend = self.balie_daemon, self.balie_daemon.backend
+        backend.started_ms = int(time.time() * 1000) - 60_000
+        await backend.send_heartbeat(daemon.heartbeat_address)
+        await self.restart_balie_daemon()
+        self.assertEqual(
+            await backend.send_leave(daemon.heartbeat_address), 200
+        )
+        await backend.send_heartbeat(daemon.heartbeat_address)
+        await self.check_not_called()
+
+    async def restart_balie_daemon(self) -> None:
+        """Kills the daemon of balie and starts it."""
+        self.balie_daemon.send_signal(signal.SIGKILL)
+        await self.balie_daemon.wait()
+        await self.balie_daemon.start()
+        await self.fleet.wait_for_readiness(self.balie_daemon)
+
+    async def check_not_called(self) -> None:
+        """Checks that no request reaches the backend server of balie."""
+        backend = self.balie_daemon.backend
         served = len(backend.executed_attempts)
         for index in (0, 1):
             self.assertNotEqual(await self.fleet.send(index), 200)
