Record confirmed leaves in the store and read them at the start

Callers' requests reach a backend server that has left: its daemon confirms the leave, is killed and starts again. That the process has left was kept in the memory of the daemon only (a promise that ends with the process that gave it).

A leave, and the first heartbeat that says that the process drains, are written to the store before they are confirmed, and a daemon reads them at its start, beside the status check. A record names the process by id and start, and a drain by the sequence number too, so that a process that starts again, or accepts calls again, is not affected. If the store does not answer within 0.6 s the leave is confirmed all the same and recorded later: the servers wait for one second, and an outage would leave all of them without a confirmation. Two calls to the store a leave, one a start of a daemon.

Heartbeats, leaves and records are in a module of their own, which the tests of all orders use without a daemon.

test_a_leave_outlasts_a_restart_and_a_false_status (real processes, SIGKILL right after the confirmation, drain and leave) fails on and on, and passes now. Over 300 orders of leave, drain, restart with each status, late heartbeats and restarts of the process no confirmed leave is forgotten, and a sound process gets calls after two heartbeats.

--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import NamedTuple, TYPE_CHECKING
 
@@ -18,6 +19,8 @@
 # Sequence number of the state that a daemon reads from the health endpoint of
 # its backend server at the start; less than that of any heartbeat.
 INITIAL_SEQUENCE = -1.0
+# Sequence number of a leave; higher than that of any heartbeat.
+LEFT = math.inf
 # Maximum number of retired processes of the backend server that are stored.
 _MAX_RETIRED_PROCESSES = 64
 
@@ -59,6 +62,23 @@
     version: str = ""
 
 
+class Process(NamedTuple):
+    """A process of the backend server, as far as it is known.
+
+    Attributes:
+        instance_id: Its id.
+        started_ms: Its start, in ms since 1970; 0: not announced. If its leave
+            does not state it and no heartbeat has, the time of the leave: later
+            processes with the same id have started since.
+        sequence: Sequence number of its latest heartbeat; `LEFT` after its
+            leave, which no heartbeat follows.
+    """
+
+    instance_id: str
+    started_ms: int
+    sequence: float
+
+
 class HeartbeatFilter:
     """Rejects outdated heartbeats.
 
@@ -79,10 +99,10 @@
     later process. Therefore every process with this id that was running at the
     time of the leave is retired.
 
-    A restarted daemon does not know that the process is retired. If the status
-    at its start said that the process accepts no calls, a single heartbeat that
-    says otherwise may be a late one, and is not applied. A process that accepts
-    calls sends the next one soon.
+    A restarted daemon knows that a process is retired from `leave_records`, if
+    the store answers. If the status at its start said that the process accepts
+    no calls, a single heartbeat that says otherwise may be a late one, and is
+    not applied. A process that accepts calls sends the next one soon.
     """
 
     def __init__(self, get_time: Callable[[], float] = time.time) -> None:
@@ -103,9 +123,39 @@
         self._retired: dict[str, int] = {}
 
     @property
-    def has_seen_backend(self) -> bool:
-        """Whether a process has sent a heartbeat or was retired."""
-        return bool(self._instance_id or self._retired)
+    def has_current_process(self) -> bool:
+        """Whether the status or a heartbeat of a process was accepted."""
+        return bool(self._instance_id)
+
+    def get_process(self, instance_id: str) -> Process:
+        """Returns what is known of a process.
+
+        Args:
+            instance_id: Id of a retired process, or of the current one.
+        """
+        retired_ms = self._retired.get(instance_id)
+        if retired_ms is not None:
+            return Process(instance_id, retired_ms, LEFT)
+        return Process(instance_id, self._started_ms, self._sequence)
+
+    def restore(self, process: Process) -> bool:
+        """Restores what was known of a process that drains or has left.
+
+        Returns:
+            Whether the daemon must stop sending new calls to its backend
+            server.
+        """
+        if process.sequence == LEFT:
+            return self.retire(process.instance_id, process.started_ms)
+        is_current = self._is_current(process.instance_id, process.started_ms)
+        if self._instance_id and not is_current:
+            return False
+        if process.sequence <= self._sequence:
+            return False
+        self._instance_id = process.instance_id
+        self._started_ms = process.started_ms or self._started_ms
+        self._sequence = process.sequence
+        return True
 
     def accept(self, heartbeat: Heartbeat) -> bool:
         """Records a heartbeat; returns False if it must not be applied."""
--- /dev/null
+++ b/merlintrestle/daemon/leave_records.py
@@ -0,0 +1,145 @@
+"""Records in the store of backend server processes that leave."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+from typing import TYPE_CHECKING
+
+from google.protobuf import message
+
+from merlintrestle import errors
+from merlintrestle import events as event_logs
+from merlintrestle.daemon import heartbeats
+from merlintrestle.members import timing as timings
+from merlintrestle.schema import control_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from merlintrestle.store import client
+
+events = event_logs.EventLog("daemon")
+
+_PREFIX = "leaves/"
+# Lifetime of a record, in seconds. A process that leaves ends within a minute.
+_TTL_S = 600
+# Maximum delay of a confirmation by the write of its record, in seconds. A
+# backend server waits one second for the confirmation.
+WRITE_TIMEOUT_S = 0.6
+# Maximum wait for the records at the start of the daemon, in seconds.
+READ_TIMEOUT_S = 0.5
+# Bounds of the delay before the store is called again, in seconds.
+_FIRST_RETRY_DELAY_S = 0.5
+_MAX_RETRY_DELAY_S = 4.0
+# Maximum number of records that are read at the start.
+_MAX_RECORDS = 100
+
+
+class LeaveRecords:
+    """Records of the processes beside this daemon that drain or have left.
+
+    A confirmed leave binds the daemon until the process ends, also after a
+    restart, when its memory is lost. Neither the health of the process nor its
+    heartbeats can replace the record: the health may be reported falsely, and a
+    heartbeat from before the leave may arrive after the restart.
+    """
+
+    def __init__(self, store: client.StoreClient, address: str):
+        """Sets the store and the address of the backend server, "ip:port"."""
+        self._store = store
+        self._prefix = f"{_PREFIX}{address}/"
+        # Ids and starts of the processes with a record.
+        self._recorded: set[tuple[str, int]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(
+        self, on_leaving: Callable[[heartbeats.Process], None]
+    ) -> None:
+        """Reads the records, waiting at most `READ_TIMEOUT_S`.
+
+        If the store does not answer in time, they are read in the background.
+
+        Args:
+            on_leaving: Called with each recorded process.
+        """
+        await self._run(lambda: self._read(on_leaving), READ_TIMEOUT_S)
+
+    async def close(self) -> None:
+        """Cancels the calls to the store that are still in progress."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def write(self, process: heartbeats.Process) -> None:
+        """Records that a process leaves, waiting at most `WRITE_TIMEOUT_S`.
+
+        If the store does not answer in time, the process is recorded in the
+        background, and a restart of the daemon until then may forget the leave.
+        """
+        identity = (process.instance_id, process.started_ms)
+        if identity in self._recorded:
+            return
+        self._recorded.add(identity)
+        await self._run(lambda: self._write(process), WRITE_TIMEOUT_S)
+
+    def expire(self, process: heartbeats.Process) -> None:
+        """Allows another record of a process that accepts calls again."""
+        self._recorded.discard((process.instance_id, process.started_ms))
+
+    async def _run(
+        self,
+        call_store: Callable[[], Coroutine[None, None, None]],
+        timeout_s: float,
+    ) -> None:
+        """Calls the store until it answers, waiting for that up to a limit."""
+        task = asyncio.create_task(_retry(call_store))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await asyncio.shield(task)
+
+    async def _read(
+        self, on_leaving: Callable[[heartbeats.Process], None]
+    ) -> None:
+        entries = await self._store.list(self._prefix, limit=_MAX_RECORDS)
+        for process in filter(None, map(_parse_entry, entries)):
+            events.note("leave restored", **process._asdict())
+            self._recorded.add((process.instance_id, process.started_ms))
+            on_leaving(process)
+
+    async def _write(self, process: heartbeats.Process) -> None:
+        lease_id = await self._store.grant_lease(_TTL_S)
+        record = control_pb2.LeavingProcess(**process._asdict())
+        value = record.SerializeToString(deterministic=True)
+        key = hashlib.blake2b(value, digest_size=8).hexdigest()
+        # If the key exists, an earlier write without an answer was done.
+        await self._store.put(self._prefix + key, value, 0, lease_id)
+        events.note("leave recorded", **process._asdict())
+
+
+async def _retry(
+    call_store: Callable[[], Coroutine[None, None, None]],
+) -> None:
+    backoff = timings.Backoff(_FIRST_RETRY_DELAY_S, _MAX_RETRY_DELAY_S)
+    while True:
+        try:
+            await call_store()
+            return
+        except errors.StoreError as error:
+            events.warn("leaves unavailable", error=str(error))
+        await asyncio.sleep(backoff.get_next_delay())
+
+
+def _parse_entry(entry: client.Entry) -> heartbeats.Process | None:
+    """Returns the recorded process; None if the entry is malformed."""
+    try:
+        record = control_pb2.LeavingProcess.FromString(entry.value)
+    except message.DecodeError as error:
+        events.warn("leave malformed", key=entry.key, error=str(error))
+        return None
+    return heartbeats.Process(
+        record.instance_id, record.started_ms, record.sequence
+    )
--- /dev/null
+++ b/merlintrestle/daemon/lifecycle.py
@@ -0,0 +1,109 @@
+"""Lifecycle of the backend server, as its heartbeats and leaves state it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from merlintrestle.daemon import heartbeats
+from merlintrestle.daemon import leave_records
+from merlintrestle.schema import control_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from merlintrestle.requests import backend as backends
+    from merlintrestle.store import client
+
+
+class BackendLifecycle:
+    """Applies heartbeats and leaves to the state of the backend server.
+
+    A heartbeat that says that a process drains, and a leave, are recorded in
+    the store before they are confirmed.
+    """
+
+    def __init__(
+        self,
+        backend: backends.LocalBackend,
+        store: client.StoreClient,
+        address: str,
+        get_time: Callable[[], float] = time.time,
+    ):
+        """Initializes the lifecycle without a known process.
+
+        Args:
+            backend: State of the backend server.
+            store: Holds the records of leaves.
+            address: Address of the backend server, "ip:port".
+            get_time: Returns the time in seconds since 1970.
+        """
+        self._backend = backend
+        self._filter = heartbeats.HeartbeatFilter(get_time)
+        self._records = leave_records.LeaveRecords(store, address)
+
+    async def restore(
+        self,
+        read_status: Callable[[], Awaitable[heartbeats.Heartbeat | None]],
+    ) -> None:
+        """Restores what is known of the backend server at the start.
+
+        Args:
+            read_status: Returns its present status as a heartbeat that is older
+                than all others; None if there is none.
+        """
+        status, _ = await asyncio.gather(
+            read_status(), self._records.start(self._restore_leaving)
+        )
+        if status is not None and not self._filter.has_current_process:
+            await self.handle_heartbeat(status)
+
+    async def close(self) -> None:
+        """Cancels the calls to the store that are still in progress."""
+        await self._records.close()
+
+    async def handle_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
+        """Applies a heartbeat unless it is outdated.
+
+        Once this returns, the heartbeat may be confirmed.
+        """
+        if not self._filter.accept(heartbeat):
+            return
+        self._backend.announce(
+            heartbeat.service,
+            heartbeat.address,
+            heartbeat.slots,
+            heartbeat.state,
+            heartbeat.instance_id,
+            heartbeat.remaining_warmup_s,
+            heartbeat.started_ms,
+            heartbeat.version,
+        )
+        process = self._filter.get_process(heartbeat.instance_id)
+        if heartbeat.state == control_pb2.READY:
+            self._records.expire(process)
+        elif heartbeat.sequence > heartbeats.INITIAL_SEQUENCE:
+            await self._records.write(process)
+
+    async def handle_leave(self, instance_id: str, started_ms: int = 0) -> None:
+        """Stops sending new calls to a process that shuts down.
+
+        Once this returns, the leave may be confirmed.
+
+        Args:
+            instance_id: Id of the process.
+            started_ms: Its start, in ms since 1970; 0: not announced.
+        """
+        self.retire(instance_id, started_ms)
+        await self._records.write(self._filter.get_process(instance_id))
+
+    def retire(self, instance_id: str, started_ms: int = 0) -> None:
+        """Stops sending new calls to a process, without a record of it."""
+        if self._filter.retire(instance_id, started_ms):
+            self._backend.retire()
+
+    def _restore_leaving(self, process: heartbeats.Process) -> None:
+        """Stops sending new calls to a process that left before the start."""
+        if self._filter.restore(process):
+            self._backend.retire()
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -10,7 +10,7 @@
 from merlintrestle import application
 from merlintrestle import events as event_logs
 from merlintrestle.daemon import admin
-from merlintrestle.daemon import heartbeats
+from merlintrestle.daemon import lifecycle
 from merlintrestle.daemon import metrics
 from merlintrestle.members import era_gossip
 from merlintrestle.members import membership as memberships
@@ -67,6 +67,8 @@
         read_before_contact: Whether to read versions from the store before a
             peer has answered.
         rollout_format: Format of the roll-out records in the store.
+        backend_address: Address of the backend server, "ip:port", if it sends
+            heartbeats.
     """
 
     store: Any
@@ -76,6 +78,7 @@
     use_witnesses: bool = True
     read_before_contact: bool = False
     rollout_format: storages.RecordFormat = storages.DefaultFormat()
+    backend_address: str = ""
 
 
 def build_native_components(store_address: str) -> Components:
@@ -98,6 +101,8 @@
 
     Attributes:
         freshness: How recently the active version was known to be the newest.
+        lifecycle: State of a backend server that sends heartbeats; set by
+            `start`.
     """
 
     def __init__(
@@ -108,7 +113,6 @@
         """Initializes the daemon without opening any port or connection."""
         super().__init__()
         self._components = components or build_native_components(settings.store)
-        self._heartbeat_filter = heartbeats.HeartbeatFilter()
         self._settings = settings_pb2.DaemonSettings()
         self._settings.CopyFrom(settings)
         self._active_version = active_versions.ActiveVersion()
@@ -139,6 +143,11 @@
             self._components.dialect,
             self._rollout_tracker,
         )
+        self.lifecycle = lifecycle.BackendLifecycle(
+            self._proxy.backend,
+            self._store,
+            self._components.backend_address,
+        )
         self._proxy.workspace_admission.freshness = self.freshness
         self._proxy.defer_caller_port = True
         await self.add_runtime_dependency(self._proxy)
@@ -195,37 +204,12 @@
         closed = bool(self._active_version.closed_reason)
         return self._started_serving and not self._stopping and not closed
 
-    @property
-    def has_seen_backend(self) -> bool:
-        """Whether a backend server has sent a heartbeat or was retired."""
-        return self._heartbeat_filter.has_seen_backend
-
-    def handle_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
-        """Applies a heartbeat of the backend server unless it is outdated."""
-        if not self._heartbeat_filter.accept(heartbeat):
-            return
-        self._proxy.backend.announce(
-            heartbeat.service,
-            heartbeat.address,
-            heartbeat.slots,
-            heartbeat.state,
-            heartbeat.instance_id,
-            heartbeat.remaining_warmup_s,
-            heartbeat.started_ms,
-            heartbeat.version,
-        )
-
-    def retire_backend(self, instance_id: str, started_ms: int = 0) -> None:
-        """Stops sending new calls to a backend server that shuts down."""
-        if self._heartbeat_filter.retire(instance_id, started_ms):
-            self._proxy.backend.retire()
-
     def _retire_leaving_backend(
         self, instance_id: str, started_ms: int
     ) -> None:
         """Stops sending new calls to a backend server whose answers say so."""
         if instance_id:
-            self.retire_backend(instance_id, started_ms)
+            self.lifecycle.retire(instance_id, started_ms)
         else:
             self._proxy.backend.retire()
 
@@ -260,6 +244,7 @@
         """Closes the control server and the store client."""
         events.note("ended", in_flight=self._proxy.in_flight)
         await self._control.close()
+        await self.lifecycle.close()
         await self._store.close()
 
     async def _start_control(self) -> None:
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -18,7 +18,7 @@
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from merlintrestle.platform import settings as settings_lib
 
@@ -44,8 +44,8 @@
         self,
         settings: settings_lib.Settings,
         is_ready: Callable[[], bool],
-        on_heartbeat: Callable[[heartbeats.Heartbeat], None],
-        on_leave: Callable[[str, int], None],
+        on_heartbeat: Callable[[heartbeats.Heartbeat], Awaitable[None]],
+        on_leave: Callable[[str, int], Awaitable[None]],
         knows_service: Callable[[str], bool],
         render_metrics: Callable[[], bytes],
     ):
@@ -54,9 +54,10 @@
         Args:
             settings: Settings with the addresses to listen on.
             is_ready: Returns whether callers may use this daemon.
-            on_heartbeat: Called with each heartbeat.
+            on_heartbeat: Called with each heartbeat before it is confirmed.
             on_leave: Called with the id of a process that accepts no new
-                calls, and its start, in ms since 1970; 0 if not stated.
+                calls, and its start, in ms since 1970 (0 if not stated), before
+                the leave is confirmed.
             knows_service: Returns whether a service is known.
             render_metrics: Returns the metrics in Prometheus text format.
         """
@@ -114,7 +115,7 @@
                 "heartbeat refused", instance=instance_id, error=str(error)
             )
             return web.json_response({}, status=400)
-        self._on_heartbeat(heartbeat)
+        await self._on_heartbeat(heartbeat)
         return web.json_response({})
 
     async def _handle_leave(self, request: web.Request) -> web.Response:
@@ -124,7 +125,7 @@
         except (errors.InvalidInputError, ValueError) as error:
             events.warn("leave refused", instance=instance_id, error=str(error))
             return web.json_response({}, status=400)
-        self._on_leave(instance_id, started_ms)
+        await self._on_leave(instance_id, started_ms)
         return web.json_response({})
 
     def _check_service(self, name: str) -> None:
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -47,6 +47,7 @@
                 use_witnesses=False,
                 read_before_contact=True,
                 rollout_format=rollouts.PLATFORM_FORMAT,
+                backend_address=str(settings.backend),
             ),
         )
 
@@ -79,15 +80,15 @@
         self._endpoints = endpoints.Endpoints(
             self._platform_settings,
             self.is_ready,
-            self.handle_heartbeat,
-            self.retire_backend,
+            self.lifecycle.handle_heartbeat,
+            self.lifecycle.handle_leave,
             self._knows_service,
             lambda: metrics.render_metrics(self.registry),
         )
         await self.add_runtime_dependency(self._endpoints)
-        heartbeat = await health.check_backend(self._platform_settings)
-        if heartbeat is not None and not self.has_seen_backend:
-            self.handle_heartbeat(heartbeat)
+        await self.lifecycle.restore(
+            lambda: health.check_backend(self._platform_settings)
+        )
 
     def _knows_service(self, name: str) -> bool:
         """Returns whether the settings or running version name a service."""
--- /dev/null
+++ b/tests/daemon/test_lifecycle.py
@@ -0,0 +1,243 @@
+"""Tests of what a daemon concludes of its backend server in any order."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from merlintrestle.daemon import heartbeats
+from merlintrestle.daemon import lifecycle
+from merlintrestle.requests import backend as backends
+from merlintrestle.schema import control_pb2
+from tests.store import fakes
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_ADDRESS = "127.0.0.1:1"
+_READY = control_pb2.READY
+_DRAINING = control_pb2.DRAINING
+# Restarts of the daemon, by the status that its check reads.
+_RESTARTS = {
+    "restart, ready": _READY,
+    "restart, draining": _DRAINING,
+    "restart, no status": None,
+}
+# Number of heartbeats after which a sound process must get calls.
+_SOUND_HEARTBEATS = 2
+_TEST_TIMEOUT_S = 20.0
+
+
+class _Instance:
+    """A daemon and the process of a backend server beside it.
+
+    Attributes:
+        backend: What the daemon concludes.
+        started_ms: Start of the process.
+        leaving: Whether the process has announced that it leaves.
+        store: The store of the daemon.
+    """
+
+    def __init__(self, states_start: bool, leave_states_start: bool):
+        self.store = fakes.FakeStore()
+        self.started_ms = 1000
+        self.leaving = False
+        self._now_s = 2.0
+        self._sequence = 0
+        self._sent: list[heartbeats.Heartbeat] = []
+        self._states_start = states_start
+        self._leave_states_start = leave_states_start
+        self._create_daemon()
+
+    async def apply(self, action: str) -> None:
+        """Applies an action of the process, the daemon or the network."""
+        self._now_s += 1.0
+        if action in _RESTARTS:
+            await self._restart(_RESTARTS[action])
+        elif action == "heartbeat":
+            await self.send_heartbeat()
+        elif action == "drain":
+            self.leaving = True
+            await self.send_heartbeat()
+        elif action == "leave":
+            self.leaving = True
+            started_ms = self.started_ms if self._leave_states_start else 0
+            await self._lifecycle.handle_leave("i-1", started_ms)
+        elif action == "process restart":
+            self.started_ms = int(self._now_s * 1000)
+            self._sequence = 0
+            self.leaving = False
+        elif action == "late heartbeat":
+            for heartbeat in self._sent[-1:]:
+                await self._lifecycle.handle_heartbeat(heartbeat)
+        elif action == "two late heartbeats":
+            for heartbeat in self._sent[-2:]:
+                await self._lifecycle.handle_heartbeat(heartbeat)
+
+    async def send_heartbeat(self) -> None:
+        """Sends the next heartbeat of the process."""
+        self._now_s += 1.0
+        self._sequence += 1
+        heartbeat = self._build_heartbeat(
+            self._sequence,
+            _DRAINING if self.leaving else _READY,
+            self.started_ms if self._states_start else 0,
+        )
+        if not self.leaving:
+            self._sent.append(heartbeat)
+        await self._lifecycle.handle_heartbeat(heartbeat)
+
+    async def close(self) -> None:
+        """Ends the daemon."""
+        await self._lifecycle.close()
+
+    def _create_daemon(self) -> None:
+        self.backend = backends.LocalBackend()
+        self._lifecycle = lifecycle.BackendLifecycle(
+            self.backend,
+            self.store,  # type: ignore[arg-type]
+            _ADDRESS,
+            lambda: self._now_s,
+        )
+
+    async def _restart(self, state: control_pb2.BackendState | None) -> None:
+        await self._lifecycle.close()
+        self._create_daemon()
+
+        async def read_status() -> heartbeats.Heartbeat | None:
+            if state is None:
+                return None
+            return self._build_heartbeat(heartbeats.INITIAL_SEQUENCE, state, 0)
+
+        await self._lifecycle.restore(read_status)
+
+    def _build_heartbeat(
+        self, sequence: float, state: control_pb2.BackendState, started_ms: int
+    ) -> heartbeats.Heartbeat:
+        return heartbeats.Heartbeat(
+            "i-1", "kassa", _ADDRESS, 12, state, 0.0, sequence, started_ms
+        )
+
+
+_ACTIONS = (
+    *_RESTARTS,
+    "heartbeat",
+    "late heartbeat",
+    "two late heartbeats",
+    "drain",
+    "leave",
+)
+
+
+class OrderTest(unittest.TestCase):
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(
+        strategies.lists(strategies.sampled_from(_ACTIONS), max_size=9),
+        strategies.booleans(),
+        strategies.booleans(),
+    )
+    def test_a_confirmed_leave_holds_in_any_order(
+        self, actions: Sequence[str], states_start: bool, leave_states: bool
+    ) -> None:
+        """Guards against calls to a process whose leave was confirmed."""
+        asyncio.run(self._check_leave(actions, states_start, leave_states))
+
+    async def _check_leave(
+        self, actions: Sequence[str], states_start: bool, leave_states: bool
+    ) -> None:
+        instance = _Instance(states_start, states_start and leave_states)
+        left = False
+        for action in actions:
+            if action == "heartbeat" and left:
+                continue
+            await instance.apply(action)
+            left = left or action == "leave"
+            if instance.leaving:
+                self.assertNotEqual(instance.backend.state, _READY, action)
+        await instance.close()
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from((*_ACTIONS, "process restart")), max_size=9
+        ),
+        strategies.booleans(),
+    )
+    def test_a_sound_process_gets_calls_after_any_order(
+        self, actions: Sequence[str], leave_states: bool
+    ) -> None:
+        """Guards against a process that starts again and gets no calls."""
+        asyncio.run(self._check_sound(actions, leave_states))
+
+    async def _check_sound(
+        self, actions: Sequence[str], leave_states: bool
+    ) -> None:
+        instance = _Instance(True, leave_states)
+        for action in (*actions, "process restart"):
+            await instance.apply(action)
+        for _ in range(_SOUND_HEARTBEATS):
+            await instance.send_heartbeat()
+        for action in ("late heartbeat", "two late heartbeats"):
+            await instance.apply(action)
+            self.assertEqual(instance.backend.state, _READY)
+            self.assertEqual(instance.backend.started_ms, instance.started_ms)
+        await instance.close()
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        timeout = asyncio.timeout(_TEST_TIMEOUT_S)
+        await self.enterAsyncContext(timeout)
+
+    async def test_a_leave_is_recorded_before_it_is_confirmed(self) -> None:
+        """Guards against a kill right after the confirmation."""
+        instance = _Instance(True, False)
+        await instance.apply("leave")
+        self.assertEqual(len(instance.store.entries), 1)
+        await instance.close()
+
+    async def test_one_record_for_each_process(self) -> None:
+        """Guards against a call to the store with each heartbeat."""
+        instance = _Instance(True, False)
+        for action in ("drain", "heartbeat", "heartbeat", "leave"):
+            await instance.apply(action)
+        self.assertEqual(instance.store.calls["put"], 1)
+        await instance.close()
+
+    async def test_a_leave_is_confirmed_without_the_store(self) -> None:
+        """Guards against a leave that no daemon confirms in an outage."""
+        instance = _Instance(True, False)
+        instance.store.down = True
+        await instance.apply("heartbeat")
+        await instance.apply("leave")
+        self.assertEqual(instance.backend.state, _DRAINING)
+        instance.store.down = False
+        while not instance.store.entries:
+            await asyncio.sleep(0.05)
+        await instance.close()
+
+    async def test_records_are_read_once_the_store_is_back(self) -> None:
+        """Guards against a leave that is forgotten after an outage."""
+        instance = _Instance(True, False)
+        await instance.apply("heartbeat")
+        await instance.apply("leave")
+        instance.store.down = True
+        await instance.apply("restart, ready")
+        instance.store.down = False
+        while instance.backend.state == _READY:
+            await asyncio.sleep(0.05)
+        await instance.apply("late heartbeat")
+        self.assertNotEqual(instance.backend.state, _READY)
+        await instance.close()
+
+    async def test_a_malformed_record_is_ignored(self) -> None:
+        """Guards against a daemon that does not start for another's entry."""
+        instance = _Instance(True, False)
+        await instance.store.put(f"leaves/{_ADDRESS}/x", b"\xff\xff", 0)
+        await instance.apply("restart, ready")
+        self.assertEqual(instance.backend.state, _READY)
+        await instance.close()
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -58,6 +58,28 @@
         await backend.send_heartbeat(daemon.heartbeat_address)
         await self.check_not_called()
 
+    async def test_a_leave_outlasts_a_restart_and_a_false_status(self) -> None:
+        """Guards against calls to a server whose status hides that it left."""
+        for announce in ("drain", "leave"):
+            with self.subTest(announce=announce):
+                daemon, backend = self.balie_daemon, self.balie_daemon.backend
+                backend.replace_process()
+                address = daemon.heartbeat_address
+                await backend.send_heartbeat(address)
+                await self.fleet.wait_until_served(1)
+                if announce == "drain":
+                    status = await backend.send_heartbeat(
+                        address, "draining", 1000
+                    )
+                else:
+                    status = await backend.send_leave(address)
+                self.assertEqual(status, 200)
+                await self.restart_balie_daemon()
+                await self.check_not_called()
+                for sequence in (1, 2):
+                    await backend.send_heartbeat(address, sequence=sequence)
+                await self.check_not_called()
+
     async def restart_balie_daemon(self) -> None:
         """Kills the daemon of balie and starts it."""
         self.balie_daemon.send_signal(signal.SIGKILL)
