Soak of leaves amid kills

Four daemons as processes, their backend servers leave by a drain or a leave alone while the daemons are killed up to twice, before, right after and later; heartbeats from before the leave arrive up to 3 s late, and the status hides the leave in half of the cases. Counted are requests that reach a server later than 1.5 s after the confirmation, and sound servers that get none.

--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -54,6 +54,7 @@
         leaving: Whether its answers state that it leaves.
         healthy: Whether its health checks succeed.
         arrivals: The requests that arrived, in order.
+        sequence: Sequence number of its latest heartbeat.
         started_ms: Start of its process, which its heartbeats state, in ms
             since 1970; 0: they do not state it. A leave never does.
     """
@@ -82,7 +83,7 @@
         self.healthy = True
         self.arrivals: list[Arrival] = []
         self.started_ms = 0
-        self._sequence = 0
+        self.sequence = 0
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -102,7 +103,7 @@
         self.instance_id = f"i-{next(_instance_numbers):08x}"
         self.rate_limit = ""
         self.leaving = False
-        self._sequence = 0
+        self.sequence = 0
 
     async def close(self) -> None:
         """Closes the port for calls."""
@@ -125,7 +126,7 @@
         Returns:
             Status of the answer.
         """
-        self._sequence += 1
+        self.sequence += 1
         body: dict[str, object] = {
             "service": self.service,
             "address": f"{process.HOST}:{self.port}",
@@ -134,7 +135,7 @@
             "slots": self.slots,
             "state": state,
             "coldRemainingMs": 0,
-            "seq": self._sequence if sequence is None else sequence,
+            "seq": self.sequence if sequence is None else sequence,
         }
         if self.started_ms:
             body["born"] = self.started_ms
--- a/tests/platform/soaking.py
+++ b/tests/platform/soaking.py
@@ -10,6 +10,7 @@
 import click
 
 from tests.platform import era_soak
+from tests.platform import leave_soak
 from tests.platform import maintenance_soak
 from tests.platform import notice_soak
 
@@ -17,17 +18,19 @@
     "maintenance": maintenance_soak.Soak,
     "notices": notice_soak.NoticeSoak,
     "eras": era_soak.EraSoak,
+    "leaves": leave_soak.LeaveSoak,
 }
 
 
 @click.command()
 @click.option(
     "--kind",
-    type=click.Choice(("maintenance", "notices", "eras")),
+    type=click.Choice(tuple(_SOAKS)),
     default="maintenance",
     show_default=True,
     help="notices: backend servers also limit their rate and leave by their"
-    " answers; eras: the store also comes back from older copies.",
+    " answers; eras: the store also comes back from older copies; leaves:"
+    " backend servers leave while daemons are killed.",
 )
 @click.option("--first", default=1, show_default=True, help="First seed.")
 @click.option(
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -5,12 +5,14 @@
 import unittest
 
 from tests.platform import era_soak
+from tests.platform import leave_soak
 from tests.platform import maintenance_soak
 from tests.platform import notice_soak
 
 _SEEDS = (1, 2, 10)
 _NOTICE_SEEDS = (1, 2)
 _ERA_SEEDS = (1, 2)
+_LEAVE_SEEDS = (1, 2)
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
@@ -43,3 +45,11 @@
                 result = await era_soak.EraSoak(seed).run()
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.response_counts["200"], 0)
+
+    async def test_leaves_amid_kills(self) -> None:
+        """Guards against requests to servers that left before a kill."""
+        for seed in _LEAVE_SEEDS:
+            with self.subTest(seed=seed):
+                result = await leave_soak.LeaveSoak(seed).run()
+                self.assertEqual(result.violations, [])
+                self.assertGreater(result.response_counts["200"], 0)
