Send no claimed call to a backend server that leaves meanwhile

A payout with a key is admitted, then its claim is written to the store and confirmed, which takes as long as the store is slow; it was sent whatever the backend server had announced meanwhile. It is refused as not run now and can run elsewhere. Calls that a stopping daemon has admitted are completed as before.

The new test fails without the check (the payout ran).

--- a/merlintrestle/requests/backend.py
+++ b/merlintrestle/requests/backend.py
@@ -138,6 +138,17 @@
             self._set_state(control_pb2.DRAINING)
         self._report_change(previous_record)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it announced that it accepts no new calls.
+
+        False while only its daemon stops, which completes admitted calls.
+        """
+        return not self._draining and self._announced_state in (
+            control_pb2.DRAINING,
+            control_pb2.DOWN,
+        )
+
     async def check_reachable(self) -> bool:
         """Checks whether it accepts connections, and returns `reachable`.
 
--- a/merlintrestle/requests/serving/local_runner.py
+++ b/merlintrestle/requests/serving/local_runner.py
@@ -8,6 +8,7 @@
 
 from merlintrestle.requests.calls import outcomes
 from merlintrestle.requests.calls import plans
+from merlintrestle.requests.load import refusals
 from merlintrestle.requests.load import repeats
 from merlintrestle.requests.serving import backend_notices
 from merlintrestle.requests.transport import forwarding
@@ -125,6 +126,9 @@
         # time is stale, and a call would be forwarded after its deadline.
         if time.monotonic() >= call.refuse_by:
             return outcomes.TOO_LATE
+        # It may have announced this while the call waited for its claim.
+        if self._backend.is_leaving:
+            return refusals.refuse_not_ready()
         refusal = self._crashes.check(call)
         if refusal is not None:
             return refusal
--- a/tests/requests/unrepeatable/test_at_most_once.py
+++ b/tests/requests/unrepeatable/test_at_most_once.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 import unittest
 
 from aiohttp import web
@@ -18,6 +18,26 @@
 _KEY = {headers.IDEMPOTENCY_KEY: "ticket-7"}
 
 
+class _HeldStore(fakes.FakeStore):
+    """Store that answers no write before the test allows it.
+
+    Attributes:
+        called: Set once a write has arrived.
+        may_answer: Set by the test.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.called = asyncio.Event()
+        self.may_answer = asyncio.Event()
+
+    async def put(self, *arguments: Any) -> Any:
+        """Writes a key once the test allows it."""
+        self.called.set()
+        await self.may_answer.wait()
+        return await super().put(*arguments)
+
+
 class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
     """Payouts through one or two daemons with one store; single failures."""
 
@@ -59,6 +79,26 @@
             self.assertEqual(answer.headers["X-Ticket"], "7")
         self.assertEqual(self.runs, 1)
 
+    async def test_server_that_leaves_during_the_claim_gets_no_payout(
+        self,
+    ) -> None:
+        """Guards against a payout that reaches a server after its leave."""
+        store = _HeldStore()
+        self.may_answer.set()
+        async with (
+            builders.run_nodes(1, handler=self.pay, store=store) as (node,),
+            builders.open_client() as client,
+        ):
+            payout = asyncio.ensure_future(
+                client.post(node.url + "/payouts", headers=_KEY)
+            )
+            await store.called.wait()
+            node.proxy.backend.retire()
+            store.may_answer.set()
+            answer = await payout
+        self.assertEqual(answer.headers[headers.OUTCOME], "not-run")
+        self.assertEqual(self.runs, 0)
+
     async def test_holder_is_gone(self) -> None:
         """The caller gets "unknown"; nothing runs twice.
 
