Tell leaves to other daemons, and learn them again after a restart

The daemon now announces the leaving process in its member record, which spreads with the drain. A daemon that replaces the record of an earlier process of a member keeps what that announced, and answers the member's next comparison of tables with it, which is its first contact after a start.

No message is added; a leaving process takes some 25 bytes in the record of its daemon. The new test (real processes: store away, leave, SIGKILL, late heartbeat) needs the answer of the other daemon, as there is no record.

--- a/merlintrestle/daemon/leave_records.py
+++ b/merlintrestle/daemon/leave_records.py
@@ -106,13 +106,12 @@
     ) -> None:
         entries = await self._store.list(self._prefix, limit=_MAX_RECORDS)
         for process in filter(None, map(_parse_entry, entries)):
-            events.note("leave restored", **process._asdict())
             self._recorded.add((process.instance_id, process.started_ms))
             on_leaving(process)
 
     async def _write(self, process: heartbeats.Process) -> None:
         lease_id = await self._store.grant_lease(_TTL_S)
-        record = control_pb2.LeavingProcess(**process._asdict())
+        record = build_record(process)
         value = record.SerializeToString(deterministic=True)
         key = hashlib.blake2b(value, digest_size=8).hexdigest()
         # If the key exists, an earlier write without an answer was done.
@@ -120,6 +119,18 @@
         events.note("leave recorded", **process._asdict())
 
 
+def build_record(process: heartbeats.Process) -> control_pb2.LeavingProcess:
+    """Returns the record of a process that drains or has left."""
+    return control_pb2.LeavingProcess(**process._asdict())
+
+
+def read_record(record: control_pb2.LeavingProcess) -> heartbeats.Process:
+    """Returns the process of a record."""
+    return heartbeats.Process(
+        record.instance_id, record.started_ms, record.sequence
+    )
+
+
 async def _retry(
     call_store: Callable[[], Coroutine[None, None, None]],
 ) -> None:
@@ -140,6 +151,4 @@
     except message.DecodeError as error:
         events.warn("leave malformed", key=entry.key, error=str(error))
         return None
-    return heartbeats.Process(
-        record.instance_id, record.started_ms, record.sequence
-    )
+    return read_record(record)
--- a/merlintrestle/daemon/lifecycle.py
+++ b/merlintrestle/daemon/lifecycle.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from merlintrestle import events as event_logs
 from merlintrestle.daemon import heartbeats
 from merlintrestle.daemon import leave_records
 from merlintrestle.schema import control_pb2
@@ -16,12 +17,15 @@
     from merlintrestle.requests import backend as backends
     from merlintrestle.store import client
 
+events = event_logs.EventLog("daemon")
+
 
 class BackendLifecycle:
     """Applies heartbeats and leaves to the state of the backend server.
 
     A heartbeat that says that a process drains, and a leave, are recorded in
-    the store before they are confirmed.
+    the store before they are confirmed. They are also told to other daemons,
+    as the store may not answer.
     """
 
     def __init__(
@@ -29,6 +33,7 @@
         backend: backends.LocalBackend,
         store: client.StoreClient,
         address: str,
+        on_leaving: Callable[[heartbeats.Process], None],
         get_time: Callable[[], float] = time.time,
     ):
         """Initializes the lifecycle without a known process.
@@ -37,10 +42,13 @@
             backend: State of the backend server.
             store: Holds the records of leaves.
             address: Address of the backend server, "ip:port".
+            on_leaving: Called with each process that drains or has left.
             get_time: Returns the time in seconds since 1970.
         """
         self._backend = backend
         self._filter = heartbeats.HeartbeatFilter(get_time)
+        self._on_leaving = on_leaving
+        self._known_leaving: set[heartbeats.Process] = set()
         self._records = leave_records.LeaveRecords(store, address)
 
     async def restore(
@@ -54,7 +62,7 @@
                 than all others; None if there is none.
         """
         status, _ = await asyncio.gather(
-            read_status(), self._records.start(self._restore_leaving)
+            read_status(), self._records.start(self.restore_leaving)
         )
         if status is not None and not self._filter.has_current_process:
             await self.handle_heartbeat(status)
@@ -84,7 +92,7 @@
         if heartbeat.state == control_pb2.READY:
             self._records.expire(process)
         elif heartbeat.sequence > heartbeats.INITIAL_SEQUENCE:
-            await self._records.write(process)
+            await self._keep(process)
 
     async def handle_leave(self, instance_id: str, started_ms: int = 0) -> None:
         """Stops sending new calls to a process that shuts down.
@@ -96,14 +104,30 @@
             started_ms: Its start, in ms since 1970; 0: not announced.
         """
         self.retire(instance_id, started_ms)
-        await self._records.write(self._filter.get_process(instance_id))
+        await self._keep(self._filter.get_process(instance_id))
 
     def retire(self, instance_id: str, started_ms: int = 0) -> None:
         """Stops sending new calls to a process, without a record of it."""
         if self._filter.retire(instance_id, started_ms):
             self._backend.retire()
 
-    def _restore_leaving(self, process: heartbeats.Process) -> None:
-        """Stops sending new calls to a process that left before the start."""
+    def restore_leaving(self, process: heartbeats.Process) -> None:
+        """Stops sending new calls to a process that left before the start.
+
+        Has no effect if it is called again with the same process.
+        """
+        if process in self._known_leaving:
+            return
+        events.note("leave restored", **process._asdict())
         if self._filter.restore(process):
             self._backend.retire()
+        self._announce_leaving(process)
+
+    async def _keep(self, process: heartbeats.Process) -> None:
+        """Keeps the memory of a leave beyond the end of this daemon."""
+        self._announce_leaving(process)
+        await self._records.write(process)
+
+    def _announce_leaving(self, process: heartbeats.Process) -> None:
+        self._known_leaving.add(process)
+        self._on_leaving(process)
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -10,6 +10,7 @@
 from merlintrestle import application
 from merlintrestle import events as event_logs
 from merlintrestle.daemon import admin
+from merlintrestle.daemon import leave_records
 from merlintrestle.daemon import lifecycle
 from merlintrestle.daemon import metrics
 from merlintrestle.members import era_gossip
@@ -147,6 +148,9 @@
             self._proxy.backend,
             self._store,
             self._components.backend_address,
+            lambda process: self._table.set_leaving(
+                leave_records.build_record(process)
+            ),
         )
         self._proxy.workspace_admission.freshness = self.freshness
         self._proxy.defer_caller_port = True
@@ -255,6 +259,7 @@
             self._components.timing,
         )
         self._membership = membership
+        membership.anti_entropy.on_reply_received.append(self._restore_leaving)
         distribution = distributions.Distribution(
             self._active_version,
             membership,
@@ -354,6 +359,11 @@
             )
         )
 
+    def _restore_leaving(self, reply: control_pb2.MembersReply) -> None:
+        """Restores leaves that this daemon announced before a restart."""
+        for record in reply.leaving:
+            self.lifecycle.restore_leaving(leave_records.read_record(record))
+
     async def _wait_until_version_known(self) -> None:
         """Waits until a version is active or none exists, up to a limit.
 
--- a/merlintrestle/members/anti_entropy.py
+++ b/merlintrestle/members/anti_entropy.py
@@ -188,6 +188,7 @@
         reply = control_pb2.MembersReply(
             bucket_digests=self._table.bucket_digests,
             members=self._select_needed(buckets, request.members),
+            leaving=self._list_earlier_leaving(request.members),
         )
         for callback in self.on_reply_built:
             callback(reply)
@@ -311,6 +312,15 @@
         for member in members:
             self._table.merge(member)
 
+    def _list_earlier_leaving(
+        self, members: Sequence[control_pb2.Member]
+    ) -> list[control_pb2.LeavingProcess]:
+        """Returns what earlier processes of members announced as leaving."""
+        leaving = (
+            self._table.get_earlier_leaving(member.id) for member in members
+        )
+        return [process for process in leaving if process is not None]
+
     def _select_needed(
         self, buckets: Sequence[int], peer_records: Sequence[control_pb2.Member]
     ) -> list[control_pb2.Member]:
--- a/merlintrestle/members/table.py
+++ b/merlintrestle/members/table.py
@@ -89,6 +89,8 @@
         self._usable_count = 0
         self._suspects: set[str] = set()
         self._changed_at: dict[str, float] = {}
+        # What earlier processes of each daemon announced, by member id.
+        self._earlier_leaving: dict[str, control_pb2.LeavingProcess] = {}
         self._upstreams_by_service: dict[str, dict[str, Upstream]] = {}
         self._cached_upstreams: dict[str, tuple[Upstream, ...]] = {}
         record = control_pb2.Member()
@@ -164,6 +166,21 @@
             local.backend.CopyFrom(backend)
         self._update_local(local)
 
+    def set_leaving(self, process: control_pb2.LeavingProcess) -> None:
+        """Announces a process of the backend server that drains or has left.
+
+        Other daemons tell it to this daemon again after a restart.
+        """
+        local = self._copy_local()
+        local.leaving.CopyFrom(process)
+        self._update_local(local)
+
+    def get_earlier_leaving(
+        self, member_id: str
+    ) -> control_pb2.LeavingProcess | None:
+        """Returns what earlier processes of a daemon announced as leaving."""
+        return self._earlier_leaving.get(member_id)
+
     def set_peer_port(self, port: int) -> None:
         """Announces the bound port for calls from peers."""
         local = self._copy_local()
@@ -232,6 +249,7 @@
             if self.get_record_age(member.id) > GONE_RETENTION_S:
                 del self._members[member.id]
                 del self._changed_at[member.id]
+                self._earlier_leaving.pop(member.id, None)
 
     def _copy_local(self) -> control_pb2.Member:
         local = control_pb2.Member()
@@ -261,6 +279,8 @@
         if held is None or _changes_routing(held, member):
             _log_change(member)
         if held is not None:
+            if held.process != member.process and held.HasField("leaving"):
+                self._earlier_leaving[member.id] = held.leaving
             self._toggle_digest(held)
             self._remove_upstream(held)
             self._usable_count -= held.state in _USABLE_STATES
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -40,10 +40,12 @@
         started_ms: Start of the process.
         leaving: Whether the process has announced that it leaves.
         store: The store of the daemon.
+        announced: Leaving processes that the daemon told to others.
     """
 
     def __init__(self, states_start: bool, leave_states_start: bool):
         self.store = fakes.FakeStore()
+        self.announced: list[heartbeats.Process] = []
         self.started_ms = 1000
         self.leaving = False
         self._now_s = 2.0
@@ -101,6 +103,7 @@
             self.backend,
             self.store,  # type: ignore[arg-type]
             _ADDRESS,
+            self.announced.append,
             lambda: self._now_s,
         )
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -80,6 +80,19 @@
                     await backend.send_heartbeat(address, sequence=sequence)
                 await self.check_not_called()
 
+    async def test_a_leave_outlasts_a_restart_without_the_store(self) -> None:
+        """Guards against calls to a server that left during an outage."""
+        daemon, backend = self.balie_daemon, self.balie_daemon.backend
+        self.fleet.store.faults.status = 503
+        self.assertEqual(
+            await backend.send_leave(daemon.heartbeat_address), 200
+        )
+        await self.restart_balie_daemon()
+        while "leave restored" not in daemon.list_events():
+            await asyncio.sleep(0.05)
+        await backend.send_heartbeat(daemon.heartbeat_address)
+        await self.check_not_called()
+
     async def restart_balie_daemon(self) -> None:
         """Kills the daemon of balie and starts it."""
         self.balie_daemon.send_signal(signal.SIGKILL)
