Restore the drains of several processes

A daemon that was restarted sent calls to a backend server that drained: where two processes at its address had announced a drain within the lifetime of the records, only the record that was read first was restored, and their order is that of digests.

Restored drains are kept by process and compared with each heartbeat and with the status.

--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -121,6 +121,8 @@
         # Latest start time of a retired process by id, in ms since 1970; the
         # time of its leave if the start is unknown.
         self._retired: dict[str, int] = {}
+        # Processes by id that were draining before this daemon was restarted.
+        self._drained: dict[str, Process] = {}
 
     @property
     def has_current_process(self) -> bool:
@@ -147,21 +149,19 @@
         """
         if process.sequence == LEFT:
             return self.retire(process.instance_id, process.started_ms)
-        is_current = self._is_current(process.instance_id, process.started_ms)
-        if self._instance_id and not is_current:
-            return False
-        if process.sequence <= self._sequence:
-            return False
-        self._instance_id = process.instance_id
-        self._started_ms = process.started_ms or self._started_ms
-        self._sequence = process.sequence
-        return True
+        self._drained[process.instance_id] = process
+        return not self._instance_id or (
+            self._is_current(process.instance_id, process.started_ms)
+            and self._sequence <= process.sequence
+        )
 
     def accept(self, heartbeat: Heartbeat) -> bool:
         """Records a heartbeat; returns False if it must not be applied."""
         retired_ms = self._retired.get(heartbeat.instance_id)
         if retired_ms is not None and heartbeat.started_ms <= retired_ms:
             return self._reject(heartbeat, "its process is retired")
+        if self._precedes_drain(heartbeat):
+            return self._reject(heartbeat, "its process drained later")
         if self._started_earlier(heartbeat.started_ms):
             return self._reject(heartbeat, "its process started earlier")
         is_current = self._is_current(
@@ -218,6 +218,15 @@
         )
         return applies
 
+    def _precedes_drain(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether a heartbeat is from before a restored drain."""
+        drained = self._drained.get(heartbeat.instance_id)
+        if drained is None:
+            return False
+        if 0 < drained.started_ms < heartbeat.started_ms:
+            return False
+        return heartbeat.sequence <= drained.sequence
+
     def _contradicts_start(
         self, heartbeat: Heartbeat, is_current: bool
     ) -> bool:
--- a/tests/daemon/test_heartbeats.py
+++ b/tests/daemon/test_heartbeats.py
@@ -143,6 +143,32 @@
         self.filter.retire("i-1")
         self.assertFalse(self.filter.accept(_build_heartbeat("i-1", 7, 2000)))
 
+    def test_drains_of_several_processes_are_restored(self) -> None:
+        """Guards against calls to a process that drained after another one."""
+        for order in ((0, 1), (1, 0)):
+            with self.subTest(order=order):
+                self.filter = heartbeats.HeartbeatFilter()
+                drained = (
+                    heartbeats.Process("i-1", 1000, 10),
+                    heartbeats.Process("i-2", 2000, 3),
+                )
+                for index in order:
+                    self.assertTrue(self.filter.restore(drained[index]))
+                for late in (
+                    _build_heartbeat("i-1", 9, 1000),
+                    _build_heartbeat("i-2", 2, 2000),
+                    _build_heartbeat("i-2", heartbeats.INITIAL_SEQUENCE),
+                ):
+                    self.assertFalse(self.filter.accept(late))
+                self.assertTrue(
+                    self.filter.accept(_build_heartbeat("i-2", 4, 2000))
+                )
+
+    def test_a_process_that_starts_again_after_a_restored_drain(self) -> None:
+        """Guards against a restarted process that gets no calls."""
+        self.filter.restore(heartbeats.Process("i-1", 1000, 10))
+        self.assertTrue(self.filter.accept(_build_heartbeat("i-1", 1, 2000)))
+
 
 class RestartTest(unittest.TestCase):
     """Tests that `LocalBackend` resets its state when a process restarts."""
