Confirm only leaves that the store or a neighbour remembers

A leave was confirmed after 0.6 s even if neither the store had recorded it nor another daemon had been told, as at the start of a daemon without the store; a kill right after it broke the promise. The confirmation now waits until the links to the neighbours have sent it (0.1 s), beside the write, and is answered 503 if neither has it. A second leave of the same process waits for the write of the first.

--- a/merlintrestle/daemon/leave_records.py
+++ b/merlintrestle/daemon/leave_records.py
@@ -50,8 +50,8 @@
         """Sets the store and the address of the backend server, "ip:port"."""
         self._store = store
         self._prefix = f"{_PREFIX}{address}/"
-        # Ids and starts of the processes with a record.
-        self._recorded: set[tuple[str, int]] = set()
+        # Writes by id and start of the process; None: there is a record.
+        self._writes: dict[tuple[str, int], asyncio.Task[None] | None] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(
@@ -64,7 +64,8 @@
         Args:
             on_leaving: Called with each recorded process.
         """
-        await self._run(lambda: self._read(on_leaving), READ_TIMEOUT_S)
+        task = self._start_task(lambda: self._read(on_leaving))
+        await _wait(task, READ_TIMEOUT_S)
 
     async def close(self) -> None:
         """Cancels the calls to the store that are still in progress."""
@@ -72,41 +73,46 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def write(self, process: heartbeats.Process) -> None:
+    async def write(self, process: heartbeats.Process) -> bool:
         """Records that a process leaves, waiting at most `WRITE_TIMEOUT_S`.
 
         If the store does not answer in time, the process is recorded in the
-        background, and a restart of the daemon until then may forget the leave.
+        background.
+
+        Returns:
+            Whether there is a record.
         """
         identity = (process.instance_id, process.started_ms)
-        if identity in self._recorded:
-            return
-        self._recorded.add(identity)
-        await self._run(lambda: self._write(process), WRITE_TIMEOUT_S)
+        if identity not in self._writes:
+            self._writes[identity] = self._start_task(
+                lambda: self._write(process)
+            )
+        # It may be the write of an earlier message of the same process.
+        task = self._writes[identity]
+        if task is None:
+            return True
+        await _wait(task, WRITE_TIMEOUT_S)
+        return task.done()
 
     def expire(self, process: heartbeats.Process) -> None:
         """Allows another record of a process that accepts calls again."""
-        self._recorded.discard((process.instance_id, process.started_ms))
+        self._writes.pop((process.instance_id, process.started_ms), None)
 
-    async def _run(
-        self,
-        call_store: Callable[[], Coroutine[None, None, None]],
-        timeout_s: float,
-    ) -> None:
-        """Calls the store until it answers, waiting for that up to a limit."""
+    def _start_task(
+        self, call_store: Callable[[], Coroutine[None, None, None]]
+    ) -> asyncio.Task[None]:
+        """Starts to call the store until it answers."""
         task = asyncio.create_task(_retry(call_store))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                await asyncio.shield(task)
+        return task
 
     async def _read(
         self, on_leaving: Callable[[heartbeats.Process], None]
     ) -> None:
         entries = await self._store.list(self._prefix, limit=_MAX_RECORDS)
         for process in filter(None, map(_parse_entry, entries)):
-            self._recorded.add((process.instance_id, process.started_ms))
+            self._writes[process.instance_id, process.started_ms] = None
             on_leaving(process)
 
     async def _write(self, process: heartbeats.Process) -> None:
@@ -131,6 +137,13 @@
     )
 
 
+async def _wait(task: asyncio.Task[None], timeout_s: float) -> None:
+    """Waits for a task up to a limit; the task continues after it."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await asyncio.shield(task)
+
+
 async def _retry(
     call_store: Callable[[], Coroutine[None, None, None]],
 ) -> None:
--- a/merlintrestle/daemon/lifecycle.py
+++ b/merlintrestle/daemon/lifecycle.py
@@ -25,7 +25,8 @@
 
     A heartbeat that says that a process drains, and a leave, are recorded in
     the store before they are confirmed. They are also told to other daemons,
-    as the store may not answer.
+    as the store may not answer. If neither succeeds, they are not confirmed: a
+    restart of this daemon would make it send new calls to the process.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         store: client.StoreClient,
         address: str,
         on_leaving: Callable[[heartbeats.Process], None],
+        flush: Callable[[], Awaitable[bool]],
         get_time: Callable[[], float] = time.time,
     ):
         """Initializes the lifecycle without a known process.
@@ -42,27 +44,35 @@
             backend: State of the backend server.
             store: Holds the records of leaves.
             address: Address of the backend server, "ip:port".
-            on_leaving: Called with each process that drains or has left.
+            on_leaving: Called with each process that drains or has left, to
+                tell other daemons.
+            flush: Waits until this was sent, at most for a short time; returns
+                whether it was.
             get_time: Returns the time in seconds since 1970.
         """
         self._backend = backend
         self._filter = heartbeats.HeartbeatFilter(get_time)
         self._on_leaving = on_leaving
+        self._flush = flush
         self._known_leaving: set[heartbeats.Process] = set()
         self._records = leave_records.LeaveRecords(store, address)
 
     async def restore(
-        self,
-        read_status: Callable[[], Awaitable[heartbeats.Heartbeat | None]],
+        self, check: Awaitable[heartbeats.Heartbeat | None]
     ) -> None:
         """Restores what is known of the backend server at the start.
 
         Args:
-            read_status: Returns its present status as a heartbeat that is older
-                than all others; None if there is none.
+            check: The check of its present status, whose result is a heartbeat
+                that is older than all others; None if there is no status.
         """
         status, _ = await asyncio.gather(
-            read_status(), self._records.start(self.restore_leaving)
+            check, self._records.start(self.restore_leaving)
+        )
+        events.note(
+            "status read",
+            instance=status.instance_id if status else "",
+            state=_get_state_name(status),
         )
         if status is not None and not self._filter.has_current_process:
             await self.handle_heartbeat(status)
@@ -71,13 +81,14 @@
         """Cancels the calls to the store that are still in progress."""
         await self._records.close()
 
-    async def handle_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
+    async def handle_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> bool:
         """Applies a heartbeat unless it is outdated.
 
-        Once this returns, the heartbeat may be confirmed.
+        Returns:
+            Whether to confirm the heartbeat.
         """
         if not self._filter.accept(heartbeat):
-            return
+            return True
         self._backend.announce(
             heartbeat.service,
             heartbeat.address,
@@ -92,19 +103,21 @@
         if heartbeat.state == control_pb2.READY:
             self._records.expire(process)
         elif heartbeat.sequence > heartbeats.INITIAL_SEQUENCE:
-            await self._keep(process)
+            return await self._keep(process)
+        return True
 
-    async def handle_leave(self, instance_id: str, started_ms: int = 0) -> None:
+    async def handle_leave(self, instance_id: str, started_ms: int = 0) -> bool:
         """Stops sending new calls to a process that shuts down.
 
-        Once this returns, the leave may be confirmed.
-
         Args:
             instance_id: Id of the process.
             started_ms: Its start, in ms since 1970; 0: not announced.
+
+        Returns:
+            Whether to confirm the leave.
         """
         self.retire(instance_id, started_ms)
-        await self._keep(self._filter.get_process(instance_id))
+        return await self._keep(self._filter.get_process(instance_id))
 
     def retire(self, instance_id: str, started_ms: int = 0) -> None:
         """Stops sending new calls to a process, without a record of it."""
@@ -123,11 +136,28 @@
             self._backend.retire()
         self._announce_leaving(process)
 
-    async def _keep(self, process: heartbeats.Process) -> None:
-        """Keeps the memory of a leave beyond the end of this daemon."""
-        self._announce_leaving(process)
-        await self._records.write(process)
+    async def _keep(self, process: heartbeats.Process) -> bool:
+        """Keeps the memory of a leave beyond the end of this daemon.
+
+        Returns:
+            Whether it outlasts this daemon.
+        """
+        if process not in self._known_leaving:
+            self._announce_leaving(process)
+        recorded, told = await asyncio.gather(
+            self._records.write(process), self._flush()
+        )
+        if not recorded:
+            events.warn("leave not recorded", told=told, **process._asdict())
+        return recorded or told
 
     def _announce_leaving(self, process: heartbeats.Process) -> None:
         self._known_leaving.add(process)
         self._on_leaving(process)
+
+
+def _get_state_name(status: heartbeats.Heartbeat | None) -> str:
+    """Returns the state of a status; "unknown" if there is none."""
+    if status is None:
+        return "unknown"
+    return control_pb2.BackendState.Name(status.state).lower()
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -151,6 +151,7 @@
             lambda process: self._table.set_leaving(
                 leave_records.build_record(process)
             ),
+            lambda: self._membership.links.flush(leave_records.WRITE_TIMEOUT_S),
         )
         self._proxy.workspace_admission.freshness = self.freshness
         self._proxy.defer_caller_port = True
--- a/merlintrestle/members/links.py
+++ b/merlintrestle/members/links.py
@@ -164,7 +164,7 @@
         for link in self._links:
             link.outbox.request_message()
 
-    async def flush(self, timeout_s: float) -> None:
+    async def flush(self, timeout_s: float) -> bool:
         """Waits until all queued updates have been sent.
 
         When a daemon stops, its links end and gRPC discards messages that the
@@ -173,12 +173,16 @@
 
         Args:
             timeout_s: Maximum wait in seconds, as a neighbour may be silent.
+
+        Returns:
+            Whether a neighbour was sent all updates.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 while any(map(_has_unsent, self._links)):
                     await asyncio.sleep(self._timing.flush_delay_s / 4)
                 await asyncio.sleep(self._timing.flush_delay_s)
+        return not all(map(_has_unsent, self._links))
 
     async def run_link(
         self,
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -44,8 +44,8 @@
         self,
         settings: settings_lib.Settings,
         is_ready: Callable[[], bool],
-        on_heartbeat: Callable[[heartbeats.Heartbeat], Awaitable[None]],
-        on_leave: Callable[[str, int], Awaitable[None]],
+        on_heartbeat: Callable[[heartbeats.Heartbeat], Awaitable[bool]],
+        on_leave: Callable[[str, int], Awaitable[bool]],
         knows_service: Callable[[str], bool],
         render_metrics: Callable[[], bytes],
     ):
@@ -54,10 +54,9 @@
         Args:
             settings: Settings with the addresses to listen on.
             is_ready: Returns whether callers may use this daemon.
-            on_heartbeat: Called with each heartbeat before it is confirmed.
-            on_leave: Called with the id of a process that accepts no new
-                calls, and its start, in ms since 1970 (0 if not stated), before
-                the leave is confirmed.
+            on_heartbeat: Called with each heartbeat; tells if it is confirmed.
+            on_leave: Called with the id of a process that leaves and its start,
+                in ms since 1970 (0 if not stated); tells if it is confirmed.
             knows_service: Returns whether a service is known.
             render_metrics: Returns the metrics in Prometheus text format.
         """
@@ -115,8 +114,8 @@
                 "heartbeat refused", instance=instance_id, error=str(error)
             )
             return web.json_response({}, status=400)
-        await self._on_heartbeat(heartbeat)
-        return web.json_response({})
+        confirmed = await self._on_heartbeat(heartbeat)
+        return web.json_response({}, status=200 if confirmed else 503)
 
     async def _handle_leave(self, request: web.Request) -> web.Response:
         instance_id = request.match_info["instance_id"]
@@ -125,8 +124,8 @@
         except (errors.InvalidInputError, ValueError) as error:
             events.warn("leave refused", instance=instance_id, error=str(error))
             return web.json_response({}, status=400)
-        await self._on_leave(instance_id, started_ms)
-        return web.json_response({})
+        confirmed = await self._on_leave(instance_id, started_ms)
+        return web.json_response({}, status=200 if confirmed else 503)
 
     def _check_service(self, name: str) -> None:
         """Refuses a heartbeat for an unknown service, sent by another writer.
--- a/merlintrestle/platform/health.py
+++ b/merlintrestle/platform/health.py
@@ -8,20 +8,15 @@
 import aiohttp
 
 from merlintrestle import connectors
-from merlintrestle import events as event_logs
 from merlintrestle.daemon import heartbeats
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from merlintrestle.platform import settings as settings_lib
 
-events = event_logs.EventLog("platform")
-
 _PATH = "/health"
 # Id of the backend server process, which the platform calls an instance.
 _INSTANCE_HEADER = "X-Served-By"
-# A full backend server rejects the check like any other request.
-_REJECTED_HEADER = "X-Not-Executed"
 # Running calls, waiting calls, slots and perhaps more, separated by commas.
 _LOAD_HEADER = "X-Server-Load"
 _SLOTS_INDEX = 2
@@ -46,18 +41,8 @@
             ) as session,
             session.get(f"http://{settings.backend}{_PATH}") as response,
         ):
-            heartbeat = parse_status(settings, response)
-            events.note(
-                "status read",
-                status=response.status,
-                instance=response.headers.get(_INSTANCE_HEADER, ""),
-                load=response.headers.get(_LOAD_HEADER, ""),
-                rejected=_REJECTED_HEADER in response.headers,
-                used=heartbeat is not None,
-            )
-            return heartbeat
-    except (aiohttp.ClientError, OSError, TimeoutError) as error:
-        events.note("status unknown", error=repr(error))
+            return parse_status(settings, response)
+    except (aiohttp.ClientError, OSError, TimeoutError):
         return None
 
 
@@ -67,7 +52,8 @@
     """Returns a valid status as a heartbeat older than all others, or None."""
     instance_id = response.headers.get(_INSTANCE_HEADER, "")
     load = response.headers.get(_LOAD_HEADER, "").split(",")
-    if _REJECTED_HEADER in response.headers or len(load) <= _SLOTS_INDEX:
+    # A full backend server rejects the check like any other request.
+    if "X-Not-Executed" in response.headers or len(load) <= _SLOTS_INDEX:
         return None
     slots = load[_SLOTS_INDEX].strip()
     has_slots = slots.isascii() and slots.isdecimal() and int(slots)
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -86,9 +86,8 @@
             lambda: metrics.render_metrics(self.registry),
         )
         await self.add_runtime_dependency(self._endpoints)
-        await self.lifecycle.restore(
-            lambda: health.check_backend(self._platform_settings)
-        )
+        status = health.check_backend(self._platform_settings)
+        await self.lifecycle.restore(status)
 
     def _knows_service(self, name: str) -> bool:
         """Returns whether the settings or running version name a service."""
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -41,11 +41,17 @@
         leaving: Whether the process has announced that it leaves.
         store: The store of the daemon.
         announced: Leaving processes that the daemon told to others.
+        flush_count: How often it waited until others were told.
+        has_neighbours: Whether there are others.
+        confirmed: Whether the latest leave was confirmed.
     """
 
     def __init__(self, states_start: bool, leave_states_start: bool):
         self.store = fakes.FakeStore()
         self.announced: list[heartbeats.Process] = []
+        self.flush_count = 0
+        self.has_neighbours = True
+        self.confirmed = False
         self.started_ms = 1000
         self.leaving = False
         self._now_s = 2.0
@@ -68,7 +74,9 @@
         elif action == "leave":
             self.leaving = True
             started_ms = self.started_ms if self._leave_states_start else 0
-            await self._lifecycle.handle_leave("i-1", started_ms)
+            self.confirmed = await self._lifecycle.handle_leave(
+                "i-1", started_ms
+            )
         elif action == "process restart":
             self.started_ms = int(self._now_s * 1000)
             self._sequence = 0
@@ -104,9 +112,14 @@
             self.store,  # type: ignore[arg-type]
             _ADDRESS,
             self.announced.append,
+            self._flush,
             lambda: self._now_s,
         )
 
+    async def _flush(self) -> bool:
+        self.flush_count += 1
+        return self.has_neighbours
+
     async def _restart(self, state: control_pb2.BackendState | None) -> None:
         await self._lifecycle.close()
         self._create_daemon()
@@ -116,7 +129,7 @@
                 return None
             return self._build_heartbeat(heartbeats.INITIAL_SEQUENCE, state, 0)
 
-        await self._lifecycle.restore(read_status)
+        await self._lifecycle.restore(read_status())
 
     def _build_heartbeat(
         self, sequence: float, state: control_pb2.BackendState, started_ms: int
@@ -203,6 +216,37 @@
         self.assertEqual(len(instance.store.entries), 1)
         await instance.close()
 
+    async def test_a_repeated_leave_waits_for_the_record(self) -> None:
+        """Guards against a second leave that is confirmed too early."""
+        instance = _Instance(True, False)
+        await instance.apply("heartbeat")
+        recorded = asyncio.Event()
+
+        async def wait(method: str, key: str) -> None:
+            del method, key
+            await recorded.wait()
+
+        instance.store.before_call = wait
+        first = asyncio.create_task(instance.apply("leave"))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(instance.apply("leave"))
+        await asyncio.sleep(0.05)
+        self.assertFalse(second.done())
+        recorded.set()
+        await asyncio.gather(first, second)
+        self.assertEqual(len(instance.store.entries), 1)
+        await instance.close()
+
+    async def test_a_leave_is_told_before_it_is_confirmed(self) -> None:
+        """Guards against a kill right after the confirmation in an outage."""
+        instance = _Instance(True, False)
+        await instance.apply("heartbeat")
+        await instance.apply("leave")
+        self.assertEqual(
+            (len(instance.announced), instance.flush_count), (1, 1)
+        )
+        await instance.close()
+
     async def test_one_record_for_each_process(self) -> None:
         """Guards against a call to the store with each heartbeat."""
         instance = _Instance(True, False)
@@ -217,12 +261,27 @@
         instance.store.down = True
         await instance.apply("heartbeat")
         await instance.apply("leave")
+        self.assertTrue(instance.confirmed)
         self.assertEqual(instance.backend.state, _DRAINING)
         instance.store.down = False
         while not instance.store.entries:
             await asyncio.sleep(0.05)
         await instance.close()
 
+    async def test_a_leave_that_nobody_remembers_is_not_confirmed(self) -> None:
+        """Guards against a promise that a restart would break."""
+        instance = _Instance(True, False)
+        instance.store.down = True
+        instance.has_neighbours = False
+        await instance.apply("heartbeat")
+        await instance.apply("leave")
+        self.assertFalse(instance.confirmed)
+        self.assertEqual(instance.backend.state, _DRAINING)
+        instance.store.down = False
+        while not instance.confirmed:
+            await instance.apply("leave")
+        await instance.close()
+
     async def test_records_are_read_once_the_store_is_back(self) -> None:
         """Guards against a leave that is forgotten after an outage."""
         instance = _Instance(True, False)
