Tell other daemons once that a process drains

Each further heartbeat of a draining process changed the member record of its daemon, as its sequence number was another, and was spread to all. Told once for each process; found by reading.

--- a/merlintrestle/daemon/lifecycle.py
+++ b/merlintrestle/daemon/lifecycle.py
@@ -54,7 +54,8 @@
         self._filter = heartbeats.HeartbeatFilter(get_time)
         self._on_leaving = on_leaving
         self._flush = flush
-        self._known_leaving: set[heartbeats.Process] = set()
+        # Processes that other daemons were told, by id and start.
+        self._told: dict[tuple[str, int], heartbeats.Process] = {}
         self._records = leave_records.LeaveRecords(store, address)
 
     async def restore(
@@ -101,6 +102,8 @@
         )
         process = self._filter.get_process(heartbeat.instance_id)
         if heartbeat.state == control_pb2.READY:
+            # If it drains once more, the sequence number is a later one.
+            self._told.pop(_get_identity(process), None)
             self._records.expire(process)
         elif heartbeat.sequence > heartbeats.INITIAL_SEQUENCE:
             return await self._keep(process)
@@ -129,7 +132,7 @@
 
         Has no effect if it is called again with the same process.
         """
-        if process in self._known_leaving:
+        if self._told.get(_get_identity(process)) == process:
             return
         events.note("leave restored", **process._asdict())
         if self._filter.restore(process):
@@ -142,7 +145,7 @@
         Returns:
             Whether it outlasts this daemon.
         """
-        if process not in self._known_leaving:
+        if _get_identity(process) not in self._told:
             self._announce_leaving(process)
         recorded, told = await asyncio.gather(
             self._records.write(process), self._flush()
@@ -152,10 +155,15 @@
         return recorded or told
 
     def _announce_leaving(self, process: heartbeats.Process) -> None:
-        self._known_leaving.add(process)
+        self._told[_get_identity(process)] = process
         self._on_leaving(process)
 
 
+def _get_identity(process: heartbeats.Process) -> tuple[str, int]:
+    """Returns the id and the start of a process."""
+    return process.instance_id, process.started_ms
+
+
 def _get_state_name(status: heartbeats.Heartbeat | None) -> str:
     """Returns the state of a status; "unknown" if there is none."""
     if status is None:
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -248,11 +248,12 @@
         await instance.close()
 
     async def test_one_record_for_each_process(self) -> None:
-        """Guards against a call to the store with each heartbeat."""
+        """Guards against calls and messages with each heartbeat."""
         instance = _Instance(True, False)
         for action in ("drain", "heartbeat", "heartbeat", "leave"):
             await instance.apply(action)
         self.assertEqual(instance.store.calls["put"], 1)
+        self.assertEqual(len(instance.announced), 1)
         await instance.close()
 
     async def test_a_leave_is_confirmed_without_the_store(self) -> None:
