Log a leave without an infinite number

The lines of leaves stated the sequence number of a leave as Infinity, which is no JSON; seen in a play of leaves without the store. They state left instead, and the instance under the name that other lines use.

--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -79,6 +79,18 @@
     sequence: float
 
 
+def describe_process(process: Process) -> dict[str, str | float | None]:
+    """Returns the fields of a process in a log line."""
+    left = process.sequence == LEFT
+    return {
+        "instance": process.instance_id,
+        "started_ms": process.started_ms,
+        # JSON has no infinite numbers.
+        "sequence": None if left else process.sequence,
+        "left": left,
+    }
+
+
 class HeartbeatFilter:
     """Rejects outdated heartbeats.
 
--- a/merlintrestle/daemon/leave_records.py
+++ b/merlintrestle/daemon/leave_records.py
@@ -122,7 +122,7 @@
         key = hashlib.blake2b(value, digest_size=8).hexdigest()
         # If the key exists, an earlier write without an answer was done.
         await self._store.put(self._prefix + key, value, 0, lease_id)
-        events.note("leave recorded", **process._asdict())
+        events.note("leave recorded", **heartbeats.describe_process(process))
 
 
 def build_record(process: heartbeats.Process) -> control_pb2.LeavingProcess:
--- a/merlintrestle/daemon/lifecycle.py
+++ b/merlintrestle/daemon/lifecycle.py
@@ -134,7 +134,7 @@
         """
         if self._told.get(_get_identity(process)) == process:
             return
-        events.note("leave restored", **process._asdict())
+        events.note("leave restored", **heartbeats.describe_process(process))
         if self._filter.restore(process):
             self._backend.retire()
         self._announce_leaving(process)
@@ -151,7 +151,11 @@
             self._records.write(process), self._flush()
         )
         if not recorded:
-            events.warn("leave not recorded", told=told, **process._asdict())
+            events.warn(
+                "leave not recorded",
+                told=told,
+                **heartbeats.describe_process(process),
+            )
         return recorded or told
 
     def _announce_leaving(self, process: heartbeats.Process) -> None:
