--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -111,10 +111,11 @@
     later process. Therefore every process with this id that was running at the
     time of the leave is retired.
 
-    A restarted daemon knows that a process is retired from `leave_records`, if
-    the store answers. If the status at its start said that the process accepts
-    no calls, a single heartbeat that says otherwise may be a late one, and is
-    not applied. A process that accepts calls sends the next one soon.
+    A restarted daemon learns from the store (`leave_records`) or from other
+    daemons which processes drain or are retired. Where neither knows, and the
+    status at its start said that the process accepts no calls, a single
+    heartbeat that says otherwise may be a late one, and is not applied. A
+    process that accepts calls sends the next one soon.
     """
 
     def __init__(self, get_time: Callable[[], float] = time.time) -> None:
--- a/merlintrestle/daemon/leave_records.py
+++ b/merlintrestle/daemon/leave_records.py
@@ -164,4 +164,7 @@
     except message.DecodeError as error:
         events.warn("leave malformed", key=entry.key, error=str(error))
         return None
+    if not record.instance_id:
+        events.warn("leave malformed", key=entry.key, error="no instance")
+        return None
     return read_record(record)
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -300,7 +300,9 @@
     async def test_a_malformed_record_is_ignored(self) -> None:
         """Guards against a daemon that does not start for another's entry."""
         instance = _Instance(True, False)
-        await instance.store.put(f"leaves/{_ADDRESS}/x", b"\xff\xff", 0)
+        for key, value in (("x", b"\xff\xff"), ("y", b"")):
+            await instance.store.put(f"leaves/{_ADDRESS}/{key}", value, 0)
         await instance.apply("restart, ready")
         self.assertEqual(instance.backend.state, _READY)
+        self.assertEqual(instance.announced, [])
         await instance.close()
