Record the process that leaves, not an earlier one under its id

Found by reading the change: where a process starts again under an id whose earlier process had left, a drain of the later one was answered with 200, but the record that was looked up was that of the earlier one. After a restart of the daemon a late heartbeat gave the later one its calls back. A late leave of the earlier process, which states its start, made the daemon record the sound process as draining. And a leave without a start was taken for that of the process last heard, though the one that leaves may have started since and its heartbeat come later.

A drain is recorded for the process whose heartbeat said so, a leave for the one that was retired; a leave without a start is of all that run at that time, as it already was where no start was known. After a drain such a leave is a record of its own, two calls to the store more; the test of one record for each process says so for leaves with and without a start.

--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -68,8 +68,8 @@
     Attributes:
         instance_id: Its id.
         started_ms: Its start, in ms since 1970; 0: not announced. If its leave
-            does not state it and no heartbeat has, the time of the leave: later
-            processes with the same id have started since.
+            does not state it, the time of the leave: later processes with the
+            same id have started since.
         sequence: Sequence number of its latest heartbeat; `LEFT` after its
             leave, which no heartbeat follows.
     """
@@ -106,10 +106,11 @@
     as heartbeats of the new one. Therefore a process is identified by its id
     and its start time.
 
-    A leave may state no start time. If no heartbeat has stated it either, as
-    the daemon has just restarted, a late heartbeat would look like one of a
-    later process. Therefore every process with this id that was running at the
-    time of the leave is retired.
+    A leave may state no start time. A start that heartbeats have stated may be
+    that of an earlier process with this id, and after a restart of the daemon
+    none is known. A late heartbeat would then look like one of a later process.
+    Therefore every process with this id that was running at the time of the
+    leave is retired.
 
     A restarted daemon learns from the store (`leave_records`) or from other
     daemons which processes drain or are retired. Where neither knows, and the
@@ -132,7 +133,7 @@
         # said that the process accepts no calls.
         self._drained_at_start = False
         # Latest start time of a retired process by id, in ms since 1970; the
-        # time of its leave if the start is unknown.
+        # time of its leave if that states no start.
         self._retired: dict[str, int] = {}
         # Processes by id that were draining before this daemon was restarted.
         self._drained: dict[str, Process] = {}
@@ -142,16 +143,14 @@
         """Whether the status or a heartbeat of a process was accepted."""
         return bool(self._instance_id)
 
-    def get_process(self, instance_id: str) -> Process:
-        """Returns what is known of a process.
+    @property
+    def current_process(self) -> Process:
+        """The process whose heartbeat or status was accepted last."""
+        return Process(self._instance_id, self._started_ms, self._sequence)
 
-        Args:
-            instance_id: Id of a retired process, or of the current one.
-        """
-        retired_ms = self._retired.get(instance_id)
-        if retired_ms is not None:
-            return Process(instance_id, retired_ms, LEFT)
-        return Process(instance_id, self._started_ms, self._sequence)
+    def get_retired(self, instance_id: str) -> Process:
+        """Returns the latest retired process with an id, which must exist."""
+        return Process(instance_id, self._retired[instance_id], LEFT)
 
     def restore(self, process: Process) -> bool:
         """Restores what was known of a process that drains or has left.
@@ -216,7 +215,6 @@
             applies = not current
         else:
             applies = not self._started_earlier(started_ms)
-            started_ms = started_ms or self._started_ms
         retired_ms = started_ms or int(self._get_time() * 1000)
         self._mark_retired(instance_id, retired_ms)
         events.note(
--- a/merlintrestle/daemon/lifecycle.py
+++ b/merlintrestle/daemon/lifecycle.py
@@ -100,7 +100,7 @@
             heartbeat.started_ms,
             heartbeat.version,
         )
-        process = self._filter.get_process(heartbeat.instance_id)
+        process = self._filter.current_process
         if heartbeat.state == control_pb2.READY:
             # If it drains once more, the sequence number is a later one.
             self._told.pop(_get_identity(process), None)
@@ -120,7 +120,7 @@
             Whether to confirm the leave.
         """
         self.retire(instance_id, started_ms)
-        return await self._keep(self._filter.get_process(instance_id))
+        return await self._keep(self._filter.get_retired(instance_id))
 
     def retire(self, instance_id: str, started_ms: int = 0) -> None:
         """Stops sending new calls to a process, without a record of it."""
