Do not confirm a repeated drain that nobody remembers

Found by reading the change: a heartbeat that is not applied is answered 200. A drain that had been answered 503, as neither the store nor a neighbour had it, was confirmed that way when it was repeated. The repeated message now waits for the record like the first one. The new test failed before.

--- a/merlintrestle/daemon/leave_records.py
+++ b/merlintrestle/daemon/leave_records.py
@@ -94,8 +94,11 @@
         await _wait(task, WRITE_TIMEOUT_S)
         return task.done()
 
-    def expire(self, process: heartbeats.Process) -> None:
-        """Allows another record of a process that accepts calls again."""
+    def forget(self, process: heartbeats.Process) -> None:
+        """Forgets the record of a process that accepts calls again.
+
+        The record stays in the store; a later drain gets one of its own.
+        """
         self._writes.pop((process.instance_id, process.started_ms), None)
 
     def _start_task(
--- a/merlintrestle/daemon/lifecycle.py
+++ b/merlintrestle/daemon/lifecycle.py
@@ -89,7 +89,9 @@
             Whether to confirm the heartbeat.
         """
         if not self._filter.accept(heartbeat):
-            return True
+            return heartbeat.state == control_pb2.READY or (
+                await self._keep_again(heartbeat.instance_id)
+            )
         self._backend.announce(
             heartbeat.service,
             heartbeat.address,
@@ -104,7 +106,7 @@
         if heartbeat.state == control_pb2.READY:
             # If it drains once more, the sequence number is a later one.
             self._told.pop(_get_identity(process), None)
-            self._records.expire(process)
+            self._records.forget(process)
         elif heartbeat.sequence > heartbeats.INITIAL_SEQUENCE:
             return await self._keep(process)
         return True
@@ -158,6 +160,19 @@
             )
         return recorded or told
 
+    async def _keep_again(self, instance_id: str) -> bool:
+        """Keeps what a repeated message says of the processes with an id.
+
+        Returns:
+            Whether it outlasts this daemon.
+        """
+        known = [
+            process
+            for process in self._told.values()
+            if process.instance_id == instance_id
+        ]
+        return all([await self._keep(process) for process in known])
+
     def _announce_leaving(self, process: heartbeats.Process) -> None:
         self._told[_get_identity(process)] = process
         self._on_leaving(process)
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -45,7 +45,7 @@
         announced: Leaving processes that the daemon told to others.
         flush_count: How often it waited until others were told.
         has_neighbours: Whether there are others.
-        confirmed: Whether the latest leave was confirmed.
+        confirmed: Whether the latest leave or heartbeat was confirmed.
     """
 
     def __init__(self, states_start: bool, leave_states_start: bool):
@@ -94,7 +94,14 @@
         heartbeat = self._create_heartbeat()
         if not self.leaving:
             self._sent.append(heartbeat)
-        await self._lifecycle.handle_heartbeat(heartbeat)
+        self.confirmed = await self._lifecycle.handle_heartbeat(heartbeat)
+        self._last_heartbeat = heartbeat
+
+    async def repeat_heartbeat(self) -> None:
+        """Sends the heartbeat that was sent last once more."""
+        self.confirmed = await self._lifecycle.handle_heartbeat(
+            self._last_heartbeat
+        )
 
     async def close(self) -> None:
         """Ends the daemon."""
@@ -338,6 +345,21 @@
             await instance.apply("leave")
         await instance.close()
 
+    async def test_a_repeated_drain_that_nobody_remembers(self) -> None:
+        """Guards against a confirmation of an outdated heartbeat's drain."""
+        instance = _Instance(True, False)
+        instance.store.down = True
+        instance.has_neighbours = False
+        await instance.apply("drain")
+        self.assertFalse(instance.confirmed)
+        await instance.repeat_heartbeat()
+        self.assertFalse(instance.confirmed)
+        instance.store.down = False
+        while not instance.confirmed:
+            await instance.repeat_heartbeat()
+        self.assertEqual(len(instance.store.entries), 1)
+        await instance.close()
+
     async def test_records_are_read_once_the_store_is_back(self) -> None:
         """Guards against a leave that is forgotten after an outage."""
         instance = _Instance(True, False)
