--- a/tests/platform/leave_soak.py
+++ b/tests/platform/leave_soak.py
@@ -162,16 +162,7 @@
     async def _send_heartbeats(self) -> None:
         """Sends the heartbeats of all backend servers that do not leave."""
         while True:
-            for index, daemon in enumerate(self._fleet.daemons):
-                if index in self._silent:
-                    continue
-                try:
-                    await daemon.backend.send_heartbeat(
-                        daemon.heartbeat_address
-                    )
-                except (aiohttp.ClientError, TimeoutError):
-                    # The daemon is killed; it receives a later heartbeat.
-                    continue
+            await self._fleet.send_heartbeats(self._silent)
             await asyncio.sleep(_HEARTBEAT_S)
 
     async def _send_calls(self, index: int) -> None:
--- a/tests/platform/maintenance_soak.py
+++ b/tests/platform/maintenance_soak.py
@@ -317,14 +317,7 @@
     async def _send_heartbeats(self) -> None:
         """Sends the heartbeats of all backend servers."""
         while True:
-            for daemon in self._fleet.daemons:
-                try:
-                    await daemon.backend.send_heartbeat(
-                        daemon.heartbeat_address
-                    )
-                except (aiohttp.ClientError, TimeoutError):
-                    # The daemon is stopped; it receives a later heartbeat.
-                    continue
+            await self._fleet.send_heartbeats()
             await asyncio.sleep(_HEARTBEAT_S)
 
     def _create_request(self, method: str) -> Request:
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -22,6 +22,7 @@
 from tests.platform import builders
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     import signal
 
 TEST_TIMEOUT_S = 60.0
@@ -222,6 +223,21 @@
                 == 200
             )
 
+    async def send_heartbeats(self, silent: Collection[int] = ()) -> None:
+        """Sends one heartbeat of each backend server.
+
+        Args:
+            silent: Indices of the backend servers that send none.
+        """
+        for index, daemon in enumerate(self.daemons):
+            if index in silent:
+                continue
+            try:
+                await daemon.backend.send_heartbeat(daemon.heartbeat_address)
+            except (aiohttp.ClientError, TimeoutError):
+                # The daemon is stopped; it receives a later heartbeat.
+                continue
+
     async def wait_for_readiness(
         self, daemon: DaemonProcess, status: int = 200
     ) -> None:
