Watch the store in place of watchers that are cut off from it

Cause: watchers are selected from the member table alone. One whose calls fail stays selected and tells nobody, and no other daemon reads the store while it hears from its peers.

Change: messages on links carry the number and age of the latest read of the store by any daemon. Without a read for 1.5 intervals of a watcher, the others try in turn, in an order that all compute alike; the first that gets an answer watches until a watcher reads again. Why this is enough: any daemon that reaches the store and its peers gets its turn, whoever is cut off. A daemon that has heard of no read never takes over, so a mass restart adds no calls. A failed watch resets the backoff only if it had worked, and watchers retry half as often while others try too; so an outage costs no more calls.

--- a/merlintrestle/members/links.py
+++ b/merlintrestle/members/links.py
@@ -164,6 +164,12 @@
         for link in self._links:
             link.outbox.request_message()
 
+    def send_soon(self, exclude: Link | None = None) -> None:
+        """Sends a message within `Timing.flush_delay_s` on all other links."""
+        for link in self._links:
+            if link is not exclude:
+                link.outbox.request_batched_message()
+
     async def flush(self, timeout_s: float) -> bool:
         """Waits until all queued updates have been sent.
 
--- a/merlintrestle/members/outbox.py
+++ b/merlintrestle/members/outbox.py
@@ -96,6 +96,10 @@
         """Triggers a message, which is sent at once."""
         self._mark_urgent()
 
+    def request_batched_message(self) -> None:
+        """Triggers a message, which is sent after `Timing.flush_delay_s`."""
+        self.pending_event.set()
+
     def pop_message(self) -> control_pb2.LinkMessage:
         """Removes queued updates and returns them as a message.
 
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -13,6 +13,7 @@
 from merlintrestle.versions import active_version as active_version_lib
 from merlintrestle.versions import discovery as discovery_lib
 from merlintrestle.versions import freshness as freshness_lib
+from merlintrestle.versions import store_reads as store_reads_lib
 from merlintrestle.versions import watcher_selection as watcher_selection_lib
 
 if TYPE_CHECKING:
@@ -36,6 +37,10 @@
 _MIN_PROOF_READ_INTERVAL_S = 0.7
 # The same after a failed call to the store. A watcher also retries by itself.
 _FAILED_PROOF_READ_INTERVAL_S = 1.5
+# Factor of the delay before a watcher's retry while other daemons try as well,
+# so that all of them together call the store no more often than the watchers
+# alone would.
+_SHARED_ATTEMPTS_FACTOR = 2
 
 
 class Watcher:
@@ -94,8 +99,11 @@
         self._head_version = 0
         self._head_read_at: float | None = None
         self._read_lock = asyncio.Lock()
+        self._store_reads = store_reads_lib.StoreReads(
+            membership.links, membership.timing, get_time
+        )
         self.selection = watcher_selection_lib.WatcherSelection(
-            membership, get_time
+            membership, self._store_reads, get_time
         )
         self._discovery = discovery_lib.PeerDiscovery(
             membership, source, get_time
@@ -110,22 +118,47 @@
         await self._discovery.contact_peers()
         while True:
             if not self.selection.is_watcher():
-                await asyncio.sleep(
-                    timing_lib.jitter(self._timing.watcher_settling_time_s)
-                )
+                await self._wait_for_selection()
                 continue
             started_at = self._get_time()
             try:
                 await self._watch()
             except errors.MerlintrestleError as error:
                 self._record_store_call(False)
+                self.selection.failover.end()
                 events.warn("store lost", error=str(error))
-                if (
-                    self._get_time() - started_at
-                    > self._timing.head_refresh_interval_s
-                ):
+                if self._has_watched(started_at):
                     backoff.reset()
-                await asyncio.sleep(backoff.get_next_delay())
+                delay_s = backoff.get_next_delay()
+                if self.selection.failover.shares_attempts():
+                    delay_s *= _SHARED_ATTEMPTS_FACTOR
+                await asyncio.sleep(delay_s)
+
+    def _has_watched(self, started_at: float) -> bool:
+        """Returns whether a watch that failed had worked for a while.
+
+        An attempt that only waited for an answer has not, however long it took.
+        """
+        return (
+            self._head_read_at is not None
+            and self._head_read_at >= started_at
+            and self._get_time() - started_at
+            > self._timing.head_refresh_interval_s
+        )
+
+    async def _wait_for_selection(self) -> None:
+        """Waits for a while, or until this daemon may take over the watch."""
+        failover = self.selection.failover
+        wait_s = timing_lib.jitter(self._timing.watcher_settling_time_s)
+        takeover_s = failover.get_delay()
+        if takeover_s > wait_s:
+            await asyncio.sleep(wait_s)
+            return
+        await asyncio.sleep(max(0.0, takeover_s))
+        # A daemon that was paused first handles the messages that tell it of
+        # the reads meanwhile.
+        await asyncio.sleep(self._timing.flush_delay_s)
+        failover.begin()
 
     async def _read_first_version(self) -> None:
         """Reads the head until a version is known or a peer is linked.
@@ -167,10 +200,14 @@
         with the number of zones: if each watcher read every second, those of
         three zones would make 300 of the 640 calls that the store gets in a
         minute without changes.
-        An isolated watcher reads at the full rate.
+        An isolated watcher reads at the full rate, and so does one in place of
+        the others.
         """
         refresh_s = self._timing.head_refresh_interval_s
-        if self._membership.is_isolated():
+        if (
+            self._membership.is_isolated()
+            or self.selection.failover.is_active()
+        ):
             return refresh_s
         zones = {
             member.zone
@@ -199,6 +236,7 @@
             self._record_store_call(False)
             raise
         self._record_store_call(True)
+        self._store_reads.record(started_at, self.selection.is_selected())
         self._head_version = head.version
         self._head_read_at = started_at
         proof = self._source.head_proof
@@ -328,6 +366,8 @@
         at the same time, both would transfer the same value.
         """
         await self.read_and_compile_head()
+        if not self.selection.is_watcher():
+            return None
         watch = asyncio.create_task(self._follow_head())
         refresh_at = self._get_time() + timing_lib.jitter(
             self.get_refresh_interval_s()
--- a/tests/versions/builders.py
+++ b/tests/versions/builders.py
@@ -194,6 +194,51 @@
             self._changed.notify_all()
 
 
+class ConfigurationView(FakeConfiguration):
+    """The fake source as one daemon reaches it.
+
+    Attributes:
+        cut: Whether calls get no answer and watches deliver nothing.
+    """
+
+    # Time after which a call without an answer fails, in seconds.
+    _TIMEOUT_S = 0.1
+
+    def __init__(self, source: FakeConfiguration):
+        super().__init__()
+        self.cut = False
+        self._source = source
+
+    async def read_head(self) -> document_pb2.Head:
+        """Reads the head."""
+        if self.cut:
+            self._source.reads += 1
+            await asyncio.sleep(self._TIMEOUT_S)
+            raise errors.StoreUnavailableError("the view is cut")
+        head = await self._source.read_head()
+        self.head_proof = self._source.head_proof
+        return head
+
+    async def watch_head(self) -> AsyncIterator[document_pb2.Head]:
+        """Yields the head and each newer one."""
+        async for head in self._source.watch_head():
+            if self.cut:
+                await asyncio.Event().wait()
+            yield head
+
+    async def compile_head(
+        self, head: document_pb2.Head
+    ) -> snapshot_lib.Snapshot:
+        """Compiles the version of a head."""
+        return await self._source.compile_head(head)
+
+    async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
+        """Writes a zone's seeds."""
+        if self.cut:
+            raise errors.StoreUnavailableError("the view is cut")
+        return await self._source.write_seeds(zone, member_ids)
+
+
 class Daemon:
     """Control server, membership and distribution of a daemon on loopback."""
 
