Write the state of a roll-out only while its order stands

Cause: a state names its version but not its order. A daemon that was frozen over the roll-back and the second order wrote its verdict on the first one; the write rested only on the revision of the state entry that it had just read.

Change: the write has a second condition, checked by the store in the same call: the order's entry still has the revision that is the order's number. The clients of both stores, the native protocol and the stand-ins take conditions on other keys. A daemon whose order was replaced waits a second before it writes again. The abort of an operator has the condition too. If the store has lost the order altogether, the state is written on condition that there is none.

Why this works: however late the daemon or its write is, the store compares the order at the moment of the write.

Test changes: test_lost_reply_is_resolved_by_reading now writes the order whose state it writes, since the first call would otherwise find no order; a wrapper of put in test_operations passes all arguments on. Checks are unchanged.

--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -204,35 +204,36 @@
         return found, rows.get_field(fields, "at", int)
 
     async def put(
-        self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease_id: int = 0,
+        conditions: Sequence[client.Condition] = (),
     ) -> client.WriteReply:
         """Writes a key if it has the expected revision; 0: does not exist."""
-        if expected_revision and not self.era.has(expected_revision):
-            entry = await self.get(key)
-            return client.WriteReply(False, entry or client.Entry(key, b"", 0))
+        expected = [client.Condition(key, expected_revision), *conditions]
+        if not self.era.has_all(row.revision for row in expected):
+            return await client.read_conflict(self.get, key, conditions)
         if lease_id and not self.era.has(lease_id):
             raise errors.StoreUnavailableError("store: the lease has ended")
-        text = base64.b64encode(value).decode()
         status, fields = await self._write(
             "txn",
             {
-                "expectedRev": [
-                    {
-                        "key": _add_prefix(key),
-                        "revision": eras.get_number(expected_revision),
-                    }
-                ],
+                "expectedRev": [_build_row(*row) for row in expected],
                 "writes": [
                     {
                         "key": _add_prefix(key),
-                        "value": text,
+                        "value": base64.b64encode(value).decode(),
                         "lease": eras.get_number(lease_id),
                     }
                 ],
             },
         )
         if status == _PRECONDITION_FAILED:
-            return client.WriteReply(False, _parse_conflict(fields, key))
+            return client.build_conflict(
+                key, conditions, lambda name: _parse_conflict(fields, name)
+            )
         if status == _NOT_FOUND:
             raise errors.StoreUnavailableError("store: the lease has ended")
         revision = rows.get_field(fields, "revision", int)
@@ -245,12 +246,7 @@
         status, _ = await self._write(
             "txn",
             {
-                "expectedRev": [
-                    {
-                        "key": _add_prefix(key),
-                        "revision": eras.get_number(expected_revision),
-                    }
-                ],
+                "expectedRev": [_build_row(key, expected_revision)],
                 "remove": [_add_prefix(key)],
             },
         )
@@ -350,6 +346,10 @@
     return key if key.startswith(_SHARED_PREFIXES) else PRODUCT_PREFIX + key
 
 
+def _build_row(key: str, revision: int) -> dict[str, Any]:
+    return {"key": _add_prefix(key), "revision": eras.get_number(revision)}
+
+
 def _remove_prefix(name: str) -> str:
     return name.removeprefix(PRODUCT_PREFIX)
 
--- a/merlintrestle/rollouts/controller.py
+++ b/merlintrestle/rollouts/controller.py
@@ -28,6 +28,9 @@
 # A daemon writes a state after its rank times this delay, in seconds, so that
 # usually only the first daemon (rank 0) writes.
 _WRITE_DELAY_PER_RANK_S = 0.3
+# Time until a daemon that knows a replaced order writes its state again, in
+# seconds. It mostly hears of the later order before that.
+_REPLACED_ORDER_DELAY_S = 1.0
 # Maximum time to wait until the old version is drained, in seconds. Daemons
 # that are cut off from the others cannot report a drained backend server.
 _DRAIN_TIMEOUT_S = 3.5
@@ -118,9 +121,9 @@
             return
         rollout = progress.rollout
         now = asyncio.get_running_loop().time()
+        key = (rollout.service, rollout.number, state)
         write_at = self._write_at.setdefault(
-            (rollout.service, rollout.number, state),
-            now + rank * _WRITE_DELAY_PER_RANK_S,
+            key, now + rank * _WRITE_DELAY_PER_RANK_S
         )
         if now < write_at:
             return
@@ -134,6 +137,9 @@
                 error=str(error),
             )
             return
+        if written == control_pb2.ROLLOUT_STATE_UNSPECIFIED:
+            self._write_at[key] = now + _REPLACED_ORDER_DELAY_S
+            return
         updated = control_pb2.Rollout()
         updated.CopyFrom(rollout)
         updated.state = written
--- a/merlintrestle/rollouts/operations.py
+++ b/merlintrestle/rollouts/operations.py
@@ -110,21 +110,19 @@
 ) -> control_pb2.RolloutState:
     """Writes that a roll-out is rolled back, and returns its state.
 
-    A later order to the same version cannot be told by its state, which would
-    be overwritten. It is only accepted after this roll-out has ended, so either
-    the order shows it after the state was read, or the state has changed and
-    its write is refused.
-
-    The write is also refused if a daemon writes in between that the roll-out
-    runs; it is then repeated.
+    The write is refused if another order was written meanwhile, or if a daemon
+    writes in between that the roll-out runs; it is then repeated, unless the
+    check finds the other order.
     """
     rollout_storage = storage.RolloutStorage(store, storage.DefaultFormat())
+    standing = control_pb2.Rollout()
+    standing.CopyFrom(order)
     state = order.state
     for _ in range(_MAX_STATE_WRITES):
         entry = await rollout_storage.read_state_entry(order.service)
-        await orders.check_standing(store, aborted)
+        standing.number = await orders.check_standing(store, aborted)
         state = await rollout_storage.replace_state(
-            order, control_pb2.ROLLED_BACK, entry
+            standing, control_pb2.ROLLED_BACK, entry
         )
         if state in rollout_records.FINAL_STATES:
             break
--- a/merlintrestle/rollouts/orders.py
+++ b/merlintrestle/rollouts/orders.py
@@ -101,7 +101,7 @@
 
 async def check_standing(
     store: records.Store, order: control_pb2.Rollout
-) -> None:
+) -> int:
     """Checks that an order is still the last one for its service.
 
     Args:
@@ -109,6 +109,9 @@
         order: The order as it was read, but with the state with which it is to
             be written again, and may be already.
 
+    Returns:
+        The revision of its entry, which is higher if it was written again.
+
     Raises:
         errors.LostRaceError: Another order was written since.
         errors.StoreUnavailableError: The store did not answer.
@@ -117,7 +120,7 @@
     if entry is not None and (
         entry.revision == order.number or _is_in_place(order, entry)
     ):
-        return
+        return entry.revision
     raise errors.LostRaceError(f"{order.service}: there is another order")
 
 
--- a/merlintrestle/rollouts/storage.py
+++ b/merlintrestle/rollouts/storage.py
@@ -10,11 +10,11 @@
 from merlintrestle import events as event_logs
 from merlintrestle.rollouts import records
 from merlintrestle.schema import control_pb2
+from merlintrestle.store import client
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from merlintrestle.store import client
     from merlintrestle.store import records as store_records
 
 events = event_logs.EventLog("rollouts")
@@ -213,7 +213,9 @@
 
         Several daemons may write concurrently, and a write whose reply was lost
         may be applied late. Each write is therefore conditional on the entry
-        that was read just before, so that a final state is never replaced.
+        that was read just before, so that a final state is never replaced. It
+        is also conditional on the order: a daemon that was paused may know only
+        an earlier one, whose state would count as that of a later one.
 
         Args:
             rollout: The order.
@@ -221,7 +223,8 @@
 
         Returns:
             The state of the order after the write, which another daemon may
-            have written.
+            have written; unspecified if there is a later order and nothing was
+            written.
 
         Raises:
             errors.StoreUnavailableError: The store did not answer.
@@ -255,15 +258,41 @@
         current = self._get_state(rollout, entry)
         if current in records.FINAL_STATES or current >= state:
             return current
-        reply = await self._store.put(
-            self._format.build_state_key(rollout.service),
-            self._format.encode_state(rollout, state),
-            entry.revision if entry is not None else 0,
-        )
+        revision = entry.revision if entry is not None else 0
+        reply = await self._put_state(rollout, state, revision, rollout.number)
+        if reply.unmet and not reply.unmet[0].revision:
+            # The store lost the order, so there is no later one either.
+            reply = await self._put_state(rollout, state, revision, 0)
         if reply.written:
             return state
+        if reply.unmet:
+            events.note(
+                "state not written",
+                reason="there is another order",
+                service=rollout.service,
+                version=rollout.version,
+                number=rollout.number,
+                standing=reply.unmet[0].revision,
+            )
+            return control_pb2.ROLLOUT_STATE_UNSPECIFIED
         return self._get_state(rollout, reply.entry)
 
+    async def _put_state(
+        self,
+        rollout: control_pb2.Rollout,
+        state: control_pb2.RolloutState,
+        revision: int,
+        order_revision: int,
+    ) -> client.WriteReply:
+        """Writes a state if neither it nor the order was replaced."""
+        order_key = self._format.order_prefix + rollout.service
+        return await self._store.put(
+            self._format.build_state_key(rollout.service),
+            self._format.encode_state(rollout, state),
+            revision,
+            conditions=(client.Condition(order_key, order_revision),),
+        )
+
     def _get_state(
         self, rollout: control_pb2.Rollout, entry: client.Entry | None
     ) -> control_pb2.RolloutState:
--- a/merlintrestle/store/client.py
+++ b/merlintrestle/store/client.py
@@ -17,7 +17,7 @@
 from merlintrestle.store import eras
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
 logger = logging.getLogger(__name__)
 
@@ -56,16 +56,30 @@
     revision: int
 
 
+class Condition(NamedTuple):
+    """Condition of a write on another key.
+
+    Attributes:
+        key: The key.
+        revision: Revision that it must have; 0 if it must not exist.
+    """
+
+    key: str
+    revision: int
+
+
 class WriteReply(NamedTuple):
     """Result of a compare-and-swap.
 
     Attributes:
       written: Whether this call wrote the value.
       entry: The entry after the call.
+      unmet: Entries of the conditions that did not hold, as they are.
     """
 
     written: bool
     entry: Entry
+    unmet: tuple[Entry, ...] = ()
 
 
 class StoreClient:
@@ -123,12 +137,25 @@
         return self._convert_entry(reply.entry)
 
     async def put(
-        self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease_id: int = 0,
+        conditions: Sequence[Condition] = (),
     ) -> WriteReply:
-        """Writes a key if it still has the expected revision (0: absent)."""
-        if expected_revision and not self.era.has(expected_revision):
-            entry = await self.get(key)
-            return WriteReply(False, entry or Entry(key, b"", 0))
+        """Writes a key if it still has the expected revision (0: absent).
+
+        Args:
+            key: The key.
+            value: Its new value.
+            expected_revision: The expected revision.
+            lease_id: Lease with whose end the key is deleted; 0: none.
+            conditions: What must hold for other keys at the same time.
+        """
+        expected = [expected_revision, *(row.revision for row in conditions)]
+        if not self.era.has_all(expected):
+            return await read_conflict(self.get, key, conditions)
         if lease_id and not self.era.has(lease_id):
             raise errors.StoreUnavailableError("store: the lease has ended")
         reply = await self._write(
@@ -138,11 +165,21 @@
                 value=value,
                 expected_revision=eras.get_number(expected_revision),
                 lease_id=eras.get_number(lease_id),
-                expected_era=eras.get_era(expected_revision),
+                expected_era=max(map(eras.get_era, expected)),
+                conditions=[
+                    store_pb2.Condition(
+                        key=row.key,
+                        expected_revision=eras.get_number(row.revision),
+                    )
+                    for row in conditions
+                ],
             ),
         )
-        entry = self._convert_entry(reply.entry)
-        return WriteReply(reply.written, entry)
+        return WriteReply(
+            reply.written,
+            self._convert_entry(reply.entry),
+            tuple(map(self._convert_entry, reply.unmet)),
+        )
 
     async def delete(self, key: str, expected_revision: int) -> bool:
         """Deletes a key if it still has the expected revision."""
@@ -250,5 +287,40 @@
         return Entry(entry.key, entry.value, revision)
 
 
+def build_conflict(
+    key: str,
+    conditions: Sequence[Condition],
+    find_entry: Callable[[str], Entry],
+) -> WriteReply:
+    """Returns the result of a write that was refused.
+
+    Args:
+        key: The key.
+        conditions: The conditions of the write.
+        find_entry: Returns the entry of a key, with revision 0 if it does not
+            exist.
+    """
+    current = [(row, find_entry(row.key)) for row in conditions]
+    unmet = [entry for row, entry in current if entry.revision != row.revision]
+    return WriteReply(False, find_entry(key), tuple(unmet))
+
+
+async def read_conflict(
+    get: Callable[[str], Awaitable[Entry | None]],
+    key: str,
+    conditions: Sequence[Condition],
+) -> WriteReply:
+    """Returns the result of a write with a revision of an earlier era.
+
+    Args:
+        get: Reads a key.
+        key: The key.
+        conditions: The conditions of the write.
+    """
+    keys = [key, *(row.key for row in conditions)]
+    entries = {name: await get(name) or Entry(name, b"", 0) for name in keys}
+    return build_conflict(key, conditions, entries.__getitem__)
+
+
 def _describe(error: grpc.aio.AioRpcError) -> str:
     return f"store: {error.code().name.lower()}: {error.details()}"
--- a/merlintrestle/store/eras.py
+++ b/merlintrestle/store/eras.py
@@ -17,7 +17,7 @@
 from merlintrestle import events as event_logs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 events = event_logs.EventLog("store")
 
@@ -113,6 +113,10 @@
         """Returns whether a revision or lease id is of the current era."""
         return get_era(qualified) == (self.current or 0)
 
+    def has_all(self, revisions: Iterable[int]) -> bool:
+        """Returns whether all revisions are of the current era, or 0."""
+        return all(self.has(revision) for revision in revisions if revision)
+
     def learn(self, era: int, age_s: float = 0.0) -> None:
         """Records an era that the store or another daemon states.
 
--- a/merlintrestle/store/records.py
+++ b/merlintrestle/store/records.py
@@ -15,7 +15,7 @@
 from merlintrestle.schema import document_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
     from merlintrestle.store import client
 
@@ -38,9 +38,14 @@
         """Reads a key."""
 
     async def put(
-        self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease_id: int = 0,
+        conditions: Sequence[client.Condition] = (),
     ) -> client.WriteReply:
-        """Writes a key if it has the expected revision."""
+        """Writes a key if it and other keys have the expected revisions."""
 
     async def list(
         self, prefix: str, after: str = "", limit: int = 1000
--- a/standins/servicer.py
+++ b/standins/servicer.py
@@ -107,11 +107,16 @@
         await self._begin_call("put", context, request.key)
         is_expected_era = self._is_expected_era(request)
         try:
-            written = is_expected_era and self.key_value_store.put(
-                request.key,
-                request.value,
-                request.expected_revision,
-                request.lease_id,
+            unmet = self._list_unmet(request)
+            written = (
+                is_expected_era
+                and not unmet
+                and self.key_value_store.put(
+                    request.key,
+                    request.value,
+                    request.expected_revision,
+                    request.lease_id,
+                )
             )
         except keyvalue.ValueTooLargeError as error:
             await context.abort(
@@ -127,7 +132,23 @@
             self.writes.append(Write(entry.key, entry.revision, at_ms))
             self._schedule_outage_after_write(entry.key)
         await self._abort_if_answer_lost(context)
-        return store_pb2.PutReply(written=written, entry=_encode(entry))
+        return store_pb2.PutReply(
+            written=written,
+            entry=_encode(entry),
+            unmet=[_encode(other) for other in unmet],
+        )
+
+    def _list_unmet(self, request: Any) -> list[keyvalue.Entry]:
+        """Returns the entries of the conditions that do not hold."""
+        entries = [
+            (row, self.key_value_store.get(row.key))
+            for row in request.conditions
+        ]
+        return [
+            entry
+            for row, entry in entries
+            if entry.revision != row.expected_revision
+        ]
 
     async def Delete(self, request: Any, context: Any) -> Any:  # noqa: N802
         """Removes a key by compare-and-swap."""
--- a/tests/rollouts/test_controller.py
+++ b/tests/rollouts/test_controller.py
@@ -65,6 +65,21 @@
         await self.controller.write_state(self.fixture.progress)
         self.assertTrue(self.fixture.progress.ended)
 
+    async def test_replaced_order_is_not_written_at_each_update(self) -> None:
+        """Guards against calls to the store for an order that is replaced."""
+        self.store.write(
+            storages.ORDER_PREFIX + builders.SERVICE,
+            builders.build_rollout(number=0).SerializeToString(),
+        )
+        self.start_rollout()
+        self.fixture.tracker.merge_report(
+            builders.build_report(_OLD, drained=True)
+        )
+        for _ in range(3):
+            await self.controller.write_state(self.fixture.progress)
+        self.assertFalse(self.fixture.progress.ended)
+        self.assertEqual(self.store.calls["put"], 1)
+
     def build_order(self, revision: int, era: int) -> control_pb2.Rollout:
         """Builds the order as read from the store, in an era."""
         return builders.build_rollout(number=eras.qualify(revision, era))
--- a/tests/rollouts/test_operations.py
+++ b/tests/rollouts/test_operations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 import unittest
 
 from merlintrestle import errors
@@ -268,12 +268,12 @@
         put = self.store.put
 
         async def put_after_interrupt(
-            key: str, value: bytes, expected_revision: int, lease_id: int = 0
+            key: str, *arguments: Any, **conditions: Any
         ) -> client.WriteReply:
             if key == _ORDER_KEY:
                 self.store.put = put  # type: ignore[method-assign]
                 await interrupt()
-            return await put(key, value, expected_revision, lease_id)
+            return await put(key, *arguments, **conditions)
 
         self.store.put = put_after_interrupt  # type: ignore[method-assign]
 
--- a/tests/rollouts/test_storage.py
+++ b/tests/rollouts/test_storage.py
@@ -11,6 +11,7 @@
 from merlintrestle.rollouts import storage as storages
 from merlintrestle.schema import control_pb2
 from merlintrestle.store import client
+from merlintrestle.store import eras
 from tests.rollouts import builders
 
 _FORMATS: tuple[storages.RecordFormat, ...] = (
@@ -56,7 +57,7 @@
         for record_format in _FORMATS:
             store = builders.FakeStore()
             storage = storages.RolloutStorage(store, record_format)
-            rollout = builders.build_rollout()
+            rollout = self._write_order(store, record_format)
             key = record_format.build_state_key(builders.SERVICE)
             store.lost_answers[key] = 1
             with self.assertRaises(errors.StoreUnknownOutcomeError):
@@ -96,6 +97,38 @@
             states.append(await storage.read_state(ordered_again))
         self.assertEqual(states, [control_pb2.RUNNING] * len(_FORMATS))
 
+    async def test_late_write_does_not_end_the_next_rollout(self) -> None:
+        """Guards against an unanswered write that comes after a later order."""
+        for record_format in _FORMATS:
+            store = builders.FakeStore()
+            storage = storages.RolloutStorage(store, record_format)
+            known = self._write_order(store, record_format)
+            store.late_writes[record_format.build_state_key(known.service)] = 1
+            with self.assertRaises(errors.StoreUnknownOutcomeError):
+                await storage.write_state(known, control_pb2.COMPLETE)
+            ordered_again = self._write_order(store, record_format)
+            store.release_late_writes()
+            self.assertEqual(
+                await storage.read_state(ordered_again),
+                control_pb2.ROLLOUT_STATE_UNSPECIFIED,
+            )
+
+    async def test_order_of_an_earlier_era_does_not_end_a_restored_one(self):
+        """Guards against a final state for an order that the copy has kept."""
+        for record_format in _FORMATS:
+            store = builders.FakeStore()
+            storage = storages.RolloutStorage(store, record_format)
+            self._write_order(store, record_format)
+            store.begin_era(eras.qualify(10, 2))
+            restored = self._write_order(store, record_format)
+            lost = builders.build_rollout(number=eras.qualify(99, 1))
+            written = await storage.write_state(lost, control_pb2.COMPLETE)
+            self.assertEqual(written, control_pb2.ROLLOUT_STATE_UNSPECIFIED)
+            self.assertEqual(
+                await storage.read_state(restored),
+                control_pb2.ROLLOUT_STATE_UNSPECIFIED,
+            )
+
     def _write_order(
         self, store: builders.FakeStore, record_format: storages.RecordFormat
     ) -> control_pb2.Rollout:
--- a/tests/store/fakes.py
+++ b/tests/store/fakes.py
@@ -11,7 +11,7 @@
 from merlintrestle.store import eras
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
 
 class FakeStore:
@@ -39,7 +39,9 @@
         self.before_call: Callable[[str, str], Awaitable[None]] | None = None
         self.calls: collections.Counter[str] = collections.Counter()
         self._revision = 0
-        self._pending_writes: list[tuple[str, bytes, int]] = []
+        self._pending_writes: list[
+            tuple[str, bytes, int, Sequence[client.Condition]]
+        ] = []
         self._leases: dict[int, set[str]] = {}
         self._changed: asyncio.Event | None = None
 
@@ -57,17 +59,24 @@
         return self.entries.get(key)
 
     async def put(
-        self, key: str, value: bytes, expected_revision: int, lease_id: int = 0
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        lease_id: int = 0,
+        conditions: Sequence[client.Condition] = (),
     ) -> client.WriteReply:
-        """Writes a key if it has the expected revision."""
+        """Writes a key if it and other keys have the expected revisions."""
         if self.before_call is not None:
             await self.before_call("put", key)
         self._check_write("put")
         if self.late_writes[key]:
             self.late_writes[key] -= 1
-            self._pending_writes.append((key, value, expected_revision))
+            self._pending_writes.append(
+                (key, value, expected_revision, conditions)
+            )
             raise errors.StoreUnknownOutcomeError("fake: no answer yet")
-        reply = self._swap(key, value, expected_revision)
+        reply = self._swap(key, value, expected_revision, conditions)
         if reply.written and lease_id:
             self._leases[lease_id].add(key)
         if self.lost_answers[key]:
@@ -132,8 +141,8 @@
     def release_late_writes(self) -> None:
         """Applies the late writes in the order of their calls."""
         late_writes, self._pending_writes = self._pending_writes, []
-        for key, value, expected_revision in late_writes:
-            self._swap(key, value, expected_revision)
+        for late_write in late_writes:
+            self._swap(*late_write)
 
     def set_down(self, down: bool) -> None:
         """Sets whether the store is down, which breaks open watches."""
@@ -141,17 +150,24 @@
         self._notify_watches()
 
     def _swap(
-        self, key: str, value: bytes, expected_revision: int
+        self,
+        key: str,
+        value: bytes,
+        expected_revision: int,
+        conditions: Sequence[client.Condition] = (),
     ) -> client.WriteReply:
-        current = self.entries.get(key, client.Entry(key, b"", 0))
-        if current.revision != expected_revision:
-            return client.WriteReply(False, current)
+        conflict = client.build_conflict(key, conditions, self._find_entry)
+        if conflict.unmet or conflict.entry.revision != expected_revision:
+            return conflict
         self._revision += 1
         entry = client.Entry(key, value, self._revision)
         self.entries[key] = entry
         self._notify_watches()
         return client.WriteReply(True, entry)
 
+    def _find_entry(self, key: str) -> client.Entry:
+        return self.entries.get(key, client.Entry(key, b"", 0))
+
     def _notify_watches(self) -> None:
         if self._changed is not None:
             self._changed.set()
--- a/tests/store/test_contract.py
+++ b/tests/store/test_contract.py
@@ -7,6 +7,7 @@
 import unittest
 
 from merlintrestle import errors
+from merlintrestle.store import client
 from standins import faults
 from tests.platform import builders as platform_builders
 from tests.standins import builders as standin_builders
@@ -53,6 +54,23 @@
         self.assertFalse(conflicting.written)
         self.assertEqual(conflicting.entry.value, b"2")
 
+    async def test_a_write_needs_its_conditions(self: Any) -> None:
+        """Guards against a write that ignores what other keys must be."""
+        other = (await self.store.put("b", b"1", 0)).entry
+        for revision in (0, other.revision + 1):
+            condition = client.Condition("b", revision)
+            refused = await self.store.put("a", b"1", 0, 0, (condition,))
+            self.assertFalse(refused.written)
+            self.assertEqual(refused.unmet, (other,))
+            self.assertEqual(refused.entry.revision, 0)
+        conditions = (
+            client.Condition("b", other.revision),
+            client.Condition("c", 0),
+        )
+        written = await self.store.put("a", b"1", 0, 0, conditions)
+        self.assertTrue(written.written)
+        self.assertEqual(written.unmet, ())
+
     async def test_a_delete_needs_the_last_revision(self: Any) -> None:
         first = (await self.store.put("a", b"1", 0)).entry
         second = (await self.store.put("a", b"2", first.revision)).entry
