End connections on which only framing or unasked bytes arrive

Callers saw: an answer whose chunk size or chunk extension never ends held its call until the deadline; more than 64 MB were read in a second. Bytes behind a whole answer held the idle connection, and the server that sent them, until the connection was used or swept.

Cause: nothing bounded the bytes of an answer that are not of its body, and an idle connection only remembered that it can't be used again.

Change: more than 1 MB in a row without a byte of the body ends the connection; an idle connection on which bytes arrive is closed at once.

Evidence: test_endless_answers, kinds 'chunk size', 'chunk extension' (more than 16 MB taken) and the three 'surplus' kinds (server blocked, with uvloop) fail on the code before and pass now.

--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -46,6 +46,9 @@
 # Messages that are accepted in answer to one call: informational answers, late
 # answers to earlier calls, and its own. More of them are no answer.
 _MAX_MESSAGES = 32
+# Bytes that are accepted in a row without any of them being part of the body,
+# after the headers of an answer. Sound framing is some bytes a chunk.
+_MAX_FRAMING_BYTES = 1024 * 1024
 # Requests with these methods have no Content-Length if they have no body.
 _BODILESS_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
 
@@ -103,6 +106,10 @@
         self._answer_body: aiohttp.StreamReader | None = None
         # Messages received since the last call was sent.
         self._messages = 0
+        # Bytes received since the body last grew, and its length then.
+        self._framing_bytes = 0
+        self._body_bytes = 0
+        self._idle = False
         self._timed_out = False
 
     @property
@@ -148,8 +155,8 @@
             max_headers=_MAX_HEADERS,
         )
         self._answer_body = None
-        self._messages = 0
-        self._timed_out = False
+        self._messages = self._framing_bytes = self._body_bytes = 0
+        self._idle = self._timed_out = False
         await self._send(method, target, headers, body)
         return await self._read_answer()
 
@@ -183,6 +190,23 @@
             self._answer_body = content
         super().feed_data(data, size)
 
+    def _check_framing(self, received: int) -> None:
+        """Ends an answer of which only framing arrives.
+
+        Args:
+            received: Number of bytes just received.
+        """
+        body = self._answer_body
+        if body is None:
+            return
+        if body.total_bytes != self._body_bytes:
+            self._body_bytes = body.total_bytes
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += received
+        if self._framing_bytes > _MAX_FRAMING_BYTES:
+            self._end_flood("framing")
+
     def _end_flood(self, kind: str) -> None:
         if self.transport is not None:
             events.warn(
@@ -253,6 +277,7 @@
     def mark_idle(self, now: float) -> None:
         """Prepares for being idle until the next call."""
         self.idle_since = now
+        self._idle = True
         # Bytes received between calls would be parsed as the answer to the next
         # call, whose caller would get the wrong answer. Without a parser they
         # stay unparsed, which makes `should_close` true.
@@ -274,7 +299,12 @@
             self.address
         ] = self._loop.time()
         self._traffic.received += len(data)
+        if self._idle:
+            # Whatever they are, the connection can't be used any more.
+            self.abort()
+            return
         super().data_received(data)
+        self._check_framing(len(data))
 
     def is_paused(self) -> bool:
         """Returns whether reading is paused because the buffer is full."""
--- a/tests/requests/transport/test_endless_answers.py
+++ b/tests/requests/transport/test_endless_answers.py
@@ -30,10 +30,19 @@
     "status line": broken_servers.Flood(b"HTTP/1.1 200 ", b"O"),
     "header lines": broken_servers.Flood(_HEAD, b"X-A: b\r\n"),
     "header line": broken_servers.Flood(_HEAD + b"X-A: ", b"b"),
+    "chunk size": broken_servers.Flood(_CHUNKED, b"0"),
+    "chunk extension": broken_servers.Flood(_CHUNKED + b"2;", b"a"),
     "trailer": broken_servers.Flood(
         _CHUNKED + b"2\r\nok\r\n0\r\n", b"X-A: b\r\n"
     ),
 }
+_FLOODS_AFTER_AN_ANSWER = {
+    "surplus bytes": broken_servers.Flood(_WHOLE, b"surplus"),
+    "surplus answers": broken_servers.Flood(_WHOLE, _WHOLE),
+    "surplus 100 Continue": broken_servers.Flood(
+        _WHOLE, b"HTTP/1.1 100 Continue\r\n\r\n"
+    ),
+}
 
 
 class EndlessAnswerTest(unittest.TestCase):
@@ -91,6 +100,10 @@
         """Guards against callers without an answer while bytes keep coming."""
         self.check_all(_FLOODS, b"")
 
+    def test_bytes_behind_an_answer_end_the_connection(self) -> None:
+        """Guards against bytes without end that belong to no call."""
+        self.check_all(_FLOODS_AFTER_AN_ANSWER, b"ok", b"")
+
     def test_few_informational_answers_are_skipped(self) -> None:
         """Guards against sound answers that are taken for a flood."""
         informational = b"HTTP/1.1 100 Continue\r\n\r\n" * 10
