Leave responses without a body to the server, which writes in turn

Cause: forward_answer wrote the heads of such answers itself, while other buffered answers are returned and written by the server in turn.

Change: it returns them unwritten too.

--- a/merlintrestle/requests/transport/streams.py
+++ b/merlintrestle/requests/transport/streams.py
@@ -136,22 +136,21 @@
     )
     if not framed:
         response.force_close()
+    if bodiless:
+        # Written by the server in turn: the caller would take a head that
+        # comes before earlier answers for that of an earlier request.
+        return response
     progress = progress or probes.AnswerProgress()
     watchdog = _ReceiverWatchdog(request, progress)
     # Whether only the close of the connection marks the end of the answer.
     ends_by_close = not framed or (
-        request.version < http.HttpVersion11
-        and not bodiless
-        and "Content-Length" not in copied
+        request.version < http.HttpVersion11 and "Content-Length" not in copied
     )
     try:
         if ends_by_close:
             _set_linger(request, _LINGER_RESET)
         await response.prepare(request)
-        if not bodiless:
-            await (send_body or _send_chunks)(
-                request, response, answered, progress
-            )
+        await (send_body or _send_chunks)(request, response, answered, progress)
         await response.write_eof()
         if ends_by_close:
             await _flush_before_close(request)
--- a/tests/requests/transport/test_pipelining.py
+++ b/tests/requests/transport/test_pipelining.py
@@ -41,6 +41,8 @@
             if "cut" in path or "stream" in path:
                 return await self.stream(request)
             await self.wait_for_gate(path)
+            if path.startswith("/status/"):
+                return web.Response(status=int(path.rpartition("/")[2]))
             return web.Response(
                 text=path, status=500 if "fail" in path else 200
             )
@@ -104,6 +106,41 @@
                 answer = await connection.read_answer()
                 self.assertEqual(answer, (200, path.encode()))
 
+    async def test_answers_without_a_body_wait_for_their_turn(self) -> None:
+        """Guards against answers that are taken for those to other requests."""
+        requests = {
+            "HEAD": pipelines.build_request("/head", "HEAD"),
+            "204": pipelines.build_request("/status/204", "DELETE"),
+            "304": pipelines.build_request("/status/304"),
+        }
+        for name, request in requests.items():
+            with self.subTest(name):
+                self.add_gates("/1")
+                async with (
+                    builders.run_nodes(1, handler=self.handle) as (node,),
+                    pipelines.connect(node) as connection,
+                ):
+                    connection.writer.write(
+                        pipelines.build_request("/1")
+                        + request
+                        + pipelines.build_request("/3")
+                    )
+                    async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+                        while len(node.served) < 3 or self.running != {"/1"}:
+                            await asyncio.sleep(0.001)
+                    # What was ready has been written unless it waits.
+                    await asyncio.sleep(0.02)
+                    self.gates["/1"].set()
+                    self.assertEqual(
+                        await connection.read_answer(), (200, b"/1")
+                    )
+                    head = await connection.reader.readuntil(b"\r\n\r\n")
+                    status = "200" if name == "HEAD" else name
+                    self.assertEqual(head.split()[1].decode(), status)
+                    self.assertEqual(
+                        await connection.read_answer(), (200, b"/3")
+                    )
+
     async def test_bytes_behind_a_request_that_are_no_request(self) -> None:
         """Guards against valid requests that fail for what follows them."""
         async with (
