Ask the backend server's status which of two processes runs

Cause: a heartbeat with another id was taken for one of a later process, though without start times nothing tells which is later, and a process that was replaced could not come back.

Change: where no start times decide, the status of the backend server names the process that runs. A heartbeat that it refutes is not applied; a process that was only replaced, and neither drained nor left, comes back if the status names it. Without a status the heartbeat decides as before.

Tests of the daemon, of paths, processes and endpoints of the platform pass.

BackendLifecycle.restore takes the check itself instead of its result; the tests pass it so.

--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -106,6 +106,10 @@
     as heartbeats of the new one. Therefore a process is identified by its id
     and its start time.
 
+    Where no start times are stated, a heartbeat of another process does not
+    tell which of the two is the later one. `is_ambiguous` reports this, and the
+    status of the backend server decides.
+
     A leave may state no start time. A start that heartbeats have stated may be
     that of an earlier process with this id, and after a restart of the daemon
     none is known. A late heartbeat would then look like one of a later process.
@@ -135,6 +139,9 @@
         # Latest start time of a retired process by id, in ms since 1970; the
         # time of its leave if that states no start.
         self._retired: dict[str, int] = {}
+        # Ids of processes that were retired only because a heartbeat of another
+        # one replaced them.
+        self._replaced: set[str] = set()
         # Processes by id that were draining before this daemon was restarted.
         self._drained: dict[str, Process] = {}
 
@@ -167,6 +174,25 @@
             and self._sequence <= process.sequence
         )
 
+    def is_ambiguous(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether a heartbeat may be of an earlier or later process.
+
+        It has another id than the current process, and no start times tell
+        which of the two is later.
+        """
+        instance_id = heartbeat.instance_id
+        if not self._instance_id or instance_id == self._instance_id:
+            return False
+        if heartbeat.started_ms and self._started_ms:
+            return False
+        return instance_id not in self._retired or instance_id in self._replaced
+
+    def reinstate(self, instance_id: str) -> None:
+        """Accepts heartbeats of a process again that was replaced."""
+        if instance_id in self._replaced:
+            self._replaced.remove(instance_id)
+            del self._retired[instance_id]
+
     def accept(self, heartbeat: Heartbeat) -> bool:
         """Records a heartbeat; returns False if it must not be applied."""
         retired_ms = self._retired.get(heartbeat.instance_id)
@@ -184,6 +210,7 @@
         if heartbeat.instance_id != self._instance_id:
             # Before the first heartbeat, the current id is empty.
             self._mark_retired(self._instance_id, self._started_ms)
+            self._replaced.add(self._instance_id)
             self._instance_id = heartbeat.instance_id
             self._started_ms = 0
         # A heartbeat without a start time keeps the known one of its process.
@@ -217,6 +244,7 @@
             applies = not self._started_earlier(started_ms)
         retired_ms = started_ms or int(self._get_time() * 1000)
         self._mark_retired(instance_id, retired_ms)
+        self._replaced.discard(instance_id)
         events.note(
             "process retired",
             instance=instance_id,
@@ -284,4 +312,6 @@
             started_ms, self._retired.pop(instance_id, started_ms)
         )
         while len(self._retired) > _MAX_RETIRED_PROCESSES:
-            del self._retired[next(iter(self._retired))]
+            forgotten = next(iter(self._retired))
+            del self._retired[forgotten]
+            self._replaced.discard(forgotten)
--- a/merlintrestle/daemon/lifecycle.py
+++ b/merlintrestle/daemon/lifecycle.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from merlintrestle import events as event_logs
 from merlintrestle.daemon import heartbeats
@@ -20,6 +20,11 @@
 events = event_logs.EventLog("daemon")
 
 
+# Returns the status of the backend server as a heartbeat that is older than all
+# others; None if there is no status.
+StatusCheck: TypeAlias = "Callable[[], Awaitable[heartbeats.Heartbeat | None]]"
+
+
 class BackendLifecycle:
     """Applies heartbeats and leaves to the state of the backend server.
 
@@ -57,18 +62,18 @@
         # Processes that other daemons were told, by id and start.
         self._told: dict[tuple[str, int], heartbeats.Process] = {}
         self._records = leave_records.LeaveRecords(store, address)
+        self._check_status: StatusCheck = _get_no_status
 
-    async def restore(
-        self, check: Awaitable[heartbeats.Heartbeat | None]
-    ) -> None:
+    async def restore(self, check_status: StatusCheck) -> None:
         """Restores what is known of the backend server at the start.
 
         Args:
-            check: The check of its present status, whose result is a heartbeat
-                that is older than all others; None if there is no status.
+            check_status: Checks its present status, here and whenever it is
+                unclear which of its processes runs.
         """
+        self._check_status = check_status
         status, _ = await asyncio.gather(
-            check, self._records.start(self.restore_leaving)
+            check_status(), self._records.start(self.restore_leaving)
         )
         events.note(
             "status read",
@@ -88,7 +93,9 @@
         Returns:
             Whether to confirm the heartbeat.
         """
-        if not self._filter.accept(heartbeat):
+        if await self._is_refuted(heartbeat) or not self._filter.accept(
+            heartbeat
+        ):
             return heartbeat.state == control_pb2.READY or (
                 await self._keep_again(heartbeat.instance_id)
             )
@@ -111,6 +118,28 @@
             return await self._keep(process)
         return True
 
+    async def _is_refuted(self, heartbeat: heartbeats.Heartbeat) -> bool:
+        """Returns whether the status refutes a heartbeat of another process.
+
+        A late heartbeat of an earlier process would replace the one that runs,
+        whose heartbeats would be ignored from then on.
+        """
+        if not self._filter.is_ambiguous(heartbeat):
+            return False
+        status = await self._check_status()
+        running = status.instance_id if status is not None else ""
+        current = self._filter.current_process.instance_id
+        events.note(
+            "heartbeat of another process",
+            instance=heartbeat.instance_id,
+            sequence=heartbeat.sequence,
+            current=current,
+            running=running,
+        )
+        if running == heartbeat.instance_id:
+            self._filter.reinstate(running)
+        return bool(running) and running == current
+
     async def handle_leave(self, instance_id: str, started_ms: int = 0) -> bool:
         """Stops sending new calls to a process that shuts down.
 
@@ -178,6 +207,10 @@
         self._on_leaving(process)
 
 
+async def _get_no_status() -> heartbeats.Heartbeat | None:
+    return None
+
+
 def _get_identity(process: heartbeats.Process) -> tuple[str, int]:
     """Returns the id and the start of a process."""
     return process.instance_id, process.started_ms
--- a/merlintrestle/platform/health.py
+++ b/merlintrestle/platform/health.py
@@ -1,4 +1,4 @@
-"""Health check of the backend server at the start of the daemon."""
+"""Health check of the backend server."""
 
 from __future__ import annotations
 
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -86,8 +86,8 @@
             lambda: metrics.render_metrics(self.registry),
         )
         await self.add_runtime_dependency(self._endpoints)
-        status = health.check_backend(self._platform_settings)
-        await self.lifecycle.restore(status)
+        settings = self._platform_settings
+        await self.lifecycle.restore(lambda: health.check_backend(settings))
 
     def _knows_service(self, name: str) -> bool:
         """Returns whether the settings or running version name a service."""
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -141,7 +141,7 @@
                 return None
             return self._build_heartbeat(heartbeats.INITIAL_SEQUENCE, state, 0)
 
-        await self._lifecycle.restore(read_status())
+        await self._lifecycle.restore(read_status)
 
     def _build_heartbeat(
         self, sequence: float, state: control_pb2.BackendState, started_ms: int
@@ -151,6 +151,77 @@
         )
 
 
+class AnotherProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Heartbeats of two processes at one address, without start times."""
+
+    async def asyncSetUp(self) -> None:
+        self.running: str | None = "live"
+        self.backend = backends.LocalBackend()
+        self.lifecycle = lifecycle.BackendLifecycle(
+            self.backend,
+            fakes.FakeStore(),  # type: ignore[arg-type]
+            _ADDRESS,
+            lambda process: None,
+            self._flush,
+        )
+        self.addAsyncCleanup(self.lifecycle.close)
+        await self.lifecycle.restore(self._check_status)
+
+    async def _flush(self) -> bool:
+        return True
+
+    async def _check_status(self) -> heartbeats.Heartbeat | None:
+        if self.running is None:
+            return None
+        return self._build(self.running, heartbeats.INITIAL_SEQUENCE)
+
+    def _build(self, instance_id: str, sequence: float) -> heartbeats.Heartbeat:
+        return heartbeats.Heartbeat(
+            instance_id, "kassa", _ADDRESS, 12, _READY, 0.0, sequence
+        )
+
+    async def send(self, instance_id: str, sequence: float) -> str:
+        """Sends a heartbeat, and returns the process that gets calls."""
+        heartbeat = self._build(instance_id, sequence)
+        self.assertTrue(await self.lifecycle.handle_heartbeat(heartbeat))
+        return self.backend.instance_id
+
+    async def test_late_heartbeat_does_not_replace_the_live_process(self):
+        """Guards against a live process that is ignored for good."""
+        self.assertEqual(await self.send("live", 1), "live")
+        self.assertEqual(await self.send("crashed", 40), "live")
+        self.assertEqual(await self.send("live", 2), "live")
+
+    async def test_live_process_comes_back_after_a_late_heartbeat(self) -> None:
+        """Guards against the same while the status is not known."""
+        await self.send("live", 1)
+        self.running = None
+        await self.send("crashed", 40)
+        self.running = "live"
+        self.assertEqual(await self.send("live", 2), "live")
+        self.assertEqual(await self.send("crashed", 41), "live")
+
+    async def test_new_process_gets_calls_with_its_first_heartbeat(
+        self,
+    ) -> None:
+        """Guards against a new process that has to wait for its calls."""
+        for running in ("new", None):
+            with self.subTest(running=running):
+                await self.asyncSetUp()
+                await self.send("live", 1)
+                self.running = running
+                self.assertEqual(await self.send("new", 1), "new")
+
+    async def test_process_that_left_does_not_come_back(self) -> None:
+        """Guards against calls to a process that left and still answers."""
+        await self.send("live", 1)
+        self.running = None
+        await self.send("new", 1)
+        await self.lifecycle.handle_leave("live")
+        self.running = "live"
+        self.assertEqual(await self.send("live", 2), "new")
+
+
 _ACTIONS = (
     *_RESTARTS,
     "heartbeat",
