Keep counted retries when bounds are set again

Cause: set_bounds cleared all budgets, and each SIGHUP calls it, also without a change.

Change: the bounds are set on the budgets that stand. If the length of the window changes, all counted retries count as just made.

--- a/merlintrestle/requests/load/budgets.py
+++ b/merlintrestle/requests/load/budgets.py
@@ -65,7 +65,11 @@
     def set_bounds(
         self, ratio: float, fleet_slack: float, window_s: float
     ) -> None:
-        """Sets the bounds of the fleet, and resets all budgets.
+        """Sets the bounds of the fleet.
+
+        Calls and retries of the window stay counted: the settings may be read
+        again often, and each daemon would make the retries of a whole window
+        once more each time.
 
         Args:
             ratio: Retries that the fleet may make for each call of a service;
@@ -81,7 +85,8 @@
             window_s or _DEFAULT_WINDOW_S,
         )
         self._fleet_slack = fleet_slack * _SAFETY_FACTOR
-        self._budgets.clear()
+        for budget in self._budgets.values():
+            budget.set_bounds(self._bounds)
 
     def get(self, service: str) -> Budget:
         """Returns the budget of a service."""
@@ -144,6 +149,23 @@
         self._calls = 0.0
         self._retries = 0.0
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Sets the bounds, and keeps what is counted.
+
+        Buckets of another length cannot be divided. All retries then count as
+        if they had just been made, and no call does.
+        """
+        if bounds.window_s != self._bounds.window_s:
+            self._advance()
+            self._calls = 0.0
+            self._buckets.clear()
+            self._buckets.append([0, self._retries])
+            self._bucket_number = int(
+                self._get_time() * _BUCKET_COUNT / bounds.window_s
+            )
+        self._bounds = bounds
+        self.slack = bounds.slack
+
     @property
     def balance(self) -> float:
         """Number of retries that may be made now."""
--- a/tests/requests/load/test_budgets.py
+++ b/tests/requests/load/test_budgets.py
@@ -69,6 +69,23 @@
             self.budgets.get("kassa").charge(0.5)
         self.assertEqual(self.retry(), 0)
 
+    def test_settings_that_are_read_again_allow_no_retry_more(self) -> None:
+        """Guards against a fleet that retries without bounds on reloads."""
+        for bounds in ((0.2, 62.0, 10.0), (0.1, 62.0, 10.0), (0.2, 62.0, 5.0)):
+            with self.subTest(bounds=bounds):
+                self.setUp()
+                self.call(500)
+                self.assertGreater(self.retry(), 3)
+                self.budgets.set_bounds(*bounds)
+                self.assertEqual(self.retry(), 0)
+
+    def test_raised_bounds_apply_to_what_is_counted(self) -> None:
+        """Guards against settings that take effect a window late."""
+        self.call(500)
+        self.retry()
+        self.budgets.set_bounds(0.4, 62.0, 10.0)
+        self.assertGreater(self.retry(), 50)
+
     @hypothesis.given(strategies.integers(0, 2**32))
     def test_no_window_exceeds_the_bound(self, seed: int) -> None:
         """No ten seconds contain more retries than the bounds allow."""
