Send the known strikes when a link opens

Cause: strikes are sent once, when they are given; nothing told earlier ones to a daemon that starts.

Cleared ones are not sent.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import json
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TYPE_CHECKING
 
 from merlintrestle import application
 from merlintrestle import events as event_logs
@@ -37,6 +37,10 @@
 from merlintrestle.versions import freshness_poller as freshness_pollers
 from merlintrestle.versions import source as sources
 
+if TYPE_CHECKING:
+    from merlintrestle.members import links as links_lib
+    from merlintrestle.requests.crashing import strikes as strikes_lib
+
 events = event_logs.EventLog("daemon")
 
 # Maximum time for which the caller port stays closed at the start, while the
@@ -293,6 +297,9 @@
         crashes = self._proxy.crashes
         crashes.send_strike = membership.links.send_strike
         membership.links.on_strike.append(crashes.strikes.add)
+        membership.links.on_open.append(
+            lambda link: _send_strikes(link, crashes.strikes)
+        )
         self._connect_rollouts(membership, distribution)
         await self.add_runtime_dependency(membership)
         await self.add_runtime_dependency(distribution)
@@ -414,3 +421,13 @@
 
     def _publish_backend(self) -> None:
         self._table.set_backend(self._proxy.backend.build_record())
+
+
+def _send_strikes(link: links_lib.Link, known: strikes_lib.Strikes) -> None:
+    """Sends a neighbour the strikes that are known when a link opens.
+
+    It may have been restarted, and would run requests again that crash backend
+    servers and are blocked everywhere else.
+    """
+    for strike in known.list_active():
+        link.outbox.add_strike(strike)
--- a/merlintrestle/requests/crashing/strikes.py
+++ b/merlintrestle/requests/crashing/strikes.py
@@ -90,6 +90,21 @@
             confirmed=confirmed,
         )
 
+    def list_active(self) -> list[control_pb2.Strike]:
+        """Returns all strikes that count, the latest first."""
+        active = [
+            control_pb2.Strike(
+                request_digest=digest,
+                crash_id=crash_id,
+                until_ms=int(strike.expires_at * 1000),
+                confirmed=strike.confirmed,
+            )
+            for digest, strikes in self._strikes_by_request.items()
+            for crash_id, strike in strikes.items()
+            if not strike.cleared and strike.expires_at > self._get_time()
+        ]
+        return sorted(active, key=lambda strike: -strike.until_ms)
+
     def count(self, digest: bytes) -> int:
         """Returns the number of strikes of a request that still count."""
         return len(self._find_active(digest))
--- a/tests/platform/fleets.py
+++ b/tests/platform/fleets.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from typing import Any
+from typing import Any, TYPE_CHECKING
 
 import aiohttp
 
@@ -15,6 +15,9 @@
 from standins import platform_store
 from tests.platform import builders
 
+if TYPE_CHECKING:
+    from merlintrestle.requests.crashing import strikes as strikes_lib
+
 TEST_TIMEOUT_S = 20.0
 
 
@@ -36,6 +39,11 @@
         """URL at which the platform checks readiness."""
         return f"http://{self._endpoints.readiness}/merlintrestle/ready"
 
+    @property
+    def strikes(self) -> strikes_lib.Strikes:
+        """What it knows of requests that crash backend servers."""
+        return self._proxy.crashes.strikes
+
     def skip_farewell(self) -> None:
         """Makes a stop skip the wait for callers to leave."""
         self._settings.farewell_s = 0
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -36,6 +36,20 @@
         self.assertEqual(received_headers["Host"], "desk.example")
         self.assertLessEqual(int(received_headers["X-Deadline-Ms"]), 1000)
 
+    async def test_new_daemon_learns_which_requests_crash_servers(self):
+        """Guards against a restarted daemon that runs such a request again."""
+        await self.fleet.start("kassa", "balie")
+        known = self.fleet.daemons[0].strikes
+        for digest in (b"poison", b"sound"):
+            known.add(known.build(digest, "crash", confirmed=True))
+        known.clear(b"sound")
+        await self.fleet.add_daemon("balie")
+        learned = self.fleet.daemons[2].strikes
+        async with asyncio.timeout(fleets.TEST_TIMEOUT_S):
+            while not learned.count(b"poison"):
+                await asyncio.sleep(0.02)
+        self.assertEqual(learned.list_active(), known.list_active())
+
     async def test_requests_without_a_route_get_404(self):
         """Guards against requests that reach a service without a route."""
         await self.fleet.start("balie")
