Open no io_uring in the test of endless answers

Cause: the library reads UV_USE_IO_URING once for the whole process, and the new test was the first to create a uvloop, without the variable. Reproduced with the two tests alone; shows the same with test_resets in front, where whole runs pass as test_protocols comes before it.

The test now creates its loops as a daemon does, without io_uring. Its checks are unchanged.

--- a/tests/requests/transport/test_endless_answers.py
+++ b/tests/requests/transport/test_endless_answers.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import unittest
+from unittest import mock
 
 import aiohttp
 import uvloop
@@ -48,6 +50,12 @@
 class EndlessAnswerTest(unittest.TestCase):
     """A backend server that sends such bytes until its caller closes."""
 
+    def setUp(self) -> None:
+        # As in a daemon. The library reads it once for the whole process, so
+        # without it the loops of later tests would open an io_uring as well.
+        variables = {"UV_USE_IO_URING": "0"}
+        self.enterContext(mock.patch.dict(os.environ, variables))
+
     async def check(
         self, flood: broken_servers.Flood, nodes: list[builders.Node]
     ) -> bytes:
