Let a displaced process come back only with a later heartbeat

Change: what is kept of a displaced process is the number of its latest heartbeat; only a later one brings it back, with the state that it says.

Evidence: test_late_heartbeat_does_not_end_a_drain failed before and passes now.

A constant is moved out of two that belong together, and a test's line says its failure by itself.

--- a/merlintrestle/daemon/heartbeats.py
+++ b/merlintrestle/daemon/heartbeats.py
@@ -139,9 +139,9 @@
         # Latest start time of a retired process by id, in ms since 1970; the
         # time of its leave if that states no start.
         self._retired: dict[str, int] = {}
-        # Ids of processes that were retired only because a heartbeat of another
-        # one replaced them.
-        self._replaced: set[str] = set()
+        # Sequence numbers, by id, of the latest heartbeats of processes that
+        # were retired only because a heartbeat of another one replaced them.
+        self._replaced: dict[str, float] = {}
         # Processes by id that were draining before this daemon was restarted.
         self._drained: dict[str, Process] = {}
 
@@ -178,19 +178,23 @@
         """Returns whether a heartbeat may be of an earlier or later process.
 
         It has another id than the current process, and no start times tell
-        which of the two is later.
+        which of the two is later. A process that was replaced may have drained
+        before, so only its later heartbeats count.
         """
         instance_id = heartbeat.instance_id
         if not self._instance_id or instance_id == self._instance_id:
             return False
         if heartbeat.started_ms and self._started_ms:
             return False
-        return instance_id not in self._retired or instance_id in self._replaced
+        return (
+            instance_id not in self._retired
+            or heartbeat.sequence > self._replaced.get(instance_id, LEFT)
+        )
 
     def reinstate(self, instance_id: str) -> None:
         """Accepts heartbeats of a process again that was replaced."""
         if instance_id in self._replaced:
-            self._replaced.remove(instance_id)
+            del self._replaced[instance_id]
             del self._retired[instance_id]
 
     def accept(self, heartbeat: Heartbeat) -> bool:
@@ -210,7 +214,7 @@
         if heartbeat.instance_id != self._instance_id:
             # Before the first heartbeat, the current id is empty.
             self._mark_retired(self._instance_id, self._started_ms)
-            self._replaced.add(self._instance_id)
+            self._replaced[self._instance_id] = self._sequence
             self._instance_id = heartbeat.instance_id
             self._started_ms = 0
         # A heartbeat without a start time keeps the known one of its process.
@@ -244,7 +248,7 @@
             applies = not self._started_earlier(started_ms)
         retired_ms = started_ms or int(self._get_time() * 1000)
         self._mark_retired(instance_id, retired_ms)
-        self._replaced.discard(instance_id)
+        self._replaced.pop(instance_id, None)
         events.note(
             "process retired",
             instance=instance_id,
@@ -314,4 +318,4 @@
         while len(self._retired) > _MAX_RETIRED_PROCESSES:
             forgotten = next(iter(self._retired))
             del self._retired[forgotten]
-            self._replaced.discard(forgotten)
+            self._replaced.pop(forgotten, None)
--- a/merlintrestle/requests/transport/connections.py
+++ b/merlintrestle/requests/transport/connections.py
@@ -41,8 +41,8 @@
 _MAX_HEADER_BYTES = 64 * 1024
 _MAX_HEADERS = 256
 _SWITCHING_PROTOCOLS_STATUS = 101
-_TIMED_OUT = "no answer before the deadline"
 _MAX_INFORMATIONAL_STATUS = 199
+_TIMED_OUT = "no answer before the deadline"
 # Messages that are accepted in answer to one call: informational answers, late
 # answers to earlier calls, and its own. More of them are no answer.
 _MAX_MESSAGES = 32
--- a/tests/daemon/test_lifecycle.py
+++ b/tests/daemon/test_lifecycle.py
@@ -180,9 +180,14 @@
             instance_id, "kassa", _ADDRESS, 12, _READY, 0.0, sequence
         )
 
-    async def send(self, instance_id: str, sequence: float) -> str:
-        """Sends a heartbeat, and returns the process that gets calls."""
-        heartbeat = self._build(instance_id, sequence)
+    async def send(
+        self,
+        instance_id: str,
+        sequence: float,
+        state: control_pb2.BackendState = _READY,
+    ) -> str:
+        """Sends a heartbeat, and returns the process that is known to run."""
+        heartbeat = self._build(instance_id, sequence)._replace(state=state)
         self.assertTrue(await self.lifecycle.handle_heartbeat(heartbeat))
         return self.backend.instance_id
 
@@ -193,7 +198,7 @@
         self.assertEqual(await self.send("live", 2), "live")
 
     async def test_live_process_comes_back_after_a_late_heartbeat(self) -> None:
-        """Guards against the same while the status is not known."""
+        """Guards against a live process ignored after a failed status check."""
         await self.send("live", 1)
         self.running = None
         await self.send("crashed", 40)
@@ -212,6 +217,16 @@
                 self.running = running
                 self.assertEqual(await self.send("new", 1), "new")
 
+    async def test_late_heartbeat_does_not_end_a_drain(self) -> None:
+        """Guards against calls to a process that drains and was displaced."""
+        await self.send("live", 10, _DRAINING)
+        self.running = None
+        await self.send("crashed", 40)
+        self.running = "live"
+        self.assertEqual(await self.send("live", 9), "crashed")
+        self.assertEqual(await self.send("live", 11, _DRAINING), "live")
+        self.assertEqual(self.backend.build_record().state, _DRAINING)
+
     async def test_process_that_left_does_not_come_back(self) -> None:
         """Guards against calls to a process that left and still answers."""
         await self.send("live", 1)
