--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -16,6 +16,7 @@
     from collections.abc import Awaitable, Callable
 
 _POST_TIMEOUT_S = 5
+_MAX_HEADER_BYTES = 64 * 1024
 
 _instance_numbers = itertools.count(1)
 
@@ -96,6 +97,9 @@
             self.port,
             handler_cancellation=True,
             shutdown_timeout_s=0.05,
+            max_line_size=_MAX_HEADER_BYTES,
+            max_field_size=_MAX_HEADER_BYTES,
+            max_headers=_MAX_HEADER_BYTES,
         )
 
     def replace_process(self) -> None:
--- a/standins/process.py
+++ b/standins/process.py
@@ -53,6 +53,7 @@
     port: int = 0,
     handler_cancellation: bool = False,
     shutdown_timeout_s: float = 60.0,
+    **limits: Any,
 ) -> tuple[web.AppRunner, int]:
     """Serves an application on loopback.
 
@@ -63,6 +64,7 @@
             disconnects.
         shutdown_timeout_s: Time in seconds that open requests get when the
             runner is cleaned up.
+        **limits: Limits of aiohttp's parser, such as `max_headers`.
 
     Returns:
         The runner, which the caller cleans up, and the port.
@@ -72,6 +74,7 @@
         access_log=None,
         handler_cancellation=handler_cancellation,
         shutdown_timeout=shutdown_timeout_s,
+        **limits,
     )
     await runner.setup()
     site = web.TCPSite(runner, HOST, port)
--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of clients that don't stay within the limits."""
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -70,6 +70,7 @@
         address: str,
         store_address: str,
         folder: pathlib.Path,
+        settings: dict[str, str] | None = None,
     ):
         """Sets the addresses; `start` opens all resources.
 
@@ -78,7 +79,9 @@
             address: Loopback address of the daemon.
             store_address: Address of the store, "ip:port".
             folder: Folder for the settings file.
+            settings: Settings that replace or extend the usual ones.
         """
+        self._settings = settings or {}
         self.backend = platform_backend.PlatformBackendStandin(service)
         self.lines: list[dict[str, Any]] = []
         self._address = address
@@ -88,6 +91,22 @@
         self._process: asyncio.subprocess.Process | None = None
         self._output_reader: asyncio.Task[None] | None = None
 
+    @property
+    def address(self) -> str:
+        """Loopback address, which belongs to this daemon only."""
+        return self._address
+
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
     @property
     def url(self) -> str:
         """URL to which callers send requests."""
@@ -143,6 +162,7 @@
                 "app": f"127.0.0.1:{self.backend.port}",
                 "internalPorts": f"{self._first_port},{self._first_port + 9}",
                 "platform.address": self._store_address,
+                **self._settings,
                 **changes,
             }
         )
@@ -195,12 +215,24 @@
         self.daemons: list[DaemonProcess] = []
         self._attempt_count = 0
 
-    async def start(self, *services: str) -> None:
-        """Starts the store and one ready daemon for each of the services."""
+    async def start(
+        self,
+        *services: str,
+        configuration: bytes | None = None,
+        settings: dict[str, str] | None = None,
+    ) -> None:
+        """Starts the store and one ready daemon for each of the services.
+
+        Args:
+            *services: Services of the backend servers.
+            configuration: The first configuration; None: a usual one.
+            settings: Settings that replace or extend the usual ones.
+        """
         await self.store.start()
         self.push_async_callback(self.store.close)
         await self.store.write(
-            stores.CONFIGURATION_KEY, builders.build_configuration(5)
+            stores.CONFIGURATION_KEY,
+            configuration or builders.build_configuration(5),
         )
         folder = pathlib.Path(self.enter_context(tempfile.TemporaryDirectory()))
         self._client = await self.enter_async_context(
@@ -211,7 +243,11 @@
         network = f"127.{1 + secrets.randbelow(200)}.{secrets.randbelow(250)}"
         for number, service in enumerate(services, 1):
             daemon = DaemonProcess(
-                service, f"{network}.{number}", self.store.address, folder
+                service,
+                f"{network}.{number}",
+                self.store.address,
+                folder,
+                settings,
             )
             self.push_async_callback(daemon.close)
             self.daemons.append(daemon)
