Apply the limit on the size of a body

Change: a request that states a larger body is refused with 413 before anything is sent on. A body in chunks is cut where it exceeds the limit, and its caller gets 413. A small body is collected in one buffer, since one in tiny pieces took an object for each piece.

--- a/merlintrestle/requests/calls/parsing.py
+++ b/merlintrestle/requests/calls/parsing.py
@@ -121,6 +121,7 @@
     match: routing.Match,
     metadata: CallMetadata,
     arrived_at: float,
+    max_body_bytes: int | None = None,
 ) -> calls.Call | outcomes.NotRun:
     """Builds a call from a request, and reads the body if it is small.
 
@@ -129,9 +130,11 @@
         match: Destination of the request.
         metadata: Metadata of the call.
         arrived_at: Event loop time at which the request arrived, in seconds.
+        max_body_bytes: Maximum size of the body; None: no limit.
 
     Returns:
-        The call, or a refusal if the body is incomplete or arrives too slowly.
+        The call, or a refusal if the body is incomplete, too large or arrives
+        too slowly.
     """
     plan = match.plan
     timeout_s = plan.deadline_s
@@ -140,10 +143,10 @@
     deadline = arrived_at + timeout_s
     try:
         body = await bodies.read_body(
-            request, deadline, buffer_chunked=not plan.repeatable
+            request, deadline, not plan.repeatable, max_body_bytes
         )
     except bodies.BodyError as error:
-        return outcomes.NotRun(str(error), 400, None)
+        return outcomes.NotRun(str(error), error.status, error.retry_after_s)
     return calls.Call(
         service=match.service,
         plan=plan,
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -116,7 +116,14 @@
                 admitted = decision
                 match = match._replace(plan=admitted.plan)
             metadata = self._read_metadata(request, match, started_at)
-            call = await parsing.read_call(request, match, metadata, started_at)
+            limits = active_snapshot.limits
+            call = await parsing.read_call(
+                request,
+                match,
+                metadata,
+                started_at,
+                limits and (limits.max_body_bytes or None),
+            )
             if isinstance(call, outcomes.NotRun):
                 return self._refuse(call, request)
             refusal = self._drain_admission.check_call(call)
--- a/merlintrestle/requests/serving/responses.py
+++ b/merlintrestle/requests/serving/responses.py
@@ -40,7 +40,7 @@
     try:
         return await outcome
     except bodies.BodyError as error:
-        return outcomes.Unknown(str(error), 400)
+        return outcomes.Unknown(str(error), error.sent_status)
 
 
 async def hold_until_turn(
--- a/merlintrestle/requests/transport/bodies.py
+++ b/merlintrestle/requests/transport/bodies.py
@@ -22,7 +22,36 @@
 
 
 class BodyError(errors.MerlintrestleError):
-    """The caller's body is incomplete or arrived too slowly."""
+    """The caller's body is incomplete or arrived too slowly.
+
+    Attributes:
+        status: HTTP status of the response if the call was not sent on.
+        sent_status: The same if a part of the body was sent on.
+        retry_after_s: Seconds until a retry is worthwhile; None if never.
+    """
+
+    status = 400
+    sent_status = 400
+    retry_after_s: float | None = None
+
+
+class TooLargeError(BodyError):
+    """The body is larger than the limit of the configuration."""
+
+    status = 413
+    sent_status = 413
+
+
+class NoRoomError(BodyError):
+    """The body was given up as memory is short."""
+
+    status = 503
+    sent_status = 502
+    retry_after_s = 1.0
+
+
+class ShedError(web.RequestPayloadError):
+    """Set on a body that is given up as memory is short."""
 
 
 class Body:
@@ -41,6 +70,7 @@
         length: int | None,
         content: aiohttp.StreamReader | None = None,
         prefix: bytes = b"",
+        max_bytes: int | None = None,
     ):
         """Sets the body.
 
@@ -49,7 +79,9 @@
             length: Length in bytes; None: unknown until the body ends.
             content: Source of a streamed body.
             prefix: Bytes already read from `content`.
+            max_bytes: Maximum size of a streamed body; None: no limit.
         """
+        self._max_bytes = max_bytes
         self.buffered = buffered
         self.length = length
         self.consumed = False
@@ -74,23 +106,32 @@
     async def _stream(self) -> AsyncIterator[bytes]:
         assert self._content is not None
         self.consumed = True
-        if self._prefix:
-            yield self._prefix
+        chunk, self._prefix = self._prefix, b""
+        size = len(chunk)
+        if chunk:
+            yield chunk
         while True:
             try:
                 chunk = await asyncio.wait_for(
                     self._content.readany(), STALL_TIMEOUT_S
                 )
             except (web.RequestPayloadError, OSError, TimeoutError) as error:
-                self.error = BodyError("the request body stopped half-way")
+                self.error = _build_error(error)
                 raise self.error from error
             if not chunk:
                 return
+            size += len(chunk)
+            if self._max_bytes is not None and size > self._max_bytes:
+                self.error = TooLargeError("the request body is too large")
+                raise self.error
             yield chunk
 
 
 async def read_body(
-    request: web.BaseRequest, deadline: float, buffer_chunked: bool
+    request: web.BaseRequest,
+    deadline: float,
+    buffer_chunked: bool,
+    max_bytes: int | None = None,
 ) -> Body:
     """Reads a small body into memory; any other body will be streamed.
 
@@ -101,34 +142,49 @@
         buffer_chunked: Also buffers a body of unknown length, up to the maximum
             size, so that an unrepeatable call whose body is truncated is never
             started.
+        max_bytes: Maximum size of the body; None: no limit.
 
     Raises:
-        BodyError: The body is incomplete or did not arrive in time.
+        BodyError: The body is incomplete, too large or did not arrive in time.
     """
     if not request.can_read_body:
         return Body(b"", 0)
     length = request.content_length
     content = request.content
+    if max_bytes is not None and (length or 0) > max_bytes:
+        raise TooLargeError("the request body is too large")
     if "Expect" in request.headers and not content.is_eof():
         _send_continue(request)
     if length is None and not buffer_chunked:
-        return Body(None, None, content)
+        return Body(None, None, content, max_bytes=max_bytes)
     if length is not None and length > MAX_BUFFERED_BYTES:
         return Body(None, length, content)
     if content.is_eof():
-        return _build_body(content.read_nowait(), content)
+        return _build_body(content.read_nowait(), content, max_bytes)
+    received = bytearray()
     try:
         async with (
             asyncio.timeout_at(deadline),
             asyncio.timeout(STALL_TIMEOUT_S),
         ):
-            received = await _read_at_least(content, MAX_BUFFERED_BYTES)
+            await _read_at_least(content, MAX_BUFFERED_BYTES, received)
     except (web.RequestPayloadError, OSError, TimeoutError) as error:
-        raise BodyError("the request body stopped half-way") from error
-    return _build_body(received, content)
+        raise _build_error(error) from None
+    return _build_body(bytes(received), content, max_bytes)
+
+
+def _build_error(error: Exception) -> BodyError:
+    # The future that was awaited holds the error. With a traceback, which
+    # refers to the future, only the garbage collector would free the body.
+    error.__traceback__ = None
+    if isinstance(error, ShedError):
+        return NoRoomError("memory is short")
+    return BodyError("the request body stopped half-way")
 
 
-def _build_body(received: bytes, content: aiohttp.StreamReader) -> Body:
+def _build_body(
+    received: bytes, content: aiohttp.StreamReader, max_bytes: int | None
+) -> Body:
     """Builds a body from the bytes read so far and the rest of the stream.
 
     More than the maximum buffer size can arrive at once. Whether a body is
@@ -140,25 +196,31 @@
     Args:
         received: Bytes read so far.
         content: Stream with the rest of the body.
+        max_bytes: Maximum size of the body; None: no limit.
     """
+    if max_bytes is not None and len(received) > max_bytes:
+        raise TooLargeError("the request body is too large")
     if content.is_eof() and len(received) <= MAX_BUFFERED_BYTES:
         return Body(received, len(received))
-    return Body(None, None, content, received)
+    return Body(None, None, content, received, max_bytes)
 
 
 async def _read_at_least(
-    content: aiohttp.StreamReader, min_bytes: int
-) -> bytes:
-    """Reads chunks until they have a size, or until the end of the body."""
-    chunks = []
-    remaining = min_bytes
-    while remaining > 0:
+    content: aiohttp.StreamReader, min_bytes: int, received: bytearray
+) -> None:
+    """Reads chunks until they have a size, or until the end of the body.
+
+    Args:
+        content: Stream of the body.
+        min_bytes: The size.
+        received: Receives the chunks. One buffer, as a body in tiny pieces
+            would take many objects.
+    """
+    while len(received) < min_bytes:
         chunk = await content.readany()
         if not chunk:
-            break
-        chunks.append(chunk)
-        remaining -= len(chunk)
-    return b"".join(chunks)
+            return
+        received += chunk
 
 
 def _send_continue(request: web.BaseRequest) -> None:
