Share memory, descriptors and loop time among inbound connections

Causes: nothing counted what a connection holds (headers that are parsed in part, messages that wait, buffered bodies, bytes that the kernel holds); nothing bounded the connections; one read of 256 KB of tiny chunks kept the event loop for 0.1 s and more, and every reader had the same share of it; the event loop library accepts one connection in each iteration, so a busy loop accepts few; cancelled requests left their frames and bodies to a garbage collector that seldom runs (the task held the error, whose traceback refers to the task).

Change: merlintrestle/ingress/ has the budgets of the process, from its memory and descriptors. Each port's connections take and give back from them: held bytes (a small request may use a reserve; what has stopped half-way goes first, then what holds most), connections (the one silent for longest goes first), and time of the event loop by fair queueing (in calm nothing waits). A connection that has sent nothing has no request handler. All ports use the same server, also those for readiness, heartbeats, metrics and administration. headerTimeoutMs applies to each head and idleTimeoutMs to idle connections. As many short fields as maxHeaderBytes allow are served. The first 64 KB of a body arrive before its call takes a slot, and a body that comes too late gives 408 in place of 400, as it has not run.

--- a/merlintrestle/daemon/admin.py
+++ b/merlintrestle/daemon/admin.py
@@ -6,12 +6,15 @@
 import logging
 from typing import Any, NamedTuple, TYPE_CHECKING
 
+from aiohttp import hdrs
 from aiohttp import web
 import mode
 import prometheus_client
 
 from merlintrestle import config
 from merlintrestle import errors
+from merlintrestle import http_ports
+from merlintrestle import settings_reader
 from merlintrestle.daemon import metrics
 from merlintrestle.documents import fields as document_fields
 from merlintrestle.schema import control_pb2
@@ -19,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from merlintrestle.ingress import ingress as ingresses
     from merlintrestle.versions import active_version as active_versions
 
 logger = logging.getLogger(__name__)
@@ -72,6 +76,7 @@
         active_version: active_versions.ActiveVersion,
         apply_announcement: Callable[[Announcement], None],
         registry: prometheus_client.CollectorRegistry,
+        ingress: ingresses.Ingress,
     ):
         """Initializes the server.
 
@@ -81,37 +86,40 @@
             apply_announcement: Called with each valid announcement.
             registry: Metrics of this daemon, in addition to those of the
                 process.
+            ingress: The budgets of the process.
         """
         super().__init__()
         self.port = port
         self._active_version = active_version
         self._apply_announcement = apply_announcement
         self._registry = registry
-        self._runner: web.AppRunner | None = None
+        self._ports = http_ports.HttpPorts(ingress, _MAX_BODY_BYTES)
 
     async def on_start(self) -> None:
         """Binds the port."""
-        application = web.Application(client_max_size=_MAX_BODY_BYTES)
-        application.add_routes(
+        address = await self._ports.serve(
+            "admin",
+            settings_reader.Address(_LOOPBACK_IP, self.port),
             [
-                web.post("/announce", self._handle_announce),
-                web.get("/health", self._handle_health),
-                web.get("/versions", self._handle_versions),
-                web.get("/metrics", self._handle_metrics),
-            ]
+                http_ports.Route(
+                    hdrs.METH_POST, "/announce", self._handle_announce
+                ),
+                http_ports.Route(hdrs.METH_GET, "/health", self._handle_health),
+                http_ports.Route(
+                    hdrs.METH_GET, "/versions", self._handle_versions
+                ),
+                http_ports.Route(
+                    hdrs.METH_GET, "/metrics", self._handle_metrics
+                ),
+            ],
         )
-        self._runner = web.AppRunner(application, access_log=None)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, _LOOPBACK_IP, self.port)
-        await site.start()
-        self.port = self._runner.addresses[0][1]
+        self.port = address.port
 
     async def on_stop(self) -> None:
         """Closes the port."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        await self._ports.close()
 
-    async def _handle_announce(self, request: web.Request) -> web.Response:
+    async def _handle_announce(self, request: web.BaseRequest) -> web.Response:
         try:
             announcement = read_announcement(await request.read())
         except errors.InvalidInputError as error:
@@ -120,7 +128,7 @@
         self._apply_announcement(announcement)
         return web.json_response({})
 
-    async def _handle_health(self, request: web.Request) -> web.Response:
+    async def _handle_health(self, request: web.BaseRequest) -> web.Response:
         del request
         reason = self._active_version.closed_reason
         running = self._active_version.active_snapshot
@@ -130,7 +138,7 @@
         }
         return web.json_response(health, status=503 if reason else 200)
 
-    async def _handle_versions(self, request: web.Request) -> web.Response:
+    async def _handle_versions(self, request: web.BaseRequest) -> web.Response:
         del request
         return web.json_response(
             [
@@ -139,7 +147,7 @@
             ]
         )
 
-    async def _handle_metrics(self, request: web.Request) -> web.Response:
+    async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
         del request
         return web.Response(
             body=metrics.render_metrics(self._registry),
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -13,6 +13,8 @@
 from merlintrestle.daemon import leave_records
 from merlintrestle.daemon import lifecycle
 from merlintrestle.daemon import metrics
+from merlintrestle.ingress import ingress as ingresses
+from merlintrestle.ingress import limits
 from merlintrestle.members import era_gossip
 from merlintrestle.members import membership as memberships
 from merlintrestle.members import service as control_server
@@ -106,6 +108,7 @@
 
     Attributes:
         freshness: How recently the active version was known to be the newest.
+        ingress: The budgets that inbound connections share; set by `start`.
         lifecycle: State of a backend server that sends heartbeats; set by
             `start`.
     """
@@ -140,6 +143,9 @@
         self._rollout_tracker = trackers.RolloutTracker(
             self._table.get_upstreams
         )
+        self.ingress = ingresses.Ingress(
+            limits.read_limits(settings.memory_mb, settings.descriptors)
+        )
         self._proxy = proxies.Proxy(
             settings,
             self._active_version,
@@ -147,6 +153,7 @@
             self._store,
             self._components.dialect,
             self._rollout_tracker,
+            self.ingress,
         )
         self.lifecycle = lifecycle.BackendLifecycle(
             self._proxy.backend,
@@ -187,11 +194,13 @@
             self.freshness,
         )
         self.registry.register(self.quotas)
+        self.registry.register(self.ingress)
         self._admin = admin.AdminServer(
             self._settings.admin_port,
             self._active_version,
             self._apply_announcement,
             self.registry,
+            self.ingress,
         )
         await self.add_runtime_dependency(self._admin)
 
--- a/merlintrestle/http_ports.py
+++ b/merlintrestle/http_ports.py
@@ -2,52 +2,118 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import NamedTuple, TYPE_CHECKING
 
+from aiohttp import hdrs
 from aiohttp import web
 
 from merlintrestle import settings_reader
+from merlintrestle.requests.transport import server
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Awaitable, Callable, Sequence
 
-# Maximum wait for open requests when a port is closed.
-_SHUTDOWN_TIMEOUT_S = 0.1
+    from merlintrestle.ingress import ingress as ingresses
+
+
+class Route(NamedTuple):
+    """A route of a port.
+
+    Attributes:
+        method: HTTP method. HEAD is allowed where GET is.
+        path: Path; if it ends with "/", any path of one more segment.
+        handler: Answers the requests.
+    """
+
+    method: str
+    path: str
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
 class HttpPorts:
     """HTTP servers, each with one port and its routes."""
 
-    def __init__(self, max_body_bytes: int):
+    def __init__(self, ingress: ingresses.Ingress, max_body_bytes: int):
         """Initializes the servers; `serve` binds a port.
 
         Args:
+            ingress: The budgets of the process.
             max_body_bytes: Maximum size of the body of a request.
         """
+        self._ingress = ingress
         self._max_body_bytes = max_body_bytes
-        self._runners: list[web.AppRunner] = []
+        self._servers: list[server.Server] = []
 
     async def serve(
         self,
+        name: str,
         address: settings_reader.Address,
-        routes: Sequence[web.AbstractRouteDef],
+        routes: Sequence[Route],
     ) -> settings_reader.Address:
         """Binds a port; 0 selects a free one.
 
+        Args:
+            name: Name of the port, for metrics.
+            address: Address to bind.
+            routes: The routes.
+
         Returns:
             The address with the bound port.
         """
-        application = web.Application(client_max_size=self._max_body_bytes)
-        application.add_routes(routes)
-        runner = web.AppRunner(
-            application, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
+        router = _Router(routes, self._max_body_bytes)
+        http_server = server.Server(
+            router.handle,
+            self._ingress,
+            name,
+            self._ingress.budgets.endpoint_connections,
         )
-        await runner.setup()
-        self._runners.append(runner)
-        await web.TCPSite(runner, address.host, address.port).start()
-        return settings_reader.Address(address.host, runner.addresses[0][1])
+        await http_server.start(address.host, address.port)
+        self._servers.append(http_server)
+        return settings_reader.Address(address.host, http_server.port)
 
     async def close(self) -> None:
         """Closes all ports."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for http_server in self._servers:
+            await http_server.close()
+
+
+class _Router:
+    """Finds the route of a request."""
+
+    def __init__(self, routes: Sequence[Route], max_body_bytes: int):
+        self._routes = routes
+        self._max_body_bytes = max_body_bytes
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers a request; with 404 or 405 if there is no route."""
+        if (request.content_length or 0) > self._max_body_bytes:
+            return _refuse(413)
+        request._client_max_size = self._max_body_bytes
+        routes = [
+            route for route in self._routes if _matches(route, request.path)
+        ]
+        for route in routes:
+            if request.method == route.method or (
+                request.method == hdrs.METH_HEAD
+                and route.method == hdrs.METH_GET
+            ):
+                return await route.handler(request)
+        return _refuse(405 if routes else 404)
+
+
+def get_last_segment(request: web.BaseRequest) -> str:
+    """Returns the last segment of the path, decoded."""
+    return request.path.rpartition("/")[2]
+
+
+def _matches(route: Route, path: str) -> bool:
+    if not route.path.endswith("/"):
+        return path == route.path
+    segment = path.removeprefix(route.path)
+    return bool(segment) and segment != path and "/" not in segment
+
+
+def _refuse(status: int) -> web.Response:
+    response = web.Response(status=status)
+    response.force_close()
+    return response
--- /dev/null
+++ b/merlintrestle/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets of the process that its inbound connections share."""
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any, TYPE_CHECKING
 
+from aiohttp import hdrs
 from aiohttp import web
 import mode
 import prometheus_client
@@ -20,13 +21,15 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from merlintrestle.ingress import ingress as ingresses
     from merlintrestle.platform import settings as settings_lib
 
 events = event_logs.EventLog("platform")
 
 _READY_PATH = "/merlintrestle/ready"
-_HEARTBEAT_PATH = "/merlintrestle/Instances.Heartbeat/{instance_id}"
-_LEAVE_PATH = "/merlintrestle/Instances.Leave/{instance_id}"
+# The id of the instance follows.
+_HEARTBEAT_PATH = "/merlintrestle/Instances.Heartbeat/"
+_LEAVE_PATH = "/merlintrestle/Instances.Leave/"
 METRICS_PORT = 9464  # Prometheus endpoint; deploy/system.toml states it too.
 _MAX_BODY_BYTES = 16 * 1024
 _STATES = {"ready": control_pb2.READY, "draining": control_pb2.DRAINING}
@@ -48,6 +51,7 @@
         on_leave: Callable[[str, int], Awaitable[bool]],
         knows_service: Callable[[str], bool],
         render_metrics: Callable[[], bytes],
+        ingress: ingresses.Ingress,
     ):
         """Keeps the settings and callbacks; `start` binds the ports.
 
@@ -59,6 +63,7 @@
                 in ms since 1970 (0 if not stated); tells if it is confirmed.
             knows_service: Returns whether a service is known.
             render_metrics: Returns the metrics in Prometheus text format.
+            ingress: The budgets of the process.
         """
         super().__init__()
         self.readiness = settings.readiness
@@ -71,21 +76,30 @@
         self._metrics_address = settings_reader.Address(
             settings.address, METRICS_PORT if settings.first_port else 0
         )
-        self._ports = http_ports.HttpPorts(_MAX_BODY_BYTES)
+        self._ports = http_ports.HttpPorts(ingress, _MAX_BODY_BYTES)
 
     async def on_start(self) -> None:
         """Binds the ports."""
         self.readiness = await self._ports.serve(
-            self.readiness, [web.get(_READY_PATH, self._handle_ready)]
+            "ready",
+            self.readiness,
+            [http_ports.Route(hdrs.METH_GET, _READY_PATH, self._handle_ready)],
         )
         self._metrics_address = await self._ports.serve(
-            self._metrics_address, [web.get("/metrics", self._handle_metrics)]
+            "metrics",
+            self._metrics_address,
+            [http_ports.Route(hdrs.METH_GET, "/metrics", self._handle_metrics)],
         )
         self.announcements = await self._ports.serve(
+            "announcements",
             self.announcements,
             [
-                web.post(_HEARTBEAT_PATH, self._handle_heartbeat),
-                web.post(_LEAVE_PATH, self._handle_leave),
+                http_ports.Route(
+                    hdrs.METH_POST, _HEARTBEAT_PATH, self._handle_heartbeat
+                ),
+                http_ports.Route(
+                    hdrs.METH_POST, _LEAVE_PATH, self._handle_leave
+                ),
             ],
         )
 
@@ -93,19 +107,19 @@
         """Closes the ports."""
         await self._ports.close()
 
-    async def _handle_ready(self, request: web.Request) -> web.Response:
+    async def _handle_ready(self, request: web.BaseRequest) -> web.Response:
         del request
         return web.Response(status=200 if self._is_ready() else 503)
 
-    async def _handle_metrics(self, request: web.Request) -> web.Response:
+    async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
         del request
         return web.Response(
             body=self._render_metrics(),
             headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
         )
 
-    async def _handle_heartbeat(self, request: web.Request) -> web.Response:
-        instance_id = request.match_info["instance_id"]
+    async def _handle_heartbeat(self, request: web.BaseRequest) -> web.Response:
+        instance_id = http_ports.get_last_segment(request)
         try:
             heartbeat = parse_heartbeat(instance_id, await request.json())
             self._check_service(heartbeat.service)
@@ -117,8 +131,8 @@
         confirmed = await self._on_heartbeat(heartbeat)
         return web.json_response({}, status=200 if confirmed else 503)
 
-    async def _handle_leave(self, request: web.Request) -> web.Response:
-        instance_id = request.match_info["instance_id"]
+    async def _handle_leave(self, request: web.BaseRequest) -> web.Response:
+        instance_id = http_ports.get_last_segment(request)
         try:
             started_ms = parse_leave(await request.read())
         except (errors.InvalidInputError, ValueError) as error:
--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -84,6 +84,7 @@
             self.lifecycle.handle_leave,
             self._knows_service,
             lambda: metrics.render_metrics(self.registry),
+            self.ingress,
         )
         await self.add_runtime_dependency(self._endpoints)
         settings = self._platform_settings
@@ -124,5 +125,7 @@
         quota_slack=settings.quota_slack,
         link_mbps=settings.link_mbps,
         revocation_limit_s=settings.revocation_limit_s,
+        memory_mb=settings.memory_mb,
+        descriptors=settings.descriptors,
         trial_share=settings.expose_share * _TRIAL_FRACTION,
     )
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -46,6 +46,8 @@
         quota_slack: Calls by which a quota may be exceeded in addition; 0 if
             unstated.
         link_mbps: Capacity of the instance's link in Mbit/s; 0 if unknown.
+        memory_mb: Memory that the process may use, in MB; 0 if unstated.
+        descriptors: Descriptors that it may open; 0 if unstated.
     """
 
     address: str
@@ -72,6 +74,8 @@
     quota_overshoot: float
     quota_slack: float
     link_mbps: float
+    memory_mb: float
+    descriptors: int
 
 
 def find_path() -> pathlib.Path:
@@ -166,6 +170,14 @@
         link_mbps=reader.get_optional(
             "limits.linkMbps", settings_reader.parse_number, 0.0
         ),
+        memory_mb=reader.get_optional(
+            "limits.memoryMb", settings_reader.parse_number, 0.0
+        ),
+        descriptors=int(
+            reader.get_optional(
+                "limits.maxFds", settings_reader.parse_number, 0.0
+            )
+        ),
     )
     if reader.findings:
         raise errors.InvalidInputError(reader.findings)
--- a/merlintrestle/requests/calls/parsing.py
+++ b/merlintrestle/requests/calls/parsing.py
@@ -142,9 +142,7 @@
         timeout_s = min(timeout_s, metadata.timeout_ms / 1000)
     deadline = arrived_at + timeout_s
     try:
-        body = await bodies.read_body(
-            request, deadline, not plan.repeatable, max_body_bytes
-        )
+        body = await bodies.read_body(request, deadline, max_body_bytes)
     except bodies.BodyError as error:
         return outcomes.NotRun(str(error), error.status, error.retry_after_s)
     return calls.Call(
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -9,6 +9,7 @@
 import mode
 
 from merlintrestle import events as event_logs
+from merlintrestle.ingress import ingress as ingresses
 from merlintrestle.requests import backend
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import outcomes
@@ -69,8 +70,9 @@
 # Maximum size of the headers of a caller that a configuration may state, and of
 # each header between daemons, in bytes.
 _MAX_HEADER_BYTES = 256 * 1024
-# Maximum number of headers between daemons: those of a caller and their own.
-_MAX_PEER_HEADERS = 128
+_DEFAULT_LIMITS = server.Limits()
+# Other daemons send what their callers sent, with headers of their own.
+_PEER_LIMITS = server.Limits(_MAX_HEADER_BYTES)
 
 
 class Proxy(mode.Service):
@@ -106,6 +108,7 @@
         store: interfaces.Store,
         dialect: object = _NATIVE_DIALECT,
         tracker: trackers.RolloutTracker | None = None,
+        ingress: ingresses.Ingress | None = None,
     ):
         """Initializes the proxy; no port is opened before `start`.
 
@@ -116,9 +119,11 @@
             store: Stores claims.
             dialect: The dialect of callers and of the backend server.
             tracker: Tracks roll-outs; None: there are no roll-outs.
+            ingress: The budgets of the process; None: those that it finds.
         """
         super().__init__()
         tracker = tracker or trackers.RolloutTracker(table.get_upstreams)
+        self._ingress = ingress
         self._dialect = dialect
         self.backend = backend.LocalBackend()
         self.workspace_admission = workspace_admission.WorkspaceAdmission(
@@ -245,14 +250,24 @@
             dialects.get_workspace_header(self._dialect),
         )
         byte_counters = self._byte_counters
+        self._ingress = ingress = self._ingress or ingresses.Ingress()
         self._caller_server = pipelining.Server(
-            caller_handler.handle, byte_counters.callers
+            caller_handler.handle,
+            ingress,
+            "callers",
+            ingress.budgets.caller_connections,
+            byte_counters.callers,
         )
-        self._caller_server.get_max_header_bytes = self._get_max_header_bytes
+        self._caller_server.get_limits = self._get_limits
         self._peer_server = server.Server(
-            self._peer_handler.handle, byte_counters.peers, _MAX_PEER_HEADERS
+            self._peer_handler.handle,
+            ingress,
+            "peers",
+            ingress.budgets.peer_connections,
+            byte_counters.peers,
+            shares_loop_time=False,
         )
-        self._peer_server.get_max_header_bytes = lambda: _MAX_HEADER_BYTES
+        self._peer_server.get_limits = lambda: _PEER_LIMITS
         self.traffic = traffic.TrafficReport(
             byte_counters,
             self._link,
@@ -360,6 +375,8 @@
             expected_at = loop.time() + _SAMPLE_INTERVAL_S
             await self.sleep(_SAMPLE_INTERVAL_S)
             self.traffic.update(max(0.0, loop.time() - expected_at))
+            if self._ingress is not None:
+                self._ingress.sweep()
 
     def _get_write_buffer_bytes(self) -> int:
         """Returns the bytes of answers in the write buffers of both ports."""
@@ -399,20 +416,25 @@
         """Returns the recent outcomes of the calls of each class."""
         return self.outcome_counts.get_statuses()
 
-    def _get_max_header_bytes(self) -> int:
-        """Returns the header limit of callers, in bytes.
+    def _get_limits(self) -> server.Limits:
+        """Returns the limits on callers.
 
-        It is that of the active version if that states a higher one than the
-        default.
+        They are those of the active version, but the headers may have the
+        default size if that states a smaller one.
         """
         active_snapshot = self._state.get_active_snapshot()
         if (
             isinstance(active_snapshot, outcomes.NotRun)
             or active_snapshot.limits is None
         ):
-            return server.DEFAULT_HEADER_BYTES
-        stated = active_snapshot.limits.max_header_bytes
-        return max(server.DEFAULT_HEADER_BYTES, min(stated, _MAX_HEADER_BYTES))
+            return _DEFAULT_LIMITS
+        stated = active_snapshot.limits
+        header_bytes = min(stated.max_header_bytes, _MAX_HEADER_BYTES)
+        return server.Limits(
+            max(server.DEFAULT_HEADER_BYTES, header_bytes),
+            stated.header_timeout_s or server.HEADER_TIMEOUT_S,
+            stated.idle_timeout_s or _DEFAULT_LIMITS.idle_timeout_s,
+        )
 
     def _get_member_id(self) -> str:
         return self._member_id
--- a/merlintrestle/requests/transport/bodies.py
+++ b/merlintrestle/requests/transport/bodies.py
@@ -42,6 +42,12 @@
     sent_status = 413
 
 
+class SlowBodyError(BodyError):
+    """The body did not arrive in time."""
+
+    status = 408
+
+
 class NoRoomError(BodyError):
     """The body was given up as memory is short."""
 
@@ -130,18 +136,17 @@
 async def read_body(
     request: web.BaseRequest,
     deadline: float,
-    buffer_chunked: bool,
     max_bytes: int | None = None,
 ) -> Body:
     """Reads a small body into memory; any other body will be streamed.
 
+    The first part of a long body, as much as that of a small one, is read as
+    well: a call whose body stops before does not take a slot.
+
     Args:
         request: The request.
         deadline: Time by which the body must be read, in seconds of the event
             loop's clock.
-        buffer_chunked: Also buffers a body of unknown length, up to the maximum
-            size, so that an unrepeatable call whose body is truncated is never
-            started.
         max_bytes: Maximum size of the body; None: no limit.
 
     Raises:
@@ -155,11 +160,8 @@
         raise TooLargeError("the request body is too large")
     if "Expect" in request.headers and not content.is_eof():
         _send_continue(request)
-    if length is None and not buffer_chunked:
-        return Body(None, None, content, max_bytes=max_bytes)
-    if length is not None and length > MAX_BUFFERED_BYTES:
-        return Body(None, length, content)
-    if content.is_eof():
+    is_long = length is not None and length > MAX_BUFFERED_BYTES
+    if content.is_eof() and not is_long:
         return _build_body(content.read_nowait(), content, max_bytes)
     received = bytearray()
     try:
@@ -170,6 +172,8 @@
             await _read_at_least(content, MAX_BUFFERED_BYTES, received)
     except (web.RequestPayloadError, OSError, TimeoutError) as error:
         raise _build_error(error) from None
+    if is_long:
+        return Body(None, length, content, bytes(received))
     return _build_body(bytes(received), content, max_bytes)
 
 
@@ -179,6 +183,8 @@
     error.__traceback__ = None
     if isinstance(error, ShedError):
         return NoRoomError("memory is short")
+    if isinstance(error, TimeoutError):
+        return SlowBodyError("the request body stopped half-way")
     return BodyError("the request body stopped half-way")
 
 
--- a/merlintrestle/requests/transport/pipelining.py
+++ b/merlintrestle/requests/transport/pipelining.py
@@ -18,6 +18,8 @@
 from aiohttp import web
 from aiohttp import web_protocol
 
+from merlintrestle.ingress import loop_time as loop_times
+from merlintrestle.ingress import memory as memories
 from merlintrestle.requests.reports import traffic as traffics
 from merlintrestle.requests.transport import server
 
@@ -26,6 +28,8 @@
 
     from aiohttp import abc
 
+    from merlintrestle.ingress import ingress as ingresses
+
 # Maximum number of requests of a connection that are in flight.
 MAX_DEPTH = 8
 # Maximum number of requests of all connections that run ahead of their turn.
@@ -128,19 +132,20 @@
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        ingress: ingresses.Ingress,
+        name: str,
+        max_connections: int,
         traffic: traffics.Traffic | None = None,
     ):
         """Sets the handler, which calls the functions of this module.
 
-        Args:
-            handler: Answers requests.
-            traffic: Counter of the bytes of connections.
+        See `server.Server` for the arguments.
         """
-        super().__init__(handler, traffic)
+        super().__init__(handler, ingress, name, max_connections, traffic)
         self.pipeline_counts = traffics.PipelineCounts()
 
-    def __call__(self) -> web.RequestHandler:
-        """Creates the protocol of a connection."""
+    def build_handler(self) -> server.RequestHandler:
+        """Creates the protocol of a connection that sends a request."""
         return _PipeliningHandler(self, loop=self._loop, **self.build_options())
 
 
@@ -168,11 +173,9 @@
         "_disconnect_timer",
         "_ended",
         "_entries",
-        "_handle",
         "_last_payload",
         "_next_may_start",
         "_started",
-        "_unfinished",
     )
 
     def __init__(self, manager: Server, **options: Any):
@@ -184,14 +187,10 @@
         # True once nothing behind the requests in flight may run.
         self._ended = False
         self._entries: collections.deque[_Entry] = collections.deque()
-        self._handle = manager.request_handler
         self._last_payload: Any = None
         self._next_may_start = False
         self._started = 0
-        # Body of the last message, if it has not arrived completely.
-        self._unfinished: Any = None
         self._request_factory = self._take_request
-        self._request_handler = self._run_in_turn
         self._max_msg_queue_size = MAX_DEPTH
         self._msg_queue_resume_size = MAX_DEPTH - 1
         # aiohttp's parser drops the valid requests in front of malformed bytes
@@ -221,6 +220,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         if self._disconnect_timer is not None:
             self._disconnect_timer.cancel()
+        # A body refers to its connection.
+        self._last_payload = None
         super().connection_lost(exc)
 
     def close(self) -> None:
@@ -233,12 +234,11 @@
         super().force_close()
         self.cancel_behind(None)
 
-    def data_received(self, data: bytes) -> None:
-        """Receives bytes, parses one message after the other."""
+    def parse(self, data: bytes) -> None:
+        """Parses one message after the other."""
         messages = self._messages
         if messages and _is_error(messages[-1][0]):
             # Nothing that follows can be parsed.
-            self._traffic.received += len(data)
             return
         ends = data[-len(_HEADERS_END) :] == _HEADERS_END
         if (
@@ -250,7 +250,7 @@
         ):
             # Usually the connection is idle, and a packet is one request
             # without a body. The parser then has nothing left.
-            super().data_received(data)
+            super().parse(data)
             self._next_may_start = False
             if messages and messages[0][1] is not streams.EMPTY_PAYLOAD:
                 self._unfinished = messages[0][1]
@@ -273,7 +273,7 @@
         """
         messages = self._messages
         known = len(messages)
-        super().data_received(data)
+        super().parse(data)
         payload = self._unfinished
         if len(messages) > known:
             if payload is not None and _is_error(messages[-1][0]):
@@ -289,6 +289,12 @@
             self._unfinished = payload
             return False
         self._unfinished = None
+        if len(messages) > known and (
+            self._ingress.memory.is_short or _is_large(messages[-1][0])
+        ):
+            # The next one is parsed once this one is being handled.
+            self._pause_reading_for_buffer()
+            return False
         return not (
             len(messages) >= MAX_DEPTH
             or self._upgraded
@@ -381,6 +387,13 @@
         """Returns the request whose turn it is; aiohttp's request factory."""
         if len(self._entries) <= len(self._messages):
             self._next_may_start = False
+            if self._ingress.loop_time.is_contended:
+                # Its time begins here, although it waits for its turn.
+                waiting = self._build_request(
+                    _Entry(self._loop.time()), message, payload
+                )
+                waiting.grant_turn()
+                return waiting
             return web.BaseRequest(
                 message, payload, protocol, writer, task, self._loop
             )
@@ -418,12 +431,17 @@
             or index >= len(self._entries)
             or index + 1 >= MAX_DEPTH
             or self._counts.ahead >= MAX_AHEAD
+            or self._ingress.memory.is_short
         ):
             return
         messages = self._messages
         message, payload = messages[len(messages) - len(self._entries) + index]
         if isinstance(message, web_protocol._ErrInfo):
             return
+        if not self._ingress.loop_time.try_start(
+            self._share, loop_times.REQUEST_COST
+        ):
+            return
         entry = self._entries[index]
         request = self._build_request(entry, message, payload)
         entry.request = request
@@ -453,7 +471,7 @@
         """Handles the request whose turn it is."""
         if type(request) is PipelinedRequest and request.ahead is not None:
             return self._join(request.ahead)
-        return self._handle(request)
+        return super()._run_in_turn(request)
 
     async def _join(
         self, ahead: asyncio.Task[web.StreamResponse]
@@ -487,6 +505,13 @@
         )
 
 
+def _is_large(message: Any) -> bool:
+    """Returns whether a message takes much memory."""
+    return not _is_error(message) and (
+        len(message.raw_headers) * memories.HEADER_BYTES > memories.SMALL_BYTES
+    )
+
+
 def _closes(request: web.BaseRequest, response: web.StreamResponse) -> bool:
     """Returns whether a response closes its connection."""
     keep_alive = response.keep_alive
