--- a/merlintrestle/requests/transport/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -773,6 +773,19 @@
         known = len(messages)
         body = self._unfinished
         self.parse(data)
+        if (
+            body is None
+            and len(messages) == 1
+            and not known
+            and messages[0][1] is streams.EMPTY_PAYLOAD
+            and not self._partial_bytes
+            and data.endswith(_HEADERS_END)
+        ):
+            # Usually a packet is one request without a body.
+            self._granted = True
+            self._charge(*messages[0])
+            self._set_held(self._held_bytes + self._charges[-1])
+            return
         if len(messages) > known:
             self._granted = bool(data) and body is None
             for index in range(known, len(messages)):
@@ -852,8 +865,9 @@
     def _release_charge(self) -> None:
         """Gives back the size of a message that was answered."""
         if self._charges:
-            self._charged_bytes -= self._charges.popleft()
-            self._update_held()
+            size = self._charges.popleft()
+            self._charged_bytes -= size
+            self._set_held(self._held_bytes - size)
 
     def _note_incomplete(self) -> None:
         """Notes since when a request has arrived in part, if one has.
@@ -943,7 +957,14 @@
         """Answers a request that could not be parsed or handled."""
         if isinstance(exc, ConnectionError) and self._is_disconnected():
             raise exc
-        if status < 500:
+        if isinstance(exc, web.RequestPayloadError):
+            is_shed = isinstance(exc, bodies.ShedError)
+            response = outcomes.render(
+                outcomes.NotRun(
+                    str(exc), 503 if is_shed else 400, 1.0 if is_shed else None
+                )
+            )
+        elif status < 500:
             response = outcomes.render(
                 outcomes.NotRun("the request is malformed", status, None)
             )
--- /dev/null
+++ b/tests/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the budgets that inbound connections share."""
--- /dev/null
+++ b/tests/requests/transport/test_server_budgets.py
@@ -0,0 +1,131 @@
+"""Tests of connections that share the budgets of a process."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from merlintrestle.ingress import ingress as ingresses
+from merlintrestle.ingress import limits
+from merlintrestle.ingress import memory
+from merlintrestle.requests.transport import pipelining
+from merlintrestle.requests.transport import server
+from tests.requests import builders
+
+_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+_HALF_UPLOAD = (
+    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n"
+    + b"x" * 50_000
+)
+
+
+class ServerBudgetTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.ingress = ingresses.Ingress(
+            limits.ProcessLimits(memory_bytes=4_000_000, descriptors=1000)
+        )
+        self.release = asyncio.Event()
+        self.server = pipelining.Server(
+            self.answer, self.ingress, "callers", max_connections=5
+        )
+        await self.server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(self.server.close)
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Reads the body; waits for `release` at the path "/wait"."""
+        await request.read()
+        if request.path == "/wait":
+            await self.release.wait()
+        return web.Response(text="whole")
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Opens a connection that is closed after the test."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.server.port
+        )
+        self.addCleanup(writer.transport.abort)
+        return reader, writer
+
+    async def wait_until_held(self, size: int) -> None:
+        """Waits until as many bytes are held."""
+        async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+            while self.ingress.memory.used < size:
+                await asyncio.sleep(0.01)
+
+    async def test_silent_connections_make_room_for_new_ones(self) -> None:
+        """Guards against a port whose connections are all taken."""
+        silent = [await self.connect() for _ in range(8)]
+        reader, writer = await self.connect()
+        writer.write(_REQUEST)
+        async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+            self.assertIn(b" 200 ", await reader.readline())
+            self.assertEqual(await silent[0][0].read(), b"")
+        self.assertLessEqual(self.server.open_count, 5)
+
+    async def test_running_requests_are_not_ended_for_new_ones(self) -> None:
+        """Guards against answers that are lost as others connect."""
+        running = [await self.connect() for _ in range(5)]
+        for _, writer in running:
+            writer.write(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+        await self.wait_until_held(5 * memory.REQUEST_BYTES)
+        refused, _ = await self.connect()
+        async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+            with self.assertRaises(ConnectionError):
+                if not await refused.read():
+                    raise ConnectionError
+            self.release.set()
+            for reader, _ in running:
+                self.assertIn(b" 200 ", await reader.readline())
+
+    async def test_all_that_is_held_is_given_back(self) -> None:
+        """Guards against budgets that shrink with each client that leaves."""
+        for sent in (_REQUEST, _HALF_UPLOAD, _REQUEST[:20], 3 * _REQUEST):
+            _, writer = await self.connect()
+            writer.write(sent)
+            await self.wait_until_held(1)
+            writer.transport.abort()
+            async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+                while self.ingress.memory.used:
+                    await asyncio.sleep(0.01)
+        self.assertEqual(self.ingress.memory.used, 0)
+
+    async def test_stopped_uploads_make_room(self) -> None:
+        """Guards against memory that uploads fill which never end."""
+        for _ in range(4):
+            _, writer = await self.connect()
+            writer.write(_HALF_UPLOAD)
+        await self.wait_until_held(4 * 50_000)
+        with mock.patch.multiple(memory, STOPPED_S=0.0):
+            await asyncio.sleep(0.06)
+            self.ingress.memory.change(self.ingress.memory.limit)
+            reader, writer = await self.connect()
+            writer.write(_REQUEST)
+            async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+                self.assertIn(b" 200 ", await reader.readline())
+
+    async def test_cancelled_requests_leave_no_frames(self) -> None:
+        """Guards against memory that only the garbage collector frees."""
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for _ in range(5):
+            _, writer = await self.connect()
+            writer.write(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+            await self.wait_until_held(memory.REQUEST_BYTES)
+            writer.transport.abort()
+            async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+                while self.server.connections:
+                    await asyncio.sleep(0.01)
+        left = [
+            found
+            for found in gc.get_objects()
+            if type(found) is web.BaseRequest
+            or isinstance(found, server.RequestHandler)
+        ]
+        self.assertEqual(left, [])
