Take an ordinary call's share of the event loop without a callback

Change: a new iteration is seen by the event loop's time, which uvloop keeps throughout an iteration. Connections inherit keep-alive from the listening socket.

--- a/merlintrestle/ingress/loop_time.py
+++ b/merlintrestle/ingress/loop_time.py
@@ -71,11 +71,22 @@
         on_contention: Called in each iteration in which work waits.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop):
-        """Sets the event loop whose time is shared."""
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        get_time: Callable[[], float] | None = None,
+    ):
+        """Sets the event loop whose time is shared.
+
+        Args:
+            loop: The event loop.
+            get_time: Returns the time in seconds, the same one throughout an
+                iteration; None: the time of the event loop, as uvloop has it.
+        """
         self.waited = 0
         self.on_contention: list[Callable[[], None]] = []
         self._loop = loop
+        self._get_time = get_time or loop.time
         self._allowance = _MAX_ALLOWANCE
         self._spent = 0.0
         self._scheduled = False
@@ -89,7 +100,7 @@
     @property
     def is_contended(self) -> bool:
         """Whether work would have to wait."""
-        return bool(self._queue) or self._spent >= self._allowance
+        return bool(self._queue)
 
     @property
     def waiting(self) -> int:
@@ -106,10 +117,17 @@
         Returns:
             Whether the caller may do the work now.
         """
-        if self._queue or self._spent >= self._allowance:
+        if self._queue:
+            return False
+        now = self._get_time()
+        if now != self._iteration_began_at:
+            # A new iteration. What was used while there was time for all is
+            # not held against a connection.
+            self._iteration_began_at = now
+            self._spent = 0.0
+            self._virtual_time = self._max_used
+        elif self._spent >= self._allowance:
             return False
-        if not self._scheduled:
-            self._schedule()
         self._charge(share, cost)
         return True
 
@@ -159,17 +177,15 @@
 
     def _schedule(self) -> None:
         self._scheduled = True
-        self._iteration_began_at = self._loop.time()
+        self._iteration_began_at = self._get_time()
         self._loop.call_soon(self._begin_iteration)
 
     def _begin_iteration(self) -> None:
         """Adapts the allowance, and starts the work whose turn it is."""
         self._scheduled = False
-        self._adapt(self._loop.time() - self._iteration_began_at)
+        self._adapt(self._get_time() - self._iteration_began_at)
         self._spent = 0.0
         if not self._queue:
-            # What was used while there was time for all is not held against a
-            # connection.
             self._virtual_time = self._max_used
             return
         self._schedule()
--- a/merlintrestle/requests/transport/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -106,6 +106,7 @@
         port: The bound port.
         traffic: Counter of the bytes of its connections.
         get_limits: Returns the limits on senders.
+        get_time: Returns the time of the event loop, in seconds.
         shares_loop_time: Whether requests wait for their share of the event
             loop's time. Those of other daemons do not: they were accepted.
     """
@@ -133,6 +134,8 @@
         options: dict[str, Any] = {
             "access_log": None,
             "keepalive_timeout": _MAX_IDLE_S,
+            # Connections inherit it from the listening socket.
+            "tcp_keepalive": False,
             "auto_decompress": False,
             "read_bufsize": _READ_AHEAD_BYTES,
             # The rest of a refused upload is read for this time in seconds, so
@@ -149,6 +152,7 @@
         self.port = 0
         self.traffic = traffic or traffics.Traffic()
         self.get_limits: Callable[[], Limits] = Limits
+        self.get_time = self._loop.time
         self.shares_loop_time = shares_loop_time
         self._max_connections = (
             max_connections or ingress.budgets.caller_connections
@@ -187,6 +191,7 @@
             socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
         )
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         # Accepted connections inherit it.
         _set_receive_buffer(sock, _RECEIVE_BUFFER_BYTES)
         sock.setblocking(False)
@@ -229,7 +234,7 @@
     @property
     def open_count(self) -> int:
         """Number of open connections."""
-        return len(self.connections) + len(self._silent)
+        return len(self._connections) + len(self._silent)
 
     def add_silent(self, connection: _SilentConnection) -> None:
         """Adds a new connection; ends others if there are too many.
@@ -370,7 +375,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits for the first bytes."""
         self._transport = cast("asyncio.Transport", transport)
-        self.opened_at = asyncio.get_running_loop().time()
+        self.opened_at = self._server.get_time()
         self._server.add_silent(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/ingress/test_loop_time.py
+++ b/tests/ingress/test_loop_time.py
@@ -10,7 +10,10 @@
 
 class LoopTimeTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.loop_time = loop_time.LoopTime(asyncio.get_running_loop())
+        self.now = 0.0
+        self.loop_time = loop_time.LoopTime(
+            asyncio.get_running_loop(), lambda: self.now
+        )
         self.done: list[str] = []
 
     def fill(self) -> None:
@@ -65,8 +68,7 @@
         kept = loop_time.Share()
         for _ in range(50):
             self.loop_time.try_start(kept, 1000.0)
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
+            self.now += 1.0
         self.fill()
         self.queue(kept, 300.0, "kept")
         self.queue(loop_time.Share(), 301.0, "new")
