Read no further on a connection that waits for its turn

Symptom: 200 connections with 1,000 short fields, or 150 with chunks of one byte, took a daemon past 150 MB (151 to 160 MB, killed; test_many_short_fields and test_tiny_chunks failed once the plays of two kinds ran at once).

Cause: a connection that had waited for its turn resumed reading after its handler had paused it, so bytes came in without bound while they waited to be parsed.

Change: reading is resumed before the handler takes over.

The new unit test also passes without the change (the default event loop reads no further), so the plays are what guards against this.

--- a/merlintrestle/requests/transport/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -420,8 +420,9 @@
                 self, _estimate_request(self._received), self._queue
             )
             return False
-        self._hand_over()
+        # Before the handler, which may pause it again.
         transport.resume_reading()
+        self._hand_over()
         return True
 
     def _has_memory(self) -> bool:
--- a/tests/requests/transport/test_server_budgets.py
+++ b/tests/requests/transport/test_server_budgets.py
@@ -109,6 +109,24 @@
             async with asyncio.timeout(builders.TEST_TIMEOUT_S):
                 self.assertIn(b" 200 ", await reader.readline())
 
+    async def test_bytes_that_wait_for_their_turn_are_bounded(self) -> None:
+        """Guards against a connection that is read on while it waits."""
+        with mock.patch.object(
+            self.ingress.loop_time, "try_start", return_value=False
+        ):
+            _, writer = await self.connect()
+            writer.write(
+                b"POST / HTTP/1.1\r\nHost: a\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 300_000
+            )
+            waiting = 0
+            for _ in range(50):
+                await asyncio.sleep(0.01)
+                for connection in self.server.list_connections():
+                    waiting = max(waiting, len(connection._pending))
+        self.assertGreater(waiting, 0)
+        self.assertLess(waiting, 300_000)
+
     async def test_cancelled_requests_leave_no_frames(self) -> None:
         """Guards against memory that only the garbage collector frees."""
         gc.collect()
