Split the server of the data path by role

Servers, request handlers, connections that have sent nothing, estimates, receive buffers and the limits on senders have modules of their own; no behaviour changes.

--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -28,6 +28,7 @@
 from merlintrestle.requests.serving import serving_state as serving_states
 from merlintrestle.requests.transport import forwarding
 from merlintrestle.requests.transport import pipelining
+from merlintrestle.requests.transport import sender_limits
 from merlintrestle.requests.transport import server
 from merlintrestle.requests.unrepeatable import claim_restoration
 from merlintrestle.requests.unrepeatable import claims as claims_
@@ -70,9 +71,9 @@
 # Maximum size of the headers of a caller that a configuration may state, and of
 # each header between daemons, in bytes.
 _MAX_HEADER_BYTES = 256 * 1024
-_DEFAULT_LIMITS = server.Limits()
+_DEFAULT_LIMITS = sender_limits.SenderLimits()
 # Other daemons send what their callers sent, with headers of their own.
-_PEER_LIMITS = server.Limits(_MAX_HEADER_BYTES)
+_PEER_LIMITS = sender_limits.SenderLimits(_MAX_HEADER_BYTES)
 
 
 class Proxy(mode.Service):
@@ -416,7 +417,7 @@
         """Returns the recent outcomes of the calls of each class."""
         return self.outcome_counts.get_statuses()
 
-    def _get_limits(self) -> server.Limits:
+    def _get_limits(self) -> sender_limits.SenderLimits:
         """Returns the limits on callers.
 
         They are those of the active version, but the headers may have the
@@ -430,9 +431,9 @@
             return _DEFAULT_LIMITS
         stated = active_snapshot.limits
         header_bytes = min(stated.max_header_bytes, _MAX_HEADER_BYTES)
-        return server.Limits(
-            max(server.DEFAULT_HEADER_BYTES, header_bytes),
-            stated.header_timeout_s or server.HEADER_TIMEOUT_S,
+        return sender_limits.SenderLimits(
+            max(sender_limits.DEFAULT_HEADER_BYTES, header_bytes),
+            stated.header_timeout_s or sender_limits.HEADER_TIMEOUT_S,
             stated.idle_timeout_s or _DEFAULT_LIMITS.idle_timeout_s,
         )
 
--- a/merlintrestle/requests/transport/pipelining.py
+++ b/merlintrestle/requests/transport/pipelining.py
@@ -21,6 +21,7 @@
 from merlintrestle.ingress import loop_time as loop_times
 from merlintrestle.ingress import memory as memories
 from merlintrestle.requests.reports import traffic as traffics
+from merlintrestle.requests.transport import request_handlers
 from merlintrestle.requests.transport import server
 
 if TYPE_CHECKING:
@@ -144,7 +145,7 @@
         super().__init__(handler, ingress, name, max_connections, traffic)
         self.pipeline_counts = traffics.PipelineCounts()
 
-    def build_handler(self) -> server.RequestHandler:
+    def build_handler(self) -> request_handlers.RequestHandler:
         """Creates the protocol of a connection that sends a request."""
         return _PipeliningHandler(self, loop=self._loop, **self.build_options())
 
@@ -159,7 +160,7 @@
         self.request: PipelinedRequest | None = None
 
 
-class _PipeliningHandler(server.RequestHandler):
+class _PipeliningHandler(request_handlers.RequestHandler):
     """Server side of a connection whose requests may run concurrently.
 
     `_entries` belong to the last messages of `_messages`, in the same order. A
--- a/tests/requests/serving/test_bad_input.py
+++ b/tests/requests/serving/test_bad_input.py
@@ -11,7 +11,7 @@
 
 from merlintrestle.requests.serving import proxy
 from merlintrestle.requests.transport import bodies
-from merlintrestle.requests.transport import server
+from merlintrestle.requests.transport import sender_limits
 from tests.requests import builders
 
 _MALFORMED = {
@@ -270,7 +270,9 @@
     async def test_headers_that_never_end(self) -> None:
         """Guards against connections whose buffers are never freed."""
         with mock.patch.object(
-            proxy, "_DEFAULT_LIMITS", server.Limits(header_timeout_s=0.02)
+            proxy,
+            "_DEFAULT_LIMITS",
+            sender_limits.SenderLimits(header_timeout_s=0.02),
         ):
             async with builders.run_nodes(1) as (node,):
                 reader, writer = await asyncio.open_connection(
--- a/tests/requests/transport/test_header_limits.py
+++ b/tests/requests/transport/test_header_limits.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from merlintrestle.documents import snapshot
-from merlintrestle.requests.transport import server
+from merlintrestle.requests.transport import sender_limits
 from tests.requests import builders
 from tests.requests import relays
 
@@ -38,7 +38,9 @@
             aiohttp.ClientSession(max_field_size=2 * _LIMIT_BYTES) as client,
         ):
             backend = nodes[1].backend
-            backend.get_limits = lambda: server.Limits(2 * _LIMIT_BYTES)
+            backend.get_limits = lambda: sender_limits.SenderLimits(
+                2 * _LIMIT_BYTES
+            )
             headers = {f"X-{number}": "y" for number in range(count)}
             answer = await client.get(
                 nodes[0].url + "/x", headers={"X-Long": long, **headers}
--- a/tests/requests/transport/test_server_budgets.py
+++ b/tests/requests/transport/test_server_budgets.py
@@ -13,7 +13,7 @@
 from merlintrestle.ingress import limits
 from merlintrestle.ingress import memory
 from merlintrestle.requests.transport import pipelining
-from merlintrestle.requests.transport import server
+from merlintrestle.requests.transport import request_handlers
 from tests.requests import builders
 
 _REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -144,6 +144,6 @@
             found
             for found in gc.get_objects()
             if type(found) is web.BaseRequest
-            or isinstance(found, server.RequestHandler)
+            or isinstance(found, request_handlers.RequestHandler)
         ]
         self.assertEqual(left, [])
