Name what a silent connection needs of its server

The split before it made two modules import each other for their annotations, which test_there_is_no_circular_import refuses. Measured: that test and those of the servers pass.

--- a/merlintrestle/requests/transport/request_handlers.py
+++ b/merlintrestle/requests/transport/request_handlers.py
@@ -27,7 +27,6 @@
     from collections.abc import Awaitable, Coroutine
 
     from merlintrestle.requests.transport import sender_limits
-    from merlintrestle.requests.transport import server as servers
 
 _T = TypeVar("_T")
 
@@ -79,7 +78,7 @@
         "incomplete_since",
     )
 
-    def __init__(self, server: servers.Server, **options: Any):
+    def __init__(self, server: Any, **options: Any):
         super().__init__(server, **options)
         self._ingress = server.ingress
         self._traffic = server.traffic
--- a/merlintrestle/requests/transport/silent_connections.py
+++ b/merlintrestle/requests/transport/silent_connections.py
@@ -3,13 +3,38 @@
 from __future__ import annotations
 
 import asyncio
-from typing import cast, TYPE_CHECKING
+from typing import Any, cast, Protocol, TYPE_CHECKING
 
 from merlintrestle.ingress import loop_time as loop_times
 from merlintrestle.requests.transport import estimates
 
 if TYPE_CHECKING:
-    from merlintrestle.requests.transport import server as servers
+    from merlintrestle.ingress import ingress as ingresses
+
+
+class Server(Protocol):
+    """The server that accepted a connection.
+
+    Attributes:
+        ingress: The budgets of the process.
+        shares_loop_time: Whether requests wait for their share of the event
+            loop's time.
+    """
+
+    ingress: ingresses.Ingress
+    shares_loop_time: bool
+
+    def get_time(self) -> float:
+        """Returns the time of the event loop, in seconds."""
+
+    def add_silent(self, connection: SilentConnection) -> None:
+        """Adds a new connection."""
+
+    def remove_silent(self, connection: SilentConnection) -> None:
+        """Removes a connection that has sent something or has ended."""
+
+    def build_handler(self) -> Any:
+        """Creates the protocol of a connection that sends a request."""
 
 
 class SilentConnection(asyncio.Protocol):
@@ -30,7 +55,7 @@
         "opened_at",
     )
 
-    def __init__(self, server: servers.Server):
+    def __init__(self, server: Server):
         self._received = b""
         self._server = server
         self._share = loop_times.Share()
