--- a/merlintrestle/daemon/admin.py
+++ b/merlintrestle/daemon/admin.py
@@ -6,7 +6,6 @@
 import logging
 from typing import Any, NamedTuple, TYPE_CHECKING
 
-from aiohttp import hdrs
 from aiohttp import web
 import mode
 import prometheus_client
@@ -100,18 +99,12 @@
         address = await self._ports.serve(
             "admin",
             settings_reader.Address(_LOOPBACK_IP, self.port),
-            [
-                http_ports.Route(
-                    hdrs.METH_POST, "/announce", self._handle_announce
-                ),
-                http_ports.Route(hdrs.METH_GET, "/health", self._handle_health),
-                http_ports.Route(
-                    hdrs.METH_GET, "/versions", self._handle_versions
-                ),
-                http_ports.Route(
-                    hdrs.METH_GET, "/metrics", self._handle_metrics
-                ),
-            ],
+            {
+                ("POST", "/announce"): self._handle_announce,
+                ("GET", "/health"): self._handle_health,
+                ("GET", "/versions"): self._handle_versions,
+                ("GET", "/metrics"): self._handle_metrics,
+            },
         )
         self.port = address.port
 
--- a/merlintrestle/http_ports.py
+++ b/merlintrestle/http_ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TYPE_CHECKING
+from typing import TYPE_CHECKING
 
 from aiohttp import hdrs
 from aiohttp import web
@@ -11,23 +11,11 @@
 from merlintrestle.requests.transport import server
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Sequence
+    from collections.abc import Awaitable, Callable, Mapping
 
     from merlintrestle.ingress import ingress as ingresses
 
-
-class Route(NamedTuple):
-    """A route of a port.
-
-    Attributes:
-        method: HTTP method. HEAD is allowed where GET is.
-        path: Path; if it ends with "/", any path of one more segment.
-        handler: Answers the requests.
-    """
-
-    method: str
-    path: str
-    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+    Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
 class HttpPorts:
@@ -48,14 +36,15 @@
         self,
         name: str,
         address: settings_reader.Address,
-        routes: Sequence[Route],
+        routes: Mapping[tuple[str, str], Handler],
     ) -> settings_reader.Address:
         """Binds a port; 0 selects a free one.
 
         Args:
             name: Name of the port, for metrics.
             address: Address to bind.
-            routes: The routes.
+            routes: Handlers by method and path. HEAD is allowed where GET is. A
+                path that ends with "/" stands for those of one more segment.
 
         Returns:
             The address with the bound port.
@@ -80,7 +69,9 @@
 class _Router:
     """Finds the route of a request."""
 
-    def __init__(self, routes: Sequence[Route], max_body_bytes: int):
+    def __init__(
+        self, routes: Mapping[tuple[str, str], Handler], max_body_bytes: int
+    ):
         self._routes = routes
         self._max_body_bytes = max_body_bytes
 
@@ -89,16 +80,19 @@
         if (request.content_length or 0) > self._max_body_bytes:
             return _refuse(413)
         request._client_max_size = self._max_body_bytes
-        routes = [
-            route for route in self._routes if _matches(route, request.path)
-        ]
-        for route in routes:
-            if request.method == route.method or (
-                request.method == hdrs.METH_HEAD
-                and route.method == hdrs.METH_GET
-            ):
-                return await route.handler(request)
-        return _refuse(405 if routes else 404)
+        method = (
+            hdrs.METH_GET
+            if request.method == hdrs.METH_HEAD
+            else request.method
+        )
+        handlers = {
+            stated_method: handler
+            for (stated_method, path), handler in self._routes.items()
+            if _matches(path, request.path)
+        }
+        if method in handlers:
+            return await handlers[method](request)
+        return _refuse(405 if handlers else 404)
 
 
 def get_last_segment(request: web.BaseRequest) -> str:
@@ -106,10 +100,10 @@
     return request.path.rpartition("/")[2]
 
 
-def _matches(route: Route, path: str) -> bool:
-    if not route.path.endswith("/"):
-        return path == route.path
-    segment = path.removeprefix(route.path)
+def _matches(stated_path: str, path: str) -> bool:
+    if not stated_path.endswith("/"):
+        return path == stated_path
+    segment = path.removeprefix(stated_path)
     return bool(segment) and segment != path and "/" not in segment
 
 
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -5,7 +5,6 @@
 import json
 from typing import Any, TYPE_CHECKING
 
-from aiohttp import hdrs
 from aiohttp import web
 import mode
 import prometheus_client
@@ -80,39 +79,32 @@
 
     async def on_start(self) -> None:
         """Binds the ports."""
-        self.readiness = await self._ports.serve(
-            "ready",
-            self.readiness,
-            [http_ports.Route(hdrs.METH_GET, _READY_PATH, self._handle_ready)],
+        serve = self._ports.serve
+        self.readiness = await serve(
+            "ready", self.readiness, {("GET", _READY_PATH): self._handle_ready}
         )
-        self._metrics_address = await self._ports.serve(
+        self._metrics_address = await serve(
             "metrics",
             self._metrics_address,
-            [http_ports.Route(hdrs.METH_GET, "/metrics", self._handle_metrics)],
+            {("GET", "/metrics"): self._handle_metrics},
         )
-        self.announcements = await self._ports.serve(
+        self.announcements = await serve(
             "announcements",
             self.announcements,
-            [
-                http_ports.Route(
-                    hdrs.METH_POST, _HEARTBEAT_PATH, self._handle_heartbeat
-                ),
-                http_ports.Route(
-                    hdrs.METH_POST, _LEAVE_PATH, self._handle_leave
-                ),
-            ],
+            {
+                ("POST", _HEARTBEAT_PATH): self._handle_heartbeat,
+                ("POST", _LEAVE_PATH): self._handle_leave,
+            },
         )
 
     async def on_stop(self) -> None:
         """Closes the ports."""
         await self._ports.close()
 
-    async def _handle_ready(self, request: web.BaseRequest) -> web.Response:
-        del request
+    async def _handle_ready(self, _: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self._is_ready() else 503)
 
-    async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
-        del request
+    async def _handle_metrics(self, _: web.BaseRequest) -> web.Response:
         return web.Response(
             body=self._render_metrics(),
             headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -122,62 +122,28 @@
         zone=reader.get_required("zone", str, ""),
         region=reader.get_required("region", str, ""),
         service=reader.get_required("service", str, ""),
-        backend=reader.get_required(
-            "app", settings_reader.parse_address, _UNSET
-        ),
-        callers=reader.get_required(
-            "listen.outbound", settings_reader.parse_address, _UNSET
-        ),
-        peers=reader.get_required(
-            "listen.inbound", settings_reader.parse_address, _UNSET
-        ),
-        readiness=reader.get_required(
-            "listen.ready", settings_reader.parse_address, _UNSET
-        ),
-        announcements=reader.get_required(
-            "listen.control", settings_reader.parse_address, _UNSET
-        ),
+        backend=_read_address(reader, "app"),
+        callers=_read_address(reader, "listen.outbound"),
+        peers=_read_address(reader, "listen.inbound"),
+        readiness=_read_address(reader, "listen.ready"),
+        announcements=_read_address(reader, "listen.control"),
         first_port=ports[0],
         last_port=ports[1],
-        store=reader.get_required(
-            "platform.address", settings_reader.parse_address, _UNSET
-        ),
-        heartbeat_s=reader.get_required(
-            "heartbeatMs", settings_reader.parse_number, 0.0
-        )
-        / _MS_PER_S,
-        drain_s=reader.get_required(
-            "bounds.drainMs", settings_reader.parse_number, 0.0
-        )
-        / _MS_PER_S,
-        grace_s=reader.get_required(
-            "bounds.graceS", settings_reader.parse_number, 0.0
-        ),
-        retry_ratio=reader.get_required(
-            "bounds.retryBudgetRatio", settings_reader.parse_number, 0.0
-        ),
-        retry_slack=reader.get_required(
-            "bounds.retrySlack", settings_reader.parse_number, 0.0
-        ),
-        retry_window_s=reader.get_required(
-            "bounds.budgetWindowS", settings_reader.parse_number, 0.0
-        ),
-        expose_share=_read_bound(reader, "exposeShare"),
+        store=_read_address(reader, "platform.address"),
+        heartbeat_s=_read_required(reader, "heartbeatMs") / _MS_PER_S,
+        drain_s=_read_required(reader, "bounds.drainMs") / _MS_PER_S,
+        grace_s=_read_required(reader, "bounds.graceS"),
+        retry_ratio=_read_required(reader, "bounds.retryBudgetRatio"),
+        retry_slack=_read_required(reader, "bounds.retrySlack"),
+        retry_window_s=_read_required(reader, "bounds.budgetWindowS"),
+        expose_share=_read_number(reader, "bounds.exposeShare"),
         revocation_limit_s=_read_revocation_limit(reader),
-        quota_window_s=_read_bound(reader, "quotaWindowS"),
-        quota_overshoot=_read_bound(reader, "quotaOvershoot"),
-        quota_slack=_read_bound(reader, "quotaSlack"),
-        link_mbps=reader.get_optional(
-            "limits.linkMbps", settings_reader.parse_number, 0.0
-        ),
-        memory_mb=reader.get_optional(
-            "limits.memoryMb", settings_reader.parse_number, 0.0
-        ),
-        descriptors=int(
-            reader.get_optional(
-                "limits.maxFds", settings_reader.parse_number, 0.0
-            )
-        ),
+        quota_window_s=_read_number(reader, "bounds.quotaWindowS"),
+        quota_overshoot=_read_number(reader, "bounds.quotaOvershoot"),
+        quota_slack=_read_number(reader, "bounds.quotaSlack"),
+        link_mbps=_read_number(reader, "limits.linkMbps"),
+        memory_mb=_read_number(reader, "limits.memoryMb"),
+        descriptors=int(_read_number(reader, "limits.maxFds")),
     )
     if reader.findings:
         raise errors.InvalidInputError(reader.findings)
@@ -202,11 +168,19 @@
     return values
 
 
-def _read_bound(reader: settings_reader.SettingsReader, name: str) -> float:
-    """Returns a bound; 0 if it is not stated."""
-    return reader.get_optional(
-        f"bounds.{name}", settings_reader.parse_number, 0.0
-    )
+def _read_address(
+    reader: settings_reader.SettingsReader, name: str
+) -> settings_reader.Address:
+    return reader.get_required(name, settings_reader.parse_address, _UNSET)
+
+
+def _read_required(reader: settings_reader.SettingsReader, name: str) -> float:
+    return reader.get_required(name, settings_reader.parse_number, 0.0)
+
+
+def _read_number(reader: settings_reader.SettingsReader, name: str) -> float:
+    """Returns a number; 0 if it is not stated."""
+    return reader.get_optional(name, settings_reader.parse_number, 0.0)
 
 
 def _read_revocation_limit(reader: settings_reader.SettingsReader) -> float:
