Watch the event loop when it has work, and time each head from its beginning

The event loop's time, by which a new iteration was to be seen, is not kept throughout an iteration, so the loop seemed to have time always. Now iterations are watched once 2 ms of work were started within 5 ms; in calm no callback is scheduled, as before.

The time for headers went on when one request was complete and the next had begun, so a caller who always sends was overdue after headerTimeoutMs; and between the arrival of a request and its start the connection counted as idle. Each head is timed from its own beginning, and a connection on which a request is about to start is not idle.

--- a/merlintrestle/ingress/loop_time.py
+++ b/merlintrestle/ingress/loop_time.py
@@ -27,6 +27,10 @@
 # Duration of an iteration of the event loop above which less work is started in
 # the next one, in seconds. A call passes through about ten iterations.
 _MAX_ITERATION_S = 0.004
+# Cost of the work that may be started in an interval, in seconds, before the
+# iterations of the event loop are watched: in calm that would cost each call.
+_CALM_COST = 2000.0
+_CALM_INTERVAL_S = 0.005
 # Bounds of the cost of the work that is started in one iteration.
 _MIN_ALLOWANCE = 500.0
 _MAX_ALLOWANCE = 8000.0
@@ -80,8 +84,7 @@
 
         Args:
             loop: The event loop.
-            get_time: Returns the time in seconds, the same one throughout an
-                iteration; None: the time of the event loop, as uvloop has it.
+            get_time: Returns the time in seconds; None: that of the event loop.
         """
         self.waited = 0
         self.on_contention: list[Callable[[], None]] = []
@@ -119,15 +122,17 @@
         """
         if self._queue:
             return False
-        now = self._get_time()
-        if now != self._iteration_began_at:
-            # A new iteration. What was used while there was time for all is
-            # not held against a connection.
-            self._iteration_began_at = now
+        if self._scheduled:
+            if self._spent >= self._allowance:
+                return False
+        elif self._get_time() - self._iteration_began_at > _CALM_INTERVAL_S:
+            # What was used while there was time for all is not held against a
+            # connection.
+            self._iteration_began_at = self._get_time()
             self._spent = 0.0
             self._virtual_time = self._max_used
-        elif self._spent >= self._allowance:
-            return False
+        elif self._spent >= _CALM_COST:
+            self._schedule()
         self._charge(share, cost)
         return True
 
--- a/merlintrestle/requests/transport/request_handlers.py
+++ b/merlintrestle/requests/transport/request_handlers.py
@@ -134,10 +134,15 @@
         self._ingress.memory.cancel_wait(self)
         self._give_back()
 
+    @property
+    def _waits_for_request(self) -> bool:
+        """Whether no request is being handled, and none is about to be."""
+        return self._waiter is not None and not self._waiter.done()
+
     @property
     def is_idle(self) -> bool:
         """Whether the connection waits for its next request."""
-        return self._waiter is not None and not self.incomplete_since
+        return self._waits_for_request and not self.incomplete_since
 
     @property
     def held_bytes(self) -> int:
@@ -251,7 +256,7 @@
             now: Event loop time, in seconds.
             limits: The limits on senders.
         """
-        if self._waiter is None or self._pending:
+        if not self._waits_for_request or self._pending:
             return
         if not self.incomplete_since:
             if now - self._idle_since > limits.idle_timeout_s:
@@ -265,7 +270,7 @@
         transport = self.transport
         if transport is None:
             return
-        if self._waiter is not None:
+        if self._waits_for_request:
             transport.write(answer)
         self.force_close()
 
@@ -384,6 +389,8 @@
             return
         if len(messages) > known:
             self._granted = bool(data) and body is None
+            # What has arrived in part since began later.
+            self.incomplete_since = 0.0
             for index in range(known, len(messages)):
                 self._charge(*messages[index])
             body = messages[-1][1]
--- a/tests/requests/transport/test_server_budgets.py
+++ b/tests/requests/transport/test_server_budgets.py
@@ -14,6 +14,7 @@
 from merlintrestle.ingress import memory
 from merlintrestle.requests.transport import pipelining
 from merlintrestle.requests.transport import request_handlers
+from merlintrestle.requests.transport import sender_limits
 from tests.requests import builders
 
 _REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -127,6 +128,24 @@
         self.assertGreater(waiting, 0)
         self.assertLess(waiting, 300_000)
 
+    async def test_time_for_headers_starts_with_each_request(self) -> None:
+        """Guards against 408 to a caller who always sends the next request."""
+        reader, writer = await self.connect()
+        half = len(_REQUEST) // 2
+        writer.write(_REQUEST[:half])
+        with mock.patch.object(
+            self.server,
+            "get_limits",
+            lambda: sender_limits.SenderLimits(header_timeout_s=0.5),
+        ):
+            for _ in range(8):
+                await asyncio.sleep(0.1)
+                writer.write(_REQUEST[half:] + _REQUEST[:half])
+                async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+                    head = await reader.readuntil(b"whole")
+                self.assertIn(b" 200 ", head)
+                self.server.end_overdue(self.server.get_time())
+
     async def test_cancelled_requests_leave_no_frames(self) -> None:
         """Guards against memory that only the garbage collector frees."""
         gc.collect()
