Take a burst without a rate for no limit

Cause: the loader refused a burst without a rate, and with it the version, behind the store's confirmation.

Change: the loader has no such check. The adapter leaves the burst out, as daemons of an earlier release refuse the resource when a peer sends it.

--- a/merlintrestle/documents/loader.py
+++ b/merlintrestle/documents/loader.py
@@ -306,11 +306,6 @@
     )
     _require(name, 0 <= workspace.rate < math.inf, "has a bad rate")
     _require(name, 0 <= workspace.burst < math.inf, "has a bad burst")
-    _require(
-        name,
-        workspace.rate > 0 or not workspace.burst,
-        "has a burst without a rate",
-    )
     return snapshot.Workspace(
         name=workspace.name,
         key_digests=tuple(workspace.key_digests),
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -152,12 +152,15 @@
     importance = 0
     if fields.has("priority"):
         importance = _compute_importance(fields.get_integer("priority"))
+    rate = fields.get_number("ratePerS")
+    burst = fields.get_number("burst")
     workspace = snapshots.Workspace(
         fields.get_text("name"),
         (),
         importance,
-        fields.get_number("ratePerS"),
-        fields.get_number("burst"),
+        rate,
+        # Earlier releases refuse a version with a burst without a rate.
+        burst if rate else 0.0,
     )
     workspaces.add_workspace(
         resources, place, workspace, fields.get_texts("apiKeys")
--- a/tests/documents/test_loader.py
+++ b/tests/documents/test_loader.py
@@ -146,3 +146,16 @@
         self.assertEqual(changed.resources, {name: new})
         assert changed.limits is not None
         self.assertEqual(changed.limits.max_body_bytes, 2)
+
+    def test_a_burst_without_a_rate_is_no_limit(self) -> None:
+        """Guards against a version refused for a limit that was lifted."""
+        resource = document_pb2.WorkspaceResource(name="studio", burst=4)
+        loaded = loader.load_snapshot(
+            1,
+            {
+                snapshots.build_workspace_name(
+                    "studio"
+                ): resource.SerializeToString()
+            },
+        )
+        self.assertEqual(loaded.workspaces["studio"].rate, 0)
