Scale the weights of a split to whole numbers

Callers saw: a version that splits a route by 0.95 and 0.05 was confirmed, and nothing of it took effect on any daemon.

Values that may be omitted were required in the same place, and 2.0 was not taken for 2.

Change: the adapter scales other weights to whole numbers in the same proportions; the schema stays as it is, so daemons of an earlier release take such a version from a peer. Omitted values have defaults.

--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -7,10 +7,12 @@
 from merlintrestle import errors
 from merlintrestle import rows
 from merlintrestle.documents import compiler
+from merlintrestle.documents import fields
 from merlintrestle.documents import snapshot as snapshots
 from merlintrestle.documents import workspaces
 from merlintrestle.platform import rollouts
 from merlintrestle.platform import store as stores
+from merlintrestle.platform import weights
 from merlintrestle.schema import document_pb2
 from merlintrestle.versions import record_source
 
@@ -21,6 +23,8 @@
 _REPEATABILITY = {"idempotent": True, "download": True, "non_idempotent": False}
 # Importance of priority 0; it decreases by 1 with each further priority number.
 _MAX_IMPORTANCE = 5
+# Priority of a route that states none.
+_DEFAULT_PRIORITY = _MAX_IMPORTANCE - fields.DEFAULT_IMPORTANCE
 # Prefix of the operators' keys. `read_after` the configuration key returns the
 # roll-out keys, which sort after it.
 _OPERATOR_PREFIX = "op/"
@@ -92,7 +96,8 @@
     name = row.get_text("name")
     resources[snapshots.build_service_name(name)] = compiler.serialize_message(
         document_pb2.ServiceResource(
-            name=name, max_connections=row.get_integer("maxConnections")
+            name=name,
+            max_connections=row.get_optional_integer("maxConnections"),
         )
     )
 
@@ -107,7 +112,7 @@
                 prefix=row.get_text("prefix"),
                 parts=_build_parts(row),
                 target=_build_target(row),
-                max_attempts=row.get_integer("maxAttempts"),
+                max_attempts=row.get_optional_integer("maxAttempts"),
                 anonymous=row.get_flag("allowAnonymous"),
             )
         )
@@ -120,11 +125,12 @@
         service = row.get_text("service")
         return [document_pb2.RoutePart(service=service, weight=1)]
     parts = [rows.Row("split", part) for part in split]
+    scaled = weights.scale_weights(
+        [part.get_number("weight", required=True) for part in parts]
+    )
     return [
-        document_pb2.RoutePart(
-            service=part.get_text("service"), weight=part.get_integer("weight")
-        )
-        for part in parts
+        document_pb2.RoutePart(service=part.get_text("service"), weight=weight)
+        for part, weight in zip(parts, scaled, strict=True)
     ]
 
 
@@ -132,7 +138,7 @@
     kind = row.get_text("kind")
     if kind not in _REPEATABILITY:
         raise errors.SnapshotError(f"routes: kind is {kind!r}")
-    priority = row.get_integer("priority")
+    priority = row.get_optional_integer("priority", _DEFAULT_PRIORITY)
     latency_ms = row.get_integer("targetLatencyMs")
     deadline_ms = row.get_integer("timeoutMs")
     return document_pb2.ClassTarget(
@@ -148,14 +154,14 @@
 
 
 def _add_workspace(resources: dict[str, bytes], place: str, row: Any) -> None:
-    fields = rows.Row(place, row, secret=True)
+    tenant = rows.Row(place, row, secret=True)
     importance = 0
-    if fields.has("priority"):
-        importance = _compute_importance(fields.get_integer("priority"))
-    rate = fields.get_number("ratePerS")
-    burst = fields.get_number("burst")
+    if tenant.has("priority"):
+        importance = _compute_importance(tenant.get_integer("priority"))
+    rate = tenant.get_number("ratePerS")
+    burst = tenant.get_number("burst")
     workspace = snapshots.Workspace(
-        fields.get_text("name"),
+        tenant.get_text("name"),
         (),
         importance,
         rate,
@@ -163,7 +169,7 @@
         burst if rate else 0.0,
     )
     workspaces.add_workspace(
-        resources, place, workspace, fields.get_texts("apiKeys")
+        resources, place, workspace, tenant.get_texts("apiKeys")
     )
 
 
@@ -174,9 +180,11 @@
 def _add_limits(resources: dict[str, bytes], row: rows.Row) -> None:
     resources[snapshots.LIMITS_RESOURCE] = compiler.serialize_message(
         document_pb2.LimitsResource(
-            max_header_bytes=row.get_integer("maxHeaderBytes"),
-            max_body_bytes=row.get_integer("maxBodyBytes", rows.MAX_LONG),
-            header_timeout_ms=row.get_integer("headerTimeoutMs"),
-            idle_timeout_ms=row.get_integer("idleTimeoutMs"),
+            max_header_bytes=row.get_optional_integer("maxHeaderBytes"),
+            max_body_bytes=row.get_optional_integer(
+                "maxBodyBytes", maximum=rows.MAX_LONG
+            ),
+            header_timeout_ms=row.get_optional_integer("headerTimeoutMs"),
+            idle_timeout_ms=row.get_optional_integer("idleTimeoutMs"),
         )
     )
--- a/merlintrestle/rows.py
+++ b/merlintrestle/rows.py
@@ -14,7 +14,7 @@
 # Largest accepted number; larger integers may not fit into a float.
 _MAX_NUMBER = 1e300
 # Largest integer of a field of 32 bits.
-_MAX_INTEGER = 2**32 - 1
+MAX_INTEGER = 2**32 - 1
 # Largest integer of a field of 64 bits.
 MAX_LONG = 2**64 - 1
 
@@ -56,18 +56,26 @@
             raise self._build_error(name)
         return value
 
-    def get_integer(self, name: str, maximum: int = _MAX_INTEGER) -> int:
-        """Returns a non-negative integer.
+    def get_integer(self, name: str, maximum: int = MAX_INTEGER) -> int:
+        """Returns a non-negative integer, which may be written as 2.0.
 
         Args:
             name: Name of the value.
             maximum: Largest accepted value.
         """
         value = self._fields.get(name)
+        if type(value) is float and value.is_integer():
+            value = int(value)
         if type(value) is not int or not 0 <= value <= maximum:
             raise self._build_error(name)
         return value
 
+    def get_optional_integer(
+        self, name: str, default: int = 0, maximum: int = MAX_INTEGER
+    ) -> int:
+        """Returns a non-negative integer, or `default` if it is absent."""
+        return self.get_integer(name, maximum) if self.has(name) else default
+
     def has(self, name: str) -> bool:
         """Returns whether a value is stated."""
         return self._fields.get(name) is not None
@@ -79,10 +87,10 @@
             raise self._build_error(name)
         return bool(value)
 
-    def get_number(self, name: str) -> float:
-        """Returns a non-negative, finite number; 0 if it is absent."""
-        value = self._fields.get(name)
-        if value is None:
+    def get_number(self, name: str, required: bool = False) -> float:
+        """Returns a non-negative, finite number; 0 if it may be absent."""
+        value: Any = self._fields.get(name)
+        if value is None and not required:
             return 0.0
         if type(value) not in (int, float) or not 0 <= value <= _MAX_NUMBER:
             raise self._build_error(name)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -93,6 +93,77 @@
             [("balie", 90), ("kassa", 10)],
         )
 
+    def test_a_split_has_the_proportions_of_fractional_weights(self):
+        """Guards against a version refused for a weight such as 0.95."""
+        for weights in (
+            (0.95, 0.05),
+            (0.5, 0),
+            (1.5, 3),
+            (1e-300, 3e-300),
+            (1e300, 1e299),
+            (2**40, 2**41),
+            (90.0, 10.0),
+        ):
+            with self.subTest(weights=weights):
+                stated = zip(("balie", "kassa"), weights, strict=True)
+                split = [
+                    {"service": name, "weight": weight}
+                    for name, weight in stated
+                ]
+                snapshot = builders.load_configuration(
+                    builders.build_configuration(
+                        1, builders.build_route("a", service=None, split=split)
+                    )
+                )
+                route = snapshot.host_routes["desk.example"][0]
+                first, second = (part.weight for part in route.destinations)
+                self.assertAlmostEqual(
+                    first / (first + second),
+                    weights[0] / (weights[0] + weights[1]),
+                )
+
+    def test_a_small_part_of_a_split_keeps_a_weight(self):
+        """Guards against a service that gets nothing, as its part is small."""
+        split = [
+            {"service": "balie", "weight": 1.5},
+            {"service": "kassa", "weight": 1e-20},
+        ]
+        snapshot = builders.load_configuration(
+            builders.build_configuration(
+                1, builders.build_route("a", service=None, split=split)
+            )
+        )
+        route = snapshot.host_routes["desk.example"][0]
+        self.assertGreater(route.destinations[1].weight, 0)
+
+    def test_malformed_weights_invalidate_the_configuration(self):
+        """Guards against a split by weights that mean nothing."""
+        for weight in (-0.5, None, True, "1", float("nan"), 10**400):
+            with self.subTest(weight=weight):
+                split = [{"service": "balie", "weight": weight}]
+                value = builders.build_configuration(
+                    1, builders.build_route("a", service=None, split=split)
+                )
+                with self.assertRaises(errors.SnapshotError):
+                    builders.load_configuration(value)
+
+    def test_omitted_values_have_defaults(self):
+        """Guards against a version refused for a value that may be omitted."""
+        route = builders.build_route(
+            "a", priority=None, maxAttempts=None, timeoutMs=1000.0
+        )
+        services = {"columns": ["name"], "rows": [["balie"]]}
+        snapshot = builders.load_configuration(
+            builders.build_configuration(
+                1, route, services=services, limits={"maxHeaderBytes": None}
+            )
+        )
+        plan = snapshot.host_routes["desk.example"][0].plan
+        self.assertEqual(plan.importance, 3)
+        self.assertEqual(plan.max_attempts, 0)
+        self.assertEqual(plan.deadline_s, 1.0)
+        self.assertEqual(snapshot.limits, snapshots.Limits(0, 0, 0.0, 0.0))
+
     def test_a_route_to_an_unknown_service_invalidates_the_configuration(self):
         """Guards against routes that lead to no service.
 
