Let the keys of a version count that cannot be used otherwise

Cause: a proof of a refused version was taken for one of the number before it. That was the active version (next number), so freshness never acted, or one that nobody runs (jump), so no proof was usable. The rule on keys is about the confirmed version.

Change: who reads a version that does not compile reads its keys alone; they count, and nothing else of it. Daemons hear of it on their links and ask a neighbour for the keys; one that alone cannot use a version reads the store. What only the newer version may allow (a key, a path) is refused as not run in place of 401 and 404. A refused version is no floor of a starting daemon. A record without a version number proves nothing and is no failure of the store.

--- a/merlintrestle/daemon/metrics.py
+++ b/merlintrestle/daemon/metrics.py
@@ -91,6 +91,12 @@
             "Era of the store, which rises when it comes back from a copy.",
             value=self._era.current or 0,
         )
+        keys = self._freshness.keys.get()
+        yield metrics_core.GaugeMetricFamily(
+            "merlintrestle_unusable_version",
+            "A newer version that this daemon cannot use; 0: none is known.",
+            value=keys.version if keys is not None else 0,
+        )
         if self._freshness.is_required():
             yield metrics_core.GaugeMetricFamily(
                 "merlintrestle_freshness_age_seconds",
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -37,6 +37,7 @@
 from merlintrestle.versions import distribution as distributions
 from merlintrestle.versions import freshness as freshness_lib
 from merlintrestle.versions import freshness_poller as freshness_pollers
+from merlintrestle.versions import keys_gossip
 from merlintrestle.versions import source as sources
 
 if TYPE_CHECKING:
@@ -261,6 +262,7 @@
     async def on_shutdown(self) -> None:
         """Closes the control server and the store client."""
         events.note("ended", in_flight=self._proxy.in_flight)
+        await self._keys_gossip.close()
         await self._control.close()
         await self.lifecycle.close()
         await self._store.close()
@@ -286,6 +288,9 @@
         poller = freshness_pollers.FreshnessPoller(
             self.freshness, membership, distribution.watcher
         )
+        self._keys_gossip = keys_gossip.KeysGossip(
+            self.freshness.keys, membership
+        )
         self._store.era.on_change.append(distribution.watcher.handle_new_era)
         era_gossip.EraGossip(self._store.era, membership.links)
         self._connect_quotas(membership, distribution)
--- a/merlintrestle/errors.py
+++ b/merlintrestle/errors.py
@@ -65,5 +65,5 @@
     """A snapshot or delta is invalid and is not used."""
 
 
-class RejectedVersionError(SnapshotError):
-    """A version is invalid in itself, so that no daemon ever runs it."""
+class ReplacedVersionError(SnapshotError):
+    """A version was replaced by a later one before it was compiled."""
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -5,6 +5,7 @@
 from typing import Any, TYPE_CHECKING
 
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle import rows
 from merlintrestle.documents import compiler
 from merlintrestle.documents import fields
@@ -14,11 +15,14 @@
 from merlintrestle.platform import store as stores
 from merlintrestle.platform import weights
 from merlintrestle.schema import document_pb2
+from merlintrestle.versions import confirmed_keys
 from merlintrestle.versions import record_source
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+events = event_logs.EventLog("platform")
+
 # Whether calls of a route may run more than once, by the kind of the route.
 _REPEATABILITY = {"idempotent": True, "download": True, "non_idempotent": False}
 # Importance of priority 0; it decreases by 1 with each further priority number.
@@ -44,6 +48,7 @@
                 rollouts.PLATFORM_FORMAT.order_prefix,
                 lambda value: parse_version(_parse_configuration(value)),
                 lambda value: build_resources(_parse_configuration(value)),
+                read_keys,
             ),
         )
 
@@ -92,6 +97,48 @@
     return resources
 
 
+def read_keys(version: int, value: bytes) -> confirmed_keys.KeyList:
+    """Returns the keys of a configuration that may be malformed elsewhere.
+
+    Args:
+        version: Number of the version.
+        value: The encoded configuration.
+    """
+    try:
+        configuration = _parse_configuration(value)
+        if configuration.get("tenants") is None:
+            return confirmed_keys.KeyList(version, {}, required=False)
+        tenants = rows.read_table(configuration, "tenants")
+    except errors.SnapshotError as error:
+        events.warn("keys unreadable", version=version, error=str(error))
+        return confirmed_keys.KeyList(version, {}, complete=False)
+    holders: dict[bytes, str] = {}
+    complete = True
+    for number, row in enumerate(tenants, 1):
+        try:
+            name, keys = _read_holder(f"tenants row {number}", row)
+        except errors.SnapshotError as error:
+            events.warn("keys unreadable", version=version, error=str(error))
+            complete = False
+            continue
+        for key in keys:
+            if holders.setdefault(key, name) != name:
+                # Which of the two workspaces has it is not known.
+                holders[key] = ""
+                complete = False
+    return confirmed_keys.KeyList(
+        version, {key: name for key, name in holders.items() if name}, complete
+    )
+
+
+def _read_holder(place: str, row: Any) -> tuple[str, list[bytes]]:
+    """Returns the name of a workspace and the digests of its keys."""
+    tenant = rows.Row(place, row, secret=True)
+    return tenant.get_text("name"), [
+        snapshots.hash_key(key) for key in tenant.get_texts("apiKeys")
+    ]
+
+
 def _add_service(resources: dict[str, bytes], row: rows.Row) -> None:
     name = row.get_text("name")
     resources[snapshots.build_service_name(name)] = compiler.serialize_message(
--- a/merlintrestle/requests/interfaces.py
+++ b/merlintrestle/requests/interfaces.py
@@ -11,6 +11,7 @@
     from merlintrestle.rollouts import subsets
     from merlintrestle.store import client
     from merlintrestle.store import eras
+    from merlintrestle.versions import confirmed_keys
 
 
 class ActiveVersion(Protocol):
@@ -82,6 +83,19 @@
     def is_fresh(self) -> bool:
         """Returns whether requests with API keys may be admitted."""
 
+    def is_behind(self) -> bool:
+        """Returns whether a newer version is known that cannot be used."""
+
+    def find_workspace(
+        self, active_snapshot: snapshot.Snapshot, key_digest: bytes
+    ) -> snapshot.Workspace | confirmed_keys.NoWorkspace:
+        """Returns the workspace of an API key.
+
+        Args:
+            active_snapshot: Snapshot of the active version.
+            key_digest: SHA-256 digest of the key.
+        """
+
 
 class Quotas(Protocol):
     """Spends tokens of the quotas of workspaces, one for each call.
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -32,6 +32,11 @@
     from merlintrestle.requests.serving import serving_state as serving_states
 
 _UNAUTHORIZED = 401
+_NOT_FOUND = 404
+_ROUTE_UNDECIDED = outcomes.NotRun(
+    "this daemon cannot use the newest version, which may have the route",
+    elsewhere=True,
+)
 
 
 class CallerHandler:
@@ -163,12 +168,25 @@
             self._dialect, active_snapshot, request
         )
         if isinstance(match, outcomes.NotRun):
-            return match
+            return self._correct_unknown_route(match)
         refusal = self._drain_admission.check_request(
             request, active_snapshot, match.plan, started_at
         )
         return refusal or match
 
+    def _correct_unknown_route(
+        self, refusal: outcomes.NotRun
+    ) -> outcomes.NotRun:
+        """Returns the refusal of a request without a destination.
+
+        A newer version that this daemon cannot use may have its route, and
+        callers don't retry after a 404.
+        """
+        is_unknown = refusal.status == _NOT_FOUND
+        if is_unknown and self._workspace_admission.freshness.is_behind():
+            return _ROUTE_UNDECIDED
+        return refusal
+
     async def _admit(
         self,
         active_snapshot: snapshot.Snapshot,
--- a/merlintrestle/requests/workspaces/admission.py
+++ b/merlintrestle/requests/workspaces/admission.py
@@ -10,6 +10,7 @@
 from merlintrestle.requests.workspaces import credentials
 from merlintrestle.requests.workspaces import reasons
 from merlintrestle.requests.workspaces import refusals
+from merlintrestle.versions import confirmed_keys
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,6 +68,19 @@
         """Returns True."""
         return True
 
+    def is_behind(self) -> bool:
+        """Returns False."""
+        return False
+
+    def find_workspace(
+        self, active_snapshot: snapshot.Snapshot, key_digest: bytes
+    ) -> snapshot.Workspace | confirmed_keys.NoWorkspace:
+        """Returns the workspace in the active version."""
+        return (
+            active_snapshot.find_workspace(key_digest)
+            or confirmed_keys.NoWorkspace.UNKNOWN
+        )
+
 
 class UnlimitedQuotas:
     """An `interfaces.Quotas` that admits every call."""
@@ -134,12 +148,15 @@
         digest = credentials.read_key_digest(request_headers)
         if digest is None and match.anonymous:
             return Admitted(match.plan)
-        workspace = active_snapshot.find_workspace(
-            digest or credentials.MALFORMED
+        workspace = self.freshness.find_workspace(
+            active_snapshot, digest or credentials.MALFORMED
         )
-        if workspace is None:
+        if workspace is confirmed_keys.NoWorkspace.UNKNOWN:
             self.refusals.record(reasons.UNKNOWN_KEY)
             return _UNKNOWN_KEY
+        if isinstance(workspace, confirmed_keys.NoWorkspace):
+            self.refusals.record(reasons.STALE)
+            return _STALE
         if not self.freshness.is_fresh():
             self.refusals.record(reasons.STALE, workspace.name)
             return _STALE
--- a/merlintrestle/rows.py
+++ b/merlintrestle/rows.py
@@ -99,7 +99,9 @@
     def get_texts(self, name: str) -> list[str]:
         """Returns a list of non-empty strings; an empty list if absent."""
         texts = self.get_list(name) or []
-        if not all(isinstance(text, str) and text for text in texts):
+        if not all(
+            isinstance(text, str) and _is_encodable(text) for text in texts
+        ):
             raise self._build_error(name)
         return texts
 
--- a/merlintrestle/versions/freshness.py
+++ b/merlintrestle/versions/freshness.py
@@ -13,6 +13,7 @@
 
 from merlintrestle import clocks
 from merlintrestle import events as event_logs
+from merlintrestle.versions import confirmed_keys
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -57,6 +58,7 @@
     Attributes:
         limit_s: Time after the acceptance of a version after which no daemon
             serves the API keys that it removed, in seconds; 0: no limit.
+        keys: Keys of a version that this daemon cannot use.
         on_stale: Called for each request that is refused; it may be called
             often.
     """
@@ -75,6 +77,7 @@
             get_time: Returns a time that includes freezes, in seconds.
         """
         self.limit_s = limit_s
+        self.keys = confirmed_keys.ConfirmedKeys(active_version)
         self.on_stale: Callable[[], None] = lambda: None
         self._active_version = active_version
         self._get_time = get_time
@@ -188,9 +191,10 @@
     def get_age(self) -> float:
         """Returns the age of the latest usable proof; infinite if none.
 
-        A proof is usable while the active version is at least its version.
+        A proof is usable while the keys that are applied to requests are those
+        of its version or of a later one.
         """
-        version = self._active_version.version
+        version = self.keys.get_version()
         for proof in reversed(self._proofs):
             if proof.version <= version:
                 return self._get_time() - proof.time
@@ -200,6 +204,16 @@
         """Returns the latest proof, which may be of a later version."""
         return self._proofs[-1] if self._proofs else None
 
+    def find_workspace(
+        self, active_snapshot: snapshot_lib.Snapshot, key_digest: bytes
+    ) -> snapshot_lib.Workspace | confirmed_keys.NoWorkspace:
+        """Returns the workspace of an API key, see `ConfirmedKeys`."""
+        return self.keys.find_workspace(active_snapshot, key_digest)
+
+    def is_behind(self) -> bool:
+        """Returns whether a newer version is known that cannot be used."""
+        return self.keys.get() is not None
+
     def _count_refusal(self) -> None:
         if self._stale_since is None:
             self._stale_since = self._get_time()
--- a/merlintrestle/versions/freshness_poller.py
+++ b/merlintrestle/versions/freshness_poller.py
@@ -14,6 +14,7 @@
 from merlintrestle import errors
 from merlintrestle.members import timing as timing_lib
 from merlintrestle.schema import control_pb2
+from merlintrestle.versions import confirmed_keys
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -139,6 +140,7 @@
         if self._freshness.limit_s and self._watcher.selection.is_watcher():
             await self._prove(request.max_age_ms / _MS_PER_S)
         reply = control_pb2.FreshnessReply()
+        self._add_keys(reply, request.keys_version)
         proof = self._freshness.get_newest_proof()
         if proof is not None:
             reply.known = True
@@ -148,6 +150,14 @@
             reply.age_ms = max(0, int(_MS_PER_S * age_s)) + 1
         return reply
 
+    def _add_keys(
+        self, reply: control_pb2.FreshnessReply, known_version: int
+    ) -> None:
+        """Adds the keys of an unusable version if the other lacks them."""
+        keys = self._freshness.keys.get()
+        if keys is not None and 0 < known_version < keys.version:
+            reply.keys.CopyFrom(confirmed_keys.encode_keys(keys))
+
     def describe(self, reply: control_pb2.StatusReply) -> None:
         """Adds to a status whether requests with API keys are refused."""
         if not self._freshness.is_required():
@@ -211,10 +221,13 @@
     async def poll(self) -> None:
         """Gets a recent proof, if any daemon or the store has one."""
         result = await self._find_recent_proof()
+        if result and self._is_version_missing() and self._is_store_read_due():
+            await self._prove(0.0)
         _polls_counter.labels(result or "nothing").inc()
         if result:
             self._failures = 0
-            self._next_store_read_at = None
+            if not self._is_version_missing():
+                self._next_store_read_at = None
         else:
             self._failures = min(self._failures + 1, _MAX_FAILURES)
 
@@ -240,6 +253,16 @@
                 return "store as last resort"
         return ""
 
+    def _is_version_missing(self) -> bool:
+        """Returns whether the proof is of a version that has not arrived.
+
+        It may be one that this daemon alone cannot use: then nobody else tells
+        its keys.
+        """
+        proof = self._freshness.get_newest_proof()
+        applied = self._freshness.keys.get_version()
+        return proof is not None and proof.version > applied
+
     def _is_recent(self) -> bool:
         """Returns whether no other daemon need be asked.
 
@@ -314,7 +337,8 @@
     async def _ask(self, member_id: str) -> bool:
         """Asks a daemon and records its proof."""
         request = control_pb2.FreshnessRequest(
-            max_age_ms=int(_MS_PER_S * MAX_ANSWER_AGE_S)
+            max_age_ms=int(_MS_PER_S * MAX_ANSWER_AGE_S),
+            keys_version=self._freshness.keys.get_version(),
         )
         asked_at = self._freshness.get_time()
         try:
@@ -325,6 +349,8 @@
             if self._preferred_id == member_id:
                 self._preferred_id = ""
             return False
+        if reply.HasField("keys"):
+            self._freshness.keys.learn_message(member_id, reply.keys)
         if reply.known:
             self._freshness.record_answer(
                 reply.version, reply.age_ms / _MS_PER_S, asked_at
--- a/merlintrestle/versions/record_source.py
+++ b/merlintrestle/versions/record_source.py
@@ -4,14 +4,18 @@
 
 from typing import NamedTuple, Protocol, TYPE_CHECKING
 
+import prometheus_client
+
 from merlintrestle import clocks
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.documents import loader
 from merlintrestle.documents import snapshot as snapshots
 from merlintrestle.members import seeds as seeds_lib
 from merlintrestle.schema import document_pb2
 from merlintrestle.store import eras
 from merlintrestle.store import records
+from merlintrestle.versions import confirmed_keys
 from merlintrestle.versions import freshness as freshness_lib
 from merlintrestle.versions import known_revision
 
@@ -20,6 +24,13 @@
 
     from merlintrestle.store import client
 
+events = event_logs.EventLog("versions")
+
+_unreadable_counter = prometheus_client.Counter(
+    "merlintrestle_records_unreadable",
+    "Records of the newest version that state no version.",
+)
+
 # Minimum wait of a watch, for a query of events that have already occurred.
 _MIN_WAIT_MS = 1
 # The store's history may omit the changes of about a second before the store
@@ -39,6 +50,8 @@
             record. It raises `errors.SnapshotError` if there is none.
         build_resources: Returns the resources of the version in a value of the
             record. It raises `errors.SnapshotError` if the value is malformed.
+        read_keys: Returns the API keys of the version in a value of the record,
+            which may be malformed elsewhere.
     """
 
     prefix: str
@@ -46,6 +59,7 @@
     order_prefix: str
     parse_version: Callable[[bytes], int]
     build_resources: Callable[[bytes], dict[str, bytes]]
+    read_keys: Callable[[int, bytes], confirmed_keys.KeyList]
 
 
 class RecordStore(records.Store, Protocol):
@@ -98,8 +112,9 @@
         self.head_proof: freshness_lib.Proof | None = None
         self._get_time = get_time
         # The version in the store at the known revision. It is lower than that
-        # of the head if the store came back from a copy.
-        self._stored_version = 0
+        # of the head if the store came back from a copy, and None if the record
+        # states none.
+        self._stored_version: int | None = 0
         self._store = store
         self._format = record_format
         self._newest_entry_by_version: dict[int, client.Entry] = {}
@@ -115,9 +130,10 @@
         The record of some hundred KB takes half a second over a slow link. It
         is read only if neither a watch nor the history explains a new revision.
 
+        A record without a version proves nothing: `head_proof` is None then.
+
         Raises:
             errors.StoreError: The store did not answer.
-            errors.SnapshotError: The configuration is malformed.
         """
         if self._tracker.revision:
             asked_at = self._get_time()
@@ -157,7 +173,6 @@
 
         Raises:
             errors.StoreUnavailableError: The watch ended.
-            errors.SnapshotError: A configuration is malformed.
         """
         self._tracker.open_watches += 1
         try:
@@ -176,24 +191,36 @@
         """Compiles the version of a head.
 
         Raises:
-            errors.RejectedVersionError: The version is malformed.
-            errors.SnapshotError: The version was replaced.
+            errors.ReplacedVersionError: The version was replaced.
+            errors.SnapshotError: The version is malformed.
+        """
+        entry = self._get_entry(head)
+        snapshot = loader.load_snapshot(
+            head.version,
+            self._format.build_resources(entry.value),
+            self._compiled,
+        )
+        self._compiled = snapshot
+        return snapshot
+
+    async def read_keys(
+        self, head: document_pb2.Head
+    ) -> confirmed_keys.KeyList:
+        """Returns the API keys of a version that does not compile.
+
+        Raises:
+            errors.ReplacedVersionError: The version was replaced.
         """
+        entry = self._get_entry(head)
+        return self._format.read_keys(head.version, entry.value)
+
+    def _get_entry(self, head: document_pb2.Head) -> client.Entry:
         entry = self._newest_entry_by_version.get(head.version)
         if entry is None:
-            raise errors.SnapshotError(
+            raise errors.ReplacedVersionError(
                 f"version {head.version} was replaced by a later one"
             )
-        try:
-            snapshot = loader.load_snapshot(
-                head.version,
-                self._format.build_resources(entry.value),
-                self._compiled,
-            )
-        except errors.SnapshotError as error:
-            raise errors.RejectedVersionError(str(error)) from error
-        self._compiled = snapshot
-        return snapshot
+        return entry
 
     async def read_orders(self) -> list[client.Entry]:
         """Returns roll-out orders, which `read_head` reads in the same call."""
@@ -213,7 +240,10 @@
 
     def _record_proof(self, asked_at: float) -> None:
         """Records that the version in the store was the newest at a time."""
-        self.head_proof = freshness_lib.Proof(self._stored_version, asked_at)
+        version = self._stored_version
+        self.head_proof = (
+            None if version is None else freshness_lib.Proof(version, asked_at)
+        )
 
     async def _update_without_read(
         self, revision: int, asked_at: float
@@ -258,11 +288,18 @@
         A store that came back from a copy may have an older version, under a
         newer revision, until the operators write theirs again.
         """
-        if entry.revision > self._head_revision:
+        if entry.revision <= self._head_revision:
+            return self._head
+        self._head_revision = entry.revision
+        self._stored_version = None
+        try:
             version = self._format.parse_version(entry.value)
-            self._head_revision = entry.revision
-            self._stored_version = version
-            if version >= self._head.version:
-                self._newest_entry_by_version = {version: entry}
-                self._head = document_pb2.Head(version=version)
+        except errors.SnapshotError as error:
+            _unreadable_counter.inc()
+            events.fail("record without a version", error=str(error))
+            return self._head
+        self._stored_version = version
+        if version >= self._head.version:
+            self._newest_entry_by_version = {version: entry}
+            self._head = document_pb2.Head(version=version)
         return self._head
--- a/merlintrestle/versions/source.py
+++ b/merlintrestle/versions/source.py
@@ -12,6 +12,7 @@
 from merlintrestle.schema import document_pb2
 from merlintrestle.store import records
 from merlintrestle.store import restoration
+from merlintrestle.versions import confirmed_keys
 from merlintrestle.versions import freshness as freshness_lib
 
 if TYPE_CHECKING:
@@ -44,6 +45,11 @@
     ) -> snapshot_lib.Snapshot:
         """Compiles the snapshot of a head."""
 
+    async def read_keys(
+        self, head: document_pb2.Head
+    ) -> confirmed_keys.KeyList:
+        """Returns the API keys of a version that does not compile."""
+
     async def read_orders(self) -> list[client.Entry]:
         """Returns the roll-out orders.
 
@@ -143,6 +149,31 @@
             self._known_era = self._store.era.current or 0
         return snapshot
 
+    async def read_keys(
+        self, head: document_pb2.Head
+    ) -> confirmed_keys.KeyList:
+        """Returns the API keys of a version that does not compile.
+
+        Raises:
+            errors.StoreUnavailableError: A document could not be read.
+        """
+        holders: dict[bytes, str] = {}
+        shared: set[bytes] = set()
+        has_workspaces = False
+        for digest in head.documents.values():
+            document = await self._read_document(digest)
+            for workspace in document.workspaces:
+                has_workspaces = True
+                for key_digest in workspace.key_digests:
+                    if key_digest in holders:
+                        shared.add(key_digest)
+                    holders[key_digest] = workspace.name
+        for key_digest in shared:
+            del holders[key_digest]
+        return confirmed_keys.KeyList(
+            head.version, holders, not shared, has_workspaces
+        )
+
     async def read_orders(self) -> list[client.Entry]:
         """Reads the roll-out orders.
 
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
+import prometheus_client
+
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.members import table as table_lib
@@ -42,6 +44,11 @@
 # alone would.
 _SHARED_ATTEMPTS_FACTOR = 2
 
+_refused_counter = prometheus_client.Counter(
+    "merlintrestle_versions_refused",
+    "Confirmed versions that this daemon read and cannot use.",
+)
+
 
 class Watcher:
     """Watches the head while this daemon is selected as a watcher.
@@ -82,8 +89,9 @@
         )
         self._proof_read: asyncio.Task[None] | None = None
         self._next_proof_read_at = 0.0
-        # Rejected versions since the last one that was compiled.
-        self._rejected_versions: set[int] = set()
+        # The newest version that was compiled, and the newest that was refused.
+        self._compiled_version = 0
+        self._refused_version = 0
         self._read_before_contact = read_before_contact
         self.on_orders: list[
             Callable[[Sequence[client.Entry]], Awaitable[None]]
@@ -222,10 +230,13 @@
         )
 
     async def read_and_compile_head(self) -> int:
-        """Reads the head and compiles it if it is new; returns its version.
+        """Reads the head and compiles it if it is new.
 
         Then reads the roll-out orders and passes them to `on_orders`.
 
+        Returns:
+            Its version; if that was refused, the newest compiled one.
+
         Raises:
             errors.MerlintrestleError: The store did not answer.
         """
@@ -241,22 +252,21 @@
         self._head_read_at = started_at
         proof = self._source.head_proof
         await self._compile(head)
-        self._record_proof(proof)
+        # A refused version counts, too: the keys that it took away must stop
+        # working, although it changes nothing else.
+        if proof is not None:
+            self._freshness.record_read(*proof)
         await self._handle_orders()
-        return head.version
+        return self._get_usable_version(head.version)
 
-    def _record_proof(self, proof: freshness_lib.Proof | None) -> None:
-        """Records a proof once its version has been compiled.
+    def _get_usable_version(self, version: int) -> int:
+        """Returns the newest version up to one that this daemon can use.
 
-        A rejected version never runs anywhere, so the newest one before it
-        stays in force. One that only this daemon cannot compile counts.
+        A daemon that starts must run at least this one. If it had to run one
+        that was refused, it would serve nothing until the next version.
         """
-        if proof is None:
-            return
-        version = proof.version
-        while version in self._rejected_versions:
-            version -= 1
-        self._freshness.record_read(version, proof.time)
+        is_refused = version and version == self._refused_version
+        return self._compiled_version if is_refused else version
 
     async def prove_freshness(self, max_age_s: float) -> None:
         """Reads the head if the proof of freshness is older than a maximum.
@@ -330,7 +340,7 @@
             return
         if self._head_read_at is not None:
             reply.head_read = True
-            reply.head_version = self._head_version
+            reply.head_version = self._get_usable_version(self._head_version)
             age_s = self._get_time() - self._head_read_at
             # Rounded up, so that the head never seems newer than it is.
             reply.head_age_ms = int(1000 * age_s) + 1
@@ -432,15 +442,25 @@
             return
         try:
             snapshot = await self._source.compile_head(head)
+        except errors.ReplacedVersionError as error:
+            events.note("version skipped", error=str(error))
+            return
         except errors.SnapshotError as error:
-            events.fail(
-                "version refused", version=head.version, error=str(error)
-            )
-            self._handled_version = max(self._handled_version, head.version)
-            if isinstance(error, errors.RejectedVersionError):
-                self._rejected_versions.add(head.version)
+            await self._refuse(head, error)
             return
         self._handled_version = max(self._handled_version, head.version)
-        self._rejected_versions.clear()
+        self._compiled_version = max(self._compiled_version, head.version)
         self._freshness.learn_version(head.version)
         self._on_snapshot(snapshot)
+
+    async def _refuse(
+        self, head: document_pb2.Head, error: errors.SnapshotError
+    ) -> None:
+        """Refuses a version whole, but for the keys that it holds."""
+        _refused_counter.inc()
+        events.fail("version refused", version=head.version, error=str(error))
+        keys = await self._source.read_keys(head)
+        self._handled_version = max(self._handled_version, head.version)
+        self._refused_version = max(self._refused_version, head.version)
+        self._freshness.learn_version(head.version)
+        self._freshness.keys.learn(keys)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -527,8 +527,23 @@
         next_head.cancel()
         self.assertLess(self.standin.sent_bytes["range"] - bytes_before, 1000)
 
-    async def test_a_malformed_record_is_an_error(self):
-        """Guards against malformed configurations that are applied."""
-        await self.write(b"{}")
-        with self.assertRaises(errors.SnapshotError):
-            await self.source.read_head()
+    async def test_a_malformed_record_proves_nothing(self):
+        """Guards against malformed configurations that are applied.
+
+        The head stays as it was, nothing shows that it is the newest, and the
+        value is not read again until it changes.
+        """
+        for version in (0, 5):
+            with self.subTest(version=version):
+                if version:
+                    await self.write(builders.build_configuration(version))
+                    self.assertEqual(await self.read(), version)
+                    self.assertIsNotNone(self.source.head_proof)
+                with self.assertLogs("merlintrestle.versions", "ERROR"):
+                    await self.write(b'{"filler": "%s"}' % (b"x" * 10_000))
+                    self.assertEqual(await self.read(), version)
+                self.assertIsNone(self.source.head_proof)
+                bytes_before = self.count_sent_bytes()
+                self.assertEqual(await self.read(), version)
+                self.assertIsNone(self.source.head_proof)
+                self.assertLess(self.count_sent_bytes() - bytes_before, 1000)
--- a/tests/requests/workspaces/builders.py
+++ b/tests/requests/workspaces/builders.py
@@ -5,6 +5,8 @@
 from typing import Any, TYPE_CHECKING
 
 from merlintrestle.documents import snapshot
+from merlintrestle.versions import active_version
+from merlintrestle.versions import confirmed_keys
 from tests.requests import builders
 
 if TYPE_CHECKING:
@@ -58,15 +60,27 @@
 
     Attributes:
         fresh: Whether the active version is fresh.
+        keys: Keys of an unusable version.
     """
 
     def __init__(self, fresh: bool = True):
         self.fresh = fresh
+        self.keys = confirmed_keys.ConfirmedKeys(active_version.ActiveVersion())
 
     def is_fresh(self) -> bool:
         """Returns the attribute."""
         return self.fresh
 
+    def is_behind(self) -> bool:
+        """Returns whether there are keys of an unusable version."""
+        return self.keys.get() is not None
+
+    def find_workspace(
+        self, active_snapshot: snapshot.Snapshot, key_digest: bytes
+    ) -> snapshot.Workspace | confirmed_keys.NoWorkspace:
+        """Returns the workspace of a key."""
+        return self.keys.find_workspace(active_snapshot, key_digest)
+
 
 class FakeQuotas:
     """A fake `interfaces.Quotas`.
--- a/tests/versions/builders.py
+++ b/tests/versions/builders.py
@@ -16,6 +16,7 @@
 from merlintrestle.store import client
 from merlintrestle.store import records
 from merlintrestle.versions import active_version as active_version_lib
+from merlintrestle.versions import confirmed_keys
 from merlintrestle.versions import distribution as distribution_lib
 from merlintrestle.versions import freshness as freshness_lib
 from tests.members import builders as member_builders
@@ -88,6 +89,7 @@
         reads_hang: Whether reads get no answer.
         watches_silent: Whether watches deliver nothing.
         broken_versions: Versions that do not compile.
+        keys: Keys of broken versions, by version; by default none is required.
         compiled_versions: Versions that were compiled, with success or not.
         reads: Number of reads of the head.
         seed_writes: Number of writes of seeds.
@@ -103,6 +105,7 @@
         self.reads_hang = False
         self.watches_silent = False
         self.broken_versions: set[int] = set()
+        self.keys: dict[int, confirmed_keys.KeyList] = {}
         self.compiled_versions: list[int] = []
         self.reads = 0
         self.seed_writes = 0
@@ -173,6 +176,13 @@
             documents["zaanoever"] = self._documents[head.version]
         return compiler.compile_snapshot(head.version, documents)
 
+    async def read_keys(
+        self, head: document_pb2.Head
+    ) -> confirmed_keys.KeyList:
+        """Returns the keys of a broken version."""
+        no_keys = confirmed_keys.KeyList(head.version, {}, required=False)
+        return self.keys.get(head.version, no_keys)
+
     async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
         """Writes a zone's seeds; returns the previous seeds of all zones."""
         self._check_up()
@@ -232,6 +242,12 @@
         """Compiles the version of a head."""
         return await self._source.compile_head(head)
 
+    async def read_keys(
+        self, head: document_pb2.Head
+    ) -> confirmed_keys.KeyList:
+        """Returns the keys of a broken version."""
+        return await self._source.read_keys(head)
+
     async def write_seeds(self, zone: str, member_ids: list[str]) -> list[str]:
         """Writes a zone's seeds."""
         if self.cut:
--- a/tests/versions/test_watcher.py
+++ b/tests/versions/test_watcher.py
@@ -9,9 +9,11 @@
 
 from merlintrestle import errors
 from merlintrestle.documents import compiler
+from merlintrestle.documents import snapshot as snapshot_lib
 from merlintrestle.members import seeds
 from merlintrestle.schema import control_pb2
 from merlintrestle.schema import document_pb2
+from merlintrestle.versions import confirmed_keys
 from merlintrestle.versions import freshness as freshness_lib
 from merlintrestle.versions import source
 from merlintrestle.versions import watcher as watcher_lib
@@ -172,29 +174,53 @@
             freshness=self.freshness,
         )
 
-    async def test_rejected_version_leaves_the_one_before_in_force(
-        self,
-    ) -> None:
-        """Operators write a malformed version, which no daemon ever runs.
+    async def test_keys_of_a_refused_version_count(self) -> None:
+        """Guards against a key that goes on working, and valid ones that stop.
 
-        A proof of it would never be usable, so all daemons would refuse the
-        requests with API keys until the next valid version.
+        The version that took the key away is refused for another reason. Its
+        number is the next one, or not.
         """
+        for version in (2, 47):
+            with self.subTest(version=version):
+                await self.refuse_version(version)
+                proof = self.freshness.get_newest_proof()
+                assert proof is not None
+                self.assertEqual(proof.version, version)
+                self.assertTrue(self.freshness.is_fresh())
+                found = [
+                    self.freshness.find_workspace(self.active_snapshot, key)
+                    for key in (b"kept", b"removed")
+                ]
+                self.assertEqual(
+                    found, [self.workspace, confirmed_keys.NoWorkspace.UNKNOWN]
+                )
+
+    async def refuse_version(self, version: int) -> None:
+        """Lets a watcher with version 1 read a version without one key."""
+        self.workspace = snapshot_lib.Workspace("acme", (b"kept", b"removed"))
+        self.active_snapshot = snapshot_lib.Snapshot(
+            1, {}, {}, workspaces={"acme": self.workspace}
+        )
         watcher = self.build_proving_watcher()
+        self.daemon.active_version.activate(self.active_snapshot)
         await self.configuration.accept(1, ["balie"])
         await watcher.read_and_compile_head()
-        rejected = errors.RejectedVersionError("malformed")
-        await self.configuration.accept(2, ["balie"])
-        with (
-            mock.patch.object(
-                self.configuration, "compile_head", side_effect=rejected
-            ),
-            self.assertLogs("merlintrestle.versions", "ERROR"),
-        ):
-            await watcher.read_and_compile_head()
-        proof = self.freshness.get_newest_proof()
-        assert proof is not None
-        self.assertEqual(proof.version, 1)
+        self.configuration.broken_versions.add(version)
+        self.configuration.keys[version] = confirmed_keys.KeyList(
+            version, {b"kept": "acme"}
+        )
+        await self.configuration.accept(version, ["balie"])
+        with self.assertLogs("merlintrestle.versions", "ERROR"):
+            self.usable_version = await watcher.read_and_compile_head()
+
+    async def test_refused_version_is_no_floor(self) -> None:
+        """Guards against starting daemons that serve nothing.
+
+        They would wait for a version that no daemon can use, although others
+        serve the one before.
+        """
+        await self.refuse_version(2)
+        self.assertEqual(self.usable_version, 1)
 
     async def test_version_that_only_this_daemon_refuses_counts(self) -> None:
         """A daemon of an earlier release cannot compile a version.
@@ -432,6 +458,23 @@
         with self.assertRaises(errors.SnapshotError):
             await self.source.compile_head(head)
 
+    async def test_keys_of_a_version_that_does_not_compile(self) -> None:
+        """Guards against removed keys that a daemon of another release serves.
+
+        A key of two workspaces is held by neither, as nobody knows which.
+        """
+        workspaces = [
+            document_pb2.WorkspaceTarget(name=name, key_digests=digests)
+            for name, digests in (("acme", [b"a", b"b"]), ("borax", [b"b"]))
+        ]
+        mesh = document_pb2.Document(organisation="mesh", workspaces=workspaces)
+        digest = await builders.put_document(self.store, mesh)
+        head = document_pb2.Head(version=3, documents={"mesh": digest})
+        self.assertEqual(
+            await self.source.read_keys(head),
+            confirmed_keys.KeyList(3, {b"a": "acme"}, complete=False),
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
