Decode values from outside in one place a kind, with bounds

Callers saw: one roll-out order nested deeply ended every daemon with exit code 1, and each again when it was started, as long as the entry stood; so did a seed whose port has thousands of digits, and a status that states 2^33 slots or thousands of digits of them ended the daemon beside its backend server.

Cause: values were decoded in many places that each expected other errors. JSON raises RecursionError, int() raises above 4,300 digits and takes signs, blanks and foreign digits, and a number that is one need not fit its field.

Change: merlintrestle/decoding.py bounds size, depth and digits of JSON and of numbers in texts; each kind of value has one place that checks its ranges and raises what its callers expect. A refused value is logged, counted by kind in merlintrestle_values_refused_total, and not used. Unknown states of a later release, eras far ahead and refusals with odd delays of peers are refused, too.

Why an exception of a task ended the process at all is the next fault.

--- a/merlintrestle/config.py
+++ b/merlintrestle/config.py
@@ -8,6 +8,7 @@
 
 from google.protobuf import descriptor as descriptors
 
+from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle.schema import settings_pb2
 
@@ -229,10 +230,11 @@
     """Returns an error message for an "ip:port"; empty if valid."""
     host, _, port = text.rpartition(":")
     is_decimal = port.isascii() and port.isdecimal()
+    shown = decoding.show_value(text)
     if _check_ip(host.strip("[]")) or not is_decimal:
-        return f"{text!r} is not an address (IP number:port)."
-    if not 0 < int(port) <= _MAX_PORT:
-        return f"{text!r} has no port from 1 to {_MAX_PORT}."
+        return f"{shown} is not an address (IP number:port)."
+    if not decoding.parse_whole_number(port, _MAX_PORT):
+        return f"{shown} has no port from 1 to {_MAX_PORT}."
     return ""
 
 
--- a/merlintrestle/daemon/admin.py
+++ b/merlintrestle/daemon/admin.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 from typing import Any, NamedTuple, TYPE_CHECKING
 
@@ -11,6 +10,7 @@
 import prometheus_client
 
 from merlintrestle import config
+from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle import http_ports
 from merlintrestle import settings_reader
@@ -116,6 +116,8 @@
         try:
             announcement = read_announcement(await request.read())
         except errors.InvalidInputError as error:
+            decoding.count_refused("announcement")
+            logger.warning("announcement refused: %s", error)
             findings = [finding._asdict() for finding in error.findings]
             return web.json_response({"findings": findings}, status=400)
         self._apply_announcement(announcement)
@@ -155,8 +157,8 @@
         errors.InvalidInputError: With all findings.
     """
     try:
-        fields = json.loads(body)
-    except ValueError as error:
+        fields = decoding.decode_json(body, _MAX_BODY_BYTES)
+    except decoding.MalformedValueError as error:
         raise errors.InvalidInputError(
             [errors.Finding("announcement", f"is not JSON: {error}.")]
         ) from error
--- a/merlintrestle/daemon/leave_records.py
+++ b/merlintrestle/daemon/leave_records.py
@@ -5,13 +5,16 @@
 import asyncio
 import contextlib
 import hashlib
+import math
 from typing import TYPE_CHECKING
 
 from google.protobuf import message
 
+from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.daemon import heartbeats
+from merlintrestle.daemon import validation
 from merlintrestle.members import timing as timings
 from merlintrestle.schema import control_pb2
 
@@ -140,6 +143,15 @@
     )
 
 
+def is_valid_record(record: control_pb2.LeavingProcess) -> bool:
+    """Returns whether a record of the store or of a daemon names a process."""
+    return (
+        validation.is_instance_id(record.instance_id)
+        and record.started_ms <= validation.MAX_COUNT
+        and not math.isnan(record.sequence)
+    )
+
+
 async def _wait(task: asyncio.Task[None], timeout_s: float) -> None:
     """Waits for a task up to a limit; the task continues after it."""
     with contextlib.suppress(TimeoutError):
@@ -165,9 +177,11 @@
     try:
         record = control_pb2.LeavingProcess.FromString(entry.value)
     except message.DecodeError as error:
-        events.warn("leave malformed", key=entry.key, error=str(error))
-        return None
-    if not record.instance_id:
-        events.warn("leave malformed", key=entry.key, error="no instance")
-        return None
-    return read_record(record)
+        problem = str(error)
+    else:
+        if is_valid_record(record):
+            return read_record(record)
+        problem = "no process"
+    decoding.count_refused("leave record")
+    events.warn("leave malformed", key=entry.key, error=problem)
+    return None
--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple, TYPE_CHECKING
 
 from merlintrestle import application
+from merlintrestle import decoding
 from merlintrestle import events as event_logs
 from merlintrestle.daemon import admin
 from merlintrestle.daemon import leave_records
@@ -384,6 +385,10 @@
     def _restore_leaving(self, reply: control_pb2.MembersReply) -> None:
         """Restores leaves that this daemon announced before a restart."""
         for record in reply.leaving:
+            if not leave_records.is_valid_record(record):
+                decoding.count_refused("leave of a peer")
+                events.warn("leave malformed", instance=record.instance_id)
+                continue
             self.lifecycle.restore_leaving(leave_records.read_record(record))
 
     async def _wait_until_version_known(self) -> None:
--- a/merlintrestle/daemon/validation.py
+++ b/merlintrestle/daemon/validation.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-import math
 import re
 from typing import Any
 
 from merlintrestle import config
+from merlintrestle import decoding
 
 # Unlike a name in a document, the service name in a heartbeat may contain
 # capital letters, "." and "_".
 _SERVICE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _MAX_SLOTS = 100_000
+_MAX_DURATION_MS = 86_400_000
+# Integers up to this one are exact as floats.
+MAX_COUNT = 2**53
 _MAX_VERSION_CHARACTERS = 200
 # Characters that may stand in the header that names the backend server.
 _INSTANCE_ID = re.compile(r"[!-~]{1,200}")
@@ -55,17 +58,16 @@
     return type(value) is int and 0 < value <= _MAX_SLOTS
 
 
-def is_non_negative_number(value: Any) -> bool:
-    """Returns whether a value is a finite, non-negative number."""
-    if type(value) not in (int, float):
-        return False
-    try:
-        return math.isfinite(value) and value >= 0
-    except OverflowError:
-        # The integer is larger than any float.
-        return False
+def is_duration(value: Any) -> bool:
+    """Returns whether a value is a duration in ms, of a day at most."""
+    return decoding.is_number(value, _MAX_DURATION_MS)
+
+
+def is_sequence(value: Any) -> bool:
+    """Returns whether a value is a sequence number, which is 0 or more."""
+    return decoding.is_number(value, MAX_COUNT)
 
 
 def is_start_time(value: Any) -> bool:
     """Returns whether a value is a time in ms since 1970 or None (absent)."""
-    return value is None or (type(value) is int and value > 0)
+    return value is None or (type(value) is int and 0 < value <= MAX_COUNT)
--- a/merlintrestle/members/seeds.py
+++ b/merlintrestle/members/seeds.py
@@ -7,6 +7,7 @@
 from google.protobuf import message
 
 from merlintrestle import config
+from merlintrestle import decoding
 from merlintrestle import events as event_logs
 from merlintrestle.schema import control_pb2
 
@@ -77,11 +78,13 @@
         except message.DecodeError as error:
             # The daemons of that zone will rewrite the record. Until then,
             # starting daemons use the records of the other zones.
+            decoding.count_refused("seed")
             events.warn("seeds malformed", key=entry.key, error=str(error))
             continue
         for member in record.members:
             # Another writer may have stored an id that is not an address.
             if problem := config.check_address(member.id):
+                decoding.count_refused("seed")
                 events.warn("seed malformed", key=entry.key, error=problem)
             else:
                 member_ids.append(member.id)
--- a/merlintrestle/members/table.py
+++ b/merlintrestle/members/table.py
@@ -6,6 +6,7 @@
 import time
 from typing import NamedTuple, TYPE_CHECKING
 
+from merlintrestle import decoding
 from merlintrestle import events as event_logs
 from merlintrestle.members import validation
 from merlintrestle.schema import control_pb2
@@ -207,6 +208,7 @@
         if held is not None and not supersedes(member, held):
             return False
         if problem := validation.find_error(member):
+            decoding.count_refused("member record")
             events.warn("record refused", member=member.id, error=problem)
             return False
         if member.id == self.local_id:
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any, TYPE_CHECKING
 
+from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle import rows
@@ -33,6 +35,8 @@
 # roll-out keys, which sort after it.
 _OPERATOR_PREFIX = "op/"
 _HEXADECIMAL_BASE = 16
+# A version has eight digits; twice as many fit into 64 bits.
+_VERSION = re.compile(r"[0-9a-fA-F]{1,16}")
 
 
 class PlatformSource(record_source.RecordSource):
@@ -64,13 +68,13 @@
         errors.SnapshotError: The version is not a number above 0.
     """
     text = configuration.get("version")
-    try:
-        version = int(text, _HEXADECIMAL_BASE) if isinstance(text, str) else 0
-    except ValueError:
-        version = 0
-    if version <= 0:
-        raise errors.SnapshotError(f"configuration: version is {text!r}")
-    return version
+    if isinstance(text, str) and _VERSION.fullmatch(text):
+        version = int(text, _HEXADECIMAL_BASE)
+        if version:
+            return version
+    raise errors.SnapshotError(
+        f"configuration: version is {decoding.show_value(text)}"
+    )
 
 
 def build_resources(configuration: Mapping[str, Any]) -> dict[str, bytes]:
@@ -184,7 +188,9 @@
 def _build_target(row: rows.Row) -> document_pb2.ClassTarget:
     kind = row.get_text("kind")
     if kind not in _REPEATABILITY:
-        raise errors.SnapshotError(f"routes: kind is {kind!r}")
+        raise errors.SnapshotError(
+            f"routes: kind is {decoding.show_value(kind)}"
+        )
     priority = row.get_optional_integer("priority", _DEFAULT_PRIORITY)
     latency_ms = row.get_integer("targetLatencyMs")
     deadline_ms = row.get_integer("timeoutMs")
@@ -229,7 +235,7 @@
         document_pb2.LimitsResource(
             max_header_bytes=row.get_optional_integer("maxHeaderBytes"),
             max_body_bytes=row.get_optional_integer(
-                "maxBodyBytes", maximum=rows.MAX_LONG
+                "maxBodyBytes", maximum=decoding.MAX_LONG
             ),
             header_timeout_ms=row.get_optional_integer("headerTimeoutMs"),
             idle_timeout_ms=row.get_optional_integer("idleTimeoutMs"),
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, TYPE_CHECKING
 
 from aiohttp import web
 import mode
 import prometheus_client
 
+from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle import http_ports
@@ -113,9 +113,11 @@
     async def _handle_heartbeat(self, request: web.BaseRequest) -> web.Response:
         instance_id = http_ports.get_last_segment(request)
         try:
-            heartbeat = parse_heartbeat(instance_id, await request.json())
+            fields = decoding.decode_json(await request.read(), _MAX_BODY_BYTES)
+            heartbeat = parse_heartbeat(instance_id, fields)
             self._check_service(heartbeat.service)
         except (errors.InvalidInputError, ValueError) as error:
+            decoding.count_refused("heartbeat")
             events.warn(
                 "heartbeat refused", instance=instance_id, error=str(error)
             )
@@ -126,8 +128,10 @@
     async def _handle_leave(self, request: web.BaseRequest) -> web.Response:
         instance_id = http_ports.get_last_segment(request)
         try:
+            _check_instance_id(instance_id)
             started_ms = parse_leave(await request.read())
         except (errors.InvalidInputError, ValueError) as error:
+            decoding.count_refused("leave")
             events.warn("leave refused", instance=instance_id, error=str(error))
             return web.json_response({}, status=400)
         confirmed = await self._on_leave(instance_id, started_ms)
@@ -156,7 +160,9 @@
         )
     stated = {**fields, "id": instance_id}
     findings = [
-        errors.Finding(name, f"{stated.get(name)!r} is not allowed.")
+        errors.Finding(
+            name, f"{decoding.show_value(stated.get(name))} is not allowed."
+        )
         for name, is_valid in (
             ("id", validation.is_instance_id),
             ("service", validation.is_service_name),
@@ -164,8 +170,8 @@
             ("zone", validation.is_zone),
             ("slots", validation.is_slot_count),
             ("state", _is_state),
-            ("coldRemainingMs", validation.is_non_negative_number),
-            ("seq", validation.is_non_negative_number),
+            ("coldRemainingMs", validation.is_duration),
+            ("seq", validation.is_sequence),
             ("born", validation.is_start_time),
             ("version", validation.is_version),
         )
@@ -186,6 +192,15 @@
     )
 
 
+def _check_instance_id(instance_id: str) -> None:
+    """Refuses an id that fits into no record of a leave."""
+    if not validation.is_instance_id(instance_id):
+        shown = decoding.show_value(instance_id)
+        raise errors.InvalidInputError(
+            [errors.Finding("id", f"{shown} is not allowed.")]
+        )
+
+
 def parse_leave(body: bytes) -> int:
     """Returns the process start in a leave request, in ms since 1970, or 0.
 
@@ -193,11 +208,16 @@
         errors.InvalidInputError: The start is not a positive integer.
         ValueError: The body is neither empty nor JSON.
     """
-    fields = json.loads(body) if body else {}
+    fields = decoding.decode_json(body, _MAX_BODY_BYTES) if body else {}
     started_ms = fields.get("born") if isinstance(fields, dict) else fields
     if not validation.is_start_time(started_ms):
         raise errors.InvalidInputError(
-            [errors.Finding("born", f"{started_ms!r} is not allowed.")]
+            [
+                errors.Finding(
+                    "born",
+                    f"{decoding.show_value(started_ms)} is not allowed.",
+                )
+            ]
         )
     return started_ms or 0
 
--- a/merlintrestle/platform/health.py
+++ b/merlintrestle/platform/health.py
@@ -8,12 +8,17 @@
 import aiohttp
 
 from merlintrestle import connectors
+from merlintrestle import decoding
+from merlintrestle import events as event_logs
 from merlintrestle.daemon import heartbeats
+from merlintrestle.daemon import validation
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from merlintrestle.platform import settings as settings_lib
 
+events = event_logs.EventLog("platform")
+
 _PATH = "/health"
 # Id of the backend server process, which the platform calls an instance.
 _INSTANCE_HEADER = "X-Served-By"
@@ -23,6 +28,7 @@
 # A backend server without a free slot responds later. The daemon then uses the
 # next heartbeat, which contains the same status and arrives in 1 to 2 seconds.
 _TIMEOUT_S = 0.5
+_MAX_LOAD_CHARACTERS = 200
 _STATES = {200: control_pb2.READY, 503: control_pb2.DRAINING}
 
 
@@ -50,21 +56,35 @@
     settings: settings_lib.Settings, response: aiohttp.ClientResponse
 ) -> heartbeats.Heartbeat | None:
     """Returns a valid status as a heartbeat older than all others, or None."""
-    instance_id = response.headers.get(_INSTANCE_HEADER, "")
-    load = response.headers.get(_LOAD_HEADER, "").split(",")
     # A full backend server rejects the check like any other request.
-    if "X-Not-Executed" in response.headers or len(load) <= _SLOTS_INDEX:
+    if "X-Not-Executed" in response.headers or response.status not in _STATES:
         return None
-    slots = load[_SLOTS_INDEX].strip()
-    has_slots = slots.isascii() and slots.isdecimal() and int(slots)
-    if not has_slots or not instance_id or response.status not in _STATES:
+    instance_id = response.headers.get(_INSTANCE_HEADER, "")
+    load = response.headers.get(_LOAD_HEADER, "")
+    slots = _parse_slots(load)
+    if not slots or not validation.is_instance_id(instance_id):
+        decoding.count_refused("status")
+        events.warn(
+            "status malformed",
+            instance=decoding.show_value(instance_id),
+            load=decoding.show_value(load),
+        )
         return None
     return heartbeats.Heartbeat(
         instance_id=instance_id,
         service=settings.service,
         address=str(settings.backend),
-        slots=int(slots),
+        slots=slots,
         state=_STATES[response.status],
         remaining_warmup_s=0.0,
         sequence=heartbeats.INITIAL_SEQUENCE,
     )
+
+
+def _parse_slots(load: str) -> int | None:
+    """Returns the slots that a load header states, or None."""
+    fields = load.split(",")
+    if len(load) > _MAX_LOAD_CHARACTERS or len(fields) <= _SLOTS_INDEX:
+        return None
+    slots = decoding.parse_whole_number(fields[_SLOTS_INDEX].strip())
+    return slots if validation.is_slot_count(slots) else None
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -10,6 +10,7 @@
 import yarl
 
 from merlintrestle import connectors
+from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle import rows
@@ -43,6 +44,8 @@
 _ERA_HEADER = "Store-Era"
 # Fields of answers, and of the items in them, that begin anew with each era.
 _NUMBERED_FIELDS = ("at", "revision", "lease")
+# A key has at most 200 bytes.
+_MAX_KEY_CHARACTERS = 200
 _LIST_FIELDS = ("items", "events")
 _OK = 200
 _FORBIDDEN = 403
@@ -334,7 +337,7 @@
     """Qualifies the revisions and leases in an answer by the era."""
     for name in _NUMBERED_FIELDS:
         if type(fields.get(name)) is int:
-            fields[name] = eras.qualify(fields[name], era)
+            fields[name] = _qualify_number(fields[name], era)
     for name in _LIST_FIELDS:
         items = fields.get(name)
         for item in items if isinstance(items, list) else ():
@@ -342,6 +345,13 @@
                 _qualify_fields(item, era)
 
 
+def _qualify_number(number: int, era: int) -> int:
+    """Returns a qualified number; -1, which is refused, if it is too large."""
+    if not 0 <= number <= eras.MAX_NUMBER:
+        return -1
+    return eras.qualify(number, era)
+
+
 def _add_prefix(key: str) -> str:
     return key if key.startswith(_SHARED_PREFIXES) else PRODUCT_PREFIX + key
 
@@ -365,6 +375,7 @@
         try:
             entries.append(_parse_entry(item))
         except errors.CorruptRecordError as error:
+            decoding.count_refused("store entry")
             events.warn("entry malformed", error=str(error))
             key, revision = _get_key_and_revision(item)
             if key:
@@ -374,19 +385,28 @@
 
 def _get_key_and_revision(item: Any) -> tuple[str, int]:
     """Returns the key and revision of an entry; no key if one is malformed."""
-    fields = item if isinstance(item, dict) else {}
-    key, revision = fields.get("key"), fields.get("revision")
-    if not isinstance(key, str) or type(revision) is not int:
+    try:
+        return _parse_key(item), rows.get_field(item, "revision", int)
+    except errors.CorruptRecordError:
         return "", 0
-    return _remove_prefix(key), revision
 
 
-def _parse_entry(item: Any) -> client.Entry:
+def _parse_key(item: Any) -> str:
+    """Returns the key of an entry, which later calls may contain."""
     if not isinstance(item, dict):
         raise errors.CorruptRecordError(
             f"store: an item is of type {type(item).__name__}"
         )
-    key = _remove_prefix(rows.get_field(item, "key", str))
+    key = rows.get_field(item, "key", str)
+    if len(key) > _MAX_KEY_CHARACTERS or not key.isprintable():
+        raise errors.CorruptRecordError(
+            f"store: a key is {decoding.show_value(key)}"
+        )
+    return _remove_prefix(key)
+
+
+def _parse_entry(item: Any) -> client.Entry:
+    key = _parse_key(item)
     try:
         value = base64.b64decode(
             rows.get_field(item, "value", str), validate=True
@@ -399,7 +419,9 @@
 def _parse_conflict(fields: dict[str, Any], key: str) -> client.Entry:
     """Returns the entry of a key whose write was refused; revision 0: none."""
     for item in rows.get_field(fields, "items", list):
-        if item.get("key") == _add_prefix(key) and item.get("revision"):
+        if not isinstance(item, dict) or item.get("key") != _add_prefix(key):
+            continue
+        if item.get("revision"):
             return _parse_entry(item)
     return client.Entry(key, b"", 0)
 
--- a/merlintrestle/requests/calls/metadata.py
+++ b/merlintrestle/requests/calls/metadata.py
@@ -9,8 +9,10 @@
 
 import re
 
+from merlintrestle import decoding
 from merlintrestle.requests.calls import call as calls
 from merlintrestle.requests.calls import parsing
+from merlintrestle.requests.transport import headers
 
 _SEPARATOR = " "
 # Ends the header value. An empty id would leave a trailing space, which HTTP
@@ -53,22 +55,27 @@
     fields = text.removesuffix(_TERMINATOR).split(_SEPARATOR, _FIELDS_BEFORE_ID)
     if len(fields) <= _FIELDS_BEFORE_ID:
         return None
-    timeout, waited, depth, attempt, flags, origin, request_id = fields
-    try:
-        return parsing.CallMetadata(
-            int(timeout),
-            request_id,
-            origin,
-            int(depth),
-            int(attempt),
-            int(waited),
-            suspect=_SUSPECT_FLAG in flags,
-            wait=_decode_wait(flags),
-            repeat=_REPEAT_FLAG in flags,
-            return_trip_ms=_decode_return_trip_ms(flags),
-        )
-    except ValueError:
+    *numbers, flags, origin, request_id = fields
+    decoded = [
+        decoding.parse_whole_number(number, headers.MAX_NUMBER)
+        for number in numbers
+    ]
+    if None in decoded:
+        decoding.count_refused("call metadata")
         return None
+    timeout_ms, waited_ms, depth, attempt = decoded
+    return parsing.CallMetadata(
+        timeout_ms,
+        request_id,
+        origin,
+        depth or 0,
+        attempt or 0,
+        waited_ms or 0,
+        suspect=_SUSPECT_FLAG in flags,
+        wait=_decode_wait(flags),
+        repeat=_REPEAT_FLAG in flags,
+        return_trip_ms=_decode_return_trip_ms(flags),
+    )
 
 
 def _decode_wait(flags: str) -> calls.Wait:
@@ -80,4 +87,6 @@
 
 def _decode_return_trip_ms(flags: str) -> int:
     match = _RETURN_TRIP_PATTERN.search(flags)
-    return int(match[0]) if match else 0
+    if match is None:
+        return 0
+    return decoding.parse_whole_number(match[0], headers.MAX_NUMBER) or 0
--- a/merlintrestle/requests/calls/outcomes.py
+++ b/merlintrestle/requests/calls/outcomes.py
@@ -6,11 +6,12 @@
 import functools
 import json
 import math
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 from aiohttp import web
 import multidict
 
+from merlintrestle import decoding
 from merlintrestle import generics
 from merlintrestle.requests.transport import answers
 from merlintrestle.requests.transport import headers
@@ -26,6 +27,9 @@
 MIN_SERVER_ERROR_STATUS = 500
 # Status with which a daemon reports that there was no answer in time.
 TIMEOUT_STATUS = 504
+# Limits of a failure that another daemon reports.
+_MAX_FAILURE_BYTES = 64 * 1024
+_MAX_RETRY_AFTER_S = 1e6
 
 
 @dataclasses.dataclass(slots=True)
@@ -215,19 +219,12 @@
     """
     response = answered.response
     answered.release()
-    try:
-        reported = json.loads(answered.body or b"")
-        fields = {
-            "reason": str(reported["reason"]),
-            "retry_after_s": reported["retry_after_s"],
-        }
-    except (ValueError, KeyError, TypeError):
-        reported = {}
-        fields = {
-            "reason": "a daemon refused without a reason",
-            "retry_after_s": None,
-        }
-    fields["status"] = response.status
+    reported = _decode_failure(answered.body or b"")
+    fields: dict[str, Any] = {
+        "reason": reported["reason"],
+        "retry_after_s": reported["retry_after_s"],
+        "status": response.status,
+    }
     outcome_name = response.headers[headers.OUTCOME]
     if outcome_name == "not-run":
         return NotRun(
@@ -244,6 +241,29 @@
     return Unknown(**fields, broken=broken)
 
 
+def _decode_failure(body: bytes) -> dict[str, Any]:
+    """Returns the fields of a failure that another daemon reported."""
+    try:
+        reported = decoding.decode_json(body, _MAX_FAILURE_BYTES)
+        if (
+            isinstance(reported, dict)
+            and isinstance(reported["reason"], str)
+            and _is_delay(reported["retry_after_s"])
+        ):
+            return reported
+    except (decoding.MalformedValueError, KeyError):
+        pass
+    decoding.count_refused("refusal")
+    return {
+        "reason": "a daemon refused without a reason",
+        "retry_after_s": None,
+    }
+
+
+def _is_delay(value: Any) -> bool:
+    return value is None or decoding.is_number(value, _MAX_RETRY_AFTER_S)
+
+
 def _build_failure_response(
     outcome_name: str, outcome: Failure, retry_after_s: float | None
 ) -> web.Response:
--- a/merlintrestle/requests/calls/plans.py
+++ b/merlintrestle/requests/calls/plans.py
@@ -8,12 +8,18 @@
 
 import functools
 import json
+from typing import Any
 
+from merlintrestle import decoding
 from merlintrestle.documents import snapshot
 
 # Entries of each cache. There are only a few classes of work per route and
 # version.
 _MAX_CACHED_PLANS = 4096
+# Longest header that the HTTP library accepts by default.
+_MAX_PLAN_CHARACTERS = 8190
+# Largest number in a plan; all numbers are 0 or more.
+_MAX_NUMBER = 1e12
 # Precedes the importance in the name of a plan whose importance was replaced;
 # names of classes do not contain it.
 _IMPORTANCE_SEPARATOR = "+w"
@@ -29,18 +35,26 @@
 def decode_plan(text: str) -> snapshot.ClassPlan | None:
     """Returns the class of work in a header value; None if malformed."""
     try:
-        fields = json.loads(text)
-    except ValueError:
-        return None
-    if not isinstance(fields, list) or len(fields) != len(_FIELD_TYPES):
-        return None
-    if any(
-        type(field) not in _FIELD_TYPES[i] for i, field in enumerate(fields)
-    ):
+        fields = decoding.decode_json(text, _MAX_PLAN_CHARACTERS)
+    except decoding.MalformedValueError:
+        fields = None
+    if not _is_plan(fields):
+        decoding.count_refused("class of work")
         return None
     return snapshot.ClassPlan(*fields)
 
 
+def _is_plan(fields: Any) -> bool:
+    """Returns whether decoded fields have the types and ranges of a plan."""
+    if not isinstance(fields, list) or len(fields) != len(_FIELD_TYPES):
+        return False
+    return all(
+        type(field) in types
+        and (type(field) in (str, bool) or 0 <= field <= _MAX_NUMBER)
+        for field, types in zip(fields, _FIELD_TYPES, strict=True)
+    )
+
+
 @functools.lru_cache(_MAX_CACHED_PLANS)
 def replace_importance(
     plan: snapshot.ClassPlan, importance: int
--- a/merlintrestle/requests/load/loads.py
+++ b/merlintrestle/requests/load/loads.py
@@ -10,6 +10,8 @@
 
 from typing import NamedTuple
 
+from merlintrestle import decoding
+
 # Maximum of each number in a load report; greater values are reported as this
 # one. If they were rejected as malformed, no daemon would know the load of the
 # busiest upstream.
@@ -64,15 +66,14 @@
     """Decodes the load in the text of a header; None if malformed."""
     fields = text.split(",")
     count = len(fields)
-    # int() would also accept signs, blanks and underscores.
-    if count not in _FIELD_COUNTS or not "".join(fields).isdecimal():
-        return None
-    try:
-        values = list(map(int, fields))
-    except ValueError:
-        return None
-    if max(values) > _MAX_VALUE:
+    if count not in _FIELD_COUNTS:
         return None
+    values = []
+    for field in fields:
+        value = decoding.parse_whole_number(field, _MAX_VALUE)
+        if value is None:
+            return None
+        values.append(value)
     all_values = values + _DEFAULT_FIELDS[count:]
     calls, slots, hold_ms, link_ms, accepted_percent, server_time_ms = (
         all_values
--- a/merlintrestle/requests/transport/headers.py
+++ b/merlintrestle/requests/transport/headers.py
@@ -7,6 +7,8 @@
 from aiohttp import hdrs
 import multidict
 
+from merlintrestle import decoding
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -120,10 +122,8 @@
     text = headers.get(name)
     if text is None:
         return None
-    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
-        return None
-    return int(text)
+    return decoding.parse_whole_number(text, MAX_NUMBER)
 
 
-# Longer numbers in headers are not accepted.
-_MAX_DIGITS = 12
+# Larger numbers in headers are not accepted.
+MAX_NUMBER = 10**12 - 1
--- a/merlintrestle/requests/transport/probes.py
+++ b/merlintrestle/requests/transport/probes.py
@@ -17,6 +17,7 @@
 from aiohttp import http
 import multidict
 
+from merlintrestle import decoding
 from merlintrestle.requests.transport import bodies
 
 if TYPE_CHECKING:
@@ -186,11 +187,14 @@
 
 
 def _read_result(status: int, text: bytes) -> ProbeResult:
+    if status not in (_IN_FLIGHT_STATUS, _ENDED_STATUS):
+        return ProbeResult(True)
+    written = decoding.parse_whole_number(text.decode("latin-1"))
+    if written is None:
+        raise decoding.MalformedValueError("the probe states no progress")
     if status == _IN_FLIGHT_STATUS:
-        return ProbeResult(True, True, int(text))
-    if status == _ENDED_STATUS:
-        return ProbeResult(True, False, int(text), True)
-    return ProbeResult(True)
+        return ProbeResult(True, True, written)
+    return ProbeResult(True, False, written, True)
 
 
 def is_probe(request: web.BaseRequest) -> bool:
--- a/merlintrestle/rollouts/records.py
+++ b/merlintrestle/rollouts/records.py
@@ -26,6 +26,9 @@
         )
     if problem := find_version_error(rollout.version):
         return problem
+    if rollout.state not in control_pb2.RolloutState.values():
+        # Of a later release; it could neither be compared nor logged.
+        return f"state {rollout.state} is not known."
     if not rollout.number:
         return "it has no number."
     return "" if rollout.within_ms else "it has no time."
--- a/merlintrestle/rollouts/storage.py
+++ b/merlintrestle/rollouts/storage.py
@@ -6,6 +6,7 @@
 
 from google.protobuf import message
 
+from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.rollouts import records
@@ -118,6 +119,10 @@
     def decode_state(self, value: bytes) -> RecordedState:
         """Returns the state that a value encodes."""
         record = _decode_rollout(value)
+        if record.state not in control_pb2.RolloutState.values():
+            raise errors.CorruptRecordError(
+                f"roll-out: its state is {record.state}"
+            )
         return RecordedState(record.version, record.state)
 
 
@@ -179,9 +184,11 @@
             try:
                 order = self._format.decode_order(entry)
             except errors.CorruptRecordError as error:
+                decoding.count_refused("order")
                 events.warn("order malformed", key=entry.key, error=str(error))
                 continue
             if problem := records.find_error(order):
+                decoding.count_refused("order")
                 events.warn("order refused", key=entry.key, error=problem)
             else:
                 orders.append(order)
@@ -312,6 +319,7 @@
         try:
             recorded = self._format.decode_state(entry.value)
         except errors.CorruptRecordError as error:
+            decoding.count_refused("order state")
             events.warn("state malformed", key=entry.key, error=str(error))
             return control_pb2.ROLLOUT_STATE_UNSPECIFIED
         # The state of an earlier order may be written after a later order.
--- a/merlintrestle/rollouts/tracker.py
+++ b/merlintrestle/rollouts/tracker.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from merlintrestle import decoding
 from merlintrestle import events as event_logs
 from merlintrestle.rollouts import analysis
 from merlintrestle.rollouts import progress as progress_lib
@@ -99,6 +100,7 @@
         An invalid order is logged and ignored.
         """
         if problem := records.find_error(received):
+            decoding.count_refused("order of a peer")
             events.warn(
                 "order refused", service=received.service, error=problem
             )
--- a/merlintrestle/rows.py
+++ b/merlintrestle/rows.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, TYPE_CHECKING
 
+from merlintrestle import decoding
 from merlintrestle import errors
 
 if TYPE_CHECKING:
@@ -15,8 +15,13 @@
 _MAX_NUMBER = 1e300
 # Largest integer of a field of 32 bits.
 MAX_INTEGER = 2**32 - 1
-# Largest integer of a field of 64 bits.
-MAX_LONG = 2**64 - 1
+# Largest JSON object in the store; several times a usual value limit of 1 MiB.
+_MAX_VALUE_BYTES = 4 * 2**20
+# Largest response of the store: many items, or one value of that size,
+# in base64 and with the names of the fields.
+MAX_RESPONSE_BYTES = 8 * 2**20
+# Revisions and leases, qualified or not, fit into 63 bits.
+_MAX_STORE_NUMBER = 2**63 - 1
 
 
 class Row:
@@ -42,7 +47,7 @@
                 because any value may be a secret.
         """
         if not isinstance(fields, dict):
-            value = "it" if secret else repr(fields)
+            value = "it" if secret else decoding.show_value(fields)
             raise error(f"{table}: {value} is not an object")
         self._secret = secret
         self._table = table
@@ -125,8 +130,10 @@
         if self._secret:
             return self._error(f"{self._table}: {name} is malformed")
         row_name = self._fields.get("name", "")
-        value = self._fields.get(name)
-        return self._error(f"{self._table} {row_name}: {name} is {value!r}")
+        return self._error(
+            f"{self._table} {decoding.show_value(row_name)}: {name} is"
+            f" {decoding.show_value(self._fields.get(name))}"
+        )
 
 
 def _is_encodable(value: str) -> bool:
@@ -147,17 +154,19 @@
     value: bytes,
     name: str,
     error: type[errors.MerlintrestleError] = errors.SnapshotError,
+    max_bytes: int = _MAX_VALUE_BYTES,
 ) -> dict[str, Any]:
-    """Decodes a JSON object.
+    """Decodes a JSON object within the bounds of `decoding.decode_json`.
 
     Args:
         value: The encoded object.
         name: Name of the value, for error messages.
         error: Class of the error if it is not a JSON object.
+        max_bytes: Maximum size of the encoded object.
     """
     try:
-        fields = json.loads(value)
-    except ValueError as cause:
+        fields = decoding.decode_json(value, max_bytes)
+    except decoding.MalformedValueError as cause:
         raise error(f"{name}: {cause}") from cause
     if not isinstance(fields, dict):
         raise error(f"{name}: it is not an object")
@@ -207,7 +216,10 @@
     if not text:
         return {}
     return parse_object(
-        text, f"store: an answer {status}", errors.CorruptRecordError
+        text,
+        f"store: an answer {status}",
+        errors.CorruptRecordError,
+        MAX_RESPONSE_BYTES,
     )
 
 
@@ -215,9 +227,12 @@
     """Returns a field of a response of the store.
 
     Raises:
-        errors.CorruptRecordError: The field is absent or of another type.
+        errors.CorruptRecordError: The field is absent or of another type, or a
+            number that is no revision or lease.
     """
     value = fields.get(name)
+    if type(value) is int and not 0 <= value <= _MAX_STORE_NUMBER:
+        raise errors.CorruptRecordError(f"store: {name!r} is out of range")
     if type(value) is not kind:
         # Not the value: it may contain API keys in plain text.
         raise errors.CorruptRecordError(
--- a/merlintrestle/store/eras.py
+++ b/merlintrestle/store/eras.py
@@ -14,6 +14,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from merlintrestle import decoding
 from merlintrestle import events as event_logs
 
 if TYPE_CHECKING:
@@ -24,9 +25,11 @@
 # Bits of a qualified number that the store itself counts; the era is in the
 # bits above.
 _NUMBER_BITS = 47
-_NUMBER_MASK = (1 << _NUMBER_BITS) - 1
+# Largest number that the store itself counts.
+MAX_NUMBER = (1 << _NUMBER_BITS) - 1
 # With 16 bits for the era, qualified numbers are positive 64-bit numbers.
-_ERA_PATTERN = re.compile(r"\d{1,4}")
+_ERA_PATTERN = re.compile(r"[0-9]{1,4}")
+_MAX_ERA = 9999
 # Number of eras that may begin while no daemon gets an answer of the store.
 _MAX_MISSED_ERAS = 10
 # The first era. A store in it has never come back from a copy.
@@ -45,7 +48,7 @@
 
 def get_number(qualified: int) -> int:
     """Returns the number that the store gave out."""
-    return qualified & _NUMBER_MASK
+    return qualified & MAX_NUMBER
 
 
 def get_era(qualified: int) -> int:
@@ -89,6 +92,7 @@
         if not _ERA_PATTERN.fullmatch(text) or not self._is_plausible(
             int(text)
         ):
+            decoding.count_refused("store era")
             events.warn("store era malformed", value=text)
             return self.current or 0
         self.learn(int(text))
@@ -124,6 +128,10 @@
             era: The era.
             age_s: For how long the other daemon has known it, in seconds.
         """
+        if not 0 <= era <= _MAX_ERA or not self._is_plausible(era):
+            decoding.count_refused("store era")
+            events.warn("store era implausible", era=era, current=self.current)
+            return
         known_since = self._get_time() - age_s
         previous = self.current
         if previous is None:
