Start a task again that fails unexpectedly

Callers saw: one exception in one task ended the process with all calls in flight, and again after each start while its cause stood outside of it.

Cause: the library takes a service whose task failed for a failed one, and all above it; nobody had decided that for these tasks. A link had the opposite default: an unexpected exception ended its task silently and for good.

A message that raises is left out and its link goes on. Odd orders don't stop the watch of versions.

--- a/merlintrestle/events.py
+++ b/merlintrestle/events.py
@@ -13,6 +13,7 @@
 
 import prometheus_client
 
+ERROR = logging.ERROR
 # Maximum rate of the lines of one event. A daemon receives about a hundred
 # requests per second; if all of them fail, this rate is enough to show it.
 MAX_LINES_PER_S = 20.0
--- a/merlintrestle/members/links.py
+++ b/merlintrestle/members/links.py
@@ -10,6 +10,7 @@
 
 import grpc.aio
 
+from merlintrestle import supervision
 from merlintrestle.members import accounting
 from merlintrestle.members import outbox
 from merlintrestle.members import peers
@@ -241,7 +242,13 @@
                 link.peer_id = message.sender
                 for callback in self.on_open:
                     callback(link)
-            self._handle(link, message)
+            try:
+                self._handle(link, message)
+            except MemoryError:
+                raise
+            except Exception as error:
+                # The messages of this peer and of all others go on.
+                supervision.record_failure("link message", error)
 
     def _update_peer_offer(self, link: Link, offer: control_pb2.Offer) -> None:
         """Records the version that a peer reports in a message.
--- a/merlintrestle/members/membership.py
+++ b/merlintrestle/members/membership.py
@@ -9,7 +9,9 @@
 import grpc.aio
 import mode
 
+from merlintrestle import decoding
 from merlintrestle import events as event_logs
+from merlintrestle import supervision
 from merlintrestle.members import anti_entropy
 from merlintrestle.members import failure_detection
 from merlintrestle.members import links as links_lib
@@ -148,6 +150,7 @@
         return self.anti_entropy.answer(request)
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _choose_neighbours(self) -> None:
         # `mode`'s `sleep` may return early on a stop and suppress the
         # `CancelledError`, so `should_stop` is checked before each wait.
@@ -164,6 +167,7 @@
             await self.sleep(self.timing.flush_delay_s)
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _run_failure_detector(self) -> None:
         tick_s = self.timing.heartbeat_interval_s / 2
         while not self.should_stop:
@@ -174,10 +178,12 @@
             self._detector.tick(elapsed_s, tick_s)
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _join(self) -> None:
         await self.anti_entropy.join()
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _exchange_members(self) -> None:
         while not self.should_stop:
             await self.sleep(
@@ -215,12 +221,16 @@
             )
             try:
                 await self._run_outgoing_link(link)
+            except MemoryError:
+                raise
             except _LINK_ERRORS as error:
                 events.note("link to lost", member=member_id, error=str(error))
                 if isinstance(error, TimeoutError):
                     silence_factor = min(
                         2 * silence_factor, _MAX_SILENCE_FACTOR
                     )
+            except Exception as error:
+                supervision.record_failure("link", error)
             # The link worked for longer than the normal timeout, so the path
             # may not need the longer one any more.
             if (
@@ -285,6 +295,7 @@
 def _read_silence_factor(metadata: Iterable[tuple[str, str | bytes]]) -> int:
     """Returns the silence factor set by a peer for a link that it opens."""
     for key, value in metadata:
-        if key == _SILENCE_FACTOR_KEY and str(value).isdecimal():
-            return max(1, min(int(value), _MAX_SILENCE_FACTOR))
+        if key == _SILENCE_FACTOR_KEY:
+            stated = decoding.parse_whole_number(str(value)) or 1
+            return min(stated, _MAX_SILENCE_FACTOR)
     return 1
--- a/merlintrestle/quotas/service.py
+++ b/merlintrestle/quotas/service.py
@@ -11,6 +11,7 @@
 
 from merlintrestle import clocks
 from merlintrestle import events as event_logs
+from merlintrestle import supervision
 from merlintrestle.members import accounting
 from merlintrestle.quotas import account as accounts
 from merlintrestle.quotas import allocation as allocations
@@ -197,6 +198,7 @@
         await self._stop_tasks()
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _follow_version(self) -> None:
         while not self.should_stop:
             if self._has_rates():
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -9,6 +9,7 @@
 import mode
 
 from merlintrestle import events as event_logs
+from merlintrestle import supervision
 from merlintrestle.ingress import ingress as ingresses
 from merlintrestle.requests import backend
 from merlintrestle.requests.calls import dialect as dialects
@@ -356,6 +357,7 @@
         self._local_runner.notices.reset()
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _check_backend(self) -> None:
         while not self.should_stop:
             # A backend server with an instance id sends heartbeats and
@@ -370,6 +372,7 @@
             )
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _watch_traffic(self) -> None:
         loop = asyncio.get_running_loop()
         while not self.should_stop:
--- a/merlintrestle/rollouts/controller.py
+++ b/merlintrestle/rollouts/controller.py
@@ -9,6 +9,7 @@
 
 from merlintrestle import errors
 from merlintrestle import events as event_logs
+from merlintrestle import supervision
 from merlintrestle.rollouts import analysis
 from merlintrestle.rollouts import records
 from merlintrestle.schema import control_pb2
@@ -146,6 +147,7 @@
         self._tracker.merge_rollout(updated)
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _update_periodically(self) -> None:
         while not self.should_stop:
             await self.sleep(_UPDATE_INTERVAL_S)
--- a/merlintrestle/versions/distribution.py
+++ b/merlintrestle/versions/distribution.py
@@ -10,6 +10,7 @@
 
 from merlintrestle import errors
 from merlintrestle import events as event_logs
+from merlintrestle import supervision
 from merlintrestle.members import timing as timing_lib
 from merlintrestle.versions import active_version as active_version_lib
 from merlintrestle.versions import archive as archive_lib
@@ -154,14 +155,17 @@
         await self.watcher.close()
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _watch(self) -> None:
         await self.watcher.run()
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _activate_versions(self) -> None:
         """Resolves the floor, then activates each new version that may run."""
-        self.active_version.closed_reason = active_version_lib.NO_FLOOR
-        if self._use_witnesses:
+        if self.active_version.active_snapshot is None:
+            self.active_version.closed_reason = active_version_lib.NO_FLOOR
+        if self._use_witnesses and self._floor_resolver.floor is None:
             await self._floor_resolver.resolve()
         self._next_read_at = time.monotonic() + timing_lib.jitter(
             self._timing.store_fallback_delay_s
@@ -171,6 +175,7 @@
             await self._wait_for_version_or_check()
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _fetch_versions(self) -> None:
         await self._fetcher.run()
 
--- a/merlintrestle/versions/freshness_poller.py
+++ b/merlintrestle/versions/freshness_poller.py
@@ -12,6 +12,7 @@
 import prometheus_client
 
 from merlintrestle import errors
+from merlintrestle import supervision
 from merlintrestle.members import timing as timing_lib
 from merlintrestle.schema import control_pb2
 from merlintrestle.versions import confirmed_keys
@@ -175,6 +176,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     @mode.Service.task
+    @supervision.restart_on_failure
     async def _poll_always(self) -> None:
         while not self.should_stop:
             if self._freshness.is_required():
--- a/merlintrestle/versions/watcher.py
+++ b/merlintrestle/versions/watcher.py
@@ -10,6 +10,7 @@
 
 from merlintrestle import errors
 from merlintrestle import events as event_logs
+from merlintrestle import supervision
 from merlintrestle.members import table as table_lib
 from merlintrestle.members import timing as timing_lib
 from merlintrestle.versions import active_version as active_version_lib
@@ -315,7 +316,13 @@
         """
         orders = await self._source.read_orders()
         for handle in self.on_orders:
-            await handle(orders)
+            try:
+                await handle(orders)
+            except (errors.MerlintrestleError, MemoryError):
+                raise
+            except Exception as error:
+                # The versions are followed, whatever is wrong with an order.
+                supervision.record_failure("orders", error)
 
     async def add_head(
         self, reply: control_pb2.FloorReply, uptime_ms: int
--- a/tests/members/test_links.py
+++ b/tests/members/test_links.py
@@ -207,6 +207,25 @@
         async with asyncio.timeout(version_builders.TEST_TIMEOUT_S):
             await self.tasks[0]
 
+    async def test_an_odd_message_ends_no_link(self) -> None:
+        """Guards against a neighbour that one message cuts off."""
+        received = []
+
+        def receive(_: Any, message: control_pb2.LinkMessage) -> None:
+            received.append(message.members_digest)
+            if message.members_digest == 1:
+                raise ValueError("odd")
+
+        self.links.on_message.append(receive)
+        stream = self.open("peer")
+        with self.assertLogs("merlintrestle.application", "ERROR"):
+            for digest in (1, 2):
+                stream.unread_by_daemon.put_nowait(
+                    control_pb2.LinkMessage(members_digest=digest)
+                )
+            await version_builders.wait_until(lambda: 2 in received)
+        self.assertFalse(self.tasks[0].done())
+
     async def test_strike_is_forwarded_once(self) -> None:
         """A daemon receives the same strike from several neighbours.
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -5,9 +5,11 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from merlintrestle.platform import store as stores
 from merlintrestle.schema import control_pb2
+from merlintrestle.versions import watcher
 from tests.platform import builders
 from tests.platform import fleets
 
@@ -64,6 +66,15 @@
             await self.fleet.store.write(f"op/rollout/{name}", value)
         await self.check_daemons()
 
+    async def test_an_unexpected_exception_ends_no_daemon(self) -> None:
+        """Guards against one exception in a task that ends the process."""
+        error = RuntimeError("unexpected")
+        with mock.patch.object(
+            watcher.Watcher, "read_and_compile_head", side_effect=error
+        ):
+            await asyncio.sleep(3.0)
+        await self.check_daemons()
+
     async def test_odd_seeds_end_no_daemon(self) -> None:
         """Guards against a seed whose port has thousands of digits."""
         for number, address in enumerate(
