Refuse settings that no daemon can run with

Cause: the platform's settings were checked for being numbers, not for the ranges that the product's own flags state in the schema.

Change: ranges of numbers, durations and texts; a bound on the file, which must be UTF-8. A file that is refused on a reload is counted.

Evidence: test_values_out_of_range_are_findings and test_a_file_that_is_no_ text_is_a_finding fail before (6 failures, 1 error), and pass now.

--- a/merlintrestle/platform/service.py
+++ b/merlintrestle/platform/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.daemon import metrics
@@ -60,6 +61,7 @@
         try:
             settings = settings_lib.read_settings(settings_lib.find_path())
         except errors.InvalidInputError as error:
+            decoding.count_refused("settings")
             events.warn("reload refused", error=str(error))
             return
         previous = self._platform_settings._asdict()
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -11,6 +11,11 @@
 
 PATH_VARIABLE = "MERLINTRESTLE_CONFIG"
 _MS_PER_S = 1000
+_MAX_FILE_BYTES = 1_000_000
+# Limits of the daemon's settings, see `settings.proto`.
+_MAX_LINK_MBPS = 10_000_000
+_MAX_MEMORY_MB = 1_000_000
+_MAX_DESCRIPTORS = 10_000_000
 _DEFAULT_REVOCATION_LIMIT_MS = 5000.0
 
 
@@ -99,11 +104,16 @@
         errors.InvalidInputError: With all findings.
     """
     try:
-        text = path.read_text()
-    except OSError as error:
+        with path.open("rb") as file:
+            data = file.read(_MAX_FILE_BYTES + 1)
+        text = data.decode()
+    except (OSError, UnicodeDecodeError) as error:
         raise errors.InvalidInputError(
             [errors.Finding(str(path), f"cannot be read: {error}.")]
         ) from error
+    if len(data) > _MAX_FILE_BYTES:
+        problem = f"is larger than {_MAX_FILE_BYTES} bytes."
+        raise errors.InvalidInputError([errors.Finding(str(path), problem)])
     return parse_settings(text)
 
 
@@ -119,9 +129,9 @@
     )
     settings = Settings(
         address=reader.get_required("ip", settings_reader.parse_ip, ""),
-        zone=reader.get_required("zone", str, ""),
-        region=reader.get_required("region", str, ""),
-        service=reader.get_required("service", str, ""),
+        zone=_read_text(reader, "zone"),
+        region=_read_text(reader, "region"),
+        service=_read_text(reader, "service"),
         backend=_read_address(reader, "app"),
         callers=_read_address(reader, "listen.outbound"),
         peers=_read_address(reader, "listen.inbound"),
@@ -135,15 +145,21 @@
         grace_s=_read_required(reader, "bounds.graceS"),
         retry_ratio=_read_required(reader, "bounds.retryBudgetRatio"),
         retry_slack=_read_required(reader, "bounds.retrySlack"),
-        retry_window_s=_read_required(reader, "bounds.budgetWindowS"),
+        retry_window_s=reader.get_required(
+            "bounds.budgetWindowS", settings_reader.parse_duration, 0.0
+        ),
         expose_share=_read_number(reader, "bounds.exposeShare"),
         revocation_limit_s=_read_revocation_limit(reader),
-        quota_window_s=_read_number(reader, "bounds.quotaWindowS"),
+        quota_window_s=reader.get_optional(
+            "bounds.quotaWindowS", settings_reader.parse_duration, 0.0
+        ),
         quota_overshoot=_read_number(reader, "bounds.quotaOvershoot"),
         quota_slack=_read_number(reader, "bounds.quotaSlack"),
-        link_mbps=_read_number(reader, "limits.linkMbps"),
-        memory_mb=_read_number(reader, "limits.memoryMb"),
-        descriptors=int(_read_number(reader, "limits.maxFds")),
+        link_mbps=_read_number(reader, "limits.linkMbps", _MAX_LINK_MBPS),
+        memory_mb=_read_number(reader, "limits.memoryMb", _MAX_MEMORY_MB),
+        descriptors=int(
+            _read_number(reader, "limits.maxFds", _MAX_DESCRIPTORS)
+        ),
     )
     if reader.findings:
         raise errors.InvalidInputError(reader.findings)
@@ -178,9 +194,17 @@
     return reader.get_required(name, settings_reader.parse_number, 0.0)
 
 
-def _read_number(reader: settings_reader.SettingsReader, name: str) -> float:
-    """Returns a number; 0 if it is not stated."""
-    return reader.get_optional(name, settings_reader.parse_number, 0.0)
+def _read_number(
+    reader: settings_reader.SettingsReader, name: str, maximum: float = 1e9
+) -> float:
+    """Returns a number up to a maximum; 0 if it is not stated."""
+    return reader.get_optional(
+        name, lambda text: settings_reader.parse_number(text, maximum), 0.0
+    )
+
+
+def _read_text(reader: settings_reader.SettingsReader, name: str) -> str:
+    return reader.get_required(name, settings_reader.parse_text, "")
 
 
 def _read_revocation_limit(reader: settings_reader.SettingsReader) -> float:
--- a/merlintrestle/settings_reader.py
+++ b/merlintrestle/settings_reader.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple, TYPE_CHECKING, TypeVar
 
 from merlintrestle import config
+from merlintrestle import decoding
 from merlintrestle import errors
 
 if TYPE_CHECKING:
@@ -13,6 +14,11 @@
 _T = TypeVar("_T")
 
 _MAX_PORT = 65535
+# Largest number of a setting that states no range of its own.
+_MAX_NUMBER = 1e9
+_MAX_NUMBER_CHARACTERS = 40
+_MIN_DURATION = 0.001
+_MAX_TEXT_CHARACTERS = 200
 
 
 class Address(NamedTuple):
@@ -71,18 +77,49 @@
     return text
 
 
-def parse_number(text: str) -> float:
-    """Returns a finite, non-negative number.
+def parse_number(text: str, maximum: float = _MAX_NUMBER) -> float:
+    """Returns a non-negative number up to a maximum.
 
     Raises:
         ValueError: If the text is not such a number.
     """
-    number = float(text)
-    if not 0 <= number < float("inf"):
-        raise ValueError(f"{text!r} is out of range.")
+    shown = decoding.show_value(text)
+    if len(text) > _MAX_NUMBER_CHARACTERS:
+        raise ValueError(f"{shown} is not a number.")
+    try:
+        number = float(text)
+    except ValueError as error:
+        raise ValueError(f"{shown} is not a number.") from error
+    if not 0 <= number <= maximum:
+        raise ValueError(f"{shown} is not within 0 to {maximum:g}.")
     return number
 
 
+def parse_duration(text: str) -> float:
+    """Returns a duration in any unit: 0, or at least a thousandth.
+
+    A shorter one would divide a second into more parts than a number can count.
+
+    Raises:
+        ValueError: If the text is not such a number.
+    """
+    number = parse_number(text)
+    if 0 < number < _MIN_DURATION:
+        raise ValueError(f"{text!r} is below {_MIN_DURATION:g}.")
+    return number
+
+
+def parse_text(text: str) -> str:
+    """Returns a text that fits into messages and log lines.
+
+    Raises:
+        ValueError: If it is too long or not printable.
+    """
+    if len(text) > _MAX_TEXT_CHARACTERS or not text.isprintable():
+        raise ValueError(f"{decoding.show_value(text)} is not allowed.")
+    return text
+
+
 def parse_flag(text: str) -> bool:
     """Returns whether a text is "true".
 
@@ -90,7 +127,8 @@
         ValueError: If the text is neither "true" nor "false".
     """
     if text not in ("true", "false"):
-        raise ValueError(f"{text!r} is neither true nor false.")
+        shown = decoding.show_value(text)
+        raise ValueError(f"{shown} is neither true nor false.")
     return text == "true"
 
 
@@ -112,8 +150,12 @@
     Raises:
         ValueError: If the text is not a range of ports.
     """
-    first, _, last = text.partition(",")
-    ports = (int(first), int(last or first))
-    if not 0 < ports[0] <= ports[1] <= _MAX_PORT:
-        raise ValueError(f"{text!r} is not a range of ports.")
-    return ports
+    first_text, _, last_text = text.partition(",")
+    first = decoding.parse_whole_number(first_text.strip(), _MAX_PORT)
+    last = decoding.parse_whole_number(
+        (last_text or first_text).strip(), _MAX_PORT
+    )
+    if not first or not last or first > last:
+        shown = decoding.show_value(text)
+        raise ValueError(f"{shown} is not a range of ports.")
+    return first, last
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pathlib
+import tempfile
 import unittest
 
 from merlintrestle import errors
@@ -42,6 +44,44 @@
         self.assertIn("bounds.drainMs", places)
         self.assertIn("bounds.retrySlack", places)
 
+    def test_values_out_of_range_are_findings(self):
+        """Guards against settings that no daemon can run with."""
+        for name, value in {
+            "limits.linkMbps": "1e39",
+            "limits.maxFds": "1e300",
+            "limits.memoryMb": "9" * 5000,
+            "heartbeatMs": "nan",
+            "internalPorts": "9" * 5000,
+            "zone": "a\x00b",
+            "service": "x" * 1000,
+        }.items():
+            with self.subTest(name=name):
+                text = builders.build_settings_text(**{name: value})
+                with self.assertRaises(errors.InvalidInputError) as caught:
+                    settings.parse_settings(text)
+                (finding,) = caught.exception.findings
+                self.assertEqual(finding.place, name)
+                self.assertLess(len(finding.text), 300)
+        bounds = builders.SETTINGS["bounds"]
+        text = builders.build_settings_text(
+            bounds=bounds.replace("budgetWindowS=10", "budgetWindowS=1e-320")
+        )
+        with self.assertRaises(errors.InvalidInputError) as caught:
+            settings.parse_settings(text)
+        (finding,) = caught.exception.findings
+        self.assertEqual(finding.place, "bounds.budgetWindowS")
+
+    def test_a_file_that_is_no_text_is_a_finding(self):
+        """Guards against a reload that ends with an exception."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "node.conf")
+            for data in (b"\xff\xfe", b"#" * 2_000_000):
+                path.write_bytes(data)
+                with self.assertRaises(errors.InvalidInputError) as caught:
+                    settings.read_settings(path)
+                (finding,) = caught.exception.findings
+                self.assertEqual(finding.place, str(path))
+
     def test_the_link_capacity_is_optional(self):
         """Guards against settings files without a capacity that are refused."""
         parsed = settings.parse_settings(builders.build_settings_text())
