Bound the bytes of responses to the daemon's own calls

Cause: reads of bodies had limits of time and none of size; the framing of chunks without end was bounded by time alone, and compressed bodies were decompressed.

Bodies are neither asked for in compressed form nor decompressed.

Status checks were not affected and are bounded now.

--- a/merlintrestle/connectors.py
+++ b/merlintrestle/connectors.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import socket
 from typing import Any, NamedTuple
 
 import aiohttp
+from aiohttp import client_proto
 
 # Maximum time to read a body, so that a body that arrives byte by byte cannot
 # block a caller. It is enough for 4 MB at 0.4 MB/s.
@@ -30,6 +32,41 @@
     user_timeout_ms: int
 
 
+class _BoundedResponses(client_proto.ResponseHandler):
+    """Connection that is aborted if the bytes of one response are too many.
+
+    All bytes count, as a head, informational responses, the framing of chunks
+    and a body can all go on without end. The timeout of a call alone is not
+    enough: within a second, a fast link brings more than an instance may hold.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, max_bytes: int):
+        super().__init__(loop)
+        self._max_bytes = max_bytes
+        self._received = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begins a response; called by the library for each request."""
+        self._received = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Receives bytes, or ends the response if they are too many."""
+        self._received += len(data)
+        if self._received <= self._max_bytes:
+            super().data_received(data)
+            return
+        problem = f"a response of more than {self._max_bytes} bytes"
+        error = aiohttp.ClientPayloadError(problem)
+        # A body without a length would otherwise end with its connection.
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        if isinstance(self.transport, asyncio.Transport):
+            self.transport.abort()
+
+
 class Connector(aiohttp.TCPConnector):
     """Opens unencrypted connections to IP addresses, pooled or one per call.
 
@@ -42,16 +79,24 @@
     """
 
     def __init__(
-        self, force_close: bool = False, keepalive: TcpKeepalive | None = None
+        self,
+        max_response_bytes: int,
+        force_close: bool = False,
+        keepalive: TcpKeepalive | None = None,
     ):
         """Initializes the connector.
 
         Args:
+            max_response_bytes: Maximum size of a response with all its bytes.
             force_close: Whether to close each connection after one call.
             keepalive: TCP settings of its connections; None: the defaults.
         """
         super().__init__(limit=0, force_close=force_close, use_dns_cache=False)
         self._keepalive = keepalive
+        factory: Any = functools.partial(
+            _BoundedResponses, self._loop, max_response_bytes
+        )
+        self._factory = factory
 
     async def _wrap_create_connection(
         self,
--- a/merlintrestle/platform/health.py
+++ b/merlintrestle/platform/health.py
@@ -28,6 +28,7 @@
 # A backend server without a free slot responds later. The daemon then uses the
 # next heartbeat, which contains the same status and arrives in 1 to 2 seconds.
 _TIMEOUT_S = 0.5
+_MAX_RESPONSE_BYTES = 64 * 1024
 _MAX_LOAD_CHARACTERS = 200
 _STATES = {200: control_pb2.READY, 503: control_pb2.DRAINING}
 
@@ -43,7 +44,10 @@
         async with (
             asyncio.timeout(_TIMEOUT_S),
             aiohttp.ClientSession(
-                connector=connectors.Connector(force_close=True)
+                connector=connectors.Connector(
+                    _MAX_RESPONSE_BYTES, force_close=True
+                ),
+                auto_decompress=False,
             ) as session,
             session.get(f"http://{settings.backend}{_PATH}") as response,
         ):
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -7,6 +7,7 @@
 from typing import Any, TYPE_CHECKING
 
 import aiohttp
+from aiohttp import hdrs
 import yarl
 
 from merlintrestle import connectors
@@ -84,8 +85,13 @@
     async def start(self) -> None:
         """Opens the connection pool; the store need not be available."""
         self._session = aiohttp.ClientSession(
-            connector=connectors.Connector(keepalive=_KEEPALIVE),
+            connector=connectors.Connector(
+                rows.MAX_RESPONSE_BYTES, keepalive=_KEEPALIVE
+            ),
             cookie_jar=aiohttp.DummyCookieJar(),
+            # A few bytes of a compressed body can stand for any number.
+            auto_decompress=False,
+            headers={hdrs.ACCEPT_ENCODING: "identity"},
         )
 
     async def close(self) -> None:
--- a/tests/test_connectors.py
+++ b/tests/test_connectors.py
@@ -18,6 +18,7 @@
 _ROOT = pathlib.Path(__file__).parents[1]
 _TEST_TIMEOUT_S = 60
 _ROUNDS = 20
+_MAX_RESPONSE_BYTES = 2**20
 # Number of requests that one task of a round cancels.
 _CANCELLATIONS = 8
 
@@ -89,7 +90,7 @@
     server = await loop.create_server(web.Server(_answer), "127.0.0.1", 0)
     url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
     port = echo_server.sockets[0].getsockname()[1]
-    connector = connectors.Connector(force_close=True)
+    connector = connectors.Connector(_MAX_RESPONSE_BYTES, force_close=True)
     async with aiohttp.ClientSession(connector=connector) as session:
         for number in range(_ROUNDS):
             await asyncio.gather(
