Drop a surplus answer while it is skipped

Cause: an answer that belongs to another call is skipped by reading it, and reading it kept all of it.

Change: what is skipped is dropped, up to 8 MiB; beyond, or if the answer ends only with its connection, the call gets 502 at once and the connection ends. Bodies of probes have a bound, too.

--- a/merlintrestle/requests/transport/bodies.py
+++ b/merlintrestle/requests/transport/bodies.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import aiohttp
 from aiohttp import web
 
 from merlintrestle import errors
@@ -12,7 +13,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    import aiohttp
 
 # Bodies up to this size are buffered, so that a retry can send them again.
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -235,3 +235,24 @@
     transport = request.transport
     if expected and transport is not None and request.version.minor >= 1:
         transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+async def read_short(
+    content: aiohttp.StreamReader, max_bytes: int, keeps: bool = True
+) -> bytes:
+    """Reads a body of a bounded size; returns it if it is to be kept.
+
+    Raises:
+        aiohttp.ClientError: It is larger, or was truncated.
+    """
+    chunks = []
+    size = 0
+    while chunk := await content.readany():
+        size += len(chunk)
+        if size > max_bytes:
+            raise aiohttp.ClientPayloadError(
+                f"a body of more than {max_bytes} bytes"
+            )
+        if keeps:
+            chunks.append(chunk)
+    return b"".join(chunks)
--- a/merlintrestle/requests/transport/exchanges.py
+++ b/merlintrestle/requests/transport/exchanges.py
@@ -151,7 +151,7 @@
                     address=connection.address,
                     status=answer.status,
                 )
-                await answer.content.read()
+                await streams.skip_answer(answer, call.method)
                 answer = None
                 answer = await connection.read_answer()
             options.read_headers(answer.headers)
--- a/merlintrestle/requests/transport/probes.py
+++ b/merlintrestle/requests/transport/probes.py
@@ -40,6 +40,7 @@
 # covers the last 20 s if a daemon serves 50 calls per second, which is the mean
 # if 6,300 daemons serve 320,000 calls per second. The first probe of a call is
 # sent much sooner, after 0.25 s.
+_MAX_ANSWER_BYTES = 1024
 _MAX_ENDED = 1024
 
 
@@ -168,7 +169,7 @@
                 multidict.CIMultiDict(),
                 bodies.Body(b"", 0),
             )
-            text = await answer.content.read()
+            text = await bodies.read_short(answer.content, _MAX_ANSWER_BYTES)
         result = _read_result(answer.status, text)
     except (
         aiohttp.ClientError,
--- a/merlintrestle/requests/transport/streams.py
+++ b/merlintrestle/requests/transport/streams.py
@@ -7,6 +7,7 @@
 import struct
 from typing import Protocol, TYPE_CHECKING
 
+import aiohttp
 from aiohttp import hdrs
 from aiohttp import http
 from aiohttp import web
@@ -28,6 +29,8 @@
 # marked only by the close of its connection: the received answer is unframed,
 # or it has no Content-Length and the caller uses HTTP/1.0.
 _FLUSH_POLL_S = 0.02
+# Maximum size of a surplus answer. Beyond it, a new connection costs less.
+_MAX_SKIPPED_BYTES = 8 * 1024 * 1024
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -79,6 +82,25 @@
     return None
 
 
+async def skip_answer(answer: answers.Answer, method: str) -> None:
+    """Reads the body of an answer that nobody gets, and drops it.
+
+    It may be as large as any answer, or have no end: if it were kept, one of
+    them would fill the memory of the instance.
+
+    Args:
+        answer: The answer, whose headers have been read.
+        method: HTTP method of the request.
+
+    Raises:
+        aiohttp.ClientError: The answer was truncated, is too large, or ends
+            only with its connection, so that no other one can follow.
+    """
+    if not is_framed(answer, method):
+        raise aiohttp.ClientPayloadError("a surplus answer has no end")
+    await bodies.read_short(answer.content, _MAX_SKIPPED_BYTES, keeps=False)
+
+
 def is_framed(answer: answers.Answer, method: str) -> bool:
     """Returns whether a truncation of an answer can be detected.
 
