Bound what waits in memory for slow callers

Callers saw, with upstreams that send large answers faster than callers read them: 12 such answers at each of three daemons of 150 MB took 167, 241 and 198 MB, so all three would be killed with the calls of all others.

Cause: reading is paused, but the operating system's receive buffer of an outbound connection grows to megabytes (60 to 133 MB of the above), and all that was buffered of an answer was passed on at once, so that as much was received again while it waited.

Change: outbound connections have a receive buffer of 128 KB, as inbound ones with long bodies have; at most 128 KB of an answer are passed on at once.

--- a/merlintrestle/requests/transport/bodies.py
+++ b/merlintrestle/requests/transport/bodies.py
@@ -14,6 +14,9 @@
     from collections.abc import AsyncIterator
 
 
+# Bytes of an answer that are sent at once. If all that is buffered were, as
+# much would be received again while it waits to be sent.
+MAX_CHUNK_BYTES = 128 * 1024
 # Bodies up to this size are buffered, so that a retry can send them again.
 MAX_BUFFERED_BYTES = 64 * 1024
 # A sender or receiver that makes no progress for this time, in seconds, is
--- a/merlintrestle/requests/transport/pool.py
+++ b/merlintrestle/requests/transport/pool.py
@@ -6,6 +6,7 @@
 
 from merlintrestle import connectors
 from merlintrestle.requests.transport import connections
+from merlintrestle.requests.transport import receive_buffers
 
 if TYPE_CHECKING:
     import asyncio
@@ -87,6 +88,8 @@
             host,
             int(port),
         )
+        sock = transport.get_extra_info("socket")
+        receive_buffers.set_size(sock, receive_buffers.LARGE_BYTES)
         if unacknowledged_timeout_ms:
             connectors.set_user_timeout(transport, unacknowledged_timeout_ms)
         return connection
--- a/merlintrestle/requests/transport/receive_buffers.py
+++ b/merlintrestle/requests/transport/receive_buffers.py
@@ -1,4 +1,4 @@
-"""Receive buffers of inbound connections in the operating system."""
+"""Receive buffers of connections in the operating system."""
 
 from __future__ import annotations
 
@@ -6,8 +6,9 @@
 
 # Sizes in bytes.
 # Bytes there count towards the memory of the process, and each connection can
-# fill its own. A connection gets the large one for a longer body, while there
-# is memory.
+# fill its own; left to itself, the operating system lets one grow to megabytes.
+# An inbound connection gets the large one for a longer body, while there is
+# memory; an outbound one always.
 USUAL_BYTES = 8 * 1024
 LARGE_BYTES = 128 * 1024
 
--- a/merlintrestle/requests/transport/streams.py
+++ b/merlintrestle/requests/transport/streams.py
@@ -240,7 +240,7 @@
     """Sends each chunk of a body as it arrives."""
     del request
     content = answered.response.content
-    while chunk := await content.readany():
+    while chunk := await content.read(bodies.MAX_CHUNK_BYTES):
         progress.written += len(chunk)
         await response.write(chunk)
 
--- a/merlintrestle/requests/transport/transfers.py
+++ b/merlintrestle/requests/transport/transfers.py
@@ -11,6 +11,7 @@
 
 from merlintrestle.requests.load import links
 from merlintrestle.requests.load import reservations
+from merlintrestle.requests.transport import bodies
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -154,10 +155,10 @@
 
 
 async def _read(answered: outcomes.Answered) -> bytes:
-    """Returns the available bytes of a body; none at its end."""
+    """Returns the next bytes of a body; none at its end."""
     if answered.body is not None:
         return answered.body
-    return await answered.response.content.readany()
+    return await answered.response.content.read(bodies.MAX_CHUNK_BYTES)
 
 
 def _get_kernel_queue_bytes(transport: asyncio.Transport) -> int:
--- a/tests/requests/transport/test_connections.py
+++ b/tests/requests/transport/test_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import Any, TYPE_CHECKING
 import unittest
 from unittest import mock
@@ -15,6 +16,7 @@
 from merlintrestle.requests.transport import exchange_outcomes
 from merlintrestle.requests.transport import headers
 from merlintrestle.requests.transport import pool as pools
+from merlintrestle.requests.transport import receive_buffers
 from merlintrestle.requests.transport import watchdogs
 from tests.requests import builders
 
@@ -127,6 +129,28 @@
             stop.set()
             pool.close()
 
+    async def test_outbound_connections_have_a_bounded_receive_buffer(
+        self,
+    ) -> None:
+        """Guards against answers that wait in the operating system's memory."""
+        server = await asyncio.start_server(
+            lambda _, writer: writer.close(), "127.0.0.1", 0
+        )
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            pool = pools.Pool(asyncio.get_running_loop())
+            connection = await pool.open(f"127.0.0.1:{port}")
+            assert connection.transport is not None
+            sock = connection.transport.get_extra_info("socket")
+            # A size that is set no longer grows. Linux doubles it, for its own
+            # structures.
+            self.assertEqual(
+                sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF),
+                2 * receive_buffers.LARGE_BYTES,
+            )
+            connection.abort()
+            pool.close()
+
     async def test_idle_for_too_long(self) -> None:
         """A connection is closed before its server closes it.
 
