Pass no call on that the end of a drain would cut

Cause: three guesses. A call that might be nested was started if its latency target fitted; callers of one kind state the same timeout, so their new calls seem to be nested in running ones, and were started if half of the target fitted; what had waited for its body or in a queue was passed on likewise.

Change: only calls whose deadline is before the end of the drain are started, and those that are nested by evidence if one and a half times the longest recent call of their route fits. What waited is decided on again before it is sent to a backend server.

Two tests of stops fail before. test_lookup_is_started_while_its_target_fits demanded the first guess; in its place such a lookup is refused.

--- a/merlintrestle/requests/calls/nesting.py
+++ b/merlintrestle/requests/calls/nesting.py
@@ -14,9 +14,11 @@
 
     from merlintrestle.requests.calls import call as calls
 
-# Maximum difference between the deadlines of a nested call and of the call that
+# How much later the deadline of a nested call may be than that of the call that
 # it is nested in, in seconds, for the time that the request needs to arrive.
+# It may also be earlier by some milliseconds, as timeouts are rounded.
 _DEADLINE_TOLERANCE_S = 0.1
+_ROUNDING_S = 0.01
 
 
 class Nesting(enum.Enum):
@@ -51,6 +53,23 @@
     deadline = arrived_at + timeout_ms / 1000
     return any(
         timeout_ms == call.stated_timeout_ms
-        or abs(deadline - call.deadline) <= _DEADLINE_TOLERANCE_S
+        or -_ROUNDING_S <= deadline - call.deadline <= _DEADLINE_TOLERANCE_S
         for call in running_calls
     )
+
+
+def may_be_nested(
+    running_calls: Iterable[calls.Call], timeout_ms: int | None
+) -> bool:
+    """Returns whether a request may be nested in a running call.
+
+    A backend server has no more time than it was given, so a nested call states
+    no more either. Callers, who begin anew, mostly do.
+
+    Args:
+        running_calls: The calls that run at the local backend server.
+        timeout_ms: Timeout that the request states; None: it states none.
+    """
+    return timeout_ms is None or any(
+        timeout_ms <= call.stated_timeout_ms for call in running_calls
+    )
--- a/merlintrestle/requests/load/drain_admission.py
+++ b/merlintrestle/requests/load/drain_admission.py
@@ -16,29 +16,40 @@
 _FLUSH_S = 0.1
 # Fraction of its latency target within which a call is expected to end.
 _TYPICAL_LATENCY_FRACTION = 0.5
+# How much longer than the longest recent one a call may take.
+_DURATION_MARGIN = 1.5
+
+
+def estimate_duration(
+    plan: snapshot.ClassPlan, longest_s: float | None
+) -> float:
+    """Returns the time within which a call is expected to end, in seconds.
+
+    Args:
+        plan: Class of work of the call.
+        longest_s: Duration of the longest recent call of its route, in seconds;
+            None: there was none.
+    """
+    if longest_s is not None:
+        return _DURATION_MARGIN * longest_s
+    return plan.work_s or plan.latency_s * _TYPICAL_LATENCY_FRACTION
 
 
 def may_start(
-    plan: snapshot.ClassPlan,
-    remaining_s: float,
-    drain_left_s: float,
-    owed: bool,
+    remaining_s: float, drain_left_s: float, expected_s: float, owed: bool
 ) -> bool:
     """Returns whether a call is started although the daemon drains.
 
     Args:
-        plan: Class of work of the call.
         remaining_s: Time until the deadline of the call, in seconds.
         drain_left_s: Time until the drain ends, in seconds.
+        expected_s: Result of `estimate_duration`.
         owed: Whether a refusal would fail a call that was accepted before, as
-            this one is nested in it or is that call. Any other call is new
-            work: whether it is nested is unknown. If it may not be repeated, it
-            is only started if its deadline is early enough.
+            this one is nested in it. Any other call is new work, or that is not
+            known: it is only started if its deadline is early enough, as it can
+            be sent again elsewhere.
     """
     left_s = drain_left_s - _FLUSH_S
-    if remaining_s <= left_s:
-        return True
-    if owed:
-        typical_s = plan.work_s or plan.latency_s * _TYPICAL_LATENCY_FRACTION
-        return typical_s <= left_s
-    return plan.repeatable and not plan.large and plan.latency_s <= left_s
+    if remaining_s <= left_s or not owed:
+        return remaining_s <= left_s
+    return expected_s <= left_s
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -40,7 +40,11 @@
 
 
 class CallerHandler:
-    """Handles the requests of callers by sending their calls to upstreams."""
+    """Handles the requests of callers by sending their calls to upstreams.
+
+    Attributes:
+        drain_admission: Refuses calls while the daemon drains.
+    """
 
     def __init__(
         self,
@@ -68,7 +72,7 @@
         self._workspace_admission = workspace_admission
         self._workspace_header = dialects.get_workspace_header(dialect)
         self._state = state
-        self._drain_admission = drains.DrainAdmission(
+        self.drain_admission = drains.DrainAdmission(
             state, dialect, list_running_calls
         )
         self._dialect = dialect
@@ -131,7 +135,9 @@
             )
             if isinstance(call, outcomes.NotRun):
                 return self._refuse(call, request)
-            refusal = self._drain_admission.check_call(call)
+            refusal = self.drain_admission.check_call(
+                call, request, active_snapshot, started_at
+            )
             if refusal is not None:
                 return self._refuse(refusal, request)
             if admitted is not None:
@@ -169,8 +175,12 @@
         )
         if isinstance(match, outcomes.NotRun):
             return self._correct_unknown_route(match)
-        refusal = self._drain_admission.check_request(
-            request, active_snapshot, match.plan, started_at
+        refusal = self.drain_admission.check_request(
+            request,
+            active_snapshot,
+            match.plan,
+            match.route or f"{match.service}/{match.plan.name}",
+            started_at,
         )
         return refusal or match
 
@@ -292,6 +302,10 @@
                 response = await responses.respond(
                     request, outcome, self._dialect
                 )
+                if isinstance(outcome, outcomes.Answered):
+                    self.drain_admission.record(
+                        call, self._get_time() - started_at
+                    )
             finally:
                 self._outcome_counts.record(call.plan, outcome, duration_s)
                 self._latencies.record(
--- a/merlintrestle/requests/serving/drains.py
+++ b/merlintrestle/requests/serving/drains.py
@@ -10,6 +10,7 @@
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import nesting
 from merlintrestle.requests.load import drain_admission
+from merlintrestle.requests.load import recent_durations
 from merlintrestle.requests.serving import serving_state as serving_states
 
 if TYPE_CHECKING:
@@ -58,12 +59,14 @@
         self._dialect = dialect
         self._list_running_calls = list_running_calls
         self._get_time = asyncio.get_running_loop().time
+        self._durations = recent_durations.RecentDurations(self._get_time)
 
     def check_request(
         self,
         request: web.BaseRequest,
         active_snapshot: snapshot.Snapshot,
         plan: snapshot.ClassPlan,
+        route: str,
         arrived_at: float,
     ) -> outcomes.NotRun | None:
         """Returns the refusal of a request that arrives; None: it is served.
@@ -72,6 +75,7 @@
             request: The request.
             active_snapshot: Snapshot of the active version.
             plan: Class of work of the request.
+            route: Its route, see `record`.
             arrived_at: Event loop time at which it arrived, in seconds.
         """
         if not self._state.draining:
@@ -85,20 +89,51 @@
             request, active_snapshot, arrived_at, metadata.timeout_ms
         )
         starts = origin is not _Origin.NEW and self._may_start(
-            plan, remaining_s, owed=origin is _Origin.NESTED
+            plan, route, remaining_s, owed=origin is _Origin.NESTED
         )
         return self._decide(starts, metadata.request_id, remaining_s, origin)
 
-    def check_call(self, call: calls.Call) -> outcomes.NotRun | None:
+    def check_call(
+        self,
+        call: calls.Call,
+        request: web.BaseRequest,
+        active_snapshot: snapshot.Snapshot,
+        arrived_at: float,
+    ) -> outcomes.NotRun | None:
         """Returns the refusal of an accepted call that was not sent yet.
 
         Its body may have arrived, or its workspace may have been admitted, only
-        shortly before the end of the drain.
+        shortly before the end of the drain. Nothing of it has run, so it is
+        refused like new work: whoever sent it learns that it may send it again.
         """
         if not self._state.draining:
             return None
+        metadata = dialects.read_metadata(self._dialect, request)
+        origin = self._find_origin(
+            request, active_snapshot, arrived_at, metadata.timeout_ms
+        )
         remaining_s = call.deadline - self._get_time()
-        if self._may_start(call.plan, remaining_s, owed=True):
+        if self._may_start(
+            call.plan,
+            _get_route(call),
+            remaining_s,
+            owed=origin is _Origin.NESTED,
+        ):
+            return None
+        return self._decide(
+            False, call.request_id, remaining_s, _Origin.ACCEPTED
+        )
+
+    def check_waiting_call(self, call: calls.Call) -> outcomes.NotRun | None:
+        """Returns the refusal of a call that waited to be sent on.
+
+        It may have waited in a queue since before the drain began. It is sent
+        on if such a call usually ends before the drain does.
+        """
+        if not self._state.draining:
+            return None
+        remaining_s = call.deadline - self._get_time()
+        if self._may_start(call.plan, _get_route(call), remaining_s, owed=True):
             return None
         return self._decide(
             False, call.request_id, remaining_s, _Origin.ACCEPTED
@@ -122,13 +157,26 @@
             return _Origin.NEW
         if nesting.shares_deadline(running_calls, arrived_at, timeout_ms):
             return _Origin.NESTED
-        return _Origin.MAYBE_NESTED
+        if nesting.may_be_nested(running_calls, timeout_ms):
+            return _Origin.MAYBE_NESTED
+        return _Origin.NEW
+
+    def record(self, call: calls.Call, duration_s: float) -> None:
+        """Records how long an answered call took, in seconds."""
+        self._durations.record(_get_route(call), duration_s)
 
     def _may_start(
-        self, plan: snapshot.ClassPlan, remaining_s: float, owed: bool
+        self,
+        plan: snapshot.ClassPlan,
+        route: str,
+        remaining_s: float,
+        owed: bool,
     ) -> bool:
+        expected_s = drain_admission.estimate_duration(
+            plan, self._durations.get_longest(route)
+        )
         return drain_admission.may_start(
-            plan, remaining_s, self._get_drain_left_s(), owed
+            remaining_s, self._get_drain_left_s(), expected_s, owed
         )
 
     def _get_drain_left_s(self) -> float:
@@ -146,3 +194,8 @@
             drain_left_ms=round(self._get_drain_left_s() * 1000),
         )
         return None if starts else serving_states.STOPPING
+
+
+def _get_route(call: calls.Call) -> str:
+    """Returns the route of a call; its class of work if it has none."""
+    return call.route or f"{call.service}/{call.plan.name}"
--- a/merlintrestle/requests/serving/local_runner.py
+++ b/merlintrestle/requests/serving/local_runner.py
@@ -15,6 +15,8 @@
 from merlintrestle.requests.unrepeatable import at_most_once
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from merlintrestle.requests import backend as backends
     from merlintrestle.requests import interfaces
     from merlintrestle.requests.calls import call as calls
@@ -38,6 +40,8 @@
         notices: The notices of the backend server.
         repeats: Counts the calls that run at the backend server, and the
             repeats among them.
+        check_drain: Returns the refusal of a call that would be cut by a drain;
+            None: it is sent on.
     """
 
     def __init__(
@@ -62,6 +66,8 @@
             dialect: The dialect of the backend server.
             observer: Records the answers of the backend server for roll-outs.
         """
+        self.check_drain: Callable[[calls.Call], outcomes.NotRun | None]
+        self.check_drain = lambda _: None
         self._observer = observer
         self._dialect = dialect
         self._backend = backend
@@ -129,7 +135,7 @@
         # It may have announced this while the call waited for its claim.
         if self._backend.is_leaving:
             return refusals.refuse_not_ready()
-        refusal = self._crashes.check(call)
+        refusal = self.check_drain(call) or self._crashes.check(call)
         if refusal is not None:
             return refusal
         self._crashes.begin(call)
--- a/merlintrestle/requests/serving/proxy.py
+++ b/merlintrestle/requests/serving/proxy.py
@@ -95,6 +95,7 @@
         crashes: Receives the strikes of other daemons (`crashes.strikes.add`)
             and sends those of this daemon (`crashes.send_strike`).
         observer: Records answers of the local backend server in a roll-out.
+        drain_admission: Refuses calls while this daemon drains; set by `start`.
         workspace_admission: Admits requests to workspaces. Its `freshness` and
             `quotas` may be set at any time.
         recall_servicer: gRPC servicer to be added to the control server. It
@@ -244,6 +245,8 @@
             self.crashes.list_calls_in_flight,
             self.workspace_admission,
         )
+        self.drain_admission = caller_handler.drain_admission
+        self._local_runner.check_drain = self.drain_admission.check_waiting_call
         self._peer_handler = peers.PeerHandler(
             self._state,
             self._local_runner,
--- a/tests/platform/soaking.py
+++ b/tests/platform/soaking.py
@@ -13,12 +13,14 @@
 from tests.platform import leave_soak
 from tests.platform import maintenance_soak
 from tests.platform import notice_soak
+from tests.platform import stop_soak
 
 _SOAKS = {
     "maintenance": maintenance_soak.Soak,
     "notices": notice_soak.NoticeSoak,
     "eras": era_soak.EraSoak,
     "leaves": leave_soak.LeaveSoak,
+    "stops": stop_soak.StopSoak,
 }
 
 
@@ -30,7 +32,8 @@
     show_default=True,
     help="notices: backend servers also limit their rate and leave by their"
     " answers; eras: the store also comes back from older copies; leaves:"
-    " backend servers leave while daemons are killed.",
+    " backend servers leave while daemons are killed; stops: requests come late"
+    " in the grace of daemons that stop.",
 )
 @click.option("--first", default=1, show_default=True, help="First seed.")
 @click.option(
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -8,11 +8,13 @@
 from tests.platform import leave_soak
 from tests.platform import maintenance_soak
 from tests.platform import notice_soak
+from tests.platform import stop_soak
 
 _SEEDS = (1, 2, 10)
 _NOTICE_SEEDS = (1, 2)
 _ERA_SEEDS = (1, 2)
 _LEAVE_SEEDS = (1, 2)
+_STOP_SEEDS = (1, 2)
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
@@ -53,3 +55,11 @@
                 result = await leave_soak.LeaveSoak(seed).run()
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.response_counts["200"], 0)
+
+    async def test_requests_late_in_the_grace_of_stops(self) -> None:
+        """Guards against requests that are passed on and then cut."""
+        for seed in _STOP_SEEDS:
+            with self.subTest(seed=seed):
+                result = await stop_soak.StopSoak(seed).run()
+                self.assertEqual(result.violations, [])
+                self.assertGreater(result.response_counts["200"], 0)
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -82,6 +82,9 @@
             configuration=builders.build_configuration(
                 5,
                 builders.build_route("tickets", timeoutMs=60_000),
+                builders.build_route(
+                    "checks", service="kassa", timeoutMs=60_000
+                ),
                 builders.build_route(
                     "payouts",
                     service="kassa",
@@ -127,6 +130,38 @@
         self.assertEqual(self.fleet.backends[1].executed_attempts, [])
         self.assertEqual(await self.end_the_call(), 200)
 
+    async def test_lookup_that_may_outlast_the_drain_is_refused(self) -> None:
+        """Guards against lookups that are cut at the end of a drain."""
+        await self.stop_during_a_call()
+        for deadline_ms in (59_000, 40_000):
+            status, _, _ = await self.fleet.send(
+                path="/checks/1", deadline_ms=deadline_ms
+            )
+            self.assertEqual(status, 503)
+        self.assertEqual(self.fleet.backends[1].executed_attempts, [])
+        self.assertEqual(await self.end_the_call(), 200)
+
+    async def test_slow_payout_is_refused_by_the_time_of_earlier_ones(
+        self,
+    ) -> None:
+        """Guards against payouts cut as their route has become slow.
+
+        The payout states the very timeout of a call that runs at the backend
+        server, as callers of one kind do, so that it seems to be nested.
+        """
+        await self.stop_during_a_call()
+        proxy = self.fleet.daemons[0]._proxy
+        (running,) = proxy.crashes.list_calls_in_flight()
+        proxy.drain_admission._durations.record("payouts", 12.0)
+        status, _, _ = await self.fleet.send(
+            path="/payouts/1",
+            method="POST",
+            deadline_ms=running.stated_timeout_ms,
+        )
+        self.assertEqual(status, 503)
+        self.assertEqual(self.fleet.backends[1].executed_attempts, [])
+        self.assertEqual(await self.end_the_call(), 200)
+
     async def test_nested_payout_is_served_while_the_daemon_drains(
         self,
     ) -> None:
--- a/tests/requests/load/test_drain_admission.py
+++ b/tests/requests/load/test_drain_admission.py
@@ -5,11 +5,11 @@
 import unittest
 
 from merlintrestle.requests.load import drain_admission
+from merlintrestle.requests.load import recent_durations
 from tests.requests import builders
+from tests.requests import fakes
 
 _LOOKUP = builders.build_plan(latency_s=1.0, work_s=0.0)
-_PAYOUT = builders.build_plan(latency_s=1.0, work_s=0.0, repeatable=False)
-_ARCHIVE = builders.build_plan(latency_s=1.0, large=True)
 
 
 class MayStartTest(unittest.TestCase):
@@ -17,27 +17,58 @@
 
     def test_call_whose_deadline_is_before_the_end_is_started(self) -> None:
         """Guards against refusals of calls that cannot be cut."""
-        for plan in (_LOOKUP, _PAYOUT, _ARCHIVE):
-            self.assertTrue(drain_admission.may_start(plan, 1.0, 1.5, False))
+        for expected_s in (0.1, 9.0):
+            self.assertTrue(
+                drain_admission.may_start(1.0, 1.5, expected_s, False)
+            )
 
-    def test_new_payout_is_not_started(self) -> None:
-        """Guards against payouts that are cut at the end of the drain."""
-        self.assertFalse(drain_admission.may_start(_PAYOUT, 6.0, 2.6, False))
+    def test_new_call_that_may_outlast_the_drain_is_not_started(self) -> None:
+        """Guards against calls that are cut as they take unusually long."""
+        for left_s in (0.9, 1.5, 2.6, 5.9):
+            self.assertFalse(drain_admission.may_start(6.0, left_s, 0.1, False))
 
-    def test_nested_payout_is_started(self) -> None:
-        """Guards against calls that fail as their nested payout is refused."""
-        self.assertTrue(drain_admission.may_start(_PAYOUT, 6.0, 2.6, True))
-
-    def test_lookup_is_started_while_its_target_fits(self) -> None:
-        """Guards against lookups that are cut, and against early refusals."""
-        self.assertTrue(drain_admission.may_start(_LOOKUP, 6.0, 1.5, False))
-        self.assertFalse(drain_admission.may_start(_LOOKUP, 6.0, 0.9, False))
-
-    def test_new_download_is_not_started(self) -> None:
-        """Guards against downloads that are cut: they have no usual length."""
-        self.assertFalse(drain_admission.may_start(_ARCHIVE, 6.0, 2.6, False))
+    def test_nested_call_is_started_if_it_is_expected_to_end(self) -> None:
+        """Guards against calls that fail as their nested call is refused."""
+        self.assertTrue(drain_admission.may_start(6.0, 2.6, 0.5, True))
 
     def test_nested_call_is_not_started_shortly_before_the_end(self) -> None:
         """Guards against nested calls that are cut with their parent."""
-        self.assertTrue(drain_admission.may_start(_LOOKUP, 6.0, 0.7, True))
-        self.assertFalse(drain_admission.may_start(_LOOKUP, 6.0, 0.5, True))
+        self.assertTrue(drain_admission.may_start(6.0, 0.7, 0.5, True))
+        self.assertFalse(drain_admission.may_start(6.0, 0.5, 0.5, True))
+
+
+class DurationTest(unittest.TestCase):
+    """How long calls of a route are expected to take."""
+
+    def setUp(self) -> None:
+        self.clock = fakes.FakeClock()
+        self.durations = recent_durations.RecentDurations(self.clock.get_time)
+
+    def estimate(self) -> float:
+        """Returns the expected duration of a lookup."""
+        return drain_admission.estimate_duration(
+            _LOOKUP, self.durations.get_longest("a")
+        )
+
+    def test_calls_take_about_as_long_as_the_longest_recent_one(self) -> None:
+        """Guards against calls cut as their route has become slow."""
+        self.assertEqual(self.estimate(), 0.5)
+        for duration_s in (0.05, 3.0, 0.1):
+            self.durations.record("a", duration_s)
+        self.durations.record("b", 9.0)
+        self.assertEqual(self.estimate(), 4.5)
+
+    def test_durations_are_forgotten(self) -> None:
+        """Guards against refusals long after a route was slow."""
+        self.durations.record("a", 3.0)
+        self.clock.now += 5.0
+        self.durations.record("a", 0.1)
+        self.assertEqual(self.durations.get_longest("a"), 3.0)
+        self.clock.now += 5.0
+        self.assertEqual(self.durations.get_longest("a"), 0.1)
+        self.clock.now += 20.0
+        self.assertIsNone(self.durations.get_longest("a"))
+
+
+if __name__ == "__main__":
+    unittest.main()
