Accept no unframed answer while answers behind it would be lost

Cause: whether such an answer is accepted was decided by the dialect alone, not by what runs behind its request.

Change: it is accepted only while nothing behind it runs or has run, and from then on nothing is started there. Otherwise it is a failure of its upstream; the call, which is repeatable, is sent again within the budget.

--- a/merlintrestle/requests/calls/call.py
+++ b/merlintrestle/requests/calls/call.py
@@ -12,6 +12,8 @@
 from merlintrestle.requests.reports import decision_logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import multidict
 
     from merlintrestle.documents import snapshot
@@ -30,6 +32,10 @@
     NONE = enum.auto()
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclasses.dataclass(slots=True)
 class Call:
     """A caller's request and its class of work.
@@ -73,6 +79,9 @@
         workspace: Name of the caller's workspace; empty if there is none.
         stated_timeout_ms: Timeout that the backend server was given with this
             call, in milliseconds; 0: it was not sent yet.
+        may_be_unframed: Returns whether the answer may end with its connection,
+            if the dialect allows that. Not while answers behind it would be
+            lost; the call is then sent again, or fails.
         decision_log: Decision log of the call.
     """
 
@@ -99,6 +108,7 @@
     route: str = ""
     workspace: str = ""
     stated_timeout_ms: int = 0
+    may_be_unframed: Callable[[], bool] = _always
     decision_log: decision_logs.DecisionLog = dataclasses.field(
         default_factory=lambda: decision_logs.DecisionLog("")
     )
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
 from aiohttp import hdrs
@@ -140,6 +141,9 @@
             )
             if refusal is not None:
                 return self._refuse(refusal, request)
+            call.may_be_unframed = functools.partial(
+                pipelining.may_end_connection, request
+            )
             if admitted is not None:
                 self._apply_workspace(call, admitted)
             call.decision_log.add(
--- a/merlintrestle/requests/transport/exchanges.py
+++ b/merlintrestle/requests/transport/exchanges.py
@@ -197,7 +197,7 @@
         failure = dialects.check_answer(dialect, answer)
         if failure is None:
             framed = streams.is_framed(answer, call.method)
-            if framed or self._accepts_unframed:
+            if framed or (self._accepts_unframed and call.may_be_unframed()):
                 return None
             failure = outcomes.Ran("the answer does not say where it ends")
         if answer.content.is_eof():
--- a/merlintrestle/requests/transport/pipelining.py
+++ b/merlintrestle/requests/transport/pipelining.py
@@ -116,6 +116,18 @@
     )
 
 
+def may_end_connection(request: web.BaseRequest) -> bool:
+    """Returns whether the answer to a request may end its connection.
+
+    Not if the request behind it runs or has run, as its answer would be lost.
+    Otherwise nothing is started behind it from now on.
+    """
+    protocol = request.protocol
+    return type(
+        protocol
+    ) is not _PipeliningHandler or protocol.may_end_connection(request)
+
+
 def cancel_behind(request: web.BaseRequest) -> None:
     """Cancels what is behind a request whose answer closes the connection."""
     protocol = request.protocol
@@ -321,6 +333,16 @@
             return not task.cancelling()
         return False
 
+    def may_end_connection(self, request: web.BaseRequest) -> bool:
+        """Returns whether an answer may end the connection; see the function.
+
+        Once it may, it stays so.
+        """
+        if self._list_tasks_behind(request):
+            return False
+        self._ended = True
+        return True
+
     def cancel_behind(self, request: web.BaseRequest | None) -> None:
         """Cancels what runs behind a request; nothing more is started.
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -237,6 +237,40 @@
                 if not reset:
                     self.assertEqual(body, b"unframed")
 
+    async def test_an_unframed_answer_takes_no_answer_behind_it_along(self):
+        """Guards against requests sent ahead that run and get no answer.
+
+        The answer in front of them has no length, so it would end with the
+        connection. Its request is repeatable, and is sent again.
+        """
+        await self.fleet.start("kassa", "balie", "balie")
+        arrivals: list[str] = []
+        for backend in self.fleet.backends[1:]:
+            unframed = _build_unframed_answer_handler(False)
+            backend.handler = _build_first_answer_handler(
+                arrivals, unframed, backend.answer
+            )
+        host, _, port = self.fleet.daemons[0].url[7:].partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        for name in ("front", "behind", "last"):
+            writer.write(
+                b"GET /tickets/1 HTTP/1.1\r\nHost: desk.example\r\n"
+                b"X-Attempt-Id: %s\r\nX-Deadline-Ms: 9000\r\n\r\n"
+                % name.encode()
+            )
+        answered = []
+        async with asyncio.timeout(fleets.TEST_TIMEOUT_S):
+            for _ in range(3):
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.assertEqual(await reader.readexactly(5), b"whole")
+                self.assertIn(b" 200 ", head)
+                _, _, rest = head.partition(b"X-Attempt-Id: ")
+                answered.append(rest.partition(b"\r")[0])
+        self.assertEqual(answered, [b"front", b"behind", b"last"])
+        self.assertEqual(arrivals.count("front"), 2)
+        self.assertEqual(arrivals.count("behind"), 1)
+
     async def _send_raw(self) -> tuple[bytes, bytes, bool]:
         """Sends a request over a connection of its own.
 
@@ -308,6 +342,21 @@
     return web.Response()
 
 
+def _build_first_answer_handler(arrivals, answer_front, answer):
+    """Answers the first arrival of "front" otherwise, once all have come."""
+
+    async def handle(request: web.Request) -> web.StreamResponse:
+        attempt_id = request.headers["X-Attempt-Id"]
+        arrivals.append(attempt_id)
+        if attempt_id != "front" or arrivals.count("front") > 1:
+            return await answer(request)
+        while not {"behind", "last"} <= set(arrivals):
+            await asyncio.sleep(0.01)
+        return await answer_front(request)
+
+    return handle
+
+
 def _build_unframed_answer_handler(reset: bool):
     async def handle(request: web.Request) -> web.StreamResponse:
         transport = request.transport
