End no request that has arrived to make room in memory

Cause: for a small request without room, the connections that hold the most were ended; nobody asked whether their request had arrived and was passed on.

Change: connections with a request that has arrived whole are never ended for memory. For a small request idle connections are closed first, the longest idle one before the others; if nothing can be ended, it waits.

--- a/merlintrestle/ingress/ingress.py
+++ b/merlintrestle/ingress/ingress.py
@@ -118,8 +118,11 @@
         """Ends what holds memory, until there is some for others.
 
         First come the requests that have stopped half-way. For a small request
-        the connections that hold the most come next. Those that hold less than
-        the average are spared, so no small request is ended for a large one.
+        idle connections come next, which lose nothing, and then the connections
+        that hold the most for a request that has not arrived completely. Those
+        that hold less than the average are spared, so no small request is ended
+        for a large one. A request that has arrived is never ended: an upstream
+        may be running it.
 
         Args:
             small: Whether it is for a small request.
@@ -145,12 +148,18 @@
         stopped.sort(key=lambda connection: connection.incomplete_since)
         self._shed(stopped)
         if small:
+            idle = [
+                connection for connection in connections if connection.is_idle
+            ]
+            idle.sort(key=lambda connection: connection.waits_since)
+            self._shed(idle)
             average = self.memory.used / max(1, len(connections))
             connections.sort(key=lambda connection: -connection.held_bytes)
             self._shed(
                 connection
                 for connection in connections
                 if connection.held_bytes > average
+                and not connection.has_whole_request
             )
 
     def _shed(self, connections: Iterable[ports.Connection]) -> None:
--- a/merlintrestle/ingress/ports.py
+++ b/merlintrestle/ingress/ports.py
@@ -18,6 +18,21 @@
 
     incomplete_since: float
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection waits for its next request."""
+
+    @property
+    def waits_since(self) -> float:
+        """Event loop time since which it has been incomplete or idle."""
+
+    @property
+    def has_whole_request(self) -> bool:
+        """Whether a request that has arrived whole is not yet answered.
+
+        It may have been sent on, so the connection must not be ended.
+        """
+
     @property
     def held_bytes(self) -> int:
         """Estimated bytes held for the connection."""
--- a/merlintrestle/requests/transport/request_handlers.py
+++ b/merlintrestle/requests/transport/request_handlers.py
@@ -144,6 +144,13 @@
         """Whether the connection waits for its next request."""
         return self._waits_for_request and not self.incomplete_since
 
+    @property
+    def has_whole_request(self) -> bool:
+        """Whether a request that has arrived whole is not yet answered."""
+        return (
+            self._request_in_progress or not self._waits_for_request
+        ) and self._unfinished is None
+
     @property
     def held_bytes(self) -> int:
         """Estimated bytes held for this connection."""
--- a/tests/requests/transport/test_server_budgets.py
+++ b/tests/requests/transport/test_server_budgets.py
@@ -110,6 +110,35 @@
             async with asyncio.timeout(builders.TEST_TIMEOUT_S):
                 self.assertIn(b" 200 ", await reader.readline())
 
+    async def test_requests_that_arrived_are_not_ended_for_memory(self) -> None:
+        """Guards against payouts that run and whose connection is ended.
+
+        Many small requests come, for which there is no room. An idle connection
+        is closed for them, and they wait.
+        """
+        idle_reader, idle_writer = await self.connect()
+        idle_writer.write(_REQUEST)
+        async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+            await idle_reader.readuntil(b"whole")
+        running = [await self.connect() for _ in range(2)]
+        for _, writer in running:
+            writer.write(
+                b"POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n"
+                b"\r\n" + b"x" * 60_000
+            )
+        await self.wait_until_held(2 * 60_000)
+        self.ingress.memory.change(self.ingress.memory.limit)
+        reader, writer = await self.connect()
+        writer.write(_REQUEST)
+        async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+            self.assertEqual(await idle_reader.read(), b"")
+            # Several searches for what can be ended.
+            await asyncio.sleep(0.2)
+            self.ingress.memory.change(-self.ingress.memory.limit)
+            self.release.set()
+            for running_reader, _ in [*running, (reader, writer)]:
+                self.assertIn(b" 200 ", await running_reader.readline())
+
     async def test_bytes_that_wait_for_their_turn_are_bounded(self) -> None:
         """Guards against a connection that is read on while it waits."""
         with mock.patch.object(
