Count calls in flight where a drain asks how long a route takes

Cause: only answered calls counted, with a margin of a half.

Change: calls in flight count with their time so far, and three times the longest recent call must fit. A refused call has not run and says when to come back; a nested one is short in comparison.

Evidence: test_calls_in_flight_count_with_their_time_so_far.

--- a/merlintrestle/requests/load/drain_admission.py
+++ b/merlintrestle/requests/load/drain_admission.py
@@ -17,7 +17,7 @@
 # Fraction of its latency target within which a call is expected to end.
 _TYPICAL_LATENCY_FRACTION = 0.5
 # How much longer than the longest recent one a call may take.
-_DURATION_MARGIN = 1.5
+_DURATION_MARGIN = 3.0
 
 
 def estimate_duration(
--- a/merlintrestle/requests/load/recent_durations.py
+++ b/merlintrestle/requests/load/recent_durations.py
@@ -1,4 +1,4 @@
-"""The longest durations of recent calls, by route."""
+"""The longest durations of recent and present calls, by route."""
 
 from __future__ import annotations
 
@@ -14,7 +14,11 @@
 
 
 class RecentDurations:
-    """The longest duration of the recent calls of each route."""
+    """The longest duration of the recent calls of each route.
+
+    Calls in flight count with the time that they have taken so far. Otherwise a
+    route that has just become slow would be known by its quick calls alone.
+    """
 
     def __init__(self, get_time: Callable[[], float]):
         """Starts without a call.
@@ -26,9 +30,31 @@
         self._period_ends_at = get_time() + _PERIOD_S
         self._current: dict[str, float] = {}
         self._previous: dict[str, float] = {}
+        # Start of each call in flight by its number, the earliest first.
+        self._in_flight: dict[str, dict[int, float]] = {}
+        self._number = 0
+
+    def begin(self, route: str, started_at: float) -> int:
+        """Adds a call in flight; returns its number, for `end`.
+
+        Args:
+            route: Its route.
+            started_at: When it arrived, in seconds.
+        """
+        self._number += 1
+        self._in_flight.setdefault(route, {})[self._number] = started_at
+        return self._number
+
+    def end(self, route: str, number: int, answered: bool) -> None:
+        """Removes a call in flight; records its duration if it was answered."""
+        calls = self._in_flight[route]
+        started_at = calls.pop(number)
+        if not calls:
+            del self._in_flight[route]
+        if answered:
+            self._record(route, self._get_time() - started_at)
 
-    def record(self, route: str, duration_s: float) -> None:
-        """Records the duration of an answered call, in seconds."""
+    def _record(self, route: str, duration_s: float) -> None:
         self._advance()
         if duration_s <= self._current.get(route, 0.0):
             return
@@ -38,11 +64,15 @@
     def get_longest(self, route: str) -> float | None:
         """Returns the longest duration in seconds; None without a call."""
         self._advance()
-        current = self._current.get(route)
-        previous = self._previous.get(route)
-        if current is None or previous is None:
-            return current if previous is None else previous
-        return max(current, previous)
+        durations = [
+            durations[route]
+            for durations in (self._current, self._previous)
+            if route in durations
+        ]
+        for started_at in self._in_flight.get(route, {}).values():
+            durations.append(self._get_time() - started_at)
+            break
+        return max(durations, default=None)
 
     def _advance(self) -> None:
         now = self._get_time()
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -290,6 +290,8 @@
         metadata: parsing.CallMetadata,
         admitted: admission.Admitted | None,
     ) -> web.StreamResponse:
+        number = self.drain_admission.begin_call(call, started_at)
+        answered = False
         try:
             outcome = await responses.catch_body_error(
                 self._dispatcher.run(call)
@@ -306,10 +308,7 @@
                 response = await responses.respond(
                     request, outcome, self._dialect
                 )
-                if isinstance(outcome, outcomes.Answered):
-                    self.drain_admission.record(
-                        call, self._get_time() - started_at
-                    )
+                answered = isinstance(outcome, outcomes.Answered)
             finally:
                 self._outcome_counts.record(call.plan, outcome, duration_s)
                 self._latencies.record(
@@ -320,6 +319,8 @@
                 call.decision_log, error, self._get_time() - started_at
             )
             raise
+        finally:
+            self.drain_admission.end_call(call, number, answered)
         decision_logs.write_outcome(
             call.decision_log, outcome, self._get_time() - started_at
         )
--- a/merlintrestle/requests/serving/drains.py
+++ b/merlintrestle/requests/serving/drains.py
@@ -75,7 +75,7 @@
             request: The request.
             active_snapshot: Snapshot of the active version.
             plan: Class of work of the request.
-            route: Its route, see `record`.
+            route: Name of its route, or else its service and class of work.
             arrived_at: Event loop time at which it arrived, in seconds.
         """
         if not self._state.draining:
@@ -161,9 +161,24 @@
             return _Origin.MAYBE_NESTED
         return _Origin.NEW
 
-    def record(self, call: calls.Call, duration_s: float) -> None:
-        """Records how long an answered call took, in seconds."""
-        self._durations.record(_get_route(call), duration_s)
+    def begin_call(self, call: calls.Call, started_at: float) -> int:
+        """Adds a call in flight; returns its number.
+
+        Args:
+            call: The call.
+            started_at: Event loop time at which it arrived, in seconds.
+        """
+        return self._durations.begin(_get_route(call), started_at)
+
+    def end_call(self, call: calls.Call, number: int, answered: bool) -> None:
+        """Removes a call in flight.
+
+        Args:
+            call: The call.
+            number: Its number.
+            answered: Whether it was answered, so that its duration counts.
+        """
+        self._durations.end(_get_route(call), number, answered)
 
     def _may_start(
         self,
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -152,7 +152,8 @@
         await self.stop_during_a_call()
         proxy = self.fleet.daemons[0]._proxy
         (running,) = proxy.crashes.list_calls_in_flight()
-        proxy.drain_admission._durations.record("payouts", 12.0)
+        loop = asyncio.get_running_loop()
+        proxy.drain_admission._durations.begin("payouts", loop.time() - 12.0)
         status, _, _ = await self.fleet.send(
             path="/payouts/1",
             method="POST",
--- a/tests/requests/load/test_drain_admission.py
+++ b/tests/requests/load/test_drain_admission.py
@@ -44,6 +44,11 @@
         self.clock = fakes.FakeClock()
         self.durations = recent_durations.RecentDurations(self.clock.get_time)
 
+    def call(self, route: str, duration_s: float) -> None:
+        """Plays a call that is answered."""
+        number = self.durations.begin(route, self.clock.now - duration_s)
+        self.durations.end(route, number, True)
+
     def estimate(self) -> float:
         """Returns the expected duration of a lookup."""
         return drain_admission.estimate_duration(
@@ -54,18 +59,27 @@
         """Guards against calls cut as their route has become slow."""
         self.assertEqual(self.estimate(), 0.5)
         for duration_s in (0.05, 3.0, 0.1):
-            self.durations.record("a", duration_s)
-        self.durations.record("b", 9.0)
-        self.assertEqual(self.estimate(), 4.5)
+            self.call("a", duration_s)
+        self.call("b", 9.0)
+        self.assertAlmostEqual(self.estimate(), 9.0)
+
+    def test_calls_in_flight_count_with_their_time_so_far(self) -> None:
+        """Guards against a route that has just become slow."""
+        self.call("a", 0.05)
+        self.durations.begin("a", self.clock.now - 2.0)
+        number = self.durations.begin("a", self.clock.now)
+        self.assertAlmostEqual(self.estimate(), 6.0)
+        self.durations.end("a", number, False)
+        self.assertAlmostEqual(self.estimate(), 6.0)
 
     def test_durations_are_forgotten(self) -> None:
         """Guards against refusals long after a route was slow."""
-        self.durations.record("a", 3.0)
+        self.call("a", 3.0)
         self.clock.now += 5.0
-        self.durations.record("a", 0.1)
-        self.assertEqual(self.durations.get_longest("a"), 3.0)
+        self.call("a", 0.1)
+        self.assertAlmostEqual(self.durations.get_longest("a") or 0.0, 3.0)
         self.clock.now += 5.0
-        self.assertEqual(self.durations.get_longest("a"), 0.1)
+        self.assertAlmostEqual(self.durations.get_longest("a") or 0.0, 0.1)
         self.clock.now += 20.0
         self.assertIsNone(self.durations.get_longest("a"))
 
