Move what does not translate out of the adapter

Change: weights, lists of keys, the watch of a key, settings files and the fetching of a status are parts of the product now; the adapter names the fields. No behaviour changes but one: the ranges of three settings are those of all numbers, up to a billion.

--- a/merlintrestle/connectors.py
+++ b/merlintrestle/connectors.py
@@ -177,3 +177,30 @@
         chunks.append(chunk)
         timeout.reschedule(min(loop.time() + idle_timeout_s, deadline))
     return b"".join(chunks)
+
+
+async def fetch_headers(
+    url: str, max_response_bytes: int, timeout_s: float
+) -> aiohttp.ClientResponse | None:
+    """Fetches a URL over a connection of its own, but not the body.
+
+    Args:
+        url: The URL.
+        max_response_bytes: Maximum size of the response with all its bytes.
+        timeout_s: Longest wait, in seconds.
+
+    Returns:
+        The response, which is closed; None if there was none in time.
+    """
+    try:
+        async with (
+            asyncio.timeout(timeout_s),
+            aiohttp.ClientSession(
+                connector=Connector(max_response_bytes, force_close=True),
+                auto_decompress=False,
+            ) as session,
+            session.get(url) as response,
+        ):
+            return response
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        return None
--- a/merlintrestle/daemon/validation.py
+++ b/merlintrestle/daemon/validation.py
@@ -7,6 +7,7 @@
 
 from merlintrestle import config
 from merlintrestle import decoding
+from merlintrestle import errors
 
 # Unlike a name in a document, the service name in a heartbeat may contain
 # capital letters, "." and "_".
@@ -20,6 +21,33 @@
 _INSTANCE_ID = re.compile(r"[!-~]{1,200}")
 
 
+def build_finding(name: str, value: Any) -> errors.Finding:
+    """Returns the finding about a value that is not allowed."""
+    return errors.Finding(name, f"{decoding.show_value(value)} is not allowed.")
+
+
+def parse_slots(text: str, index: int) -> int | None:
+    """Returns the number of slots in a header, or None.
+
+    Args:
+        text: Fields with commas between them.
+        index: Index of the field with the slots.
+    """
+    field = ",".join(text.split(",")[index : index + 1])
+    slots = decoding.parse_whole_number(field.strip())
+    return slots if is_slot_count(slots) else None
+
+
+def check_instance_id(instance_id: str) -> None:
+    """Checks an id, which records and headers must be able to contain.
+
+    Raises:
+        errors.InvalidInputError: It is malformed.
+    """
+    if not is_instance_id(instance_id):
+        raise errors.InvalidInputError([build_finding("id", instance_id)])
+
+
 def is_service_name(value: Any) -> bool:
     """Returns whether a value is a service name."""
     return isinstance(value, str) and _SERVICE_NAME.fullmatch(value) is not None
--- a/merlintrestle/decoding.py
+++ b/merlintrestle/decoding.py
@@ -10,6 +10,7 @@
 
 import json
 import math
+import re
 from typing import Any
 
 import prometheus_client
@@ -21,6 +22,8 @@
 MAX_DEPTH = 32
 # Digits of an integer; more do not fit into 64 bits.
 _MAX_DIGITS = 20
+_HEXADECIMAL = re.compile(r"[0-9a-fA-F]{1,16}")
+_HEXADECIMAL_BASE = 16
 # Characters of a value in an error message.
 _MAX_SHOWN_CHARACTERS = 100
 
@@ -112,6 +115,13 @@
     return number if number <= maximum else None
 
 
+def parse_hexadecimal(text: Any) -> int | None:
+    """Returns an integer of up to 64 bits in hexadecimal digits, or None."""
+    if isinstance(text, str) and _HEXADECIMAL.fullmatch(text):
+        return int(text, _HEXADECIMAL_BASE)
+    return None
+
+
 def is_number(value: Any, maximum: float) -> bool:
     """Returns whether a decoded value is a number from 0 to a maximum."""
     return type(value) in (int, float) and 0 <= value <= maximum
--- a/merlintrestle/platform/configuration.py
+++ b/merlintrestle/platform/configuration.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-import re
 from typing import Any, TYPE_CHECKING
 
 from merlintrestle import decoding
 from merlintrestle import errors
-from merlintrestle import events as event_logs
 from merlintrestle import rows
 from merlintrestle.documents import compiler
 from merlintrestle.documents import fields
 from merlintrestle.documents import snapshot as snapshots
+from merlintrestle.documents import weights
 from merlintrestle.documents import workspaces
 from merlintrestle.platform import rollouts
 from merlintrestle.platform import store as stores
-from merlintrestle.platform import weights
 from merlintrestle.schema import document_pb2
 from merlintrestle.versions import confirmed_keys
 from merlintrestle.versions import record_source
@@ -23,8 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-events = event_logs.EventLog("platform")
-
 # Whether calls of a route may run more than once, by the kind of the route.
 _REPEATABILITY = {"idempotent": True, "download": True, "non_idempotent": False}
 # Importance of priority 0; it decreases by 1 with each further priority number.
@@ -34,9 +30,6 @@
 # Prefix of the operators' keys. `read_after` the configuration key returns the
 # roll-out keys, which sort after it.
 _OPERATOR_PREFIX = "op/"
-_HEXADECIMAL_BASE = 16
-# A version has eight digits; twice as many fit into 64 bits.
-_VERSION = re.compile(r"[0-9a-fA-F]{1,16}")
 
 
 class PlatformSource(record_source.RecordSource):
@@ -68,13 +61,11 @@
         errors.SnapshotError: The version is not a number above 0.
     """
     text = configuration.get("version")
-    if isinstance(text, str) and _VERSION.fullmatch(text):
-        version = int(text, _HEXADECIMAL_BASE)
-        if version:
-            return version
-    raise errors.SnapshotError(
-        f"configuration: version is {decoding.show_value(text)}"
-    )
+    version = decoding.parse_hexadecimal(text)
+    if not version:
+        shown = decoding.show_value(text)
+        raise errors.SnapshotError(f"configuration: version is {shown}")
+    return version
 
 
 def build_resources(configuration: Mapping[str, Any]) -> dict[str, bytes]:
@@ -88,13 +79,12 @@
         _add_service(resources, rows.Row("services", row))
     for row in rows.read_table(configuration, "routes"):
         _add_route(resources, rows.Row("routes", row))
-    if configuration.get("tenants") is not None:
-        tenants = rows.read_table(configuration, "tenants")
-        for number, row in enumerate(tenants, 1):
-            _add_workspace(resources, f"tenants row {number}", row)
-        if not tenants:
-            # Otherwise requests with any key would be served.
-            resources[snapshots.API_KEYS_RESOURCE] = b""
+    tenants = _read_tenants(configuration)
+    for tenant in tenants or ():
+        _add_workspace(resources, tenant)
+    if tenants == []:
+        # Otherwise requests with any key would be served.
+        resources[snapshots.API_KEYS_RESOURCE] = b""
     limits = configuration.get("limits")
     if limits is not None:
         _add_limits(resources, rows.Row("limits", limits))
@@ -108,38 +98,21 @@
         version: Number of the version.
         value: The encoded configuration.
     """
-    try:
-        configuration = _parse_configuration(value)
-        if configuration.get("tenants") is None:
-            return confirmed_keys.KeyList(version, {}, required=False)
-        tenants = rows.read_table(configuration, "tenants")
-    except errors.SnapshotError as error:
-        events.warn("keys unreadable", version=version, error=str(error))
-        return confirmed_keys.KeyList(version, {}, complete=False)
-    holders: dict[bytes, str] = {}
-    complete = True
-    for number, row in enumerate(tenants, 1):
-        try:
-            name, keys = _read_holder(f"tenants row {number}", row)
-        except errors.SnapshotError as error:
-            events.warn("keys unreadable", version=version, error=str(error))
-            complete = False
-            continue
-        for key in keys:
-            if holders.setdefault(key, name) != name:
-                # Which of the two workspaces has it is not known.
-                holders[key] = ""
-                complete = False
-    return confirmed_keys.KeyList(
-        version, {key: name for key, name in holders.items() if name}, complete
+    return confirmed_keys.collect_keys(
+        version,
+        lambda: _read_tenants(_parse_configuration(value)),
+        lambda tenant: (tenant.get_text("name"), tenant.get_texts("apiKeys")),
     )
 
 
-def _read_holder(place: str, row: Any) -> tuple[str, list[bytes]]:
-    """Returns the name of a workspace and the digests of its keys."""
-    tenant = rows.Row(place, row, secret=True)
-    return tenant.get_text("name"), [
-        snapshots.hash_key(key) for key in tenant.get_texts("apiKeys")
+def _read_tenants(configuration: Mapping[str, Any]) -> list[rows.Row] | None:
+    """Returns the tenants; None if the configuration has no such table."""
+    if configuration.get("tenants") is None:
+        return None
+    tenants = rows.read_table(configuration, "tenants")
+    return [
+        rows.Row(f"tenants row {number}", row, secret=True)
+        for number, row in enumerate(tenants, 1)
     ]
 
 
@@ -188,9 +161,7 @@
 def _build_target(row: rows.Row) -> document_pb2.ClassTarget:
     kind = row.get_text("kind")
     if kind not in _REPEATABILITY:
-        raise errors.SnapshotError(
-            f"routes: kind is {decoding.show_value(kind)}"
-        )
+        raise row.build_error("kind")
     priority = row.get_optional_integer("priority", _DEFAULT_PRIORITY)
     latency_ms = row.get_integer("targetLatencyMs")
     deadline_ms = row.get_integer("timeoutMs")
@@ -206,8 +177,7 @@
     )
 
 
-def _add_workspace(resources: dict[str, bytes], place: str, row: Any) -> None:
-    tenant = rows.Row(place, row, secret=True)
+def _add_workspace(resources: dict[str, bytes], tenant: rows.Row) -> None:
     importance = 0
     if tenant.has("priority"):
         importance = _compute_importance(tenant.get_integer("priority"))
@@ -222,7 +192,7 @@
         burst if rate else 0.0,
     )
     workspaces.add_workspace(
-        resources, place, workspace, tenant.get_texts("apiKeys")
+        resources, tenant.table, workspace, tenant.get_texts("apiKeys")
     )
 
 
--- a/merlintrestle/platform/endpoints.py
+++ b/merlintrestle/platform/endpoints.py
@@ -128,7 +128,7 @@
     async def _handle_leave(self, request: web.BaseRequest) -> web.Response:
         instance_id = http_ports.get_last_segment(request)
         try:
-            _check_instance_id(instance_id)
+            validation.check_instance_id(instance_id)
             started_ms = parse_leave(await request.read())
         except (errors.InvalidInputError, ValueError) as error:
             decoding.count_refused("leave")
@@ -160,9 +160,7 @@
         )
     stated = {**fields, "id": instance_id}
     findings = [
-        errors.Finding(
-            name, f"{decoding.show_value(stated.get(name))} is not allowed."
-        )
+        validation.build_finding(name, stated.get(name))
         for name, is_valid in (
             ("id", validation.is_instance_id),
             ("service", validation.is_service_name),
@@ -192,15 +190,6 @@
     )
 
 
-def _check_instance_id(instance_id: str) -> None:
-    """Refuses an id that fits into no record of a leave."""
-    if not validation.is_instance_id(instance_id):
-        shown = decoding.show_value(instance_id)
-        raise errors.InvalidInputError(
-            [errors.Finding("id", f"{shown} is not allowed.")]
-        )
-
-
 def parse_leave(body: bytes) -> int:
     """Returns the process start in a leave request, in ms since 1970, or 0.
 
@@ -212,12 +201,7 @@
     started_ms = fields.get("born") if isinstance(fields, dict) else fields
     if not validation.is_start_time(started_ms):
         raise errors.InvalidInputError(
-            [
-                errors.Finding(
-                    "born",
-                    f"{decoding.show_value(started_ms)} is not allowed.",
-                )
-            ]
+            [validation.build_finding("born", started_ms)]
         )
     return started_ms or 0
 
--- a/merlintrestle/platform/health.py
+++ b/merlintrestle/platform/health.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
-import aiohttp
-
 from merlintrestle import connectors
 from merlintrestle import decoding
 from merlintrestle import events as event_logs
@@ -15,6 +12,8 @@
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
+    import aiohttp
+
     from merlintrestle.platform import settings as settings_lib
 
 events = event_logs.EventLog("platform")
@@ -29,7 +28,6 @@
 # next heartbeat, which contains the same status and arrives in 1 to 2 seconds.
 _TIMEOUT_S = 0.5
 _MAX_RESPONSE_BYTES = 64 * 1024
-_MAX_LOAD_CHARACTERS = 200
 _STATES = {200: control_pb2.READY, 503: control_pb2.DRAINING}
 
 
@@ -40,20 +38,10 @@
 
     Without it, a restarted daemon would refuse calls until the next heartbeat.
     """
-    try:
-        async with (
-            asyncio.timeout(_TIMEOUT_S),
-            aiohttp.ClientSession(
-                connector=connectors.Connector(
-                    _MAX_RESPONSE_BYTES, force_close=True
-                ),
-                auto_decompress=False,
-            ) as session,
-            session.get(f"http://{settings.backend}{_PATH}") as response,
-        ):
-            return parse_status(settings, response)
-    except (aiohttp.ClientError, OSError, TimeoutError):
-        return None
+    response = await connectors.fetch_headers(
+        f"http://{settings.backend}{_PATH}", _MAX_RESPONSE_BYTES, _TIMEOUT_S
+    )
+    return None if response is None else parse_status(settings, response)
 
 
 def parse_status(
@@ -65,7 +53,7 @@
         return None
     instance_id = response.headers.get(_INSTANCE_HEADER, "")
     load = response.headers.get(_LOAD_HEADER, "")
-    slots = _parse_slots(load)
+    slots = validation.parse_slots(load, _SLOTS_INDEX)
     if not slots or not validation.is_instance_id(instance_id):
         decoding.count_refused("status")
         events.warn(
@@ -83,12 +71,3 @@
         remaining_warmup_s=0.0,
         sequence=heartbeats.INITIAL_SEQUENCE,
     )
-
-
-def _parse_slots(load: str) -> int | None:
-    """Returns the slots that a load header states, or None."""
-    fields = load.split(",")
-    if len(load) > _MAX_LOAD_CHARACTERS or len(fields) <= _SLOTS_INDEX:
-        return None
-    slots = decoding.parse_whole_number(fields[_SLOTS_INDEX].strip())
-    return slots if validation.is_slot_count(slots) else None
--- a/merlintrestle/platform/rollouts.py
+++ b/merlintrestle/platform/rollouts.py
@@ -5,7 +5,6 @@
 import json
 from typing import TYPE_CHECKING
 
-from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle import rows
 from merlintrestle.rollouts import storage
@@ -22,7 +21,6 @@
 }
 _MS_PER_S = 1000
 _ERROR = errors.CorruptRecordError
-_MAX_RECORD_BYTES = 64 * 1024
 _MAX_DURATION_S = 604_800  # One week.
 
 
@@ -33,15 +31,11 @@
 
     def decode_order(self, entry: client.Entry) -> control_pb2.Rollout:
         """Returns the order in an entry, numbered by the entry's revision."""
-        fields = rows.parse_object(
-            entry.value, entry.key, _ERROR, _MAX_RECORD_BYTES
-        )
+        fields = rows.parse_record(entry.value, entry.key)
         row = rows.Row(entry.key, fields, _ERROR)
         service = row.get_text("service")
         if entry.key != self.order_prefix + service:
-            raise _ERROR(
-                f"{entry.key}: it is of service {decoding.show_value(service)}"
-            )
+            raise row.build_error("service")
         duration_s = row.get_seconds("durationS", _MAX_DURATION_S)
         return control_pb2.Rollout(
             service=service,
@@ -67,14 +61,12 @@
 
     def decode_state(self, value: bytes) -> storage.RecordedState:
         """Returns the state in a value of the store."""
-        fields = rows.parse_object(value, "roll-out", _ERROR, _MAX_RECORD_BYTES)
+        fields = rows.parse_record(value, "roll-out")
         row = rows.Row("roll-out", fields, _ERROR)
         states_by_name = {name: state for state, name in _STATES.items()}
         state = states_by_name.get(row.get_text("state"))
         if state is None:
-            raise _ERROR(
-                f"roll-out: its state is {decoding.show_value(fields['state'])}"
-            )
+            raise row.build_error("state")
         return storage.RecordedState(row.get_text("targetVersion"), state)
 
 
--- a/merlintrestle/platform/settings.py
+++ b/merlintrestle/platform/settings.py
@@ -11,11 +11,6 @@
 
 PATH_VARIABLE = "MERLINTRESTLE_CONFIG"
 _MS_PER_S = 1000
-_MAX_FILE_BYTES = 1_000_000
-# Limits of the daemon's settings, see `settings.proto`.
-_MAX_LINK_MBPS = 10_000_000
-_MAX_MEMORY_MB = 1_000_000
-_MAX_DESCRIPTORS = 10_000_000
 _DEFAULT_REVOCATION_LIMIT_MS = 5000.0
 
 
@@ -103,18 +98,7 @@
     Raises:
         errors.InvalidInputError: With all findings.
     """
-    try:
-        with path.open("rb") as file:
-            data = file.read(_MAX_FILE_BYTES + 1)
-        text = data.decode()
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.InvalidInputError(
-            [errors.Finding(str(path), f"cannot be read: {error}.")]
-        ) from error
-    if len(data) > _MAX_FILE_BYTES:
-        problem = f"is larger than {_MAX_FILE_BYTES} bytes."
-        raise errors.InvalidInputError([errors.Finding(str(path), problem)])
-    return parse_settings(text)
+    return parse_settings(settings_reader.read_file(path))
 
 
 def parse_settings(text: str) -> Settings:
@@ -123,7 +107,9 @@
     Raises:
         errors.InvalidInputError: With all findings.
     """
-    reader = settings_reader.SettingsReader(_split_lines(text))
+    reader = settings_reader.SettingsReader(
+        settings_reader.split_lines(text, "bounds")
+    )
     ports = reader.get_required(
         "internalPorts", settings_reader.parse_ports, (0, 0)
     )
@@ -155,11 +141,9 @@
         ),
         quota_overshoot=_read_number(reader, "bounds.quotaOvershoot"),
         quota_slack=_read_number(reader, "bounds.quotaSlack"),
-        link_mbps=_read_number(reader, "limits.linkMbps", _MAX_LINK_MBPS),
-        memory_mb=_read_number(reader, "limits.memoryMb", _MAX_MEMORY_MB),
-        descriptors=int(
-            _read_number(reader, "limits.maxFds", _MAX_DESCRIPTORS)
-        ),
+        link_mbps=_read_number(reader, "limits.linkMbps"),
+        memory_mb=_read_number(reader, "limits.memoryMb"),
+        descriptors=int(_read_number(reader, "limits.maxFds")),
     )
     if reader.findings:
         raise errors.InvalidInputError(reader.findings)
@@ -170,20 +154,6 @@
 _UNSET = settings_reader.Address("", 0)
 
 
-def _split_lines(text: str) -> dict[str, str]:
-    """Returns the values by name; those within `bounds` as `bounds.NAME`."""
-    values: dict[str, str] = {}
-    for line in text.splitlines():
-        name, _, value = line.partition("=")
-        if name.strip() != "bounds":
-            values[name.strip()] = value.strip()
-            continue
-        for bound in value.split(","):
-            bound_name, _, bound_value = bound.partition("=")
-            values[f"bounds.{bound_name.strip()}"] = bound_value.strip()
-    return values
-
-
 def _read_address(
     reader: settings_reader.SettingsReader, name: str
 ) -> settings_reader.Address:
@@ -194,13 +164,9 @@
     return reader.get_required(name, settings_reader.parse_number, 0.0)
 
 
-def _read_number(
-    reader: settings_reader.SettingsReader, name: str, maximum: float = 1e9
-) -> float:
-    """Returns a number up to a maximum; 0 if it is not stated."""
-    return reader.get_optional(
-        name, lambda text: settings_reader.parse_number(text, maximum), 0.0
-    )
+def _read_number(reader: settings_reader.SettingsReader, name: str) -> float:
+    """Returns a number; 0 if it is not stated."""
+    return reader.get_optional(name, settings_reader.parse_number, 0.0)
 
 
 def _read_text(reader: settings_reader.SettingsReader, name: str) -> str:
--- a/merlintrestle/platform/store.py
+++ b/merlintrestle/platform/store.py
@@ -17,6 +17,7 @@
 from merlintrestle import rows
 from merlintrestle.store import client
 from merlintrestle.store import eras
+from merlintrestle.store import watches
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -45,8 +46,6 @@
 _ERA_HEADER = "Store-Era"
 # Fields of answers, and of the items in them, that begin anew with each era.
 _NUMBERED_FIELDS = ("at", "revision", "lease")
-# A key has at most 200 bytes.
-_MAX_KEY_CHARACTERS = 200
 _LIST_FIELDS = ("items", "events")
 _OK = 200
 _FORBIDDEN = 403
@@ -152,35 +151,11 @@
         entries = parse_entries(rows.get_field(fields, "items", list))
         return entries, rows.get_field(fields, "at", int)
 
-    async def watch(
+    def watch(
         self, key: str, after_revision: int
     ) -> AsyncIterator[client.Entry]:
-        """Yields the key's entries newer than a revision until the store fails.
-
-        Entries that were replaced while an earlier one was transferred are
-        left out. Otherwise, a link that transfers one entry in the time of
-        three changes would fall further behind with each response. A revision
-        above 0 must come from a recent read.
-
-        Raises:
-            errors.StoreUnavailableError: The store closed or broke the watch.
-        """
-        revision = last_yielded = after_revision
-        must_read = not after_revision
-        while True:
-            if must_read:
-                entry, revision = await self.read_newest(key)
-                # Reads again after a change of this key, but not of another.
-                must_read = entry is not None and entry.revision > last_yielded
-                if entry is not None and must_read:
-                    last_yielded = entry.revision
-                    yield entry
-                continue
-            entries, revision = await self.read_events(key, revision)
-            must_read = len(entries) > 1
-            if entries:
-                last_yielded = entries[-1].revision
-                yield entries[-1]
+        """Yields the key's entries newer than a revision, see `watches`."""
+        return watches.watch_key(self, key, after_revision)
 
     def is_receiving(self) -> bool:
         """Returns whether the response of a watch has begun to arrive."""
@@ -335,29 +310,10 @@
                 f"store: refused with {response.status}"
             )
         fields = rows.parse_response(text, response.status)
-        _qualify_fields(fields, era)
+        eras.qualify_fields(fields, era, _NUMBERED_FIELDS, _LIST_FIELDS)
         return response.status, fields
 
 
-def _qualify_fields(fields: dict[str, Any], era: int) -> None:
-    """Qualifies the revisions and leases in an answer by the era."""
-    for name in _NUMBERED_FIELDS:
-        if type(fields.get(name)) is int:
-            fields[name] = _qualify_number(fields[name], era)
-    for name in _LIST_FIELDS:
-        items = fields.get(name)
-        for item in items if isinstance(items, list) else ():
-            if isinstance(item, dict):
-                _qualify_fields(item, era)
-
-
-def _qualify_number(number: int, era: int) -> int:
-    """Returns a qualified number; -1, which is refused, if it is too large."""
-    if not 0 <= number <= eras.MAX_NUMBER:
-        return -1
-    return eras.qualify(number, era)
-
-
 def _add_prefix(key: str) -> str:
     return key if key.startswith(_SHARED_PREFIXES) else PRODUCT_PREFIX + key
 
@@ -392,27 +348,14 @@
 def _get_key_and_revision(item: Any) -> tuple[str, int]:
     """Returns the key and revision of an entry; no key if one is malformed."""
     try:
-        return _parse_key(item), rows.get_field(item, "revision", int)
+        key = _remove_prefix(rows.get_key(item))
+        return key, rows.get_field(item, "revision", int)
     except errors.CorruptRecordError:
         return "", 0
 
 
-def _parse_key(item: Any) -> str:
-    """Returns the key of an entry, which later calls may contain."""
-    if not isinstance(item, dict):
-        raise errors.CorruptRecordError(
-            f"store: an item is of type {type(item).__name__}"
-        )
-    key = rows.get_field(item, "key", str)
-    if len(key) > _MAX_KEY_CHARACTERS or not key.isprintable():
-        raise errors.CorruptRecordError(
-            f"store: a key is {decoding.show_value(key)}"
-        )
-    return _remove_prefix(key)
-
-
 def _parse_entry(item: Any) -> client.Entry:
-    key = _parse_key(item)
+    key = _remove_prefix(rows.get_key(item))
     try:
         value = base64.b64decode(
             rows.get_field(item, "value", str), validate=True
--- a/merlintrestle/rows.py
+++ b/merlintrestle/rows.py
@@ -17,6 +17,9 @@
 MAX_INTEGER = 2**32 - 1
 # Largest JSON object in the store; several times a usual value limit of 1 MiB.
 _MAX_VALUE_BYTES = 4 * 2**20
+_MAX_RECORD_BYTES = 64 * 1024
+# A key of the store has at most 200 bytes.
+_MAX_KEY_CHARACTERS = 200
 # Largest response of the store: many items, or one value of that size,
 # in base64 and with the names of the fields.
 MAX_RESPONSE_BYTES = 8 * 2**20
@@ -28,6 +31,9 @@
     """A JSON object, such as a row of a table, with type checks on access.
 
     Its methods raise the given error if a value is malformed.
+
+    Attributes:
+        table: Name of the table or object, for error messages.
     """
 
     def __init__(
@@ -50,7 +56,7 @@
             value = "it" if secret else decoding.show_value(fields)
             raise error(f"{table}: {value} is not an object")
         self._secret = secret
-        self._table = table
+        self.table = table
         self._fields = fields
         self._error = error
 
@@ -58,7 +64,7 @@
         """Returns a non-empty string."""
         value = self._fields.get(name)
         if not isinstance(value, str) or not _is_encodable(value):
-            raise self._build_error(name)
+            raise self.build_error(name)
         return value
 
     def get_integer(self, name: str, maximum: int = MAX_INTEGER) -> int:
@@ -72,7 +78,7 @@
         if type(value) is float and value.is_integer():
             value = int(value)
         if type(value) is not int or not 0 <= value <= maximum:
-            raise self._build_error(name)
+            raise self.build_error(name)
         return value
 
     def get_optional_integer(
@@ -89,7 +95,7 @@
         """Returns a truth value; False if it is absent."""
         value = self._fields.get(name)
         if value is not None and not isinstance(value, bool):
-            raise self._build_error(name)
+            raise self.build_error(name)
         return bool(value)
 
     def get_number(self, name: str, required: bool = False) -> float:
@@ -98,7 +104,7 @@
         if value is None and not required:
             return 0.0
         if type(value) not in (int, float) or not 0 <= value <= _MAX_NUMBER:
-            raise self._build_error(name)
+            raise self.build_error(name)
         return float(value)
 
     def get_texts(self, name: str) -> list[str]:
@@ -107,31 +113,32 @@
         if not all(
             isinstance(text, str) and _is_encodable(text) for text in texts
         ):
-            raise self._build_error(name)
+            raise self.build_error(name)
         return texts
 
     def get_seconds(self, name: str, max_s: float) -> float:
         """Returns a time in seconds, above 0 and at most `max_s`."""
         value = self._fields.get(name)
         if isinstance(value, bool) or not isinstance(value, (int, float)):
-            raise self._build_error(name)
+            raise self.build_error(name)
         if not 0 < value <= max_s:
-            raise self._build_error(name)
+            raise self.build_error(name)
         return value
 
     def get_list(self, name: str) -> list[Any] | None:
         """Returns a list, or None if it is absent."""
         value = self._fields.get(name)
         if value is not None and not isinstance(value, list):
-            raise self._build_error(name)
+            raise self.build_error(name)
         return value
 
-    def _build_error(self, name: str) -> errors.MerlintrestleError:
+    def build_error(self, name: str) -> errors.MerlintrestleError:
+        """Returns the error for a malformed value, whose name it states."""
         if self._secret:
-            return self._error(f"{self._table}: {name} is malformed")
+            return self._error(f"{self.table}: {name} is malformed")
         row_name = self._fields.get("name", "")
         return self._error(
-            f"{self._table} {decoding.show_value(row_name)}: {name} is"
+            f"{self.table} {decoding.show_value(row_name)}: {name} is"
             f" {decoding.show_value(self._fields.get(name))}"
         )
 
@@ -173,6 +180,21 @@
     return fields
 
 
+def parse_record(value: bytes, name: str) -> dict[str, Any]:
+    """Decodes the JSON object of a small record, such as an order.
+
+    Args:
+        value: The encoded object.
+        name: Name of the record, for error messages.
+
+    Raises:
+        errors.CorruptRecordError: It is not such an object.
+    """
+    return parse_object(
+        value, name, errors.CorruptRecordError, _MAX_RECORD_BYTES
+    )
+
+
 def read_table(tables: Mapping[str, Any], name: str) -> list[dict[str, Any]]:
     """Returns the rows of a table as objects, without values that are null.
 
@@ -239,3 +261,19 @@
             f"store: {name!r} is of type {type(value).__name__}"
         )
     return value
+
+
+def get_key(fields: Any) -> str:
+    """Returns the key of an item of the store, which later calls may contain.
+
+    Raises:
+        errors.CorruptRecordError: The item is no object or has no such key.
+    """
+    if not isinstance(fields, dict):
+        kind = type(fields).__name__
+        raise errors.CorruptRecordError(f"store: an item is of type {kind}")
+    key = get_field(fields, "key", str)
+    if len(key) > _MAX_KEY_CHARACTERS or not key.isprintable():
+        shown = decoding.show_value(key)
+        raise errors.CorruptRecordError(f"store: a key is {shown}")
+    return key
--- a/merlintrestle/settings_reader.py
+++ b/merlintrestle/settings_reader.py
@@ -10,11 +10,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
+    import pathlib
 
 _T = TypeVar("_T")
 
 _MAX_PORT = 65535
-# Largest number of a setting that states no range of its own.
+_MAX_FILE_BYTES = 1_000_000
+# It fits into all fields that take a setting.
 _MAX_NUMBER = 1e9
 _MAX_NUMBER_CHARACTERS = 40
 _MIN_DURATION = 0.001
@@ -77,8 +79,45 @@
     return text
 
 
-def parse_number(text: str, maximum: float = _MAX_NUMBER) -> float:
-    """Returns a non-negative number up to a maximum.
+def read_file(path: pathlib.Path) -> str:
+    """Returns the text of a settings file.
+
+    Raises:
+        errors.InvalidInputError: It cannot be read, is no text or too large.
+    """
+    try:
+        with path.open("rb") as file:
+            data = file.read(_MAX_FILE_BYTES + 1)
+        if len(data) <= _MAX_FILE_BYTES:
+            return data.decode()
+        problem = f"is larger than {_MAX_FILE_BYTES} bytes."
+    except (OSError, UnicodeDecodeError) as error:
+        problem = f"cannot be read: {error}."
+    raise errors.InvalidInputError([errors.Finding(str(path), problem)])
+
+
+def split_lines(text: str, group: str) -> dict[str, str]:
+    """Returns the values of lines of "name=value", by name.
+
+    Args:
+        text: The lines.
+        group: Name whose value is a list of "name=value" with commas between
+            them. Each is returned under this name, a dot and its own name.
+    """
+    values: dict[str, str] = {}
+    for line in text.splitlines():
+        name, _, value = line.partition("=")
+        if name.strip() != group:
+            values[name.strip()] = value.strip()
+            continue
+        for part in value.split(","):
+            part_name, _, part_value = part.partition("=")
+            values[f"{group}.{part_name.strip()}"] = part_value.strip()
+    return values
+
+
+def parse_number(text: str) -> float:
+    """Returns a non-negative number up to a billion.
 
     Raises:
         ValueError: If the text is not such a number.
@@ -90,8 +129,8 @@
         number = float(text)
     except ValueError as error:
         raise ValueError(f"{shown} is not a number.") from error
-    if not 0 <= number <= maximum:
-        raise ValueError(f"{shown} is not within 0 to {maximum:g}.")
+    if not 0 <= number <= _MAX_NUMBER:
+        raise ValueError(f"{shown} is not within 0 to {_MAX_NUMBER:g}.")
     return number
 
 
--- a/merlintrestle/store/eras.py
+++ b/merlintrestle/store/eras.py
@@ -12,13 +12,13 @@
 import math
 import re
 import time
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
 from merlintrestle import decoding
 from merlintrestle import events as event_logs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
 events = event_logs.EventLog("store")
 
@@ -46,6 +46,34 @@
     return number and number | (era << _NUMBER_BITS)
 
 
+def qualify_fields(
+    fields: dict[str, Any],
+    era: int,
+    numbers: Sequence[str],
+    lists: Sequence[str],
+) -> None:
+    """Qualifies the revisions and leases in an answer by its era.
+
+    A number that the store can't have given out becomes -1, which is none.
+
+    Args:
+        fields: The decoded answer, or an object in it.
+        era: The era.
+        numbers: Names of the fields with revisions or leases.
+        lists: Names of the fields with lists of objects that have them, too.
+    """
+    for name in numbers:
+        number = fields.get(name)
+        if type(number) is int:
+            is_sound = 0 <= number <= MAX_NUMBER
+            fields[name] = qualify(number, era) if is_sound else -1
+    for name in lists:
+        items = fields.get(name)
+        for item in items if isinstance(items, list) else ():
+            if isinstance(item, dict):
+                qualify_fields(item, era, numbers, lists)
+
+
 def get_number(qualified: int) -> int:
     """Returns the number that the store gave out."""
     return qualified & MAX_NUMBER
--- a/merlintrestle/versions/confirmed_keys.py
+++ b/merlintrestle/versions/confirmed_keys.py
@@ -7,19 +7,20 @@
 from __future__ import annotations
 
 import enum
-from typing import NamedTuple, Protocol, TYPE_CHECKING
+from typing import NamedTuple, Protocol, TYPE_CHECKING, TypeVar
 
 from merlintrestle import errors
 from merlintrestle import events as event_logs
+from merlintrestle.documents import snapshot as snapshots
 from merlintrestle.schema import control_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from merlintrestle.documents import snapshot as snapshot_lib
-
 events = event_logs.EventLog("versions")
 
+T = TypeVar("T")
+
 # SHA-256.
 _DIGEST_BYTES = 32
 # Several times the keys of the largest version.
@@ -117,8 +118,8 @@
         return max(self._newest.version, self._active_version.version)
 
     def find_workspace(
-        self, active_snapshot: snapshot_lib.Snapshot, key_digest: bytes
-    ) -> snapshot_lib.Workspace | NoWorkspace:
+        self, active_snapshot: snapshots.Snapshot, key_digest: bytes
+    ) -> snapshots.Workspace | NoWorkspace:
         """Returns the workspace of an API key in the active version.
 
         Args:
@@ -140,6 +141,47 @@
         return NoWorkspace.UNDECIDED
 
 
+def collect_keys(
+    version: int,
+    read_workspaces: Callable[[], list[T] | None],
+    read_holder: Callable[[T], tuple[str, list[str]]],
+) -> KeyList:
+    """Returns the keys of a version that may be malformed elsewhere.
+
+    A key that several workspaces hold is of none: which of them has it is not
+    known.
+
+    Args:
+        version: Number of the version.
+        read_workspaces: Returns what may be workspaces; None if the version
+            requires no keys. It raises `errors.SnapshotError` if it cannot.
+        read_holder: Returns the name and the keys of one of these. It raises
+            `errors.SnapshotError` if they are malformed.
+    """
+    try:
+        workspaces = read_workspaces()
+    except errors.SnapshotError as error:
+        events.warn("keys unreadable", version=version, error=str(error))
+        return KeyList(version, {}, complete=False)
+    if workspaces is None:
+        return KeyList(version, {}, required=False)
+    holders: dict[bytes, str] = {}
+    complete = True
+    for workspace in workspaces:
+        try:
+            name, keys = read_holder(workspace)
+        except errors.SnapshotError as error:
+            events.warn("keys unreadable", version=version, error=str(error))
+            complete = False
+            continue
+        for digest in map(snapshots.hash_key, keys):
+            if holders.setdefault(digest, name) != name:
+                holders[digest] = ""
+                complete = False
+    held = {digest: name for digest, name in holders.items() if name}
+    return KeyList(version, held, complete)
+
+
 def encode_keys(keys: KeyList) -> control_pb2.KeyList:
     """Converts a list to a message."""
     encoded = control_pb2.KeyList(
