Bound the receive buffer of the daemon's own connections

Seen: test_a_call_to_the_store_ends once, beside other load: 19.9 MB of an endless body were taken where 16 are allowed, 8 of which the response may have.

Cause: the receive buffer of the connection grows to megabytes in the operating system, as that of outbound connections of the data path did.

Change: it has 128 KB, like those.

--- a/merlintrestle/connectors.py
+++ b/merlintrestle/connectors.py
@@ -13,6 +13,9 @@
 # Maximum time to read a body, so that a body that arrives byte by byte cannot
 # block a caller. It is enough for 4 MB at 0.4 MB/s.
 _BODY_TIMEOUT_S = 10.0
+# Receive buffer of a connection in the operating system, which counts towards
+# the memory of the process and could grow to megabytes otherwise.
+_RECEIVE_BUFFER_BYTES = 128 * 1024
 
 
 class TcpKeepalive(NamedTuple):
@@ -120,6 +123,10 @@
             if isinstance(error, TimeoutError) and error.errno is None:
                 raise
             raise client_error(req.connection_key, error) from error
+        sock = connection[0].get_extra_info("socket")
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+        )
         if self._keepalive is not None:
             set_keepalive(connection[0], self._keepalive)
         return connection
