Record durations by class, and count the last refused values

Found in reading the diff: a call whose importance a workspace replaced was recorded under another name than it was looked up by, where it has no host route; malformed loads and lists of keys of peers had no metric.

Tests of drains, stops, loads and keys pass.

--- a/merlintrestle/requests/load/loads.py
+++ b/merlintrestle/requests/load/loads.py
@@ -72,6 +72,7 @@
     for field in fields:
         value = decoding.parse_whole_number(field, _MAX_VALUE)
         if value is None:
+            decoding.count_refused("load")
             return None
         values.append(value)
     all_values = values + _DEFAULT_FIELDS[count:]
--- a/merlintrestle/requests/serving/callers.py
+++ b/merlintrestle/requests/serving/callers.py
@@ -183,7 +183,7 @@
             request,
             active_snapshot,
             match.plan,
-            match.route or f"{match.service}/{match.plan.name}",
+            drains.name_route(match.route, match.service, match.plan),
             started_at,
         )
         return refusal or match
--- a/merlintrestle/requests/serving/drains.py
+++ b/merlintrestle/requests/serving/drains.py
@@ -9,6 +9,7 @@
 from merlintrestle import events as event_logs
 from merlintrestle.requests.calls import dialect as dialects
 from merlintrestle.requests.calls import nesting
+from merlintrestle.requests.calls import plans
 from merlintrestle.requests.load import drain_admission
 from merlintrestle.requests.load import recent_durations
 from merlintrestle.requests.serving import serving_state as serving_states
@@ -75,7 +76,7 @@
             request: The request.
             active_snapshot: Snapshot of the active version.
             plan: Class of work of the request.
-            route: Name of its route, or else its service and class of work.
+            route: Result of `name_route` for it.
             arrived_at: Event loop time at which it arrived, in seconds.
         """
         if not self._state.draining:
@@ -212,5 +213,15 @@
 
 
 def _get_route(call: calls.Call) -> str:
-    """Returns the route of a call; its class of work if it has none."""
-    return call.route or f"{call.service}/{call.plan.name}"
+    return name_route(call.route, call.service, call.plan)
+
+
+def name_route(route: str, service: str, plan: snapshot.ClassPlan) -> str:
+    """Returns the name under which the durations of calls are recorded.
+
+    Args:
+        route: Name of their host route; empty if they have none.
+        service: Their service.
+        plan: Their class of work.
+    """
+    return route or f"{service}/{plans.get_class_name(plan)}"
--- a/merlintrestle/versions/confirmed_keys.py
+++ b/merlintrestle/versions/confirmed_keys.py
@@ -9,6 +9,7 @@
 import enum
 from typing import NamedTuple, Protocol, TYPE_CHECKING, TypeVar
 
+from merlintrestle import decoding
 from merlintrestle import errors
 from merlintrestle import events as event_logs
 from merlintrestle.documents import snapshot as snapshots
@@ -102,6 +103,7 @@
         try:
             self.learn(decode_keys(message))
         except errors.SnapshotError as error:
+            decoding.count_refused("keys of a peer")
             events.warn("keys malformed", member=member_id, error=str(error))
 
     def get(self) -> KeyList | None:
