Give a connection a new parser after an upgrade that is declined

Cause: the library's parser stops for an upgrade that it does not know, and with a bound of one message, as the port for callers sets it, drops the next one.

Change: after such a request, alone in its packet, the connection gets a new parser; the old one holds no bytes.

--- a/merlintrestle/requests/transport/pipelining.py
+++ b/merlintrestle/requests/transport/pipelining.py
@@ -206,11 +206,18 @@
         self._request_factory = self._take_request
         self._max_msg_queue_size = MAX_DEPTH
         self._msg_queue_resume_size = MAX_DEPTH - 1
-        # aiohttp's parser drops the valid requests in front of malformed bytes
-        # of the same packet. This one stops after each message.
-        self._parser = http.HttpRequestParser(
+        self._parser = self._build_parser()
+
+    def _build_parser(self) -> http.HttpRequestParser:
+        """Returns a parser that stops after each message.
+
+        aiohttp's own one drops the valid requests in front of malformed bytes
+        of the same packet.
+        """
+        assert self._manager is not None
+        return http.HttpRequestParser(
             self,
-            manager._loop,
+            self._manager._loop,
             self._read_bufsize,
             max_line_size=self.max_line_size,
             max_field_size=self.max_field_size,
@@ -268,6 +275,14 @@
             if messages and messages[0][1] is not streams.EMPTY_PAYLOAD:
                 self._unfinished = messages[0][1]
                 self._at_boundary = False
+            elif (
+                messages
+                and not self._upgraded
+                and _asks_for_upgrade(messages[0][0])
+            ):
+                # The parser drops what follows an upgrade that it does not
+                # know. It holds no bytes.
+                self._parser = self._build_parser()
             return
         while self._parse_one(data):
             # The parser has stopped at the end of a message.
@@ -541,6 +556,11 @@
     return not (request.keep_alive if keep_alive is None else keep_alive)
 
 
+def _asks_for_upgrade(message: object) -> bool:
+    """Returns whether a message asks for another protocol."""
+    return isinstance(message, http.RawRequestMessage) and message.upgrade
+
+
 def _is_error(message: object) -> bool:
     """Returns whether aiohttp queued a parser error in place of a message."""
     return isinstance(message, web_protocol._ErrInfo)
--- a/tests/requests/transport/test_pipelining.py
+++ b/tests/requests/transport/test_pipelining.py
@@ -167,6 +167,24 @@
         self.assertEqual(answers, [(200, b"/1")])
         self.assertEqual(node.served, [("GET", "/1")])
 
+    async def test_request_behind_one_that_asks_for_an_upgrade(self) -> None:
+        """Guards against a request that is dropped as HTTP/2 was offered."""
+        offer = (
+            "Connection: Upgrade, HTTP2-Settings\r\n"
+            "Upgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n"
+        )
+        async with (
+            builders.run_nodes(1) as (node,),
+            pipelines.connect(node) as connection,
+        ):
+            for headers in (offer, "", offer, offer, "", ""):
+                request = pipelines.build_request("/x", headers=headers)
+                connection.writer.write(request)
+                answer = await connection.read_answer()
+                assert answer is not None
+                self.assertEqual(answer[0], 200)
+        self.assertEqual(len(node.served), 6)
+
     async def test_payout_waits_for_its_turn(self) -> None:
         """Guards against payouts that run although their caller has left."""
         self.add_gates("/1", "/payouts")
