Close no connection for half a request behind one that runs

Callers saw: with little memory, or at the limit of connections, a payout that ran got no answer if the head of another request had begun to arrive behind it and stopped for 0.25 s (LOST).

Cause: a connection counted as stopped half-way by its last message alone.

Change: for memory only what has not arrived completely is ended (`can_shed`); for others a connection is closed only if no whole request on it waits for its answer. `has_whole_request` asks the request that is being handled, so a body that arrives behind it does not hide it.

Evidence: test_half_request_behind_is_not_ended_for_memory (no answer) and test_half_request_behind_is_not_ended_for_others (another connection ended in place of the new one) failed before. 124 tests of the transport and 11 of the ingress pass, and mypy and ruff.

--- a/merlintrestle/ingress/ingress.py
+++ b/merlintrestle/ingress/ingress.py
@@ -143,7 +143,7 @@
         stopped = [
             connection
             for connection in connections
-            if connection.has_stopped(stopped_at)
+            if connection.has_stopped(stopped_at) and connection.can_shed
         ]
         stopped.sort(key=lambda connection: connection.incomplete_since)
         self._shed(stopped)
@@ -158,8 +158,7 @@
             self._shed(
                 connection
                 for connection in connections
-                if connection.held_bytes > average
-                and not connection.has_whole_request
+                if connection.held_bytes > average and connection.can_shed
             )
 
     def _shed(self, connections: Iterable[ports.Connection]) -> None:
--- a/merlintrestle/ingress/ports.py
+++ b/merlintrestle/ingress/ports.py
@@ -27,10 +27,10 @@
         """Event loop time since which it has been incomplete or idle."""
 
     @property
-    def has_whole_request(self) -> bool:
-        """Whether a request that has arrived whole is not yet answered.
+    def can_shed(self) -> bool:
+        """Whether `shed` ends only what has not arrived completely.
 
-        It may have been sent on, so the connection must not be ended.
+        What has arrived may have been sent on, so it must not be ended.
         """
 
     @property
--- a/merlintrestle/requests/transport/request_handlers.py
+++ b/merlintrestle/requests/transport/request_handlers.py
@@ -146,10 +146,19 @@
 
     @property
     def has_whole_request(self) -> bool:
-        """Whether a request that has arrived whole is not yet answered."""
-        return (
-            self._request_in_progress or not self._waits_for_request
-        ) and self._unfinished is None
+        """Whether a request that has arrived whole is not yet answered.
+
+        Another one may have begun to arrive behind it.
+        """
+        request = self._current_request
+        if request is not None:
+            return request.content.is_eof()
+        return not self._waits_for_request and self._unfinished is None
+
+    @property
+    def can_shed(self) -> bool:
+        """Whether `shed` ends only what has not arrived completely."""
+        return self._unfinished is not None or not self.has_whole_request
 
     @property
     def held_bytes(self) -> int:
--- a/merlintrestle/requests/transport/server.py
+++ b/merlintrestle/requests/transport/server.py
@@ -240,7 +240,10 @@
         waiting = [
             connection
             for connection in self.list_connections()
-            if connection.incomplete_since or connection.is_idle
+            if connection.is_idle
+            or (
+                connection.incomplete_since and not connection.has_whole_request
+            )
         ]
         if not waiting:
             self._searched_at = now
--- a/tests/requests/transport/test_server_budgets.py
+++ b/tests/requests/transport/test_server_budgets.py
@@ -24,6 +24,9 @@
 )
 
 
+_HALF_HEAD = b"GET / HTTP/1.1\r\nHo"
+
+
 class ServerBudgetTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.ingress = ingresses.Ingress(
@@ -139,6 +142,57 @@
             for running_reader, _ in [*running, (reader, writer)]:
                 self.assertIn(b" 200 ", await running_reader.readline())
 
+    async def run_with_half_behind(
+        self, *halves: bytes
+    ) -> list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+        """Runs requests with a part of another one behind each."""
+        running = [await self.connect() for _ in halves]
+        for half, (_, writer) in zip(halves, running, strict=True):
+            writer.write(b"POST /wait HTTP/1.1\r\nHost: a\r\n\r\n" + half)
+        await self.wait_until_held(len(halves) * memory.REQUEST_BYTES)
+        return running
+
+    async def check_answered(
+        self, *running: tuple[asyncio.StreamReader, asyncio.StreamWriter]
+    ) -> None:
+        """Checks that the answers arrive once the requests may end."""
+        self.release.set()
+        async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+            for reader, _ in running:
+                self.assertIn(b" 200 ", await reader.readline())
+
+    async def test_half_request_behind_is_not_ended_for_memory(self) -> None:
+        """Guards against payouts that are cut for what stopped behind them."""
+        running = await self.run_with_half_behind(_HALF_HEAD, _HALF_UPLOAD)
+        with mock.patch.multiple(memory, STOPPED_S=0.0):
+            await asyncio.sleep(0.06)
+            self.ingress.memory.change(self.ingress.memory.limit)
+            reader, writer = await self.connect()
+            writer.write(_REQUEST)
+            # Several searches for what can be ended.
+            await asyncio.sleep(0.2)
+            self.ingress.memory.change(-self.ingress.memory.limit)
+        await self.check_answered((reader, writer), *running)
+
+    async def test_half_request_behind_is_not_ended_for_others(self) -> None:
+        """Guards against payouts that are cut as others connect."""
+        halves = [
+            _HALF_HEAD,
+            _HALF_UPLOAD,
+            _HALF_HEAD,
+            _HALF_UPLOAD,
+            _HALF_HEAD,
+        ]
+        running = await self.run_with_half_behind(*halves)
+        with mock.patch.multiple(memory, STOPPED_S=0.0):
+            await asyncio.sleep(0.06)
+            refused, _ = await self.connect()
+            async with asyncio.timeout(builders.TEST_TIMEOUT_S):
+                with self.assertRaises(ConnectionError):
+                    if not await refused.read():
+                        raise ConnectionError
+        await self.check_answered(*running)
+
     async def test_bytes_that_wait_for_their_turn_are_bounded(self) -> None:
         """Guards against a connection that is read on while it waits."""
         with mock.patch.object(
