Accept sequence numbers of 64 bits in heartbeats

Callers would see: a sound backend server that counts its heartbeats in nanoseconds since 1970 is never listed, and gets no call.

Cause: bounded `seq` by 2**53.

Change: the bound is that of a field of 64 bits, which all uses bear: they compare it, and a record holds it as a float.

Evidence: test_large_sequence_numbers_are_accepted fails before ("seq: ... is not allowed"); the heartbeats and the 22 properties pass.

--- a/merlintrestle/daemon/validation.py
+++ b/merlintrestle/daemon/validation.py
@@ -92,8 +92,12 @@
 
 
 def is_sequence(value: Any) -> bool:
-    """Returns whether a value is a sequence number, which is 0 or more."""
-    return decoding.is_number(value, MAX_COUNT)
+    """Returns whether a value is a sequence number, which is 0 or more.
+
+    A backend server may count in nanoseconds since 1970, so 53 bits are too
+    few.
+    """
+    return decoding.is_number(value, decoding.MAX_LONG)
 
 
 def is_start_time(value: Any) -> bool:
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -88,6 +88,15 @@
             ):
                 endpoints.parse_heartbeat("i-1", {**_FIELDS, name: value})
 
+    def test_large_sequence_numbers_are_accepted(self) -> None:
+        """Guards against sound backend servers that nobody may call."""
+        for sequence in (1_796_000_000_000_000_000, 2**64 - 1):
+            with self.subTest(sequence=sequence):
+                heartbeat = endpoints.parse_heartbeat(
+                    "i-1", {**_FIELDS, "seq": sequence}
+                )
+                self.assertEqual(heartbeat.sequence, sequence)
+
     def test_malformed_ids_are_refused(self) -> None:
         """Guards against ids that cannot stand in the header of a request."""
         for instance_id in ("i-1\r\nX-A: b", "i 1", "\ud800", "é"):
