Bound a logged id, and put a constant back below its comment

A peer's malformed leave was logged with its id whole; it is cut now. The size of a probe's answer stood between `_MAX_ENDED` and its comment. `parse_slots` split, joined and parsed where an index does.

--- a/merlintrestle/daemon/service.py
+++ b/merlintrestle/daemon/service.py
@@ -387,7 +387,8 @@
         for record in reply.leaving:
             if not leave_records.is_valid_record(record):
                 decoding.count_refused("leave of a peer")
-                events.warn("leave malformed", instance=record.instance_id)
+                shown = decoding.show_value(record.instance_id)
+                events.warn("leave malformed", instance=shown)
                 continue
             self.lifecycle.restore_leaving(leave_records.read_record(record))
 
--- a/merlintrestle/daemon/validation.py
+++ b/merlintrestle/daemon/validation.py
@@ -33,9 +33,12 @@
         text: Fields with commas between them.
         index: Index of the field with the slots.
     """
-    field = ",".join(text.split(",")[index : index + 1])
-    slots = decoding.parse_whole_number(field.strip())
-    return slots if is_slot_count(slots) else None
+    fields = text.split(",")
+    if len(fields) <= index:
+        return None
+    return (
+        decoding.parse_whole_number(fields[index].strip(), _MAX_SLOTS) or None
+    )
 
 
 def check_instance_id(instance_id: str) -> None:
--- a/merlintrestle/requests/transport/probes.py
+++ b/merlintrestle/requests/transport/probes.py
@@ -40,8 +40,8 @@
 # covers the last 20 s if a daemon serves 50 calls per second, which is the mean
 # if 6,300 daemons serve 320,000 calls per second. The first probe of a call is
 # sent much sooner, after 0.25 s.
-_MAX_ANSWER_BYTES = 1024
 _MAX_ENDED = 1024
+_MAX_ANSWER_BYTES = 1024
 
 
 @dataclasses.dataclass(slots=True)
