Let both tests of endless bytes share their responses

The responses without an end stood in test_endless_calls and in test_endless_answers. They stand in broken_servers once; the daemon's own calls meet "103 Early Hints" without end as well now.

--- a/tests/platform/test_endless_calls.py
+++ b/tests/platform/test_endless_calls.py
@@ -23,31 +23,23 @@
     from collections.abc import Awaitable, Callable
 
 _LOOPS = (asyncio.new_event_loop, uvloop.new_event_loop)
-_HEAD = b"HTTP/1.1 200 OK\r\n"
-_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 # Bytes that may be in buffers when the daemon closes the connection.
 _MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 _FLOODS = {
-    "100 Continue": broken_servers.Flood(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    "no protocol": broken_servers.Flood(b"", b"\x16\x03\x01\x02"),
-    "status line": broken_servers.Flood(b"HTTP/1.1 200 ", b"O"),
-    "header lines": broken_servers.Flood(_HEAD, b"X-A: b\r\n"),
-    "header line": broken_servers.Flood(_HEAD + b"X-A: ", b"b"),
-    "chunk size": broken_servers.Flood(_CHUNKED, b"0"),
-    "chunk extension": broken_servers.Flood(_CHUNKED + b"2;", b"a"),
-    "trailer": broken_servers.Flood(
-        _CHUNKED + b"2\r\nok\r\n0\r\n", b"X-A: b\r\n"
-    ),
-    "chunks": broken_servers.Flood(_CHUNKED, b"1\r\n \r\n"),
-    "body": broken_servers.Flood(_HEAD + b"\r\n", b" " * 1024),
+    **broken_servers.ENDLESS_HEADS,
+    "chunks": broken_servers.Flood(broken_servers.CHUNKED, b"1\r\n \r\n"),
+    "body": broken_servers.Flood(broken_servers.HEAD + b"\r\n", b" " * 1024),
     "stated body": broken_servers.Flood(
-        _HEAD + b"Content-Length: 999999999999\r\n\r\n", b" " * 1024
+        broken_servers.HEAD + b"Content-Length: 999999999999\r\n\r\n",
+        b" " * 1024,
     ),
     "stated digits": broken_servers.Flood(
-        _HEAD + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n", b" " * 1024
+        broken_servers.HEAD + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n",
+        b" " * 1024,
     ),
     "compressed body": broken_servers.Flood(
-        _HEAD + b"Content-Encoding: deflate\r\n\r\n\x78\x9c", b"\x00" * 1024
+        broken_servers.HEAD + b"Content-Encoding: deflate\r\n\r\n\x78\x9c",
+        b"\x00" * 1024,
     ),
 }
 
--- a/tests/requests/broken_servers.py
+++ b/tests/requests/broken_servers.py
@@ -18,6 +18,8 @@
 # Bytes that the server sends on a connection unless it is closed before.
 _MAX_BYTES = 64 * 1024 * 1024
 _BLOCK_BYTES = 64 * 1024
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
 class Flood(NamedTuple):
@@ -32,6 +34,22 @@
     repeated: bytes
 
 
+# Responses whose head or framing does not end, by the part that does not.
+ENDLESS_HEADS = {
+    "100 Continue": Flood(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "103 Early Hints": Flood(
+        b"", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+    ),
+    "no protocol": Flood(b"", b"\x16\x03\x01\x02"),
+    "status line": Flood(b"HTTP/1.1 200 ", b"O"),
+    "header lines": Flood(HEAD, b"X-A: b\r\n"),
+    "header line": Flood(HEAD + b"X-A: ", b"b"),
+    "chunk size": Flood(CHUNKED, b"0"),
+    "chunk extension": Flood(CHUNKED + b"2;", b"a"),
+    "trailer": Flood(CHUNKED + b"2\r\nok\r\n0\r\n", b"X-A: b\r\n"),
+}
+
+
 class FloodServer:
     """Sends a flood on each connection, in threads of its own.
 
--- a/tests/requests/transport/test_endless_answers.py
+++ b/tests/requests/transport/test_endless_answers.py
@@ -16,28 +16,11 @@
 from tests.requests import builders
 
 _LOOPS = (asyncio.new_event_loop, uvloop.new_event_loop)
-_HEAD = b"HTTP/1.1 200 OK\r\n"
-_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
-_WHOLE = _HEAD + b"Content-Length: 2\r\n\r\nok"
+_WHOLE = broken_servers.HEAD + b"Content-Length: 2\r\n\r\nok"
 # Bytes that may be in buffers when the daemon closes the connection.
 _MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
 
-_FLOODS = {
-    "100 Continue": broken_servers.Flood(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    "103 Early Hints": broken_servers.Flood(
-        b"", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
-    ),
-    "no protocol": broken_servers.Flood(b"", b"\x16\x03\x01\x02"),
-    "status line": broken_servers.Flood(b"HTTP/1.1 200 ", b"O"),
-    "header lines": broken_servers.Flood(_HEAD, b"X-A: b\r\n"),
-    "header line": broken_servers.Flood(_HEAD + b"X-A: ", b"b"),
-    "chunk size": broken_servers.Flood(_CHUNKED, b"0"),
-    "chunk extension": broken_servers.Flood(_CHUNKED + b"2;", b"a"),
-    "trailer": broken_servers.Flood(
-        _CHUNKED + b"2\r\nok\r\n0\r\n", b"X-A: b\r\n"
-    ),
-}
 _FLOODS_AFTER_AN_ANSWER = {
     "surplus bytes": broken_servers.Flood(_WHOLE, b"surplus"),
     "surplus answers": broken_servers.Flood(_WHOLE, _WHOLE),
@@ -106,7 +89,7 @@
 
     def test_bytes_that_are_no_answer_end_the_call(self) -> None:
         """Guards against callers without an answer while bytes keep coming."""
-        self.check_all(_FLOODS, b"")
+        self.check_all(broken_servers.ENDLESS_HEADS, b"")
 
     def test_bytes_behind_an_answer_end_the_connection(self) -> None:
         """Guards against bytes without end that belong to no call."""
