Log each value of a peer's header that is refused

Operators saw: a peer's malformed metadata, class of work, load, refusal, notice or probe was dropped; some were counted, none was logged, and a load or metadata with too few fields left no trace at all.

Cause: `count_refused` leaves the log line to its caller, and these had none.

Change: `report_refused` counts and logs the value, cut, at the usual rate of events. Notices of backend servers are counted now, and cut in their line.

Evidence: test_refused_headers_leave_a_trace failed in all nine cases before.

--- a/merlintrestle/decoding.py
+++ b/merlintrestle/decoding.py
@@ -15,6 +15,10 @@
 
 import prometheus_client
 
+from merlintrestle import events as event_logs
+
+events = event_logs.EventLog("decoding")
+
 # Largest integer of a field of 64 bits.
 MAX_LONG = 2**64 - 1
 # Nesting of objects and lists. Python's own limit of recursion is reached in
@@ -47,6 +51,17 @@
     _refused_counter.labels(kind).inc()
 
 
+def report_refused(kind: str, value: Any) -> None:
+    """Counts and logs a value that is not used.
+
+    Args:
+        kind: Kind of the value, see `count_refused`.
+        value: The value, which must not hold secrets.
+    """
+    count_refused(kind)
+    events.warn("value refused", kind=kind, value=show_value(value))
+
+
 def decode_json(data: bytes | str, max_size: int) -> Any:
     """Decodes JSON.
 
--- a/merlintrestle/requests/calls/metadata.py
+++ b/merlintrestle/requests/calls/metadata.py
@@ -54,6 +54,7 @@
         return parsing.CallMetadata(None)
     fields = text.removesuffix(_TERMINATOR).split(_SEPARATOR, _FIELDS_BEFORE_ID)
     if len(fields) <= _FIELDS_BEFORE_ID:
+        decoding.report_refused("call metadata", text)
         return None
     *numbers, flags, origin, request_id = fields
     decoded = [
@@ -61,7 +62,7 @@
         for number in numbers
     ]
     if None in decoded:
-        decoding.count_refused("call metadata")
+        decoding.report_refused("call metadata", text)
         return None
     timeout_ms, waited_ms, depth, attempt = decoded
     return parsing.CallMetadata(
--- a/merlintrestle/requests/calls/notices.py
+++ b/merlintrestle/requests/calls/notices.py
@@ -10,6 +10,7 @@
 import re
 from typing import NamedTuple, TYPE_CHECKING
 
+from merlintrestle import decoding
 from merlintrestle import events as event_logs
 
 if TYPE_CHECKING:
@@ -142,6 +143,7 @@
     """Decodes a header between daemons; None if it is malformed."""
     fields = text.split(",")
     if len(fields) != _PASSED_FIELD_COUNT:
+        decoding.report_refused("passed notices", text)
         return None
     digest, started_text, rate_text, leaving_text = fields
     has_limit = rate_text != _NO_RATE
@@ -150,6 +152,7 @@
         or (has_limit and not _RATE_PATTERN.fullmatch(rate_text))
         or leaving_text not in _LEAVING_VALUES
     ):
+        decoding.report_refused("passed notices", text)
         return None
     notices = Notices(
         float(rate_text) if has_limit else None, _LEAVING_VALUES[leaving_text]
@@ -169,4 +172,7 @@
 
 
 def _log_malformed(header: str, value: str) -> None:
-    events.warn("notice malformed", header=header, value=value)
+    decoding.count_refused("notice")
+    events.warn(
+        "notice malformed", header=header, value=decoding.show_value(value)
+    )
--- a/merlintrestle/requests/calls/outcomes.py
+++ b/merlintrestle/requests/calls/outcomes.py
@@ -253,7 +253,7 @@
             return reported
     except (decoding.MalformedValueError, KeyError):
         pass
-    decoding.count_refused("refusal")
+    decoding.report_refused("refusal", body[:_MAX_FAILURE_BYTES])
     return {
         "reason": "a daemon refused without a reason",
         "retry_after_s": None,
--- a/merlintrestle/requests/calls/plans.py
+++ b/merlintrestle/requests/calls/plans.py
@@ -39,7 +39,7 @@
     except decoding.MalformedValueError:
         fields = None
     if not _is_plan(fields):
-        decoding.count_refused("class of work")
+        decoding.report_refused("class of work", text)
         return None
     return snapshot.ClassPlan(*fields)
 
--- a/merlintrestle/requests/load/loads.py
+++ b/merlintrestle/requests/load/loads.py
@@ -66,15 +66,14 @@
     """Decodes the load in the text of a header; None if malformed."""
     fields = text.split(",")
     count = len(fields)
-    if count not in _FIELD_COUNTS:
-        return None
     values = []
-    for field in fields:
+    for field in fields if count in _FIELD_COUNTS else ():
         value = decoding.parse_whole_number(field, _MAX_VALUE)
-        if value is None:
-            decoding.count_refused("load")
-            return None
-        values.append(value)
+        if value is not None:
+            values.append(value)
+    if len(values) < count:
+        decoding.report_refused("load", text)
+        return None
     all_values = values + _DEFAULT_FIELDS[count:]
     calls, slots, hold_ms, link_ms, accepted_percent, server_time_ms = (
         all_values
--- a/merlintrestle/requests/transport/probes.py
+++ b/merlintrestle/requests/transport/probes.py
@@ -192,6 +192,7 @@
         return ProbeResult(True)
     written = decoding.parse_whole_number(text.decode("latin-1"))
     if written is None:
+        decoding.report_refused("probe", text)
         raise decoding.MalformedValueError("the probe states no progress")
     if status == _IN_FLIGHT_STATUS:
         return ProbeResult(True, True, written)
--- a/tests/test_outside_values.py
+++ b/tests/test_outside_values.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import math
 import os
@@ -18,7 +19,9 @@
 import multidict
 
 from merlintrestle import config
+from merlintrestle import decoding
 from merlintrestle import errors
+from merlintrestle import events as event_logs
 from merlintrestle.daemon import admin
 from merlintrestle.daemon import leave_records
 from merlintrestle.daemon import validation
@@ -39,6 +42,7 @@
 from merlintrestle.requests.calls import plans
 from merlintrestle.requests.load import loads
 from merlintrestle.requests.transport import headers
+from merlintrestle.requests.transport import probes
 from merlintrestle.rollouts import storage
 from merlintrestle.rollouts import tracker as trackers
 from merlintrestle.schema import control_pb2
@@ -532,6 +536,30 @@
         "overloaded": False,
     }
 
+    def test_refused_headers_leave_a_trace(self) -> None:
+        """Guards against values of peers that are dropped in silence."""
+        decoders: list[tuple[Callable[[str], Any], str]] = [
+            (metadata.decode_metadata, "1 2 3"),
+            (metadata.decode_metadata, "1 2 x 4  a b;"),
+            (plans.decode_plan, "[[1]]"),
+            (loads.decode_load, "1,2"),
+            (loads.decode_load, "1,2,-3"),
+            (notices.decode_passed_notices, "a,b"),
+            (notices.decode_passed_notices, "a,5,x,1"),
+            (lambda text: probes._read_result(200, text.encode()), "-1"),
+            (lambda text: outcomes._decode_failure(text.encode()), "{}"),
+        ]
+        for decode, text in decoders:
+            # Not the usual one, whose rate others may have used up.
+            log = event_logs.EventLog("decoding")
+            with (
+                self.subTest(text=text),
+                mock.patch.object(decoding, "events", log),
+                self.assertLogs("merlintrestle.decoding", "WARNING"),
+                contextlib.suppress(decoding.MalformedValueError),
+            ):
+                decode(text)
+
     @_check(text=_vary_text("1000 0 1 0 s5 balie id;"))
     def test_call_metadata(self, text: str) -> None:
         """Guards against a deadline that cannot be computed with."""
